--- /dev/null
+++ b/internal/chart/chart.go
@@ -0,0 +1,179 @@
+// Package chart interprets the state charts in charts/*.json: states with parents,
+// guarded transitions, actions, and timeouts that arrive as events.
+package chart
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"time"
+)
+
+// State names a state of a chart.
+type State string
+
+// Event names an event of a chart.
+type Event string
+
+// Guard names a condition that the code evaluates.
+type Guard string
+
+// Action names an action that the code carries out.
+type Action string
+
+// Duration is a time.Duration written as a JSON string such as "3s".
+type Duration time.Duration
+
+// UnmarshalJSON reads the form of time.ParseDuration.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return err
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Transition leads from a state to its target on an event.
+type Transition struct {
+	Event Event `json:"event"`
+	// Guard must hold for the transition to be taken; "" always holds.
+	Guard   Guard    `json:"guard,omitempty"`
+	Target  State    `json:"target"`
+	Actions []Action `json:"actions,omitempty"`
+}
+
+// Timeout raises an event when a state has been held for a time.
+type Timeout struct {
+	After Duration `json:"after"`
+	Event Event    `json:"event"`
+}
+
+// StateSpec describes one state.
+type StateSpec struct {
+	Name State `json:"name"`
+	// Parent is the state whose transitions also apply here; "" for none.
+	Parent State `json:"parent,omitempty"`
+	// Abstract is true for a parent that is never entered itself.
+	Abstract bool `json:"abstract,omitempty"`
+	// Final is true for a state that handles no event.
+	Final   bool         `json:"final,omitempty"`
+	On      []Transition `json:"on,omitempty"`
+	Ignores []Event      `json:"ignores,omitempty"`
+	Timeout *Timeout     `json:"timeout,omitempty"`
+}
+
+// Spec is a chart as its file describes it.
+type Spec struct {
+	Name    string      `json:"name"`
+	Doc     string      `json:"doc"`
+	Initial State       `json:"initial"`
+	Events  []Event     `json:"events"`
+	States  []StateSpec `json:"states"`
+}
+
+// Vocabulary lists the guards and actions that the code offers to a chart.
+type Vocabulary struct {
+	Guards  []Guard
+	Actions []Action
+}
+
+// Chart is a validated state chart. It is immutable and safe for concurrent use.
+type Chart struct {
+	spec   Spec
+	states map[State]*StateSpec
+}
+
+// Step is the result of an event in a state.
+type Step struct {
+	From    State
+	To      State
+	Event   Event
+	Actions []Action
+	// Ignored is true if the state ignores the event; To is then From.
+	Ignored bool
+}
+
+// ErrUnhandled reports an event that a state neither handles nor ignores.
+var ErrUnhandled = errors.New("unhandled event")
+
+// Load reads and validates the chart NAME.json of the file system.
+func Load(files fs.FS, name string, vocabulary Vocabulary) (*Chart, error) {
+	data, err := fs.ReadFile(files, name+".json")
+	if err != nil {
+		return nil, fmt.Errorf("chart %s: %w", name, err)
+	}
+	return Parse(data, vocabulary)
+}
+
+// Initial returns the chart's initial state.
+func (c *Chart) Initial() State {
+	return c.spec.Initial
+}
+
+// Spec returns the chart's description, for drawings and tests.
+func (c *Chart) Spec() Spec {
+	return c.spec
+}
+
+// Final reports whether the state handles no event.
+func (c *Chart) Final(state State) bool {
+	spec, ok := c.states[state]
+	return ok && spec.Final
+}
+
+// TimeoutOf returns the timeout of a state or of its nearest parent that has one.
+func (c *Chart) TimeoutOf(state State) (Timeout, bool) {
+	for spec := c.states[state]; spec != nil; spec = c.states[spec.Parent] {
+		if spec.Timeout != nil {
+			return *spec.Timeout, true
+		}
+	}
+	return Timeout{}, false
+}
+
+// Next returns what an event leads to. The first transition whose guard holds is
+// taken, a state's own before its parents'. An event whose guards all fail is ignored.
+func (c *Chart) Next(state State, event Event, holds func(Guard) bool) (Step, error) {
+	step := Step{From: state, To: state, Event: event, Ignored: true}
+	known := false
+	for spec := c.states[state]; spec != nil; spec = c.states[spec.Parent] {
+		for _, transition := range spec.On {
+			if transition.Event != event {
+				continue
+			}
+			known = true
+			if transition.Guard != "" && (holds == nil || !holds(transition.Guard)) {
+				continue
+			}
+			step.To = transition.Target
+			step.Actions = transition.Actions
+			step.Ignored = false
+			return step, nil
+		}
+		if contains(spec.Ignores, event) {
+			return step, nil
+		}
+		if spec.Final {
+			return step, nil
+		}
+	}
+	if known {
+		return step, nil
+	}
+	return step, fmt.Errorf("chart %s: state %q, event %q: %w", c.spec.Name, state, event, ErrUnhandled)
+}
+
+func contains[T comparable](list []T, item T) bool {
+	for _, candidate := range list {
+		if candidate == item {
+			return true
+		}
+	}
+	return false
+}
