Accept customer templates by schema and by rule

Cause: operators publish one value and every process must decide alike whether it is in force. Accept is a pure function of the value; it lists all faults with JSON pointer, what was expected and what was found.

--- /dev/null
+++ b/internal/schema/schema.go
@@ -0,0 +1,167 @@
+// Package schema makes JSON schemas from Go types and checks documents against them.
+package schema
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"sync"
+
+	"github.com/invopop/jsonschema"
+	validator "github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"github.com/bramleyspool/bramleyspool/internal/fault"
+)
+
+// Schema checks documents against one JSON schema. It is safe for concurrent use.
+type Schema struct {
+	name string
+	text []byte
+	once sync.Once
+	// compiled and err are set by the first use.
+	compiled *validator.Schema
+	err      error
+}
+
+// New returns a schema for the JSON text of a schema that the program embeds.
+func New(name string, text []byte) *Schema {
+	return &Schema{name: name, text: text}
+}
+
+// Text returns the schema as JSON.
+func (s *Schema) Text() []byte {
+	return s.text
+}
+
+// Generate returns the JSON schema of a value's type; descriptions are the doc comments
+// of the Go package in directory dir, whose import path is base.
+func Generate(value any, base, dir string) ([]byte, error) {
+	reflector := &jsonschema.Reflector{ExpandedStruct: true, Anonymous: true, Mapper: mapNames, Namer: typeName}
+	if err := reflector.AddGoComments(base, dir); err != nil {
+		return nil, fmt.Errorf("doc comments: %w", err)
+	}
+	text, err := json.MarshalIndent(reflector.Reflect(value), "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("schema: %w", err)
+	}
+	return append(text, '\n'), nil
+}
+
+// typeName keeps named strings apart from structs of the same name.
+func typeName(t reflect.Type) string {
+	if t.Kind() == reflect.String {
+		return t.String()
+	}
+	return t.Name()
+}
+
+// mapNames describes named strings in place, as types of several packages share a name.
+func mapNames(t reflect.Type) *jsonschema.Schema {
+	if t.Kind() == reflect.String && t.Name() != "string" {
+		return &jsonschema.Schema{Type: "string"}
+	}
+	return nil
+}
+
+// Check returns all faults of a JSON document against the schema.
+func (s *Schema) Check(document []byte) fault.List {
+	s.once.Do(s.compile)
+	if s.err != nil {
+		return fault.List{{Expected: "a valid schema " + s.name, Found: s.err.Error()}}
+	}
+	instance, err := validator.UnmarshalJSON(bytes.NewReader(document))
+	if err != nil {
+		return fault.List{{Expected: "a JSON document", Found: err.Error()}}
+	}
+	err = s.compiled.Validate(instance)
+	if err == nil {
+		return nil
+	}
+	var invalid *validator.ValidationError
+	if !errors.As(err, &invalid) {
+		return fault.List{{Expected: "a valid document", Found: err.Error()}}
+	}
+	var faults fault.List
+	collect(invalid, instance, &faults)
+	return faults.Sorted()
+}
+
+// Decode checks a document and, if it has no faults, decodes it into target.
+func (s *Schema) Decode(document []byte, target any) fault.List {
+	if faults := s.Check(document); len(faults) > 0 {
+		return faults
+	}
+	decoder := json.NewDecoder(bytes.NewReader(document))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return fault.List{{Expected: "a document of the schema " + s.name, Found: err.Error()}}
+	}
+	return nil
+}
+
+func (s *Schema) compile() {
+	document, err := validator.UnmarshalJSON(bytes.NewReader(s.text))
+	if err != nil {
+		s.err = err
+		return
+	}
+	compiler := validator.NewCompiler()
+	if err := compiler.AddResource(s.name, document); err != nil {
+		s.err = err
+		return
+	}
+	s.compiled, s.err = compiler.Compile(s.name)
+}
+
+// collect gathers the innermost causes, which name the field that is wrong.
+func collect(err *validator.ValidationError, instance any, faults *fault.List) {
+	if len(err.Causes) > 0 {
+		for _, cause := range err.Causes {
+			collect(cause, instance, faults)
+		}
+		return
+	}
+	path := pointer(err.InstanceLocation)
+	expected := err.ErrorKind.LocalizedString(message.NewPrinter(language.English))
+	*faults = append(*faults, fault.Fault{Path: path, Expected: expected, Found: describe(instance, err.InstanceLocation)})
+}
+
+func pointer(location []string) string {
+	var path strings.Builder
+	for _, part := range location {
+		path.WriteByte('/')
+		path.WriteString(strings.NewReplacer("~", "~0", "/", "~1").Replace(part))
+	}
+	return path.String()
+}
+
+const maxFoundBytes = 80
+
+// describe returns the JSON text at a location, shortened.
+func describe(instance any, location []string) string {
+	for _, part := range location {
+		switch value := instance.(type) {
+		case map[string]any:
+			instance = value[part]
+		case []any:
+			var index int
+			if _, err := fmt.Sscanf(part, "%d", &index); err != nil || index >= len(value) {
+				return "nothing"
+			}
+			instance = value[index]
+		}
+	}
+	text, err := json.Marshal(instance)
+	if err != nil {
+		return "nothing"
+	}
+	if len(text) > maxFoundBytes {
+		return string(text[:maxFoundBytes]) + "..."
+	}
+	return string(text)
+}
--- /dev/null
+++ b/internal/template/accept.go
@@ -0,0 +1,272 @@
+package template
+
+import (
+	_ "embed" // for the schema
+	"encoding/hex"
+	"fmt"
+	"math"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/fault"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/schema"
+)
+
+//go:embed schema.json
+var schemaText []byte
+
+// Schema is the JSON schema of a Document.
+var Schema = schema.New("template.schema.json", schemaText)
+
+// MaxDocumentBytes is the greatest size of a published value.
+const MaxDocumentBytes = 1 << 20
+
+const (
+	sha256Bytes   = 32
+	maxDeadlineMS = 24 * 60 * 60 * 1000
+)
+
+// Accepted is a document that was accepted, with all customers filled in. It is immutable.
+type Accepted struct {
+	Version   Version
+	Plans     []CustomerPlan
+	customers map[ident.Customer]int
+	tokens    map[string]ident.Customer
+	routes    map[ident.Customer][]compiledRoute
+}
+
+// Accept decides whether a published value is put in force. It is a pure function of the
+// value: all processes accept or refuse alike. The returned faults say why it was refused.
+func Accept(data []byte) (*Accepted, fault.List) {
+	if len(data) > MaxDocumentBytes {
+		return nil, fault.List{{Expected: fmt.Sprintf("at most %d bytes", MaxDocumentBytes), Found: fmt.Sprintf("%d bytes", len(data))}}
+	}
+	var document Document
+	if faults := Schema.Decode(data, &document); len(faults) > 0 {
+		return nil, faults
+	}
+	return document.accept()
+}
+
+func (d *Document) accept() (*Accepted, fault.List) {
+	accepted := &Accepted{
+		Version:   d.Version,
+		customers: make(map[ident.Customer]int, len(d.Customers)),
+		tokens:    make(map[string]ident.Customer, len(d.Customers)),
+		routes:    make(map[ident.Customer][]compiledRoute, len(d.Customers)),
+	}
+	faults := &fault.Collector{}
+	templates := d.checkTemplates(faults)
+	for i := range d.Customers {
+		path := fmt.Sprintf("/customers/%d", i)
+		accepted.add(&d.Customers[i], templates, path, faults)
+	}
+	if list := faults.Faults(); len(list) > 0 {
+		return nil, list
+	}
+	return accepted, nil
+}
+
+func (d *Document) checkTemplates(faults *fault.Collector) map[string]*Template {
+	templates := make(map[string]*Template, len(d.Templates))
+	for i := range d.Templates {
+		template := &d.Templates[i]
+		path := fmt.Sprintf("/templates/%d", i)
+		faults.Check(templates[template.Name] == nil, path+"/name", "a name that no other template has", template.Name)
+		templates[template.Name] = template
+		template.check(path, faults)
+	}
+	return templates
+}
+
+func (t *Template) check(path string, faults *fault.Collector) {
+	names := make(map[string]bool, len(t.Parameters))
+	for i, parameter := range t.Parameters {
+		at := fmt.Sprintf("%s/parameters/%d", path, i)
+		faults.Check(!names[parameter.Name], at+"/name", "a name that no other parameter has", parameter.Name)
+		faults.Check(parameter.Min <= parameter.Max, at+"/max", fmt.Sprintf("at least min, %v", parameter.Min), parameter.Max)
+		inside := parameter.Default >= parameter.Min && parameter.Default <= parameter.Max
+		faults.Check(inside, at+"/default", fmt.Sprintf("a number from %v to %v", parameter.Min, parameter.Max), parameter.Default)
+		names[parameter.Name] = true
+	}
+	classes := make(map[ident.Class]bool, len(t.Classes))
+	for i := range t.Classes {
+		class := &t.Classes[i]
+		at := fmt.Sprintf("%s/classes/%d", path, i)
+		faults.Check(!classes[class.Name], at+"/name", "a name that no other class has", class.Name)
+		classes[class.Name] = true
+		class.check(at, faults)
+	}
+}
+
+func (c *Class) check(path string, faults *fault.Collector) {
+	if c.Kind == KindPlain {
+		faults.Check(len(c.Routes) > 0, path+"/routes", "a route at least, for a plain service", "none")
+	}
+	if c.Kind == KindModel && !c.Idempotent {
+		faults.Check(len(c.RunKeyFields) == 0, path+"/run_key_fields", "none for a model class", strings.Join(c.RunKeyFields, ", "))
+	}
+	if c.Idempotent {
+		faults.Check(len(c.RunKeyFields) == 0, path+"/run_key_fields", "none for an idempotent class", strings.Join(c.RunKeyFields, ", "))
+	}
+	for i, route := range c.Routes {
+		at := fmt.Sprintf("%s/routes/%d", path, i)
+		safe := route.Method == http.MethodGet || route.Method == http.MethodHead
+		faults.Check(!safe || c.Idempotent, at+"/method", "a method with a body for a class that is not idempotent", route.Method)
+	}
+}
+
+func (a *Accepted) add(customer *Customer, templates map[string]*Template, path string, faults *fault.Collector) {
+	if _, ok := a.customers[customer.Name]; ok {
+		faults.Add(path+"/name", "a name that no other customer has", customer.Name)
+		return
+	}
+	a.addCredentials(customer, path, faults)
+	template := templates[customer.Template]
+	if template == nil {
+		faults.Add(path+"/template", "the name of a template", customer.Template)
+		return
+	}
+	filler := newFiller(template, customer, path, faults)
+	a.customers[customer.Name] = len(a.Plans)
+	a.Plans = append(a.Plans, filler.plan(template, customer))
+	a.routes[customer.Name] = compileRoutes(template)
+}
+
+func (a *Accepted) addCredentials(customer *Customer, path string, faults *fault.Collector) {
+	for i, digest := range customer.CredentialSHA256 {
+		at := fmt.Sprintf("%s/credential_sha256/%d", path, i)
+		raw, err := hex.DecodeString(digest)
+		faults.Check(err == nil && len(raw) == sha256Bytes, at, "64 hexadecimal digits", digest)
+		digest = strings.ToLower(digest)
+		_, taken := a.tokens[digest]
+		faults.Check(!taken, at, "a credential that nobody else has", digest)
+		a.tokens[digest] = customer.Name
+	}
+}
+
+// filler fills the parameters of one template in for one customer.
+type filler struct {
+	values map[string]float64
+	path   string
+	faults *fault.Collector
+}
+
+func newFiller(template *Template, customer *Customer, path string, faults *fault.Collector) *filler {
+	f := &filler{values: make(map[string]float64, len(template.Parameters)), path: path, faults: faults}
+	bounds := make(map[string]Parameter, len(template.Parameters))
+	for _, parameter := range template.Parameters {
+		bounds[parameter.Name] = parameter
+		f.values[parameter.Name] = parameter.Default
+	}
+	given := make(map[string]bool, len(customer.Parameters))
+	for i, value := range customer.Parameters {
+		at := fmt.Sprintf("%s/parameters/%d", path, i)
+		parameter, known := bounds[value.Name]
+		if !known {
+			faults.Add(at+"/name", "a parameter of template "+template.Name, value.Name)
+			continue
+		}
+		faults.Check(!given[value.Name], at+"/name", "a parameter that is set once", value.Name)
+		given[value.Name] = true
+		inside := value.Value >= parameter.Min && value.Value <= parameter.Max
+		faults.Check(inside, at+"/value", fmt.Sprintf("a number from %v to %v", parameter.Min, parameter.Max), value.Value)
+		f.values[value.Name] = value.Value
+	}
+	return f
+}
+
+// number returns the value of a number, or the fallback if it is absent.
+func (f *filler) number(n Number, fallback float64, field string) float64 {
+	if n.IsZero() {
+		return fallback
+	}
+	if n.Param == "" {
+		return n.Literal
+	}
+	value, ok := f.values[n.Param]
+	if !ok {
+		f.faults.Add(f.path+"/template", "a template whose "+field+" refers to a known parameter", n.Param)
+		return fallback
+	}
+	return value
+}
+
+func (f *filler) positive(n Number, fallback float64, field string) float64 {
+	value := f.number(n, fallback, field)
+	f.faults.Check(value > 0 && !math.IsInf(value, 0), f.path, field+" greater than 0", value)
+	return value
+}
+
+func (f *filler) notNegative(n Number, fallback float64, field string) float64 {
+	value := f.number(n, fallback, field)
+	f.faults.Check(value >= 0 && !math.IsInf(value, 0), f.path, field+" of at least 0", value)
+	return value
+}
+
+// limit returns a limit, or 0 for none if the number is absent. A limit of 0 is refused,
+// since 0 stands for no limit in a plan.
+func (f *filler) limit(n Number, field string) float64 {
+	if n.IsZero() {
+		return 0
+	}
+	return f.positive(n, 0, field)
+}
+
+func (f *filler) plan(template *Template, customer *Customer) CustomerPlan {
+	plan := CustomerPlan{
+		Customer: customer.Name,
+		Weight:   f.positive(template.Weight, 1, "weight"),
+		Experts: ExpertWeights{
+			Skew:        f.notNegative(template.Experts.Skew, 1, "experts.skew"),
+			Rebalancing: f.notNegative(template.Experts.Rebalancing, 1, "experts.rebalancing"),
+		},
+	}
+	for i := range template.Classes {
+		plan.Classes = append(plan.Classes, f.class(&template.Classes[i]))
+	}
+	return plan
+}
+
+func (f *filler) class(class *Class) ClassPlan {
+	field := "class " + string(class.Name) + " "
+	deadlineMS := f.positive(class.DeadlineMS, 1, field+"deadline_ms")
+	f.faults.Check(deadlineMS <= maxDeadlineMS, f.path, fmt.Sprintf("%sdeadline_ms of at most %d", field, maxDeadlineMS), deadlineMS)
+	concurrency := f.limit(class.Limits.Concurrency, field+"concurrency")
+	f.faults.Check(concurrency == math.Trunc(concurrency), f.path, field+"concurrency that is a whole number", concurrency)
+	return ClassPlan{
+		Name:         class.Name,
+		Service:      class.Service,
+		Kind:         class.Kind,
+		Idempotent:   class.Idempotent,
+		RunKeyFields: class.RunKeyFields,
+		Worth:        f.positive(class.Worth, 1, field+"worth"),
+		Priority:     class.Priority,
+		Deadline:     time.Duration(deadlineMS * float64(time.Millisecond)),
+		Limits: Limits{
+			RatePerSecond:   f.limit(class.Limits.RatePerSecond, field+"rate_per_second"),
+			Concurrency:     int(concurrency),
+			TokensPerSecond: f.limit(class.Limits.TokensPerSecond, field+"tokens_per_second"),
+		},
+	}
+}
+
+// Services returns the services that the classes name, in order of their names.
+func (a *Accepted) Services() []ident.Service {
+	seen := map[ident.Service]bool{}
+	var services []ident.Service
+	for i := range a.Plans {
+		for j := range a.Plans[i].Classes {
+			service := a.Plans[i].Classes[j].Service
+			if !seen[service] {
+				seen[service] = true
+				services = append(services, service)
+			}
+		}
+	}
+	sort.Slice(services, func(i, j int) bool { return services[i] < services[j] })
+	return services
+}
--- /dev/null
+++ b/internal/template/lookup.go
@@ -0,0 +1,130 @@
+package template
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+type compiledRoute struct {
+	method string
+	parts  []string
+	class  int
+}
+
+func compileRoutes(template *Template) []compiledRoute {
+	var routes []compiledRoute
+	for i := range template.Classes {
+		for _, route := range template.Classes[i].Routes {
+			routes = append(routes, compiledRoute{method: route.Method, parts: split(route.Path), class: i})
+		}
+	}
+	return routes
+}
+
+func split(path string) []string {
+	return strings.Split(strings.Trim(path, "/"), "/")
+}
+
+func (r *compiledRoute) matches(method string, parts []string) bool {
+	if r.method != method || len(r.parts) != len(parts) {
+		return false
+	}
+	for i, part := range r.parts {
+		variable := strings.HasPrefix(part, "{") && strings.HasSuffix(part, "}")
+		if !variable && part != parts[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// CustomerOf returns the customer that a bearer credential belongs to.
+func (a *Accepted) CustomerOf(credential string) (ident.Customer, bool) {
+	digest := sha256.Sum256([]byte(credential))
+	customer, ok := a.tokens[hex.EncodeToString(digest[:])]
+	return customer, ok
+}
+
+// Plan returns a customer's plan, or nil for an unknown customer.
+func (a *Accepted) Plan(customer ident.Customer) *CustomerPlan {
+	index, ok := a.customers[customer]
+	if !ok {
+		return nil
+	}
+	return &a.Plans[index]
+}
+
+// ClassOfRoute returns the class of a plain call of a customer, or nil if no route matches.
+// A route without variables goes before one with variables.
+func (a *Accepted) ClassOfRoute(customer ident.Customer, method, path string) *ClassPlan {
+	parts := split(path)
+	best := -1
+	fixed := -1
+	for _, route := range a.routes[customer] {
+		if !route.matches(method, parts) {
+			continue
+		}
+		count := 0
+		for i := range parts {
+			if route.parts[i] == parts[i] {
+				count++
+			}
+		}
+		if count > fixed {
+			fixed = count
+			best = route.class
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return &a.Plan(customer).Classes[best]
+}
+
+// ModelClass returns a customer's model class by name, or its first for the empty name.
+// It returns nil if there is none.
+func (a *Accepted) ModelClass(customer ident.Customer, name ident.Class) *ClassPlan {
+	plan := a.Plan(customer)
+	if plan == nil {
+		return nil
+	}
+	for i := range plan.Classes {
+		class := &plan.Classes[i]
+		if class.Kind == KindModel && (name == "" || class.Name == name) {
+			return class
+		}
+	}
+	return nil
+}
+
+// ExpertWeightsOf returns the weights of skew and rebalancing for a service: the mean over
+// the customers that use it, each counted by its weight.
+func (a *Accepted) ExpertWeightsOf(service ident.Service) ExpertWeights {
+	var sum ExpertWeights
+	var total float64
+	for i := range a.Plans {
+		plan := &a.Plans[i]
+		if !plan.uses(service) {
+			continue
+		}
+		sum.Skew += plan.Weight * plan.Experts.Skew
+		sum.Rebalancing += plan.Weight * plan.Experts.Rebalancing
+		total += plan.Weight
+	}
+	if total == 0 {
+		return ExpertWeights{Skew: 1, Rebalancing: 1}
+	}
+	return ExpertWeights{Skew: sum.Skew / total, Rebalancing: sum.Rebalancing / total}
+}
+
+func (p *CustomerPlan) uses(service ident.Service) bool {
+	for i := range p.Classes {
+		if p.Classes[i].Service == service {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/template/types.go
+++ b/internal/template/types.go
@@ -56,6 +56,8 @@
 	Customer ident.Customer
 	// Weight is the customer's weight in fair sharing; greater than 0.
 	Weight float64
+	// Experts weighs skew against rebalancing for the customer's model groups.
+	Experts ExpertWeights
 	// Classes are in the order of the template.
 	Classes []ClassPlan
 }
