Read settings and the published fleet with schema and rules

Cause: a process must refuse wrong settings with file, path, what was expected and what was found, and all processes must decide alike on a published fleet.

--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -33,7 +33,7 @@
 	Ranks []ident.Rank `json:"ranks,omitempty"`
 }
 
-// Service is one published model or plain service.
+// Service is one model or plain service with its settings in force.
 type Service struct {
 	Name ident.Service `json:"name"`
 	Kind template.Kind `json:"kind"`
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,253 @@
+// Package settings reads the settings of one process from JSON.
+package settings
+
+import (
+	_ "embed" // for the schema
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleyspool/bramleyspool/internal/fault"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/schema"
+)
+
+//go:embed schema.json
+var schemaText []byte
+
+// Schema is the JSON schema of the settings.
+var Schema = schema.New("settings.schema.json", schemaText)
+
+// Settings are the settings of an entry or an agent process.
+type Settings struct {
+	// VM is the name of the VM as the platform lists it. It must be the name in the certificate.
+	VM ident.VM `json:"vm" jsonschema:"minLength=1"`
+	// Zone is the availability zone of the VM.
+	Zone ident.Zone `json:"zone" jsonschema:"minLength=1"`
+	// Region is the region of the availability zone.
+	Region ident.Region `json:"region" jsonschema:"minLength=1"`
+	// Peer is the interface to other processes of the system.
+	Peer Peer `json:"peer"`
+	// Keys are the files that identify the process to others of the system.
+	Keys Keys `json:"keys"`
+	// Platform holds the platform's addresses.
+	Platform Platform `json:"platform"`
+	// Callers is the interface to callers; entry processes need it.
+	Callers *Callers `json:"callers,omitempty"`
+	// Backend is the backend server beside an agent; agent processes need it.
+	Backend *Backend `json:"backend,omitempty"`
+	// Admin is the operators' interface.
+	Admin Admin `json:"admin"`
+	// Shutdown sets the pace of a planned stop.
+	Shutdown Shutdown `json:"shutdown,omitzero"`
+	// Log sets what is logged.
+	Log Log `json:"log,omitzero"`
+}
+
+// Peer is the interface to other processes of the system.
+type Peer struct {
+	// Address is the IP address and UDP port to listen on.
+	Address string `json:"address"`
+	// Seeds are IP addresses and UDP ports of other processes to ask for the configuration
+	// in force when the configuration service can't be read.
+	Seeds []string `json:"seeds,omitempty"`
+	// MaxMessageBytes is the greatest accepted size of one message, in bytes. Default: 2097152.
+	MaxMessageBytes int `json:"max_message_bytes,omitempty" jsonschema:"minimum=0"`
+}
+
+// Keys are the files that identify the process. They are read again when they change.
+type Keys struct {
+	// Certificate is the PEM file with the certificate of the VM.
+	Certificate string `json:"certificate"`
+	// PrivateKey is the PEM file with the certificate's private key.
+	PrivateKey string `json:"private_key"`
+	// Authority is the PEM file with the certificates that sign the fleet's certificates.
+	Authority string `json:"authority"`
+}
+
+// Platform holds the platform's addresses.
+type Platform struct {
+	// Configuration is the base URL of the configuration service.
+	Configuration string `json:"configuration"`
+	// VMs is the URL of the list of live and leaving VMs.
+	VMs string `json:"vms"`
+	// WeightStore is the base URL of the weight store; agents of model engines need it.
+	WeightStore string `json:"weight_store,omitempty"`
+}
+
+// Callers is the interface to callers.
+type Callers struct {
+	// Address is the IP address and TCP port to listen on.
+	Address string `json:"address"`
+	// MaxHeaderBytes is the greatest size of a request's header, in bytes. Default: 16384.
+	MaxHeaderBytes int `json:"max_header_bytes,omitempty" jsonschema:"minimum=0"`
+	// MaxBodyBytes is the greatest size of a request's body, in bytes. Default: 1048576.
+	MaxBodyBytes int64 `json:"max_body_bytes,omitempty" jsonschema:"minimum=0"`
+	// ReadTimeoutMS is the longest time to read a request, in milliseconds. Default: 10000.
+	ReadTimeoutMS int `json:"read_timeout_ms,omitempty" jsonschema:"minimum=0"`
+	// WriteTimeoutMS is the longest time that one write to a caller may wait, in milliseconds.
+	// Default: 10000.
+	WriteTimeoutMS int `json:"write_timeout_ms,omitempty" jsonschema:"minimum=0"`
+	// MaxOpenCalls is the greatest number of calls open at once. Default: 4096.
+	MaxOpenCalls int `json:"max_open_calls,omitempty" jsonschema:"minimum=0"`
+}
+
+// Backend is the backend server beside an agent.
+type Backend struct {
+	// URL is the base URL of the model engine or plain service.
+	URL string `json:"url"`
+	// MaxAnswerBytes is the greatest size of an answer that is kept for resumption, in bytes.
+	// Default: 8388608.
+	MaxAnswerBytes int `json:"max_answer_bytes,omitempty" jsonschema:"minimum=0"`
+	// CallTimeoutMS is the longest time that a call may take, in milliseconds. Default: 600000.
+	CallTimeoutMS int `json:"call_timeout_ms,omitempty" jsonschema:"minimum=0"`
+}
+
+// Admin is the operators' interface.
+type Admin struct {
+	// Address is the IP address and TCP port to listen on.
+	Address string `json:"address"`
+	// CredentialSHA256 is the SHA-256 of the operators' bearer credential, in hexadecimal.
+	CredentialSHA256 string `json:"credential_sha256" jsonschema:"pattern=^[0-9a-fA-F]{64}$"`
+}
+
+// Shutdown sets the pace of a planned stop.
+type Shutdown struct {
+	// BalancerLagMS is how long the platform's balancer may send calls after readiness turned
+	// false, in milliseconds. Default: 5000.
+	BalancerLagMS int `json:"balancer_lag_ms,omitempty" jsonschema:"minimum=0"`
+}
+
+// Log sets what is logged.
+type Log struct {
+	// Level is the least severe level that is logged. Default: info.
+	Level string `json:"level,omitempty"`
+}
+
+// Defaults of the settings.
+const (
+	DefaultMaxMessageBytes = 2 << 20
+	DefaultMaxHeaderBytes  = 16 << 10
+	DefaultMaxBodyBytes    = 1 << 20
+	DefaultReadTimeoutMS   = 10_000
+	DefaultWriteTimeoutMS  = 10_000
+	DefaultMaxOpenCalls    = 4096
+	DefaultMaxAnswerBytes  = 8 << 20
+	DefaultCallTimeoutMS   = 600_000
+	DefaultBalancerLagMS   = 5_000
+	DefaultLogLevel        = "info"
+)
+
+// Role is the program that settings are for.
+type Role string
+
+// The roles of a process.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Load reads the settings of a role from a file. The returned error is a fault.List if the
+// file could be read.
+func Load(file string, role Role) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	settings, faults := Parse(data, role)
+	return settings, faults.Err()
+}
+
+// Parse reads the settings of a role, fills defaults in and returns all faults.
+func Parse(data []byte, role Role) (*Settings, fault.List) {
+	var settings Settings
+	if faults := Schema.Decode(data, &settings); len(faults) > 0 {
+		return nil, faults
+	}
+	settings.fillDefaults()
+	if faults := settings.check(role); len(faults) > 0 {
+		return nil, faults
+	}
+	return &settings, nil
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (s *Settings) fillDefaults() {
+	setDefault(&s.Peer.MaxMessageBytes, DefaultMaxMessageBytes)
+	setDefault(&s.Shutdown.BalancerLagMS, DefaultBalancerLagMS)
+	setDefault(&s.Log.Level, DefaultLogLevel)
+	if s.Callers != nil {
+		setDefault(&s.Callers.MaxHeaderBytes, DefaultMaxHeaderBytes)
+		setDefault(&s.Callers.MaxBodyBytes, DefaultMaxBodyBytes)
+		setDefault(&s.Callers.ReadTimeoutMS, DefaultReadTimeoutMS)
+		setDefault(&s.Callers.WriteTimeoutMS, DefaultWriteTimeoutMS)
+		setDefault(&s.Callers.MaxOpenCalls, DefaultMaxOpenCalls)
+	}
+	if s.Backend != nil {
+		setDefault(&s.Backend.MaxAnswerBytes, DefaultMaxAnswerBytes)
+		setDefault(&s.Backend.CallTimeoutMS, DefaultCallTimeoutMS)
+	}
+}
+
+func (s *Settings) check(role Role) fault.List {
+	faults := &fault.Collector{}
+	checkAddress(faults, "/peer/address", s.Peer.Address)
+	for i, seed := range s.Peer.Seeds {
+		checkAddress(faults, fmt.Sprintf("/peer/seeds/%d", i), seed)
+	}
+	checkAddress(faults, "/admin/address", s.Admin.Address)
+	checkURL(faults, "/platform/configuration", s.Platform.Configuration)
+	checkURL(faults, "/platform/vms", s.Platform.VMs)
+	if s.Platform.WeightStore != "" {
+		checkURL(faults, "/platform/weight_store", s.Platform.WeightStore)
+	}
+	checkFile(faults, "/keys/certificate", s.Keys.Certificate)
+	checkFile(faults, "/keys/private_key", s.Keys.PrivateKey)
+	checkFile(faults, "/keys/authority", s.Keys.Authority)
+	_, err := logrus.ParseLevel(s.Log.Level)
+	faults.Check(err == nil, "/log/level", "error, warning, info or debug", s.Log.Level)
+	switch role {
+	case RoleEntry:
+		faults.Check(s.Callers != nil, "/callers", "the interface to callers, for an entry", "nothing")
+	case RoleAgent:
+		faults.Check(s.Backend != nil, "/backend", "the backend server, for an agent", "nothing")
+	}
+	if s.Callers != nil {
+		checkAddress(faults, "/callers/address", s.Callers.Address)
+	}
+	if s.Backend != nil {
+		checkURL(faults, "/backend/url", s.Backend.URL)
+	}
+	return faults.Faults()
+}
+
+func checkAddress(faults *fault.Collector, path, address string) {
+	_, err := netip.ParseAddrPort(address)
+	faults.Check(err == nil, path, "an IP address and a port", address)
+}
+
+func checkURL(faults *fault.Collector, path, text string) {
+	parsed, err := url.Parse(text)
+	valid := err == nil && parsed.Host != "" && (parsed.Scheme == "http" || parsed.Scheme == "https")
+	faults.Check(valid, path, "an http or https URL", text)
+}
+
+func checkFile(faults *fault.Collector, path, file string) {
+	info, err := os.Stat(file)
+	faults.Check(err == nil && !info.IsDir(), path, "a file that can be read", file)
+}
+
+// BalancerLag returns how long the platform's balancer may lag.
+func (s *Settings) BalancerLag() time.Duration {
+	return time.Duration(s.Shutdown.BalancerLagMS) * time.Millisecond
+}
