Publish templates and fleet as one value

Cause: two values could be mixed at different versions, a class naming a service that the fleet in force lacks. One value holds both and is accepted whole; the fleet keeps a version of its own, so that a template change does not move run keys. Tables show the refusals.

--- a/internal/fleet/document.go
+++ b/internal/fleet/document.go
@@ -59,14 +59,19 @@
 	if faults := Schema.Decode(data, &document); len(faults) > 0 {
 		return nil, faults
 	}
+	return document.Accept()
+}
+
+// Accept decides on a decoded document.
+func (d *Document) Accept() (*Fleet, fault.List) {
 	faults := &fault.Collector{}
 	checker := documentChecker{faults: faults, addresses: map[string]bool{}, vms: map[ident.VM]bool{}}
-	checker.entries(document.Entries)
-	checker.services(document.Services)
+	checker.entries(d.Entries)
+	checker.services(d.Services)
 	if list := faults.Faults(); len(list) > 0 {
 		return nil, list
 	}
-	return document.fleet(), nil
+	return d.fleet(), nil
 }
 
 func (d *Document) fleet() *Fleet {
--- a/internal/fleet/document_test.go
+++ b/internal/fleet/document_test.go
@@ -56,7 +56,7 @@
 
 func TestCommittedSchemaIsCurrent(t *testing.T) {
 	c := qt.New(t)
-	text, err := schema.Generate(&fleet.Document{}, "github.com/bramleyspool/bramleyspool/internal/fleet", "./")
+	text, err := schema.Generate(&fleet.Document{}, "fleet", "template")
 	c.Assert(err, qt.IsNil)
 	if *update {
 		c.Assert(os.WriteFile("schema.json", text, 0o644), qt.IsNil)
--- /dev/null
+++ b/internal/published/published_test.go
@@ -0,0 +1,61 @@
+package published_test
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleyspool/bramleyspool/internal/published"
+	"github.com/bramleyspool/bramleyspool/internal/schema"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+var update = flag.Bool("update", false, "write the schema anew")
+
+const document = `{"version": 5,
+"templates": [{"name": "t", "classes": [{"name": "lookup", "service": "ledger", "kind": "plain", "idempotent": true,
+  "deadline_ms": 500, "routes": [{"method": "GET", "path": "/v1/balance"}]}]}],
+"customers": [],
+"fleet": {"version": 2,
+  "entries": [{"vm": "e", "zone": "z", "region": "r", "address": "127.0.0.1:1"}],
+  "services": [{"name": "ledger", "kind": "plain", "opened_at": "2026-01-01T00:00:00Z", "run_key_retention_seconds": 60,
+    "backends": [{"vm": "b", "zone": "z", "region": "r", "address": "127.0.0.1:2", "capacity": 1}]}]}}`
+
+func TestAcceptTakesTemplatesAndFleetTogether(t *testing.T) {
+	c := qt.New(t)
+	configuration, faults := published.Accept([]byte(document))
+	c.Assert(faults, qt.HasLen, 0)
+	c.Assert(configuration.Version, qt.Equals, template.Version(5))
+	c.Assert(configuration.Fleet.Version, qt.Equals, template.Version(2))
+}
+
+func TestAcceptRefusesPartsThatDoNotFit(t *testing.T) {
+	cases := []struct{ name, from, to, path string }{
+		{"unknown service", `"service": "ledger"`, `"service": "till"`, "/templates/0/classes/0/service"},
+		{"other kind", `"ledger", "kind": "plain", "opened_at"`, `"ledger", "kind": "model", "opened_at"`, "/templates/0/classes/0/kind"},
+		{"fleet fault", `"127.0.0.1:2"`, `"127.0.0.1:1"`, "/fleet/services/0/backends/0/address"},
+		{"unknown field", `"entries"`, `"entrees": [], "entries"`, "/fleet"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			_, faults := published.Accept([]byte(strings.Replace(document, tc.from, tc.to, 1)))
+			c.Assert(faults, qt.HasLen, 1, qt.Commentf("%v", faults))
+			c.Assert(faults[0].Path, qt.Equals, tc.path)
+		})
+	}
+}
+
+func TestCommittedSchemaIsCurrent(t *testing.T) {
+	c := qt.New(t)
+	text, err := schema.Generate(&published.Document{}, "template", "fleet", "published")
+	c.Assert(err, qt.IsNil)
+	if *update {
+		c.Assert(os.WriteFile("schema.json", text, 0o644), qt.IsNil)
+		return
+	}
+	c.Assert(string(published.Schema.Text()), qt.Equals, string(text))
+}
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -18,6 +18,8 @@
 	"github.com/bramleyspool/bramleyspool/internal/fault"
 )
 
+const internalPath = "github.com/bramleyspool/bramleyspool/internal"
+
 // Schema checks documents against one JSON schema. It is safe for concurrent use.
 type Schema struct {
 	name string
@@ -38,12 +40,15 @@
 	return s.text
 }
 
-// Generate returns the JSON schema of a value's type; descriptions are the doc comments
-// of the Go package in directory dir, whose import path is base.
-func Generate(value any, base, dir string) ([]byte, error) {
+// Generate returns the JSON schema of a value's type; descriptions are the doc comments of
+// the named packages below the module's internal directory, found from the working
+// directory of a test of one of them.
+func Generate(value any, packages ...string) ([]byte, error) {
 	reflector := &jsonschema.Reflector{ExpandedStruct: true, Anonymous: true, Mapper: mapNames, Namer: typeName}
-	if err := reflector.AddGoComments(base, dir); err != nil {
-		return nil, fmt.Errorf("doc comments: %w", err)
+	for _, name := range packages {
+		if err := reflector.AddGoComments(internalPath+"/"+name, "../"+name); err != nil {
+			return nil, fmt.Errorf("doc comments of %s: %w", name, err)
+		}
 	}
 	text, err := json.MarshalIndent(reflector.Reflect(value), "", "  ")
 	if err != nil {
@@ -52,12 +57,9 @@
 	return append(text, '\n'), nil
 }
 
-// typeName keeps named strings apart from structs of the same name.
+// typeName keeps types of several packages apart that share a name.
 func typeName(t reflect.Type) string {
-	if t.Kind() == reflect.String {
-		return t.String()
-	}
-	return t.Name()
+	return t.String()
 }
 
 // mapNames describes named strings in place, as types of several packages share a name.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -63,7 +63,7 @@
 
 func TestCommittedSchemaIsCurrent(t *testing.T) {
 	c := qt.New(t)
-	text, err := schema.Generate(&settings.Settings{}, "github.com/bramleyspool/bramleyspool/internal/settings", "./")
+	text, err := schema.Generate(&settings.Settings{}, "settings")
 	c.Assert(err, qt.IsNil)
 	if *update {
 		c.Assert(os.WriteFile("schema.json", text, 0o644), qt.IsNil)
--- a/internal/template/accept.go
+++ b/internal/template/accept.go
@@ -48,10 +48,11 @@
 	if faults := Schema.Decode(data, &document); len(faults) > 0 {
 		return nil, faults
 	}
-	return document.accept()
+	return document.Accept()
 }
 
-func (d *Document) accept() (*Accepted, fault.List) {
+// Accept decides on a decoded document.
+func (d *Document) Accept() (*Accepted, fault.List) {
 	accepted := &Accepted{
 		Version:   d.Version,
 		customers: make(map[ident.Customer]int, len(d.Customers)),
--- a/internal/template/schema_test.go
+++ b/internal/template/schema_test.go
@@ -15,7 +15,7 @@
 
 func TestCommittedSchemaIsCurrent(t *testing.T) {
 	c := qt.New(t)
-	text, err := schema.Generate(&template.Document{}, "github.com/bramleyspool/bramleyspool/internal/template", "./")
+	text, err := schema.Generate(&template.Document{}, "template")
 	c.Assert(err, qt.IsNil)
 	if *update {
 		c.Assert(os.WriteFile("schema.json", text, 0o644), qt.IsNil)
