Add the platform's interfaces, HTTP clients and first stand-ins

Clients by sling over net/http for engine, plain service, configuration service, VM list and weight store, with errors that say whether a request may have run. Stand-ins keep a record of what they truly ran.

--- /dev/null
+++ b/internal/platform/engine_client.go
@@ -0,0 +1,255 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// EngineClient is the Engine over HTTP.
+type EngineClient struct {
+	*client
+}
+
+// NewEngineClient returns a client for the engine at the base URL.
+func NewEngineClient(options Options) *EngineClient {
+	return &EngineClient{newClient(options)}
+}
+
+var _ Engine = (*EngineClient)(nil)
+
+const contentTypeJSON = "application/json"
+
+// contentTypeEvents is the type of streamed answers.
+const contentTypeEvents = "text/event-stream"
+
+func (c *EngineClient) completionRequest(request EngineRequest) *sling.Sling {
+	s := c.base.New().Post("/v1/completions").
+		Body(bytes.NewReader(request.Body)).
+		Set("Content-Type", contentTypeJSON).
+		Set(HeaderRequestID, string(request.ID)).
+		Set(HeaderPriority, strconv.Itoa(request.Priority))
+	if request.Rank != nil {
+		s.Set(HeaderRank, strconv.Itoa(int(*request.Rank)))
+	}
+	return s
+}
+
+// Call runs a request whose body does not ask for a stream.
+func (c *EngineClient) Call(ctx context.Context, request EngineRequest) (Completion, error) {
+	const op = "engine.call"
+	got, err := c.do(ctx, op, c.completionRequest(request))
+	if err != nil {
+		return Completion{}, err
+	}
+	if err := statusError(op, got); err != nil {
+		return Completion{}, err
+	}
+	completion, err := decodeCompletion(got.body, request.ID)
+	if err != nil {
+		return Completion{}, &Error{Kind: KindGarbage, Op: op, Err: err}
+	}
+	return completion, nil
+}
+
+// Stream starts a request whose body asks for a stream.
+func (c *EngineClient) Stream(ctx context.Context, request EngineRequest) (Stream, error) {
+	return c.openStream(ctx, "engine.stream", request.ID, 0, c.completionRequest(request))
+}
+
+// Resume continues the stream of a request from the offset.
+func (c *EngineClient) Resume(ctx context.Context, id ident.Request, from uint64) (Stream, error) {
+	s := c.base.New().Get(requestPath(id, "stream") + "?from=" + strconv.FormatUint(from, 10))
+	return c.openStream(ctx, "engine.resume", id, from, s)
+}
+
+func requestPath(id ident.Request, action string) string {
+	return "/v1/requests/" + url.PathEscape(string(id)) + "/" + action
+}
+
+// openStream sends the request and checks that the answer is a stream. The client's
+// timeout bounds the time until the stream starts.
+func (c *EngineClient) openStream(ctx context.Context, op string, id ident.Request, from uint64, request *sling.Sling) (Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(c.options.Timeout, cancel)
+	response, err := c.startStream(ctx, op, request)
+	if err != nil {
+		timer.Stop()
+		cancel()
+		return nil, err
+	}
+	if !timer.Stop() {
+		response.Body.Close()
+		return nil, &Error{Kind: KindUnknown, Op: op, Status: response.StatusCode, Detail: "timeout"}
+	}
+	return newEventStream(op, id, from, response, c.options.IdleTimeout, cancel), nil
+}
+
+func (c *EngineClient) startStream(ctx context.Context, op string, request *sling.Sling) (*http.Response, error) {
+	response, err := c.send(ctx, op, request)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.checkStream(op, response); err != nil {
+		response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+func (c *EngineClient) checkStream(op string, response *http.Response) error {
+	if response.StatusCode != http.StatusOK {
+		body, err := c.readBody(op, response)
+		if err != nil {
+			return err
+		}
+		return statusError(op, answer{status: response.StatusCode, header: response.Header, body: body})
+	}
+	contentType, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	if contentType != contentTypeEvents {
+		return &Error{Kind: KindGarbage, Op: op, Status: response.StatusCode, Detail: "answer is not an event stream"}
+	}
+	return nil
+}
+
+// cancelBody is the answer to a cancel.
+type cancelBody struct {
+	State CancelState `json:"state"`
+}
+
+// Cancel stops the request, or keeps it from ever starting.
+func (c *EngineClient) Cancel(ctx context.Context, id ident.Request) (CancelState, error) {
+	const op = "engine.cancel"
+	var body cancelBody
+	if err := c.doJSON(ctx, op, c.base.New().Post(requestPath(id, "cancel")), &body); err != nil {
+		return "", err
+	}
+	switch body.State {
+	case CancelNotStarted, CancelStopped, CancelFinished:
+		return body.State, nil
+	}
+	return "", &Error{Kind: KindGarbage, Op: op, Detail: "unknown cancel state"}
+}
+
+// Load returns the engine's last load report.
+func (c *EngineClient) Load(ctx context.Context) (LoadReport, error) {
+	const op = "engine.load"
+	var report LoadReport
+	if err := c.doJSON(ctx, op, c.base.New().Get("/v1/load"), &report); err != nil {
+		return LoadReport{}, err
+	}
+	if !report.plausible() {
+		return LoadReport{}, &Error{Kind: KindGarbage, Op: op, Detail: "figures out of range"}
+	}
+	return report, nil
+}
+
+func (r LoadReport) plausible() bool {
+	return r.Boot > 0 && r.Age >= 0 && r.Running >= 0 && r.Waiting >= 0 &&
+		r.KVCacheUse >= 0 && r.KVCacheUse <= 1 &&
+		r.PromptTokensPerSecond >= 0 && r.GeneratedTokensPerSecond >= 0
+}
+
+// CacheEvents returns events with greater sequence numbers than after.
+func (c *EngineClient) CacheEvents(ctx context.Context, after uint64) (CacheEvents, error) {
+	const op = "engine.cache-events"
+	var page CacheEvents
+	request := c.base.New().Get("/v1/cache/events?after=" + strconv.FormatUint(after, 10))
+	if err := c.doJSON(ctx, op, request, &page); err != nil {
+		return CacheEvents{}, err
+	}
+	for _, event := range page.Events {
+		if !event.valid() {
+			return CacheEvents{}, &Error{Kind: KindGarbage, Op: op, Detail: "invalid cache event"}
+		}
+	}
+	page.settle(after)
+	return page, nil
+}
+
+func (e CacheEvent) valid() bool {
+	switch e.Kind {
+	case CacheStored, CacheEvicted, CacheCleared:
+		return e.Sequence > 0
+	}
+	return false
+}
+
+// settle sorts the events, drops doubles and old ones and counts those that are missing.
+func (p *CacheEvents) settle(after uint64) {
+	events := slices.DeleteFunc(p.Events, func(e CacheEvent) bool { return e.Sequence <= after })
+	slices.SortStableFunc(events, func(a, b CacheEvent) int {
+		if a.Sequence < b.Sequence {
+			return -1
+		}
+		if a.Sequence > b.Sequence {
+			return 1
+		}
+		return 0
+	})
+	p.Events = slices.CompactFunc(events, func(a, b CacheEvent) bool { return a.Sequence == b.Sequence })
+	p.Last = after
+	if n := len(p.Events); n > 0 {
+		p.Last = p.Events[n-1].Sequence
+	}
+	p.Missing = p.Last - after - uint64(len(p.Events))
+}
+
+// Order gives an order and returns what the engine made of it.
+func (c *EngineClient) Order(ctx context.Context, order Order) (OrderReceipt, error) {
+	const op = "engine.order"
+	var receipt OrderReceipt
+	if err := c.doJSON(ctx, op, c.base.New().Post("/v1/orders").BodyJSON(order), &receipt); err != nil {
+		return OrderReceipt{}, err
+	}
+	if receipt.ID != order.ID {
+		return OrderReceipt{}, &Error{Kind: KindGarbage, Op: op, Detail: "receipt of another order"}
+	}
+	if !receipt.State.valid() {
+		return OrderReceipt{}, &Error{Kind: KindGarbage, Op: op, Detail: "unknown order state"}
+	}
+	return receipt, nil
+}
+
+func (s OrderState) valid() bool {
+	switch s {
+	case OrderRunning, OrderDone, OrderFailed:
+		return true
+	}
+	return false
+}
+
+// ReadBack returns the state that the orders have led to.
+func (c *EngineClient) ReadBack(ctx context.Context) (EngineState, error) {
+	const op = "engine.read-back"
+	var state EngineState
+	if err := c.doJSON(ctx, op, c.base.New().Get("/v1/orders/state"), &state); err != nil {
+		return EngineState{}, err
+	}
+	if state.Boot == 0 || state.LastState != OrderNone && !state.LastState.valid() {
+		return EngineState{}, &Error{Kind: KindGarbage, Op: op, Detail: "invalid state"}
+	}
+	return state, nil
+}
+
+// ExpertCounts returns how many tokens were routed to each expert.
+func (c *EngineClient) ExpertCounts(ctx context.Context) (ExpertCounts, error) {
+	const op = "engine.expert-counts"
+	var counts ExpertCounts
+	if err := c.doJSON(ctx, op, c.base.New().Get("/v1/experts/counts"), &counts); err != nil {
+		return ExpertCounts{}, err
+	}
+	if counts.Boot == 0 {
+		return ExpertCounts{}, &Error{Kind: KindGarbage, Op: op, Detail: "counts without boot"}
+	}
+	return counts, nil
+}
--- /dev/null
+++ b/internal/platform/orders.go
@@ -0,0 +1,123 @@
+package platform
+
+import "github.com/bramleyspool/bramleyspool/internal/ident"
+
+// Fence is the fencing number of an order. Some engines refuse a smaller one than
+// they have seen; others ignore it.
+type Fence uint64
+
+// OrderKind is the kind of an engine order.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	// OrderLoadModel loads Model at Version.
+	OrderLoadModel OrderKind = "load-model"
+	// OrderLoadAdapter loads Adapter at Version for Model.
+	OrderLoadAdapter OrderKind = "load-adapter"
+	// OrderSetRole changes the engine's Role.
+	OrderSetRole OrderKind = "set-role"
+	// OrderLoadExperts loads the weights of Experts.
+	OrderLoadExperts OrderKind = "load-experts"
+	// OrderDropExperts frees the weights of Experts.
+	OrderDropExperts OrderKind = "drop-experts"
+	// OrderActivateMap makes Map the expert map from step Step on.
+	OrderActivateMap OrderKind = "activate-map"
+	// OrderAllowSteps lets the engine run steps below Step under map MapVersion.
+	OrderAllowSteps OrderKind = "allow-steps"
+)
+
+// Role is the part that an engine takes in serving a model.
+type Role string
+
+// The roles of engines.
+const (
+	RoleBoth    Role = "both"
+	RolePrefill Role = "prefill"
+	RoleDecode  Role = "decode"
+)
+
+// ExpertRef names one expert of one layer.
+type ExpertRef struct {
+	Layer  int `json:"layer"`
+	Expert int `json:"expert"`
+}
+
+// ExpertMap places the experts of all layers on the ranks of a group.
+type ExpertMap struct {
+	Version uint64 `json:"version"`
+	// Layers holds for each layer and each rank the experts on the rank.
+	Layers [][][]uint16 `json:"layers"`
+}
+
+// Order is one order to an engine.
+type Order struct {
+	// ID is unique; an engine runs an id once.
+	ID    string    `json:"id"`
+	Fence Fence     `json:"fence"`
+	Kind  OrderKind `json:"kind"`
+	// Rank is the rank of the group that the order is for.
+	Rank       ident.Rank  `json:"rank"`
+	Model      string      `json:"model,omitempty"`
+	Adapter    string      `json:"adapter,omitempty"`
+	Version    string      `json:"version,omitempty"`
+	Role       Role        `json:"role,omitempty"`
+	Experts    []ExpertRef `json:"experts,omitempty"`
+	Map        *ExpertMap  `json:"map,omitempty"`
+	MapVersion uint64      `json:"map_version,omitempty"`
+	Step       uint64      `json:"step,omitempty"`
+}
+
+// OrderState is the state of an order at the engine.
+type OrderState string
+
+// The states of orders.
+const (
+	OrderNone    OrderState = ""
+	OrderRunning OrderState = "running"
+	OrderDone    OrderState = "done"
+	OrderFailed  OrderState = "failed"
+)
+
+// OrderReceipt is an engine's answer to an order that it accepted.
+type OrderReceipt struct {
+	ID    string     `json:"id"`
+	State OrderState `json:"state"`
+	// Detail explains a failed order.
+	Detail string `json:"detail,omitempty"`
+}
+
+// EngineState is what an engine's orders have led to.
+type EngineState struct {
+	Boot uint64 `json:"boot"`
+	// LastOrder, LastFence and LastState describe the order that was started last.
+	LastOrder string     `json:"last_order"`
+	LastFence Fence      `json:"last_fence"`
+	LastState OrderState `json:"last_state"`
+	Model     string     `json:"model"`
+	Version   string     `json:"version"`
+	Adapters  []string   `json:"adapters,omitempty"`
+	Role      Role       `json:"role"`
+	// MapVersion is the map in use; NextMapVersion is in use from NextMapStep on, 0 if none is set.
+	MapVersion     uint64 `json:"map_version"`
+	NextMapVersion uint64 `json:"next_map_version,omitempty"`
+	NextMapStep    uint64 `json:"next_map_step,omitempty"`
+	// Step is the number of the next step.
+	Step uint64 `json:"step"`
+	// Gated is true if the engine runs only steps below AllowedSteps.
+	Gated        bool   `json:"gated,omitempty"`
+	AllowedSteps uint64 `json:"allowed_steps,omitempty"`
+	// Experts are the experts whose weights are loaded beyond the map's, sorted.
+	Experts []ExpertRef `json:"experts,omitempty"`
+}
+
+// ExpertCounts counts the tokens that were routed to each expert of each layer
+// since the engine's boot.
+type ExpertCounts struct {
+	Boot uint64     `json:"boot"`
+	Rank ident.Rank `json:"rank"`
+	// Step is the step up to which the counts reach.
+	Step uint64 `json:"step"`
+	// Layers holds for each layer and expert a number of tokens.
+	Layers [][]uint64 `json:"layers"`
+}
--- /dev/null
+++ b/internal/platform/plain_client.go
@@ -0,0 +1,126 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/dghubble/sling"
+)
+
+// PlainClient is the PlainService over HTTP.
+type PlainClient struct {
+	*client
+}
+
+// NewPlainClient returns a client for the plain service at the base URL.
+func NewPlainClient(options Options) *PlainClient {
+	c := newClient(options)
+	c.readsOnce = true
+	return &PlainClient{c}
+}
+
+var _ PlainService = (*PlainClient)(nil)
+
+// Call sends the request once and returns the whole answer.
+func (c *PlainClient) Call(ctx context.Context, request PlainRequest) (PlainAnswer, error) {
+	const op = "plain.call"
+	if err := checkPlain(request); err != nil {
+		return PlainAnswer{}, &Error{Kind: KindNotStarted, Op: op, Err: err}
+	}
+	got, err := c.do(ctx, op, c.plainRequest(request))
+	if err != nil {
+		return PlainAnswer{}, err
+	}
+	if err := plainStatusError(op, got); err != nil {
+		return PlainAnswer{}, err
+	}
+	return PlainAnswer{Status: got.status, Header: got.header, Body: got.body}, nil
+}
+
+// checkPlain refuses methods that are not forwarded and paths that would lead to
+// another host than the client's.
+func checkPlain(request PlainRequest) error {
+	switch request.Method {
+	case http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
+	default:
+		return fmt.Errorf("method %q is not forwarded", request.Method)
+	}
+	target, err := url.Parse(request.Path)
+	if err != nil {
+		return err
+	}
+	if target.IsAbs() || target.Host != "" || !strings.HasPrefix(target.Path, "/") {
+		return fmt.Errorf("path %q is not an absolute path", request.Path)
+	}
+	return nil
+}
+
+func (c *PlainClient) plainRequest(request PlainRequest) *sling.Sling {
+	s := withMethod(c.base.New(), request.Method, request.Path)
+	addHeader(s, request.Header)
+	if request.ID != "" {
+		s.Set(HeaderRequestID, string(request.ID))
+	}
+	if request.Key != "" {
+		s.Set(HeaderIdempotencyKey, request.Key)
+	}
+	if len(request.Body) > 0 {
+		s.Body(bytes.NewReader(request.Body))
+	}
+	return s
+}
+
+// addHeader adds the fields that are meant for the service. The caller's credential
+// and the fields of the caller's connection are not.
+func addHeader(s *sling.Sling, header http.Header) {
+	for name, values := range header {
+		if connectionHeaders[http.CanonicalHeaderKey(name)] {
+			continue
+		}
+		for _, value := range values {
+			s.Add(name, value)
+		}
+	}
+}
+
+// connectionHeaders are the header fields that are never forwarded.
+var connectionHeaders = map[string]bool{
+	"Authorization":       true,
+	"Connection":          true,
+	"Content-Length":      true,
+	"Expect":              true,
+	"Host":                true,
+	"Keep-Alive":          true,
+	"Proxy-Authorization": true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+func withMethod(s *sling.Sling, method, path string) *sling.Sling {
+	switch method {
+	case http.MethodGet:
+		return s.Get(path)
+	case http.MethodPut:
+		return s.Put(path)
+	case http.MethodPatch:
+		return s.Patch(path)
+	case http.MethodDelete:
+		return s.Delete(path)
+	}
+	return s.Post(path)
+}
+
+// plainStatusError returns the error that a plain service's status stands for, nil
+// for statuses that are answers to the caller.
+func plainStatusError(op string, got answer) error {
+	if got.status < http.StatusInternalServerError && got.status != http.StatusTooManyRequests {
+		return nil
+	}
+	return statusError(op, got)
+}
--- /dev/null
+++ b/internal/standin/engine_calls.go
@@ -0,0 +1,212 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/platform"
+)
+
+// fullQueueWait is the Retry-After of an engine whose queue is full.
+const fullQueueWait = time.Second
+
+// completionChoice is one choice of a completion.
+type completionChoice struct {
+	Index        int     `json:"index"`
+	Text         string  `json:"text"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// completionBody is the JSON body of a completion or of a chunk.
+type completionBody struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   *platform.Usage    `json:"usage,omitempty"`
+}
+
+func newCompletionBody(j *job, text string, usage *platform.Usage) completionBody {
+	choice := completionChoice{Text: text}
+	if usage != nil {
+		reason := "length"
+		choice.FinishReason = &reason
+	}
+	return completionBody{
+		ID: "cmpl-" + string(j.id), Object: "text_completion", Model: j.request.Model,
+		Choices: []completionChoice{choice}, Usage: usage,
+	}
+}
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	j, err := e.readJob(r)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if !e.accept(w, j) {
+		return
+	}
+	if j.request.Stream {
+		e.writeStream(w, r, j, 0)
+		return
+	}
+	e.writeWhole(w, r, j)
+}
+
+func (e *Engine) readJob(r *http.Request) (*job, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		return nil, err
+	}
+	id := ident.Request(r.Header.Get(platform.HeaderRequestID))
+	if id == "" {
+		return nil, fmt.Errorf("no %s", platform.HeaderRequestID)
+	}
+	j := &job{id: id}
+	if err := json.Unmarshal(body, &j.request); err != nil {
+		return nil, err
+	}
+	if value := r.Header.Get(platform.HeaderPriority); value != "" {
+		if j.priority, err = strconv.Atoi(value); err != nil {
+			return nil, err
+		}
+	}
+	j.crashes = e.options.CrashMarker != "" && strings.Contains(string(body), e.options.CrashMarker)
+	j.run = Run{
+		Request: id, Key: r.Header.Get(platform.HeaderIdempotencyKey),
+		Operation: r.Method + " " + r.URL.Path, BodyDigest: xxhash.Sum64(body),
+	}
+	return j, nil
+}
+
+// accept queues the job or refuses it.
+func (e *Engine) accept(w http.ResponseWriter, j *job) bool {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.refused[j.id] {
+		refuse(w, http.StatusConflict, "request was cancelled before it came")
+		return false
+	}
+	if model := e.orders.state.Model; model != "" && model != j.request.Model {
+		refuse(w, http.StatusNotFound, "model is not loaded")
+		return false
+	}
+	if !e.submit(j) {
+		refuseFor(w, http.StatusTooManyRequests, fullQueueWait, "queue is full")
+		return false
+	}
+	return true
+}
+
+// progress is a job's state at one moment.
+type progress struct {
+	emitted int
+	ended   bool
+	whole   bool
+	usage   platform.Usage
+	changed chan struct{}
+}
+
+func (e *Engine) progress(j *job) progress {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return progress{
+		emitted: j.emitted, ended: j.ended(), whole: j.emitted == len(j.tokens),
+		usage: j.usage, changed: j.changed,
+	}
+}
+
+// await waits until the job has gone beyond emitted tokens or ended. It breaks the
+// connection if the boot ends or the client leaves.
+func (e *Engine) await(r *http.Request, j *job, emitted int) progress {
+	for {
+		p := e.progress(j)
+		if p.emitted > emitted || p.ended {
+			return p
+		}
+		select {
+		case <-p.changed:
+		case <-j.dead:
+			abort()
+		case <-r.Context().Done():
+			abort()
+		}
+	}
+}
+
+func (e *Engine) writeWhole(w http.ResponseWriter, r *http.Request, j *job) {
+	p := e.await(r, j, len(j.tokens)-1)
+	if !p.whole {
+		refuse(w, http.StatusInternalServerError, "request was cancelled")
+		return
+	}
+	writeJSON(w, http.StatusOK, newCompletionBody(j, strings.Join(j.tokens, ""), &p.usage))
+}
+
+// writeStream writes one event a token, numbered by its offset, then the end mark.
+func (e *Engine) writeStream(w http.ResponseWriter, r *http.Request, j *job, from int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flusher := http.NewResponseController(w)
+	_ = flusher.Flush()
+	for next := from; next < len(j.tokens); {
+		p := e.await(r, j, next)
+		for ; next < p.emitted; next++ {
+			writeChunk(w, j, next, p.usage)
+		}
+		_ = flusher.Flush()
+		if p.ended && !p.whole {
+			abort()
+		}
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func writeChunk(w io.Writer, j *job, index int, usage platform.Usage) {
+	var last *platform.Usage
+	if index == len(j.tokens)-1 {
+		last = &usage
+	}
+	data, err := json.Marshal(newCompletionBody(j, j.tokens[index], last))
+	if err != nil {
+		panic("invariant: chunk can't be encoded: " + err.Error())
+	}
+	fmt.Fprintf(w, "id: %d\ndata: %s\n\n", index, data)
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	if err != nil || from < 0 {
+		refuse(w, http.StatusBadRequest, "no offset")
+		return
+	}
+	e.lock.Lock()
+	j := e.jobs[ident.Request(r.PathValue("id"))]
+	e.lock.Unlock()
+	if j == nil || from > len(j.tokens) {
+		refuse(w, http.StatusNotFound, "no such stream")
+		return
+	}
+	e.writeStream(w, r, j, from)
+}
+
+// cancelBody is the answer to a cancel.
+type cancelBody struct {
+	State platform.CancelState `json:"state"`
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	e.lock.Lock()
+	state := e.cancel(ident.Request(r.PathValue("id")))
+	e.lock.Unlock()
+	writeJSON(w, http.StatusOK, cancelBody{State: state})
+}
--- /dev/null
+++ b/internal/standin/engine_load.go
@@ -0,0 +1,93 @@
+package standin
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/platform"
+)
+
+const (
+	// maxLoadSamples bounds the history of an engine's load.
+	maxLoadSamples = 512
+	// rateWindow is the time over which token rates are taken.
+	rateWindow = time.Second
+)
+
+// loadSample is an engine's load at one moment.
+type loadSample struct {
+	at              time.Time
+	sequence        uint64
+	running         int
+	waiting         int
+	cacheUse        float64
+	promptTokens    uint64
+	generatedTokens uint64
+}
+
+// loadHistory holds samples so that reports can lag.
+type loadHistory struct {
+	promptTokens    uint64
+	generatedTokens uint64
+	sequence        uint64
+	samples         []loadSample
+}
+
+// sample adds the load of now to the history.
+func (e *Engine) sample() {
+	h := &e.load
+	h.sequence++
+	h.samples = append(h.samples, loadSample{
+		at: time.Now(), sequence: h.sequence, running: len(e.running), waiting: len(e.waiting),
+		cacheUse: e.cache.use01(), promptTokens: h.promptTokens, generatedTokens: h.generatedTokens,
+	})
+	if len(h.samples) > maxLoadSamples {
+		h.samples = append(h.samples[:0], h.samples[maxLoadSamples/2:]...)
+	}
+}
+
+// at returns the index of the newest sample that is not younger than the time, else 0.
+func (h *loadHistory) at(when time.Time) int {
+	for i := len(h.samples) - 1; i > 0; i-- {
+		if !h.samples[i].at.After(when) {
+			return i
+		}
+	}
+	return 0
+}
+
+func (e *Engine) report(now time.Time) platform.LoadReport {
+	h := &e.load
+	if len(h.samples) == 0 {
+		return platform.LoadReport{Boot: e.boot, Age: e.options.LoadLag}
+	}
+	seen := now.Add(-e.options.LoadLag)
+	newest := h.samples[h.at(seen)]
+	oldest := h.samples[h.at(seen.Add(-rateWindow))]
+	rate := func(newer, older uint64) float64 {
+		return float64(newer-older) / rateWindow.Seconds()
+	}
+	return platform.LoadReport{
+		Boot: e.boot, Sequence: newest.sequence, Age: e.options.LoadLag,
+		Running: newest.running, Waiting: newest.waiting, KVCacheUse: newest.cacheUse,
+		PromptTokensPerSecond:    rate(newest.promptTokens, oldest.promptTokens),
+		GeneratedTokensPerSecond: rate(newest.generatedTokens, oldest.generatedTokens),
+	}
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.lock.Lock()
+	report := e.report(time.Now())
+	e.lock.Unlock()
+	writeJSON(w, http.StatusOK, report)
+}
+
+func (e *Engine) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	e.lock.Lock()
+	counts := platform.ExpertCounts{Boot: e.boot, Step: e.orders.state.Step, Layers: make([][]uint64, len(e.counts))}
+	for layer, row := range e.counts {
+		counts.Layers[layer] = append([]uint64{}, row...)
+	}
+	e.lock.Unlock()
+	writeJSON(w, http.StatusOK, counts)
+}
--- /dev/null
+++ b/internal/standin/weights.go
@@ -0,0 +1,74 @@
+package standin
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
+
+	"github.com/bramleyspool/bramleyspool/internal/platform"
+)
+
+// Weights is a stand-in for the weight store.
+type Weights struct {
+	limiter *rate.Limiter
+	mux     *http.ServeMux
+
+	mu    sync.Mutex
+	files map[platform.WeightRef][]byte
+}
+
+// NewWeights returns a store that gives out bytesPerSecond in the long run and burst
+// bytes at once; a bytesPerSecond of 0 means no limit.
+func NewWeights(bytesPerSecond float64, burst int) *Weights {
+	s := &Weights{mux: http.NewServeMux(), files: make(map[platform.WeightRef][]byte)}
+	if bytesPerSecond > 0 {
+		s.limiter = rate.NewLimiter(rate.Limit(bytesPerSecond), burst)
+	}
+	s.mux.HandleFunc("GET /v1/weights/{name}/{version}", s.serveFile)
+	return s
+}
+
+// Put stores a file.
+func (s *Weights) Put(ref platform.WeightRef, data []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.files[ref] = append([]byte(nil), data...)
+}
+
+// ServeHTTP answers a fetch.
+func (s *Weights) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+func (s *Weights) serveFile(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	data, ok := s.files[platform.WeightRef{Name: r.PathValue("name"), Version: r.PathValue("version")}]
+	s.mu.Unlock()
+	if !ok {
+		refuse(w, http.StatusNotFound, "no such weights")
+		return
+	}
+	if wait := s.wait(len(data)); wait > 0 {
+		refuseFor(w, http.StatusTooManyRequests, wait, "rate limit")
+		return
+	}
+	w.Header().Set(platform.HeaderDigest, strconv.FormatUint(xxhash.Sum64(data), 16))
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.Write(data)
+}
+
+// wait takes the bytes from the limit, or returns how long to wait for them.
+func (s *Weights) wait(bytes int) time.Duration {
+	if s.limiter == nil {
+		return 0
+	}
+	now := time.Now()
+	reservation := s.limiter.ReserveN(now, min(bytes, s.limiter.Burst()))
+	wait := reservation.DelayFrom(now)
+	if wait > 0 {
+		reservation.CancelAt(now)
+	}
+	return wait
+}
