--- /dev/null
+++ b/internal/timeline/buffer.go
@@ -0,0 +1,121 @@
+package timeline
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// DefaultCapacity is the number of events that a process keeps by default.
+const DefaultCapacity = 8192
+
+// Buffer keeps the newest events of one process. It is safe for concurrent use.
+type Buffer struct {
+	instance ident.Instance
+	clock    *Clock
+
+	mu sync.Mutex
+	// ring holds the event with sequence number n at index (n-1) modulo its capacity.
+	ring     []Event
+	capacity uint64
+	// added is the sequence number of the newest event.
+	added uint64
+	// firstLost and lastLost are the stamps of the oldest and the newest dropped event.
+	firstLost Stamp
+	lastLost  Stamp
+}
+
+// NewBuffer returns a buffer for capacity events of one run of a process.
+func NewBuffer(instance ident.Instance, clock *Clock, capacity int) *Buffer {
+	if capacity <= 0 {
+		panic("invariant: capacity of a time line buffer must be positive")
+	}
+	return &Buffer{instance: instance, clock: clock, capacity: uint64(capacity)}
+}
+
+// Add stamps the event with now, the process and the next sequence number and keeps it,
+// if need be in place of the oldest. The event's fields are copied.
+func (b *Buffer) Add(now time.Time, event Event) Stamp {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	stamp := b.clock.Next(now)
+	slot := b.slot()
+	fields := append(slot.Fields[:0], event.Fields...)
+	*slot = event
+	slot.Fields = fields
+	slot.Stamp = stamp
+	slot.VM, slot.Incarnation = b.instance.VM, b.instance.Incarnation
+	b.added++
+	slot.Sequence = b.added
+	return stamp
+}
+
+// slot returns the place of the next event.
+func (b *Buffer) slot() *Event {
+	if b.added < b.capacity {
+		b.ring = append(b.ring, Event{})
+		return &b.ring[b.added]
+	}
+	oldest := &b.ring[b.added%b.capacity]
+	if b.added == b.capacity {
+		b.firstLost = oldest.Stamp
+	}
+	b.lastLost = oldest.Stamp
+	return oldest
+}
+
+// Dropped returns the number of events that were dropped to make room.
+func (b *Buffer) Dropped() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.dropped()
+}
+
+func (b *Buffer) dropped() uint64 {
+	if b.added <= b.capacity {
+		return 0
+	}
+	return b.added - b.capacity
+}
+
+// Events returns all events that are kept, oldest first. If any were dropped, the first
+// event tells how many.
+func (b *Buffer) Events() []Event { return b.Since(0) }
+
+// Since returns the events with greater sequence numbers than after, oldest first. If
+// any of them were dropped, the first event tells how many.
+func (b *Buffer) Since(after uint64) []Event {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	dropped := b.dropped()
+	first := max(after, dropped)
+	if first >= b.added {
+		return nil
+	}
+	events := make([]Event, 0, b.added-first+1)
+	if after < dropped {
+		events = append(events, b.lossSince(after))
+	}
+	for sequence := first + 1; sequence <= b.added; sequence++ {
+		event := b.ring[(sequence-1)%b.capacity]
+		event.Fields = slices.Clone(event.Fields)
+		events = append(events, event)
+	}
+	return events
+}
+
+// lossSince returns the event that stands for the dropped events after the sequence
+// number. It has the stamp and the number of the newest of them.
+func (b *Buffer) lossSince(after uint64) Event {
+	dropped := b.dropped()
+	return Event{
+		Stamp: b.lastLost, VM: b.instance.VM, Incarnation: b.instance.Incarnation,
+		Sequence: dropped, Kind: KindDropped,
+		Fields: []Field{
+			Int("count", int64(dropped-after)),
+			String("first", b.firstLost.String()),
+		},
+	}
+}
--- /dev/null
+++ b/internal/timeline/event.go
@@ -0,0 +1,55 @@
+package timeline
+
+import (
+	"cmp"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// Kind names what happened, for example "call-dispatched".
+type Kind string
+
+// Kinds of events that this package itself makes.
+const (
+	// KindDropped says that older events of the process are lost; fields count and first.
+	KindDropped Kind = "events-dropped"
+	// KindUnreachable says that a process could not be asked for its events; field reason.
+	KindUnreachable Kind = "process-unreachable"
+)
+
+// Event is one event of one process. Empty parts are left out of all renderings.
+type Event struct {
+	Stamp       Stamp             `cbor:"1,keyasint" json:"stamp"`
+	VM          ident.VM          `cbor:"2,keyasint" json:"vm"`
+	Incarnation ident.Incarnation `cbor:"3,keyasint" json:"incarnation"`
+	// Sequence numbers the events of one run of a process from 1.
+	Sequence uint64         `cbor:"4,keyasint" json:"sequence"`
+	Kind     Kind           `cbor:"5,keyasint" json:"kind"`
+	Request  ident.Request  `cbor:"6,keyasint,omitempty" json:"request,omitempty"`
+	Customer ident.Customer `cbor:"7,keyasint,omitempty" json:"customer,omitempty"`
+	Group    ident.Group    `cbor:"8,keyasint,omitempty" json:"group,omitempty"`
+	// About is the VM that the event is about, if it is another one.
+	About  ident.VM `cbor:"9,keyasint,omitempty" json:"about,omitempty"`
+	Fields []Field  `cbor:"10,keyasint,omitempty" json:"fields,omitempty"`
+}
+
+// Compare orders events by their stamps, then by process and sequence number.
+func (e *Event) Compare(other *Event) int {
+	return cmp.Or(
+		e.Stamp.Compare(other.Stamp),
+		cmp.Compare(e.VM, other.VM),
+		cmp.Compare(e.Incarnation, other.Incarnation),
+		cmp.Compare(e.Sequence, other.Sequence),
+	)
+}
+
+// Unreachable returns the event that stands for the events of a process that could not
+// be asked.
+func Unreachable(stamp Stamp, vm ident.VM, reason string) Event {
+	return Event{Stamp: stamp, VM: vm, Kind: KindUnreachable, Fields: []Field{String("reason", reason)}}
+}
+
+// tellsLoss reports whether the event stands for events that are not there.
+func (e *Event) tellsLoss() bool {
+	return e.Kind == KindDropped || e.Kind == KindUnreachable
+}
--- /dev/null
+++ b/internal/timeline/merge_test.go
@@ -0,0 +1,191 @@
+package timeline_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/timeline"
+)
+
+// maxTestSkew is how far clocks are off in either direction.
+const maxTestSkew = 10 * time.Minute
+
+// world is a set of processes with skewed clocks that exchange messages.
+type world struct {
+	true      time.Time
+	processes []*process
+	inFlight  []message
+	events    int
+	// causes holds for each event the events that came directly before it.
+	causes map[string][]string
+}
+
+type process struct {
+	skew   time.Duration
+	clock  *timeline.Clock
+	buffer *timeline.Buffer
+	last   string
+	added  int
+}
+
+type message struct {
+	to    int
+	stamp timeline.Stamp
+	cause string
+}
+
+func newWorld(t *rapid.T, capacity int) *world {
+	w := &world{true: time.UnixMilli(1_800_000_000_000), causes: make(map[string][]string)}
+	count := rapid.IntRange(2, 5).Draw(t, "processes")
+	for i := range count {
+		instance := ident.Instance{VM: ident.VM(fmt.Sprintf("vm-%d", i)), Incarnation: ident.Incarnation(i + 1)}
+		clock := timeline.NewClock(instance)
+		w.processes = append(w.processes, &process{
+			skew: drawSkew(t), clock: clock, buffer: timeline.NewBuffer(instance, clock, capacity),
+		})
+	}
+	return w
+}
+
+func drawSkew(t *rapid.T) time.Duration {
+	return time.Duration(rapid.Int64Range(-int64(maxTestSkew), int64(maxTestSkew)).Draw(t, "skew"))
+}
+
+// event adds an event at the process that follows the given one of another process.
+func (w *world) event(p *process, other string) {
+	id := strconv.Itoa(w.events)
+	w.events++
+	p.added++
+	for _, cause := range []string{p.last, other} {
+		if cause != "" {
+			w.causes[id] = append(w.causes[id], cause)
+		}
+	}
+	p.buffer.Add(w.true.Add(p.skew), timeline.Event{Kind: "step", Request: ident.Request(id)})
+	p.last = id
+}
+
+func (w *world) send(t *rapid.T, p *process) {
+	w.event(p, "")
+	to := rapid.IntRange(0, len(w.processes)-1).Draw(t, "to")
+	w.inFlight = append(w.inFlight, message{to: to, stamp: p.clock.Next(w.true.Add(p.skew)), cause: p.last})
+}
+
+// deliver hands a message to its receiver; it may be delivered again later.
+func (w *world) deliver(t *rapid.T) {
+	if len(w.inFlight) == 0 {
+		return
+	}
+	m := w.inFlight[rapid.IntRange(0, len(w.inFlight)-1).Draw(t, "message")]
+	p := w.processes[m.to]
+	if !p.clock.Receive(w.true.Add(p.skew), m.stamp) {
+		t.Fatalf("stamp %v refused", m.stamp)
+	}
+	w.event(p, m.cause)
+}
+
+func (w *world) run(t *rapid.T) {
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		w.true = w.true.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "pause")) * time.Millisecond)
+		p := w.processes[rapid.IntRange(0, len(w.processes)-1).Draw(t, "process")]
+		switch rapid.IntRange(0, 3).Draw(t, "action") {
+		case 0:
+			w.event(p, "")
+		case 1:
+			w.send(t, p)
+		case 2:
+			w.deliver(t)
+		case 3:
+			p.skew = drawSkew(t)
+		}
+	}
+}
+
+func (w *world) merged() []timeline.Event {
+	var lists [][]timeline.Event
+	for _, p := range w.processes {
+		lists = append(lists, p.buffer.Events())
+	}
+	return timeline.Merge(lists...)
+}
+
+func TestMergeKeepsCauseBeforeEffect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 1000)
+		w.run(t)
+		merged := w.merged()
+		if len(merged) != w.events {
+			t.Fatalf("%d events merged, %d added", len(merged), w.events)
+		}
+		seen := make(map[string]bool)
+		for i := range merged {
+			id := string(merged[i].Request)
+			for _, cause := range w.causes[id] {
+				if !seen[cause] {
+					t.Fatalf("event %s came before its cause %s:\n%s", id, cause, &merged[i])
+				}
+			}
+			seen[id] = true
+		}
+	})
+}
+
+func TestDropsAreVisible(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.IntRange(1, 8).Draw(t, "capacity"))
+		w.run(t)
+		for _, p := range w.processes {
+			after := uint64(rapid.IntRange(0, p.added).Draw(t, "after"))
+			checkComplete(t, p.buffer.Since(after), uint64(p.added)-after)
+			checkComplete(t, p.buffer.Events(), uint64(p.added))
+		}
+	})
+}
+
+// checkComplete checks that the kept and the dropped events are as many as were added.
+func checkComplete(t *rapid.T, events []timeline.Event, added uint64) {
+	var told uint64
+	for i, event := range events {
+		if event.Kind != timeline.KindDropped {
+			told++
+			continue
+		}
+		count, err := strconv.ParseUint(event.Fields[0].Value(), 10, 64)
+		if err != nil || count == 0 || i != 0 {
+			t.Fatalf("wrong drop event at %d: %s", i, &event)
+		}
+		told += count
+	}
+	if told != added {
+		t.Fatalf("events tell of %d events, %d were added", told, added)
+	}
+}
+
+func TestClockRefusesStampsFarAhead(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_800_000_000_000)
+	clock := timeline.NewClock(ident.Instance{VM: "vm-1", Incarnation: 1})
+	first := clock.Next(now)
+	c.Assert(clock.Receive(now, timeline.Stamp{Wall: now.Add(timeline.MaxSkew + time.Second).UnixMilli()}), qt.IsFalse)
+	c.Assert(clock.Receive(now, timeline.Stamp{Wall: -1}), qt.IsFalse)
+	c.Assert(clock.Receive(now, timeline.Stamp{Counter: 1 << 31}), qt.IsFalse)
+	c.Assert(clock.Refused(), qt.Equals, uint64(3))
+	c.Assert(clock.Next(now), qt.Equals, timeline.Stamp{Wall: first.Wall, Counter: first.Counter + 1, Node: first.Node})
+}
+
+func TestClockCarriesItsCounter(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_800_000_000_000)
+	clock := timeline.NewClock(ident.Instance{VM: "vm-1", Incarnation: 1})
+	full := timeline.Stamp{Wall: now.UnixMilli(), Counter: 1<<20 - 1}
+	c.Assert(clock.Receive(now, full), qt.IsTrue)
+	next := clock.Next(now)
+	c.Assert(next.Compare(full) > 0, qt.IsTrue)
+	c.Assert(next.Wall, qt.Equals, full.Wall+1)
+}
--- /dev/null
+++ b/internal/timeline/query.go
@@ -0,0 +1,72 @@
+package timeline
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// Merge returns the events of several processes in an order in which causes come before
+// effects. An event that is in several lists comes once.
+func Merge(lists ...[]Event) []Event {
+	merged := slices.Concat(lists...)
+	slices.SortStableFunc(merged, func(a, b Event) int { return a.Compare(&b) })
+	return slices.CompactFunc(merged, func(a, b Event) bool {
+		return a.Kind == b.Kind && a.Compare(&b) == 0
+	})
+}
+
+// Filter selects events; an empty part selects all.
+type Filter struct {
+	Request  ident.Request
+	Customer ident.Customer
+	Group    ident.Group
+	// VM selects events of the VM and events about it.
+	VM ident.VM
+	// From and To bound the time; From is included, To is not.
+	From time.Time
+	To   time.Time
+}
+
+// Matches reports whether the filter selects the event. An event that stands for lost
+// events is selected whenever one of them could have been.
+func (f Filter) Matches(event *Event) bool {
+	if event.tellsLoss() {
+		return f.mayHaveLost(event)
+	}
+	return f.inTime(event) && f.isAbout(event)
+}
+
+// mayHaveLost reports whether the lost events may hold one that is selected. Lost
+// events reach back without bound, so that only From can exclude them.
+func (f Filter) mayHaveLost(event *Event) bool {
+	return event.Kind == KindUnreachable || f.From.IsZero() || !event.Stamp.Time().Before(f.From)
+}
+
+func (f Filter) inTime(event *Event) bool {
+	at := event.Stamp.Time()
+	if !f.From.IsZero() && at.Before(f.From) {
+		return false
+	}
+	return f.To.IsZero() || at.Before(f.To)
+}
+
+func (f Filter) isAbout(event *Event) bool {
+	return selects(f.Request, event.Request) && selects(f.Customer, event.Customer) &&
+		selects(f.Group, event.Group) &&
+		(selects(f.VM, event.VM) || selects(f.VM, event.About))
+}
+
+func selects[T ~string](wanted, got T) bool { return wanted == "" || wanted == got }
+
+// Apply returns the events that the filter selects, in their order.
+func (f Filter) Apply(events []Event) []Event {
+	var selected []Event
+	for i := range events {
+		if f.Matches(&events[i]) {
+			selected = append(selected, events[i])
+		}
+	}
+	return selected
+}
