--- /dev/null
+++ b/internal/attempt/caller.go
@@ -0,0 +1,302 @@
+package attempt
+
+import (
+	"sort"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/chart"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+// CallerConfig configures a Caller.
+type CallerConfig struct {
+	Self ident.Instance
+	// RevokeWait is the time after the deadline for the agent's word on a revocation.
+	RevokeWait time.Duration
+	// SilenceAfter is the time without a word after which an agent is asked over a new connection.
+	SilenceAfter time.Duration
+	// Probes is the number of unanswered questions after which an agent counts as unreachable.
+	Probes int
+	// RunLimit bounds the time from the start of a run to its end.
+	RunLimit time.Duration
+	// MaxAttempts bounds the dispatches of one call.
+	MaxAttempts int
+	// RerouteAfter is the time until a call is routed again that an agent refused because
+	// one of them was behind.
+	RerouteAfter time.Duration
+	// MaxReroutes bounds such refusals.
+	MaxReroutes int
+	Budget      BudgetConfig
+	// HedgeAfter is the time without a start after which an idempotent request of the
+	// highest priority band is dispatched a second time; 0 turns hedging off.
+	HedgeAfter time.Duration
+	Suspects   SuspectConfig
+}
+
+// DefaultCallerConfig returns the configuration of an entry.
+func DefaultCallerConfig(self ident.Instance) CallerConfig {
+	return CallerConfig{
+		Self:         self,
+		RevokeWait:   250 * time.Millisecond,
+		SilenceAfter: time.Second,
+		Probes:       3,
+		RunLimit:     10 * time.Minute,
+		MaxAttempts:  3,
+		RerouteAfter: 50 * time.Millisecond,
+		MaxReroutes:  40,
+		Budget:       DefaultBudgetConfig(),
+		Suspects:     DefaultSuspectConfig(),
+	}
+}
+
+// Call is one request of a caller.
+type Call struct {
+	Request  ident.Request
+	Customer ident.Customer
+	Class    template.ClassPlan
+	// RunKey is "" for idempotent requests and for requests that cannot be sent again.
+	RunKey ident.RunKey
+	Body   Digest
+	Ticket *Ticket
+	// Deadline is when the request must have started.
+	Deadline time.Time
+}
+
+// Caller owns the open calls of an entry. It is not safe for concurrent use.
+type Caller struct {
+	config   CallerConfig
+	log      *Log
+	calls    map[ident.Request]*openCall
+	suspects *Suspects
+	budget   *budget
+	dropped  uint64
+	now      time.Time
+	actions  []CallerAction
+}
+
+type openCall struct {
+	Call
+	state chart.State
+	tries []*try
+	// maybeRan is true once an attempt ended without proof that it never started.
+	maybeRan bool
+	// runUntil bounds a started run; giveUpAt bounds the wait for the word on a revocation.
+	runUntil time.Time
+	giveUpAt time.Time
+	gone     bool
+	alone    bool
+	// delivered is the number of bytes of the answer that the caller has got.
+	delivered int64
+	exclude   []ident.VM
+	reroutes  int
+	rerouteAt time.Time
+	hedging   bool
+	hedged    bool
+	refusal   outcome.Outcome
+	// current is the try that the present event is about; reply is its message.
+	current *try
+	reply   Reply
+}
+
+// try is one attempt of a call.
+type try struct {
+	id      Attempt
+	target  ident.Instance
+	lease   Number
+	open    bool
+	started bool
+	heardAt time.Time
+	probes  int
+	sentAt  time.Time
+}
+
+// NewCaller returns a Caller without open calls that records run keys in the log.
+func NewCaller(config CallerConfig, log *Log) *Caller {
+	return &Caller{
+		config:   config,
+		log:      log,
+		calls:    map[ident.Request]*openCall{},
+		suspects: NewSuspects(config.Suspects),
+		budget:   newBudget(config.Budget),
+	}
+}
+
+// Open returns the number of open calls.
+func (c *Caller) Open() int { return len(c.calls) }
+
+// Dropped returns the number of replies that matched no open attempt.
+func (c *Caller) Dropped() uint64 { return c.dropped }
+
+// Suspects returns the register of requests under suspicion.
+func (c *Caller) Suspects() *Suspects { return c.suspects }
+
+// Step handles one event.
+func (c *Caller) Step(now time.Time, event CallerEvent) []CallerAction {
+	c.now = now
+	c.actions = nil
+	c.handle(event)
+	actions := c.actions
+	c.actions = nil
+	return actions
+}
+
+func (c *Caller) handle(event CallerEvent) {
+	switch event := event.(type) {
+	case CallStarted:
+		c.start(event.Call)
+	case Routed:
+		c.routed(event)
+	case NoRoute:
+		c.noRoute(event)
+	case ReplyReceived:
+		c.hear(event.Reply)
+	case DispatchUnsent:
+		c.unsent(event.ID)
+	case ConnectionLost:
+		c.connectionLost(event.Target)
+	case StreamProgress:
+		c.progress(event)
+	case StreamBroken:
+		c.broken(event.ID)
+	case CallerGone:
+		c.callerGone(event.Request)
+	case CrashReported:
+		c.crashReported(event.Report)
+	case QuarantineNoticed:
+		c.suspects.Notice(c.now, event.Notice)
+	case SuspectCleared:
+		c.suspects.Clear(event.Fingerprint)
+	case CallerTick:
+		c.tick()
+	}
+}
+
+func (c *Caller) act(action CallerAction) {
+	c.actions = append(c.actions, action)
+}
+
+func (c *Caller) start(call Call) {
+	if c.calls[call.Request] != nil {
+		panic("invariant: request " + string(call.Request) + " started twice")
+	}
+	open := &openCall{Call: call, state: callChart.Initial()}
+	c.calls[call.Request] = open
+	if !c.refuseQuarantined(open) {
+		c.askRoute(open, false)
+	}
+}
+
+// refuseQuarantined refuses a request in quarantine, and sets a suspect apart.
+func (c *Caller) refuseQuarantined(open *openCall) bool {
+	fingerprint := NewFingerprint(open.Customer, open.Class.Name, open.Body)
+	switch c.suspects.Judge(c.now, fingerprint) {
+	case JudgeQuarantined:
+		open.refusal = outcome.Refused(outcome.CauseQuarantined)
+		open.refusal.RetryAfter = c.suspects.QuarantineLeft(c.now, fingerprint)
+		c.fire(open, "no-route")
+		return true
+	case JudgeSuspect:
+		open.alone = true
+	case JudgeFree:
+	}
+	return false
+}
+
+// askRoute asks the routing for a target; keyed requests go to their owner only.
+func (c *Caller) askRoute(open *openCall, hedge bool) {
+	need := NeedRoute{
+		Request: open.Request, Customer: open.Customer, Class: open.Class,
+		Exclude: append([]ident.VM(nil), open.exclude...), Alone: open.alone, Hedge: hedge,
+	}
+	switch {
+	case open.Ticket != nil:
+		need.Only = open.Ticket.Owner.VM
+	case open.RunKey != "":
+		need.Only = c.log.Owner(open.Class.Service, open.RunKey)
+	case open.alone:
+		need.Among = c.suspectHosts(open.Class.Service)
+	}
+	c.act(need)
+}
+
+// suspectHosts returns the few backend servers that run the service's suspects.
+func (c *Caller) suspectHosts(service ident.Service) []ident.VM {
+	for _, published := range c.log.Fleet().Services {
+		if published.Name == service {
+			return topRanked(string(service)+hashSeparator+"suspects", backendVMs(published), c.config.Suspects.Hosts)
+		}
+	}
+	return nil
+}
+
+func (c *Caller) routed(event Routed) {
+	open := c.calls[event.Request]
+	if open == nil || (open.state != callRouting && !open.hedging) || !open.rerouteAt.IsZero() {
+		return
+	}
+	dispatch := c.dispatchTo(open, event)
+	if open.RunKey != "" {
+		if result := c.log.Record(c.now, dispatch); result != Recorded {
+			c.rerouteLater(open, refusedFor(result))
+			return
+		}
+	}
+	open.current = &try{
+		id: dispatch.ID, target: event.Target, lease: event.Lease,
+		open: true, heardAt: c.now, sentAt: c.now,
+	}
+	open.tries = append(open.tries, open.current)
+	c.act(SendDispatch{dispatch})
+	c.fire(open, "routed")
+}
+
+func refusedFor(result RecordResult) outcome.Outcome {
+	if result == RecordNotOwner {
+		return outcome.Refused(outcome.CauseNotOwner)
+	}
+	return outcome.Refused(outcome.CauseNotReady)
+}
+
+func (c *Caller) dispatchTo(open *openCall, event Routed) Dispatch {
+	return Dispatch{
+		ID:     Attempt{Entry: c.config.Self, Request: open.Request, Attempt: ident.Attempt(len(open.tries) + 1)},
+		Target: event.Target, Lease: event.Lease, FleetVersion: c.log.Fleet().Version,
+		Customer: open.Customer, Service: open.Class.Service, Class: open.Class.Name,
+		Idempotent: open.Class.Idempotent, RunKey: open.RunKey, Body: open.Body,
+		Alone: open.alone, TimeLeft: open.Deadline.Sub(c.now), Ticket: open.Ticket,
+	}
+}
+
+func (c *Caller) noRoute(event NoRoute) {
+	open := c.calls[event.Request]
+	if open == nil || (open.state != callRouting && !open.hedging) {
+		return
+	}
+	open.refusal = outcome.Refused(event.Cause)
+	open.refusal.RetryAfter = event.RetryAfter
+	open.refusal.CausedBy = event.CausedBy
+	c.fire(open, "no-route")
+}
+
+// rerouteLater routes the call again after a pause, or refuses it if that took too often.
+func (c *Caller) rerouteLater(open *openCall, refusal outcome.Outcome) {
+	open.refusal = refusal
+	open.refusal.RetryAfter = retryElsewhereAfter
+	open.reroutes++
+	if open.reroutes > c.config.MaxReroutes {
+		c.fire(open, "no-route")
+		return
+	}
+	open.rerouteAt = c.now.Add(c.config.RerouteAfter)
+}
+
+func (c *Caller) sortedCalls() []*openCall {
+	calls := make([]*openCall, 0, len(c.calls))
+	for _, open := range c.calls {
+		calls = append(calls, open)
+	}
+	sort.Slice(calls, func(i, j int) bool { return calls[i].Request < calls[j].Request })
+	return calls
+}
--- /dev/null
+++ b/internal/attempt/caller_chart.go
@@ -0,0 +1,256 @@
+package attempt
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/chart"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+)
+
+// fire drives the call's state chart.
+func (c *Caller) fire(open *openCall, event chart.Event) {
+	step, err := callChart.Next(open.state, event, func(guard chart.Guard) bool { return c.holds(open, guard) })
+	if err != nil {
+		panic("invariant: " + err.Error())
+	}
+	if step.Ignored {
+		return
+	}
+	open.state = step.To
+	for _, action := range step.Actions {
+		c.perform(open, event, action)
+	}
+	if callChart.Final(open.state) {
+		delete(c.calls, open.Request)
+	}
+}
+
+func (c *Caller) holds(open *openCall, guard chart.Guard) bool {
+	switch guard {
+	case "hedging":
+		return open.hedging
+	case "may-hedge":
+		return c.mayHedge(open)
+	case "other-open":
+		return open.openTries() > 0
+	case "may-retry":
+		return c.mayRetry(open)
+	case "may-rerun":
+		return c.mayRerun(open)
+	case "caller-waits":
+		return !open.gone
+	}
+	panic("invariant: unknown guard " + string(guard))
+}
+
+func (open *openCall) openTries() int {
+	count := 0
+	for _, try := range open.tries {
+		if try.open {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *Caller) mayHedge(open *openCall) bool {
+	first := open.Class.Idempotent && open.Class.Priority == 0 && !open.hedged && !open.alone
+	return first && open.openTries() == 1 && len(open.tries) < c.config.MaxAttempts && c.budget.canHedge(open.Customer)
+}
+
+// mayRetry reports whether an attempt that provably never started may be followed by another.
+func (c *Caller) mayRetry(open *openCall) bool {
+	refusal := open.reply.Outcome
+	if refusal.Kind != outcome.NotRun || !c.now.Before(open.Deadline) {
+		return false
+	}
+	switch refusal.Cause {
+	case outcome.CauseNotOwner, outcome.CauseNotReady, outcome.CauseStaleLease, outcome.CauseLeaving:
+		return open.reroutes < c.config.MaxReroutes
+	case outcome.CauseKeyConflict, outcome.CauseKeysFull, outcome.CauseBadRequest, outcome.CauseQuarantined:
+		return false
+	}
+	return c.mayAttempt(open)
+}
+
+// mayRerun reports whether a request that may have run may run again.
+func (c *Caller) mayRerun(open *openCall) bool {
+	quarantined := open.reply.Outcome.Cause == outcome.CauseQuarantined
+	return open.Class.Idempotent && !quarantined && open.delivered == 0 && c.now.Before(open.Deadline) && c.mayAttempt(open)
+}
+
+func (c *Caller) mayAttempt(open *openCall) bool {
+	return len(open.tries) < c.config.MaxAttempts && c.budget.canRetry(open.Customer)
+}
+
+func (c *Caller) perform(open *openCall, event chart.Event, action chart.Action) {
+	switch action {
+	case "dispatch":
+		open.hedging = false
+	case "drop-hedge":
+		open.hedging = false
+	case "route-hedge":
+		c.routeHedge(open)
+	case "route-again":
+		c.routeAgain(open)
+	case "query":
+		c.query(open, open.current)
+	case "revoke":
+		c.revokeAll(open)
+	case "revoke-others":
+		c.revokeOthers(open)
+	case "resume":
+		c.act(ResumeStream{Resume{ID: open.current.id, Target: open.current.target, Offset: open.delivered}})
+	case "cancel":
+		c.cancelAll(open)
+	case "finish-refused":
+		c.finishRefused(open, event)
+	case "finish-answered":
+		c.finishAnswered(open)
+	case "finish-unknown":
+		c.finishUnknown(open, event)
+	default:
+		panic("invariant: unknown action " + string(action))
+	}
+}
+
+func (c *Caller) routeHedge(open *openCall) {
+	open.hedging = true
+	open.hedged = true
+	c.budget.hedge(open.Customer)
+	for _, try := range open.tries {
+		open.exclude = append(open.exclude, try.target.VM)
+	}
+	c.askRoute(open, true)
+}
+
+func (c *Caller) routeAgain(open *openCall) {
+	open.hedging = false
+	open.runUntil = time.Time{}
+	refusal := open.reply.Outcome
+	switch refusal.Cause {
+	case outcome.CauseNotOwner, outcome.CauseNotReady, outcome.CauseStaleLease, outcome.CauseLeaving:
+		if open.reply.State == ReplyNeverStarted {
+			open.excludeUnkeyed(open.current.target.VM)
+			c.rerouteLater(open, refusal)
+			return
+		}
+	case outcome.CauseBackendCrashed:
+		open.alone = open.alone || open.reply.Suspect
+	}
+	c.budget.retry(open.Customer)
+	open.excludeUnkeyed(open.current.target.VM)
+	if c.refuseQuarantined(open) {
+		return
+	}
+	c.askRoute(open, false)
+}
+
+func (open *openCall) excludeUnkeyed(vm ident.VM) {
+	if open.RunKey == "" && !open.alone {
+		open.exclude = append(open.exclude, vm)
+	}
+}
+
+func (c *Caller) query(open *openCall, try *try) {
+	try.probes++
+	try.heardAt = c.now
+	c.act(SendQuery{Query{ID: try.id, Target: try.target, Lease: try.lease}})
+}
+
+func (c *Caller) revokeAll(open *openCall) {
+	if open.giveUpAt.IsZero() {
+		open.giveUpAt = c.now.Add(c.config.RevokeWait)
+	}
+	for _, try := range open.tries {
+		if try.open {
+			c.act(SendRevoke{Revoke{ID: try.id, Target: try.target, Lease: try.lease}})
+		}
+	}
+}
+
+// revokeOthers ends the attempts that lost against the one that started.
+func (c *Caller) revokeOthers(open *openCall) {
+	open.hedging = false
+	open.runUntil = c.now.Add(c.config.RunLimit)
+	for _, try := range open.tries {
+		if try != open.current && try.open {
+			try.open = false
+			open.maybeRan = true
+			c.act(SendRevoke{Revoke{ID: try.id, Target: try.target, Lease: try.lease}})
+			c.act(SendCancel{Cancel{ID: try.id, Target: try.target}})
+		}
+	}
+}
+
+func (c *Caller) cancelAll(open *openCall) {
+	for _, try := range open.tries {
+		if try.open && open.Class.Idempotent {
+			c.act(SendCancel{Cancel{ID: try.id, Target: try.target}})
+		}
+	}
+}
+
+func (c *Caller) finishRefused(open *openCall, event chart.Event) {
+	result := open.refusal
+	switch {
+	case event == "refused" && open.state == callDone:
+		result = open.reply.Outcome
+	case event == "deadline" && open.reroutes == 0:
+		result = outcome.Refused(outcome.CauseDeadline)
+	case event == "caller-gone":
+		result = outcome.Refused(outcome.CauseCallerGone)
+	}
+	if result.Cause == outcome.CauseRevoked {
+		result = outcome.Refused(outcome.CauseDeadline)
+		if open.gone {
+			result = outcome.Refused(outcome.CauseCallerGone)
+		}
+	}
+	mayHaveRun := open.maybeRan || (open.RunKey != "" && c.log.MayHaveRun(open.Class.Service, open.RunKey))
+	if result.Kind == outcome.NotRun && mayHaveRun && result.Cause != outcome.CauseKeyConflict {
+		result.Kind = outcome.Unknown
+		result.RunKey = open.RunKey
+	}
+	c.finish(open, Finish{Outcome: result})
+}
+
+func (c *Caller) finishAnswered(open *openCall) {
+	result := open.reply.Outcome
+	if result.Kind != outcome.Served {
+		panic("invariant: a finished attempt was not served")
+	}
+	c.budget.succeed(open.Customer)
+	if open.alone {
+		fingerprint := NewFingerprint(open.Customer, open.Class.Name, open.Body)
+		c.suspects.Clear(fingerprint)
+		c.act(SendCleared{fingerprint})
+	}
+	c.revokeOthers(open)
+	c.finish(open, Finish{Outcome: result, Answer: open.reply.Answer, Source: open.current.id})
+}
+
+func (c *Caller) finishUnknown(open *openCall, event chart.Event) {
+	result := outcome.InDoubt(outcome.CauseTimeout, open.RunKey)
+	switch event {
+	case "in-doubt":
+		result = open.reply.Outcome
+		result.Kind = outcome.Unknown
+		result.RunKey = open.RunKey
+	case "unreachable":
+		result.Cause = outcome.CauseConnectionLost
+	case "caller-gone":
+		result.Cause = outcome.CauseCallerGone
+	}
+	if open.gone {
+		result.Cause = outcome.CauseCallerGone
+	}
+	c.finish(open, Finish{Outcome: result})
+}
+
+func (c *Caller) finish(open *openCall, finish Finish) {
+	finish.Request = open.Request
+	finish.Attempts = len(open.tries)
+	c.act(finish)
+}
--- /dev/null
+++ b/internal/attempt/log_step.go
@@ -0,0 +1,340 @@
+package attempt
+
+import (
+	"sort"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/fleet"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+// LogEvent is an event of a Log.
+type LogEvent interface{ isLogEvent() }
+
+// LogFleetChanged brings the published fleet; older versions are ignored.
+type LogFleetChanged struct{ Fleet fleet.Fleet }
+
+// ClaimReceived brings a Claim of an agent.
+type ClaimReceived struct{ Claim Claim }
+
+// PeerQuestionReceived brings a PeerQuestion of another entry.
+type PeerQuestionReceived struct{ Question PeerQuestion }
+
+// PeerAnswerReceived brings another entry's answer.
+type PeerAnswerReceived struct{ Answer PeerAnswer }
+
+// LogTick lets time pass: repeats questions and drops expired keys.
+type LogTick struct{}
+
+func (LogFleetChanged) isLogEvent()      {}
+func (ClaimReceived) isLogEvent()        {}
+func (PeerQuestionReceived) isLogEvent() {}
+func (PeerAnswerReceived) isLogEvent()   {}
+func (LogTick) isLogEvent()              {}
+
+// LogAction is an action of a Log.
+type LogAction interface{ isLogAction() }
+
+// SendClaimAnswer sends one part of an answer to the claimant's VM.
+type SendClaimAnswer struct{ Answer ClaimAnswer }
+
+// SendPeerQuestion asks the entry on a VM.
+type SendPeerQuestion struct {
+	To       ident.VM
+	Question PeerQuestion
+}
+
+// SendPeerAnswer answers the asking entry.
+type SendPeerAnswer struct{ Answer PeerAnswer }
+
+// NeedFleet says that a peer knows a later fleet version, which should be fetched.
+type NeedFleet struct{ Version template.Version }
+
+// Superseded says that a run with a greater incarnation of this VM is known. The process
+// must stop and start again with an incarnation greater than By.
+type Superseded struct{ By ident.Incarnation }
+
+func (SendClaimAnswer) isLogAction()  {}
+func (SendPeerQuestion) isLogAction() {}
+func (SendPeerAnswer) isLogAction()   {}
+func (NeedFleet) isLogAction()        {}
+func (Superseded) isLogAction()       {}
+
+// Step handles one event.
+func (l *Log) Step(now time.Time, event LogEvent) []LogAction {
+	switch event := event.(type) {
+	case LogFleetChanged:
+		return l.setFleet(now, event.Fleet)
+	case ClaimReceived:
+		return l.answerClaim(now, event.Claim)
+	case PeerQuestionReceived:
+		return l.answerPeer(now, event.Question)
+	case PeerAnswerReceived:
+		return l.hearPeer(now, event.Answer)
+	case LogTick:
+		l.expire(now)
+		return l.askPeers(now)
+	}
+	return nil
+}
+
+func (l *Log) setFleet(now time.Time, next fleet.Fleet) []LogAction {
+	if next.Version <= l.fleet.Version {
+		return nil
+	}
+	l.noteRemovedEntries(now, next)
+	for _, service := range next.Services {
+		l.setService(now, service)
+	}
+	l.fleet = next
+	return l.askPeers(now)
+}
+
+func (l *Log) noteRemovedEntries(now time.Time, next fleet.Fleet) {
+	present := map[ident.VM]bool{}
+	for _, entry := range next.Entries {
+		present[entry.VM] = true
+		delete(l.removed, entry.VM)
+	}
+	for _, entry := range l.fleet.Entries {
+		if !present[entry.VM] {
+			l.removed[entry.VM] = now
+			delete(l.answered, entry.VM)
+		}
+	}
+}
+
+func (l *Log) setService(now time.Time, service fleet.Service) {
+	log := l.services[service.Name]
+	if log == nil {
+		l.services[service.Name] = &serviceLog{service: service, keys: map[ident.RunKey]*loggedKey{}}
+		return
+	}
+	if before := backendVMs(log.service); !sameVMs(before, backendVMs(service)) {
+		log.earlier = append(log.earlier, earlierList{vms: before, replacedAt: now})
+	}
+	log.service = service
+}
+
+func sameVMs(a, b []ident.VM) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	members := map[ident.VM]bool{}
+	for _, vm := range a {
+		members[vm] = true
+	}
+	for _, vm := range b {
+		if !members[vm] {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Log) answerClaim(now time.Time, claim Claim) []LogAction {
+	answer := ClaimAnswer{
+		Entry: l.config.Self, Claimant: claim.Claimant, Service: claim.Service, Round: claim.Round,
+		Parts: 1, FleetVersion: l.fleet.Version, Previous: l.previousTo(claim.Claimant),
+	}
+	if refusal := l.claimRefusal(claim); refusal != ClaimAccepted {
+		answer.Refused = refusal
+		answer.Superseding = l.claims[claim.Claimant.VM].Current
+		actions := []LogAction{SendClaimAnswer{answer}}
+		if refusal == ClaimBehind {
+			actions = append(actions, NeedFleet{claim.FleetVersion})
+		}
+		return actions
+	}
+	l.hold(HeldClaim{VM: claim.Claimant.VM, Current: claim.Claimant.Incarnation})
+	answer.Covers = now.Sub(l.startedAt)
+	answer.Knows = now.Sub(l.knowsSince)
+	answer.Peers = l.knownPeers()
+	answer.Removed = l.removedEntries(now)
+	log := l.services[claim.Service]
+	if log == nil {
+		return []LogAction{SendClaimAnswer{answer}}
+	}
+	log.expire(now)
+	for _, earlier := range log.earlier {
+		answer.Earlier = append(answer.Earlier, EarlierList{VMs: earlier.vms, Age: now.Sub(earlier.replacedAt)})
+	}
+	return splitAnswer(answer, log.keysFor(now, claim, claim.FleetVersion == l.fleet.Version))
+}
+
+// previousTo returns the greatest incarnation that claimed the VM before the claimant.
+func (l *Log) previousTo(claimant ident.Instance) ident.Incarnation {
+	held := l.claims[claimant.VM]
+	if held.Current == claimant.Incarnation {
+		return held.Previous
+	}
+	return held.Current
+}
+
+// hold accepts a claim unless a later run of the VM has claimed.
+func (l *Log) hold(claim HeldClaim) {
+	held := l.claims[claim.VM]
+	switch {
+	case claim.Current > held.Current:
+		claim.Previous = max(claim.Previous, held.Current)
+		l.claims[claim.VM] = claim
+	case claim.Current == held.Current:
+		held.Previous = max(held.Previous, claim.Previous)
+		l.claims[claim.VM] = held
+	}
+}
+
+func (l *Log) heldClaims() []HeldClaim {
+	claims := make([]HeldClaim, 0, len(l.claims))
+	for _, claim := range l.claims {
+		claims = append(claims, claim)
+	}
+	sort.Slice(claims, func(i, j int) bool { return claims[i].VM < claims[j].VM })
+	return claims
+}
+
+func (l *Log) claimRefusal(claim Claim) ClaimRefusal {
+	switch {
+	case claim.FleetVersion > l.fleet.Version:
+		return ClaimBehind
+	case claim.Claimant.Incarnation < l.claims[claim.Claimant.VM].Current:
+		return ClaimSuperseded
+	case !l.Informed():
+		return ClaimUninformed
+	}
+	return ClaimAccepted
+}
+
+// keysFor returns the keys that other runs than the claimant got. Unless the claimant's
+// version is the entry's, it returns those of all owners, as the claimant's list is not known.
+func (s *serviceLog) keysFor(now time.Time, claim Claim, sameVersion bool) []DispatchedKey {
+	var keys []DispatchedKey
+	for _, name := range sortedKeys(s.keys) {
+		if sameVersion && OwnerOf(name, s.service) != claim.Claimant.VM {
+			continue
+		}
+		for _, target := range s.keys[name].targets {
+			if target.instance == claim.Claimant || (target.open == 0 && !target.served) {
+				continue
+			}
+			keys = append(keys, DispatchedKey{
+				RunKey: name, Body: target.body, Target: target.instance,
+				Age: now.Sub(target.at), Served: target.served,
+			})
+		}
+	}
+	return keys
+}
+
+func splitAnswer(answer ClaimAnswer, keys []DispatchedKey) []LogAction {
+	answer.Parts = max(1, (len(keys)+maxKeysPerPart-1)/maxKeysPerPart)
+	actions := make([]LogAction, 0, answer.Parts)
+	for part := range answer.Parts {
+		answer.Part = part
+		answer.Keys = keys[part*maxKeysPerPart : min(len(keys), (part+1)*maxKeysPerPart)]
+		actions = append(actions, SendClaimAnswer{answer})
+	}
+	return actions
+}
+
+func (l *Log) knownPeers() []ident.Instance {
+	return sortedInstances(l.peers)
+}
+
+func sortedInstances(incarnations map[ident.VM]ident.Incarnation) []ident.Instance {
+	instances := make([]ident.Instance, 0, len(incarnations))
+	for vm, incarnation := range incarnations {
+		instances = append(instances, ident.Instance{VM: vm, Incarnation: incarnation})
+	}
+	sort.Slice(instances, func(i, j int) bool { return instances[i].VM < instances[j].VM })
+	return instances
+}
+
+func (l *Log) removedEntries(now time.Time) []RemovedEntry {
+	removed := make([]RemovedEntry, 0, len(l.removed))
+	for vm, at := range l.removed {
+		removed = append(removed, RemovedEntry{VM: vm, Age: now.Sub(at)})
+	}
+	sort.Slice(removed, func(i, j int) bool { return removed[i].VM < removed[j].VM })
+	return removed
+}
+
+func (l *Log) answerPeer(now time.Time, question PeerQuestion) []LogAction {
+	answer := PeerAnswer{Entry: l.config.Self, Asker: question.Asker}
+	known := l.peers[question.Asker.VM]
+	if question.Asker.Incarnation < known {
+		answer.Superseding = known
+		return []LogAction{SendPeerAnswer{answer}}
+	}
+	l.peers[question.Asker.VM] = question.Asker.Incarnation
+	answer.Knows = now.Sub(l.knowsSince)
+	answer.Claims = l.heldClaims()
+	return []LogAction{SendPeerAnswer{answer}}
+}
+
+func (l *Log) hearPeer(now time.Time, answer PeerAnswer) []LogAction {
+	if answer.Asker != l.config.Self {
+		return nil
+	}
+	if answer.Superseding != 0 {
+		return []LogAction{Superseded{answer.Superseding}}
+	}
+	for _, claim := range answer.Claims {
+		l.hold(claim)
+	}
+	if since := now.Add(-answer.Knows); since.Before(l.knowsSince) {
+		l.knowsSince = since
+	}
+	l.answered[answer.Entry.VM] = true
+	l.peers[answer.Entry.VM] = max(l.peers[answer.Entry.VM], answer.Entry.Incarnation)
+	return nil
+}
+
+func (l *Log) askPeers(now time.Time) []LogAction {
+	var actions []LogAction
+	for _, vm := range l.uninformedPeers() {
+		if asked, ok := l.asked[vm]; ok && now.Sub(asked) < l.config.AskAgain {
+			continue
+		}
+		l.asked[vm] = now
+		actions = append(actions, SendPeerQuestion{To: vm, Question: PeerQuestion{Asker: l.config.Self}})
+	}
+	return actions
+}
+
+func (l *Log) expire(now time.Time) {
+	var longest time.Duration
+	for _, log := range l.services {
+		log.expire(now)
+		longest = max(longest, retentionOf(log.service))
+	}
+	for vm, at := range l.removed {
+		if now.Sub(at) > longest {
+			delete(l.removed, vm)
+		}
+	}
+}
+
+func (s *serviceLog) expire(now time.Time) {
+	retention := retentionOf(s.service)
+	for name, key := range s.keys {
+		kept := key.targets[:0]
+		for _, target := range key.targets {
+			if now.Sub(target.at) <= retention {
+				kept = append(kept, target)
+			}
+		}
+		key.targets = kept
+		if len(kept) == 0 {
+			delete(s.keys, name)
+		}
+	}
+	kept := s.earlier[:0]
+	for _, earlier := range s.earlier {
+		if now.Sub(earlier.replacedAt) <= retention {
+			kept = append(kept, earlier)
+		}
+	}
+	s.earlier = kept
+}
--- /dev/null
+++ b/internal/attempt/messages.go
@@ -0,0 +1,354 @@
+package attempt
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+// Digest is the SHA-256 digest of a request or answer body.
+type Digest [32]byte
+
+// Fingerprint identifies a request over resends: customer, class and body digest.
+type Fingerprint [16]byte
+
+// Number numbers the dispatches of an agent's lease; the agent refuses numbers below its floor.
+type Number uint64
+
+// Attempt identifies one dispatch of one request by one run of an entry.
+type Attempt struct {
+	Entry   ident.Instance `cbor:"1,keyasint"`
+	Request ident.Request  `cbor:"2,keyasint"`
+	Attempt ident.Attempt  `cbor:"3,keyasint"`
+}
+
+// Dispatch asks an agent to run a request. The body follows it on the same stream.
+type Dispatch struct {
+	ID     Attempt        `cbor:"1,keyasint"`
+	Target ident.Instance `cbor:"2,keyasint"`
+	// Lease is the number of the agent's lease that the dispatch rests on.
+	Lease Number `cbor:"3,keyasint"`
+	// FleetVersion is the version that the entry routed under.
+	FleetVersion template.Version `cbor:"4,keyasint"`
+	Customer     ident.Customer   `cbor:"5,keyasint"`
+	Service      ident.Service    `cbor:"6,keyasint"`
+	Class        ident.Class      `cbor:"7,keyasint"`
+	Idempotent   bool             `cbor:"8,keyasint,omitempty"`
+	// RunKey is "" for idempotent requests and for requests that cannot be sent again.
+	RunKey ident.RunKey `cbor:"9,keyasint,omitempty"`
+	Body   Digest       `cbor:"10,keyasint"`
+	// Alone is true for a suspect: nothing else may run on the backend server beside it.
+	Alone bool `cbor:"11,keyasint,omitempty"`
+	// TimeLeft is the time until the request must have started.
+	TimeLeft time.Duration `cbor:"12,keyasint,omitempty"`
+	// Ticket allows the run key to run at the ticket's owner only; nil without one.
+	Ticket *Ticket `cbor:"13,keyasint,omitempty"`
+}
+
+// Fingerprint returns the request's fingerprint.
+func (d Dispatch) Fingerprint() Fingerprint {
+	return NewFingerprint(d.Customer, d.Class, d.Body)
+}
+
+// ReplyState says what an agent knows of an attempt.
+type ReplyState uint8
+
+// The states of a reply.
+const (
+	// ReplyQueued means that the attempt is accepted and has not been started.
+	ReplyQueued ReplyState = iota + 1
+	// ReplyStarted means that the request was handed to the backend server.
+	ReplyStarted
+	// ReplyNeverStarted means that the attempt did not start and never will.
+	ReplyNeverStarted
+	// ReplyFinished means that the backend server answered whole.
+	ReplyFinished
+	// ReplyInDoubt means that the request may have run and its result is lost.
+	ReplyInDoubt
+	// ReplyForeign means that another run of the agent got the attempt; this run knows nothing of it.
+	ReplyForeign
+)
+
+// Reply is an agent's word on an attempt. The body of a finished answer follows on the
+// stream of the dispatch, or is asked for with Resume.
+type Reply struct {
+	ID    Attempt        `cbor:"1,keyasint"`
+	Agent ident.Instance `cbor:"2,keyasint"`
+	State ReplyState     `cbor:"3,keyasint"`
+	// Outcome is set for finished, never started and in doubt.
+	Outcome outcome.Outcome `cbor:"4,keyasint,omitempty"`
+	// Answer describes a finished answer.
+	Answer Answer `cbor:"5,keyasint,omitempty"`
+	// Suspect is true if the request is under suspicion of having crashed a backend server.
+	Suspect bool `cbor:"6,keyasint,omitempty"`
+	// Lease is the agent's present lease number.
+	Lease Number `cbor:"7,keyasint,omitempty"`
+	// FleetVersion is the agent's fleet version; an entry that is behind must catch up.
+	FleetVersion template.Version `cbor:"8,keyasint,omitempty"`
+}
+
+// Answer describes the whole answer of a backend server.
+type Answer struct {
+	Status int    `cbor:"1,keyasint,omitempty"`
+	Length int64  `cbor:"2,keyasint,omitempty"`
+	Digest Digest `cbor:"3,keyasint"`
+}
+
+// Revoke asks an agent to never start an attempt. It is answered with a Reply and leaves
+// a tombstone, so that a dispatch that arrives later is refused.
+type Revoke struct {
+	ID     Attempt        `cbor:"1,keyasint"`
+	Target ident.Instance `cbor:"2,keyasint"`
+	Lease  Number         `cbor:"3,keyasint"`
+}
+
+// Query asks an agent for its word on an attempt without changing it.
+type Query struct {
+	ID     Attempt        `cbor:"1,keyasint"`
+	Target ident.Instance `cbor:"2,keyasint"`
+	Lease  Number         `cbor:"3,keyasint"`
+}
+
+// Resume asks an agent to send an answer's bytes from an offset.
+type Resume struct {
+	ID     Attempt        `cbor:"1,keyasint"`
+	Target ident.Instance `cbor:"2,keyasint"`
+	Offset int64          `cbor:"3,keyasint"`
+}
+
+// Cancel tells an agent that nobody waits for an attempt's answer. Only idempotent requests are cut.
+type Cancel struct {
+	ID     Attempt        `cbor:"1,keyasint"`
+	Target ident.Instance `cbor:"2,keyasint"`
+}
+
+// KeyStatus is what a table knows of a run key.
+type KeyStatus uint8
+
+// The states of a run key on the wire.
+const (
+	// KeyAbsent means that the key never ran, as far as the answering table is complete.
+	KeyAbsent KeyStatus = iota + 1
+	// KeyHeld means that the key is accepted and has not been started.
+	KeyHeld
+	// KeyRunning means that the key is running.
+	KeyRunning
+	// KeyServed means that the key ran and its answer is known.
+	KeyServed
+	// KeyInDoubt means that the key may have run.
+	KeyInDoubt
+)
+
+// Claim asks an entry which run keys of a service it dispatched to other runs of agents, and
+// to dispatch from now on to the claimant only, under FleetVersion or a later one.
+type Claim struct {
+	Claimant     ident.Instance   `cbor:"1,keyasint"`
+	Service      ident.Service    `cbor:"2,keyasint"`
+	FleetVersion template.Version `cbor:"3,keyasint"`
+	// Round matches answers to questions.
+	Round uint64 `cbor:"4,keyasint"`
+}
+
+// ClaimAnswer is an entry's answer to a Claim, in one or more parts.
+type ClaimAnswer struct {
+	Entry    ident.Instance `cbor:"1,keyasint"`
+	Claimant ident.Instance `cbor:"2,keyasint"`
+	Service  ident.Service  `cbor:"3,keyasint"`
+	Round    uint64         `cbor:"4,keyasint"`
+	// Part counts from 0 to Parts-1.
+	Part  int `cbor:"5,keyasint"`
+	Parts int `cbor:"6,keyasint"`
+	// Refused is set if the entry did not accept the claim; the other fields then say why.
+	Refused ClaimRefusal `cbor:"7,keyasint,omitempty"`
+	// Superseding is the greatest incarnation that claimed the VM, for ClaimSuperseded.
+	Superseding ident.Incarnation `cbor:"8,keyasint,omitempty"`
+	// Covers is the time before the answer over which the log is complete.
+	Covers time.Duration `cbor:"9,keyasint,omitempty"`
+	// Knows is the time before the answer over which the entry knows every accepted claim.
+	Knows time.Duration   `cbor:"10,keyasint,omitempty"`
+	Keys  []DispatchedKey `cbor:"11,keyasint,omitempty"`
+	// Previous is the greatest incarnation of the claimant's VM that claimed before; 0 for none.
+	Previous ident.Incarnation `cbor:"12,keyasint,omitempty"`
+	// Peers are the runs of other entries that the entry has heard of.
+	Peers []ident.Instance `cbor:"13,keyasint,omitempty"`
+	// Earlier are the lists of the service's backend servers that were replaced.
+	Earlier []EarlierList `cbor:"14,keyasint,omitempty"`
+	// Removed are the entries that left the roster.
+	Removed []RemovedEntry `cbor:"15,keyasint,omitempty"`
+	// FleetVersion is the entry's version.
+	FleetVersion template.Version `cbor:"16,keyasint,omitempty"`
+}
+
+// EarlierList is a list of a service's backend servers that was in force before.
+type EarlierList struct {
+	VMs []ident.VM `cbor:"1,keyasint"`
+	// Age is the time since the list was replaced.
+	Age time.Duration `cbor:"2,keyasint"`
+}
+
+// RemovedEntry is an entry that was taken off the roster.
+type RemovedEntry struct {
+	VM ident.VM `cbor:"1,keyasint"`
+	// Age is the time since the removal was seen.
+	Age time.Duration `cbor:"2,keyasint"`
+}
+
+// ClaimRefusal says why an entry did not accept a claim.
+type ClaimRefusal uint8
+
+// The reasons for refusing a claim.
+const (
+	ClaimAccepted ClaimRefusal = iota
+	// ClaimSuperseded means that a later run of the agent has claimed the VM.
+	ClaimSuperseded
+	// ClaimUninformed means that the entry has not heard yet which claims its peers accepted.
+	ClaimUninformed
+	// ClaimBehind means that the entry's fleet version is older than the claim's.
+	ClaimBehind
+)
+
+// DispatchedKey is one run key of an entry's log.
+type DispatchedKey struct {
+	RunKey ident.RunKey   `cbor:"1,keyasint"`
+	Body   Digest         `cbor:"2,keyasint"`
+	Target ident.Instance `cbor:"3,keyasint"`
+	// Age is the time since the last dispatch.
+	Age time.Duration `cbor:"4,keyasint"`
+	// Served is true if the entry knows that the key ran.
+	Served bool `cbor:"5,keyasint,omitempty"`
+}
+
+// PeerQuestion asks another entry which claims it accepted.
+type PeerQuestion struct {
+	Asker ident.Instance `cbor:"1,keyasint"`
+}
+
+// PeerAnswer answers a PeerQuestion.
+type PeerAnswer struct {
+	Entry ident.Instance `cbor:"1,keyasint"`
+	Asker ident.Instance `cbor:"2,keyasint"`
+	// Knows is the time before the answer over which the entry knows every accepted claim.
+	Knows  time.Duration `cbor:"3,keyasint"`
+	Claims []HeldClaim   `cbor:"4,keyasint,omitempty"`
+	// Superseding is set if a later run of the asker's VM is known; the asker must restart
+	// with a greater incarnation.
+	Superseding ident.Incarnation `cbor:"5,keyasint,omitempty"`
+}
+
+// HeldClaim is the claim on one agent's VM that an entry accepted.
+type HeldClaim struct {
+	VM      ident.VM          `cbor:"1,keyasint"`
+	Current ident.Incarnation `cbor:"2,keyasint"`
+	// Previous is the greatest incarnation that claimed before Current; 0 for none.
+	Previous ident.Incarnation `cbor:"3,keyasint,omitempty"`
+}
+
+// ReleaseRequest asks the agent of an earlier owner to hand over the run keys that the asker owns.
+type ReleaseRequest struct {
+	Asker        ident.Instance   `cbor:"1,keyasint"`
+	Service      ident.Service    `cbor:"2,keyasint"`
+	FleetVersion template.Version `cbor:"3,keyasint"`
+	Round        uint64           `cbor:"4,keyasint"`
+}
+
+// HandOver carries run keys to their new owner. After sending it the sender runs none of
+// the keys that the receiver owns under FleetVersion.
+type HandOver struct {
+	From         ident.Instance   `cbor:"1,keyasint"`
+	To           ident.VM         `cbor:"2,keyasint"`
+	Service      ident.Service    `cbor:"3,keyasint"`
+	FleetVersion template.Version `cbor:"4,keyasint"`
+	// Round is the round of the ReleaseRequest, or 0 for a hand-over that was not asked for.
+	Round uint64        `cbor:"5,keyasint,omitempty"`
+	Keys  []KeyTransfer `cbor:"6,keyasint,omitempty"`
+	// Complete is true if the sender knows every run of the keys within the retention.
+	Complete bool `cbor:"7,keyasint,omitempty"`
+	// Final is true if the sender stops and will run nothing any more.
+	Final bool `cbor:"8,keyasint,omitempty"`
+	// Custody is true for keys that the receiver keeps for the next run of the sender's VM.
+	Custody bool `cbor:"9,keyasint,omitempty"`
+	// List identifies the list of backend servers that the sender picked the keys by.
+	List uint64 `cbor:"10,keyasint"`
+}
+
+// KeyTransfer is one run key of a HandOver.
+type KeyTransfer struct {
+	RunKey ident.RunKey `cbor:"1,keyasint"`
+	Body   Digest       `cbor:"2,keyasint"`
+	Status KeyStatus    `cbor:"3,keyasint"`
+	// ExpiresIn is the time for which the key is still remembered.
+	ExpiresIn time.Duration   `cbor:"4,keyasint"`
+	Outcome   outcome.Outcome `cbor:"5,keyasint,omitempty"`
+	Answer    Answer          `cbor:"6,keyasint,omitempty"`
+	// Content is the answer's body; nil if it was too large to keep.
+	Content []byte `cbor:"7,keyasint,omitempty"`
+}
+
+// HandOverAck tells the sender of a HandOver that the keys are kept.
+type HandOverAck struct {
+	From         ident.VM         `cbor:"1,keyasint"`
+	To           ident.Instance   `cbor:"2,keyasint"`
+	Service      ident.Service    `cbor:"3,keyasint"`
+	FleetVersion template.Version `cbor:"4,keyasint"`
+	Custody      bool             `cbor:"5,keyasint,omitempty"`
+}
+
+// Ticket allows one run at one run of an agent. It is worthless anywhere else.
+type Ticket struct {
+	Owner  ident.Instance `cbor:"1,keyasint"`
+	Number uint64         `cbor:"2,keyasint"`
+}
+
+// TicketRequest asks an agent for a ticket.
+type TicketRequest struct {
+	Entry   ident.Instance `cbor:"1,keyasint"`
+	Request ident.Request  `cbor:"2,keyasint"`
+	Service ident.Service  `cbor:"3,keyasint"`
+}
+
+// TicketReply carries a fresh ticket, or the outcome of a refusal.
+type TicketReply struct {
+	Entry   ident.Instance  `cbor:"1,keyasint"`
+	Request ident.Request   `cbor:"2,keyasint"`
+	Ticket  Ticket          `cbor:"3,keyasint"`
+	Refused outcome.Outcome `cbor:"4,keyasint,omitempty"`
+	// ValidFor is the time for which the ticket can be used.
+	ValidFor time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// KeyQuestion asks an owner what became of a run key.
+type KeyQuestion struct {
+	Entry   ident.Instance `cbor:"1,keyasint"`
+	Request ident.Request  `cbor:"2,keyasint"`
+	RunKey  ident.RunKey   `cbor:"3,keyasint"`
+}
+
+// KeyAnswer answers a KeyQuestion.
+type KeyAnswer struct {
+	Entry   ident.Instance  `cbor:"1,keyasint"`
+	Request ident.Request   `cbor:"2,keyasint"`
+	RunKey  ident.RunKey    `cbor:"3,keyasint"`
+	Status  KeyStatus       `cbor:"4,keyasint"`
+	Outcome outcome.Outcome `cbor:"5,keyasint,omitempty"`
+	Answer  Answer          `cbor:"6,keyasint,omitempty"`
+}
+
+// CrashReport tells entries what was running when a backend server died.
+type CrashReport struct {
+	Agent ident.Instance `cbor:"1,keyasint"`
+	// Crash numbers the crashes that this run of the agent saw.
+	Crash uint64 `cbor:"2,keyasint"`
+	// Running are the requests that were running.
+	Running []Fingerprint `cbor:"3,keyasint,omitempty"`
+}
+
+// QuarantineNotice tells all entries and agents that a request is refused.
+type QuarantineNotice struct {
+	Fingerprint Fingerprint `cbor:"1,keyasint"`
+	// Crashes is the number of backend servers that the request crashed.
+	Crashes int `cbor:"2,keyasint"`
+	// ExpiresIn is the time until the request may run again.
+	ExpiresIn time.Duration `cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/internal/attempt/owner_claims.go
@@ -0,0 +1,277 @@
+package attempt
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+)
+
+func (o *Owner) tick(now time.Time) {
+	for _, name := range o.serviceNames() {
+		service := o.services[name]
+		o.expireKeys(now, service)
+		o.refreshFence(now, service)
+	}
+	o.tickets.expire(now)
+}
+
+func (o *Owner) expireKeys(now time.Time, service *ownedService) {
+	for _, record := range service.sortedRecords() {
+		expirable := record.state == keyServed || record.state == keyInDoubt
+		if expirable && now.After(record.expires) {
+			o.keyEvent(now, record, "expire")
+		}
+	}
+}
+
+// refreshFence asks the entries and agents whose answers are missing.
+func (o *Owner) refreshFence(now time.Time, service *ownedService) {
+	if !service.owns(o.config.Self.VM) {
+		service.fenced = false
+		return
+	}
+	for _, entry := range o.fleet.Entries {
+		o.claimAt(now, service, entry.VM)
+	}
+	o.askReleases(now, service)
+	o.updateFence(now, service)
+}
+
+func (o *Owner) claimAt(now time.Time, service *ownedService, vm ident.VM) {
+	claim := service.claims[vm]
+	if claim == nil {
+		claim = &claimState{parts: map[int]bool{}}
+		service.claims[vm] = claim
+	} else if (claim.accepted && !service.contradicted(vm)) || now.Sub(claim.askedAt) < o.config.AskAgain {
+		return
+	}
+	claim.askedAt = now
+	o.act(SendClaim{To: vm, Claim: Claim{
+		Claimant: o.config.Self, Service: service.published.Name,
+		FleetVersion: service.listVersion, Round: service.round,
+	}})
+}
+
+// contradicted reports whether another entry heard of a later run of the VM than the one
+// that accepted the claim.
+func (s *ownedService) contradicted(vm ident.VM) bool {
+	accepted := s.claims[vm].entry.Incarnation
+	for _, claim := range s.claims {
+		for _, peer := range claim.peers {
+			if peer.VM == vm && peer.Incarnation > accepted {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (o *Owner) hearClaim(now time.Time, answer ClaimAnswer) {
+	service := o.services[answer.Service]
+	if service == nil || answer.Claimant != o.config.Self || answer.Round != service.round {
+		return
+	}
+	if answer.Refused == ClaimSuperseded {
+		o.act(OwnerSuperseded{answer.Superseding})
+		o.stopping = true
+		o.superseded = true
+		return
+	}
+	claim := service.claims[answer.Entry.VM]
+	if claim == nil || answer.Refused != ClaimAccepted || answer.Entry.Incarnation < claim.entry.Incarnation {
+		return
+	}
+	if claim.entry != answer.Entry {
+		service.claims[answer.Entry.VM] = claimOf(now, claim.askedAt, answer)
+		claim = service.claims[answer.Entry.VM]
+	}
+	o.doubtKeys(now, service, answer.Keys)
+	claim.parts[answer.Part] = true
+	claim.accepted = len(claim.parts) == answer.Parts
+	if claim.accepted && !service.fencedAt.IsZero() && claim.knowsSince.After(service.fencedAt) {
+		// The entry cannot tell whether a later run claimed the VM: ask all entries again.
+		service.newRound()
+	}
+	o.refreshFence(now, service)
+}
+
+func claimOf(now, askedAt time.Time, answer ClaimAnswer) *claimState {
+	claim := &claimState{
+		askedAt: askedAt, parts: map[int]bool{}, entry: answer.Entry,
+		coversSince: now.Add(-answer.Covers), knowsSince: now.Add(-answer.Knows),
+		previous: answer.Previous, peers: answer.Peers,
+	}
+	for _, list := range answer.Earlier {
+		claim.earlier = append(claim.earlier, earlierList{vms: list.VMs, replacedAt: now.Add(-list.Age)})
+	}
+	for _, removed := range answer.Removed {
+		claim.removed = append(claim.removed, removedEntry{vm: removed.VM, at: now.Add(-removed.Age)})
+	}
+	return claim
+}
+
+// doubtKeys notes the keys that other runs of agents may have run.
+func (o *Owner) doubtKeys(now time.Time, service *ownedService, keys []DispatchedKey) {
+	for _, key := range keys {
+		if service.ownerOf(key.RunKey) != o.config.Self.VM || service.resolves(key.Target) {
+			continue
+		}
+		record := service.keys[key.RunKey]
+		if record == nil {
+			record = o.newRecord(service, key.RunKey, key.Body)
+		}
+		if record.state == keyNew || record.state == keyHeld || record.state == keyInDoubt {
+			record.noteSource(key.Target, now.Add(-key.Age))
+			record.fromLogs = record.fromLogs || record.state == keyNew || record.state == keyHeld
+		}
+		record.refusal = o.doubt(key.RunKey, 0)
+		before := record.state
+		o.keyEvent(now, record, "doubt")
+		if before != record.state {
+			record.expires = now.Add(-key.Age).Add(retentionOf(service.published)).Add(o.config.ClockSkew)
+		}
+	}
+}
+
+func (r *keyRecord) noteSource(target ident.Instance, at time.Time) {
+	if r.sources == nil {
+		r.sources = map[ident.Instance]time.Time{}
+	}
+	r.sources[target] = later(r.sources[target], at)
+}
+
+// resolves reports whether the run of an agent handed over all keys that it ran.
+func (s *ownedService) resolves(target ident.Instance) bool {
+	if s.predecessor != nil && s.predecessor.From == target {
+		return true
+	}
+	return s.hasReleased(target.VM) && s.released[target.VM].from == target
+}
+
+// seeEntry claims at a run of an entry that has not accepted the claim.
+func (o *Owner) seeEntry(now time.Time, entry ident.Instance) {
+	for _, name := range o.serviceNames() {
+		service := o.services[name]
+		claim := service.claims[entry.VM]
+		if claim == nil || claim.entry == entry || entry.Incarnation < claim.entry.Incarnation {
+			continue
+		}
+		if claim.accepted {
+			claim.accepted = false
+			claim.parts = map[int]bool{}
+			claim.askedAt = time.Time{}
+		}
+		o.refreshFence(now, service)
+	}
+}
+
+func (o *Owner) updateFence(now time.Time, service *ownedService) {
+	fenced := len(o.fleet.Entries) > 0
+	for _, entry := range o.fleet.Entries {
+		claim := service.claims[entry.VM]
+		if claim == nil || !claim.accepted || service.contradicted(entry.VM) {
+			fenced = false
+		}
+	}
+	if fenced && !service.fenced {
+		service.fencedAt = now
+	}
+	service.fenced = fenced
+	o.noteCoverage(now, service)
+}
+
+// noteCoverage remembers that the agent knows every run of its keys under the present list.
+func (o *Owner) noteCoverage(now time.Time, service *ownedService) {
+	if !service.fenced || (service.covered != nil && sameVMs(service.covered, service.list)) {
+		return
+	}
+	if trusted := service.trusted; trusted != nil && service.unchangedSince(trusted.fencedAt) {
+		service.covered = trusted.covered
+	}
+	service.trusted = nil
+	if service.covered != nil && sameVMs(service.covered, service.list) {
+		return
+	}
+	complete := service.logsCover(now, o.config.ClockSkew) || o.allHandedOver(now, service)
+	for _, vm := range o.earlierOwners(now, service) {
+		complete = complete && (o.gone[vm] || service.hasReleased(vm))
+	}
+	if complete {
+		service.covered = append([]ident.VM(nil), service.list...)
+	}
+	if complete != service.reported {
+		service.reported = complete
+		o.act(OwnershipChanged{Service: service.published.Name, Complete: complete, InDoubt: service.inDoubt()})
+	}
+}
+
+// unchangedSince reports whether every entry knows all claims since the time, and no other
+// list was in force since.
+func (s *ownedService) unchangedSince(at time.Time) bool {
+	for _, claim := range s.claims {
+		if !claim.accepted || claim.knowsSince.After(at) {
+			return false
+		}
+		for _, list := range claim.earlier {
+			if list.replacedAt.After(at) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (s *ownedService) inDoubt() int {
+	count := 0
+	for _, record := range s.keys {
+		if record.state == keyInDoubt {
+			count++
+		}
+	}
+	return count
+}
+
+// advanceOwnership starts held keys that have become clear, and refuses those that waited too long.
+func (o *Owner) advanceOwnership(now time.Time) {
+	for _, name := range o.serviceNames() {
+		service := o.services[name]
+		for _, record := range service.heldRecords() {
+			o.advanceHeld(now, service, record)
+		}
+	}
+}
+
+func (o *Owner) advanceHeld(now time.Time, service *ownedService, record *keyRecord) {
+	held := o.attempts[record.waiters[0]]
+	if service.ownerOf(record.key) != o.config.Self.VM {
+		record.refusal = outcome.Refused(outcome.CauseNotOwner)
+		o.keyEvent(now, record, "expire")
+		return
+	}
+	verdict, retryAfter := o.judge(now, service, held.dispatch)
+	refusedStart := o.stopping || held.dispatch.Lease < o.lease.Start || o.alone != nil
+	switch {
+	case verdict == verdictClear && !refusedStart:
+		o.keyEvent(now, record, "clear")
+	case verdict == verdictDoubt || !now.Before(held.deadline) || o.stopping:
+		record.refusal = o.doubt(record.key, retryAfter)
+		o.keyEvent(now, record, "expire")
+	}
+}
+
+// distrust forgets what the agent held to be true before it was paused.
+func (o *Owner) distrust(now time.Time) {
+	for _, name := range o.serviceNames() {
+		service := o.services[name]
+		if service.covered != nil && !service.fencedAt.IsZero() {
+			service.trusted = &trustedCoverage{covered: service.covered, fencedAt: service.fencedAt}
+		}
+		service.covered = nil
+		service.predecessor = nil
+		service.released = map[ident.VM]release{}
+		service.since = now
+		service.newRound()
+		o.refreshFence(now, service)
+	}
+}
--- /dev/null
+++ b/internal/attempt/owner_handover.go
@@ -0,0 +1,169 @@
+package attempt
+
+import (
+	"sort"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// handOvers is the agent's part in planned moves of run keys.
+type handOvers struct {
+	// custody holds the final hand-overs of other VMs' runs, by VM and service.
+	custody map[custodyKey]*custody
+	// unacknowledged holds the final hand-overs that were sent.
+	unacknowledged map[handOverKey]HandOver
+	sentAt         time.Time
+	begun          bool
+}
+
+type custodyKey struct {
+	vm      ident.VM
+	service ident.Service
+}
+
+type custody struct {
+	handOver HandOver
+	// taker is the run that asked first; no other run gets the keys.
+	taker ident.Incarnation
+}
+
+type handOverKey struct {
+	to      ident.VM
+	service ident.Service
+}
+
+// askReleases asks the agents of the list, and of earlier owners, for keys and custody.
+func (o *Owner) askReleases(now time.Time, service *ownedService) {
+	vms := append([]ident.VM(nil), service.list...)
+	vms = append(vms, o.earlierOwners(now, service)...)
+	for _, vm := range vms {
+		asked, wasAsked := service.asked[vm]
+		if vm == o.config.Self.VM || o.gone[vm] || service.hasReleased(vm) {
+			continue
+		}
+		if wasAsked && now.Sub(asked) < o.config.AskAgain {
+			continue
+		}
+		service.asked[vm] = now
+		o.act(SendRelease{To: vm, Request: ReleaseRequest{
+			Asker: o.config.Self, Service: service.published.Name, FleetVersion: service.listVersion, Round: service.round,
+		}})
+	}
+}
+
+// earlierOwners returns the other VMs of the lists that were in force within the retention.
+func (o *Owner) earlierOwners(now time.Time, service *ownedService) []ident.VM {
+	seen := map[ident.VM]bool{o.config.Self.VM: true}
+	var owners []ident.VM
+	note := func(lists []earlierList) {
+		for _, list := range lists {
+			if now.Sub(list.replacedAt) > retentionOf(service.published) {
+				continue
+			}
+			for _, vm := range list.vms {
+				if !seen[vm] {
+					seen[vm] = true
+					owners = append(owners, vm)
+				}
+			}
+		}
+	}
+	note(service.earlier)
+	for _, vm := range service.claimants() {
+		note(service.claims[vm].earlier)
+	}
+	sort.Slice(owners, func(i, j int) bool { return owners[i] < owners[j] })
+	return owners
+}
+
+// allHandedOver reports whether every earlier owner handed over all that it knew.
+func (o *Owner) allHandedOver(now time.Time, service *ownedService) bool {
+	if !o.knowsOwnRuns(now, service) {
+		return false
+	}
+	for _, vm := range o.earlierOwners(now, service) {
+		if !service.releasedAll(vm) {
+			return false
+		}
+	}
+	return true
+}
+
+// release hands the asker the keys that it owns, and what is kept for it.
+func (o *Owner) release(now time.Time, request ReleaseRequest) {
+	if request.FleetVersion > o.fleet.Version {
+		o.act(OwnerNeedsFleet{request.FleetVersion})
+		return
+	}
+	service := o.services[request.Service]
+	if service == nil || request.Asker.VM == o.config.Self.VM {
+		return
+	}
+	o.giveCustody(request)
+	handOver := o.handOverTo(now, service, request.Asker.VM)
+	handOver.Round = request.Round
+	o.act(SendHandOver{handOver})
+}
+
+func (o *Owner) giveCustody(request ReleaseRequest) {
+	kept := o.handOvers.custody[custodyKey{request.Asker.VM, request.Service}]
+	if kept == nil || kept.handOver.From == request.Asker {
+		return
+	}
+	if kept.taker != 0 && kept.taker != request.Asker.Incarnation {
+		return
+	}
+	kept.taker = request.Asker.Incarnation
+	o.act(SendHandOver{kept.handOver})
+}
+
+// handOverTo returns the hand-over of the keys that the VM owns under the present list.
+func (o *Owner) handOverTo(now time.Time, service *ownedService, to ident.VM) HandOver {
+	handOver := HandOver{
+		From: o.config.Self, To: to, Service: service.published.Name, FleetVersion: o.fleet.Version,
+		List: listID(service.list), Complete: service.knewAll(),
+	}
+	for _, record := range service.sortedRecords() {
+		if service.ownerOf(record.key) == to && record.movable() {
+			handOver.Keys = append(handOver.Keys, record.transfer(now))
+		}
+	}
+	return handOver
+}
+
+// knewAll reports whether the agent knew every run of its keys under the list that was
+// in force before the present one, or under the present one if there was no other.
+func (s *ownedService) knewAll() bool {
+	if s.covered == nil {
+		return false
+	}
+	if sameVMs(s.covered, s.list) {
+		return true
+	}
+	return len(s.earlier) > 0 && sameVMs(s.covered, s.earlier[len(s.earlier)-1].vms)
+}
+
+// movable reports whether another agent must know the key: it may have run, and may run elsewhere.
+func (r *keyRecord) movable() bool {
+	return !r.ticket && r.state != keyHeld
+}
+
+func (r *keyRecord) transfer(now time.Time) KeyTransfer {
+	return KeyTransfer{
+		RunKey: r.key, Body: r.body, Status: r.status(), ExpiresIn: max(0, r.expires.Sub(now)),
+		Outcome: r.outcome, Answer: r.answer, Content: r.content,
+	}
+}
+
+// passOn sends a key whose run ended after it had moved to its new owner.
+func (o *Owner) passOn(now time.Time, service *ownedService, record *keyRecord) {
+	owner := service.ownerOf(record.key)
+	if owner == o.config.Self.VM || owner == "" || !record.movable() || service.keys[record.key] == nil {
+		return
+	}
+	o.act(SendHandOver{HandOver{
+		From: o.config.Self, To: owner, Service: service.published.Name, FleetVersion: o.fleet.Version,
+		List: listID(service.list), Complete: service.knewAll(), Keys: []KeyTransfer{record.transfer(now)},
+	}})
+}
--- /dev/null
+++ b/internal/attempt/owner_service.go
@@ -0,0 +1,353 @@
+package attempt
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleyspool/bramleyspool/internal/fleet"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+// ownedService is what the agent knows of one service's run keys.
+type ownedService struct {
+	published fleet.Service
+	list      []ident.VM
+	// listVersion is the version at which the agent saw the present list for the first time.
+	listVersion template.Version
+	since       time.Time
+	earlier     []earlierList
+	keys        map[ident.RunKey]*keyRecord
+	held        map[ident.RunKey]*keyRecord
+	round       uint64
+	claims      map[ident.VM]*claimState
+	// fenced is true while all entries of the roster accepted the claim.
+	fenced bool
+	// covered is the list under which the agent knows every run of its keys, or nil.
+	covered []ident.VM
+	// fencedAt is when the claim was accepted by all in this round.
+	fencedAt time.Time
+	// trusted is what the agent knew before it was paused, or nil.
+	trusted  *trustedCoverage
+	released map[ident.VM]release
+	asked    map[ident.VM]time.Time
+	// predecessor is the final hand-over of the VM's earlier run, or nil.
+	predecessor *HandOver
+	reported    bool
+}
+
+// trustedCoverage holds again once all entries say that nobody claimed since it was fenced.
+type trustedCoverage struct {
+	covered  []ident.VM
+	fencedAt time.Time
+}
+
+type release struct {
+	version  template.Version
+	from     ident.Instance
+	complete bool
+}
+
+// claimState is an entry's answer to the claim of the present round.
+type claimState struct {
+	askedAt  time.Time
+	parts    map[int]bool
+	entry    ident.Instance
+	accepted bool
+	// coversSince and knowsSince are on this agent's clock.
+	coversSince time.Time
+	knowsSince  time.Time
+	previous    ident.Incarnation
+	peers       []ident.Instance
+	earlier     []earlierList
+	removed     []removedEntry
+}
+
+type removedEntry struct {
+	vm ident.VM
+	at time.Time
+}
+
+func (o *Owner) setFleet(now time.Time, next fleet.Fleet) {
+	if next.Version <= o.fleet.Version {
+		return
+	}
+	o.fleet = next
+	for _, published := range next.Services {
+		o.setService(now, published)
+	}
+	for _, name := range o.serviceNames() {
+		o.refreshFence(now, o.services[name])
+	}
+}
+
+func (o *Owner) setService(now time.Time, published fleet.Service) {
+	list := backendVMs(published)
+	service := o.services[published.Name]
+	if service == nil {
+		service = &ownedService{
+			published: published, list: list, listVersion: o.fleet.Version, since: now,
+			keys: map[ident.RunKey]*keyRecord{}, held: map[ident.RunKey]*keyRecord{},
+			released: map[ident.VM]release{},
+		}
+		o.services[published.Name] = service
+		service.newRound()
+		return
+	}
+	before := service.list
+	service.published = published
+	service.list = list
+	if sameVMs(before, list) {
+		return
+	}
+	service.earlier = append(service.earlier, earlierList{vms: before, replacedAt: now})
+	service.listVersion = o.fleet.Version
+	service.since = now
+	service.newRound()
+}
+
+func (s *ownedService) newRound() {
+	s.round++
+	s.claims = map[ident.VM]*claimState{}
+	s.asked = map[ident.VM]time.Time{}
+	s.fenced = false
+	s.fencedAt = time.Time{}
+}
+
+func (s *ownedService) heldRecords() []*keyRecord {
+	records := make([]*keyRecord, 0, len(s.held))
+	for _, record := range s.held {
+		records = append(records, record)
+	}
+	sort.Slice(records, func(i, j int) bool { return records[i].key < records[j].key })
+	return records
+}
+
+func (s *ownedService) ownerOf(key ident.RunKey) ident.VM {
+	return Highest(string(key), s.list)
+}
+
+func (s *ownedService) owns(vm ident.VM) bool {
+	for _, member := range s.list {
+		if member == vm {
+			return true
+		}
+	}
+	return false
+}
+
+// listID identifies a list of VMs irrespective of its order.
+func listID(vms []ident.VM) uint64 {
+	sorted := append([]ident.VM(nil), vms...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
+	digest := xxhash.New()
+	for _, vm := range sorted {
+		_, _ = digest.WriteString(string(vm) + hashSeparator)
+	}
+	return digest.Sum64()
+}
+
+func (o *Owner) serviceNames() []ident.Service {
+	names := make([]ident.Service, 0, len(o.services))
+	for name := range o.services {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+// verdict says whether a key that is not in the table may run.
+type verdict uint8
+
+const (
+	// verdictClear means that the key never ran and no other run of an agent can run it.
+	verdictClear verdict = iota + 1
+	// verdictPending means that answers are outstanding.
+	verdictPending
+	// verdictDoubt means that the key may have run.
+	verdictDoubt
+)
+
+// judge decides on a key that is not in the table. For a key in doubt it returns the time
+// until it can run if nothing more is learned.
+func (o *Owner) judge(now time.Time, service *ownedService, dispatch Dispatch) (verdict, time.Duration) {
+	if o.config.Doubt == DoubtIgnore {
+		return verdictClear, 0
+	}
+	if !service.fenced || !o.accepted(service, dispatch.ID.Entry) {
+		return verdictPending, 0
+	}
+	if o.config.Doubt == DoubtRefuse {
+		return o.judgeByAge(now, service)
+	}
+	if o.unreleased(now, service, dispatch.RunKey) != "" {
+		return verdictPending, 0
+	}
+	if service.logsCover(now, o.config.ClockSkew) || service.covers(dispatch.RunKey, o.config.Self.VM) || o.handedOver(now, service, dispatch.RunKey) {
+		return verdictClear, 0
+	}
+	if now.Sub(service.since) < o.config.HoldLimit {
+		return verdictPending, 0
+	}
+	return verdictDoubt, service.uncoveredFor(now, o.config.ClockSkew)
+}
+
+// judgeByAge lets keys run once the agent has owned them for the whole retention.
+func (o *Owner) judgeByAge(now time.Time, service *ownedService) (verdict, time.Duration) {
+	opened := !service.published.OpenedAt.Before(o.startedAt)
+	wait := service.since.Add(retentionOf(service.published)).Sub(now)
+	if opened || wait <= 0 {
+		return verdictClear, 0
+	}
+	return verdictDoubt, wait
+}
+
+// accepted reports whether the entry's present run accepted the claim.
+func (o *Owner) accepted(service *ownedService, entry ident.Instance) bool {
+	claim := service.claims[entry.VM]
+	return claim != nil && claim.accepted && claim.entry == entry
+}
+
+// priorOwners returns the VMs that owned the key under lists that were in force within the retention.
+func (s *ownedService) priorOwners(now time.Time, key ident.RunKey) []ident.VM {
+	retention := retentionOf(s.published)
+	seen := map[ident.VM]bool{}
+	var owners []ident.VM
+	note := func(lists []earlierList) {
+		for _, list := range lists {
+			if now.Sub(list.replacedAt) > retention {
+				continue
+			}
+			if vm := Highest(string(key), list.vms); !seen[vm] {
+				seen[vm] = true
+				owners = append(owners, vm)
+			}
+		}
+	}
+	note(s.earlier)
+	for _, vm := range s.claimants() {
+		note(s.claims[vm].earlier)
+	}
+	return owners
+}
+
+func (s *ownedService) claimants() []ident.VM {
+	vms := make([]ident.VM, 0, len(s.claims))
+	for vm := range s.claims {
+		vms = append(vms, vm)
+	}
+	sort.Slice(vms, func(i, j int) bool { return vms[i] < vms[j] })
+	return vms
+}
+
+// unreleased returns an earlier owner of the key that may still run it, or "".
+func (o *Owner) unreleased(now time.Time, service *ownedService, key ident.RunKey) ident.VM {
+	for _, vm := range service.priorOwners(now, key) {
+		if vm != o.config.Self.VM && !o.gone[vm] && !service.hasReleased(vm) {
+			return vm
+		}
+	}
+	return ""
+}
+
+func (s *ownedService) hasReleased(vm ident.VM) bool {
+	released, ok := s.released[vm]
+	return ok && released.version >= s.listVersion
+}
+
+// releasedAll reports whether the VM's agent released its keys and knew every run of them.
+func (s *ownedService) releasedAll(vm ident.VM) bool {
+	return s.hasReleased(vm) && s.released[vm].complete
+}
+
+// covers reports whether the agent has known every run of the key since an earlier claim.
+func (s *ownedService) covers(key ident.RunKey, self ident.VM) bool {
+	return s.covered != nil && Highest(string(key), s.covered) == self && sameVMs(s.covered, s.list)
+}
+
+// handedOver reports whether the key's earlier owners handed over all that they knew.
+func (o *Owner) handedOver(now time.Time, service *ownedService, key ident.RunKey) bool {
+	if !o.knowsOwnRuns(now, service) {
+		return false
+	}
+	for _, vm := range service.priorOwners(now, key) {
+		if vm != o.config.Self.VM && !service.releasedAll(vm) {
+			return false
+		}
+	}
+	return true
+}
+
+// knowsOwnRuns reports whether the agent knows all that its VM ran.
+func (o *Owner) knowsOwnRuns(now time.Time, service *ownedService) bool {
+	return service.covered != nil || service.predecessorCovers() || service.newcomer(now, o.config.Self.VM)
+}
+
+// predecessorCovers reports whether the VM's latest earlier run handed over all that it knew.
+func (s *ownedService) predecessorCovers() bool {
+	if s.predecessor == nil || !s.predecessor.Complete || s.predecessor.List != listID(s.list) {
+		return false
+	}
+	matched := false
+	for _, claim := range s.claims {
+		if claim.accepted && claim.previous != 0 && claim.previous != s.predecessor.From.Incarnation {
+			return false
+		}
+		matched = matched || (claim.accepted && claim.previous != 0)
+	}
+	return s.fenced && matched
+}
+
+// newcomer reports whether the VM had no earlier run that could have run a key: no entry
+// knows one, and an entry saw the list without the VM.
+func (s *ownedService) newcomer(now time.Time, self ident.VM) bool {
+	sawAbsent := false
+	for _, claim := range s.claims {
+		if claim.accepted && claim.previous != 0 {
+			return false
+		}
+		for _, list := range claim.earlier {
+			recent := now.Sub(list.replacedAt) <= retentionOf(s.published)
+			sawAbsent = sawAbsent || (recent && !containsVM(list.vms, self))
+		}
+	}
+	return sawAbsent && s.fenced
+}
+
+func containsVM(vms []ident.VM, vm ident.VM) bool {
+	for _, member := range vms {
+		if member == vm {
+			return true
+		}
+	}
+	return false
+}
+
+// windowStart returns since when runs of keys matter, on this agent's clock.
+func (s *ownedService) windowStart(now time.Time, skew time.Duration) time.Time {
+	return later(now.Add(-retentionOf(s.published)), s.published.OpenedAt.Add(-skew))
+}
+
+func (s *ownedService) logsCover(now time.Time, skew time.Duration) bool {
+	return s.uncoveredFor(now, skew) == 0
+}
+
+// uncoveredFor returns the time until the entries' logs cover the whole window.
+func (s *ownedService) uncoveredFor(now time.Time, skew time.Duration) time.Duration {
+	start := s.windowStart(now, skew)
+	retention := retentionOf(s.published)
+	var wait time.Duration
+	for _, claim := range s.claims {
+		if claim.accepted && claim.coversSince.After(start) {
+			wait = max(wait, claim.coversSince.Add(retention).Sub(now))
+		}
+		for _, removed := range claim.removed {
+			if removed.at.After(start) {
+				wait = max(wait, removed.at.Add(retention).Sub(now))
+			}
+		}
+	}
+	return wait
+}
--- /dev/null
+++ b/internal/attempt/owner_stop.go
@@ -0,0 +1,192 @@
+package attempt
+
+import (
+	"sort"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/chart"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// advanceStop hands all keys over once nothing runs, and reports the end.
+func (o *Owner) advanceStop(now time.Time) {
+	if !o.stopping || o.superseded || o.running > 0 {
+		return
+	}
+	if !o.handOvers.begun {
+		o.handOvers.begun = true
+		o.collectFinal(now)
+		o.sendFinal(now)
+		return
+	}
+	if now.Sub(o.handOvers.sentAt) >= o.config.AskAgain {
+		o.sendFinal(now)
+	}
+}
+
+// collectFinal prepares the final hand-overs: keys to their owners, and the VM's own keys
+// to the agent that keeps them for the VM's next run.
+func (o *Owner) collectFinal(now time.Time) {
+	for _, name := range o.serviceNames() {
+		service := o.services[name]
+		for _, vm := range service.list {
+			if vm == o.config.Self.VM {
+				o.collectCustody(now, service)
+				continue
+			}
+			handOver := o.handOverTo(now, service, vm)
+			handOver.Final = true
+			if len(handOver.Keys) > 0 {
+				o.handOvers.unacknowledged[handOverKey{vm, name}] = handOver
+			}
+		}
+	}
+}
+
+func (o *Owner) collectCustody(now time.Time, service *ownedService) {
+	others := make([]ident.VM, 0, len(service.list))
+	for _, vm := range service.list {
+		if vm != o.config.Self.VM {
+			others = append(others, vm)
+		}
+	}
+	keeper := Highest(string(o.config.Self.VM), others)
+	if keeper == "" {
+		return
+	}
+	handOver := o.handOverTo(now, service, o.config.Self.VM)
+	handOver.To = keeper
+	handOver.Final = true
+	handOver.Custody = true
+	o.handOvers.unacknowledged[handOverKey{keeper, service.published.Name}] = handOver
+}
+
+func (o *Owner) sendFinal(now time.Time) {
+	o.handOvers.sentAt = now
+	if len(o.handOvers.unacknowledged) == 0 {
+		o.act(OwnerStopped{})
+		return
+	}
+	keys := make([]handOverKey, 0, len(o.handOvers.unacknowledged))
+	for key := range o.handOvers.unacknowledged {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		return keys[i].to < keys[j].to || (keys[i].to == keys[j].to && keys[i].service < keys[j].service)
+	})
+	for _, key := range keys {
+		o.act(SendHandOver{o.handOvers.unacknowledged[key]})
+	}
+}
+
+func (o *Owner) handOverKept(ack HandOverAck) {
+	if ack.From != o.config.Self.VM {
+		return
+	}
+	key := handOverKey{ack.To.VM, ack.Service}
+	sent, ok := o.handOvers.unacknowledged[key]
+	if !ok || sent.Custody != ack.Custody {
+		return
+	}
+	delete(o.handOvers.unacknowledged, key)
+	if len(o.handOvers.unacknowledged) == 0 {
+		o.act(OwnerStopped{})
+	}
+}
+
+// takeOver keeps the keys of a hand-over.
+func (o *Owner) takeOver(now time.Time, handOver HandOver) {
+	service := o.services[handOver.Service]
+	if service == nil {
+		return
+	}
+	own := handOver.From.VM == o.config.Self.VM
+	switch {
+	case handOver.Custody && !own && handOver.To == o.config.Self.VM:
+		o.keep(handOver)
+		o.acknowledge(handOver)
+		return
+	case handOver.Custody && own && handOver.From != o.config.Self:
+		service.predecessor = &handOver
+	case handOver.Custody || own || handOver.To != o.config.Self.VM:
+		return
+	case handOver.List == listID(service.list) && handOver.FleetVersion >= service.listVersion:
+		o.noteRelease(service, handOver)
+	}
+	for _, transfer := range handOver.Keys {
+		o.importKey(now, service, transfer)
+	}
+	o.resolveSources(now, service)
+	o.acknowledge(handOver)
+	o.noteCoverage(now, service)
+}
+
+func (o *Owner) keep(handOver HandOver) {
+	key := custodyKey{handOver.From.VM, handOver.Service}
+	if kept := o.handOvers.custody[key]; kept != nil && kept.handOver.From == handOver.From {
+		return
+	}
+	o.handOvers.custody[key] = &custody{handOver: handOver}
+}
+
+func (o *Owner) noteRelease(service *ownedService, handOver HandOver) {
+	// A key that moves alone is no answer to the request for all keys.
+	if handOver.Round != service.round {
+		return
+	}
+	service.released[handOver.From.VM] = release{
+		version: handOver.FleetVersion, from: handOver.From, complete: handOver.Complete,
+	}
+}
+
+func (o *Owner) acknowledge(handOver HandOver) {
+	o.act(SendHandOverAck{HandOverAck{
+		From: handOver.From.VM, To: o.config.Self, Service: handOver.Service,
+		FleetVersion: handOver.FleetVersion, Custody: handOver.Custody,
+	}})
+}
+
+func (o *Owner) importKey(now time.Time, service *ownedService, transfer KeyTransfer) {
+	record := service.keys[transfer.RunKey]
+	if record == nil {
+		record = o.newRecord(service, transfer.RunKey, transfer.Body)
+	}
+	if transfer.Status == KeyServed {
+		if record.state == keyNew || record.state == keyHeld || record.state == keyInDoubt {
+			record.body = transfer.Body
+			record.outcome = transfer.Outcome
+			record.answer = transfer.Answer
+			record.content = transfer.Content
+		}
+		o.importEvent(now, record, "answer", transfer.ExpiresIn)
+		return
+	}
+	if record.state == keyNew || record.state == keyHeld || record.state == keyInDoubt {
+		record.transferred = true
+		record.refusal = o.doubt(record.key, 0)
+	}
+	o.importEvent(now, record, "doubt", transfer.ExpiresIn)
+}
+
+// importEvent drives the record's chart and keeps the key as long as its sender would have.
+func (o *Owner) importEvent(now time.Time, record *keyRecord, event chart.Event, expiresIn time.Duration) {
+	o.keyEvent(now, record, event)
+	record.expires = later(record.expires, now.Add(expiresIn))
+}
+
+// resolveSources forgets doubts about runs of agents that have handed over all their keys.
+func (o *Owner) resolveSources(now time.Time, service *ownedService) {
+	for _, record := range service.sortedRecords() {
+		if record.state != keyInDoubt {
+			continue
+		}
+		for source := range record.sources {
+			if service.resolves(source) {
+				delete(record.sources, source)
+			}
+		}
+		if len(record.sources) == 0 && !record.transferred && record.fromLogs {
+			o.keyEvent(now, record, "resolve")
+		}
+	}
+}
--- /dev/null
+++ b/internal/attempt/rendezvous.go
@@ -0,0 +1,67 @@
+package attempt
+
+import (
+	"crypto/sha256"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleyspool/bramleyspool/internal/fleet"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+const hashSeparator = "\x1f"
+
+// Highest returns the VM with the highest rendezvous score for the key, or "" for no VMs.
+// Removing a VM moves only the keys that it had.
+func Highest(key string, vms []ident.VM) ident.VM {
+	var best ident.VM
+	var bestScore uint64
+	for _, vm := range vms {
+		score := xxhash.Sum64String(key + hashSeparator + string(vm))
+		if best == "" || score > bestScore || (score == bestScore && vm < best) {
+			best, bestScore = vm, score
+		}
+	}
+	return best
+}
+
+// OwnerOf returns the VM whose agent owns the run key under the published list of the service.
+func OwnerOf(key ident.RunKey, service fleet.Service) ident.VM {
+	return Highest(string(key), backendVMs(service))
+}
+
+func backendVMs(service fleet.Service) []ident.VM {
+	vms := make([]ident.VM, 0, len(service.Backends))
+	for _, backend := range service.Backends {
+		vms = append(vms, backend.VM)
+	}
+	return vms
+}
+
+// NewFingerprint returns the fingerprint of a request.
+func NewFingerprint(customer ident.Customer, class ident.Class, body Digest) Fingerprint {
+	sum := sha256.New()
+	sum.Write([]byte(string(customer) + hashSeparator + string(class) + hashSeparator))
+	sum.Write(body[:])
+	var fingerprint Fingerprint
+	copy(fingerprint[:], sum.Sum(nil))
+	return fingerprint
+}
+
+// topRanked returns the count VMs with the highest rendezvous scores for the key.
+func topRanked(key string, vms []ident.VM, count int) []ident.VM {
+	left := append([]ident.VM(nil), vms...)
+	var ranked []ident.VM
+	for len(left) > 0 && len(ranked) < count {
+		best := Highest(key, left)
+		ranked = append(ranked, best)
+		kept := left[:0]
+		for _, vm := range left {
+			if vm != best {
+				kept = append(kept, vm)
+			}
+		}
+		left = kept
+	}
+	return ranked
+}
--- /dev/null
+++ b/internal/attempt/tickets.go
@@ -0,0 +1,74 @@
+package attempt
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+)
+
+// ticketValidity is the time for which a ticket can be used.
+const ticketValidity = 10 * time.Minute
+
+// ticketPrefix sets the keys of tickets apart from keys that callers choose, which
+// contain no control characters.
+const ticketPrefix = "\x1eticket\x1e"
+
+// TicketKey returns the run key of a ticket.
+func TicketKey(customer ident.Customer, service ident.Service, ticket Ticket) ident.RunKey {
+	return ident.NewRunKey(customer, service, fmt.Sprintf("%s%s/%d", ticketPrefix, ticket.Owner, ticket.Number))
+}
+
+// ticketBook holds the tickets that the agent issued and that are still valid.
+type ticketBook struct {
+	last   uint64
+	issued map[uint64]*issuedTicket
+}
+
+type issuedTicket struct {
+	expires time.Time
+}
+
+// wrongTicketKey reports whether the dispatch's key is not its ticket's, or is a ticket's
+// without the ticket.
+func wrongTicketKey(dispatch Dispatch) bool {
+	if dispatch.Ticket == nil {
+		return strings.Contains(string(dispatch.RunKey), ticketPrefix)
+	}
+	return dispatch.RunKey != TicketKey(dispatch.Customer, dispatch.Service, *dispatch.Ticket)
+}
+
+// valid reports whether the ticket may run at this run of the agent.
+func (b *ticketBook) valid(now time.Time, self ident.Instance, ticket Ticket) bool {
+	issued := b.issued[ticket.Number]
+	return ticket.Owner == self && issued != nil && now.Before(issued.expires)
+}
+
+func (b *ticketBook) expire(now time.Time) {
+	for number, issued := range b.issued {
+		if !now.Before(issued.expires) {
+			delete(b.issued, number)
+		}
+	}
+}
+
+// issueTicket answers a request for a ticket.
+func (o *Owner) issueTicket(now time.Time, request TicketRequest) {
+	reply := TicketReply{Entry: request.Entry, Request: request.Request}
+	switch {
+	case o.stopping:
+		reply.Refused = outcome.Refused(outcome.CauseLeaving)
+	case o.services[request.Service] == nil || !o.services[request.Service].owns(o.config.Self.VM):
+		reply.Refused = outcome.Refused(outcome.CauseNoRoute)
+	case len(o.tickets.issued) >= o.config.MaxKeys:
+		reply.Refused = outcome.Refused(outcome.CauseKeysFull)
+	default:
+		o.tickets.last++
+		o.tickets.issued[o.tickets.last] = &issuedTicket{expires: now.Add(ticketValidity)}
+		reply.Ticket = Ticket{Owner: o.config.Self, Number: o.tickets.last}
+		reply.ValidFor = ticketValidity
+	}
+	o.act(SendTicket{reply})
+}
