--- /dev/null
+++ b/internal/admission/account.go
@@ -0,0 +1,160 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+)
+
+// ManyCustomers stands in Refusals.CausedBy for the customers beyond MaxCausers.
+const ManyCustomers ident.Customer = "*"
+
+// MaxCausers bounds the number of different causes that one class is counted under.
+const MaxCausers = 32
+
+// Account counts what became of the requests of one process.
+// It is not safe for concurrent use.
+type Account struct {
+	self     ident.Instance
+	entries  map[LimitKey]*AccountEntry
+	changed  map[LimitKey]struct{}
+	sequence uint64
+}
+
+// NewAccount returns an empty account.
+func NewAccount(self ident.Instance) *Account {
+	return &Account{
+		self:    self,
+		entries: make(map[LimitKey]*AccountEntry),
+		changed: make(map[LimitKey]struct{}),
+	}
+}
+
+// Arrive counts an open request.
+func (a *Account) Arrive(key LimitKey) {
+	entry := a.entry(key)
+	entry.Arrivals++
+	entry.Open++
+}
+
+// Close counts the outcome of an open request.
+func (a *Account) Close(key LimitKey, result outcome.Outcome, limit LimitKind, worth float64) {
+	entry := a.entry(key)
+	if entry.Open == 0 {
+		panic("invariant: a request was closed that was not open")
+	}
+	entry.Open--
+	switch result.Kind {
+	case outcome.Served:
+		entry.Served++
+		entry.ServedWorth += worth
+	case outcome.NotRun:
+		entry.NotRun = addRefusal(entry.NotRun, result, limit, worth)
+	default:
+		entry.Unknown = addRefusal(entry.Unknown, result, limit, worth)
+	}
+}
+
+func (a *Account) entry(key LimitKey) *AccountEntry {
+	entry := a.entries[key]
+	if entry == nil {
+		entry = &AccountEntry{Key: key}
+		a.entries[key] = entry
+	}
+	a.changed[key] = struct{}{}
+	return entry
+}
+
+func addRefusal(list []Refusals, result outcome.Outcome, limit LimitKind, worth float64) []Refusals {
+	refusal := Refusals{Cause: result.Cause, CausedBy: result.CausedBy, Limit: limit, Count: 1, Worth: worth}
+	return mergeRefusal(list, refusal)
+}
+
+func mergeRefusal(list []Refusals, refusal Refusals) []Refusals {
+	at := findRefusal(list, refusal)
+	if at < 0 && len(list) >= MaxCausers && refusal.CausedBy != "" {
+		refusal.CausedBy = ManyCustomers
+		at = findRefusal(list, refusal)
+	}
+	if at < 0 {
+		return append(list, refusal)
+	}
+	list[at].Count += refusal.Count
+	list[at].Worth += refusal.Worth
+	return list
+}
+
+func findRefusal(list []Refusals, refusal Refusals) int {
+	return slices.IndexFunc(list, func(r Refusals) bool {
+		return r.Cause == refusal.Cause && r.CausedBy == refusal.CausedBy && r.Limit == refusal.Limit
+	})
+}
+
+// Report returns the entries that changed since the previous report, and true if there
+// are any or the report is the final one.
+func (a *Account) Report(final bool) (AccountReport, bool) {
+	if len(a.changed) == 0 && !final {
+		return AccountReport{}, false
+	}
+	a.sequence++
+	report := AccountReport{From: a.self, Sequence: a.sequence, Final: final}
+	for key := range a.changed {
+		report.Entries = append(report.Entries, a.entries[key].clone())
+	}
+	sortEntries(report.Entries)
+	clear(a.changed)
+	return report, true
+}
+
+// Snapshot returns all entries, sorted by customer and class.
+func (a *Account) Snapshot() []AccountEntry {
+	entries := make([]AccountEntry, 0, len(a.entries))
+	for _, entry := range a.entries {
+		entries = append(entries, entry.clone())
+	}
+	sortEntries(entries)
+	return entries
+}
+
+func (e AccountEntry) clone() AccountEntry {
+	e.NotRun = slices.Clone(e.NotRun)
+	e.Unknown = slices.Clone(e.Unknown)
+	return e
+}
+
+// Conserved reports whether arrivals equal the sum of all outcomes and open requests.
+func (e AccountEntry) Conserved() bool {
+	return e.Arrivals == e.Served+e.Open+countRefusals(e.NotRun)+countRefusals(e.Unknown)
+}
+
+func countRefusals(list []Refusals) uint64 {
+	var count uint64
+	for _, refusal := range list {
+		count += refusal.Count
+	}
+	return count
+}
+
+// merge adds the counts of another entry with the same key.
+func (e *AccountEntry) merge(other AccountEntry) {
+	e.Arrivals += other.Arrivals
+	e.Served += other.Served
+	e.Open += other.Open
+	e.ServedWorth += other.ServedWorth
+	for _, refusal := range other.NotRun {
+		e.NotRun = mergeRefusal(e.NotRun, refusal)
+	}
+	for _, refusal := range other.Unknown {
+		e.Unknown = mergeRefusal(e.Unknown, refusal)
+	}
+}
+
+func sortEntries(entries []AccountEntry) {
+	slices.SortFunc(entries, func(a, b AccountEntry) int { return compareKeys(a.Key, b.Key) })
+}
+
+func compareKeys(a, b LimitKey) int {
+	return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Class, b.Class))
+}
--- /dev/null
+++ b/internal/admission/doc.go
@@ -0,0 +1,13 @@
+// Package admission decides at each entry which requests are admitted, queued or refused.
+//
+// The package holds three state machines without clocks, goroutines or sockets:
+//
+//   - Controller queues the requests of one entry and shares the slots of each service
+//     between customers by weighted max-min fairness;
+//   - LimitHolder and LimitCoordinator divide the limits of a customer over all entries
+//     by leases, so that the sum of all parts never exceeds the limit;
+//   - Account and AccountCollector count what became of every request, per customer,
+//     class and cause.
+//
+// Time comes in with each event. The same events in the same order give the same actions.
+package admission
--- /dev/null
+++ b/internal/admission/messages.go
@@ -0,0 +1,116 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+)
+
+// Part is a part of a customer's limits for one class.
+type Part struct {
+	// Rate is in requests a second.
+	Rate float64 `cbor:"1,keyasint,omitempty" json:"rate,omitempty"`
+	// Concurrency is in open requests.
+	Concurrency int `cbor:"2,keyasint,omitempty" json:"concurrency,omitempty"`
+	// Tokens is in tokens a second.
+	Tokens float64 `cbor:"3,keyasint,omitempty" json:"tokens,omitempty"`
+}
+
+// LimitKey names the limits of one class of one customer.
+type LimitKey struct {
+	Customer ident.Customer `cbor:"1,keyasint" json:"customer"`
+	Class    ident.Class    `cbor:"2,keyasint" json:"class"`
+}
+
+// PartDemand is what an entry holds and wants of one limit.
+type PartDemand struct {
+	Key LimitKey `cbor:"1,keyasint"`
+	// Want is the part that the entry's recent demand needs beyond its static share.
+	Want Part `cbor:"2,keyasint"`
+	// Grantor and Grant name the grant that the entry holds. The entry never again uses an earlier one.
+	Grantor ident.Incarnation `cbor:"3,keyasint,omitempty"`
+	Grant   uint64            `cbor:"4,keyasint,omitempty"`
+	// Held is the part of that grant; zero if it expired.
+	Held Part `cbor:"5,keyasint,omitempty"`
+	// Open is the number of open requests beyond the static share. While it exceeds the
+	// held concurrency it never grows.
+	Open int `cbor:"6,keyasint,omitempty"`
+}
+
+// LimitRequest is sent by an entry to the coordinator of some customers' limits.
+// It also confirms to the coordinator that the sender uses the same roster.
+type LimitRequest struct {
+	From ident.Instance `cbor:"1,keyasint"`
+	// Roster is the digest of the roster that the sender uses.
+	Roster uint64 `cbor:"2,keyasint"`
+	// Sequence grows with each request of the sender to any coordinator.
+	Sequence uint64 `cbor:"3,keyasint"`
+	// Poll and PollOf echo the newest poll number received from the coordinator.
+	Poll    uint64            `cbor:"4,keyasint,omitempty"`
+	PollOf  ident.Incarnation `cbor:"5,keyasint,omitempty"`
+	Demands []PartDemand      `cbor:"6,keyasint,omitempty"`
+}
+
+// PartGrant leases a part of one limit.
+type PartGrant struct {
+	Key LimitKey `cbor:"1,keyasint"`
+	// Number grows with each grant of the coordinator's incarnation. The holder replaces
+	// its part by the one with the greatest number.
+	Number uint64 `cbor:"2,keyasint"`
+	Part   Part   `cbor:"3,keyasint"`
+	// Adopts is the grant of an earlier coordinator that this grant prolongs; 0 if none.
+	// The holder ignores the grant if it no longer holds that one.
+	Adopts   uint64            `cbor:"4,keyasint,omitempty"`
+	AdoptsOf ident.Incarnation `cbor:"5,keyasint,omitempty"`
+}
+
+// LimitGrant is the coordinator's answer to a LimitRequest.
+type LimitGrant struct {
+	From   ident.Instance `cbor:"1,keyasint"`
+	To     ident.Instance `cbor:"2,keyasint"`
+	Roster uint64         `cbor:"3,keyasint"`
+	// Sequence is that of the answered request. The leases run from the time at which
+	// the holder sent that request, on the holder's clock.
+	Sequence uint64 `cbor:"4,keyasint"`
+	// Poll is echoed by the holder's next request.
+	Poll uint64 `cbor:"5,keyasint"`
+	// TTL is how long the leases last from the sending of the request.
+	TTL    time.Duration `cbor:"6,keyasint"`
+	Grants []PartGrant   `cbor:"7,keyasint,omitempty"`
+}
+
+// Refusals counts the refused requests of one class that share a cause.
+type Refusals struct {
+	Cause outcome.Cause `cbor:"1,keyasint" json:"cause"`
+	// CausedBy is the customer whose demand caused the refusals; "" if none did.
+	CausedBy ident.Customer `cbor:"2,keyasint,omitempty" json:"caused_by,omitempty"`
+	// Limit is the limit that was reached; LimitNone if none was.
+	Limit LimitKind `cbor:"3,keyasint,omitempty" json:"limit,omitempty"`
+	Count uint64    `cbor:"4,keyasint" json:"count"`
+	// Worth is the sum of the worth of the refused requests.
+	Worth float64 `cbor:"5,keyasint" json:"worth"`
+}
+
+// AccountEntry counts the requests of one class of one customer since the process started.
+// Arrivals = Served + sum of NotRun counts + sum of Unknown counts + Open.
+type AccountEntry struct {
+	Key         LimitKey   `cbor:"1,keyasint" json:"key"`
+	Arrivals    uint64     `cbor:"2,keyasint" json:"arrivals"`
+	Served      uint64     `cbor:"3,keyasint" json:"served"`
+	Open        uint64     `cbor:"4,keyasint" json:"open"`
+	ServedWorth float64    `cbor:"5,keyasint" json:"served_worth"`
+	NotRun      []Refusals `cbor:"6,keyasint,omitempty" json:"not_run,omitempty"`
+	Unknown     []Refusals `cbor:"7,keyasint,omitempty" json:"unknown,omitempty"`
+}
+
+// AccountReport carries the entries of a process's account that changed since its
+// previous report. Counts are totals since the process started.
+type AccountReport struct {
+	From ident.Instance `cbor:"1,keyasint" json:"from"`
+	// Sequence grows by one with each report, from 1.
+	Sequence uint64         `cbor:"2,keyasint" json:"sequence"`
+	Entries  []AccountEntry `cbor:"3,keyasint,omitempty" json:"entries,omitempty"`
+	// Final is true for the last report of a process that stops as planned.
+	Final bool `cbor:"4,keyasint,omitempty" json:"final,omitempty"`
+}
--- /dev/null
+++ b/internal/admission/settings.go
@@ -0,0 +1,100 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// TickInterval is the longest time between two Tick events.
+const TickInterval = 100 * time.Millisecond
+
+// LimitKind names what a refused request ran into.
+type LimitKind string
+
+// The kinds of limit.
+const (
+	LimitNone        LimitKind = ""
+	LimitRate        LimitKind = "rate"
+	LimitConcurrency LimitKind = "concurrency"
+	LimitTokens      LimitKind = "tokens"
+	LimitShare       LimitKind = "share"
+	LimitQueue       LimitKind = "queue"
+	LimitRetries     LimitKind = "retries"
+	LimitCapacity    LimitKind = "capacity"
+)
+
+// Settings are the parameters of a Controller, LimitHolder and LimitCoordinator.
+type Settings struct {
+	// Self is the entry process.
+	Self ident.Instance
+	// Seed makes the jitter of Retry-After reproducible.
+	Seed uint64
+	// MaxQueued is the number of requests that may wait at the entry for one service.
+	MaxQueued int
+	// MinQueued is the queue length that each customer has at a service whatever its weight.
+	MinQueued int
+	// ClassFloor is the fraction of a customer's slots that each of its waiting classes gets
+	// whatever its priority.
+	ClassFloor float64
+	// RetryRatio is the number of retries that each served request permits.
+	RetryRatio float64
+	// RetryBurst is the number of retries permitted without served requests.
+	RetryBurst float64
+	// MaxRetryAfter bounds the Retry-After of refusals.
+	MaxRetryAfter time.Duration
+	// ReportInterval is the time between two account reports.
+	ReportInterval time.Duration
+	Leases         LeaseSettings
+}
+
+// LeaseSettings are the parameters of the division of limits. All entries use the same.
+type LeaseSettings struct {
+	// StaticFraction is the fraction of each limit that is split evenly over the
+	// roster and never leased.
+	StaticFraction float64
+	// RosterOverlap divides the static shares, so that this many full rosters of
+	// different versions may be running at once.
+	RosterOverlap int
+	// TTL is the duration of a lease.
+	TTL time.Duration
+	// Freshness is how long a coordinator relies on an entry's confirmation of the roster.
+	Freshness time.Duration
+	// Interval is the time between two requests of an entry to a coordinator.
+	Interval time.Duration
+	// Quorum is the fraction of the roster whose confirmation a coordinator needs.
+	Quorum float64
+	// ClockDrift is the greatest relative difference of the speed of two clocks.
+	ClockDrift float64
+	// MaxHold is the longest time that a request stays open, queued time included.
+	MaxHold time.Duration
+	// BurstWindow bounds bursts: in any time T the fleet accepts at most
+	// limit * (T + BurstWindow).
+	BurstWindow time.Duration
+}
+
+// DefaultSettings returns the settings for an entry process.
+func DefaultSettings(self ident.Instance) Settings {
+	return Settings{
+		Self:           self,
+		Seed:           uint64(self.Incarnation),
+		MaxQueued:      4096,
+		MinQueued:      8,
+		ClassFloor:     0.1,
+		RetryRatio:     0.1,
+		RetryBurst:     10,
+		MaxRetryAfter:  time.Minute,
+		ReportInterval: time.Second,
+		Leases: LeaseSettings{
+			StaticFraction: 0.2,
+			RosterOverlap:  2,
+			TTL:            20 * time.Second,
+			Freshness:      6 * time.Second,
+			Interval:       2 * time.Second,
+			Quorum:         0.75,
+			ClockDrift:     0.01,
+			MaxHold:        2 * time.Minute,
+			BurstWindow:    10 * time.Second,
+		},
+	}
+}
