admission: fair shares, deadline-aware queues and leased limits

First working version of the controller (weighted fair sharing with eligibility, class floors, refusal of what cannot meet its deadline, retry budgets) and of the limit coordinator (leases, takeover after a quorum of confirmations).

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -1,24 +1,243 @@
 package admission
 
-import "time"
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
 
 // Controller admits, queues and refuses the requests of one entry.
 // It is not safe for concurrent use.
 type Controller struct {
 	settings Settings
+	random   *rand.Rand
+	roster   roster
+	holder   *limitHolder
+	account  *Account
+	services map[ident.Service]*service
+	lanes    map[LimitKey]*lane
+	// totalWeight is the sum of the weights of all customers.
+	totalWeight float64
+	requests    map[ident.Request]*request
+	deadlines   deadlineHeap
+	nextReport  time.Time
+	actions     []Action
 }
 
 // NewController returns a Controller without customers or capacity.
 func NewController(settings Settings) *Controller {
-	return &Controller{settings: settings}
+	return &Controller{
+		settings: settings,
+		random:   rand.New(rand.NewPCG(settings.Seed, uint64(settings.Self.Incarnation))),
+		holder:   newLimitHolder(settings),
+		account:  NewAccount(settings.Self),
+		services: make(map[ident.Service]*service),
+		lanes:    make(map[LimitKey]*lane),
+		requests: make(map[ident.Request]*request),
+	}
 }
 
 // Step handles one event at a time of the process's monotonic clock.
-func (c *Controller) Step(_ time.Time, _ Event) []Action {
-	return nil
+// The caller may keep the returned actions.
+func (c *Controller) Step(now time.Time, event Event) []Action {
+	c.actions = nil
+	c.expire(now)
+	switch e := event.(type) {
+	case Configure:
+		c.configure(now, e)
+	case Arrive:
+		c.arrive(now, e)
+	case Capacity:
+		c.capacity(now, e)
+	case Done:
+		c.done(now, e)
+	case Cancel:
+		c.cancel(now, e)
+	case LimitGranted:
+		c.holder.granted(now, e.Grant)
+	case Tick:
+		c.report(now)
+	}
+	for _, request := range c.holder.tick(now) {
+		c.act(request)
+	}
+	return c.actions
 }
 
 // Account returns the account of this process.
 func (c *Controller) Account() *Account {
-	return nil
+	return c.account
+}
+
+// Stop returns the final account report of a process that stops as planned.
+func (c *Controller) Stop() Report {
+	report, _ := c.account.Report(true)
+	return Report{Message: report}
+}
+
+func (c *Controller) act(action Action) {
+	c.actions = append(c.actions, action)
+}
+
+func (c *Controller) configure(now time.Time, e Configure) {
+	c.roster = newRoster(e.Roster, c.settings.Leases.MaxCoordinators)
+	seen := make(map[LimitKey]struct{}, len(c.lanes))
+	c.totalWeight = 0
+	for i := range e.Plans {
+		plan := &e.Plans[i]
+		c.totalWeight += plan.Weight
+		for j := range plan.Classes {
+			key := LimitKey{Customer: plan.Customer, Class: plan.Classes[j].Name}
+			seen[key] = struct{}{}
+			c.configureLane(now, key, plan.Weight, plan.Classes[j])
+		}
+	}
+	for _, key := range c.laneKeys() {
+		if _, ok := seen[key]; !ok {
+			c.removeLane(now, key)
+		}
+	}
+	c.holder.configure(now, e.Plans, c.roster)
+}
+
+func (c *Controller) laneKeys() []LimitKey {
+	keys := make([]LimitKey, 0, len(c.lanes))
+	for key := range c.lanes {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, compareKeys)
+	return keys
+}
+
+func (c *Controller) configureLane(now time.Time, key LimitKey, weight float64, plan template.ClassPlan) {
+	known := c.lanes[key]
+	if known != nil && known.plan.Service != plan.Service {
+		c.removeLane(now, key)
+		known = nil
+	}
+	if known == nil {
+		known = &lane{key: key, flow: c.flow(key.Customer, plan.Service, weight)}
+		known.retries.permits = c.settings.RetryBurst
+		known.flow.lanes = append(known.flow.lanes, known)
+		c.lanes[key] = known
+	}
+	known.plan = plan
+	if known.flow.weight != weight {
+		known.flow.service.reweigh(known.flow, weight)
+	}
+	if known.flow.queued > 0 {
+		known.flow.service.replace(known.flow)
+	}
+}
+
+func (c *Controller) flow(customer ident.Customer, name ident.Service, weight float64) *flow {
+	s := c.service(name)
+	f := s.flows[customer]
+	if f == nil {
+		f = &flow{customer: customer, service: s, weight: weight, index: -1}
+		s.flows[customer] = f
+	}
+	return f
+}
+
+func (c *Controller) service(name ident.Service) *service {
+	s := c.services[name]
+	if s == nil {
+		s = newService(name)
+		c.services[name] = s
+	}
+	return s
+}
+
+// removeLane refuses what waits in a lane that is configured no more.
+func (c *Controller) removeLane(now time.Time, key LimitKey) {
+	gone := c.lanes[key]
+	delete(c.lanes, key)
+	for gone.head != nil {
+		c.refuseQueued(now, gone.head, refusal{cause: outcome.CauseNoRoute})
+	}
+	f := gone.flow
+	f.lanes = slices.DeleteFunc(f.lanes, func(l *lane) bool { return l == gone })
+	c.dropIdleFlow(f)
+}
+
+// dropIdleFlow forgets a flow without lanes and requests.
+func (c *Controller) dropIdleFlow(f *flow) {
+	if len(f.lanes) == 0 && f.open == 0 {
+		delete(f.service.flows, f.customer)
+	}
+}
+
+func (c *Controller) capacity(now time.Time, e Capacity) {
+	s := c.service(e.Service)
+	s.slots = max(0, e.Slots)
+	s.serviceTime = e.ServiceTime
+	s.answerTime = e.AnswerTime
+	c.dispatch(now, s)
+}
+
+// dispatch admits waiting requests while slots are free.
+func (c *Controller) dispatch(now time.Time, s *service) {
+	for {
+		r := s.dispatch(c.settings.ClassFloor)
+		if r == nil {
+			return
+		}
+		heap.Remove(&c.deadlines, r.index)
+		r.running = true
+		r.admitted = now
+		c.act(Admit{Request: r.id, Service: s.name, NotAfter: r.startBy, Waited: now.Sub(r.arrived)})
+	}
+}
+
+func (c *Controller) done(now time.Time, e Done) {
+	r := c.requests[e.Request]
+	if r == nil || !r.running {
+		return
+	}
+	took := now.Sub(r.admitted)
+	f := r.lane.flow
+	f.service.finish(f, r.cost, took)
+	extra := 0
+	if e.Tokens > 0 {
+		extra = e.Tokens - r.tokens
+	}
+	if e.Outcome.Kind == outcome.Served {
+		r.lane.cost.observe(took, r.tokens+extra)
+		r.lane.retries.earn(c.settings)
+	}
+	c.close(now, r, extra, e.Outcome, LimitNone)
+	c.dropIdleFlow(f)
+	c.dispatch(now, f.service)
+}
+
+// close ends a request in the limits and the account.
+func (c *Controller) close(now time.Time, r *request, extra int, result outcome.Outcome, limit LimitKind) {
+	delete(c.requests, r.id)
+	c.holder.release(now, r.lane.key, extra)
+	c.account.Close(r.lane.key, result, limit, r.worth)
+}
+
+func (c *Controller) cancel(now time.Time, e Cancel) {
+	r := c.requests[e.Request]
+	if r == nil || r.running {
+		return
+	}
+	c.refuseQueued(now, r, refusal{cause: outcome.CauseCallerGone})
+}
+
+// report publishes the account if it is time.
+func (c *Controller) report(now time.Time) {
+	if now.Before(c.nextReport) {
+		return
+	}
+	c.nextReport = now.Add(c.settings.ReportInterval)
+	if report, ok := c.account.Report(false); ok {
+		c.act(Report{Message: report})
+	}
 }
--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -4,8 +4,9 @@
 //
 //   - Controller queues the requests of one entry and shares the slots of each service
 //     between customers by weighted max-min fairness;
-//   - LimitHolder and LimitCoordinator divide the limits of a customer over all entries
-//     by leases, so that the sum of all parts never exceeds the limit;
+//   - LimitCoordinator divides the limits of a customer over all entries by leases, so
+//     that the sum of all parts never exceeds the limit; the Controller of each entry
+//     holds the leases;
 //   - Account and AccountCollector count what became of every request, per customer,
 //     class and cause.
 //
--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -28,9 +28,12 @@
 	Key LimitKey `cbor:"1,keyasint"`
 	// Want is the part that the entry's recent demand needs beyond its static share.
 	Want Part `cbor:"2,keyasint"`
-	// Grantor and Grant name the grant that the entry holds. The entry never again uses an earlier one.
+	// Grantor and Grant name the grant that the entry got last; 0 if none. The entry
+	// never again uses an earlier one.
 	Grantor ident.Incarnation `cbor:"3,keyasint,omitempty"`
 	Grant   uint64            `cbor:"4,keyasint,omitempty"`
+	// GrantorVM is the VM of the grantor if it is not the addressee.
+	GrantorVM ident.VM `cbor:"7,keyasint,omitempty"`
 	// Held is the part of that grant; zero if it expired.
 	Held Part `cbor:"5,keyasint,omitempty"`
 	// Open is the number of open requests beyond the static share. While it exceeds the
--- a/internal/admission/settings.go
+++ b/internal/admission/settings.go
@@ -24,7 +24,7 @@
 	LimitCapacity    LimitKind = "capacity"
 )
 
-// Settings are the parameters of a Controller, LimitHolder and LimitCoordinator.
+// Settings are the parameters of a Controller and a LimitCoordinator.
 type Settings struct {
 	// Self is the entry process.
 	Self ident.Instance
@@ -62,8 +62,11 @@
 	Freshness time.Duration
 	// Interval is the time between two requests of an entry to a coordinator.
 	Interval time.Duration
-	// Quorum is the fraction of the roster whose confirmation a coordinator needs.
-	Quorum float64
+	// MaxCoordinators bounds the number of entries that coordinate limits.
+	MaxCoordinators int
+	// TakeoverQuorum is the fraction of the roster that must confirm it before a
+	// coordinator starts. To go on, it needs a majority.
+	TakeoverQuorum float64
 	// ClockDrift is the greatest relative difference of the speed of two clocks.
 	ClockDrift float64
 	// MaxHold is the longest time that a request stays open, queued time included.
@@ -86,15 +89,16 @@
 		MaxRetryAfter:  time.Minute,
 		ReportInterval: time.Second,
 		Leases: LeaseSettings{
-			StaticFraction: 0.2,
-			RosterOverlap:  2,
-			TTL:            20 * time.Second,
-			Freshness:      6 * time.Second,
-			Interval:       2 * time.Second,
-			Quorum:         0.75,
-			ClockDrift:     0.01,
-			MaxHold:        2 * time.Minute,
-			BurstWindow:    10 * time.Second,
+			StaticFraction:  0.2,
+			RosterOverlap:   2,
+			TTL:             20 * time.Second,
+			Freshness:       6 * time.Second,
+			Interval:        2 * time.Second,
+			MaxCoordinators: 16,
+			TakeoverQuorum:  0.8,
+			ClockDrift:      0.01,
+			MaxHold:         time.Minute,
+			BurstWindow:     10 * time.Second,
 		},
 	}
 }
