--- /dev/null
+++ b/internal/membership/backend.go
@@ -0,0 +1,300 @@
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/chart"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// The events, guards and actions of charts/lease.json.
+const (
+	eventGranted     chart.Event = "granted"
+	eventLeft        chart.Event = "left"
+	eventSilent      chart.Event = "silent"
+	eventProbeFailed chart.Event = "probe-failed"
+	eventAbsent      chart.Event = "absent"
+	eventGap         chart.Event = "gap"
+
+	guardProbed           chart.Guard = "probed"
+	guardAbsent           chart.Guard = "absent-from-list"
+	guardProbeHasFailed   chart.Guard = "probe-has-failed"
+	guardOtherIncarnation chart.Guard = "other-incarnation"
+
+	actionPublish chart.Action = "publish"
+	actionProbe   chart.Action = "probe"
+	actionRenew   chart.Action = "renew"
+	actionReplace chart.Action = "replace-connection"
+)
+
+// pendingRequests is how many unanswered lease requests are remembered for each agent.
+const pendingRequests = 4
+
+// pending is a lease request that may still be answered.
+type pending struct {
+	sequence Sequence
+	sent     time.Time
+}
+
+// backend is the state of one backend server in a Holder.
+type backend struct {
+	view   BackendView
+	wanted uint32
+	// sequence is the number of the last request; requests up to trustedAfter are too old to be answered.
+	sequence     Sequence
+	trustedAfter Sequence
+	answered     Sequence
+	pending      [pendingRequests]pending
+	// lastHeard is when the agent was last heard, or when it was first asked.
+	lastHeard time.Time
+	nextBeat  time.Time
+	// leftIncarnation is the incarnation that said it was leaving.
+	leftIncarnation ident.Incarnation
+	probe           probe
+}
+
+// probe is an attempt to reach an agent over a new connection.
+type probe struct {
+	sequence Sequence
+	deadline time.Time
+	// next is when to probe again after a failure.
+	next    time.Time
+	backoff time.Duration
+	failed  bool
+}
+
+// signal is an event for the chart with what its guards look at.
+type signal struct {
+	event            chart.Event
+	overProbe        bool
+	otherIncarnation bool
+}
+
+func (h *Holder) choose(now time.Time, vms []ident.VM, out *holderActions) {
+	chosen := make([]*backend, 0, len(vms))
+	sorted := append([]ident.VM(nil), vms...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
+	for i, vm := range sorted {
+		if i > 0 && sorted[i-1] == vm {
+			continue
+		}
+		b := h.find(vm)
+		if b == nil {
+			b = &backend{view: BackendView{VM: vm, State: h.chart.Initial()}, lastHeard: now}
+		}
+		chosen = append(chosen, b)
+	}
+	h.backends = chosen
+	for _, b := range chosen {
+		if b.sequence == 0 {
+			h.beat(now, b, out)
+		}
+	}
+}
+
+func (h *Holder) checkGap(now time.Time, out *holderActions) {
+	last := h.lastStep
+	h.lastStep = now
+	if last.IsZero() {
+		return
+	}
+	// A VM that was stopped as a whole shows on the wall clock only.
+	gap := max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+	if gap <= h.settings.MaxGap {
+		return
+	}
+	out.add(GapDetected{Gap: gap})
+	for _, b := range h.backends {
+		b.trustedAfter = b.sequence
+		b.lastHeard = now
+		b.probe = probe{}
+		h.apply(now, b, signal{event: eventGap}, out)
+	}
+}
+
+func (h *Holder) tick(now time.Time, b *backend, out *holderActions) {
+	if !now.Before(b.nextBeat) {
+		h.beat(now, b, out)
+	}
+	expired := b.view.State == StateAlive && !now.Before(b.view.Expires)
+	if expired || now.Sub(b.lastHeard) >= h.settings.Silence {
+		h.silent(now, b, out)
+	}
+	if b.probe.sequence != 0 && !now.Before(b.probe.deadline) {
+		h.probeFailed(now, b, b.probe.sequence, out)
+	}
+}
+
+// silent raises the event once for each silence; further probes follow with a backoff.
+func (h *Holder) silent(now time.Time, b *backend, out *holderActions) {
+	if b.probe.sequence != 0 {
+		return
+	}
+	if b.probe.failed {
+		if b.view.State != StateGone && !now.Before(b.probe.next) {
+			h.startProbe(now, b, out)
+		}
+		return
+	}
+	h.apply(now, b, signal{event: eventSilent}, out)
+}
+
+func (h *Holder) beat(now time.Time, b *backend, out *holderActions) {
+	out.add(SendLeaseRequest{To: b.view.VM, Request: h.request(now, b)})
+	b.nextBeat = now.Add(h.settings.HeartbeatInterval)
+	if b.view.State == StateGone {
+		b.nextBeat = now.Add(maxProbeBackoff)
+	}
+}
+
+// Request returns a lease request to send along with a dispatch; the agent's answer
+// brings a grant, which saves the next heartbeat.
+func (h *Holder) Request(now time.Time, vm ident.VM) (LeaseRequest, bool) {
+	b := h.find(vm)
+	if b == nil {
+		return LeaseRequest{}, false
+	}
+	return h.request(now, b), true
+}
+
+func (h *Holder) request(now time.Time, b *backend) LeaseRequest {
+	b.sequence++
+	b.pending[int(b.sequence)%pendingRequests] = pending{sequence: b.sequence, sent: now}
+	return LeaseRequest{
+		Sequence:    b.sequence,
+		Held:        b.view.Lease,
+		Incarnation: b.view.Incarnation,
+		Wanted:      max(b.wanted, b.view.Open),
+		Config:      h.config,
+	}
+}
+
+func (h *Holder) startProbe(now time.Time, b *backend, out *holderActions) {
+	request := h.request(now, b)
+	b.probe.sequence = request.Sequence
+	b.probe.deadline = now.Add(h.settings.ProbeTimeout)
+	out.add(ProbeNewConnection{To: b.view.VM, Request: request})
+}
+
+func (h *Holder) probeFailed(now time.Time, b *backend, sequence Sequence, out *holderActions) {
+	if b.probe.sequence == 0 || b.probe.sequence != sequence {
+		return
+	}
+	b.probe.sequence = 0
+	b.probe.failed = true
+	b.probe.backoff = min(max(2*b.probe.backoff, h.settings.ProbeTimeout), maxProbeBackoff)
+	b.probe.next = now.Add(b.probe.backoff)
+	h.apply(now, b, signal{event: eventProbeFailed}, out)
+}
+
+func (h *Holder) listed(now time.Time, b *backend, state ListedState, out *holderActions) {
+	b.view.Listed = state
+	if state == ListedAbsent {
+		h.apply(now, b, signal{event: eventAbsent}, out)
+	}
+}
+
+// sentAt returns when the request with the sequence number was sent, unless it is too old.
+func (b *backend) sentAt(sequence Sequence) (time.Time, bool) {
+	entry := b.pending[int(sequence)%pendingRequests]
+	return entry.sent, entry.sequence == sequence && sequence > b.trustedAfter
+}
+
+// current reports whether a grant is newer than what is held.
+func (b *backend) current(grant LeaseGrant) bool {
+	if grant.Incarnation == b.view.Incarnation {
+		return grant.Leaving || grant.Number > b.view.Lease
+	}
+	return grant.Sequence > b.answered
+}
+
+func (h *Holder) granted(now time.Time, b *backend, event GrantReceived, out *holderActions) {
+	grant := event.Grant
+	sent, known := b.sentAt(grant.Sequence)
+	if !known || !b.current(grant) {
+		return
+	}
+	changed := grant.Incarnation != b.view.Incarnation
+	if changed {
+		h.restarted(b, grant.Incarnation, out)
+	}
+	b.answered = max(b.answered, grant.Sequence)
+	b.lastHeard = now
+	b.nextBeat = now.Add(h.settings.HeartbeatInterval)
+	b.view.Load, b.view.LoadAt, b.view.SinceLoad = grant.Load, now, 0
+	overProbe := event.NewConnection && b.probe.sequence == grant.Sequence
+	b.probe = probe{}
+	if grant.Leaving {
+		h.left(now, b, grant.Incarnation, out)
+		return
+	}
+	b.view.Lease = grant.Number
+	b.view.Credits = grant.Credits
+	b.view.Expires = sent.Add(grant.Duration.Duration() - leaseMargin)
+	if b.view.FirstGranted.IsZero() {
+		b.view.FirstGranted = now
+	}
+	left := b.leftIncarnation == grant.Incarnation
+	h.apply(now, b, signal{event: eventGranted, overProbe: overProbe, otherIncarnation: !left}, out)
+}
+
+// restarted forgets what the old incarnation granted.
+func (h *Holder) restarted(b *backend, incarnation ident.Incarnation, out *holderActions) {
+	if b.view.Incarnation != 0 {
+		out.add(BackendRestarted{VM: b.view.VM, Old: b.view.Incarnation, New: incarnation})
+	}
+	b.view.Incarnation = incarnation
+	b.view.Lease = 0
+	b.view.Credits = 0
+	b.view.FirstGranted = time.Time{}
+}
+
+func (h *Holder) left(now time.Time, b *backend, incarnation ident.Incarnation, out *holderActions) {
+	if incarnation != b.view.Incarnation && b.view.Incarnation != 0 {
+		return
+	}
+	b.leftIncarnation = incarnation
+	b.view.Incarnation = incarnation
+	b.view.Credits = 0
+	h.apply(now, b, signal{event: eventLeft}, out)
+}
+
+// apply takes a step of the chart and carries out its actions.
+func (h *Holder) apply(now time.Time, b *backend, s signal, out *holderActions) {
+	step, err := h.chart.Next(b.view.State, s.event, func(guard chart.Guard) bool { return b.holds(guard, s) })
+	if err != nil {
+		panic("invariant: " + err.Error())
+	}
+	b.view.State = step.To
+	for _, action := range step.Actions {
+		switch action {
+		case actionPublish:
+			if step.From != step.To {
+				out.add(BackendChanged{VM: b.view.VM, From: step.From, To: step.To})
+			}
+		case actionProbe:
+			if !b.probe.failed || !now.Before(b.probe.next) {
+				h.startProbe(now, b, out)
+			}
+		case actionRenew:
+			h.beat(now, b, out)
+		case actionReplace:
+			out.add(ReplaceConnection{To: b.view.VM})
+		}
+	}
+}
+
+func (b *backend) holds(guard chart.Guard, s signal) bool {
+	switch guard {
+	case guardProbed:
+		return s.overProbe
+	case guardAbsent:
+		return b.view.Listed == ListedAbsent
+	case guardProbeHasFailed:
+		return b.probe.failed
+	case guardOtherIncarnation:
+		return s.otherIncarnation
+	}
+	panic("invariant: unknown guard " + string(guard))
+}
--- /dev/null
+++ b/internal/membership/config_api.go
@@ -0,0 +1,164 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+// AcceptFunc decides whether a configuration may come into force and tells its version.
+// It must be a pure function of the value, so that all processes decide alike.
+type AcceptFunc func(value []byte) (template.Version, error)
+
+// Layout is the form in which the configuration service holds the configuration.
+type Layout uint8
+
+// The layouts.
+const (
+	// SingleValue means that the key holds the whole configuration.
+	SingleValue Layout = iota
+	// ManifestOfParts means that the key holds a manifest in JSON, see PublishedManifest.
+	ManifestOfParts
+)
+
+// ConfigSettings are the settings of a ConfigNode. A number or duration of 0 means its default.
+type ConfigSettings struct {
+	Self ident.VM
+	Zone ident.Zone
+	// Key is the key of the configuration in the configuration service.
+	Key    string
+	Layout Layout
+	Accept AcceptFunc
+	// Seed varies the choice of peers; it should differ between processes.
+	Seed uint64
+	// Readers is the number of processes in a zone that watch the configuration service.
+	Readers int
+	// Fanout is the number of peers that a new configuration is offered to.
+	Fanout int
+	// DigestInterval is the time between two periodic digests to peers.
+	DigestInterval time.Duration
+	// AskTimeout is how long a starting process waits for its peers' answers.
+	AskTimeout time.Duration
+	// MaxGap is the longest time between two steps after which the process asks its peers again.
+	MaxGap time.Duration
+}
+
+// Peer is another process that takes part in the distribution.
+type Peer struct {
+	VM   ident.VM
+	Zone ident.Zone
+}
+
+// CallID identifies one call of the configuration service.
+type CallID uint64
+
+// ServiceCall is one call of the configuration service.
+type ServiceCall struct {
+	ID  CallID
+	Key string
+	// Watch waits until the key's revision differs from After, or until the service's
+	// time limit; a plain read answers at once.
+	Watch bool
+	After uint64
+}
+
+// ConfigEvent is an event that a ConfigNode handles.
+type ConfigEvent interface{ isConfigEvent() }
+
+// PeersChanged sets the other processes, from the platform's list of VMs or the roster.
+type PeersChanged struct{ Peers []Peer }
+
+// ConfigReceived reports a message of a peer.
+type ConfigReceived struct {
+	From    ident.VM
+	Message ConfigMessage
+}
+
+// VersionHeard reports the version that a peer announced in a lease message.
+type VersionHeard struct {
+	From    ident.VM
+	Version template.Version
+}
+
+// ServiceAnswered reports the answer to a call of the configuration service.
+type ServiceAnswered struct {
+	Call CallID
+	// Revision is the service's revision of the key.
+	Revision uint64
+	// Unchanged is true if a watch ended without a change.
+	Unchanged bool
+	Value     []byte
+}
+
+// ServiceFailed reports that a call of the configuration service failed or found no value.
+type ServiceFailed struct {
+	Call   CallID
+	Reason string
+}
+
+// ConfigTick reports that time has passed; due about every 100 ms.
+type ConfigTick struct{}
+
+func (PeersChanged) isConfigEvent()    {}
+func (ConfigReceived) isConfigEvent()  {}
+func (VersionHeard) isConfigEvent()    {}
+func (ServiceAnswered) isConfigEvent() {}
+func (ServiceFailed) isConfigEvent()   {}
+func (ConfigTick) isConfigEvent()      {}
+
+// ConfigAction is an action that a ConfigNode asks for.
+type ConfigAction interface{ isConfigAction() }
+
+// SendConfig sends a message to a peer.
+type SendConfig struct {
+	To      ident.VM
+	Message ConfigMessage
+}
+
+// CallService calls the configuration service; the answer is due as ServiceAnswered or ServiceFailed.
+type CallService struct{ Call ServiceCall }
+
+// PutInForce puts a configuration in force. Stamps only ever grow.
+type PutInForce struct {
+	Stamp Stamp
+	Value []byte
+}
+
+// ReportRefused reports a configuration that was not accepted; the one in force stays.
+type ReportRefused struct {
+	Digest Digest
+	Reason string
+}
+
+// ReportOlder reports that the configuration service gave an older configuration than the one in force.
+type ReportOlder struct {
+	Offered Stamp
+	InForce Stamp
+}
+
+// ReadinessChanged reports whether the process knows the configuration well enough to serve.
+type ReadinessChanged struct{ Ready bool }
+
+func (SendConfig) isConfigAction()       {}
+func (CallService) isConfigAction()      {}
+func (PutInForce) isConfigAction()       {}
+func (ReportRefused) isConfigAction()    {}
+func (ReportOlder) isConfigAction()      {}
+func (ReadinessChanged) isConfigAction() {}
+
+// ConfigStatus is what operators see of a process's configuration.
+type ConfigStatus struct {
+	InForce Stamp
+	// Newest is the newest stamp that the process has heard of.
+	Newest Stamp
+	Ready  bool
+	// Reader is true while the process watches the configuration service.
+	Reader bool
+	// ServiceCalls counts the calls of the configuration service.
+	ServiceCalls uint64
+	// ServiceFailures counts the calls that failed.
+	ServiceFailures uint64
+	// Refused is the last configuration that was not accepted; nil if none.
+	Refused *ReportRefused
+}
--- /dev/null
+++ b/internal/membership/grantor.go
@@ -0,0 +1,242 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+// Defaults of leases.
+const (
+	// DefaultLeaseDuration keeps a lost leave message from mattering after 3 s.
+	DefaultLeaseDuration = 2500 * time.Millisecond
+	// DefaultHeartbeatInterval is the time between lease requests to one agent.
+	DefaultHeartbeatInterval = time.Second
+)
+
+// GrantorSettings are the settings of a Grantor.
+type GrantorSettings struct {
+	Self ident.Instance
+	// LeaseDuration is how long a grant holds on the agent's clock.
+	LeaseDuration time.Duration
+	// Slots is the number of requests that may be open at the agent: running and waiting.
+	Slots int
+}
+
+// GrantorEvent is an event that a Grantor handles.
+type GrantorEvent interface{ isGrantorEvent() }
+
+// LeaseRequested reports a lease request of an entry.
+type LeaseRequested struct {
+	From    ident.Instance
+	Request LeaseRequest
+}
+
+// WorkStarted reports that a request of an entry was taken in.
+type WorkStarted struct{ Entry ident.Instance }
+
+// WorkEnded reports that a request of an entry ended.
+type WorkEnded struct{ Entry ident.Instance }
+
+// LoadReported reports the load of the engine.
+type LoadReported struct{ Load Load }
+
+// ConfigInForce tells the version to announce in grants.
+type ConfigInForce struct{ Version template.Version }
+
+// LeaveRequested starts the leaving of the backend server; it can't be taken back.
+type LeaveRequested struct{}
+
+// GrantorTick reports that time has passed; due about every 500 ms.
+type GrantorTick struct{}
+
+func (LeaseRequested) isGrantorEvent() {}
+func (WorkStarted) isGrantorEvent()    {}
+func (WorkEnded) isGrantorEvent()      {}
+func (LoadReported) isGrantorEvent()   {}
+func (ConfigInForce) isGrantorEvent()  {}
+func (LeaveRequested) isGrantorEvent() {}
+func (GrantorTick) isGrantorEvent()    {}
+
+// GrantorAction is an action that a Grantor asks for.
+type GrantorAction interface{ isGrantorAction() }
+
+// SendGrant sends a grant to an entry.
+type SendGrant struct {
+	To    ident.Instance
+	Grant LeaseGrant
+}
+
+// SendLeaving tells an entry that the backend server is leaving.
+type SendLeaving struct {
+	To      ident.Instance
+	Leaving Leaving
+}
+
+// GrantorDrained reports that the agent is leaving, no lease is valid and no work is open.
+type GrantorDrained struct{}
+
+func (SendGrant) isGrantorAction()      {}
+func (SendLeaving) isGrantorAction()    {}
+func (GrantorDrained) isGrantorAction() {}
+
+// grant is one unexpired grant to an entry.
+type grant struct {
+	number  LeaseNumber
+	credits uint32
+	expires time.Time
+}
+
+// client is what a Grantor knows of one run of an entry process.
+type client struct {
+	instance ident.Instance
+	// grants are in ascending order of number; all may still be believed by the entry.
+	grants []grant
+	wanted uint32
+	open   uint32
+}
+
+// Grantor grants leases and credits for one backend server. It is not safe for concurrent use.
+type Grantor struct {
+	settings GrantorSettings
+	clients  []*client
+	last     LeaseNumber
+	load     Load
+	loadAt   time.Time
+	open     uint32
+	config   template.Version
+	leaving  bool
+	drained  bool
+}
+
+// NewGrantor returns a Grantor that has granted nothing.
+func NewGrantor(settings GrantorSettings) *Grantor {
+	if settings.LeaseDuration <= 0 {
+		settings.LeaseDuration = DefaultLeaseDuration
+	}
+	return &Grantor{settings: settings}
+}
+
+// Step handles one event.
+func (g *Grantor) Step(now time.Time, event GrantorEvent) []GrantorAction {
+	g.expire(now)
+	switch event := event.(type) {
+	case LeaseRequested:
+		return []GrantorAction{SendGrant{To: event.From, Grant: g.grant(now, event)}}
+	case WorkStarted:
+		g.client(event.Entry).open++
+		g.open++
+	case WorkEnded:
+		g.workEnded(event.Entry)
+		return g.checkDrained(nil)
+	case LoadReported:
+		g.load, g.loadAt = event.Load, now
+	case ConfigInForce:
+		g.config = event.Version
+	case LeaveRequested:
+		g.leaving = true
+		return g.checkDrained(g.announceLeaving())
+	case GrantorTick:
+		if g.leaving {
+			return g.checkDrained(g.announceLeaving())
+		}
+	}
+	return nil
+}
+
+// Check tells whether a dispatch may be taken in: CauseNone, or why it is refused.
+// The lease must be an unexpired one of this incarnation, granted to that entry process.
+func (g *Grantor) Check(now time.Time, from ident.Instance, incarnation ident.Incarnation, number LeaseNumber) outcome.Cause {
+	if incarnation != g.settings.Self.Incarnation {
+		return outcome.CauseStaleLease
+	}
+	if g.leaving {
+		return outcome.CauseLeaving
+	}
+	c := g.find(from)
+	if c == nil || !c.holds(now, number) {
+		return outcome.CauseStaleLease
+	}
+	if c.open >= c.outstanding() {
+		return outcome.CauseBackendsFull
+	}
+	return outcome.CauseNone
+}
+
+// Open returns the number of requests that are open at the agent.
+func (g *Grantor) Open() int {
+	return int(g.open)
+}
+
+// Leaving reports whether the backend server takes no new work.
+func (g *Grantor) Leaving() bool {
+	return g.leaving
+}
+
+func (g *Grantor) grant(now time.Time, event LeaseRequested) LeaseGrant {
+	answer := LeaseGrant{
+		Sequence:    event.Request.Sequence,
+		Incarnation: g.settings.Self.Incarnation,
+		Load:        g.currentLoad(now),
+		Leaving:     g.leaving,
+		Config:      g.config,
+	}
+	if g.leaving {
+		return answer
+	}
+	c := g.client(event.From)
+	c.wanted = event.Request.Wanted
+	if event.Request.Incarnation == g.settings.Self.Incarnation {
+		c.acknowledge(event.Request.Held)
+	}
+	g.last++
+	answer.Number = g.last
+	answer.Duration = ToMilliseconds(g.settings.LeaseDuration)
+	answer.Credits = g.creditsFor(c)
+	c.grants = append(c.grants, grant{number: g.last, credits: answer.Credits, expires: now.Add(g.settings.LeaseDuration)})
+	return answer
+}
+
+func (g *Grantor) currentLoad(now time.Time) Load {
+	load := g.load
+	if !g.loadAt.IsZero() {
+		load.Age += ToMilliseconds(now.Sub(g.loadAt))
+	}
+	load.Running = min(load.Running, g.open)
+	load.Waiting = g.open - load.Running
+	return load
+}
+
+func (g *Grantor) announceLeaving() []GrantorAction {
+	var actions []GrantorAction
+	for _, c := range g.clients {
+		if len(c.grants) > 0 {
+			actions = append(actions, SendLeaving{To: c.instance, Leaving: Leaving{Incarnation: g.settings.Self.Incarnation}})
+		}
+	}
+	return actions
+}
+
+func (g *Grantor) checkDrained(actions []GrantorAction) []GrantorAction {
+	if !g.leaving || g.drained || g.open > 0 {
+		return actions
+	}
+	for _, c := range g.clients {
+		if len(c.grants) > 0 {
+			return actions
+		}
+	}
+	g.drained = true
+	return append(actions, GrantorDrained{})
+}
+
+func (g *Grantor) workEnded(entry ident.Instance) {
+	c := g.find(entry)
+	if c == nil || c.open == 0 {
+		panic("invariant: work of " + entry.String() + " ended that had not started")
+	}
+	c.open--
+	g.open--
+}
--- /dev/null
+++ b/internal/membership/holder.go
@@ -0,0 +1,292 @@
+package membership
+
+import (
+	"io/fs"
+	"sort"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/chart"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+// States of a backend server as an entry sees it.
+const (
+	StateUnleased chart.State = "unleased"
+	StateAlive    chart.State = "alive"
+	StateSuspect  chart.State = "suspect"
+	StateLeaving  chart.State = "leaving"
+	StateGone     chart.State = "gone"
+)
+
+// Defaults of a Holder.
+const (
+	// DefaultSilence is the time without an answer after which a backend server is suspect.
+	DefaultSilence = 2200 * time.Millisecond
+	// DefaultProbeTimeout is how long a probe over a new connection may take.
+	DefaultProbeTimeout = 500 * time.Millisecond
+	// DefaultMaxGap is the longest time between two steps after which leases are still trusted.
+	DefaultMaxGap = time.Second
+	// leaseMargin is kept back from each lease for the drift of the two clocks.
+	leaseMargin = 50 * time.Millisecond
+	// maxProbeBackoff is the longest time between two probes of a silent backend server.
+	maxProbeBackoff = 8 * time.Second
+)
+
+// HolderSettings are the settings of a Holder. A duration of 0 means its default.
+type HolderSettings struct {
+	Self ident.Instance
+	// HeartbeatInterval is the time between lease requests to one agent.
+	HeartbeatInterval time.Duration
+	// Silence is the time without an answer after which a backend server is suspect.
+	Silence time.Duration
+	// ProbeTimeout is how long a probe over a new connection may take.
+	ProbeTimeout time.Duration
+	// MaxGap is the longest time between two steps after which leases are still trusted.
+	MaxGap time.Duration
+}
+
+// ListedState is what the platform's list of VMs says about a VM. The list lags.
+type ListedState uint8
+
+// What the list may say.
+const (
+	ListedLive ListedState = iota
+	ListedLeaving
+	ListedAbsent
+)
+
+// HolderEvent is an event that a Holder handles.
+type HolderEvent interface{ isHolderEvent() }
+
+// BackendsChosen sets the backend servers to hold leases of: the entry's subset.
+type BackendsChosen struct{ VMs []ident.VM }
+
+// VMListed reports what the platform's list says about a VM.
+type VMListed struct {
+	VM    ident.VM
+	State ListedState
+}
+
+// GrantReceived reports a grant, however it came.
+type GrantReceived struct {
+	From  ident.VM
+	Grant LeaseGrant
+	// NewConnection is true if the grant came over the connection opened for a probe.
+	NewConnection bool
+}
+
+// LeavingReceived reports that an agent says it takes no new work.
+type LeavingReceived struct {
+	From    ident.VM
+	Leaving Leaving
+}
+
+// DispatchStarted reports that a request was sent to a backend server.
+type DispatchStarted struct{ VM ident.VM }
+
+// DispatchEnded reports that a request sent to a backend server is no longer open there.
+type DispatchEnded struct{ VM ident.VM }
+
+// WantChanged tells how many requests the entry would keep open at a backend server.
+type WantChanged struct {
+	VM     ident.VM
+	Wanted uint32
+}
+
+// ProbeFailed reports that the probe with the sequence number got no connection.
+type ProbeFailed struct {
+	VM       ident.VM
+	Sequence Sequence
+}
+
+// ConfigChanged tells the version to announce in lease requests.
+type ConfigChanged struct{ Version template.Version }
+
+// HolderTick reports that time has passed; due about every 100 ms.
+type HolderTick struct{}
+
+func (BackendsChosen) isHolderEvent()  {}
+func (VMListed) isHolderEvent()        {}
+func (GrantReceived) isHolderEvent()   {}
+func (LeavingReceived) isHolderEvent() {}
+func (DispatchStarted) isHolderEvent() {}
+func (DispatchEnded) isHolderEvent()   {}
+func (WantChanged) isHolderEvent()     {}
+func (ProbeFailed) isHolderEvent()     {}
+func (ConfigChanged) isHolderEvent()   {}
+func (HolderTick) isHolderEvent()      {}
+
+// HolderAction is an action that a Holder asks for.
+type HolderAction interface{ isHolderAction() }
+
+// SendLeaseRequest sends a lease request over the present connection.
+type SendLeaseRequest struct {
+	To      ident.VM
+	Request LeaseRequest
+}
+
+// ProbeNewConnection opens a new connection and sends the lease request over it.
+type ProbeNewConnection struct {
+	To      ident.VM
+	Request LeaseRequest
+}
+
+// ReplaceConnection takes the connection of the last probe into use in place of the
+// present one, which has gone silent. Open calls are to be asked after over the new one.
+type ReplaceConnection struct{ To ident.VM }
+
+// BackendChanged reports a change of a backend server's state.
+type BackendChanged struct {
+	VM   ident.VM
+	From chart.State
+	To   chart.State
+}
+
+// BackendRestarted reports that the agent runs under another incarnation, so that what
+// was sent to the old one has no owner any more.
+type BackendRestarted struct {
+	VM  ident.VM
+	Old ident.Incarnation
+	New ident.Incarnation
+}
+
+// GapDetected reports that the process stood still, and that all leases are asked for again.
+type GapDetected struct{ Gap time.Duration }
+
+func (SendLeaseRequest) isHolderAction()   {}
+func (ProbeNewConnection) isHolderAction() {}
+func (ReplaceConnection) isHolderAction()  {}
+func (BackendChanged) isHolderAction()     {}
+func (BackendRestarted) isHolderAction()   {}
+func (GapDetected) isHolderAction()        {}
+
+// BackendView is what an entry knows of one backend server.
+type BackendView struct {
+	VM          ident.VM
+	State       chart.State
+	Incarnation ident.Incarnation
+	Lease       LeaseNumber
+	// Expires is when the lease runs out on the entry's clock.
+	Expires time.Time
+	Credits uint32
+	// Open is the number of this entry's requests that are open at the backend server.
+	Open uint32
+	// SinceLoad is the number of this entry's dispatches since Load was made.
+	SinceLoad uint32
+	Load      Load
+	// LoadAt is when Load was received.
+	LoadAt time.Time
+	// FirstGranted is when this incarnation first granted a lease to the entry.
+	FirstGranted time.Time
+	Listed       ListedState
+}
+
+// Holder keeps an entry's leases. It is not safe for concurrent use.
+type Holder struct {
+	settings HolderSettings
+	chart    *chart.Chart
+	backends []*backend
+	config   template.Version
+	lastStep time.Time
+}
+
+// leaseVocabulary lists the guards and actions of charts/lease.json.
+var leaseVocabulary = chart.Vocabulary{
+	Guards:  []chart.Guard{guardProbed, guardAbsent, guardProbeHasFailed, guardOtherIncarnation},
+	Actions: []chart.Action{actionPublish, actionProbe, actionRenew, actionReplace},
+}
+
+// NewHolder returns a Holder without backend servers that follows the lease chart.
+func NewHolder(settings HolderSettings, charts fs.FS) (*Holder, error) {
+	lease, err := chart.Load(charts, "lease", leaseVocabulary)
+	if err != nil {
+		return nil, err
+	}
+	setDefault(&settings.HeartbeatInterval, DefaultHeartbeatInterval)
+	setDefault(&settings.Silence, DefaultSilence)
+	setDefault(&settings.ProbeTimeout, DefaultProbeTimeout)
+	setDefault(&settings.MaxGap, DefaultMaxGap)
+	return &Holder{settings: settings, chart: lease}, nil
+}
+
+func setDefault(value *time.Duration, fallback time.Duration) {
+	if *value <= 0 {
+		*value = fallback
+	}
+}
+
+// Step handles one event.
+func (h *Holder) Step(now time.Time, event HolderEvent) []HolderAction {
+	out := &holderActions{}
+	h.checkGap(now, out)
+	h.handle(now, event, out)
+	return out.list
+}
+
+func (h *Holder) handle(now time.Time, event HolderEvent, out *holderActions) {
+	switch event := event.(type) {
+	case BackendsChosen:
+		h.choose(now, event.VMs, out)
+	case HolderTick:
+		for _, b := range h.backends {
+			h.tick(now, b, out)
+		}
+	case ConfigChanged:
+		h.config = event.Version
+	case VMListed:
+		h.withBackend(event.VM, func(b *backend) { h.listed(now, b, event.State, out) })
+	case GrantReceived:
+		h.withBackend(event.From, func(b *backend) { h.granted(now, b, event, out) })
+	case LeavingReceived:
+		h.withBackend(event.From, func(b *backend) { h.left(now, b, event.Leaving.Incarnation, out) })
+	case DispatchStarted:
+		h.withBackend(event.VM, func(b *backend) { b.view.Open++; b.view.SinceLoad++ })
+	case DispatchEnded:
+		h.withBackend(event.VM, func(b *backend) { b.view.Open -= min(b.view.Open, 1) })
+	case WantChanged:
+		h.withBackend(event.VM, func(b *backend) { b.wanted = event.Wanted })
+	case ProbeFailed:
+		h.withBackend(event.VM, func(b *backend) { h.probeFailed(now, b, event.Sequence, out) })
+	}
+}
+
+// Usable reports whether new work may be sent to the backend server under its lease.
+func (v BackendView) Usable(now time.Time) bool {
+	return v.State == StateAlive && now.Before(v.Expires)
+}
+
+// Views appends what is known of the backend servers to the list, in the order of their VMs.
+func (h *Holder) Views(list []BackendView) []BackendView {
+	for _, b := range h.backends {
+		list = append(list, b.view)
+	}
+	return list
+}
+
+// View returns what is known of one backend server.
+func (h *Holder) View(vm ident.VM) (BackendView, bool) {
+	if b := h.find(vm); b != nil {
+		return b.view, true
+	}
+	return BackendView{}, false
+}
+
+func (h *Holder) find(vm ident.VM) *backend {
+	at := sort.Search(len(h.backends), func(i int) bool { return h.backends[i].view.VM >= vm })
+	if at < len(h.backends) && h.backends[at].view.VM == vm {
+		return h.backends[at]
+	}
+	return nil
+}
+
+// withBackend calls the function unless the entry holds no lease of the VM.
+func (h *Holder) withBackend(vm ident.VM, do func(*backend)) {
+	if b := h.find(vm); b != nil {
+		do(b)
+	}
+}
+
+type holderActions struct{ list []HolderAction }
+
+func (a *holderActions) add(action HolderAction) { a.list = append(a.list, action) }
--- /dev/null
+++ b/internal/membership/messages.go
@@ -0,0 +1,189 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+// LeaseNumber numbers the grants of one incarnation of an agent, from 1.
+type LeaseNumber uint64
+
+// Sequence numbers the lease requests of one entry to one agent, from 1.
+type Sequence uint64
+
+// Milliseconds is a duration on the wire.
+type Milliseconds uint32
+
+// Duration returns the duration.
+func (m Milliseconds) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// ToMilliseconds rounds a duration down to milliseconds; negative durations become 0.
+func ToMilliseconds(d time.Duration) Milliseconds {
+	if d < 0 {
+		return 0
+	}
+	return Milliseconds(min(d/time.Millisecond, 1<<32-1))
+}
+
+// PerMille is a share in thousandths.
+type PerMille uint16
+
+// Load is what an agent knows of its backend server's load.
+type Load struct {
+	// Running is the number of requests that the engine runs.
+	Running uint32 `cbor:"1,keyasint,omitempty"`
+	// Waiting is the number of requests that wait at the agent or in the engine.
+	Waiting uint32 `cbor:"2,keyasint,omitempty"`
+	// Tokens is the number of tokens that the open requests have yet to process.
+	Tokens uint32 `cbor:"3,keyasint,omitempty"`
+	// CacheUsed is the share of the KV cache in use.
+	CacheUsed PerMille `cbor:"4,keyasint,omitempty"`
+	// StepTime is the engine's recent mean time of a step, in microseconds.
+	StepTime uint32 `cbor:"5,keyasint,omitempty"`
+	// Age is the time since the engine made the report.
+	Age Milliseconds `cbor:"6,keyasint,omitempty"`
+	// Ranks are the loads of the ranks that the backend server holds; empty outside groups.
+	Ranks []RankLoad `cbor:"7,keyasint,omitempty"`
+}
+
+// RankLoad is the load of one rank of a model group.
+type RankLoad struct {
+	Rank ident.Rank `cbor:"1,keyasint"`
+	// Tokens is the number of tokens that the rank's open requests have yet to process.
+	Tokens uint32 `cbor:"2,keyasint,omitempty"`
+	// CacheUsed is the share of the rank's KV cache in use.
+	CacheUsed PerMille `cbor:"3,keyasint,omitempty"`
+}
+
+// LeaseRequest asks an agent for a lease. It also serves as the entry's heartbeat and,
+// sent over a new connection, as a probe.
+type LeaseRequest struct {
+	Sequence Sequence `cbor:"1,keyasint"`
+	// Held is the number of the last grant that the entry received from the incarnation.
+	Held LeaseNumber `cbor:"2,keyasint,omitempty"`
+	// Incarnation is the agent's incarnation that Held belongs to; 0 if none.
+	Incarnation ident.Incarnation `cbor:"3,keyasint,omitempty"`
+	// Wanted is the number of requests that the entry would keep open at the agent.
+	Wanted uint32 `cbor:"4,keyasint,omitempty"`
+	// Config is the version that the entry has in force.
+	Config template.Version `cbor:"5,keyasint,omitempty"`
+}
+
+// LeaseGrant answers a lease request. It may also ride on the answer to a dispatch.
+type LeaseGrant struct {
+	// Sequence is that of the request that is answered.
+	Sequence    Sequence          `cbor:"1,keyasint"`
+	Incarnation ident.Incarnation `cbor:"2,keyasint"`
+	// Number identifies the lease; 0 if none is granted.
+	Number LeaseNumber `cbor:"3,keyasint,omitempty"`
+	// Duration counts from the moment the entry sent the request.
+	Duration Milliseconds `cbor:"4,keyasint,omitempty"`
+	// Credits is the number of requests that the entry may have open at the agent.
+	Credits uint32 `cbor:"5,keyasint,omitempty"`
+	Load    Load   `cbor:"6,keyasint,omitempty"`
+	// Leaving is true if the backend server takes no new work.
+	Leaving bool `cbor:"7,keyasint,omitempty"`
+	// Config is the version that the agent has in force.
+	Config template.Version `cbor:"8,keyasint,omitempty"`
+}
+
+// Leaving tells an entry at once that a backend server takes no new work.
+type Leaving struct {
+	Incarnation ident.Incarnation `cbor:"1,keyasint"`
+}
+
+// Stamp identifies one configuration. Stamps are totally ordered, by version first.
+type Stamp struct {
+	Version template.Version `cbor:"1,keyasint"`
+	// Digest is the digest of the whole value.
+	Digest Digest `cbor:"2,keyasint"`
+}
+
+// Digest is the head of a SHA-256 digest.
+type Digest uint64
+
+// Less reports whether the stamp is older than the other.
+func (s Stamp) Less(other Stamp) bool {
+	if s.Version != other.Version {
+		return s.Version < other.Version
+	}
+	return s.Digest < other.Digest
+}
+
+// IsZero reports whether the stamp stands for no configuration.
+func (s Stamp) IsZero() bool {
+	return s == Stamp{}
+}
+
+// ReaderBeat is a sign of life of a process that watches the configuration service.
+type ReaderBeat struct {
+	VM ident.VM `cbor:"1,keyasint"`
+	// Age is the time since the reader itself sent the beat, as far as the sender knows.
+	Age Milliseconds `cbor:"2,keyasint,omitempty"`
+}
+
+// ConfigDigest tells a peer which configuration the sender has. It is sent as an offer
+// as soon as a new configuration is in force, periodically, and in answer to Ask.
+type ConfigDigest struct {
+	Held Stamp `cbor:"1,keyasint"`
+	// Ask requests a digest in return.
+	Ask bool `cbor:"2,keyasint,omitempty"`
+	// Readers are the readers of the sender's zone that it believes alive; only within a zone.
+	Readers []ReaderBeat `cbor:"3,keyasint,omitempty"`
+	// Starting is true while the sender has not yet asked its peers.
+	Starting bool `cbor:"4,keyasint,omitempty"`
+}
+
+// ConfigFetch asks a peer for a configuration.
+type ConfigFetch struct {
+	Want Stamp `cbor:"1,keyasint"`
+	// Have is the configuration that the answer may refer to.
+	Have Stamp `cbor:"2,keyasint,omitempty"`
+}
+
+// Segment is a run of consecutive chunks of a configuration: either copied from the
+// base configuration or listed by digest.
+type Segment struct {
+	// From is the index of the first copied chunk of the base.
+	From uint32 `cbor:"1,keyasint,omitempty"`
+	// Count is the number of copied chunks.
+	Count uint32 `cbor:"2,keyasint,omitempty"`
+	// Chunks are the digests of the listed chunks; empty if chunks are copied.
+	Chunks []Digest `cbor:"3,keyasint,omitempty"`
+}
+
+// ConfigManifest answers a fetch: the chunks of a configuration, as far as it fits with
+// the contents of those that the base lacks.
+type ConfigManifest struct {
+	Stamp Stamp `cbor:"1,keyasint"`
+	// Base is the configuration that segments copy from; zero if none do.
+	Base     Stamp     `cbor:"2,keyasint,omitempty"`
+	Segments []Segment `cbor:"3,keyasint,omitempty"`
+	// Bodies are contents of listed chunks.
+	Bodies [][]byte `cbor:"4,keyasint,omitempty"`
+}
+
+// ConfigChunksRequest asks a peer for chunks of a configuration.
+type ConfigChunksRequest struct {
+	Stamp  Stamp    `cbor:"1,keyasint"`
+	Chunks []Digest `cbor:"2,keyasint"`
+}
+
+// ConfigChunks carries contents of chunks. A chunk that the sender lacks is left out.
+type ConfigChunks struct {
+	Stamp  Stamp    `cbor:"1,keyasint"`
+	Bodies [][]byte `cbor:"2,keyasint"`
+}
+
+// ConfigMessage is a message between configuration nodes.
+type ConfigMessage interface{ isConfigMessage() }
+
+func (ConfigDigest) isConfigMessage()        {}
+func (ConfigFetch) isConfigMessage()         {}
+func (ConfigManifest) isConfigMessage()      {}
+func (ConfigChunksRequest) isConfigMessage() {}
+func (ConfigChunks) isConfigMessage()        {}
