--- /dev/null
+++ b/internal/membership/config_ask.go
@@ -0,0 +1,125 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// askPhase is how far a starting process has come.
+type askPhase uint8
+
+const (
+	askIdle askPhase = iota
+	askWaiting
+	// askFetching means that the answers are in and the newest configuration is being fetched.
+	askFetching
+	askDone
+)
+
+const (
+	// askAllUpTo is the number of peers up to which a starting process asks all of them.
+	askAllUpTo = 64
+	// askInZone and askOutside are the numbers of random peers asked in a larger fleet.
+	askInZone  = 12
+	askOutside = 12
+	// askRounds is how often unanswered peers are asked within the timeout.
+	askRounds = 3
+	// fetchPatience is how long a starting process tries to fetch a newer configuration.
+	fetchPatience = 4 * time.Second
+	// coldStartRate bounds the calls a second of the configuration service by all
+	// processes that find no peer with a configuration.
+	coldStartRate = 200
+)
+
+// asking is the state of a starting process.
+type asking struct {
+	phase    askPhase
+	waiting  []ident.VM
+	started  time.Time
+	deadline time.Time
+	next     time.Time
+	heard    bool
+}
+
+// startAsking asks peers which configuration they have before the process serves.
+func (n *ConfigNode) startAsking(now time.Time) {
+	n.asking = asking{
+		phase:    askWaiting,
+		waiting:  n.askTargets(),
+		started:  now,
+		deadline: now.Add(n.settings.AskTimeout),
+	}
+	n.askAgain(now)
+}
+
+// askTargets returns all peers of a small fleet; of a large one the readers of each
+// zone, who hear first of every version in their zone, and random others.
+func (n *ConfigNode) askTargets() []ident.VM {
+	if len(n.peers) <= askAllUpTo {
+		return n.sample(append(append([]ident.VM(nil), n.inZone...), n.outside...), askAllUpTo)
+	}
+	targets := append([]ident.VM(nil), n.reader.ofAllZones...)
+	for _, vm := range append(n.sample(n.inZone, askInZone), n.sample(n.outside, askOutside)...) {
+		if !containsVM(targets, vm) {
+			targets = append(targets, vm)
+		}
+	}
+	return targets
+}
+
+func (n *ConfigNode) askAgain(now time.Time) {
+	n.asking.next = now.Add(n.settings.AskTimeout / askRounds)
+	for _, vm := range n.asking.waiting {
+		n.send(vm, ConfigDigest{Held: n.stamp(), Ask: true, Starting: true})
+	}
+}
+
+// answered notes the answer of a peer to a starting process.
+func (n *ConfigNode) answered(from ident.VM, digest ConfigDigest) {
+	if n.asking.phase != askWaiting || digest.Ask {
+		return
+	}
+	for i, vm := range n.asking.waiting {
+		if vm == from {
+			n.asking.waiting = append(n.asking.waiting[:i], n.asking.waiting[i+1:]...)
+			n.asking.heard = true
+			return
+		}
+	}
+}
+
+func (n *ConfigNode) tickAsking(now time.Time) {
+	if n.asking.phase == askWaiting && !now.Before(n.asking.next) && now.Before(n.asking.deadline) {
+		n.askAgain(now)
+	}
+}
+
+// checkReady moves a starting process on, and reports a change of readiness.
+func (n *ConfigNode) checkReady(now time.Time) {
+	if n.asking.phase == askWaiting && (len(n.asking.waiting) == 0 || !now.Before(n.asking.deadline)) {
+		n.asking.phase = askFetching
+		n.asking.deadline = now.Add(fetchPatience)
+	}
+	if n.asking.phase == askFetching && n.caughtUp(now) {
+		n.asking.phase = askDone
+		n.startFallback(now)
+	}
+	ready := n.asking.phase == askDone && n.current != nil
+	if ready != n.ready {
+		n.ready = ready
+		n.emit(ReadinessChanged{Ready: ready})
+	}
+}
+
+// caughtUp reports whether the newest configuration heard of is in force, or can't be had.
+func (n *ConfigNode) caughtUp(now time.Time) bool {
+	return !n.stamp().Less(n.newest) || !now.Before(n.asking.deadline)
+}
+
+// startFallback sets when a process that found no configuration at its peers reads the
+// configuration service itself. The time is spread by the size of the fleet.
+func (n *ConfigNode) startFallback(now time.Time) {
+	spread := time.Duration(len(n.peers)+1) * time.Second / coldStartRate
+	n.reader.fallback = now.Add(time.Duration(n.random.below(int(spread))))
+}
--- /dev/null
+++ b/internal/membership/config_node.go
@@ -0,0 +1,302 @@
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+// Defaults of a ConfigNode.
+const (
+	// DefaultReaders is the number of processes in a zone that watch the configuration service.
+	DefaultReaders = 2
+	// DefaultFanout is the number of peers that a new configuration is offered to.
+	DefaultFanout = 4
+	// DefaultDigestInterval is the time between two periodic digests.
+	DefaultDigestInterval = time.Second
+	// DefaultAskTimeout is how long a starting process waits for its peers' answers.
+	DefaultAskTimeout = time.Second
+	// DefaultConfigMaxGap is the longest time between two steps that passes for normal.
+	DefaultConfigMaxGap = 2 * time.Second
+	// recentConfigurations is how many former configurations a delta may refer to.
+	recentConfigurations = 8
+	// maxRefused is how many refused stamps are remembered.
+	maxRefused = 16
+)
+
+// version is the list of chunks of a former configuration.
+type version struct {
+	stamp   Stamp
+	digests []Digest
+}
+
+// ConfigNode brings one process's configuration up to date. It is not safe for concurrent use.
+type ConfigNode struct {
+	settings ConfigSettings
+	random   random
+	peers    []Peer
+	inZone   []ident.VM
+	outside  []ident.VM
+	zoneOf   map[ident.VM]ident.Zone
+
+	current *configuration
+	recent  []version
+	newest  Stamp
+	refused []Stamp
+	report  *ReportRefused
+
+	ready      bool
+	lastStep   time.Time
+	nextDigest time.Time
+	asking     asking
+	fetch      fetch
+	reader     reader
+	out        []ConfigAction
+}
+
+// NewConfigNode returns a node that waits for its peers.
+func NewConfigNode(settings ConfigSettings) *ConfigNode {
+	if settings.Accept == nil {
+		panic("invariant: a configuration node needs an acceptance function")
+	}
+	if settings.Readers <= 0 {
+		settings.Readers = DefaultReaders
+	}
+	if settings.Fanout <= 0 {
+		settings.Fanout = DefaultFanout
+	}
+	setDefault(&settings.DigestInterval, DefaultDigestInterval)
+	setDefault(&settings.AskTimeout, DefaultAskTimeout)
+	setDefault(&settings.MaxGap, DefaultConfigMaxGap)
+	node := &ConfigNode{settings: settings, random: random{state: settings.Seed ^ hashName(string(settings.Self))}}
+	node.reader.beats = map[ident.VM]time.Time{}
+	return node
+}
+
+// Step handles one event.
+func (n *ConfigNode) Step(now time.Time, event ConfigEvent) []ConfigAction {
+	n.out = nil
+	n.checkGap(now)
+	switch event := event.(type) {
+	case PeersChanged:
+		n.setPeers(now, event.Peers)
+	case ConfigReceived:
+		n.received(now, event.From, event.Message)
+	case VersionHeard:
+		n.versionHeard(event)
+	case ServiceAnswered:
+		n.serviceAnswered(now, event)
+	case ServiceFailed:
+		n.serviceFailed(now, event)
+	case ConfigTick:
+		n.tick(now)
+	}
+	n.checkReady(now)
+	return n.out
+}
+
+// Status returns what operators see.
+func (n *ConfigNode) Status() ConfigStatus {
+	return ConfigStatus{
+		InForce:         n.stamp(),
+		Newest:          n.newest,
+		Ready:           n.ready,
+		Reader:          n.reader.active,
+		ServiceCalls:    n.reader.calls,
+		ServiceFailures: n.reader.failures,
+		Refused:         n.report,
+	}
+}
+
+// stamp returns the stamp of the configuration in force; zero if there is none.
+func (n *ConfigNode) stamp() Stamp {
+	if n.current == nil {
+		return Stamp{}
+	}
+	return n.current.stamp
+}
+
+func (n *ConfigNode) emit(action ConfigAction) {
+	n.out = append(n.out, action)
+}
+
+func (n *ConfigNode) send(to ident.VM, message ConfigMessage) {
+	n.emit(SendConfig{To: to, Message: message})
+}
+
+func (n *ConfigNode) setPeers(now time.Time, peers []Peer) {
+	n.peers = n.peers[:0]
+	n.inZone, n.outside = nil, nil
+	n.zoneOf = make(map[ident.VM]ident.Zone, len(peers))
+	for _, peer := range peers {
+		if peer.VM != n.settings.Self && n.zoneOf[peer.VM] == "" {
+			n.peers = append(n.peers, peer)
+			n.zoneOf[peer.VM] = peer.Zone
+		}
+	}
+	sort.Slice(n.peers, func(i, j int) bool { return n.peers[i].VM < n.peers[j].VM })
+	for _, peer := range n.peers {
+		if peer.Zone == n.settings.Zone {
+			n.inZone = append(n.inZone, peer.VM)
+		} else {
+			n.outside = append(n.outside, peer.VM)
+		}
+	}
+	n.rankReaders()
+	if n.asking.phase == askIdle {
+		n.startAsking(now)
+	}
+}
+
+// checkGap has the process ask its peers again after it stood still.
+func (n *ConfigNode) checkGap(now time.Time) {
+	last := n.lastStep
+	n.lastStep = now
+	if last.IsZero() {
+		return
+	}
+	gap := max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+	if gap > n.settings.MaxGap && n.asking.phase == askDone {
+		n.reader.forget()
+		n.startAsking(now)
+	}
+}
+
+func (n *ConfigNode) tick(now time.Time) {
+	n.tickAsking(now)
+	n.tickFetch(now)
+	n.tickReader(now)
+	if !now.Before(n.nextDigest) {
+		n.nextDigest = now.Add(n.settings.DigestInterval)
+		n.sendDigests(now)
+	}
+}
+
+// sendDigests tells a few random peers what is in force here.
+func (n *ConfigNode) sendDigests(now time.Time) {
+	inZone := 1
+	if n.reader.active {
+		inZone = n.settings.Fanout
+	}
+	for _, vm := range n.sample(n.inZone, inZone) {
+		n.send(vm, n.digest(now, vm))
+	}
+	for _, vm := range n.sample(n.outside, 1) {
+		n.send(vm, n.digest(now, vm))
+	}
+}
+
+// offer tells peers in the own and in other zones of a new configuration.
+func (n *ConfigNode) offer(now time.Time) {
+	inZone := (n.settings.Fanout + 1) / 2
+	targets := n.sample(n.inZone, inZone)
+	targets = append(targets, n.sample(n.outside, n.settings.Fanout-len(targets))...)
+	targets = append(targets, n.zoneReaders()...)
+	for i, vm := range targets {
+		if !containsVM(targets[:i], vm) {
+			n.send(vm, n.digest(now, vm))
+		}
+	}
+}
+
+func (n *ConfigNode) digest(now time.Time, to ident.VM) ConfigDigest {
+	digest := ConfigDigest{Held: n.stamp(), Starting: n.asking.phase != askDone}
+	if n.zoneOf[to] == n.settings.Zone {
+		digest.Readers = n.reader.report(now, n.settings.Self)
+	}
+	return digest
+}
+
+// sample returns up to count different random members of the list.
+func (n *ConfigNode) sample(list []ident.VM, count int) []ident.VM {
+	if count >= len(list) {
+		return append([]ident.VM(nil), list...)
+	}
+	chosen := make([]ident.VM, 0, count)
+	for len(chosen) < count {
+		vm := list[n.random.below(len(list))]
+		if !containsVM(chosen, vm) {
+			chosen = append(chosen, vm)
+		}
+	}
+	return chosen
+}
+
+func containsVM(list []ident.VM, vm ident.VM) bool {
+	for _, candidate := range list {
+		if candidate == vm {
+			return true
+		}
+	}
+	return false
+}
+
+// adopt puts a configuration in force if it is newer and accepted.
+func (n *ConfigNode) adopt(now time.Time, stamp Stamp, chunks []chunk) bool {
+	if !n.stamp().Less(stamp) || n.isRefused(stamp) {
+		return false
+	}
+	candidate := &configuration{stamp: stamp, chunks: chunks}
+	value := candidate.value()
+	accepted, err := n.settings.Accept(value)
+	switch {
+	case err != nil:
+		n.refuse(stamp, err.Error())
+		return false
+	case accepted != stamp.Version:
+		n.refuse(stamp, "the version differs from the one that was announced")
+		return false
+	}
+	if n.current != nil {
+		n.recent = append(n.recent, version{stamp: n.current.stamp, digests: n.current.digests()})
+		n.recent = n.recent[max(0, len(n.recent)-recentConfigurations):]
+	}
+	n.current = candidate
+	n.raiseNewest(stamp)
+	n.emit(PutInForce{Stamp: stamp, Value: value})
+	n.offer(now)
+	return true
+}
+
+func (n *ConfigNode) raiseNewest(stamp Stamp) {
+	if n.newest.Less(stamp) && !n.isRefused(stamp) {
+		n.newest = stamp
+	}
+}
+
+func (n *ConfigNode) refuse(stamp Stamp, reason string) {
+	n.refused = append(n.refused, stamp)
+	n.refused = n.refused[max(0, len(n.refused)-maxRefused):]
+	n.report = &ReportRefused{Digest: stamp.Digest, Reason: reason}
+	n.emit(*n.report)
+	if n.newest == stamp {
+		n.newest = n.stamp()
+	}
+}
+
+func (n *ConfigNode) isRefused(stamp Stamp) bool {
+	for _, refused := range n.refused {
+		if refused == stamp {
+			return true
+		}
+	}
+	return false
+}
+
+// versionHeard asks a peer that announced a newer version for its digest.
+func (n *ConfigNode) versionHeard(event VersionHeard) {
+	newest := max(n.stamp().Version, n.fetch.want.Version, n.newestRefused())
+	if event.Version > newest {
+		n.send(event.From, ConfigDigest{Held: n.stamp(), Ask: true})
+	}
+}
+
+func (n *ConfigNode) newestRefused() template.Version {
+	var newest template.Version
+	for _, stamp := range n.refused {
+		newest = max(newest, stamp.Version)
+	}
+	return newest
+}
--- /dev/null
+++ b/internal/membership/config_parts.go
@@ -0,0 +1,226 @@
+package membership
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+// PublishedPart is one part of a configuration as the manifest names it.
+type PublishedPart struct {
+	// Key is the part's key in the configuration service.
+	Key string `json:"key"`
+	// Digest is the head of the part's SHA-256 digest in hexadecimal, 16 digits.
+	Digest string `json:"digest"`
+}
+
+// PublishedManifest names the parts of a configuration, which together are its value.
+// A part is taken only with the digest that the manifest gives, so that parts of
+// different versions can't be mixed.
+type PublishedManifest struct {
+	Version template.Version `json:"version"`
+	Parts   []PublishedPart  `json:"parts"`
+}
+
+const (
+	// partsAtOnce is the number of parts that are read at the same time.
+	partsAtOnce = 4
+	// partAttempts is how often a part is read before the manifest is read again.
+	partAttempts = 6
+	// maxParts bounds the number of parts of a manifest.
+	maxParts = 4096
+)
+
+// NewPublishedPart returns the entry of the manifest for a part.
+func NewPublishedPart(key string, body []byte) PublishedPart {
+	return PublishedPart{Key: key, Digest: fmt.Sprintf("%016x", uint64(DigestOf(body)))}
+}
+
+// ParseManifest reads a manifest and refuses one that is malformed.
+func ParseManifest(value []byte) (PublishedManifest, error) {
+	var manifest PublishedManifest
+	decoder := json.NewDecoder(bytes.NewReader(value))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&manifest); err != nil {
+		return manifest, fmt.Errorf("manifest: %w", err)
+	}
+	if manifest.Version == 0 {
+		return manifest, fmt.Errorf("manifest: version: expected a positive number, found 0")
+	}
+	if len(manifest.Parts) == 0 || len(manifest.Parts) > maxParts {
+		return manifest, fmt.Errorf("manifest: parts: expected 1 to %d, found %d", maxParts, len(manifest.Parts))
+	}
+	for i, part := range manifest.Parts {
+		if _, err := part.digest(); err != nil || part.Key == "" {
+			return manifest, fmt.Errorf("manifest: parts[%d]: expected a key and a digest of 16 hexadecimal digits", i)
+		}
+	}
+	return manifest, nil
+}
+
+func (p PublishedPart) digest() (Digest, error) {
+	var digest uint64
+	if len(p.Digest) != 16 {
+		return 0, fmt.Errorf("digest of %d digits", len(p.Digest))
+	}
+	_, err := fmt.Sscanf(p.Digest, "%016x", &digest)
+	return Digest(digest), err
+}
+
+// partRead is one open or pending read of a part.
+type partRead struct {
+	call     CallID
+	key      string
+	digest   Digest
+	attempts int
+	next     time.Time
+	deadline time.Time
+}
+
+// partsLoad is the reading of the parts of a published manifest.
+type partsLoad struct {
+	version template.Version
+	digests []Digest
+	reads   []*partRead
+	bodies  map[Digest][]byte
+}
+
+func (l *partsLoad) active() bool {
+	return l.version != 0
+}
+
+func (l *partsLoad) has(call CallID) bool {
+	return call != 0 && l.find(call) != nil
+}
+
+func (l *partsLoad) find(call CallID) *partRead {
+	for _, read := range l.reads {
+		if read.call == call {
+			return read
+		}
+	}
+	return nil
+}
+
+// manifestPublished handles a manifest from the service: it reads the parts that are not at hand.
+func (n *ConfigNode) manifestPublished(now time.Time, value []byte) {
+	manifest, err := ParseManifest(value)
+	if err != nil {
+		n.refuseOnce(Stamp{Digest: DigestOf(value)}, err.Error())
+		return
+	}
+	if manifest.Version < n.stamp().Version {
+		n.reportOlder(Stamp{Version: manifest.Version})
+		return
+	}
+	if manifest.Version == n.stamp().Version {
+		return
+	}
+	load := partsLoad{version: manifest.Version, bodies: map[Digest][]byte{}}
+	keys := map[Digest]string{}
+	for _, part := range manifest.Parts {
+		digest, _ := part.digest()
+		load.digests = append(load.digests, digest)
+		keys[digest] = part.Key
+	}
+	_, missing := n.assemble(load.digests, nil)
+	for i, digest := range missing {
+		if !containsDigest(missing[:i], digest) {
+			load.reads = append(load.reads, &partRead{key: keys[digest], digest: digest, next: now})
+		}
+	}
+	n.reader.load = load
+	n.tickLoad(now)
+}
+
+func containsDigest(list []Digest, digest Digest) bool {
+	for _, candidate := range list {
+		if candidate == digest {
+			return true
+		}
+	}
+	return false
+}
+
+// tickLoad reads more parts, and ends the reading when it is complete, overtaken or futile.
+func (n *ConfigNode) tickLoad(now time.Time) {
+	load := &n.reader.load
+	if !load.active() {
+		return
+	}
+	if load.version <= n.stamp().Version {
+		*load = partsLoad{}
+		return
+	}
+	if len(load.reads) == 0 {
+		n.finishLoad(now)
+		return
+	}
+	open := 0
+	for _, read := range load.reads {
+		if read.call != 0 && !now.Before(read.deadline) {
+			n.retryPart(now, read)
+		}
+		if read.attempts >= partAttempts {
+			*load = partsLoad{}
+			n.callFailed(now)
+			return
+		}
+		if read.call == 0 && !now.Before(read.next) && open < partsAtOnce {
+			read.call = n.call(ServiceCall{Key: read.key})
+			read.deadline = now.Add(serviceTimeout)
+		}
+		if read.call != 0 {
+			open++
+		}
+	}
+}
+
+func (n *ConfigNode) finishLoad(now time.Time) {
+	load := n.reader.load
+	n.reader.load = partsLoad{}
+	chunks, missing := n.assemble(load.digests, load.bodies)
+	if len(missing) > 0 {
+		n.callFailed(now)
+		return
+	}
+	candidate := configuration{chunks: chunks}
+	n.published(now, Stamp{Version: load.version, Digest: DigestOf(candidate.value())}, chunks)
+}
+
+func (n *ConfigNode) partFailed(now time.Time, call CallID) {
+	n.reader.failures++
+	n.retryPart(now, n.reader.load.find(call))
+}
+
+func (n *ConfigNode) retryPart(now time.Time, read *partRead) {
+	read.call = 0
+	read.attempts++
+	wait := minServiceBackoff << min(read.attempts-1, 3)
+	read.next = now.Add(wait/2 + time.Duration(n.random.below(int(wait))))
+}
+
+// partAnswered keeps a part whose content is the one that the manifest names; any other
+// comes from a replica of the service that lags, and is read again.
+func (n *ConfigNode) partAnswered(now time.Time, event ServiceAnswered) {
+	load := &n.reader.load
+	read := load.find(event.Call)
+	if DigestOf(event.Value) != read.digest {
+		n.retryPart(now, read)
+		return
+	}
+	load.bodies[read.digest] = event.Value
+	for i, other := range load.reads {
+		if other == read {
+			load.reads = append(load.reads[:i], load.reads[i+1:]...)
+			break
+		}
+	}
+	n.tickLoad(now)
+	if n.reader.active {
+		n.tickService(now)
+	}
+}
--- /dev/null
+++ b/internal/membership/configuration.go
@@ -0,0 +1,132 @@
+package membership
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+)
+
+// Sizes of the chunks that a single value is split into, in bytes.
+const (
+	minChunk = 512
+	maxChunk = 8192
+	// chunkMask makes a chunk end after 2 KB on average beyond the minimum.
+	chunkMask = uint64(2047) << 40
+)
+
+// chunk is a part of a configuration.
+type chunk struct {
+	digest Digest
+	body   []byte
+}
+
+// configuration is a whole configuration, split into chunks.
+type configuration struct {
+	stamp  Stamp
+	chunks []chunk
+}
+
+// DigestOf returns the digest of a value.
+func DigestOf(value []byte) Digest {
+	sum := sha256.Sum256(value)
+	return Digest(binary.BigEndian.Uint64(sum[:8]))
+}
+
+// value returns the concatenation of the chunks.
+func (c *configuration) value() []byte {
+	size := 0
+	for _, part := range c.chunks {
+		size += len(part.body)
+	}
+	value := make([]byte, 0, size)
+	for _, part := range c.chunks {
+		value = append(value, part.body...)
+	}
+	return value
+}
+
+func (c *configuration) digests() []Digest {
+	list := make([]Digest, len(c.chunks))
+	for i, part := range c.chunks {
+		list[i] = part.digest
+	}
+	return list
+}
+
+// splitValue cuts a value where its content says so, so that an edit changes only the
+// chunks around it.
+func splitValue(value []byte) []chunk {
+	value = bytes.Clone(value)
+	var chunks []chunk
+	for len(value) > 0 {
+		end := chunkEnd(value)
+		chunks = append(chunks, chunk{digest: DigestOf(value[:end]), body: value[:end:end]})
+		value = value[end:]
+	}
+	return chunks
+}
+
+func chunkEnd(value []byte) int {
+	if len(value) <= minChunk {
+		return len(value)
+	}
+	limit := min(len(value), maxChunk)
+	rolling := uint64(0)
+	for i := minChunk - 64; i < limit; i++ {
+		rolling = rolling<<1 + gear[value[i]]
+		if i >= minChunk && rolling&chunkMask == 0 {
+			return i + 1
+		}
+	}
+	return limit
+}
+
+// gear maps each byte to a fixed random number for the rolling hash.
+var gear = func() (table [256]uint64) {
+	generator := random{state: 1}
+	for i := range table {
+		table[i] = generator.next()
+	}
+	return table
+}()
+
+// difference describes a configuration relative to the chunks of a base.
+func difference(base []Digest, next []Digest) []Segment {
+	at := make(map[Digest]int, len(base))
+	for i := len(base) - 1; i >= 0; i-- {
+		at[base[i]] = i
+	}
+	var segments []Segment
+	for _, digest := range next {
+		from, copied := at[digest]
+		last := len(segments) - 1
+		switch {
+		case copied && last >= 0 && segments[last].Count > 0 && int(segments[last].From+segments[last].Count) == from:
+			segments[last].Count++
+		case copied:
+			segments = append(segments, Segment{From: uint32(from), Count: 1})
+		case last >= 0 && segments[last].Count == 0:
+			segments[last].Chunks = append(segments[last].Chunks, digest)
+		default:
+			segments = append(segments, Segment{Chunks: []Digest{digest}})
+		}
+	}
+	return segments
+}
+
+// maxChunks bounds the number of chunks that a manifest from a peer may list.
+const maxChunks = 1 << 16
+
+// resolve returns the digests that segments describe; false if they don't fit the base.
+func resolve(base []Digest, segments []Segment) ([]Digest, bool) {
+	var digests []Digest
+	for _, segment := range segments {
+		end := uint64(segment.From) + uint64(segment.Count)
+		if end > uint64(len(base)) || len(digests)+len(segment.Chunks)+int(segment.Count) > maxChunks {
+			return nil, false
+		}
+		digests = append(digests, base[segment.From:end]...)
+		digests = append(digests, segment.Chunks...)
+	}
+	return digests, true
+}
