--- a/internal/membership/grantor.go
+++ b/internal/membership/grantor.go
@@ -40,6 +40,13 @@
 // WorkEnded reports that a request of an entry ended.
 type WorkEnded struct{ Entry ident.Instance }
 
+// SuspectQueued reports that a request suspected of crashing the backend server is to run
+// alone: until it ended no other work is taken in.
+type SuspectQueued struct{}
+
+// SuspectEnded reports that such a request ended.
+type SuspectEnded struct{}
+
 // LoadReported reports the load of the engine.
 type LoadReported struct{ Load Load }
 
@@ -55,6 +62,8 @@
 func (LeaseRequested) isGrantorEvent() {}
 func (WorkStarted) isGrantorEvent()    {}
 func (WorkEnded) isGrantorEvent()      {}
+func (SuspectQueued) isGrantorEvent()  {}
+func (SuspectEnded) isGrantorEvent()   {}
 func (LoadReported) isGrantorEvent()   {}
 func (ConfigInForce) isGrantorEvent()  {}
 func (LeaveRequested) isGrantorEvent() {}
@@ -107,6 +116,7 @@
 	loadAt   time.Time
 	open     uint32
 	config   template.Version
+	suspects int
 	leaving  bool
 	drained  bool
 }
@@ -131,6 +141,10 @@
 	case WorkEnded:
 		g.workEnded(event.Entry)
 		return g.checkDrained(nil)
+	case SuspectQueued:
+		g.suspects++
+	case SuspectEnded:
+		g.suspects -= min(g.suspects, 1)
 	case LoadReported:
 		g.load, g.loadAt = event.Load, now
 	case ConfigInForce:
@@ -159,7 +173,7 @@
 	if c == nil || !c.holds(now, number) {
 		return outcome.CauseStaleLease
 	}
-	if c.open >= c.outstanding() {
+	if g.suspects > 0 || c.open >= c.outstanding() {
 		return outcome.CauseBackendsFull
 	}
 	return outcome.CauseNone
@@ -194,7 +208,9 @@
 	g.last++
 	answer.Number = g.last
 	answer.Duration = ToMilliseconds(g.settings.LeaseDuration)
-	answer.Credits = g.creditsFor(c)
+	if g.suspects == 0 {
+		answer.Credits = g.creditsFor(c)
+	}
 	c.grants = append(c.grants, grant{number: g.last, credits: answer.Credits, expires: now.Add(g.settings.LeaseDuration)})
 	return answer
 }
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -38,7 +38,7 @@
 	Running uint32 `cbor:"1,keyasint,omitempty"`
 	// Waiting is the number of requests that wait at the agent or in the engine.
 	Waiting uint32 `cbor:"2,keyasint,omitempty"`
-	// Tokens is the number of tokens that the open requests have yet to process.
+	// Tokens is the number of prompt tokens that the open requests have yet to process.
 	Tokens uint32 `cbor:"3,keyasint,omitempty"`
 	// CacheUsed is the share of the KV cache in use.
 	CacheUsed PerMille `cbor:"4,keyasint,omitempty"`
--- /dev/null
+++ b/internal/membership/subset.go
@@ -0,0 +1,235 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// Member is an entry or a backend server with its zone.
+type Member struct {
+	VM   ident.VM
+	Zone ident.Zone
+}
+
+// SubsetSettings are the settings of Subsets. A number of 0 means its default.
+type SubsetSettings struct {
+	// MinEntries is the least number of entries that hold leases of a backend server.
+	MinEntries int
+	// MinBackends is the least number of backend servers of a service that an entry should hold.
+	MinBackends int
+	// Balance bounds an entry's subset to this multiple of the mean size; below 1 means no bound.
+	Balance float64
+}
+
+// DefaultSubsetSettings returns the settings for the traffic of one service.
+func DefaultSubsetSettings() SubsetSettings {
+	return SubsetSettings{MinEntries: 4, MinBackends: 12, Balance: 1.1}
+}
+
+// Subsets assigns the backend servers of one service to the entries: each backend server
+// goes to the same number of entries, spread evenly over the entries' zones, and the
+// subsets are of nearly equal size. All entries hold all of a small service's backend
+// servers. Every process computes the same subsets from the same lists; a VM that comes
+// or goes moves few others.
+func Subsets(entries, backends []Member, settings SubsetSettings) map[ident.VM][]ident.VM {
+	assignment := newAssignment(entries, backends, settings)
+	for _, backend := range assignment.backends {
+		assignment.assign(backend)
+	}
+	return assignment.subsets()
+}
+
+// Subset returns the backend servers that one entry holds, in the order of their VMs.
+func Subset(self ident.VM, entries, backends []Member, settings SubsetSettings) []ident.VM {
+	return Subsets(entries, backends, settings)[self]
+}
+
+// EntriesPerBackend returns how many entries hold a backend server. It rises in steps, so
+// that one VM more or less seldom changes it.
+func (s SubsetSettings) EntriesPerBackend(entries, backends int) int {
+	if entries == 0 || backends == 0 {
+		return 0
+	}
+	needed := (s.MinBackends*entries + backends - 1) / backends
+	needed = max(needed, s.MinEntries, 1)
+	step := 1
+	for step < needed {
+		step = max(step+1, step*5/4)
+	}
+	return min(step, entries)
+}
+
+// spareChoices is how many entries of a zone are considered beyond its part.
+const spareChoices = 6
+
+type hashedMember struct {
+	Member
+	hash uint64
+	// size is the number of backend servers assigned so far.
+	size  int
+	taken []ident.VM
+}
+
+type assignment struct {
+	zones    [][]*hashedMember
+	zoneHash []uint64
+	entries  []*hashedMember
+	backends []*hashedMember
+	perEach  int
+	limit    int
+	// depth is how many entries of a zone are considered for one backend server.
+	depth int
+}
+
+func newAssignment(entries, backends []Member, settings SubsetSettings) *assignment {
+	a := &assignment{entries: hashMembers(entries), backends: hashMembers(backends)}
+	a.perEach = settings.EntriesPerBackend(len(a.entries), len(a.backends))
+	a.limit = len(a.backends)
+	if settings.Balance >= 1 && len(a.entries) > 0 {
+		mean := float64(a.perEach*len(a.backends)) / float64(len(a.entries))
+		a.limit = min(a.limit, int(mean*settings.Balance)+1)
+	}
+	// The order of assignment must not depend on names, or their last ones would always be moved.
+	sort.Slice(a.backends, func(i, j int) bool { return a.backends[i].hash < a.backends[j].hash })
+	a.groupByZone()
+	a.setDepth()
+	return a
+}
+
+func (a *assignment) setDepth() {
+	quota := a.perEach/max(len(a.zones), 1) + 1
+	a.depth = quota + spareChoices
+	for _, zone := range a.zones {
+		if len(zone) < quota {
+			a.depth = a.perEach + spareChoices
+		}
+	}
+}
+
+func hashMembers(members []Member) []*hashedMember {
+	hashed := make([]*hashedMember, 0, len(members))
+	seen := make(map[ident.VM]bool, len(members))
+	for _, member := range members {
+		if !seen[member.VM] {
+			seen[member.VM] = true
+			hashed = append(hashed, &hashedMember{Member: member, hash: hashName(string(member.VM))})
+		}
+	}
+	sort.Slice(hashed, func(i, j int) bool { return hashed[i].VM < hashed[j].VM })
+	return hashed
+}
+
+func (a *assignment) groupByZone() {
+	index := map[ident.Zone]int{}
+	for _, entry := range a.entries {
+		at, known := index[entry.Zone]
+		if !known {
+			at = len(a.zones)
+			index[entry.Zone] = at
+			a.zones = append(a.zones, nil)
+			a.zoneHash = append(a.zoneHash, hashName("zone/"+string(entry.Zone)))
+		}
+		a.zones[at] = append(a.zones[at], entry)
+	}
+}
+
+// choice is an entry that a backend server may go to.
+type choice struct {
+	entry *hashedMember
+	score uint64
+}
+
+// zoneChoices are a zone's entries for one backend server, best first.
+type zoneChoices struct {
+	zone   int
+	score  uint64
+	list   []choice
+	cursor int
+	listed bool
+}
+
+// assign gives a backend server to its entries: the best of each zone first, then the
+// second of each, and so on; entries whose subset is full are passed over.
+func (a *assignment) assign(backend *hashedMember) {
+	zones := a.zonesFor(backend)
+	chosen := 0
+	for _, limit := range []int{a.limit, len(a.backends)} {
+		for found := true; found && chosen < a.perEach; {
+			found = false
+			for i := range zones {
+				if chosen == a.perEach {
+					break
+				}
+				if entry := a.nextOf(backend, &zones[i], limit); entry != nil {
+					entry.size++
+					entry.taken = append(entry.taken, backend.VM)
+					chosen++
+					found = true
+				}
+			}
+		}
+		for i := range zones {
+			zones[i].cursor = 0
+		}
+	}
+}
+
+// zonesFor returns the zones in the order of their rendezvous with the backend server.
+func (a *assignment) zonesFor(backend *hashedMember) []zoneChoices {
+	zones := make([]zoneChoices, len(a.zones))
+	for i := range a.zones {
+		zones[i] = zoneChoices{zone: i, score: score(backend.hash, a.zoneHash[i])}
+	}
+	slices.SortFunc(zones, func(x, y zoneChoices) int { return cmp.Compare(y.score, x.score) })
+	return zones
+}
+
+// nextOf returns the next entry of a zone whose subset is below the limit; nil if there is none.
+func (a *assignment) nextOf(backend *hashedMember, zone *zoneChoices, limit int) *hashedMember {
+	if !zone.listed {
+		zone.list = bestEntries(backend.hash, a.zones[zone.zone], a.depth)
+		zone.listed = true
+	}
+	for zone.cursor < len(zone.list) {
+		entry := zone.list[zone.cursor].entry
+		zone.cursor++
+		last := len(entry.taken) - 1
+		taken := last >= 0 && entry.taken[last] == backend.VM
+		if entry.size < limit && !taken {
+			return entry
+		}
+	}
+	return nil
+}
+
+// bestEntries returns the entries with the greatest scores for the backend server, best first.
+func bestEntries(backend uint64, zone []*hashedMember, count int) []choice {
+	best := make([]choice, 0, min(count, len(zone))+1)
+	for _, entry := range zone {
+		weight := score(backend, entry.hash)
+		if len(best) == count && weight <= best[count-1].score {
+			continue
+		}
+		at := len(best)
+		for at > 0 && best[at-1].score < weight {
+			at--
+		}
+		best = append(best, choice{})
+		copy(best[at+1:], best[at:])
+		best[at] = choice{entry: entry, score: weight}
+		best = best[:min(len(best), count)]
+	}
+	return best
+}
+
+func (a *assignment) subsets() map[ident.VM][]ident.VM {
+	subsets := make(map[ident.VM][]ident.VM, len(a.entries))
+	for _, entry := range a.entries {
+		sort.Slice(entry.taken, func(i, j int) bool { return entry.taken[i] < entry.taken[j] })
+		subsets[entry.VM] = entry.taken
+	}
+	return subsets
+}
--- /dev/null
+++ b/internal/routing/choosers.go
@@ -0,0 +1,90 @@
+package routing
+
+import "math"
+
+// Cheapest picks the candidate with the least cost; equal ones by lot.
+type Cheapest struct{}
+
+// Choose implements Chooser.
+func (Cheapest) Choose(draw uint64, scored []Scored) int {
+	best, ties := 0, uint64(1)
+	for i := 1; i < len(scored); i++ {
+		switch {
+		case scored[i].Cost < scored[best].Cost:
+			best, ties = i, 1
+		case scored[i].Cost == scored[best].Cost:
+			ties++
+			if mix(draw^uint64(i))%ties == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
+// TwoChoices picks the cheaper of two random candidates.
+type TwoChoices struct{}
+
+// Choose implements Chooser.
+func (TwoChoices) Choose(draw uint64, scored []Scored) int {
+	count := uint64(len(scored))
+	first := int(draw % count)
+	if count == 1 {
+		return first
+	}
+	second := int(mix(draw) % (count - 1))
+	if second >= first {
+		second++
+	}
+	if scored[second].Cost < scored[first].Cost {
+		return second
+	}
+	return first
+}
+
+// Random picks any candidate.
+type Random struct{}
+
+// Choose implements Chooser.
+func (Random) Choose(draw uint64, scored []Scored) int {
+	return int(draw % uint64(len(scored)))
+}
+
+// Softmin picks by lot, cheaper candidates more often: entries that see the same report
+// do not all choose the same backend server.
+type Softmin struct {
+	// Temperature is the difference in cost, in seconds, that makes a candidate e times rarer.
+	Temperature float64
+}
+
+// Choose implements Chooser.
+func (s Softmin) Choose(draw uint64, scored []Scored) int {
+	least := math.Inf(1)
+	for i := range scored {
+		least = min(least, scored[i].Cost)
+	}
+	total := 0.0
+	for i := range scored {
+		total += s.weight(scored[i].Cost - least)
+	}
+	mark := total * float64(draw>>11) / (1 << 53)
+	for i := range scored {
+		mark -= s.weight(scored[i].Cost - least)
+		if mark < 0 {
+			return i
+		}
+	}
+	return len(scored) - 1
+}
+
+func (s Softmin) weight(excess float64) float64 {
+	return math.Exp(-excess / s.Temperature)
+}
+
+// mix spreads the bits of a number (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/routing/picker.go
@@ -0,0 +1,203 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+)
+
+// Policy is how a Picker chooses.
+type Policy struct {
+	Filters []Filter
+	Scorers []Scorer
+	Chooser Chooser
+	// Ranks chooses the rank within the chosen backend server's group.
+	Ranks RankChooser
+	// Estimate predicts waits for decisions and refusals.
+	Estimate Estimate
+}
+
+// DefaultPolicy returns the policy of an entry for model services.
+func DefaultPolicy(estimate Estimate) Policy {
+	return Policy{
+		Filters: []Filter{Owned{}, Usable{}, NotExcluded{}, Apart{}, WithinCredits{}, InTime{Estimate: estimate}},
+		Scorers: []Scorer{
+			FirstToken{Estimate: estimate},
+			Occupancy{Weight: 0.5, WarmUp: 30 * time.Second},
+			StepSpeed{Estimate: estimate, Weight: 0.05, StragglerCost: 1},
+			CachePressure{Above: 0.85, Weight: 1},
+			OtherZone{Seconds: 0.002},
+		},
+		Chooser:  Softmin{Temperature: 0.02},
+		Ranks:    RankChooser{CacheWeight: 1},
+		Estimate: estimate,
+	}
+}
+
+// Picker picks targets for requests. It is deterministic in its seed and the sequence of
+// picks, and not safe for concurrent use.
+type Picker struct {
+	policy Policy
+	seed   uint64
+	picks  uint64
+	scored []Scored
+}
+
+// NewPicker returns a picker that draws lots from the seed.
+func NewPicker(policy Policy, seed uint64) *Picker {
+	return &Picker{policy: policy, seed: seed}
+}
+
+// Pick returns the target for a request, or the cause why there is none.
+func (p *Picker) Pick(now time.Time, request Request, snapshot Snapshot) Decision {
+	p.picks++
+	strongest := p.filter(now, &request, snapshot)
+	if len(p.scored) == 0 {
+		return p.refuse(&request, snapshot, strongest)
+	}
+	for i := range p.scored {
+		p.score(now, &request, snapshot, &p.scored[i])
+	}
+	draw := mix(p.seed ^ mix(p.picks))
+	chosen := p.scored[p.choose(draw, &request, snapshot)]
+	return p.decide(&request, snapshot, chosen, draw)
+}
+
+// filter collects the candidates that pass all filters, and returns the strongest rejection.
+func (p *Picker) filter(now time.Time, request *Request, snapshot Snapshot) Rejection {
+	p.scored = p.scored[:0]
+	strongest := Accepted
+	for i := range snapshot.Candidates {
+		rejection := p.check(now, request, &snapshot.Candidates[i])
+		if rejection == Accepted {
+			p.scored = append(p.scored, Scored{Index: i})
+		}
+		strongest = max(strongest, rejection)
+	}
+	return strongest
+}
+
+func (p *Picker) check(now time.Time, request *Request, candidate *Candidate) Rejection {
+	for _, filter := range p.policy.Filters {
+		if rejection := filter.Check(now, request, candidate); rejection != Accepted {
+			return rejection
+		}
+	}
+	return Accepted
+}
+
+func (p *Picker) score(now time.Time, request *Request, snapshot Snapshot, scored *Scored) {
+	candidate := &snapshot.Candidates[scored.Index]
+	if snapshot.Prefixes != nil && len(request.Blocks) > 0 {
+		blocks := snapshot.Prefixes.Match(now, candidate.VM, request.Blocks)
+		scored.Match = Match{Blocks: blocks, Share: float64(blocks) / float64(len(request.Blocks))}
+	}
+	for _, scorer := range p.policy.Scorers {
+		scored.Cost += scorer.Cost(now, request, candidate, scored.Match)
+	}
+}
+
+// choose returns the place of the choice among the scored candidates.
+func (p *Picker) choose(draw uint64, request *Request, snapshot Snapshot) int {
+	if request.RunAlone {
+		return p.chooseAlone(snapshot)
+	}
+	return p.policy.Chooser.Choose(draw, p.scored)
+}
+
+// chooseAlone sends suspects to an idle backend server, and else always to the same one, so
+// that they reach few backend servers.
+func (p *Picker) chooseAlone(snapshot Snapshot) int {
+	best, bestIdle, most := 0, false, uint64(0)
+	for i := range p.scored {
+		candidate := &snapshot.Candidates[p.scored[i].Index]
+		idle := candidate.OpenWork() == 0
+		weight := hashName(string(candidate.VM))
+		if idle && !bestIdle || idle == bestIdle && weight >= most {
+			best, bestIdle, most = i, idle, weight
+		}
+	}
+	return best
+}
+
+func (p *Picker) decide(request *Request, snapshot Snapshot, chosen Scored, draw uint64) Decision {
+	candidate := &snapshot.Candidates[chosen.Index]
+	wait := p.policy.Estimate.Queue(request, candidate) + p.policy.Estimate.Prompt(request, chosen.Match)
+	return Decision{
+		VM:           candidate.VM,
+		Incarnation:  candidate.Incarnation,
+		Lease:        candidate.Lease,
+		Rank:         p.policy.Ranks.Choose(mix(draw), candidate.Ranks),
+		PrefixBlocks: chosen.Match.Blocks,
+		Wait:         wait,
+	}
+}
+
+func (p *Picker) refuse(request *Request, snapshot Snapshot, strongest Rejection) Decision {
+	decision := Decision{Cause: cause(strongest), Rank: NoRank}
+	if strongest < RejectedFull {
+		return decision
+	}
+	for i := range snapshot.Candidates {
+		candidate := &snapshot.Candidates[i]
+		if candidate.State != membership.StateAlive || request.Owner != "" && request.Owner != candidate.VM {
+			continue
+		}
+		wait := p.policy.Estimate.Queue(request, candidate) + p.policy.Estimate.slot(request, candidate)
+		if decision.RetryAfter == 0 || wait < decision.RetryAfter {
+			decision.RetryAfter = wait
+		}
+	}
+	return decision
+}
+
+// slot returns the expected time until one of a candidate's slots comes free.
+func (e Estimate) slot(request *Request, candidate *Candidate) time.Duration {
+	return e.hold(request, candidate) / time.Duration(max(candidate.Capacity, 1))
+}
+
+func cause(rejection Rejection) outcome.Cause {
+	switch rejection {
+	case RejectedLeaving:
+		return outcome.CauseLeaving
+	case RejectedFull, RejectedNotAlone:
+		return outcome.CauseBackendsFull
+	case RejectedLate:
+		return outcome.CauseDeadline
+	}
+	return outcome.CauseNoBackend
+}
+
+// RankChooser chooses the rank of a group that a request enters at. As the ranks step
+// together, the fullest rank sets the pace of all.
+type RankChooser struct {
+	// CacheWeight is the weight of the KV cache in use against that of the tokens to process.
+	CacheWeight float64
+}
+
+// Choose returns the least loaded rank, equal ones by lot; NoRank if there are none.
+func (c RankChooser) Choose(draw uint64, ranks []Rank) ident.Rank {
+	if len(ranks) == 0 {
+		return NoRank
+	}
+	most := 1
+	for _, rank := range ranks {
+		most = max(most, rank.Tokens)
+	}
+	best, bestLoad, ties := NoRank, 0.0, uint64(0)
+	for i, rank := range ranks {
+		load := float64(rank.Tokens)/float64(most) + c.CacheWeight*rank.CacheUsed
+		switch {
+		case best == NoRank || load < bestLoad:
+			best, bestLoad, ties = rank.Rank, load, 1
+		case load == bestLoad:
+			ties++
+			if mix(draw^uint64(i))%ties == 0 {
+				best = rank.Rank
+			}
+		}
+	}
+	return best
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -34,8 +34,8 @@
 	Excluded []ident.VM
 	// Owner is the only backend server that may run the request; "" if any may.
 	Owner ident.VM
-	// RunAlone is true for a request suspected of crashing its backend server: it goes
-	// only to a backend server without open work.
+	// RunAlone is true for a request suspected of crashing its backend server. It goes to
+	// an idle backend server or else to a fixed one, whose agent runs it alone.
 	RunAlone bool
 }
 
@@ -104,14 +104,13 @@
 // a request names the cause of its strongest one.
 const (
 	Accepted Rejection = iota
+	RejectedNotOwner
 	RejectedUnusable
-	RejectedLeaving
 	RejectedExcluded
-	RejectedNotOwner
+	RejectedLeaving
 	RejectedFull
 	RejectedNotAlone
 	RejectedLate
-	rejections
 )
 
 // Filter rules candidates out.
