--- /dev/null
+++ b/internal/expert/leader.go
@@ -0,0 +1,326 @@
+package expert
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/charts"
+	"github.com/bramleyspool/bramleyspool/internal/chart"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// Defaults of a LeaderConfig.
+const (
+	DefaultRetryInterval     = 250 * time.Millisecond
+	DefaultHeartbeatInterval = 2 * time.Second
+	DefaultStepMargin        = Step(8)
+	maxStepMargin            = Step(1024)
+	rememberedMaps           = 4
+)
+
+// LeaderConfig describes an agent as a possible leader of a group.
+type LeaderConfig struct {
+	Group ident.Group
+	Self  ident.Instance
+	Shape Shape
+	// RetryInterval is the time after which an unanswered message is sent again.
+	RetryInterval time.Duration
+	// HeartbeatInterval is the time between heartbeats without a rollout.
+	HeartbeatInterval time.Duration
+	// StepMargin is the number of steps from the greatest known one to the activation.
+	StepMargin Step
+}
+
+func (c LeaderConfig) withDefaults() LeaderConfig {
+	c.RetryInterval = cmp.Or(c.RetryInterval, DefaultRetryInterval)
+	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, DefaultHeartbeatInterval)
+	c.StepMargin = cmp.Or(c.StepMargin, DefaultStepMargin)
+	return c
+}
+
+// Leader claims the leadership of a group when elected, forms generations and rolls
+// maps out. It is not safe for concurrent use.
+type Leader struct {
+	config   LeaderConfig
+	chart    *chart.Chart
+	state    chart.State
+	elected  bool
+	roster   Roster
+	epoch    Epoch
+	greatest uint64
+	sequence uint64
+	views    []memberView
+	maps     []Map
+	rollout  leaderRollout
+	proposal Map
+	retryAt  time.Time
+	expireAt time.Time
+}
+
+// memberView is what the leader knows of an agent of the roster.
+type memberView struct {
+	vm ident.VM
+	// instance is zero until the agent promised the epoch.
+	instance ident.Instance
+	status   Status
+}
+
+// leaderRollout is the rollout at hand.
+type leaderRollout struct {
+	expertMap  Map
+	forming    bool
+	generation Generation
+	step       Step
+	margin     Step
+	cause      string
+}
+
+const (
+	leaderStandby    chart.State = "standby"
+	leaderBackingOff chart.State = "backing-off"
+	leaderClaiming   chart.State = "claiming"
+	leaderReady      chart.State = "ready"
+	leaderPreparing  chart.State = "preparing"
+	leaderHolding    chart.State = "holding"
+	leaderActivating chart.State = "activating"
+	leaderAborting   chart.State = "aborting"
+)
+
+// LeaderVocabulary lists the guards and actions of the chart "rollout".
+func LeaderVocabulary() chart.Vocabulary {
+	return chart.Vocabulary{
+		Guards: []chart.Guard{"must-form", "must-complete", "must-abort", "settled", "forming"},
+		Actions: []chart.Action{
+			"claim", "step-down", "lead", "form", "complete", "abort-left-over", "prepare",
+			"hold", "activate", "abort", "report-done", "report-given-up",
+		},
+	}
+}
+
+// NewLeader returns a leader on standby. It returns an error if the chart "rollout" or
+// the shape is not valid.
+func NewLeader(config LeaderConfig) (*Leader, error) {
+	if err := config.Shape.Validate(); err != nil {
+		return nil, err
+	}
+	parsed, err := chart.Load(charts.Files, "rollout", LeaderVocabulary())
+	if err != nil {
+		return nil, err
+	}
+	return &Leader{config: config.withDefaults(), chart: parsed, state: parsed.Initial()}, nil
+}
+
+// Ready reports whether the leader can take a proposal.
+func (l *Leader) Ready() bool {
+	return l.state == leaderReady && l.settled()
+}
+
+// Leading reports whether all agents promised the leader's epoch.
+func (l *Leader) Leading() bool {
+	return l.state != leaderStandby && l.state != leaderBackingOff && l.state != leaderClaiming
+}
+
+// State returns the chart's state.
+func (l *Leader) State() chart.State { return l.state }
+
+// Epoch returns the epoch claimed last.
+func (l *Leader) Epoch() Epoch { return l.epoch }
+
+// Map returns the newest map that any agent has activated; zero if none is known.
+func (l *Leader) Map() Map {
+	version := l.newestActivated()
+	for _, known := range l.maps {
+		if known.Version == version {
+			return known
+		}
+	}
+	return Map{}
+}
+
+// Statuses returns the last status of each agent that promised the epoch.
+func (l *Leader) Statuses() []Status {
+	var statuses []Status
+	for _, view := range l.views {
+		if view.instance.VM != "" {
+			statuses = append(statuses, view.status)
+		}
+	}
+	return statuses
+}
+
+// NextTick returns when a Tick is due; the zero time means never.
+func (l *Leader) NextTick() time.Time {
+	switch {
+	case l.expireAt.IsZero():
+		return l.retryAt
+	case l.retryAt.IsZero() || l.expireAt.Before(l.retryAt):
+		return l.expireAt
+	default:
+		return l.retryAt
+	}
+}
+
+// Step handles an event.
+func (l *Leader) Step(now time.Time, event Event) []Action {
+	switch e := event.(type) {
+	case RosterChanged:
+		return l.rosterChanged(now, e.Roster)
+	case ElectionChanged:
+		l.elected = e.Elected
+		if e.Elected {
+			return l.fire(now, "elected")
+		}
+		return l.fire(now, "deposed")
+	case Propose:
+		return l.propose(now, e.Map)
+	case Tick:
+		return l.tick(now)
+	case Received:
+		if status, ok := e.Message.(Status); ok {
+			return l.observe(now, status)
+		}
+		return nil
+	default:
+		return nil
+	}
+}
+
+func (l *Leader) rosterChanged(now time.Time, roster Roster) []Action {
+	if roster.Version < l.roster.Version {
+		return nil
+	}
+	same := roster.Digest() == l.roster.Digest()
+	l.roster = roster
+	if same {
+		return nil
+	}
+	return l.fire(now, "member-changed")
+}
+
+func (l *Leader) propose(now time.Time, proposed Map) []Action {
+	if !l.Ready() {
+		return []Action{RolloutEnded{Version: proposed.Version, Result: RolloutRefused, Cause: "leader is not ready"}}
+	}
+	if err := proposed.Validate(l.config.Shape); err != nil {
+		return []Action{RolloutEnded{Version: proposed.Version, Result: RolloutRefused, Cause: err.Error()}}
+	}
+	l.proposal = proposed.Clone()
+	return l.fire(now, "propose")
+}
+
+func (l *Leader) tick(now time.Time) []Action {
+	var actions []Action
+	if !l.expireAt.IsZero() && !now.Before(l.expireAt) {
+		timeout, _ := l.chart.TimeoutOf(l.state)
+		l.expireAt = time.Time{}
+		actions = append(actions, l.fire(now, timeout.Event)...)
+	}
+	if !l.retryAt.IsZero() && !now.Before(l.retryAt) {
+		actions = append(actions, l.sendDue(now)...)
+	}
+	return actions
+}
+
+// observe takes in the status of an agent.
+func (l *Leader) observe(now time.Time, status Status) []Action {
+	if status.Group != l.config.Group {
+		return nil
+	}
+	l.greatest = max(l.greatest, status.Epoch.Number)
+	if l.state == leaderStandby || l.state == leaderBackingOff {
+		return nil
+	}
+	if status.Epoch.Compare(l.epoch) > 0 {
+		return l.fire(now, "outbid")
+	}
+	view := l.view(status.From.VM)
+	if view == nil {
+		return nil
+	}
+	if view.instance.VM == "" {
+		return l.promised(now, view, status)
+	}
+	if view.instance != status.From {
+		return l.fire(now, "member-changed")
+	}
+	if status.Sequence <= view.status.Sequence || status.Epoch != l.epoch {
+		return nil
+	}
+	view.status = status
+	return l.progress(now)
+}
+
+func (l *Leader) view(vm ident.VM) *memberView {
+	for i := range l.views {
+		if l.views[i].vm == vm {
+			return &l.views[i]
+		}
+	}
+	return nil
+}
+
+func (l *Leader) promised(now time.Time, view *memberView, status Status) []Action {
+	if status.Epoch != l.epoch {
+		return nil
+	}
+	view.instance = status.From
+	view.status = status
+	for _, known := range status.Maps {
+		l.remember(known)
+	}
+	view.status.Maps = nil
+	return l.progress(now)
+}
+
+func (l *Leader) remember(known Map) {
+	i, found := slices.BinarySearchFunc(l.maps, known.Version, func(m Map, v Version) int { return m.Version.Compare(v) })
+	if !found {
+		l.maps = slices.Insert(l.maps, i, known)
+	}
+	if len(l.maps) > rememberedMaps {
+		l.maps = slices.Delete(l.maps, 0, 1)
+	}
+}
+
+// fire feeds an event to the chart and carries out its actions.
+func (l *Leader) fire(now time.Time, event chart.Event) []Action {
+	step, err := l.chart.Next(l.state, event, l.holds)
+	if err != nil {
+		panic(fmt.Sprintf("invariant: %v", err))
+	}
+	if step.Ignored {
+		return nil
+	}
+	l.state = step.To
+	l.expireAt = time.Time{}
+	if timeout, found := l.chart.TimeoutOf(l.state); found {
+		l.expireAt = now.Add(time.Duration(timeout.After))
+	}
+	var actions []Action
+	for _, action := range step.Actions {
+		actions = append(actions, l.do(action)...)
+	}
+	return append(actions, l.sendDue(now)...)
+}
+
+// sendDue sends each agent what it has not answered yet, and sets the time to repeat it.
+func (l *Leader) sendDue(now time.Time) []Action {
+	l.retryAt = time.Time{}
+	if l.state == leaderStandby || l.state == leaderBackingOff {
+		return nil
+	}
+	interval := l.config.RetryInterval
+	if l.state == leaderReady {
+		interval = l.config.HeartbeatInterval
+	}
+	l.retryAt = now.Add(interval)
+	var actions []Action
+	for i := range l.views {
+		if message := l.due(&l.views[i]); message != nil {
+			actions = append(actions, Send{To: l.views[i].vm, Message: message})
+		}
+	}
+	return actions
+}
--- /dev/null
+++ b/internal/expert/member_rollout.go
@@ -0,0 +1,159 @@
+package expert
+
+import (
+	"slices"
+
+	"github.com/bramleyspool/bramleyspool/internal/chart"
+)
+
+// holds evaluates the guards of the chart "rank" for the message at hand.
+func (m *Member) holds(guard chart.Guard) bool {
+	switch guard {
+	case "newer":
+		return m.newer()
+	case "covers":
+		return m.pending.Map.Version.Compare(m.version) <= 0
+	case "this-version":
+		return m.pending.Map.Version == m.version
+	case "holdable":
+		return m.hold.Version == m.pending.Map.Version && !m.pending.Forming && m.gate.CanHold(m.hold.Step)
+	case "formable":
+		return m.pending.Forming && m.activate.Version == m.pending.Map.Version
+	case "held":
+		return m.activate.Version == m.pending.Map.Version && m.activate.Generation == m.gate.Generation() &&
+			m.activate.Step > m.gate.Started() && m.activate.Step <= m.gate.holdBefore
+	default:
+		panic("invariant: unknown guard " + string(guard))
+	}
+}
+
+// newer reports whether the map to prepare is newer than all that this agent knows. A
+// map that does not form a generation must wait until the scheduled one is in use.
+func (m *Member) newer() bool {
+	version := m.prepare.Map.Version
+	known := []Version{m.ended, m.active.Version, m.next.Version, m.pending.Map.Version}
+	for _, other := range known {
+		if version.Compare(other) <= 0 {
+			return false
+		}
+	}
+	if m.prepare.Forming {
+		return true
+	}
+	return !m.gate.Generation().IsZero() && m.gate.Next().Version.IsZero()
+}
+
+func (m *Member) do(action chart.Action) []Action {
+	switch action {
+	case "load":
+		return m.load()
+	case "drop":
+		return m.drop()
+	case "end":
+		if m.version.Compare(m.ended) > 0 {
+			m.ended = m.version
+		}
+		return nil
+	case "hold":
+		m.gate.Hold(m.hold.Step)
+		return m.retryHeld()
+	case "join":
+		return m.join()
+	case "schedule":
+		return m.schedule()
+	default:
+		panic("invariant: unknown action " + string(action))
+	}
+}
+
+// drop forgets the pending rollout; a hold for it ends.
+func (m *Member) drop() []Action {
+	if m.pending.Map.Version.IsZero() {
+		return nil
+	}
+	actions := []Action{DropWeights{Version: m.pending.Map.Version}}
+	if m.pending.Map.Version.Compare(m.ended) > 0 {
+		m.ended = m.pending.Map.Version
+	}
+	m.pending = Prepare{}
+	m.gate.Release()
+	return append(actions, m.retryHeld()...)
+}
+
+func (m *Member) retryHeld() []Action {
+	var actions []Action
+	for _, result := range m.gate.Retry() {
+		actions = append(actions, m.gateAction(result))
+	}
+	m.settle()
+	return actions
+}
+
+func (m *Member) load() []Action {
+	m.pending = m.prepare
+	m.cause = ""
+	var actions []Action
+	if m.pending.Forming {
+		actions = append(actions, m.leave()...)
+	}
+	version := m.pending.Map.Version
+	if err := m.pending.Map.Validate(m.config.Shape); err != nil {
+		m.version = version
+		m.cause = err.Error()
+		return append(actions, m.fire("weights-failed")...)
+	}
+	placements := m.missing()
+	if len(placements) == 0 {
+		m.version = version
+		return append(actions, m.fire("weights-loaded")...)
+	}
+	return append(actions, LoadWeights{Version: version, Placements: placements})
+}
+
+// missing returns the placements on this agent's ranks that the pending map adds.
+func (m *Member) missing() []Placement {
+	added := Added(m.active, m.pending.Map)
+	return slices.DeleteFunc(added, func(p Placement) bool { return !slices.Contains(m.config.Ranks, p.Rank) })
+}
+
+// leave ends the generation: its steps start no more on this agent's ranks.
+func (m *Member) leave() []Action {
+	generation := m.gate.Generation()
+	if generation.IsZero() {
+		return nil
+	}
+	if !m.next.Version.IsZero() {
+		m.active = m.next
+		m.next = Map{}
+	}
+	m.gate.Close()
+	return append([]Action{LeaveGeneration{Generation: generation}}, m.retryHeld()...)
+}
+
+func (m *Member) join() []Action {
+	m.active = m.pending.Map
+	m.rosterDigest = m.pending.RosterDigest
+	m.pending = Prepare{}
+	m.gate.Open(m.activate.Generation, m.active.Version)
+	joined := JoinGeneration{Generation: m.activate.Generation, Map: m.active}
+	return append([]Action{joined}, m.retryHeld()...)
+}
+
+func (m *Member) schedule() []Action {
+	activation := Activation{Version: m.activate.Version, Step: m.activate.Step}
+	m.next = m.pending.Map
+	m.pending = Prepare{}
+	m.gate.Schedule(activation)
+	scheduled := MapScheduled{Activation: activation, Map: m.next}
+	return append([]Action{scheduled}, m.retryHeld()...)
+}
+
+// restart forgets all that the engine held: it is in no generation and has no weights.
+func (m *Member) restart() []Action {
+	m.version = m.pending.Map.Version
+	actions := m.fire("abort")
+	actions = append(actions, m.leave()...)
+	m.active = Map{}
+	m.next = Map{}
+	return actions
+}
--- /dev/null
+++ b/internal/expert/messages.go
@@ -0,0 +1,239 @@
+package expert
+
+import (
+	"errors"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+// Message is a message between the agents of a group.
+type Message interface {
+	isMessage()
+}
+
+// RosterMember is one agent of a group with the ranks that its backend server holds.
+type RosterMember struct {
+	VM    ident.VM     `cbor:"1,keyasint" json:"vm"`
+	Ranks []ident.Rank `cbor:"2,keyasint" json:"ranks"`
+}
+
+// Roster lists the published agents of a group, sorted by VM.
+type Roster struct {
+	Version template.Version `cbor:"1,keyasint" json:"version"`
+	Members []RosterMember   `cbor:"2,keyasint" json:"members"`
+}
+
+// Header is part of each message of a leader.
+type Header struct {
+	Group ident.Group `cbor:"1,keyasint"`
+	// Epoch is the leader's epoch; Epoch.Leader is the sender.
+	Epoch Epoch `cbor:"2,keyasint"`
+	// To is the receiver; incarnation 0 means whichever runs.
+	To ident.Instance `cbor:"3,keyasint"`
+}
+
+// Claim asks an agent to promise an epoch. The answer is a Status with maps.
+type Claim struct {
+	Header Header `cbor:"1,keyasint"`
+	Roster Roster `cbor:"2,keyasint"`
+}
+
+// Heartbeat asks an agent for its Status.
+type Heartbeat struct {
+	Header Header `cbor:"1,keyasint"`
+}
+
+// Prepare asks an agent to load the weights that a map needs on its ranks.
+type Prepare struct {
+	Header Header `cbor:"1,keyasint"`
+	Map    Map    `cbor:"2,keyasint"`
+	// Forming is true if the map starts a new generation. The agent then leaves its old one.
+	Forming bool `cbor:"3,keyasint"`
+	// RosterDigest identifies the agents and ranks of a new generation.
+	RosterDigest uint64 `cbor:"4,keyasint"`
+}
+
+// Hold asks an agent to start no step from Step on until it is told to activate or abort.
+type Hold struct {
+	Header  Header  `cbor:"1,keyasint"`
+	Version Version `cbor:"2,keyasint"`
+	Step    Step    `cbor:"3,keyasint"`
+}
+
+// Activate tells an agent that the map holds from a step on.
+type Activate struct {
+	Header     Header     `cbor:"1,keyasint"`
+	Version    Version    `cbor:"2,keyasint"`
+	Generation Generation `cbor:"3,keyasint"`
+	Step       Step       `cbor:"4,keyasint"`
+}
+
+// Abort tells an agent that the rollout was given up.
+type Abort struct {
+	Header  Header  `cbor:"1,keyasint"`
+	Version Version `cbor:"2,keyasint"`
+}
+
+// Activation is a map and the first step that uses it.
+type Activation struct {
+	Version Version `cbor:"1,keyasint"`
+	Step    Step    `cbor:"2,keyasint"`
+}
+
+// RolloutPhase is how far a rollout went at one agent.
+type RolloutPhase uint8
+
+// The phases of a rollout at one agent.
+const (
+	PhaseNone RolloutPhase = iota
+	PhaseLoading
+	PhaseLoaded
+	PhaseFailed
+	PhaseHolding
+)
+
+// RolloutState is the rollout that an agent takes part in; zero for none.
+type RolloutState struct {
+	Version Version      `cbor:"1,keyasint"`
+	Phase   RolloutPhase `cbor:"2,keyasint"`
+	// HoldBefore is the first step that the agent does not start in PhaseHolding.
+	HoldBefore Step `cbor:"3,keyasint"`
+	// Cause tells why loading failed.
+	Cause string `cbor:"4,keyasint,omitempty"`
+	// Forming is true if the rollout starts a new generation.
+	Forming bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Status is an agent's state, sent in answer to each message of a leader.
+type Status struct {
+	Group ident.Group    `cbor:"1,keyasint"`
+	From  ident.Instance `cbor:"2,keyasint"`
+	// Sequence increases with each Status of one instance.
+	Sequence uint64 `cbor:"3,keyasint"`
+	// Epoch is the greatest epoch promised.
+	Epoch Epoch `cbor:"4,keyasint"`
+	// RosterVersion is the newest roster that the agent knows.
+	RosterVersion template.Version `cbor:"5,keyasint"`
+	// Generation is zero for an agent that is in no generation.
+	Generation   Generation `cbor:"6,keyasint"`
+	RosterDigest uint64     `cbor:"7,keyasint"`
+	// Started is the greatest step that a rank of the agent started.
+	Started Step `cbor:"8,keyasint"`
+	// Active is the map in use, Next the one that was activated for a later step.
+	Active  Activation   `cbor:"9,keyasint"`
+	Next    Activation   `cbor:"10,keyasint"`
+	Rollout RolloutState `cbor:"11,keyasint"`
+	// Ended is the greatest version whose rollout was given up here.
+	Ended Version `cbor:"12,keyasint"`
+	// Maps holds the maps that the agent knows, in answer to a Claim.
+	Maps []Map `cbor:"13,keyasint,omitempty"`
+}
+
+// Counts reports how many tokens of some ranks chose each expert. Counts are scaled per
+// layer to bytes, so that a report of 58 layers and 64 experts takes under 4 KB.
+type Counts struct {
+	Group ident.Group    `cbor:"1,keyasint"`
+	From  ident.Instance `cbor:"2,keyasint"`
+	// Sequence increases with each report of one instance.
+	Sequence uint64 `cbor:"3,keyasint"`
+	// Generation numbers the steps.
+	Generation Generation `cbor:"9,keyasint"`
+	// Until is the last step of the report and Steps the number of steps in it.
+	Until Step   `cbor:"4,keyasint"`
+	Steps uint32 `cbor:"5,keyasint"`
+	// Ranks is the number of ranks that the report covers.
+	Ranks  uint16        `cbor:"6,keyasint"`
+	Layers []LayerCounts `cbor:"7,keyasint"`
+	// StepTime is the mean time that the slowest covered rank computed in a step.
+	StepTime time.Duration `cbor:"8,keyasint"`
+}
+
+// LayerCounts holds the counts of one layer's experts.
+type LayerCounts struct {
+	// Unit is the number of tokens that one unit of Scaled stands for.
+	Unit   float32 `cbor:"1,keyasint"`
+	Scaled []byte  `cbor:"2,keyasint"`
+}
+
+func (Claim) isMessage()     {}
+func (Heartbeat) isMessage() {}
+func (Prepare) isMessage()   {}
+func (Hold) isMessage()      {}
+func (Activate) isMessage()  {}
+func (Abort) isMessage()     {}
+func (Status) isMessage()    {}
+func (Counts) isMessage()    {}
+
+// Envelope carries exactly one message.
+type Envelope struct {
+	Claim     *Claim     `cbor:"1,keyasint,omitempty"`
+	Heartbeat *Heartbeat `cbor:"2,keyasint,omitempty"`
+	Prepare   *Prepare   `cbor:"3,keyasint,omitempty"`
+	Hold      *Hold      `cbor:"4,keyasint,omitempty"`
+	Activate  *Activate  `cbor:"5,keyasint,omitempty"`
+	Abort     *Abort     `cbor:"6,keyasint,omitempty"`
+	Status    *Status    `cbor:"7,keyasint,omitempty"`
+	Counts    *Counts    `cbor:"8,keyasint,omitempty"`
+}
+
+// ErrEnvelope reports an envelope that does not carry exactly one message.
+var ErrEnvelope = errors.New("envelope must carry exactly one message")
+
+// Wrap puts a message into an envelope.
+func Wrap(message Message) Envelope {
+	switch m := message.(type) {
+	case Claim:
+		return Envelope{Claim: &m}
+	case Heartbeat:
+		return Envelope{Heartbeat: &m}
+	case Prepare:
+		return Envelope{Prepare: &m}
+	case Hold:
+		return Envelope{Hold: &m}
+	case Activate:
+		return Envelope{Activate: &m}
+	case Abort:
+		return Envelope{Abort: &m}
+	case Status:
+		return Envelope{Status: &m}
+	case Counts:
+		return Envelope{Counts: &m}
+	default:
+		panic("invariant: unknown expert message")
+	}
+}
+
+// Unwrap returns the envelope's message.
+func (e Envelope) Unwrap() (Message, error) {
+	var found []Message
+	if e.Claim != nil {
+		found = append(found, *e.Claim)
+	}
+	if e.Heartbeat != nil {
+		found = append(found, *e.Heartbeat)
+	}
+	if e.Prepare != nil {
+		found = append(found, *e.Prepare)
+	}
+	if e.Hold != nil {
+		found = append(found, *e.Hold)
+	}
+	if e.Activate != nil {
+		found = append(found, *e.Activate)
+	}
+	if e.Abort != nil {
+		found = append(found, *e.Abort)
+	}
+	if e.Status != nil {
+		found = append(found, *e.Status)
+	}
+	if e.Counts != nil {
+		found = append(found, *e.Counts)
+	}
+	if len(found) != 1 {
+		return nil, ErrEnvelope
+	}
+	return found[0], nil
+}
