--- /dev/null
+++ b/internal/control/agent.go
@@ -0,0 +1,292 @@
+package control
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/fleet"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+)
+
+// clockGap is the time between two events after which the process was paused.
+const clockGap = time.Second
+
+// listedGone is how long a VM must be off the platform's list to count as gone for good.
+const listedGone = 30 * time.Second
+
+// Agent is the control state of an agent process. It is not safe for concurrent use.
+type Agent struct {
+	*base
+	grantor *membership.Grantor
+	owner   *attempt.Owner
+	leases  leaseWindow
+	absent  absence
+	service ident.Service
+	running map[attempt.Attempt]ident.Instance
+	load    membership.Load
+	last    time.Time
+}
+
+// NewAgent returns the control state of an agent that starts now.
+func NewAgent(now time.Time, self Self) (*Agent, []Action, error) {
+	base, err := newBase(self)
+	if err != nil {
+		return nil, nil, err
+	}
+	a := &Agent{
+		base:    base,
+		owner:   attempt.NewOwner(now, attempt.DefaultOwnerConfig(self.Instance)),
+		running: map[attempt.Attempt]ident.Instance{},
+		last:    now,
+	}
+	a.start(now)
+	return a, a.take(), nil
+}
+
+// Step handles one event.
+func (a *Agent) Step(now time.Time, event Event) []Action {
+	if gap := now.Sub(a.last); gap > clockGap {
+		a.note("clock-gap", SeverityWarning, "", Field{"gap", gap.String()})
+		a.stepOwner(now, attempt.ClockGap{})
+	}
+	a.last = now
+	a.handle(now, event)
+	return a.take()
+}
+
+func (a *Agent) handle(now time.Time, event Event) {
+	if handled, inForce := a.handleShared(now, event); handled {
+		if inForce {
+			a.useConfiguration(now)
+		}
+		return
+	}
+	switch event := event.(type) {
+	case MessageReceived:
+		a.route = event.Route
+		a.receive(now, event)
+	case DispatchArrived:
+		a.dispatch(now, event.Dispatch)
+	case RunFinished:
+		a.stepOwner(now, event.Result)
+		a.endRun(now, event.Result.ID)
+	case BackendLost:
+		a.loseBackend(now)
+	case LoadSeen:
+		a.load = event.Load
+		a.stepGrantor(now, membership.LoadReported{Load: event.Load})
+	case VMsListed:
+		a.listVMs(now, event.VMs)
+	case Tick:
+		a.tick(now)
+	case StopAsked:
+		a.fire(eventStop)
+		a.stepGrantor(now, membership.LeaveRequested{})
+	}
+}
+
+func (a *Agent) tick(now time.Time) {
+	if a.stepConfig(now, membership.ConfigTick{}) {
+		a.useConfiguration(now)
+	}
+	a.stepGrantor(now, membership.GrantorTick{})
+	a.moveLeases(now)
+	a.stepOwner(now, attempt.OwnerTick{})
+}
+
+func (a *Agent) useConfiguration(now time.Time) {
+	published := a.configuration.Fleet
+	service, backend := published.Backend(a.self.Instance.VM)
+	if backend == nil {
+		a.note("not-published", SeverityWarning, "")
+	} else {
+		a.useBackend(service, backend)
+	}
+	a.stepGrantor(now, membership.ConfigInForce{Version: a.configuration.Version})
+	a.stepOwner(now, attempt.OwnerFleetChanged{Fleet: *published})
+}
+
+func (a *Agent) useBackend(service *fleet.Service, backend *fleet.BackendServer) {
+	a.service = service.Name
+	if a.grantor != nil {
+		return
+	}
+	a.grantor = membership.NewGrantor(membership.GrantorSettings{
+		Self:  a.self.Instance,
+		Slots: backend.Capacity,
+	})
+}
+
+func (a *Agent) receive(now time.Time, event MessageReceived) {
+	switch body := event.Body.(type) {
+	case *membership.LeaseRequest:
+		a.stepConfig(now, membership.VersionHeard{From: event.From.VM, Version: body.Config})
+		a.stepOwner(now, attempt.EntrySeen{Entry: event.From})
+		a.stepGrantor(now, membership.LeaseRequested{From: event.From, Request: *body})
+	case *attempt.Revoke:
+		a.stepOwner(now, attempt.RevokeReceived{Revoke: *body})
+	case *attempt.Query:
+		a.stepOwner(now, attempt.QueryReceived{Query: *body})
+	case *attempt.Cancel:
+		a.stepOwner(now, attempt.CancelReceived{Cancel: *body})
+	case *attempt.ClaimAnswer:
+		a.stepOwner(now, attempt.ClaimAnswered{Answer: *body})
+	case *attempt.ReleaseRequest:
+		a.stepOwner(now, attempt.ReleaseAsked{Request: *body})
+	case *attempt.HandOver:
+		a.stepOwner(now, attempt.HandOverReceived{HandOver: *body})
+	case *attempt.HandOverAck:
+		a.stepOwner(now, attempt.HandOverKept{Ack: *body})
+	case *attempt.TicketRequest:
+		a.stepOwner(now, attempt.TicketAsked{Request: *body})
+	case *attempt.KeyQuestion:
+		a.stepOwner(now, attempt.KeyAsked{Question: *body})
+	default:
+		a.note("message-not-expected", SeverityWarning, event.From.VM)
+	}
+}
+
+// dispatch checks the lease before the owner decides. A dispatch under no valid lease goes
+// to the owner with a lease that ran out, so that it is refused and stays refused.
+func (a *Agent) dispatch(now time.Time, dispatch attempt.Dispatch) {
+	a.moveLeases(now)
+	if !a.leaseHolds(now, dispatch) {
+		dispatch.Lease = a.leases.invalid()
+	}
+	a.stepOwner(now, attempt.DispatchReceived{Dispatch: dispatch})
+}
+
+func (a *Agent) leaseHolds(now time.Time, dispatch attempt.Dispatch) bool {
+	if a.grantor == nil {
+		return false
+	}
+	number := membership.LeaseNumber(dispatch.Lease)
+	cause := a.grantor.Check(now, dispatch.ID.Entry, dispatch.Target.Incarnation, number)
+	return cause == outcome.CauseNone
+}
+
+func (a *Agent) stepGrantor(now time.Time, event membership.GrantorEvent) {
+	if a.grantor == nil {
+		return
+	}
+	for _, action := range a.grantor.Step(now, event) {
+		switch action := action.(type) {
+		case membership.SendGrant:
+			a.leases.granted(now, action.Grant)
+			a.act(Send{To: action.To.VM, Body: &action.Grant, Route: a.route})
+		case membership.SendLeaving:
+			a.act(Send{To: action.To.VM, Body: &action.Leaving})
+		case membership.GrantorDrained:
+			a.stepOwner(now, attempt.OwnerStop{})
+		}
+	}
+}
+
+func (a *Agent) moveLeases(now time.Time) {
+	if moved, ok := a.leases.move(now); ok {
+		a.stepOwner(now, moved)
+	}
+}
+
+func (a *Agent) stepOwner(now time.Time, event attempt.OwnerEvent) {
+	for _, action := range a.owner.Step(now, event) {
+		a.ownerAction(now, action)
+	}
+}
+
+func (a *Agent) ownerAction(now time.Time, action attempt.OwnerAction) {
+	switch action := action.(type) {
+	case attempt.Run:
+		id := action.Dispatch.ID
+		a.running[id] = id.Entry
+		a.stepGrantor(now, membership.WorkStarted{Entry: id.Entry})
+		a.act(StartRun(action))
+	case attempt.CancelRun:
+		a.act(StopRun(action))
+	case attempt.SendReply:
+		a.act(Answer{Reply: action.Reply, Source: action.Source, Content: action.Content, Route: a.route})
+	case attempt.SendClaim:
+		a.act(Send{To: action.To, Body: &action.Claim})
+	case attempt.SendRelease:
+		a.act(Send{To: action.To, Body: &action.Request})
+	case attempt.SendHandOver:
+		a.act(Send{To: action.HandOver.To, Body: &action.HandOver})
+	case attempt.SendHandOverAck:
+		a.act(Send{To: action.Ack.From, Body: &action.Ack})
+	case attempt.SendTicket:
+		a.act(Send{To: action.Reply.Entry.VM, Body: &action.Reply, Route: a.route})
+	case attempt.SendKeyAnswer:
+		a.act(Send{To: action.Answer.Entry.VM, Body: &action.Answer, Route: a.route})
+	case attempt.SendCrashReport:
+		a.sendCrashReport(action.Report)
+	default:
+		a.ownerNote(action)
+	}
+}
+
+func (a *Agent) ownerNote(action attempt.OwnerAction) {
+	switch action := action.(type) {
+	case attempt.OwnerSuperseded:
+		a.note("superseded", SeverityWarning, "", Field{"by", strconv.FormatUint(uint64(action.By), 16)})
+		a.act(Exit{Reason: "superseded"})
+	case attempt.OwnerStopped:
+		a.fire(eventDrained)
+	case attempt.KeysRefused:
+		a.note("run-keys-full", SeverityWarning, "", Field{"service", string(action.Service)},
+			Field{"keys", strconv.Itoa(action.Keys)})
+	case attempt.OwnershipChanged:
+		a.note("ownership", SeverityInfo, "", Field{"service", string(action.Service)},
+			Field{"complete", strconv.FormatBool(action.Complete)}, Field{"in-doubt", strconv.Itoa(action.InDoubt)})
+	}
+}
+
+func (a *Agent) sendCrashReport(report attempt.CrashReport) {
+	a.note("backend-crashed", SeverityWarning, "", Field{"crash", strconv.FormatUint(report.Crash, 10)},
+		Field{"running", strconv.Itoa(len(report.Running))})
+	if a.configuration == nil {
+		return
+	}
+	for _, entry := range a.configuration.Fleet.Entries {
+		a.act(Send{To: entry.VM, Body: &report})
+	}
+}
+
+func (a *Agent) endRun(now time.Time, id attempt.Attempt) {
+	entry, ok := a.running[id]
+	if !ok {
+		return
+	}
+	delete(a.running, id)
+	a.stepGrantor(now, membership.WorkEnded{Entry: entry})
+}
+
+// loseBackend ends all runs: the owner decides what to tell their entries.
+func (a *Agent) loseBackend(now time.Time) {
+	a.stepOwner(now, attempt.BackendDied{})
+	for id := range a.running {
+		a.endRun(now, id)
+	}
+}
+
+func (a *Agent) listVMs(now time.Time, listed []ListedVM) {
+	if a.configuration == nil {
+		return
+	}
+	gone := a.absent.listed(now, a.configuration.Fleet, listed)
+	if len(gone) > 0 {
+		a.stepOwner(now, attempt.VMsGone{VMs: gone})
+	}
+}
+
+// Status returns what operators see of the agent.
+func (a *Agent) Status() BackendStatus {
+	status := BackendStatus{Service: a.service, Running: len(a.running), Load: a.load}
+	if a.grantor != nil {
+		status.Open = a.grantor.Open()
+		status.Leaving = a.grantor.Leaving()
+	}
+	return status
+}
--- /dev/null
+++ b/internal/control/base.go
@@ -0,0 +1,249 @@
+package control
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/charts"
+	"github.com/bramleyspool/bramleyspool/internal/chart"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/published"
+)
+
+// The states, events and actions of charts/process.json.
+const (
+	stateStarting chart.State = "starting"
+	stateServing  chart.State = "serving"
+	stateDraining chart.State = "draining"
+
+	eventReady   chart.Event = "ready"
+	eventStop    chart.Event = "stop"
+	eventDrained chart.Event = "drained"
+	eventForce   chart.Event = "force"
+
+	actionAnnounceReady   chart.Action = "announce-ready"
+	actionAnnounceLeaving chart.Action = "announce-leaving"
+	actionReportCut       chart.Action = "report-cut"
+	actionExit            chart.Action = "exit"
+)
+
+// ProcessVocabulary lists what charts/process.json may use.
+func ProcessVocabulary() chart.Vocabulary {
+	return chart.Vocabulary{
+		Actions: []chart.Action{actionAnnounceReady, actionAnnounceLeaving, actionReportCut, actionExit},
+	}
+}
+
+// base is what entries and agents share: the configuration in force, the process's life
+// and the collection of actions.
+type base struct {
+	self          Self
+	config        *membership.ConfigNode
+	configuration *published.Configuration
+	life          *chart.Chart
+	state         chart.State
+	// route is the connection that the message being handled came over.
+	route   Route
+	actions []Action
+}
+
+func newBase(self Self) (*base, error) {
+	life, err := chart.Load(charts.Files, "process", ProcessVocabulary())
+	if err != nil {
+		return nil, err
+	}
+	b := &base{self: self, life: life, state: life.Initial()}
+	b.config = membership.NewConfigNode(membership.ConfigSettings{
+		Self:   self.Instance.VM,
+		Zone:   self.Zone,
+		Key:    published.Key,
+		Accept: published.AcceptVersion,
+		Seed:   uint64(self.Instance.Incarnation),
+	})
+	return b, nil
+}
+
+func (b *base) act(action Action) {
+	b.actions = append(b.actions, action)
+}
+
+// take returns the collected actions.
+func (b *base) take() []Action {
+	actions := b.actions
+	b.actions = nil
+	b.route = nil
+	return actions
+}
+
+func (b *base) note(kind string, severity Severity, about ident.VM, fields ...Field) {
+	b.act(Note{Kind: kind, Severity: severity, About: about, Fields: fields})
+}
+
+// start introduces the seeds, so that the process asks them before it serves.
+func (b *base) start(now time.Time) (inForce bool) {
+	return b.stepConfig(now, membership.PeersChanged{Peers: b.self.Seeds})
+}
+
+// stepConfig hands an event to the configuration node. It reports whether another
+// configuration came into force.
+func (b *base) stepConfig(now time.Time, event membership.ConfigEvent) (inForce bool) {
+	for _, action := range b.config.Step(now, event) {
+		switch action := action.(type) {
+		case membership.SendConfig:
+			b.act(Send{To: action.To, Body: configBody(action.Message)})
+		case membership.CallService:
+			b.act(ReadConfig{Call: action.Call})
+		case membership.PutInForce:
+			inForce = b.putInForce(action) || inForce
+		case membership.ReportRefused:
+			b.note("configuration-refused", SeverityWarning, "", Field{"reason", action.Reason},
+				Field{"digest", fmt.Sprintf("%016x", uint64(action.Digest))})
+		case membership.ReportOlder:
+			b.note("configuration-older", SeverityWarning, "", versionField("offered", action.Offered),
+				versionField("in-force", action.InForce))
+		case membership.ReadinessChanged:
+			if action.Ready {
+				b.fire(eventReady)
+			}
+		}
+	}
+	if inForce {
+		b.stepConfig(now, membership.PeersChanged{Peers: b.peers()})
+	}
+	return inForce
+}
+
+func versionField(key string, stamp membership.Stamp) Field {
+	return Field{key, strconv.FormatUint(uint64(stamp.Version), 10)}
+}
+
+func (b *base) putInForce(action membership.PutInForce) bool {
+	configuration, faults := published.Accept(action.Value)
+	if len(faults) > 0 {
+		panic("invariant: an accepted configuration is refused: " + faults.Error())
+	}
+	if b.configuration != nil && configuration.Fleet.Version < b.configuration.Fleet.Version {
+		b.note("fleet-older", SeverityWarning, "",
+			Field{"offered", strconv.FormatUint(uint64(configuration.Fleet.Version), 10)},
+			Field{"in-force", strconv.FormatUint(uint64(b.configuration.Fleet.Version), 10)})
+		kept := *configuration
+		kept.Fleet = b.configuration.Fleet
+		configuration = &kept
+	}
+	b.configuration = configuration
+	b.note("configuration-in-force", SeverityInfo, "", versionField("version", action.Stamp))
+	b.act(InForce{Configuration: configuration})
+	return true
+}
+
+// peers returns all other processes of the published fleet.
+func (b *base) peers() []membership.Peer {
+	var peers []membership.Peer
+	add := func(vm ident.VM, zone ident.Zone) {
+		if vm != b.self.Instance.VM {
+			peers = append(peers, membership.Peer{VM: vm, Zone: zone})
+		}
+	}
+	fleet := b.configuration.Fleet
+	for i := range fleet.Entries {
+		add(fleet.Entries[i].VM, fleet.Entries[i].Zone)
+	}
+	for i := range fleet.Services {
+		for _, backend := range fleet.Services[i].Backends {
+			add(backend.VM, backend.Zone)
+		}
+	}
+	return peers
+}
+
+// fire hands an event to the process's state chart.
+func (b *base) fire(event chart.Event) {
+	step, err := b.life.Next(b.state, event, nil)
+	if err != nil {
+		panic("invariant: " + err.Error())
+	}
+	if step.Ignored {
+		return
+	}
+	b.state = step.To
+	b.note("process-"+string(step.To), SeverityInfo, "")
+	for _, action := range step.Actions {
+		switch action {
+		case actionAnnounceReady:
+			b.act(Readiness{Ready: true})
+		case actionAnnounceLeaving:
+			b.act(Readiness{Ready: false})
+		case actionReportCut:
+			b.note("stop-forced", SeverityWarning, "")
+		case actionExit:
+			b.act(Exit{Reason: string(event)})
+		}
+	}
+}
+
+// configMessage returns a message of the configuration distribution, if it is one.
+func configMessage(body any) (membership.ConfigMessage, bool) {
+	switch body := body.(type) {
+	case *membership.ConfigDigest:
+		return *body, true
+	case *membership.ConfigFetch:
+		return *body, true
+	case *membership.ConfigManifest:
+		return *body, true
+	case *membership.ConfigChunksRequest:
+		return *body, true
+	case *membership.ConfigChunks:
+		return *body, true
+	}
+	return nil, false
+}
+
+// configBody returns the message as a pointer, the form of all message bodies.
+func configBody(message membership.ConfigMessage) any {
+	switch message := message.(type) {
+	case membership.ConfigDigest:
+		return &message
+	case membership.ConfigFetch:
+		return &message
+	case membership.ConfigManifest:
+		return &message
+	case membership.ConfigChunksRequest:
+		return &message
+	case membership.ConfigChunks:
+		return &message
+	}
+	panic("invariant: unknown configuration message")
+}
+
+// handleShared handles events that entries and agents handle alike. It reports whether
+// the event was one of them and whether another configuration came into force.
+func (b *base) handleShared(now time.Time, event Event) (handled, inForce bool) {
+	switch event := event.(type) {
+	case ConfigAnswered:
+		return true, b.stepConfig(now, event.Answer)
+	case ConfigFailed:
+		return true, b.stepConfig(now, event.Failure)
+	case MessageReceived:
+		message, ok := configMessage(event.Body)
+		if !ok {
+			return false, false
+		}
+		return true, b.stepConfig(now, membership.ConfigReceived{From: event.From.VM, Message: message})
+	case StopForced:
+		b.fire(eventForce)
+		return true, false
+	}
+	return false, false
+}
+
+// ConfigStatus returns what the process knows of the configuration.
+func (b *base) ConfigStatus() membership.ConfigStatus {
+	return b.config.Status()
+}
+
+// State returns the state of the process's life.
+func (b *base) State() chart.State {
+	return b.state
+}
--- /dev/null
+++ b/internal/control/entry.go
@@ -0,0 +1,220 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/charts"
+	"github.com/bramleyspool/bramleyspool/internal/admission"
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/routing"
+)
+
+// askPeersAgain is the time after which an unanswered question to another entry is repeated.
+const askPeersAgain = 500 * time.Millisecond
+
+// EntryConfig configures an Entry.
+type EntryConfig struct {
+	Self Self
+	// BalancerLag is how long calls may still come after a planned stop began.
+	BalancerLag time.Duration
+}
+
+// Entry is the control state of an entry process. It is not safe for concurrent use.
+type Entry struct {
+	*base
+	config      EntryConfig
+	holder      *membership.Holder
+	admission   *admission.Controller
+	coordinator *admission.LimitCoordinator
+	log         *attempt.Log
+	caller      *attempt.Caller
+	backends    backendSet
+	calls       map[ident.Request]*entryCall
+	unrouted    []attempt.NeedRoute
+	stopAt      time.Time
+}
+
+// entryCall is what the entry keeps of an open call beside its attempts.
+type entryCall struct {
+	arrived CallArrived
+	at      time.Time
+	// dispatched is when the last attempt was sent.
+	dispatched time.Time
+	// started is when the first byte of the answer was seen; zero before.
+	started time.Time
+	// at open are the attempts and their targets.
+	open map[attempt.Attempt]ident.VM
+}
+
+// NewEntry returns the control state of an entry that starts now.
+func NewEntry(now time.Time, config EntryConfig) (*Entry, []Action, error) {
+	base, err := newBase(config.Self)
+	if err != nil {
+		return nil, nil, err
+	}
+	self := config.Self.Instance
+	holder, err := membership.NewHolder(membership.HolderSettings{Self: self}, charts.Files)
+	if err != nil {
+		return nil, nil, err
+	}
+	limits := admission.DefaultSettings(self)
+	log := attempt.NewLog(now, attempt.LogConfig{Self: self, AskAgain: askPeersAgain})
+	e := &Entry{
+		base:        base,
+		config:      config,
+		holder:      holder,
+		admission:   admission.NewController(limits),
+		coordinator: admission.NewLimitCoordinator(limits),
+		log:         log,
+		caller:      attempt.NewCaller(attempt.DefaultCallerConfig(self), log),
+		backends:    newBackendSet(self, config.Self.Zone),
+		calls:       map[ident.Request]*entryCall{},
+	}
+	e.start(now)
+	return e, e.take(), nil
+}
+
+// Step handles one event.
+func (e *Entry) Step(now time.Time, event Event) []Action {
+	e.handle(now, event)
+	return e.take()
+}
+
+func (e *Entry) handle(now time.Time, event Event) {
+	if handled, inForce := e.handleShared(now, event); handled {
+		if inForce {
+			e.useConfiguration(now)
+		}
+		return
+	}
+	switch event := event.(type) {
+	case CallArrived:
+		e.arrive(now, event)
+	case ReplyArrived:
+		e.hear(now, event.Reply)
+	case DispatchFailed:
+		e.stepCaller(now, attempt.DispatchUnsent{ID: event.ID})
+		e.endAttempt(now, event.ID)
+	case AnswerBroken:
+		e.stepCaller(now, attempt.StreamBroken{ID: event.ID})
+	case AnswerProgress:
+		e.progress(now, event)
+	case CallerLeft:
+		e.stepAdmission(now, admission.Cancel{Request: event.Request})
+		e.stepCaller(now, attempt.CallerGone{Request: event.Request})
+	case KeyInquiry:
+		e.askKey(event)
+	case MessageReceived:
+		e.route = event.Route
+		e.receive(now, event)
+	case VMsListed:
+		e.listVMs(now, event.VMs)
+	case Tick:
+		e.tick(now)
+	case StopAsked:
+		e.fire(eventStop)
+		if e.stopAt.IsZero() {
+			e.stopAt = now
+		}
+	}
+}
+
+func (e *Entry) tick(now time.Time) {
+	if e.stepConfig(now, membership.ConfigTick{}) {
+		e.useConfiguration(now)
+	}
+	if e.backends.expireExtra(now) {
+		e.chooseBackends(now)
+	}
+	e.stepHolder(now, membership.HolderTick{})
+	e.stepLog(now, attempt.LogTick{})
+	e.stepCaller(now, attempt.CallerTick{})
+	e.reportCapacity(now)
+	e.stepAdmission(now, admission.Tick{})
+	e.stepCoordinator(now, admission.Tick{})
+	e.retryRoutes(now)
+	e.checkDrained(now)
+}
+
+// checkDrained ends a planned stop once the balancer's lag has passed and no call is open.
+func (e *Entry) checkDrained(now time.Time) {
+	if e.state != stateDraining || now.Sub(e.stopAt) < e.config.BalancerLag || len(e.calls) > 0 {
+		return
+	}
+	report := e.admission.Stop()
+	e.noteAccount(report.Message)
+	e.fire(eventDrained)
+}
+
+func (e *Entry) useConfiguration(now time.Time) {
+	published := e.configuration.Fleet
+	plans := e.configuration.Templates.Plans
+	roster := make([]ident.VM, 0, len(published.Entries))
+	for i := range published.Entries {
+		roster = append(roster, published.Entries[i].VM)
+	}
+	configure := admission.Configure{Plans: plans, Roster: roster}
+	e.stepAdmission(now, configure)
+	e.stepCoordinator(now, configure)
+	e.stepLog(now, attempt.LogFleetChanged{Fleet: *published})
+	e.backends.use(published)
+	e.chooseBackends(now)
+	e.stepHolder(now, membership.ConfigChanged{Version: e.configuration.Version})
+}
+
+func (e *Entry) chooseBackends(now time.Time) {
+	e.stepHolder(now, membership.BackendsChosen{VMs: e.backends.chosen()})
+}
+
+func (e *Entry) listVMs(now time.Time, listed []ListedVM) {
+	states := make(map[ident.VM]membership.ListedState, len(listed))
+	for _, vm := range listed {
+		states[vm.VM] = membership.ListedLive
+		if vm.Leaving {
+			states[vm.VM] = membership.ListedLeaving
+		}
+	}
+	for _, vm := range e.backends.chosen() {
+		state, ok := states[vm]
+		if !ok {
+			state = membership.ListedAbsent
+		}
+		e.stepHolder(now, membership.VMListed{VM: vm, State: state})
+	}
+}
+
+// Account returns the account of this entry.
+func (e *Entry) Account() []admission.AccountEntry {
+	return e.admission.Account().Snapshot()
+}
+
+// Backends returns what the entry knows of its backend servers.
+func (e *Entry) Backends() []membership.BackendView {
+	return e.holder.Views(nil)
+}
+
+// OpenCalls returns the number of open calls.
+func (e *Entry) OpenCalls() int {
+	return len(e.calls)
+}
+
+// candidates returns the backend servers of a service in the order of their VMs.
+func (e *Entry) candidates(service ident.Service) []routing.Candidate {
+	var candidates []routing.Candidate
+	for _, view := range e.holder.Views(nil) {
+		backend, ok := e.backends.backend(service, view.VM)
+		if !ok {
+			continue
+		}
+		candidates = append(candidates, routing.Candidate{
+			BackendView: view,
+			Zone:        backend.Zone,
+			Capacity:    backend.Capacity,
+			Group:       backend.Group,
+			Ranks:       ranksOf(backend, view),
+		})
+	}
+	return candidates
+}
--- /dev/null
+++ b/internal/control/entry_calls.go
@@ -0,0 +1,316 @@
+package control
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/admission"
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+	"github.com/bramleyspool/bramleyspool/internal/routing"
+)
+
+func (e *Entry) arrive(now time.Time, event CallArrived) {
+	call := &event.Call
+	if e.configuration == nil {
+		e.act(FinishCall{Request: call.Request, Outcome: outcome.Refused(outcome.CauseNotReady)})
+		return
+	}
+	e.calls[call.Request] = &entryCall{arrived: event, at: now, open: map[attempt.Attempt]ident.VM{}}
+	e.stepAdmission(now, admission.Arrive{
+		Request:  call.Request,
+		Customer: call.Customer,
+		Class:    call.Class.Name,
+		Tokens:   event.Tokens,
+		Deadline: call.Deadline,
+		Retry:    event.Retry,
+	})
+}
+
+func (e *Entry) stepAdmission(now time.Time, event admission.Event) {
+	for _, action := range e.admission.Step(now, event) {
+		switch action := action.(type) {
+		case admission.Admit:
+			e.admit(now, action)
+		case admission.Refuse:
+			e.refuse(action)
+		case admission.SendLimitRequest:
+			e.sendLimits(now, action)
+		case admission.Report:
+			e.noteAccount(action.Message)
+		}
+	}
+}
+
+func (e *Entry) admit(now time.Time, admitted admission.Admit) {
+	call := e.calls[admitted.Request]
+	if call == nil {
+		return
+	}
+	if now.After(admitted.NotAfter) {
+		e.finish(now, FinishCall{Request: admitted.Request, Outcome: outcome.Refused(outcome.CauseDeadline)})
+		return
+	}
+	e.stepCaller(now, attempt.CallStarted{Call: call.arrived.Call})
+}
+
+func (e *Entry) refuse(refused admission.Refuse) {
+	call := e.calls[refused.Request]
+	if call == nil {
+		return
+	}
+	delete(e.calls, refused.Request)
+	e.noteOutcome(call, refused.Outcome)
+	e.act(FinishCall{Request: refused.Request, Outcome: refused.Outcome})
+}
+
+func (e *Entry) noteOutcome(call *entryCall, result outcome.Outcome) {
+	severity := SeverityDebug
+	if result.Kind != outcome.Served {
+		severity = SeverityInfo
+	}
+	fields := []Field{{"outcome", result.Kind.String()}, {"class", string(call.arrived.Call.Class.Name)}}
+	if result.Cause != outcome.CauseNone {
+		fields = append(fields, Field{"cause", string(result.Cause)})
+	}
+	if result.CausedBy != "" {
+		fields = append(fields, Field{"caused-by", string(result.CausedBy)})
+	}
+	e.act(Note{
+		Kind: "call-ended", Severity: severity, Request: call.arrived.Call.Request,
+		Customer: call.arrived.Call.Customer, Fields: fields,
+	})
+}
+
+func (e *Entry) stepCaller(now time.Time, event attempt.CallerEvent) {
+	for _, action := range e.caller.Step(now, event) {
+		e.callerAction(now, action)
+	}
+}
+
+func (e *Entry) callerAction(now time.Time, action attempt.CallerAction) {
+	switch action := action.(type) {
+	case attempt.NeedRoute:
+		e.routeCall(now, action)
+	case attempt.SendDispatch:
+		e.open(now, action.Dispatch)
+	case attempt.SendRevoke:
+		e.act(Send{To: action.Revoke.Target.VM, Body: &action.Revoke})
+	case attempt.SendQuery:
+		e.act(Send{To: action.Query.Target.VM, Body: &action.Query, NewConnection: true})
+	case attempt.SendCancel:
+		e.act(Send{To: action.Cancel.Target.VM, Body: &action.Cancel})
+	case attempt.ResumeStream:
+		e.act(ResumeAttempt(action))
+	case attempt.SendQuarantine:
+		e.note("quarantined", SeverityWarning, "", Field{"crashes", strconv.Itoa(action.Notice.Crashes)})
+		e.broadcast(&action.Notice)
+	case attempt.SendCleared:
+		e.broadcast(&ClearedNotice{Fingerprint: action.Fingerprint})
+	case attempt.Finish:
+		e.finish(now, FinishCall{Request: action.Request, Outcome: action.Outcome, Answer: action.Answer, Source: action.Source})
+	}
+}
+
+// broadcast sends a message to all other entries of the roster.
+func (e *Entry) broadcast(body any) {
+	for _, entry := range e.configuration.Fleet.Entries {
+		if entry.VM != e.self.Instance.VM {
+			e.act(Send{To: entry.VM, Body: body})
+		}
+	}
+}
+
+// routeCall picks a target. A request for which there is none now, but may be soon, is
+// picked for again until its deadline.
+func (e *Entry) routeCall(now time.Time, need attempt.NeedRoute) {
+	call := e.calls[need.Request]
+	if call == nil {
+		return
+	}
+	if need.Only != "" && e.backends.need(now, need.Class.Service, need.Only) {
+		e.chooseBackends(now)
+	}
+	decision := e.pick(now, need, call)
+	if decision.Cause != outcome.CauseNone {
+		e.noRoute(now, need, call, decision)
+		return
+	}
+	e.stepCaller(now, attempt.Routed{
+		Request: need.Request,
+		Target:  ident.Instance{VM: decision.VM, Incarnation: decision.Incarnation},
+		Lease:   attempt.Number(decision.Lease),
+	})
+}
+
+func (e *Entry) pick(now time.Time, need attempt.NeedRoute, call *entryCall) routing.Decision {
+	service := e.backends.services[need.Class.Service]
+	if service == nil {
+		return routing.Decision{Cause: outcome.CauseNoBackend}
+	}
+	snapshot := routing.Snapshot{Candidates: e.candidates(service.name), Prefixes: service.prefixes}
+	if len(need.Among) > 0 {
+		snapshot.Candidates = among(snapshot.Candidates, need.Among)
+	}
+	decision := service.picker.Pick(now, routing.Request{
+		ID:           need.Request,
+		Service:      service.name,
+		Zone:         e.self.Zone,
+		Blocks:       call.arrived.Blocks,
+		PromptTokens: call.arrived.PromptTokens,
+		OutputTokens: call.arrived.OutputTokens,
+		Deadline:     call.arrived.Call.Deadline,
+		Excluded:     need.Exclude,
+		Owner:        need.Only,
+		RunAlone:     need.Alone,
+	}, snapshot)
+	if decision.Cause == outcome.CauseNone {
+		service.prefixes.Expect(now, decision.VM, call.arrived.Blocks)
+	}
+	return decision
+}
+
+func among(candidates []routing.Candidate, vms []ident.VM) []routing.Candidate {
+	var kept []routing.Candidate
+	for _, candidate := range candidates {
+		if contains(vms, candidate.VM) {
+			kept = append(kept, candidate)
+		}
+	}
+	return kept
+}
+
+// noRoute keeps the request waiting if a target may come up before the deadline.
+func (e *Entry) noRoute(now time.Time, need attempt.NeedRoute, call *entryCall, decision routing.Decision) {
+	final := decision.Cause == outcome.CauseDeadline || !now.Before(call.arrived.Call.Deadline)
+	if need.Hedge || final {
+		e.stepCaller(now, attempt.NoRoute{Request: need.Request, Cause: decision.Cause, RetryAfter: decision.RetryAfter})
+		return
+	}
+	e.unrouted = append(e.unrouted, need)
+}
+
+// retryRoutes picks again for the requests that found no target, oldest first.
+func (e *Entry) retryRoutes(now time.Time) {
+	waiting := e.unrouted
+	e.unrouted = nil
+	for _, need := range waiting {
+		e.routeCall(now, need)
+	}
+}
+
+func (e *Entry) open(now time.Time, dispatch attempt.Dispatch) {
+	call := e.calls[dispatch.ID.Request]
+	if call == nil {
+		return
+	}
+	call.dispatched = now
+	call.open[dispatch.ID] = dispatch.Target.VM
+	e.stepHolder(now, membership.DispatchStarted{VM: dispatch.Target.VM})
+	e.act(Note{
+		Kind: "call-dispatched", Severity: SeverityDebug, Request: dispatch.ID.Request,
+		Customer: dispatch.Customer, About: dispatch.Target.VM,
+	})
+	e.act(OpenAttempt{Dispatch: dispatch, Rank: routing.NoRank})
+}
+
+// endAttempt frees the credit of an attempt that is no longer open at its agent.
+func (e *Entry) endAttempt(now time.Time, id attempt.Attempt) {
+	call := e.calls[id.Request]
+	if call == nil {
+		return
+	}
+	vm, ok := call.open[id]
+	if !ok {
+		return
+	}
+	delete(call.open, id)
+	e.stepHolder(now, membership.DispatchEnded{VM: vm})
+}
+
+func (e *Entry) hear(now time.Time, reply attempt.Reply) {
+	e.stepConfig(now, membership.VersionHeard{From: reply.Agent.VM, Version: 0})
+	switch reply.State {
+	case attempt.ReplyNeverStarted, attempt.ReplyFinished, attempt.ReplyInDoubt, attempt.ReplyForeign:
+		e.endAttempt(now, reply.ID)
+	case attempt.ReplyQueued, attempt.ReplyStarted:
+	}
+	e.stepCaller(now, attempt.ReplyReceived{Reply: reply})
+	e.retryRoutes(now)
+}
+
+func (e *Entry) progress(now time.Time, event AnswerProgress) {
+	call := e.calls[event.ID.Request]
+	if call != nil && call.started.IsZero() {
+		call.started = now
+	}
+	e.stepCaller(now, attempt.StreamProgress{ID: event.ID, Offset: event.Offset})
+}
+
+func (e *Entry) finish(now time.Time, finished FinishCall) {
+	call := e.calls[finished.Request]
+	if call == nil {
+		return
+	}
+	for id := range call.open {
+		e.endAttempt(now, id)
+	}
+	delete(e.calls, finished.Request)
+	e.observe(now, call, finished.Outcome)
+	e.noteOutcome(call, finished.Outcome)
+	e.act(finished)
+	e.stepAdmission(now, admission.Done{Request: finished.Request, Outcome: finished.Outcome})
+}
+
+func (e *Entry) observe(now time.Time, call *entryCall, result outcome.Outcome) {
+	service := e.backends.services[call.arrived.Call.Class.Service]
+	if service == nil || result.Kind != outcome.Served || call.dispatched.IsZero() {
+		return
+	}
+	started := call.started
+	if started.IsZero() {
+		started = now
+	}
+	service.observe(started.Sub(call.dispatched), now.Sub(call.dispatched))
+}
+
+// reportCapacity tells the admission what the leases allow.
+func (e *Entry) reportCapacity(now time.Time) {
+	views := e.holder.Views(nil)
+	for _, name := range e.backends.order {
+		service := e.backends.services[name]
+		slots := 0
+		for _, view := range views {
+			if _, ok := service.backends[view.VM]; ok && view.Usable(now) {
+				slots += int(max(view.Credits, view.Open))
+			}
+		}
+		service.slots = slots
+		e.stepAdmission(now, admission.Capacity{
+			Service: name, Slots: slots, ServiceTime: service.serviceTime, AnswerTime: service.answerTime,
+		})
+	}
+	e.reportDemand(now, views)
+}
+
+// reportDemand tells the agents how many requests the entry would keep open.
+func (e *Entry) reportDemand(now time.Time, views []membership.BackendView) {
+	demand := map[ident.Service]int{}
+	for _, call := range e.calls {
+		demand[call.arrived.Call.Class.Service]++
+	}
+	for _, name := range e.backends.order {
+		service := e.backends.services[name]
+		if len(service.backends) == 0 {
+			continue
+		}
+		share := (demand[name] + len(service.subset)) / max(len(service.subset), 1)
+		for _, view := range views {
+			if _, ok := service.backends[view.VM]; ok {
+				e.stepHolder(now, membership.WantChanged{VM: view.VM, Wanted: uint32(share) + 1})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/entry_messages.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/admission"
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+)
+
+func (e *Entry) receive(now time.Time, event MessageReceived) {
+	from := event.From.VM
+	switch body := event.Body.(type) {
+	case *attempt.Reply:
+		e.hear(now, *body)
+	case *membership.LeaseGrant:
+		e.stepConfig(now, membership.VersionHeard{From: from, Version: body.Config})
+		e.stepHolder(now, membership.GrantReceived{From: from, Grant: *body, NewConnection: true})
+		e.retryRoutes(now)
+	case *membership.Leaving:
+		e.stepHolder(now, membership.LeavingReceived{From: from, Leaving: *body})
+	case *attempt.Claim:
+		e.stepLog(now, attempt.ClaimReceived{Claim: *body})
+	case *attempt.PeerQuestion:
+		e.stepLog(now, attempt.PeerQuestionReceived{Question: *body})
+	case *attempt.PeerAnswer:
+		e.stepLog(now, attempt.PeerAnswerReceived{Answer: *body})
+	case *attempt.CrashReport:
+		e.stepCaller(now, attempt.CrashReported{Report: *body})
+	case *attempt.QuarantineNotice:
+		e.stepCaller(now, attempt.QuarantineNoticed{Notice: *body})
+	case *ClearedNotice:
+		e.stepCaller(now, attempt.SuspectCleared{Fingerprint: body.Fingerprint})
+	case *attempt.KeyAnswer:
+		e.act(KeyFound{Answer: *body})
+	case *admission.LimitRequest:
+		e.stepCoordinator(now, admission.LimitRequested{Request: *body})
+	case *admission.LimitGrant:
+		e.stepAdmission(now, admission.LimitGranted{Grant: *body})
+	default:
+		e.note("message-not-expected", SeverityWarning, from)
+	}
+}
+
+func (e *Entry) stepHolder(now time.Time, event membership.HolderEvent) {
+	for _, action := range e.holder.Step(now, event) {
+		e.holderAction(now, action)
+	}
+}
+
+func (e *Entry) holderAction(now time.Time, action membership.HolderAction) {
+	switch action := action.(type) {
+	case membership.SendLeaseRequest:
+		e.act(Send{To: action.To, Body: &action.Request})
+	case membership.ProbeNewConnection:
+		e.act(Send{To: action.To, Body: &action.Request, NewConnection: true})
+	case membership.ReplaceConnection:
+		e.connectionReplaced(now, action)
+	case membership.BackendChanged:
+		severity := SeverityInfo
+		if action.To == membership.StateSuspect || action.To == membership.StateGone {
+			severity = SeverityWarning
+		}
+		e.note("backend-"+string(action.To), severity, action.VM, Field{"from", string(action.From)})
+	case membership.BackendRestarted:
+		e.note("agent-restarted", SeverityWarning, action.VM,
+			Field{"old", strconv.FormatUint(uint64(action.Old), 16)},
+			Field{"new", strconv.FormatUint(uint64(action.New), 16)})
+	case membership.GapDetected:
+		e.note("clock-gap", SeverityWarning, "", Field{"gap", action.Gap.String()})
+	}
+}
+
+// connectionReplaced asks after the attempts on a connection that went silent.
+func (e *Entry) connectionReplaced(now time.Time, action membership.ReplaceConnection) {
+	e.note("connection-replaced", SeverityWarning, action.To)
+	view, ok := e.holder.View(action.To)
+	if !ok {
+		return
+	}
+	target := ident.Instance{VM: view.VM, Incarnation: view.Incarnation}
+	e.stepCaller(now, attempt.ConnectionLost{Target: target})
+}
+
+func (e *Entry) stepLog(now time.Time, event attempt.LogEvent) {
+	for _, action := range e.log.Step(now, event) {
+		switch action := action.(type) {
+		case attempt.SendClaimAnswer:
+			e.act(Send{To: action.Answer.Claimant.VM, Body: &action.Answer})
+		case attempt.SendPeerQuestion:
+			e.act(Send{To: action.To, Body: &action.Question})
+		case attempt.SendPeerAnswer:
+			e.act(Send{To: action.Answer.Asker.VM, Body: &action.Answer})
+		case attempt.Superseded:
+			e.note("superseded", SeverityWarning, "", Field{"by", strconv.FormatUint(uint64(action.By), 16)})
+			e.act(Exit{Reason: "superseded"})
+		}
+	}
+}
+
+// sendLimits sends a request for parts of limits, or hands it to the own coordinator.
+func (e *Entry) sendLimits(now time.Time, action admission.SendLimitRequest) {
+	if action.To == e.self.Instance.VM {
+		e.stepCoordinator(now, admission.LimitRequested{Request: action.Message})
+		return
+	}
+	e.act(Send{To: action.To, Body: &action.Message})
+}
+
+func (e *Entry) stepCoordinator(now time.Time, event admission.CoordinatorEvent) {
+	for _, action := range e.coordinator.Step(now, event) {
+		grant, ok := action.(admission.SendLimitGrant)
+		if !ok {
+			continue
+		}
+		if grant.To == e.self.Instance.VM {
+			e.stepAdmission(now, admission.LimitGranted{Grant: grant.Message})
+			continue
+		}
+		e.act(Send{To: grant.To, Body: &grant.Message})
+	}
+}
+
+// noteAccount writes the classes with refusals of a report to the time line.
+func (e *Entry) noteAccount(report admission.AccountReport) {
+	for _, entry := range report.Entries {
+		for _, refusals := range entry.NotRun {
+			e.act(Note{
+				Kind: "overload-account", Severity: SeverityDebug, Customer: entry.Key.Customer,
+				Fields: []Field{
+					{"class", string(entry.Key.Class)},
+					{"cause", string(refusals.Cause)},
+					{"caused-by", string(refusals.CausedBy)},
+					{"limit", string(refusals.Limit)},
+					{"count", strconv.FormatUint(refusals.Count, 10)},
+					{"worth", strconv.FormatFloat(refusals.Worth, 'g', -1, 64)},
+				},
+			})
+		}
+	}
+}
+
+// askKey asks the owner of a run key what became of it.
+func (e *Entry) askKey(inquiry KeyInquiry) {
+	owner := e.log.Owner(inquiry.Service, inquiry.RunKey)
+	if owner == "" {
+		e.act(KeyFound{Answer: attempt.KeyAnswer{Request: inquiry.Request, RunKey: inquiry.RunKey, Status: attempt.KeyInDoubt}})
+		return
+	}
+	e.act(Send{To: owner, Body: &attempt.KeyQuestion{Entry: e.self.Instance, Request: inquiry.Request, RunKey: inquiry.RunKey}})
+}
--- /dev/null
+++ b/internal/control/leases.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/fleet"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+)
+
+// rememberAttempts is how long the records of ended attempts are kept after their lease ran out.
+const rememberAttempts = 2 * time.Minute
+
+// leaseWindow derives from the grants which lease numbers may still start work and which
+// are so old that their attempts may be forgotten.
+type leaseWindow struct {
+	issued []issuedLease
+	moved  attempt.LeaseMoved
+}
+
+type issuedLease struct {
+	number  attempt.Number
+	expires time.Time
+}
+
+func (w *leaseWindow) granted(now time.Time, grant membership.LeaseGrant) {
+	if grant.Number == 0 {
+		return
+	}
+	w.issued = append(w.issued, issuedLease{attempt.Number(grant.Number), now.Add(grant.Duration.Duration())})
+}
+
+// move returns the lease numbers to use from now on, if they changed.
+func (w *leaseWindow) move(now time.Time) (attempt.LeaseMoved, bool) {
+	next := w.moved
+	for len(w.issued) > 0 && now.Sub(w.issued[0].expires) > rememberAttempts {
+		next.Forget = max(next.Forget, w.issued[0].number+1)
+		w.issued = w.issued[1:]
+	}
+	for _, lease := range w.issued {
+		next.Current = max(next.Current, lease.number)
+		if lease.expires.Before(now) {
+			next.Start = max(next.Start, lease.number+1)
+		}
+	}
+	next.Start = max(next.Start, next.Forget+1)
+	if next == w.moved {
+		return next, false
+	}
+	w.moved = next
+	return next, true
+}
+
+// invalid returns a lease number under which nothing starts and nothing is forgotten.
+func (w *leaseWindow) invalid() attempt.Number {
+	return max(w.moved.Start, 1) - 1
+}
+
+// absence notes since when published backend servers are off the platform's list.
+type absence struct {
+	since map[ident.VM]time.Time
+	gone  map[ident.VM]bool
+}
+
+// listed takes the list and returns the VMs that are gone for good since the last call.
+func (a *absence) listed(now time.Time, published *fleet.Fleet, listed []ListedVM) []ident.VM {
+	if a.since == nil {
+		a.since = map[ident.VM]time.Time{}
+		a.gone = map[ident.VM]bool{}
+	}
+	present := make(map[ident.VM]bool, len(listed))
+	for _, vm := range listed {
+		present[vm.VM] = true
+		delete(a.since, vm.VM)
+		delete(a.gone, vm.VM)
+	}
+	var gone []ident.VM
+	for i := range published.Services {
+		for _, backend := range published.Services[i].Backends {
+			if present[backend.VM] || a.gone[backend.VM] {
+				continue
+			}
+			if _, noted := a.since[backend.VM]; !noted {
+				a.since[backend.VM] = now
+			}
+			if now.Sub(a.since[backend.VM]) >= listedGone {
+				a.gone[backend.VM] = true
+				gone = append(gone, backend.VM)
+			}
+		}
+	}
+	sort.Slice(gone, func(i, j int) bool { return gone[i] < gone[j] })
+	return gone
+}
--- /dev/null
+++ b/internal/node/host.go
@@ -0,0 +1,330 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleyspool/bramleyspool/internal/control"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/platform"
+	"github.com/bramleyspool/bramleyspool/internal/published"
+	"github.com/bramleyspool/bramleyspool/internal/settings"
+	"github.com/bramleyspool/bramleyspool/internal/timeline"
+	"github.com/bramleyspool/bramleyspool/internal/wire"
+)
+
+// Errors of peers that are refused.
+var (
+	errNotPublished = errors.New("the VM is not in the published fleet")
+	errOtherPlace   = errors.New("the published zone or role of the VM is another")
+)
+
+const (
+	maxSendsInFlight = 1024
+	vmListInterval   = 5 * time.Second
+	keysInterval     = 10 * time.Second
+)
+
+// Machine is the control state of a process.
+type Machine interface {
+	Step(now time.Time, event control.Event) []control.Action
+}
+
+// Role carries out the actions that only one kind of process knows.
+type Role interface {
+	// Execute carries out an action; it is called by the control thread and must not block.
+	Execute(action control.Action)
+	// UseConfiguration publishes a configuration to the traffic threads.
+	UseConfiguration(configuration *published.Configuration)
+	// SetReady tells whether the process takes calls.
+	SetReady(ready bool)
+	// ServeCall serves a call stream of another process.
+	ServeCall(peer wire.Identity, call *wire.Call)
+	// Drain waits until everything that a planned stop waits for has ended.
+	Drain(ctx context.Context)
+}
+
+// Config sets a host up.
+type Config struct {
+	Settings *settings.Settings
+	Role     settings.Role
+	Self     ident.Instance
+	Keys     *wire.Keys
+	Log      *logrus.Entry
+	Metrics  *Metrics
+	Service  platform.ConfigService
+	VMs      platform.VMList
+}
+
+// Host runs the control thread of a process and all I/O that entries and agents share.
+type Host struct {
+	config    Config
+	codec     *wire.Codec
+	machine   Machine
+	role      Role
+	loop      *Loop[control.Event]
+	transport *wire.Transport
+	directory *Directory
+	clock     *timeline.Clock
+	events    *timeline.Buffer
+	sends     chan struct{}
+	exit      chan string
+	ready     atomic.Bool
+	work      sync.WaitGroup
+	ctx       context.Context
+}
+
+// NewHost returns a host that listens for other processes.
+func NewHost(config Config) (*Host, error) {
+	codec, err := NewCodec()
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{
+		config:    config,
+		codec:     codec,
+		directory: NewDirectory(config.Settings.Peer.Seeds),
+		clock:     timeline.NewClock(config.Self),
+		sends:     make(chan struct{}, maxSendsInFlight),
+		exit:      make(chan string, 1),
+	}
+	h.events = timeline.NewBuffer(config.Self, h.clock, timelineCapacity)
+	h.loop = NewLoop(control.TickInterval, h.step, func(now time.Time) { h.step(now, control.Tick{}) })
+	h.transport, err = wire.Listen(wire.Config{
+		Address:         config.Settings.Peer.Address,
+		Self:            config.Self,
+		Keys:            config.Keys,
+		Codec:           codec,
+		MaxMessageBytes: config.Settings.Peer.MaxMessageBytes,
+		Stamp:           func() timeline.Stamp { return h.clock.Next(time.Now()) },
+		Handler:         h,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+// Run drives the machine until it exits or the context ends. The first actions are those
+// of the machine's start. It returns why the process ends.
+func (h *Host) Run(ctx context.Context, machine Machine, role Role, first []control.Action) string {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	h.machine, h.role, h.ctx = machine, role, ctx
+	h.execute(first)
+	h.spawn(func() { h.loop.Run(ctx) })
+	h.spawn(func() { h.pollVMs(ctx) })
+	h.spawn(func() { h.reloadKeys(ctx) })
+	reason := "cancelled"
+	select {
+	case reason = <-h.exit:
+	case <-ctx.Done():
+	}
+	cancel()
+	h.transport.Close()
+	h.work.Wait()
+	return reason
+}
+
+func (h *Host) spawn(work func()) {
+	h.work.Add(1)
+	go func() {
+		defer h.work.Done()
+		work()
+	}()
+}
+
+// Stop asks for a planned stop; a second call forces it.
+func (h *Host) Stop(force bool) {
+	if force {
+		h.Post(control.StopForced{})
+		return
+	}
+	h.Post(control.StopAsked{})
+}
+
+// Post hands an event to the control thread and waits for room. It returns false if the
+// process ends first.
+func (h *Host) Post(event control.Event) bool {
+	return h.loop.Post(h.ctx, event)
+}
+
+// Offer hands an event to the control thread unless its queue is full.
+func (h *Host) Offer(event control.Event) bool {
+	return h.loop.Offer(event)
+}
+
+// Context ends with the process.
+func (h *Host) Context() context.Context {
+	return h.ctx
+}
+
+// Transport returns the interface to other processes.
+func (h *Host) Transport() *wire.Transport {
+	return h.transport
+}
+
+// Directory returns the known processes.
+func (h *Host) Directory() *Directory {
+	return h.directory
+}
+
+// Loop returns the control thread's counts.
+func (h *Host) Loop() LoopStats {
+	return h.loop.Stats()
+}
+
+// Ready reports whether the process takes calls.
+func (h *Host) Ready() bool {
+	return h.ready.Load()
+}
+
+// Log returns the process's log.
+func (h *Host) Log() *logrus.Entry {
+	return h.config.Log
+}
+
+// Spawn runs work in a goroutine that the host waits for at its end.
+func (h *Host) Spawn(work func(ctx context.Context)) {
+	h.spawn(func() { work(h.ctx) })
+}
+
+func (h *Host) step(now time.Time, event control.Event) {
+	h.execute(h.machine.Step(now, event))
+}
+
+func (h *Host) execute(actions []control.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case control.Send:
+			h.send(action)
+		case control.ReadConfig:
+			h.spawn(func() { h.readConfig(action.Call) })
+		case control.InForce:
+			h.directory.Use(action.Configuration.Fleet)
+			h.role.UseConfiguration(action.Configuration)
+		case control.Readiness:
+			h.ready.Store(action.Ready)
+			h.role.SetReady(action.Ready)
+		case control.Exit:
+			h.end(action.Reason)
+		case control.Note:
+			h.Note(action)
+		default:
+			h.role.Execute(action)
+		}
+	}
+}
+
+func (h *Host) end(reason string) {
+	select {
+	case h.exit <- reason:
+	default:
+	}
+}
+
+// send sends a message in a goroutine of its own; at most maxSendsInFlight wait at once.
+func (h *Host) send(action control.Send) {
+	select {
+	case h.sends <- struct{}{}:
+	default:
+		h.config.Metrics.Scope.Counter("sends_rejected").Inc(1)
+		return
+	}
+	h.spawn(func() {
+		defer func() { <-h.sends }()
+		if err := h.sendNow(action); err != nil {
+			h.config.Metrics.Scope.Counter("sends_failed").Inc(1)
+			h.config.Log.WithFields(logrus.Fields{
+				"to": action.To, "message": fmt.Sprintf("%T", action.Body), "error": err,
+			}).Debug("send-failed")
+		}
+	})
+}
+
+func (h *Host) sendNow(action control.Send) error {
+	if conn, ok := action.Route.(*wire.Conn); ok {
+		return conn.Send(h.ctx, action.Body)
+	}
+	target, ok := h.directory.Target(action.To)
+	if !ok {
+		return errNotPublished
+	}
+	if action.NewConnection {
+		h.transport.Renew(target)
+	}
+	return h.transport.Send(h.ctx, target, action.Body)
+}
+
+func (h *Host) readConfig(call membership.ServiceCall) {
+	value, err := h.callService(call)
+	switch {
+	case errors.Is(err, platform.ErrUnchanged):
+		h.Post(control.ConfigAnswered{Answer: membership.ServiceAnswered{Call: call.ID, Revision: call.After, Unchanged: true}})
+	case err != nil && platform.KindOf(err) != platform.KindStale:
+		h.Post(control.ConfigFailed{Failure: membership.ServiceFailed{Call: call.ID, Reason: err.Error()}})
+	default:
+		h.Post(control.ConfigAnswered{Answer: membership.ServiceAnswered{Call: call.ID, Revision: value.Revision, Value: value.Data}})
+	}
+}
+
+func (h *Host) callService(call membership.ServiceCall) (platform.Value, error) {
+	if call.Watch {
+		return h.config.Service.Watch(h.ctx, call.Key, call.After)
+	}
+	return h.config.Service.Read(h.ctx, call.Key)
+}
+
+func (h *Host) pollVMs(ctx context.Context) {
+	ticker := time.NewTicker(vmListInterval)
+	defer ticker.Stop()
+	for {
+		if statuses, err := h.config.VMs.List(ctx); err == nil {
+			h.Post(control.VMsListed{VMs: listed(statuses)})
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func listed(statuses []platform.VMStatus) []control.ListedVM {
+	vms := make([]control.ListedVM, len(statuses))
+	for i, status := range statuses {
+		vms[i] = control.ListedVM{VM: status.VM, Leaving: status.State == platform.VMLeaving}
+	}
+	return vms
+}
+
+// reloadKeys puts changed key files in use.
+func (h *Host) reloadKeys(ctx context.Context) {
+	files := h.config.Settings.Keys
+	ticker := time.NewTicker(keysInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		pair, err := wire.LoadKeyPair(files.Certificate, files.PrivateKey, files.Authority)
+		if err == nil {
+			err = h.config.Keys.Replace(pair)
+		}
+		if err != nil {
+			h.Note(control.Note{
+				Kind: "keys-not-reloaded", Severity: control.SeverityWarning,
+				Fields: []control.Field{{Key: "error", Value: err.Error()}},
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/messages.go
@@ -0,0 +1,87 @@
+// Package relay carries requests and answers over call streams between entry and agent: what
+// an entry sends behind a dispatch, and the answer that an agent buffers and sends back.
+package relay
+
+import (
+	"crypto/sha256"
+	"net/http"
+	"sort"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// HeaderField is one HTTP header field.
+type HeaderField struct {
+	Name  string `cbor:"1,keyasint"`
+	Value string `cbor:"2,keyasint"`
+}
+
+// Payload is the caller's request; it follows an attempt.Dispatch on the same stream.
+type Payload struct {
+	Method string        `cbor:"1,keyasint"`
+	Path   string        `cbor:"2,keyasint"`
+	Header []HeaderField `cbor:"3,keyasint,omitempty"`
+	Body   []byte        `cbor:"4,keyasint,omitempty"`
+	// Stream is true if a model's answer is sent as server-sent events.
+	Stream bool `cbor:"5,keyasint,omitempty"`
+	// Model is true for a completion, false for a call on a plain service.
+	Model bool `cbor:"6,keyasint,omitempty"`
+	// Priority is the band of the request; engines run band 0 first.
+	Priority int `cbor:"7,keyasint,omitempty"`
+	// Rank is the rank at which the request enters its group, counted from 1; 0 leaves the
+	// choice to the engine.
+	Rank int `cbor:"8,keyasint,omitempty"`
+	// Key is the caller's idempotency key for the backend server; "" without one.
+	Key string `cbor:"9,keyasint,omitempty"`
+}
+
+// Digest returns the digest of all that makes up the request. The same request sent again
+// has the same digest.
+func (p *Payload) Digest() attempt.Digest {
+	hash := sha256.New()
+	for _, part := range []string{p.Method, p.Path} {
+		hash.Write([]byte(part))
+		hash.Write([]byte{0})
+	}
+	hash.Write(p.Body)
+	return attempt.Digest(hash.Sum(nil))
+}
+
+// AnswerHead starts an answer.
+type AnswerHead struct {
+	ID     attempt.Attempt `cbor:"1,keyasint"`
+	Agent  ident.Instance  `cbor:"2,keyasint"`
+	Status int             `cbor:"3,keyasint"`
+	Header []HeaderField   `cbor:"4,keyasint,omitempty"`
+}
+
+// AnswerData carries a part of an answer's body. The last message of an answer is an
+// attempt.Reply with its length and digest.
+type AnswerData struct {
+	ID     attempt.Attempt `cbor:"1,keyasint"`
+	Agent  ident.Instance  `cbor:"2,keyasint"`
+	Offset int64           `cbor:"3,keyasint"`
+	Bytes  []byte          `cbor:"4,keyasint"`
+}
+
+// Fields returns a header's fields in order of their names.
+func Fields(header http.Header) []HeaderField {
+	var fields []HeaderField
+	for name, values := range header {
+		for _, value := range values {
+			fields = append(fields, HeaderField{Name: name, Value: value})
+		}
+	}
+	sort.SliceStable(fields, func(i, j int) bool { return fields[i].Name < fields[j].Name })
+	return fields
+}
+
+// Header returns fields as a header.
+func Header(fields []HeaderField) http.Header {
+	header := make(http.Header, len(fields))
+	for _, field := range fields {
+		header.Add(field.Name, field.Value)
+	}
+	return header
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,13 +52,22 @@
 type Peer struct {
 	// Address is the IP address and UDP port to listen on.
 	Address string `json:"address"`
-	// Seeds are IP addresses and UDP ports of other processes to ask for the configuration
-	// in force when the configuration service can't be read.
-	Seeds []string `json:"seeds,omitempty"`
+	// Seeds are other processes to ask for the configuration in force before the fleet is known.
+	Seeds []Seed `json:"seeds,omitempty"`
 	// MaxMessageBytes is the greatest accepted size of one message, in bytes. Default: 2097152.
 	MaxMessageBytes int `json:"max_message_bytes,omitempty" jsonschema:"minimum=0"`
 }
 
+// Seed is another process of the system.
+type Seed struct {
+	// VM is the name of its VM.
+	VM ident.VM `json:"vm" jsonschema:"minLength=1"`
+	// Zone is its availability zone.
+	Zone ident.Zone `json:"zone" jsonschema:"minLength=1"`
+	// Address is its IP address and UDP port.
+	Address string `json:"address"`
+}
+
 // Keys are the files that identify the process. They are read again when they change.
 type Keys struct {
 	// Certificate is the PEM file with the certificate of the VM.
@@ -203,7 +212,7 @@
 	faults := &fault.Collector{}
 	checkAddress(faults, "/peer/address", s.Peer.Address)
 	for i, seed := range s.Peer.Seeds {
-		checkAddress(faults, fmt.Sprintf("/peer/seeds/%d", i), seed)
+		checkAddress(faults, fmt.Sprintf("/peer/seeds/%d/address", i), seed.Address)
 	}
 	checkAddress(faults, "/admin/address", s.Admin.Address)
 	checkURL(faults, "/platform/configuration", s.Platform.Configuration)
--- /dev/null
+++ b/internal/wire/transport.go
@@ -0,0 +1,526 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/timeline"
+)
+
+// Target is a process to connect to.
+type Target struct {
+	// VM is the expected name; "" accepts any process of the fleet.
+	VM ident.VM
+	// Address is the IP address and UDP port.
+	Address string
+}
+
+// Handler takes what arrives. Its methods are called from several goroutines.
+type Handler interface {
+	// Authorize decides whether a peer with a valid certificate is let in.
+	Authorize(peer Identity) error
+	// Receive takes a message. The answer may be sent over the connection that it came over.
+	Receive(peer Identity, envelope Envelope, from *Conn)
+	// ServeCall serves a call stream until it returns.
+	ServeCall(peer Identity, call *Call)
+	// Report takes note of a fault of the transport, such as a refused peer.
+	Report(fault Fault)
+}
+
+// Fault is something that went wrong on the transport.
+type Fault struct {
+	Peer    Identity
+	Address string
+	Reason  FaultReason
+	Err     error
+}
+
+// FaultReason is the kind of a transport fault.
+type FaultReason string
+
+// The kinds of transport faults.
+const (
+	FaultRefusedPeer FaultReason = "refused-peer"
+	FaultHandshake   FaultReason = "handshake"
+	FaultMalformed   FaultReason = "malformed-message"
+	FaultTooLarge    FaultReason = "message-too-large"
+	FaultForeign     FaultReason = "foreign-sender"
+	FaultTruncated   FaultReason = "truncated-message"
+)
+
+// Config sets a transport up.
+type Config struct {
+	// Address is the IP address and UDP port to listen on.
+	Address string
+	// Self is the process.
+	Self ident.Instance
+	Keys *Keys
+	// Codec knows all messages.
+	Codec *Codec
+	// MaxMessageBytes is the greatest accepted size of a message, in bytes.
+	MaxMessageBytes int
+	// Stamp returns the time line stamp for a message that is sent now.
+	Stamp func() timeline.Stamp
+	// Handler takes what arrives.
+	Handler Handler
+}
+
+const (
+	idleTimeout        = 20 * time.Second
+	handshakeTimeout   = 2 * time.Second
+	sendTimeout        = 2 * time.Second
+	maxIncomingStreams = 4096
+	codeRefused        = quic.ApplicationErrorCode(1)
+	codeClosed         = quic.ApplicationErrorCode(2)
+	codeReset          = quic.StreamErrorCode(1)
+)
+
+// Transport sends and receives messages and call streams over one UDP port.
+type Transport struct {
+	config   Config
+	quic     *quic.Transport
+	listener *quic.Listener
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+	sent     atomic.Int64
+	received atomic.Int64
+
+	mu sync.Mutex
+	// conns are the dialed connections.
+	conns map[Target]*pooledConn
+	// accepted are the newest accepted connections, which also serve to send.
+	accepted map[ident.VM]*quic.Conn
+}
+
+// Conn is the connection that a message came over.
+type Conn struct {
+	transport *Transport
+	conn      *quic.Conn
+}
+
+// Address returns the peer's IP address and UDP port.
+func (c *Conn) Address() string {
+	return c.conn.RemoteAddr().String()
+}
+
+// Send sends a message over this connection only.
+func (c *Conn) Send(ctx context.Context, body Message) error {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	return c.transport.sendOver(ctx, c.conn, body)
+}
+
+type pooledConn struct {
+	ready chan struct{}
+	conn  *quic.Conn
+	err   error
+}
+
+// Traffic counts the message bytes of a transport, without calls.
+type Traffic struct {
+	SentBytes     int64
+	ReceivedBytes int64
+}
+
+// Listen opens a transport and takes what arrives until Close.
+func Listen(config Config) (*Transport, error) {
+	address, err := net.ResolveUDPAddr("udp", config.Address)
+	if err != nil {
+		return nil, fmt.Errorf("peer address: %w", err)
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return nil, fmt.Errorf("peer address: %w", err)
+	}
+	t := &Transport{config: config, quic: &quic.Transport{Conn: socket}, conns: map[Target]*pooledConn{}, accepted: map[ident.VM]*quic.Conn{}}
+	t.listener, err = t.quic.Listen(config.Keys.serverConfig(), quicConfig())
+	if err != nil {
+		socket.Close()
+		return nil, fmt.Errorf("peer address: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.stop = cancel
+	t.done.Add(1)
+	go t.accept(ctx)
+	return t, nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:        idleTimeout,
+		HandshakeIdleTimeout:  handshakeTimeout,
+		MaxIncomingStreams:    maxIncomingStreams,
+		MaxIncomingUniStreams: maxIncomingStreams,
+	}
+}
+
+// Address returns the IP address and UDP port that the transport listens on.
+func (t *Transport) Address() string {
+	return t.quic.Conn.LocalAddr().String()
+}
+
+// Traffic returns the message bytes so far.
+func (t *Transport) Traffic() Traffic {
+	return Traffic{SentBytes: t.sent.Load(), ReceivedBytes: t.received.Load()}
+}
+
+// Close ends all connections.
+func (t *Transport) Close() {
+	t.stop()
+	t.listener.Close()
+	t.mu.Lock()
+	for _, pooled := range t.conns {
+		select {
+		case <-pooled.ready:
+			if pooled.conn != nil {
+				_ = pooled.conn.CloseWithError(codeClosed, "closed")
+			}
+		default:
+		}
+	}
+	t.conns = map[Target]*pooledConn{}
+	t.mu.Unlock()
+	_ = t.quic.Close()
+	t.quic.Conn.Close()
+	t.done.Wait()
+}
+
+// Send sends a message. An error means that it may not have arrived.
+func (t *Transport) Send(ctx context.Context, target Target, body Message) error {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	conn, err := t.connect(ctx, target)
+	if err != nil {
+		return err
+	}
+	if err := t.sendOver(ctx, conn, body); err != nil {
+		t.drop(target, conn)
+		return fmt.Errorf("send to %s: %w", target.VM, err)
+	}
+	return nil
+}
+
+func (t *Transport) sendOver(ctx context.Context, conn *quic.Conn, body Message) error {
+	data, err := t.config.Codec.Encode(Envelope{From: t.config.Self, Stamp: t.config.Stamp(), Body: body})
+	if err != nil {
+		return err
+	}
+	stream, err := conn.OpenUniStreamSync(ctx)
+	if err != nil {
+		return err
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = stream.SetWriteDeadline(deadline)
+	}
+	if _, err := stream.Write(data); err != nil {
+		stream.CancelWrite(codeReset)
+		return err
+	}
+	t.sent.Add(int64(len(data)))
+	return stream.Close()
+}
+
+// OpenCall opens a call stream.
+func (t *Transport) OpenCall(ctx context.Context, target Target) (*Call, error) {
+	conn, err := t.connect(ctx, target)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		t.drop(target, conn)
+		return nil, fmt.Errorf("call to %s: %w", target.VM, err)
+	}
+	return t.newCall(stream), nil
+}
+
+// Renew makes the next use of a target dial a new connection. Streams on the old connection go
+// on until they end or the connection times out.
+func (t *Transport) Renew(target Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.accepted, target.VM)
+	pooled := t.conns[target]
+	if pooled == nil {
+		return
+	}
+	select {
+	case <-pooled.ready:
+		delete(t.conns, target)
+	default:
+	}
+}
+
+func (t *Transport) connect(ctx context.Context, target Target) (*quic.Conn, error) {
+	t.mu.Lock()
+	pooled := t.conns[target]
+	if pooled != nil && pooled.ended() {
+		pooled = nil
+	}
+	if pooled == nil && t.isOpen(target.VM) {
+		conn := t.accepted[target.VM]
+		t.mu.Unlock()
+		return conn, nil
+	}
+	if pooled == nil {
+		pooled = &pooledConn{ready: make(chan struct{})}
+		t.conns[target] = pooled
+		t.done.Add(1)
+		go t.dial(target, pooled)
+	}
+	t.mu.Unlock()
+	select {
+	case <-pooled.ready:
+		return pooled.conn, pooled.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("connect to %s: %w", target.VM, ctx.Err())
+	}
+}
+
+// isOpen reports whether an accepted connection of the VM is open; the lock is held.
+func (t *Transport) isOpen(vm ident.VM) bool {
+	conn := t.accepted[vm]
+	if conn == nil {
+		return false
+	}
+	if conn.Context().Err() != nil {
+		delete(t.accepted, vm)
+		return false
+	}
+	return true
+}
+
+func (p *pooledConn) ended() bool {
+	select {
+	case <-p.ready:
+		return p.err != nil || p.conn.Context().Err() != nil
+	default:
+		return false
+	}
+}
+
+func (t *Transport) dial(target Target, pooled *pooledConn) {
+	defer t.done.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	conn, err := t.dialVerified(ctx, target)
+	pooled.conn, pooled.err = conn, err
+	close(pooled.ready)
+	if err != nil {
+		t.forget(target, pooled)
+		return
+	}
+	t.done.Add(1)
+	go t.serve(conn)
+}
+
+func (t *Transport) dialVerified(ctx context.Context, target Target) (*quic.Conn, error) {
+	address, err := net.ResolveUDPAddr("udp", target.Address)
+	if err != nil {
+		return nil, fmt.Errorf("address of %s: %w", target.VM, err)
+	}
+	conn, err := t.quic.Dial(ctx, address, t.config.Keys.clientConfig(), quicConfig())
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", target.VM, err)
+	}
+	peer, err := IdentityOf(conn.ConnectionState().TLS.PeerCertificates[0])
+	if err == nil && target.VM != "" && peer.VM != target.VM {
+		err = fmt.Errorf("%w: expected %s, found %s", ErrWrongIdentity, target.VM, peer.VM)
+	}
+	if err == nil {
+		err = t.config.Handler.Authorize(peer)
+	}
+	if err != nil {
+		t.config.Handler.Report(Fault{Peer: peer, Address: target.Address, Reason: FaultRefusedPeer, Err: err})
+		_ = conn.CloseWithError(codeRefused, "refused")
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (t *Transport) forget(target Target, pooled *pooledConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conns[target] == pooled {
+		delete(t.conns, target)
+	}
+}
+
+func (t *Transport) drop(target Target, conn *quic.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pooled := t.conns[target]
+	if pooled != nil && pooled.conn == conn {
+		delete(t.conns, target)
+	}
+	if t.accepted[target.VM] == conn {
+		delete(t.accepted, target.VM)
+	}
+}
+
+func (t *Transport) accept(ctx context.Context) {
+	defer t.done.Done()
+	for {
+		conn, err := t.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		t.done.Add(1)
+		go t.serveAccepted(conn)
+	}
+}
+
+func (t *Transport) serveAccepted(conn *quic.Conn) {
+	peer, err := IdentityOf(conn.ConnectionState().TLS.PeerCertificates[0])
+	if err == nil {
+		err = t.config.Handler.Authorize(peer)
+	}
+	if err != nil {
+		t.config.Handler.Report(Fault{Peer: peer, Address: conn.RemoteAddr().String(), Reason: FaultRefusedPeer, Err: err})
+		_ = conn.CloseWithError(codeRefused, "refused")
+		t.done.Done()
+		return
+	}
+	t.mu.Lock()
+	t.accepted[peer.VM] = conn
+	t.mu.Unlock()
+	t.serve(conn)
+}
+
+// serve takes streams of a verified connection until it ends.
+func (t *Transport) serve(conn *quic.Conn) {
+	defer t.done.Done()
+	peer, err := IdentityOf(conn.ConnectionState().TLS.PeerCertificates[0])
+	if err != nil {
+		return
+	}
+	t.done.Add(1)
+	go t.serveCalls(conn, peer)
+	for {
+		stream, err := conn.AcceptUniStream(conn.Context())
+		if err != nil {
+			return
+		}
+		t.done.Add(1)
+		go t.receive(conn, peer, stream)
+	}
+}
+
+func (t *Transport) serveCalls(conn *quic.Conn, peer Identity) {
+	defer t.done.Done()
+	for {
+		stream, err := conn.AcceptStream(conn.Context())
+		if err != nil {
+			return
+		}
+		t.done.Add(1)
+		go func() {
+			defer t.done.Done()
+			call := t.newCall(stream)
+			defer call.Close()
+			t.config.Handler.ServeCall(peer, call)
+		}()
+	}
+}
+
+func (t *Transport) receive(conn *quic.Conn, peer Identity, stream *quic.ReceiveStream) {
+	defer t.done.Done()
+	address := conn.RemoteAddr().String()
+	data, err := io.ReadAll(io.LimitReader(stream, int64(t.config.MaxMessageBytes)+1))
+	if err != nil {
+		t.config.Handler.Report(Fault{Peer: peer, Address: address, Reason: FaultTruncated, Err: err})
+		return
+	}
+	if len(data) > t.config.MaxMessageBytes {
+		stream.CancelRead(codeReset)
+		t.config.Handler.Report(Fault{Peer: peer, Address: address, Reason: FaultTooLarge, Err: ErrTooLarge})
+		return
+	}
+	t.received.Add(int64(len(data)))
+	envelope, err := t.config.Codec.Decode(data)
+	if err != nil {
+		t.config.Handler.Report(Fault{Peer: peer, Address: address, Reason: FaultMalformed, Err: err})
+		return
+	}
+	if envelope.From.VM != peer.VM {
+		err := fmt.Errorf("%w: message of %s over a connection of %s", ErrWrongIdentity, envelope.From.VM, peer.VM)
+		t.config.Handler.Report(Fault{Peer: peer, Address: address, Reason: FaultForeign, Err: err})
+		return
+	}
+	t.config.Handler.Receive(peer, envelope, &Conn{transport: t, conn: conn})
+}
+
+// Call is one call stream: a sequence of message frames in each direction.
+type Call struct {
+	transport *Transport
+	stream    *quic.Stream
+	writeMu   sync.Mutex
+}
+
+func (t *Transport) newCall(stream *quic.Stream) *Call {
+	return &Call{transport: t, stream: stream}
+}
+
+// Write sends one message.
+func (c *Call) Write(body Message) error {
+	config := &c.transport.config
+	data, err := config.Codec.Encode(Envelope{From: config.Self, Stamp: config.Stamp(), Body: body})
+	if err != nil {
+		return err
+	}
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	return WriteFrame(c.stream, data)
+}
+
+// Read returns the next message. It returns io.EOF after the peer's last message.
+func (c *Call) Read() (Envelope, error) {
+	data, err := ReadFrame(c.stream, c.transport.config.MaxMessageBytes)
+	if err != nil {
+		return Envelope{}, err
+	}
+	return c.transport.config.Codec.Decode(data)
+}
+
+// SetReadDeadline bounds the wait for the next message; the zero time removes the bound.
+func (c *Call) SetReadDeadline(deadline time.Time) {
+	_ = c.stream.SetReadDeadline(deadline)
+}
+
+// SetWriteDeadline bounds the wait of the next write; the zero time removes the bound.
+func (c *Call) SetWriteDeadline(deadline time.Time) {
+	_ = c.stream.SetWriteDeadline(deadline)
+}
+
+// Context ends when the stream or its connection ends.
+func (c *Call) Context() context.Context {
+	return c.stream.Context()
+}
+
+// Close ends the sending direction after all that was written.
+func (c *Call) Close() {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	_ = c.stream.Close()
+}
+
+// Abort ends both directions at once.
+func (c *Call) Abort() {
+	c.stream.CancelRead(codeReset)
+	c.stream.CancelWrite(codeReset)
+}
+
+// IsTimeout reports whether an error of Read or Write is a passed deadline.
+func IsTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
