Serve callers at the entry and run their requests at the agent

Cause: the control state needs its I/O. The entry reads calls, keeps an exchange for each and writes only whole answers, or streams that end with the outcome as a trailer and break off otherwise; an answer counts as served once it was written. The agent buffers answers, so that a broken stream resumes from its offset. Not run yet end to end.

--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,186 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/control"
+	"github.com/bramleyspool/bramleyspool/internal/node"
+	"github.com/bramleyspool/bramleyspool/internal/platform"
+	"github.com/bramleyspool/bramleyspool/internal/published"
+	"github.com/bramleyspool/bramleyspool/internal/relay"
+	"github.com/bramleyspool/bramleyspool/internal/settings"
+)
+
+const (
+	// keepAnswers is how long an answer is kept for resumption after it ended.
+	keepAnswers   = 2 * time.Minute
+	sweepInterval = 5 * time.Second
+	cancelTimeout = 2 * time.Second
+)
+
+// Config sets an agent up.
+type Config struct {
+	Host *node.Host
+	// Engine is the model engine beside the agent; nil for a plain service.
+	Engine platform.Engine
+	// Plain is the plain service beside the agent; nil for a model engine.
+	Plain    platform.PlainService
+	Settings settings.Backend
+	Self     control.Self
+}
+
+// Agent is the agent process.
+type Agent struct {
+	config  Config
+	host    *node.Host
+	backend *backend
+	watch   *watcher
+
+	mu         sync.Mutex
+	executions map[attempt.Attempt]*job
+}
+
+// job is one attempt at the agent.
+type job struct {
+	payload   *relay.Payload
+	execution *relay.Execution
+	cancel    context.CancelFunc
+	endedAt   time.Time
+}
+
+// New returns an agent that is not running yet.
+func New(config Config) *Agent {
+	a := &Agent{
+		config:     config,
+		host:       config.Host,
+		backend:    &backend{engine: config.Engine, plain: config.Plain, self: config.Self.Instance},
+		executions: map[attempt.Attempt]*job{},
+	}
+	a.watch = &watcher{host: config.Host, engine: config.Engine, url: config.Settings.URL}
+	return a
+}
+
+// Run runs the agent until it has drained or the context ends, and returns why it ended.
+func (a *Agent) Run(ctx context.Context) (string, error) {
+	machine, first, err := control.NewAgent(time.Now(), a.config.Self)
+	if err != nil {
+		return "", err
+	}
+	return a.host.Run(ctx, machine, a, first), nil
+}
+
+// Start begins the background work of the agent once the host runs.
+func (a *Agent) Start() {
+	a.host.Spawn(a.watch.run)
+	a.host.Spawn(a.sweep)
+}
+
+// UseConfiguration takes note of a configuration; agents need nothing of it beyond control.
+func (a *Agent) UseConfiguration(*published.Configuration) {}
+
+// SetReady takes note of the readiness; the lease protocol tells it to entries.
+func (a *Agent) SetReady(bool) {}
+
+// Execute carries out an action of the control thread.
+func (a *Agent) Execute(action control.Action) {
+	switch action := action.(type) {
+	case control.StartRun:
+		a.host.Spawn(func(ctx context.Context) { a.run(ctx, action.Dispatch) })
+	case control.StopRun:
+		a.stopRun(action.ID)
+	case control.Answer:
+		a.answer(action)
+	}
+}
+
+// put registers an attempt and reports whether it was new.
+func (a *Agent) put(id attempt.Attempt, payload *relay.Payload) (*job, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if known := a.executions[id]; known != nil {
+		return known, false
+	}
+	created := &job{payload: payload, execution: relay.NewExecution(a.config.Settings.MaxAnswerBytes)}
+	a.executions[id] = created
+	return created, true
+}
+
+func (a *Agent) get(id attempt.Attempt) *job {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.executions[id]
+}
+
+// run hands a request to the backend server and reports how it ended.
+func (a *Agent) run(ctx context.Context, dispatch attempt.Dispatch) {
+	job := a.get(dispatch.ID)
+	if job == nil {
+		panic("invariant: a run without its payload")
+	}
+	timeout := time.Duration(a.config.Settings.CallTimeoutMS) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	a.mu.Lock()
+	job.cancel = cancel
+	a.mu.Unlock()
+	result := a.backend.run(ctx, dispatch, job.payload, job.execution)
+	if a.watch.diedDuring(ctx, result.Outcome) {
+		a.host.Post(control.BackendLost{})
+	}
+	result.Content = a.stored(job)
+	a.host.Post(control.RunFinished{Result: result})
+}
+
+// stopRun cuts a run that nobody waits for.
+func (a *Agent) stopRun(id attempt.Attempt) {
+	a.mu.Lock()
+	job := a.executions[id]
+	a.mu.Unlock()
+	if job == nil {
+		return
+	}
+	a.host.Spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+		defer cancel()
+		a.backend.cancel(ctx, attempt.Dispatch{ID: id})
+		a.mu.Lock()
+		stop := job.cancel
+		a.mu.Unlock()
+		if stop != nil {
+			stop()
+		}
+	})
+}
+
+// sweep forgets answers that nobody can ask for any more.
+func (a *Agent) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			a.forget(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) forget(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, job := range a.executions {
+		if !job.execution.Ended() {
+			continue
+		}
+		if job.endedAt.IsZero() {
+			job.endedAt = now
+		}
+		if now.Sub(job.endedAt) > keepAnswers {
+			delete(a.executions, id)
+		}
+	}
+}
--- a/internal/control/base.go
+++ b/internal/control/base.go
@@ -244,6 +244,6 @@
 }
 
 // State returns the state of the process's life.
-func (b *base) State() chart.State {
-	return b.state
+func (b *base) State() string {
+	return string(b.state)
 }
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -44,8 +44,10 @@
 	dispatched time.Time
 	// started is when the first byte of the answer was seen; zero before.
 	started time.Time
-	// at open are the attempts and their targets.
+	// open are the attempts that may be open at their targets.
 	open map[attempt.Attempt]ident.VM
+	// finished is true once the front was told the outcome.
+	finished bool
 }
 
 // NewEntry returns the control state of an entry that starts now.
@@ -92,6 +94,8 @@
 	switch event := event.(type) {
 	case CallArrived:
 		e.arrive(now, event)
+	case CallRejected:
+		e.reject(event)
 	case ReplyArrived:
 		e.hear(now, event.Reply)
 	case DispatchFailed:
@@ -104,6 +108,8 @@
 	case CallerLeft:
 		e.stepAdmission(now, admission.Cancel{Request: event.Request})
 		e.stepCaller(now, attempt.CallerGone{Request: event.Request})
+	case CallDelivered:
+		e.delivered(now, event)
 	case KeyInquiry:
 		e.askKey(event)
 	case MessageReceived:
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"sort"
 	"strconv"
 	"time"
 
@@ -29,6 +30,13 @@
 	})
 }
 
+// reject enters a call in the account that the front refused by itself.
+func (e *Entry) reject(event CallRejected) {
+	key := admission.LimitKey{Customer: event.Customer, Class: event.Class}
+	e.admission.Account().Arrive(key)
+	e.admission.Account().Close(key, event.Outcome, admission.LimitNone, 0)
+}
+
 func (e *Entry) stepAdmission(now time.Time, event admission.Event) {
 	for _, action := range e.admission.Step(now, event) {
 		switch action := action.(type) {
@@ -249,19 +257,38 @@
 	e.stepCaller(now, attempt.StreamProgress{ID: event.ID, Offset: event.Offset})
 }
 
+// finish tells the front the outcome. The call stays open until the front has delivered it.
 func (e *Entry) finish(now time.Time, finished FinishCall) {
 	call := e.calls[finished.Request]
 	if call == nil {
 		return
 	}
-	for id := range call.open {
+	for _, id := range sortedAttempts(call.open) {
 		e.endAttempt(now, id)
 	}
-	delete(e.calls, finished.Request)
+	call.finished = true
 	e.observe(now, call, finished.Outcome)
-	e.noteOutcome(call, finished.Outcome)
 	e.act(finished)
-	e.stepAdmission(now, admission.Done{Request: finished.Request, Outcome: finished.Outcome})
+}
+
+func sortedAttempts(open map[attempt.Attempt]ident.VM) []attempt.Attempt {
+	ids := make([]attempt.Attempt, 0, len(open))
+	for id := range open {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i].Attempt < ids[j].Attempt })
+	return ids
+}
+
+// delivered ends a call with what its caller was told.
+func (e *Entry) delivered(now time.Time, event CallDelivered) {
+	call := e.calls[event.Request]
+	if call == nil || !call.finished {
+		return
+	}
+	delete(e.calls, event.Request)
+	e.noteOutcome(call, event.Outcome)
+	e.stepAdmission(now, admission.Done{Request: event.Request, Outcome: event.Outcome, Tokens: event.Tokens})
 }
 
 func (e *Entry) observe(now time.Time, call *entryCall, result outcome.Outcome) {
--- a/internal/control/entry_events.go
+++ b/internal/control/entry_events.go
@@ -21,6 +21,14 @@
 	Retry bool
 }
 
+// CallRejected reports a customer's call that the front refused by itself. The class is
+// "" if none was found.
+type CallRejected struct {
+	Customer ident.Customer
+	Class    ident.Class
+	Outcome  outcome.Outcome
+}
+
 // ReplyArrived brings an agent's word that came on a call stream.
 type ReplyArrived struct{ Reply attempt.Reply }
 
@@ -39,6 +47,15 @@
 // CallerLeft reports that the caller closed its connection.
 type CallerLeft struct{ Request ident.Request }
 
+// CallDelivered reports what the caller was told in the end: the outcome of a FinishCall,
+// or another one if the answer could not be written whole.
+type CallDelivered struct {
+	Request ident.Request
+	Outcome outcome.Outcome
+	// Tokens is the number of tokens of the answer; 0 if unknown.
+	Tokens int
+}
+
 // KeyInquiry asks what became of a run key.
 type KeyInquiry struct {
 	Request ident.Request
@@ -47,11 +64,13 @@
 }
 
 func (CallArrived) isEvent()    {}
+func (CallRejected) isEvent()   {}
 func (ReplyArrived) isEvent()   {}
 func (DispatchFailed) isEvent() {}
 func (AnswerBroken) isEvent()   {}
 func (AnswerProgress) isEvent() {}
 func (CallerLeft) isEvent()     {}
+func (CallDelivered) isEvent()  {}
 func (KeyInquiry) isEvent()     {}
 
 // OpenAttempt sends a dispatch with its payload over a call stream.
--- /dev/null
+++ b/internal/entry/problem.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+)
+
+const problemType = "application/problem+json"
+
+// problem is the JSON body of a call that was not served.
+type problem struct {
+	Type    string        `json:"type"`
+	Title   string        `json:"title"`
+	Status  int           `json:"status"`
+	Outcome string        `json:"outcome"`
+	Cause   outcome.Cause `json:"cause"`
+	Detail  string        `json:"detail,omitempty"`
+	// CausedBy is the customer whose demand caused the refusal, if it is the caller's own.
+	CausedBy          ident.Customer `json:"caused_by,omitempty"`
+	RetryAfterSeconds int            `json:"retry_after_seconds,omitempty"`
+}
+
+// statusOf returns the HTTP status of an outcome that is not served.
+func statusOf(result outcome.Outcome) int {
+	if result.Kind == outcome.Unknown {
+		if result.Cause == outcome.CauseTimeout || result.Cause == outcome.CauseDeadline {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch result.Cause {
+	case outcome.CauseBadRequest:
+		return http.StatusBadRequest
+	case outcome.CauseUnauthorized:
+		return http.StatusUnauthorized
+	case outcome.CauseNoRoute:
+		return http.StatusNotFound
+	case outcome.CauseTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case outcome.CauseKeyConflict:
+		return http.StatusConflict
+	case outcome.CauseRateLimit, outcome.CauseConcurrencyLimit, outcome.CauseTokenLimit, outcome.CauseOverShare, outcome.CauseRetryBudget:
+		return http.StatusTooManyRequests
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// retrySeconds rounds a time to wait up to whole seconds.
+func retrySeconds(wait time.Duration) int {
+	return int(math.Ceil(wait.Seconds()))
+}
+
+// writeProblem answers a call that was not served.
+func writeProblem(w http.ResponseWriter, result outcome.Outcome) {
+	status := statusOf(result)
+	body := problem{
+		Type:              "about:blank",
+		Title:             http.StatusText(status),
+		Status:            status,
+		Outcome:           result.Kind.String(),
+		Cause:             result.Cause,
+		Detail:            result.Detail,
+		RetryAfterSeconds: retrySeconds(result.RetryAfter),
+	}
+	header := w.Header()
+	header.Set(HeaderOutcome, result.Kind.String())
+	header.Set(HeaderCause, string(result.Cause))
+	if body.RetryAfterSeconds > 0 {
+		header.Set("Retry-After", strconv.Itoa(body.RetryAfterSeconds))
+	}
+	writeJSON(w, problemType, status, body)
+}
+
+func writeJSON(w http.ResponseWriter, contentType string, status int, body any) {
+	w.Header().Set("Content-Type", contentType)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// keyState is the JSON body that tells what became of a run key.
+type keyState struct {
+	Key     string        `json:"key"`
+	State   string        `json:"state"`
+	Outcome string        `json:"outcome,omitempty"`
+	Cause   outcome.Cause `json:"cause,omitempty"`
+	Status  int           `json:"status,omitempty"`
+}
+
+func writeKeyAnswer(w http.ResponseWriter, key string, answer attempt.KeyAnswer) {
+	state := keyState{Key: key, Cause: answer.Outcome.Cause, Status: answer.Answer.Status}
+	switch answer.Status {
+	case attempt.KeyAbsent:
+		state.State, state.Outcome = "absent", outcome.NotRun.String()
+	case attempt.KeyHeld:
+		state.State, state.Outcome = "waiting", outcome.Open.String()
+	case attempt.KeyRunning:
+		state.State, state.Outcome = "running", outcome.Open.String()
+	case attempt.KeyServed:
+		state.State, state.Outcome = "served", outcome.Served.String()
+	default:
+		state.State, state.Outcome = "in-doubt", outcome.Unknown.String()
+	}
+	writeJSON(w, "application/json", http.StatusOK, state)
+}
--- /dev/null
+++ b/internal/node/admin.go
@@ -0,0 +1,273 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	_ "embed" // for the description of the interface
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/admission"
+	"github.com/bramleyspool/bramleyspool/internal/control"
+	"github.com/bramleyspool/bramleyspool/internal/fault"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/published"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+	"github.com/bramleyspool/bramleyspool/internal/timeline"
+	"github.com/bramleyspool/bramleyspool/internal/wire"
+)
+
+//go:embed openapi.json
+var openAPI []byte
+
+const (
+	adminTimeout   = 5 * time.Second
+	maxDryRunBytes = template.MaxDocumentBytes + 1
+)
+
+// Inspector gives operators a look at a machine; it is called on the control thread.
+type Inspector interface {
+	ConfigStatus() membership.ConfigStatus
+	State() string
+}
+
+// AccountInspector is an Inspector of an entry.
+type AccountInspector interface {
+	Account() []admission.AccountEntry
+	Backends() []membership.BackendView
+	OpenCalls() int
+}
+
+// BackendInspector is an Inspector of an agent.
+type BackendInspector interface {
+	Status() control.BackendStatus
+}
+
+// GroupInspector is an Inspector of an agent whose backend server is in a model group.
+type GroupInspector interface {
+	Group() *control.GroupStatus
+}
+
+// Status is what operators see of a process.
+type Status struct {
+	Self          ident.Instance          `json:"self"`
+	State         string                  `json:"state"`
+	Ready         bool                    `json:"ready"`
+	Configuration membership.ConfigStatus `json:"configuration"`
+	Loop          LoopStats               `json:"control"`
+	Traffic       wire.Traffic            `json:"traffic"`
+	OpenCalls     int                     `json:"open_calls"`
+	Backend       *control.BackendStatus  `json:"backend,omitempty"`
+}
+
+// Verdict is the result of a dry run of a configuration.
+type Verdict struct {
+	Accepted bool             `json:"accepted"`
+	Version  template.Version `json:"version,omitempty"`
+	// Newer is true if the version is greater than the one in force here.
+	Newer  bool       `json:"newer"`
+	Faults fault.List `json:"faults,omitempty"`
+}
+
+// Admin is the operators' interface of a process. It changes no shared state.
+type Admin struct {
+	host       *Host
+	inspector  Inspector
+	credential [sha256.Size]byte
+	listener   net.Listener
+}
+
+// NewAdmin returns an interface that listens but does not serve yet.
+func NewAdmin(host *Host, address, credentialSHA256 string) (*Admin, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	a := &Admin{host: host, listener: listener}
+	raw, err := hex.DecodeString(credentialSHA256)
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	copy(a.credential[:], raw)
+	return a, nil
+}
+
+// Address returns the IP address and TCP port of the interface.
+func (a *Admin) Address() string {
+	return a.listener.Addr().String()
+}
+
+// Serve answers operators until the context ends.
+func (a *Admin) Serve(ctx context.Context, inspector Inspector) {
+	a.inspector = inspector
+	server := &http.Server{Handler: a.routes(), ReadHeaderTimeout: adminTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	_ = server.Serve(a.listener)
+}
+
+func (a *Admin) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", a.serveReady)
+	mux.Handle("GET /metrics", a.host.config.Metrics.Page)
+	mux.HandleFunc("GET /openapi.json", serveOpenAPI)
+	mux.HandleFunc("GET /v1/status", a.checked(a.serveStatus))
+	mux.HandleFunc("GET /v1/account", a.checked(a.serveAccount))
+	mux.HandleFunc("GET /v1/backends", a.checked(a.serveBackends))
+	mux.HandleFunc("GET /v1/group", a.checked(a.serveGroup))
+	mux.HandleFunc("GET /v1/timeline", a.checked(a.serveTimeline))
+	mux.HandleFunc("POST /v1/configuration/dry-run", a.checked(a.serveDryRun))
+	return mux
+}
+
+func serveOpenAPI(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(openAPI)
+}
+
+// checked lets only operators with the credential pass.
+func (a *Admin) checked(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		given, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		digest := sha256.Sum256([]byte(given))
+		if subtle.ConstantTimeCompare(digest[:], a.credential[:]) != 1 {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			http.Error(w, "the operators' credential is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (a *Admin) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !a.host.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// inspect answers with what look collects on the control thread.
+func (a *Admin) inspect(w http.ResponseWriter, r *http.Request, look func() any) {
+	ctx, cancel := context.WithTimeout(r.Context(), adminTimeout)
+	defer cancel()
+	var found any
+	if !a.host.Inspect(ctx, func() { found = look() }) {
+		http.Error(w, "the control thread did not answer in time", http.StatusServiceUnavailable)
+		return
+	}
+	if found == nil {
+		http.Error(w, "this process has none", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, found)
+}
+
+func writeJSON(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(body)
+}
+
+func (a *Admin) serveStatus(w http.ResponseWriter, r *http.Request) {
+	a.inspect(w, r, func() any { return a.status() })
+}
+
+func (a *Admin) status() Status {
+	status := Status{
+		Self:          a.host.config.Self,
+		State:         a.inspector.State(),
+		Ready:         a.host.Ready(),
+		Configuration: a.inspector.ConfigStatus(),
+		Loop:          a.host.Loop(),
+		Traffic:       a.host.Transport().Traffic(),
+	}
+	if entry, ok := a.inspector.(AccountInspector); ok {
+		status.OpenCalls = entry.OpenCalls()
+	}
+	if agent, ok := a.inspector.(BackendInspector); ok {
+		backend := agent.Status()
+		status.Backend = &backend
+	}
+	return status
+}
+
+func (a *Admin) serveAccount(w http.ResponseWriter, r *http.Request) {
+	a.inspect(w, r, func() any {
+		if entry, ok := a.inspector.(AccountInspector); ok {
+			return entry.Account()
+		}
+		return nil
+	})
+}
+
+func (a *Admin) serveBackends(w http.ResponseWriter, r *http.Request) {
+	a.inspect(w, r, func() any {
+		if entry, ok := a.inspector.(AccountInspector); ok {
+			return entry.Backends()
+		}
+		return nil
+	})
+}
+
+func (a *Admin) serveGroup(w http.ResponseWriter, r *http.Request) {
+	a.inspect(w, r, func() any {
+		agent, ok := a.inspector.(GroupInspector)
+		if !ok {
+			return nil
+		}
+		if group := agent.Group(); group != nil {
+			return group
+		}
+		return nil
+	})
+}
+
+func (a *Admin) serveTimeline(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	filter := timeline.Filter{
+		Request:  ident.Request(query.Get("request")),
+		Customer: ident.Customer(query.Get("customer")),
+		Group:    ident.Group(query.Get("group")),
+		VM:       ident.VM(query.Get("vm")),
+	}
+	for name, bound := range map[string]*time.Time{"from": &filter.From, "to": &filter.To} {
+		if text := query.Get(name); text != "" {
+			parsed, err := time.Parse(time.RFC3339, text)
+			if err != nil {
+				http.Error(w, name+" must be a time in RFC 3339 form", http.StatusBadRequest)
+				return
+			}
+			*bound = parsed
+		}
+	}
+	writeJSON(w, filter.Apply(a.host.events.Events()))
+}
+
+// serveDryRun says whether a configuration would be accepted. It changes nothing.
+func (a *Admin) serveDryRun(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxDryRunBytes))
+	if err != nil {
+		http.Error(w, "the body could not be read", http.StatusBadRequest)
+		return
+	}
+	configuration, faults := published.Accept(data)
+	a.inspect(w, r, func() any {
+		verdict := Verdict{Accepted: len(faults) == 0, Faults: faults}
+		if configuration != nil {
+			verdict.Version = configuration.Version
+			verdict.Newer = configuration.Version > a.inspector.ConfigStatus().InForce.Version
+		}
+		return verdict
+	})
+}
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -47,8 +47,14 @@
 	SetReady(ready bool)
 	// ServeCall serves a call stream of another process.
 	ServeCall(peer wire.Identity, call *wire.Call)
-	// Drain waits until everything that a planned stop waits for has ended.
-	Drain(ctx context.Context)
+	// Start begins the role's background work, when the host runs.
+	Start()
+}
+
+// task is what the control thread does next: an event, or a look at the machine.
+type task struct {
+	event   control.Event
+	inspect func()
 }
 
 // Config sets a host up.
@@ -69,7 +75,7 @@
 	codec     *wire.Codec
 	machine   Machine
 	role      Role
-	loop      *Loop[control.Event]
+	loop      *Loop[task]
 	transport *wire.Transport
 	directory *Directory
 	clock     *timeline.Clock
@@ -78,7 +84,9 @@
 	exit      chan string
 	ready     atomic.Bool
 	work      sync.WaitGroup
-	ctx       context.Context
+	// ctx ends with the process.
+	ctx  context.Context
+	stop context.CancelFunc
 }
 
 // NewHost returns a host that listens for other processes.
@@ -95,8 +103,9 @@
 		sends:     make(chan struct{}, maxSendsInFlight),
 		exit:      make(chan string, 1),
 	}
+	h.ctx, h.stop = context.WithCancel(context.Background())
 	h.events = timeline.NewBuffer(config.Self, h.clock, timelineCapacity)
-	h.loop = NewLoop(control.TickInterval, h.step, func(now time.Time) { h.step(now, control.Tick{}) })
+	h.loop = NewLoop(control.TickInterval, h.do, func(now time.Time) { h.step(now, control.Tick{}) })
 	h.transport, err = wire.Listen(wire.Config{
 		Address:         config.Settings.Peer.Address,
 		Self:            config.Self,
@@ -115,19 +124,18 @@
 // Run drives the machine until it exits or the context ends. The first actions are those
 // of the machine's start. It returns why the process ends.
 func (h *Host) Run(ctx context.Context, machine Machine, role Role, first []control.Action) string {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	h.machine, h.role, h.ctx = machine, role, ctx
+	h.machine, h.role = machine, role
 	h.execute(first)
-	h.spawn(func() { h.loop.Run(ctx) })
-	h.spawn(func() { h.pollVMs(ctx) })
-	h.spawn(func() { h.reloadKeys(ctx) })
+	role.Start()
+	h.spawn(func() { h.loop.Run(h.ctx) })
+	h.spawn(func() { h.pollVMs(h.ctx) })
+	h.spawn(func() { h.reloadKeys(h.ctx) })
 	reason := "cancelled"
 	select {
 	case reason = <-h.exit:
 	case <-ctx.Done():
 	}
-	cancel()
+	h.stop()
 	h.transport.Close()
 	h.work.Wait()
 	return reason
@@ -153,12 +161,12 @@
 // Post hands an event to the control thread and waits for room. It returns false if the
 // process ends first.
 func (h *Host) Post(event control.Event) bool {
-	return h.loop.Post(h.ctx, event)
+	return h.loop.Post(h.ctx, task{event: event})
 }
 
 // Offer hands an event to the control thread unless its queue is full.
 func (h *Host) Offer(event control.Event) bool {
-	return h.loop.Offer(event)
+	return h.loop.Offer(task{event: event})
 }
 
 // Context ends with the process.
@@ -191,11 +199,41 @@
 	return h.config.Log
 }
 
+// Count adds one to a counter with a reason.
+func (h *Host) Count(name, reason string) {
+	h.config.Metrics.Scope.Tagged(map[string]string{"reason": reason}).Counter(name).Inc(1)
+}
+
 // Spawn runs work in a goroutine that the host waits for at its end.
 func (h *Host) Spawn(work func(ctx context.Context)) {
 	h.spawn(func() { work(h.ctx) })
 }
 
+// Inspect calls look on the control thread and waits for it. It returns false if the
+// context or the process ends first.
+func (h *Host) Inspect(ctx context.Context, look func()) bool {
+	done := make(chan struct{})
+	if !h.loop.Post(ctx, task{inspect: func() { look(); close(done) }}) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-h.ctx.Done():
+		return false
+	}
+}
+
+func (h *Host) do(now time.Time, next task) {
+	if next.inspect != nil {
+		next.inspect()
+		return
+	}
+	h.step(now, next.event)
+}
+
 func (h *Host) step(now time.Time, event control.Event) {
 	h.execute(h.machine.Step(now, event))
 }
@@ -204,7 +242,7 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case control.Send:
-			h.send(action)
+			h.Send(action)
 		case control.ReadConfig:
 			h.spawn(func() { h.readConfig(action.Call) })
 		case control.InForce:
@@ -230,8 +268,8 @@
 	}
 }
 
-// send sends a message in a goroutine of its own; at most maxSendsInFlight wait at once.
-func (h *Host) send(action control.Send) {
+// Send sends a message in a goroutine of its own; at most maxSendsInFlight wait at once.
+func (h *Host) Send(action control.Send) {
 	select {
 	case h.sends <- struct{}{}:
 	default:
