Run the whole path on loopback: demo, command line, examples

Cause: the parts had not met. The demonstration runs both deployments of the examples with three entries, 19 agents and stand-ins in one process and checks every answer.

--- a/cmd/bramleyspool/main.go
+++ b/cmd/bramleyspool/main.go
@@ -1,8 +1,12 @@
-// Command bramleyspool is the load balancer for expert-parallel model groups.
+// Command bramleyspool is a load balancer for expert-parallel model groups.
 package main
 
-import "fmt"
+import (
+	"os"
+
+	"github.com/bramleyspool/bramleyspool/internal/cli"
+)
 
 func main() {
-	fmt.Println("bramleyspool")
+	os.Exit(cli.Run(os.Args, os.Stdout, os.Stderr))
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +38,7 @@
 type Agent struct {
 	config  Config
 	host    *node.Host
+	machine *control.Agent
 	backend *backend
 	watch   *watcher
 
@@ -59,7 +62,12 @@
 		backend:    &backend{engine: config.Engine, plain: config.Plain, self: config.Self.Instance},
 		executions: map[attempt.Attempt]*job{},
 	}
-	a.watch = &watcher{host: config.Host, engine: config.Engine, url: config.Settings.URL}
+	a.watch = &watcher{
+		host:      config.Host,
+		engine:    config.Engine,
+		client:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		healthURL: strings.TrimSuffix(config.Settings.URL, "/") + config.Settings.HealthPath,
+	}
 	return a
 }
 
@@ -69,9 +77,15 @@
 	if err != nil {
 		return "", err
 	}
+	a.machine = machine
 	return a.host.Run(ctx, machine, a, first), nil
 }
 
+// Inspector gives operators a look at the control state.
+func (a *Agent) Inspector() node.Inspector {
+	return a.machine
+}
+
 // Start begins the background work of the agent once the host runs.
 func (a *Agent) Start() {
 	a.host.Spawn(a.watch.run)
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"net"
-	"net/url"
+	"net/http"
 	"sync"
 	"time"
 
@@ -24,15 +23,20 @@
 type watcher struct {
 	host   *node.Host
 	engine platform.Engine
-	url    string
+	// client and healthURL ask whether the backend server lives.
+	client    *http.Client
+	healthURL string
 
 	mu   sync.Mutex
 	boot uint64
 	dead bool
 }
 
-// run reports the load until the context ends.
+// run reports the load of an engine until the context ends. Plain services report none.
 func (w *watcher) run(ctx context.Context) {
+	if w.engine == nil {
+		return
+	}
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	for {
@@ -88,18 +92,17 @@
 	return restarted
 }
 
-// reachable reports whether the backend server accepts connections.
+// reachable reports whether the backend server answers at all.
 func (w *watcher) reachable(ctx context.Context) bool {
-	parsed, err := url.Parse(w.url)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, w.healthURL, nil)
 	if err != nil {
 		return false
 	}
-	dialer := net.Dialer{}
-	conn, err := dialer.DialContext(ctx, "tcp", parsed.Host)
+	response, err := w.client.Do(request)
 	if err != nil {
 		return false
 	}
-	_ = conn.Close()
+	_ = response.Body.Close()
 	return true
 }
 
--- /dev/null
+++ b/internal/cli/operators.go
@@ -0,0 +1,213 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/timeline"
+	"github.com/bramleyspool/bramleyspool/internal/wire"
+)
+
+const (
+	operatorTimeout = 5 * time.Second
+	keyFileMode     = 0o600
+	defaultValidity = 30 * 24 * time.Hour
+)
+
+var operatorFlags = []cli.Flag{
+	&cli.StringSliceFlag{Name: "admin", Required: true, Usage: "IP address and port of a process's operators' interface; may be repeated"},
+	&cli.StringFlag{Name: "credential", Required: true, Sources: cli.EnvVars("BRAMLEYSPOOL_CREDENTIAL"), Usage: "operators' bearer credential"},
+}
+
+// operatorClient asks one process.
+type operatorClient struct {
+	base   *sling.Sling
+	client *http.Client
+}
+
+func newOperatorClient(address, credential string) *operatorClient {
+	base := sling.New().Base("http://"+address).Set("Authorization", "Bearer "+credential)
+	return &operatorClient{base: base, client: &http.Client{Timeout: operatorTimeout}}
+}
+
+// get decodes the answer to a GET request.
+func (c *operatorClient) get(ctx context.Context, path string, query, answer any) error {
+	request, err := c.base.New().Get(path).QueryStruct(query).Request()
+	if err != nil {
+		return err
+	}
+	response, err := c.client.Do(request.WithContext(ctx))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+		return fmt.Errorf("%s: %s", response.Status, strings.TrimSpace(string(text)))
+	}
+	return json.NewDecoder(response.Body).Decode(answer)
+}
+
+// processView is what one process answered.
+type processView struct {
+	Admin  string          `json:"admin"`
+	Answer json.RawMessage `json:"answer,omitempty"`
+	Error  string          `json:"error,omitempty"`
+}
+
+var errUnanswered = errors.New("some processes did not answer")
+
+func statusCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show what processes say of themselves",
+		Flags: append([]cli.Flag{
+			&cli.StringFlag{Name: "view", Value: "status", Usage: "status, account, backends or group"},
+		}, operatorFlags...),
+		Action: func(ctx context.Context, command *cli.Command) error {
+			view := command.String("view")
+			switch view {
+			case "status", "account", "backends", "group":
+			default:
+				return usageError{fmt.Errorf("status: expected the view status, account, backends or group, found %q", view)}
+			}
+			views, err := askAll(ctx, command, "/v1/"+view)
+			if printErr := printJSON(out, views); printErr != nil {
+				return printErr
+			}
+			return err
+		},
+	}
+}
+
+func askAll(ctx context.Context, command *cli.Command, path string) ([]processView, error) {
+	var views []processView
+	var failed error
+	for _, address := range command.StringSlice("admin") {
+		view := processView{Admin: address}
+		client := newOperatorClient(address, command.String("credential"))
+		if err := client.get(ctx, path, nil, &view.Answer); err != nil {
+			view.Error = err.Error()
+			failed = errUnanswered
+		}
+		views = append(views, view)
+	}
+	return views, failed
+}
+
+// timelineQuery selects events.
+type timelineQuery struct {
+	Request  string `url:"request,omitempty"`
+	Customer string `url:"customer,omitempty"`
+	Group    string `url:"group,omitempty"`
+	VM       string `url:"vm,omitempty"`
+	From     string `url:"from,omitempty"`
+	To       string `url:"to,omitempty"`
+}
+
+func timelineCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "timeline",
+		Usage: "show the events of several processes in one order, causes before effects",
+		Flags: append([]cli.Flag{
+			&cli.StringFlag{Name: "request", Usage: "only events of this request"},
+			&cli.StringFlag{Name: "customer", Usage: "only events of this customer"},
+			&cli.StringFlag{Name: "group", Usage: "only events of this model group"},
+			&cli.StringFlag{Name: "vm", Usage: "only events of or about this VM"},
+			&cli.StringFlag{Name: "from", Usage: "earliest time, RFC 3339"},
+			&cli.StringFlag{Name: "to", Usage: "time before which events are, RFC 3339"},
+		}, operatorFlags...),
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return printTimeline(ctx, out, command)
+		},
+	}
+}
+
+func printTimeline(ctx context.Context, out io.Writer, command *cli.Command) error {
+	query := timelineQuery{
+		Request: command.String("request"), Customer: command.String("customer"), Group: command.String("group"),
+		VM: command.String("vm"), From: command.String("from"), To: command.String("to"),
+	}
+	var lists [][]timeline.Event
+	var failed error
+	for _, address := range command.StringSlice("admin") {
+		var events []timeline.Event
+		client := newOperatorClient(address, command.String("credential"))
+		if err := client.get(ctx, "/v1/timeline", query, &events); err != nil {
+			failed = errUnanswered
+			stamp := timeline.Stamp{Wall: time.Now().UnixMilli()}
+			events = []timeline.Event{timeline.Unreachable(stamp, ident.VM(address), err.Error())}
+		}
+		lists = append(lists, events)
+	}
+	if err := timeline.WriteText(out, timeline.Merge(lists...)); err != nil {
+		return err
+	}
+	return failed
+}
+
+func keysCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "keys",
+		Usage: "make an authority and the key pairs of VMs, for trials",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "out", Required: true, Usage: "directory for the PEM files"},
+			&cli.StringSliceFlag{Name: "vm", Required: true, Usage: "ROLE/ZONE/VM, such as entry/dakar-a/entry-1; may be repeated"},
+			&cli.DurationFlag{Name: "validity", Value: defaultValidity, Usage: "how long the certificates are valid"},
+		},
+		Action: func(_ context.Context, command *cli.Command) error {
+			return makeKeys(out, command.String("out"), command.StringSlice("vm"), command.Duration("validity"))
+		},
+	}
+}
+
+func makeKeys(out io.Writer, directory string, vms []string, validity time.Duration) error {
+	now := time.Now()
+	authority, err := wire.NewAuthority(now, validity)
+	if err != nil {
+		return err
+	}
+	for _, name := range vms {
+		parts := strings.Split(name, "/")
+		if len(parts) != 3 {
+			return usageError{fmt.Errorf("keys: expected ROLE/ZONE/VM, found %q", name)}
+		}
+		identity := wire.Identity{Role: parts[0], Zone: ident.Zone(parts[1]), VM: ident.VM(parts[2])}
+		pair, err := authority.Issue(identity, now, validity)
+		if err != nil {
+			return err
+		}
+		if err := writePair(directory, string(identity.VM), pair); err != nil {
+			return err
+		}
+		fmt.Fprintln(out, filepath.Join(directory, string(identity.VM)+".pem"))
+	}
+	return nil
+}
+
+func writePair(directory, name string, pair wire.KeyPair) error {
+	files := []struct {
+		name string
+		data []byte
+	}{
+		{name + ".pem", pair.Certificate}, {name + ".key", pair.PrivateKey}, {"authority.pem", pair.Authority},
+	}
+	for _, file := range files {
+		if err := os.WriteFile(filepath.Join(directory, file.name), file.data, keyFileMode); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/process.go
@@ -0,0 +1,86 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleyspool/bramleyspool/internal/program"
+	"github.com/bramleyspool/bramleyspool/internal/settings"
+)
+
+const (
+	defaultDemoDuration = 10 * time.Second
+	defaultDemoCallers  = 24
+)
+
+var settingsFlag = &cli.StringFlag{Name: "settings", Required: true, Usage: "file with the settings of the process, JSON"}
+
+func entryCommand(errOut io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:        "entry",
+		Usage:       "run the entry process, which callers reach",
+		Description: stopHelp,
+		Flags:       []cli.Flag{settingsFlag},
+		Action: func(_ context.Context, command *cli.Command) error {
+			return runProcess(command.String("settings"), settings.RoleEntry, program.NewEntry, errOut)
+		},
+	}
+}
+
+func agentCommand(errOut io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:        "agent",
+		Usage:       "run the agent process beside a backend server",
+		Description: stopHelp,
+		Flags:       []cli.Flag{settingsFlag},
+		Action: func(_ context.Context, command *cli.Command) error {
+			return runProcess(command.String("settings"), settings.RoleAgent, program.NewAgent, errOut)
+		},
+	}
+}
+
+const stopHelp = `The first SIGTERM or SIGINT begins a planned stop, which cuts no call in flight. A second
+one ends the process at once and tells what it cuts.
+` + exitHelp
+
+// runProcess runs a process until its planned stop ends.
+func runProcess(file string, role settings.Role, build func(program.Options) (*program.Process, error), errOut io.Writer) error {
+	loaded, err := settings.Load(file, role)
+	if err != nil {
+		return fmt.Errorf("%s:\n%w", file, err)
+	}
+	keys, err := program.LoadKeys(loaded, role)
+	if err != nil {
+		return err
+	}
+	process, err := build(program.Options{Settings: loaded, Keys: keys, LogOutput: errOut})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		force := false
+		for {
+			select {
+			case <-signals:
+				process.Stop(force)
+				force = true
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	_, err = process.Run(ctx)
+	return err
+}
--- /dev/null
+++ b/internal/demo/caller.go
@@ -0,0 +1,184 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/entry"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+	"github.com/bramleyspool/bramleyspool/internal/standin"
+)
+
+const callTimeout = 70 * time.Second
+
+var errTornStream = errors.New("the stream ended without its end mark")
+
+// result is what a caller learnt of one call.
+type result struct {
+	request request
+	id      ident.Request
+	kind    outcome.Kind
+	cause   outcome.Cause
+	// torn is true if a whole answer was promised but not given; crossed if the answer
+	// belongs to another request.
+	torn    bool
+	crossed bool
+	took    time.Duration
+}
+
+// callers sends requests over HTTP.
+type callers struct {
+	client   *http.Client
+	balancer *balancer
+}
+
+func newCallers(b *balancer) *callers {
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	return &callers{client: &http.Client{Transport: transport, Timeout: callTimeout}, balancer: b}
+}
+
+// call sends a request through one of the entries and checks the answer.
+func (c *callers) call(ctx context.Context, r request) result {
+	started := time.Now()
+	got := c.send(ctx, r)
+	got.request = r
+	got.took = time.Since(started)
+	return got
+}
+
+func (c *callers) send(ctx context.Context, r request) result {
+	target := c.balancer.pick()
+	if target == "" {
+		return result{kind: outcome.NotRun, cause: outcome.CauseNotReady}
+	}
+	message, err := http.NewRequestWithContext(ctx, r.method, "http://"+target+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return result{kind: outcome.NotRun, cause: outcome.CauseBadRequest}
+	}
+	message.Header.Set("Authorization", "Bearer "+credentialPrefix+string(r.customer))
+	message.Header.Set("Content-Type", "application/json")
+	if r.key != "" {
+		message.Header.Set(entry.HeaderIdempotencyKey, r.key)
+	}
+	response, err := c.client.Do(message)
+	if err != nil {
+		return result{kind: outcome.Unknown, cause: outcome.CauseConnectionLost}
+	}
+	defer func() { _ = response.Body.Close() }()
+	return c.read(r, response)
+}
+
+func (c *callers) read(r request, response *http.Response) result {
+	got := result{id: ident.Request(response.Header.Get(entry.HeaderRequest))}
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		c.readStream(r, response, &got)
+		return got
+	}
+	body, err := io.ReadAll(response.Body)
+	got.kind = kindOf(response.Header.Get(entry.HeaderOutcome))
+	got.cause = outcome.Cause(response.Header.Get(entry.HeaderCause))
+	if err != nil {
+		got.torn = got.kind == outcome.Served
+		return got
+	}
+	if got.kind == outcome.Served {
+		got.crossed = !answers(r, body)
+	}
+	return got
+}
+
+func (c *callers) readStream(r request, response *http.Response, got *result) {
+	text, err := streamText(response.Body)
+	if err != nil {
+		got.kind, got.cause = outcome.Unknown, outcome.CauseBrokenStream
+		return
+	}
+	got.kind = kindOf(response.Trailer.Get(entry.HeaderOutcome))
+	got.torn = got.kind != outcome.Served
+	got.crossed = text != expectedText(r)
+}
+
+// streamText returns the text of a streamed completion up to its end mark.
+func streamText(body io.Reader) (string, error) {
+	var text strings.Builder
+	ended := false
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			ended = true
+			continue
+		}
+		chunk, err := completionText([]byte(data))
+		if err != nil {
+			return "", err
+		}
+		text.WriteString(chunk)
+	}
+	if err := lines.Err(); err != nil {
+		return "", err
+	}
+	if !ended {
+		return "", errTornStream
+	}
+	return text.String(), nil
+}
+
+// completionAnswer is the part of a completion that is checked.
+type completionAnswer struct {
+	Choices []completionChoice `json:"choices"`
+}
+
+type completionChoice struct {
+	Text string `json:"text"`
+}
+
+func completionText(data []byte) (string, error) {
+	var answer completionAnswer
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return "", err
+	}
+	var text strings.Builder
+	for _, choice := range answer.Choices {
+		text.WriteString(choice.Text)
+	}
+	return text.String(), nil
+}
+
+func expectedText(r request) string {
+	var body completion
+	if json.Unmarshal(r.body, &body) != nil {
+		return ""
+	}
+	return standin.Answer(body.Model, body.Prompt, body.MaxTokens)
+}
+
+// answers reports whether a whole answer belongs to the request.
+func answers(r request, body []byte) bool {
+	if strings.HasSuffix(r.path, "/completions") {
+		text, err := completionText(body)
+		return err == nil && text == expectedText(r)
+	}
+	parsed, err := standin.ParseResult(body)
+	return err == nil && parsed.Result == standin.Result(r.method+" "+r.path, r.body)
+}
+
+func kindOf(text string) outcome.Kind {
+	for _, kind := range []outcome.Kind{outcome.Served, outcome.NotRun, outcome.Unknown} {
+		if kind.String() == text {
+			return kind
+		}
+	}
+	return outcome.Unknown
+}
--- /dev/null
+++ b/internal/demo/cluster.go
@@ -0,0 +1,296 @@
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/examples"
+	"github.com/bramleyspool/bramleyspool/internal/fleet"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/published"
+	"github.com/bramleyspool/bramleyspool/internal/settings"
+	"github.com/bramleyspool/bramleyspool/internal/standin"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+	"github.com/bramleyspool/bramleyspool/internal/wire"
+)
+
+const (
+	operatorCredential = "demo-operator"
+	credentialPrefix   = "demo-"
+	crashMarker        = "CRASH-MARKER"
+	keyValidity        = time.Hour
+	loopback           = "127.0.0.1:0"
+	balancerLag        = 600 * time.Millisecond
+
+	stepDelay    = 4 * time.Millisecond
+	batchDelay   = 300 * time.Microsecond
+	prefillDelay = 200 * time.Microsecond
+	plainDelay   = 3 * time.Millisecond
+	restartAfter = time.Second
+	loadLag      = 300 * time.Millisecond
+	cacheLag     = 200 * time.Millisecond
+	cacheGap     = 13
+	vmListLag    = 2 * time.Second
+)
+
+// cluster is one deployment with all stand-ins, in this process.
+type cluster struct {
+	document  published.Document
+	config    *standin.Config
+	vmList    *standin.VMs
+	vms       []*vm
+	servers   []*server
+	authority *wire.Authority
+	log       io.Writer
+	platform  settings.Platform
+	ctx       context.Context
+}
+
+// newCluster builds the deployment of an example and runs it.
+func newCluster(ctx context.Context, name string, log io.Writer) (*cluster, error) {
+	c := &cluster{log: log, ctx: ctx, config: standin.NewConfig(standin.ConfigOptions{CallsPerSecond: 2000})}
+	if err := c.readDocument(name); err != nil {
+		return nil, err
+	}
+	var err error
+	if c.authority, err = wire.NewAuthority(time.Now(), keyValidity); err != nil {
+		return nil, err
+	}
+	if err := c.servePlatform(); err != nil {
+		return nil, err
+	}
+	if err := c.buildVMs(); err != nil {
+		return nil, err
+	}
+	if err := c.publish(); err != nil {
+		return nil, err
+	}
+	for _, v := range c.vms {
+		v.start(ctx)
+	}
+	return c, nil
+}
+
+func (c *cluster) readDocument(name string) error {
+	data, err := examples.Files.ReadFile(name + "/configuration.json")
+	if err != nil {
+		return fmt.Errorf("deployment %q: %w", name, err)
+	}
+	if _, faults := published.Accept(data); len(faults) > 0 {
+		return fmt.Errorf("deployment %q: %w", name, faults)
+	}
+	if err := json.Unmarshal(data, &c.document); err != nil {
+		return err
+	}
+	// The services are new: no run key is older than the demonstration.
+	for i := range c.document.Fleet.Services {
+		c.document.Fleet.Services[i].OpenedAt = time.Now()
+	}
+	return nil
+}
+
+func (c *cluster) servePlatform() error {
+	config, err := serve(c.config)
+	if err != nil {
+		return err
+	}
+	c.vmList = standin.NewVMs(vmListLag, c.allVMs()...)
+	list, err := serve(c.vmList)
+	if err != nil {
+		return err
+	}
+	c.servers = append(c.servers, config, list)
+	c.platform = settings.Platform{Configuration: config.url(), VMs: list.url()}
+	return nil
+}
+
+func (c *cluster) allVMs() []ident.VM {
+	var vms []ident.VM
+	for _, entry := range c.document.Fleet.Entries {
+		vms = append(vms, entry.VM)
+	}
+	for _, service := range c.document.Fleet.Services {
+		for _, backend := range service.Backends {
+			vms = append(vms, backend.VM)
+		}
+	}
+	return vms
+}
+
+// buildVMs builds all processes; their addresses replace those of the published fleet.
+func (c *cluster) buildVMs() error {
+	var seeds []settings.Seed
+	for i := range c.document.Fleet.Entries {
+		entry := &c.document.Fleet.Entries[i]
+		v, err := c.newVM(settings.RoleEntry, entry.VM, entry.Zone, entry.Region, seeds)
+		if err != nil {
+			return err
+		}
+		v.settings.Callers = &settings.Callers{Address: loopback}
+		if err := c.addVM(v); err != nil {
+			return err
+		}
+		entry.Address = v.settings.Peer.Address
+		seeds = append(seeds, settings.Seed{VM: entry.VM, Zone: entry.Zone, Address: entry.Address})
+	}
+	for i := range c.document.Fleet.Services {
+		service := &c.document.Fleet.Services[i]
+		for j := range service.Backends {
+			if err := c.buildAgent(service, &service.Backends[j], seeds); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *cluster) buildAgent(service *fleet.ServiceDocument, backend *fleet.BackendServer, seeds []settings.Seed) error {
+	v, err := c.newVM(settings.RoleAgent, backend.VM, backend.Zone, backend.Region, seeds)
+	if err != nil {
+		return err
+	}
+	v.settings.Backend = &settings.Backend{Kind: service.Kind}
+	if service.Kind == template.KindModel {
+		v.engine = standin.NewEngine(standin.EngineOptions{
+			IgnoresFencing:  !service.HonoursFencing,
+			StepDelay:       stepDelay,
+			BatchDelay:      batchDelay,
+			PrefillDelay:    prefillDelay,
+			MaxRunning:      backend.Capacity,
+			CacheEventDelay: cacheLag,
+			CacheGapEvery:   cacheGap,
+			LoadLag:         loadLag,
+			CrashMarker:     crashMarker,
+			RestartAfter:    restartAfter,
+		})
+		return c.addAgent(v, backend)
+	}
+	v.plain = standin.NewPlain(standin.PlainOptions{Delay: plainDelay, MaxRunning: backend.Capacity})
+	return c.addAgent(v, backend)
+}
+
+func (c *cluster) addAgent(v *vm, backend *fleet.BackendServer) error {
+	var stand *server
+	var err error
+	if v.engine != nil {
+		stand, err = serve(v.engine)
+	} else {
+		stand, err = serve(v.plain)
+	}
+	if err != nil {
+		return err
+	}
+	c.servers = append(c.servers, stand)
+	v.settings.Backend.URL = stand.url()
+	if err := c.addVM(v); err != nil {
+		return err
+	}
+	backend.Address = v.settings.Peer.Address
+	return nil
+}
+
+// newVM returns a VM with settings and keys of its own.
+func (c *cluster) newVM(role settings.Role, name ident.VM, zone ident.Zone, region ident.Region, seeds []settings.Seed) (*vm, error) {
+	pair, err := c.authority.Issue(wire.Identity{Role: string(role), Zone: zone, VM: name}, time.Now(), keyValidity)
+	if err != nil {
+		return nil, err
+	}
+	keys, err := wire.NewKeys(pair)
+	if err != nil {
+		return nil, err
+	}
+	digest := sha256.Sum256([]byte(operatorCredential))
+	s := &settings.Settings{
+		VM:       name,
+		Zone:     zone,
+		Region:   region,
+		Peer:     settings.Peer{Address: loopback, Seeds: seeds},
+		Platform: c.platform,
+		Admin:    settings.Admin{Address: loopback, CredentialSHA256: hex.EncodeToString(digest[:])},
+		Shutdown: settings.Shutdown{BalancerLagMS: int(balancerLag / time.Millisecond)},
+	}
+	return &vm{name: name, role: role, settings: s, keys: keys, log: c.log}, nil
+}
+
+func (c *cluster) addVM(v *vm) error {
+	v.settings.FillDefaults()
+	if err := v.build(); err != nil {
+		return err
+	}
+	c.vms = append(c.vms, v)
+	return nil
+}
+
+// publish publishes the document at its version.
+func (c *cluster) publish() error {
+	data, err := json.Marshal(c.document)
+	if err != nil {
+		return err
+	}
+	if _, faults := published.Accept(data); len(faults) > 0 {
+		return faults
+	}
+	c.config.Set(published.Key, data)
+	return nil
+}
+
+// restart builds and runs a process of the VM anew.
+func (c *cluster) restart(v *vm) error {
+	if err := v.build(); err != nil {
+		return err
+	}
+	v.start(c.ctx)
+	return nil
+}
+
+// entries returns the entry VMs.
+func (c *cluster) entries() []*vm {
+	return c.withRole(settings.RoleEntry)
+}
+
+// agents returns the backend server VMs.
+func (c *cluster) agents() []*vm {
+	return c.withRole(settings.RoleAgent)
+}
+
+func (c *cluster) withRole(role settings.Role) []*vm {
+	var found []*vm
+	for _, v := range c.vms {
+		if v.role == role {
+			found = append(found, v)
+		}
+	}
+	return found
+}
+
+// runs returns what all backend servers truly ran.
+func (c *cluster) runs() []standin.Run {
+	var all []standin.Run
+	for _, v := range c.vms {
+		all = append(all, v.runs()...)
+	}
+	return all
+}
+
+// close ends everything.
+func (c *cluster) close() {
+	for _, v := range c.vms {
+		v.cancel()
+	}
+	for _, v := range c.vms {
+		<-v.ended
+	}
+	for _, s := range c.servers {
+		s.close()
+	}
+	for _, v := range c.vms {
+		if v.engine != nil {
+			v.engine.Close()
+		}
+	}
+}
--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -183,4 +183,3 @@
 	}
 	return nil
 }
-
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,6 +34,7 @@
 type Entry struct {
 	config        Config
 	host          *node.Host
+	machine       *control.Entry
 	configuration atomic.Pointer[published.Configuration]
 	listener      net.Listener
 	server        *http.Server
@@ -85,8 +86,13 @@
 	if err != nil {
 		return "", err
 	}
-	reason := e.host.Run(ctx, machine, e, first)
-	return reason, nil
+	e.machine = machine
+	return e.host.Run(ctx, machine, e, first), nil
+}
+
+// Inspector gives operators a look at the control state.
+func (e *Entry) Inspector() node.Inspector {
+	return e.machine
 }
 
 // Start begins to serve callers.
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -79,7 +79,7 @@
 // Admin is the operators' interface of a process. It changes no shared state.
 type Admin struct {
 	host       *Host
-	inspector  Inspector
+	inspect    func() Inspector
 	credential [sha256.Size]byte
 	listener   net.Listener
 }
@@ -105,9 +105,9 @@
 	return a.listener.Addr().String()
 }
 
-// Serve answers operators until the context ends.
-func (a *Admin) Serve(ctx context.Context, inspector Inspector) {
-	a.inspector = inspector
+// Serve answers operators until the context ends. It calls inspect on the control thread only.
+func (a *Admin) Serve(ctx context.Context, inspect func() Inspector) {
+	a.inspect = inspect
 	server := &http.Server{Handler: a.routes(), ReadHeaderTimeout: adminTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
@@ -156,8 +156,8 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// inspect answers with what look collects on the control thread.
-func (a *Admin) inspect(w http.ResponseWriter, r *http.Request, look func() any) {
+// answer answers with what look collects on the control thread.
+func (a *Admin) answer(w http.ResponseWriter, r *http.Request, look func() any) {
 	ctx, cancel := context.WithTimeout(r.Context(), adminTimeout)
 	defer cancel()
 	var found any
@@ -180,22 +180,22 @@
 }
 
 func (a *Admin) serveStatus(w http.ResponseWriter, r *http.Request) {
-	a.inspect(w, r, func() any { return a.status() })
+	a.answer(w, r, func() any { return a.status() })
 }
 
 func (a *Admin) status() Status {
 	status := Status{
 		Self:          a.host.config.Self,
-		State:         a.inspector.State(),
+		State:         a.inspect().State(),
 		Ready:         a.host.Ready(),
-		Configuration: a.inspector.ConfigStatus(),
+		Configuration: a.inspect().ConfigStatus(),
 		Loop:          a.host.Loop(),
 		Traffic:       a.host.Transport().Traffic(),
 	}
-	if entry, ok := a.inspector.(AccountInspector); ok {
+	if entry, ok := a.inspect().(AccountInspector); ok {
 		status.OpenCalls = entry.OpenCalls()
 	}
-	if agent, ok := a.inspector.(BackendInspector); ok {
+	if agent, ok := a.inspect().(BackendInspector); ok {
 		backend := agent.Status()
 		status.Backend = &backend
 	}
@@ -203,8 +203,8 @@
 }
 
 func (a *Admin) serveAccount(w http.ResponseWriter, r *http.Request) {
-	a.inspect(w, r, func() any {
-		if entry, ok := a.inspector.(AccountInspector); ok {
+	a.answer(w, r, func() any {
+		if entry, ok := a.inspect().(AccountInspector); ok {
 			return entry.Account()
 		}
 		return nil
@@ -212,8 +212,8 @@
 }
 
 func (a *Admin) serveBackends(w http.ResponseWriter, r *http.Request) {
-	a.inspect(w, r, func() any {
-		if entry, ok := a.inspector.(AccountInspector); ok {
+	a.answer(w, r, func() any {
+		if entry, ok := a.inspect().(AccountInspector); ok {
 			return entry.Backends()
 		}
 		return nil
@@ -221,8 +221,8 @@
 }
 
 func (a *Admin) serveGroup(w http.ResponseWriter, r *http.Request) {
-	a.inspect(w, r, func() any {
-		agent, ok := a.inspector.(GroupInspector)
+	a.answer(w, r, func() any {
+		agent, ok := a.inspect().(GroupInspector)
 		if !ok {
 			return nil
 		}
@@ -262,11 +262,11 @@
 		return
 	}
 	configuration, faults := published.Accept(data)
-	a.inspect(w, r, func() any {
+	a.answer(w, r, func() any {
 		verdict := Verdict{Accepted: len(faults) == 0, Faults: faults}
 		if configuration != nil {
 			verdict.Version = configuration.Version
-			verdict.Newer = configuration.Version > a.inspector.ConfigStatus().InForce.Version
+			verdict.Newer = configuration.Version > a.inspect().ConfigStatus().InForce.Version
 		}
 		return verdict
 	})
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,8 @@
 	Metrics  *Metrics
 	Service  platform.ConfigService
 	VMs      platform.VMList
+	// WrapSocket may put a layer over the UDP socket, to inject faults; nil puts none.
+	WrapSocket func(net.PacketConn) net.PacketConn
 }
 
 // Host runs the control thread of a process and all I/O that entries and agents share.
@@ -82,8 +85,10 @@
 	events    *timeline.Buffer
 	sends     chan struct{}
 	exit      chan string
-	ready     atomic.Bool
-	work      sync.WaitGroup
+	// started is closed when machine and role are set.
+	started chan struct{}
+	ready   atomic.Bool
+	work    sync.WaitGroup
 	// ctx ends with the process.
 	ctx  context.Context
 	stop context.CancelFunc
@@ -102,6 +107,7 @@
 		clock:     timeline.NewClock(config.Self),
 		sends:     make(chan struct{}, maxSendsInFlight),
 		exit:      make(chan string, 1),
+		started:   make(chan struct{}),
 	}
 	h.ctx, h.stop = context.WithCancel(context.Background())
 	h.events = timeline.NewBuffer(config.Self, h.clock, timelineCapacity)
@@ -114,6 +120,7 @@
 		MaxMessageBytes: config.Settings.Peer.MaxMessageBytes,
 		Stamp:           func() timeline.Stamp { return h.clock.Next(time.Now()) },
 		Handler:         h,
+		WrapSocket:      config.WrapSocket,
 	})
 	if err != nil {
 		return nil, err
@@ -125,6 +132,7 @@
 // of the machine's start. It returns why the process ends.
 func (h *Host) Run(ctx context.Context, machine Machine, role Role, first []control.Action) string {
 	h.machine, h.role = machine, role
+	close(h.started)
 	h.execute(first)
 	role.Start()
 	h.spawn(func() { h.loop.Run(h.ctx) })
@@ -141,6 +149,17 @@
 	return reason
 }
 
+// Close ends a host that was never run.
+func (h *Host) Close() {
+	h.stop()
+	h.transport.Close()
+}
+
+// Events returns the events that the process keeps, oldest first.
+func (h *Host) Events() []timeline.Event {
+	return h.events.Events()
+}
+
 func (h *Host) spawn(work func()) {
 	h.work.Add(1)
 	go func() {
@@ -346,6 +365,9 @@
 // reloadKeys puts changed key files in use.
 func (h *Host) reloadKeys(ctx context.Context) {
 	files := h.config.Settings.Keys
+	if files.Certificate == "" {
+		return
+	}
 	ticker := time.NewTicker(keysInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -26,7 +26,11 @@
 
 // ServeCall serves a call stream of another process.
 func (h *Host) ServeCall(peer wire.Identity, call *wire.Call) {
-	h.role.ServeCall(peer, call)
+	select {
+	case <-h.started:
+		h.role.ServeCall(peer, call)
+	case <-h.ctx.Done():
+	}
 }
 
 // Report counts and logs a fault of the transport.
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,253 @@
+// Package program builds entry and agent processes from their settings.
+package program
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleyspool/bramleyspool/internal/admission"
+	"github.com/bramleyspool/bramleyspool/internal/agent"
+	"github.com/bramleyspool/bramleyspool/internal/control"
+	"github.com/bramleyspool/bramleyspool/internal/entry"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/node"
+	"github.com/bramleyspool/bramleyspool/internal/platform"
+	"github.com/bramleyspool/bramleyspool/internal/settings"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+	"github.com/bramleyspool/bramleyspool/internal/wire"
+)
+
+const (
+	watchWait       = 30 * time.Second
+	incarnationBits = 20
+)
+
+// Options are what a process is built from.
+type Options struct {
+	Settings *settings.Settings
+	Keys     *wire.Keys
+	// LogOutput takes the log's lines.
+	LogOutput io.Writer
+	// WrapSocket may put a layer over the UDP socket, to inject faults; nil puts none.
+	WrapSocket func(net.PacketConn) net.PacketConn
+}
+
+// Process is an entry or an agent that can be run once.
+type Process struct {
+	Self    ident.Instance
+	host    *node.Host
+	admin   *node.Admin
+	metrics *node.Metrics
+	log     *logrus.Entry
+	run     func(ctx context.Context) (string, error)
+	// callers is the address of an entry's interface to callers.
+	callers string
+	inspect func() node.Inspector
+}
+
+// NewIncarnation returns a number that no other run of a process has: the time in
+// milliseconds, followed by random bits.
+func NewIncarnation(now time.Time) ident.Incarnation {
+	var random [4]byte
+	_, _ = rand.Read(random[:])
+	low := binary.BigEndian.Uint32(random[:]) & (1<<incarnationBits - 1)
+	return ident.Incarnation(uint64(now.UnixMilli())<<incarnationBits | uint64(low))
+}
+
+// LoadKeys reads the keys that the settings name and checks that they are the VM's.
+func LoadKeys(s *settings.Settings, role settings.Role) (*wire.Keys, error) {
+	pair, err := wire.LoadKeyPair(s.Keys.Certificate, s.Keys.PrivateKey, s.Keys.Authority)
+	if err != nil {
+		return nil, err
+	}
+	keys, err := wire.NewKeys(pair)
+	if err != nil {
+		return nil, err
+	}
+	want := wire.Identity{Role: string(role), Zone: s.Zone, VM: s.VM}
+	if keys.Identity() != want {
+		return nil, fmt.Errorf("certificate %s: expected the identity %s, found %s", s.Keys.Certificate, want.URL(), keys.Identity().URL())
+	}
+	return keys, nil
+}
+
+// base builds what entries and agents share.
+func base(options Options, role settings.Role) (*Process, control.Self, error) {
+	s := options.Settings
+	log, err := node.NewLogger(options.LogOutput, s.Log.Level, string(s.VM), string(role))
+	if err != nil {
+		return nil, control.Self{}, err
+	}
+	instance := ident.Instance{VM: s.VM, Incarnation: NewIncarnation(time.Now())}
+	self := control.Self{Instance: instance, Zone: s.Zone, Region: s.Region}
+	for _, seed := range s.Peer.Seeds {
+		self.Seeds = append(self.Seeds, membership.Peer{VM: seed.VM, Zone: seed.Zone})
+	}
+	metrics := node.NewMetrics(string(role))
+	host, err := node.NewHost(node.Config{
+		Settings:   s,
+		Role:       role,
+		Self:       instance,
+		Keys:       options.Keys,
+		Log:        log,
+		Metrics:    metrics,
+		Service:    platform.NewConfigClient(platform.Options{BaseURL: s.Platform.Configuration}, watchWait),
+		VMs:        platform.NewVMListClient(platform.Options{BaseURL: s.Platform.VMs}),
+		WrapSocket: options.WrapSocket,
+	})
+	if err != nil {
+		metrics.Close()
+		return nil, self, oops.With("vm", s.VM).Wrapf(err, "peer interface")
+	}
+	admin, err := node.NewAdmin(host, s.Admin.Address, s.Admin.CredentialSHA256)
+	if err != nil {
+		host.Close()
+		metrics.Close()
+		return nil, self, oops.With("vm", s.VM).Wrapf(err, "operators' interface")
+	}
+	return &Process{Self: instance, host: host, admin: admin, metrics: metrics, log: log}, self, nil
+}
+
+// NewEntry builds an entry process, which listens at once.
+func NewEntry(options Options) (*Process, error) {
+	process, self, err := base(options, settings.RoleEntry)
+	if err != nil {
+		return nil, err
+	}
+	built, err := entry.New(entry.Config{
+		Host:        process.host,
+		Settings:    *options.Settings.Callers,
+		Self:        self,
+		BalancerLag: options.Settings.BalancerLag(),
+	})
+	if err != nil {
+		process.close()
+		return nil, oops.With("vm", options.Settings.VM).Wrapf(err, "callers' interface")
+	}
+	process.callers = built.Address()
+	process.run = built.Run
+	process.inspect = built.Inspector
+	return process, nil
+}
+
+// NewAgent builds an agent process, which listens at once.
+func NewAgent(options Options) (*Process, error) {
+	process, self, err := base(options, settings.RoleAgent)
+	if err != nil {
+		return nil, err
+	}
+	backend := *options.Settings.Backend
+	credential, err := readCredential(backend.CredentialFile)
+	if err != nil {
+		process.close()
+		return nil, err
+	}
+	client := platform.Options{
+		BaseURL:        backend.URL,
+		Credential:     credential,
+		Timeout:        time.Duration(backend.CallTimeoutMS) * time.Millisecond,
+		MaxAnswerBytes: int64(backend.MaxAnswerBytes),
+	}
+	config := agent.Config{Host: process.host, Settings: backend, Self: self}
+	if backend.Kind == template.KindModel {
+		config.Engine = platform.NewEngineClient(client)
+	} else {
+		config.Plain = platform.NewPlainClient(client)
+	}
+	built := agent.New(config)
+	process.run = built.Run
+	process.inspect = built.Inspector
+	return process, nil
+}
+
+func readCredential(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", fmt.Errorf("credential: %w", err)
+	}
+	return string(bytes.TrimSpace(data)), nil
+}
+
+func (p *Process) close() {
+	p.host.Close()
+	p.metrics.Close()
+}
+
+// Run runs the process until a planned stop ends or the context does, and returns why.
+func (p *Process) Run(ctx context.Context) (string, error) {
+	defer p.metrics.Close()
+	p.log.WithFields(logrus.Fields{
+		"incarnation": fmt.Sprintf("%x", uint64(p.Self.Incarnation)),
+		"peer":        p.host.Transport().Address(),
+		"admin":       p.admin.Address(),
+		"callers":     p.callers,
+	}).Info("process-started")
+	p.host.Spawn(func(ctx context.Context) { p.admin.Serve(ctx, p.inspect) })
+	reason, err := p.run(ctx)
+	p.log.WithField("reason", reason).Info("process-ended")
+	return reason, err
+}
+
+// Stop asks for a planned stop, or forces it.
+func (p *Process) Stop(force bool) {
+	p.host.Stop(force)
+}
+
+// CallersAddress returns the IP address and TCP port for callers; "" for an agent.
+func (p *Process) CallersAddress() string {
+	return p.callers
+}
+
+// PeerAddress returns the IP address and UDP port for other processes.
+func (p *Process) PeerAddress() string {
+	return p.host.Transport().Address()
+}
+
+// AdminAddress returns the IP address and TCP port for operators.
+func (p *Process) AdminAddress() string {
+	return p.admin.Address()
+}
+
+// Ready reports whether the process takes calls.
+func (p *Process) Ready() bool {
+	return p.host.Ready()
+}
+
+// Host returns the process's host, for tests and demonstrations in one process.
+func (p *Process) Host() *node.Host {
+	return p.host
+}
+
+// VersionInForce returns the version of the configuration in force.
+func (p *Process) VersionInForce(ctx context.Context) (template.Version, bool) {
+	var version template.Version
+	ok := p.host.Inspect(ctx, func() { version = p.inspect().ConfigStatus().InForce.Version })
+	return version, ok
+}
+
+// Account returns the account of an entry. It returns false for other processes and for
+// one that does not answer.
+func (p *Process) Account(ctx context.Context) ([]admission.AccountEntry, bool) {
+	var entries []admission.AccountEntry
+	found := false
+	ok := p.host.Inspect(ctx, func() {
+		if inspector, isEntry := p.inspect().(node.AccountInspector); isEntry {
+			entries, found = inspector.Account(), true
+		}
+	})
+	return entries, ok && found
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,6 +15,7 @@
 	"github.com/bramleyspool/bramleyspool/internal/fault"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/schema"
+	"github.com/bramleyspool/bramleyspool/internal/template"
 )
 
 //go:embed schema.json
@@ -82,7 +84,7 @@
 type Platform struct {
 	// Configuration is the base URL of the configuration service.
 	Configuration string `json:"configuration"`
-	// VMs is the URL of the list of live and leaving VMs.
+	// VMs is the base URL of the list of live and leaving VMs.
 	VMs string `json:"vms"`
 	// WeightStore is the base URL of the weight store; agents of model engines need it.
 	WeightStore string `json:"weight_store,omitempty"`
@@ -107,8 +109,16 @@
 
 // Backend is the backend server beside an agent.
 type Backend struct {
+	// Kind is "model" for a model engine and "plain" for another HTTP service.
+	Kind template.Kind `json:"kind" jsonschema:"enum=model,enum=plain"`
 	// URL is the base URL of the model engine or plain service.
 	URL string `json:"url"`
+	// HealthPath is a path that the backend server answers while it lives, whatever the
+	// status. Default: /healthz.
+	HealthPath string `json:"health_path,omitempty"`
+	// CredentialFile is a file with the bearer credential that the agent shows to a backend
+	// server that checks who gives it orders. Default: none.
+	CredentialFile string `json:"credential_file,omitempty"`
 	// MaxAnswerBytes is the greatest size of an answer that is kept for resumption, in bytes.
 	// Default: 8388608.
 	MaxAnswerBytes int `json:"max_answer_bytes,omitempty" jsonschema:"minimum=0"`
@@ -149,6 +159,7 @@
 	DefaultCallTimeoutMS   = 600_000
 	DefaultBalancerLagMS   = 5_000
 	DefaultLogLevel        = "info"
+	DefaultHealthPath      = "/healthz"
 )
 
 // Role is the program that settings are for.
@@ -177,7 +188,7 @@
 	if faults := Schema.Decode(data, &settings); len(faults) > 0 {
 		return nil, faults
 	}
-	settings.fillDefaults()
+	settings.FillDefaults()
 	if faults := settings.check(role); len(faults) > 0 {
 		return nil, faults
 	}
@@ -191,7 +202,8 @@
 	}
 }
 
-func (s *Settings) fillDefaults() {
+// FillDefaults sets the fields that are absent to their defaults.
+func (s *Settings) FillDefaults() {
 	setDefault(&s.Peer.MaxMessageBytes, DefaultMaxMessageBytes)
 	setDefault(&s.Shutdown.BalancerLagMS, DefaultBalancerLagMS)
 	setDefault(&s.Log.Level, DefaultLogLevel)
@@ -204,6 +216,7 @@
 	}
 	if s.Backend != nil {
 		setDefault(&s.Backend.MaxAnswerBytes, DefaultMaxAnswerBytes)
+		setDefault(&s.Backend.HealthPath, DefaultHealthPath)
 		setDefault(&s.Backend.CallTimeoutMS, DefaultCallTimeoutMS)
 	}
 }
@@ -236,6 +249,10 @@
 	}
 	if s.Backend != nil {
 		checkURL(faults, "/backend/url", s.Backend.URL)
+		faults.Check(strings.HasPrefix(s.Backend.HealthPath, "/"), "/backend/health_path", "a path that starts with /", s.Backend.HealthPath)
+		if s.Backend.CredentialFile != "" {
+			checkFile(faults, "/backend/credential_file", s.Backend.CredentialFile)
+		}
 	}
 	return faults.Faults()
 }
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -72,6 +72,8 @@
 	Stamp func() timeline.Stamp
 	// Handler takes what arrives.
 	Handler Handler
+	// WrapSocket may put a layer over the UDP socket, to inject faults; nil puts none.
+	WrapSocket func(net.PacketConn) net.PacketConn
 }
 
 const (
@@ -141,10 +143,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer address: %w", err)
 	}
-	t := &Transport{config: config, quic: &quic.Transport{Conn: socket}, conns: map[Target]*pooledConn{}, accepted: map[ident.VM]*quic.Conn{}}
+	t := &Transport{config: config, quic: &quic.Transport{Conn: config.wrap(socket)}, conns: map[Target]*pooledConn{}, accepted: map[ident.VM]*quic.Conn{}}
 	t.listener, err = t.quic.Listen(config.Keys.serverConfig(), quicConfig())
 	if err != nil {
-		socket.Close()
+		_ = socket.Close()
 		return nil, fmt.Errorf("peer address: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -154,6 +156,13 @@
 	return t, nil
 }
 
+func (c *Config) wrap(socket net.PacketConn) net.PacketConn {
+	if c.WrapSocket == nil {
+		return socket
+	}
+	return c.WrapSocket(socket)
+}
+
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		MaxIdleTimeout:        idleTimeout,
@@ -176,7 +185,7 @@
 // Close ends all connections.
 func (t *Transport) Close() {
 	t.stop()
-	t.listener.Close()
+	_ = t.listener.Close()
 	t.mu.Lock()
 	for _, pooled := range t.conns {
 		select {
@@ -190,7 +199,7 @@
 	t.conns = map[Target]*pooledConn{}
 	t.mu.Unlock()
 	_ = t.quic.Close()
-	t.quic.Conn.Close()
+	_ = t.quic.Conn.Close()
 	t.done.Wait()
 }
 
