--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/dghubble/sling"
 )
 
@@ -32,7 +34,8 @@
 	HeaderRank           = "X-Data-Parallel-Rank"
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderRevision       = "Config-Revision"
-	HeaderDigest         = "X-Content-Xxhash"
+	// HeaderDigest is the xxhash of the body in hexadecimal; it is checked where it is sent.
+	HeaderDigest = "X-Content-Xxhash"
 )
 
 // Options are the settings of one client.
@@ -162,9 +165,28 @@
 	if read > c.options.MaxAnswerBytes {
 		return nil, c.tooLarge(op, response)
 	}
+	if err := checkDigest(response.Header, body.Bytes()); err != nil {
+		return nil, &Error{Kind: KindGarbage, Op: op, Status: response.StatusCode, Err: err}
+	}
 	return body.Bytes(), nil
 }
 
+// errDigest means that an answer has other bytes than its sender had.
+var errDigest = errors.New("answer does not match its digest")
+
+// checkDigest compares a body with the digest in the header, if there is one.
+func checkDigest(header http.Header, body []byte) error {
+	text := header.Get(HeaderDigest)
+	if text == "" {
+		return nil
+	}
+	want, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || want != xxhash.Sum64(body) {
+		return errDigest
+	}
+	return nil
+}
+
 func (c *client) tooLarge(op string, response *http.Response) error {
 	return &Error{
 		Kind: KindTooLarge, Op: op, Status: response.StatusCode,
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -73,7 +73,7 @@
 
 // LoadReport is an engine's load; it lags.
 type LoadReport struct {
-	// Boot numbers the starts of the engine; all its caches and requests are lost with each.
+	// Boot numbers the starts of the engine, growing; all its caches and requests are lost with each.
 	Boot uint64 `json:"boot"`
 	// Sequence grows by 1 with each report of one boot.
 	Sequence uint64 `json:"sequence"`
@@ -117,7 +117,8 @@
 	Last uint64 `json:"-"`
 }
 
-// Engine calls one model engine.
+// Engine calls one model engine. Reports that are older than one read before are errors
+// of KindStale.
 type Engine interface {
 	// Call runs a request whose body does not ask for a stream.
 	Call(ctx context.Context, request EngineRequest) (Completion, error)
--- a/internal/platform/engine_client.go
+++ b/internal/platform/engine_client.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"net/url"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -18,11 +20,40 @@
 // EngineClient is the Engine over HTTP.
 type EngineClient struct {
 	*client
+
+	mu     sync.Mutex
+	load   position
+	state  position
+	counts position
+}
+
+// position orders the reports of one kind: by boot, then by a number that grows.
+type position struct {
+	boot   uint64
+	number uint64
+}
+
+func (p position) before(other position) bool {
+	if p.boot != other.boot {
+		return p.boot < other.boot
+	}
+	return p.number < other.number
+}
+
+// advance notes a report's position. It fails if a later one was read before.
+func (c *EngineClient) advance(op string, seen *position, next position) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if next.before(*seen) {
+		return &Error{Kind: KindStale, Op: op, Detail: fmt.Sprintf("report %v after %v", next, *seen)}
+	}
+	*seen = next
+	return nil
 }
 
 // NewEngineClient returns a client for the engine at the base URL.
 func NewEngineClient(options Options) *EngineClient {
-	return &EngineClient{newClient(options)}
+	return &EngineClient{client: newClient(options)}
 }
 
 var _ Engine = (*EngineClient)(nil)
@@ -150,6 +181,9 @@
 	if !report.plausible() {
 		return LoadReport{}, &Error{Kind: KindGarbage, Op: op, Detail: "figures out of range"}
 	}
+	if err := c.advance(op, &c.load, position{report.Boot, report.Sequence}); err != nil {
+		return LoadReport{}, err
+	}
 	return report, nil
 }
 
@@ -238,6 +272,9 @@
 	if state.Boot == 0 || state.LastState != OrderNone && !state.LastState.valid() {
 		return EngineState{}, &Error{Kind: KindGarbage, Op: op, Detail: "invalid state"}
 	}
+	if err := c.advance(op, &c.state, position{state.Boot, state.Step}); err != nil {
+		return EngineState{}, err
+	}
 	return state, nil
 }
 
@@ -251,5 +288,8 @@
 	if counts.Boot == 0 {
 		return ExpertCounts{}, &Error{Kind: KindGarbage, Op: op, Detail: "counts without boot"}
 	}
+	if err := c.advance(op, &c.counts, position{counts.Boot, counts.Step}); err != nil {
+		return ExpertCounts{}, err
+	}
 	return counts, nil
 }
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -187,6 +187,5 @@
 	}
 	w.Header().Set(platform.HeaderRevision, strconv.FormatUint(view.value.Revision, 10))
 	w.Header().Set("Content-Type", "application/octet-stream")
-	w.Header().Set("Content-Length", strconv.Itoa(len(view.value.Data)))
-	w.Write(view.value.Data)
+	writeWhole(w, http.StatusOK, view.value.Data)
 }
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -9,6 +9,10 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleyspool/bramleyspool/internal/platform"
 )
 
 // maxBodyBytes bounds the bodies that stand-ins read.
@@ -63,6 +67,12 @@
 		panic("invariant: stand-in answer can't be encoded: " + err.Error())
 	}
 	w.Header().Set("Content-Type", "application/json")
+	writeWhole(w, status, data)
+}
+
+// writeWhole sends a body with its length and digest.
+func writeWhole(w http.ResponseWriter, status int, data []byte) {
+	w.Header().Set(platform.HeaderDigest, strconv.FormatUint(xxhash.Sum64(data), 16))
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(status)
 	w.Write(data)
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -2,11 +2,9 @@
 
 import (
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
 	"github.com/bramleyspool/bramleyspool/internal/platform"
@@ -54,9 +52,7 @@
 		refuseFor(w, http.StatusTooManyRequests, wait, "rate limit")
 		return
 	}
-	w.Header().Set(platform.HeaderDigest, strconv.FormatUint(xxhash.Sum64(data), 16))
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	w.Write(data)
+	writeWhole(w, http.StatusOK, data)
 }
 
 // wait takes the bytes from the limit, or returns how long to wait for them.
