--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -124,7 +124,9 @@
 	Call(ctx context.Context, request EngineRequest) (Completion, error)
 	// Stream starts a request whose body asks for a stream. The context bounds the whole stream.
 	Stream(ctx context.Context, request EngineRequest) (Stream, error)
-	// Resume continues the stream of a request from the offset.
+	// Resume continues the stream of a request from the offset. Who has the chunk with
+	// the finish reason has the whole answer; resuming behind it is an error of KindGarbage,
+	// since the end mark alone does not show that the answer is whole.
 	Resume(ctx context.Context, id ident.Request, from uint64) (Stream, error)
 	// Cancel stops the request, or keeps it from ever starting.
 	Cancel(ctx context.Context, id ident.Request) (CancelState, error)
--- a/internal/platform/engine_client.go
+++ b/internal/platform/engine_client.go
@@ -201,6 +201,9 @@
 	if err := c.doJSON(ctx, op, request, &page); err != nil {
 		return CacheEvents{}, err
 	}
+	if page.Boot == 0 {
+		return CacheEvents{}, &Error{Kind: KindGarbage, Op: op, Detail: "events without boot"}
+	}
 	for _, event := range page.Events {
 		if !event.valid() {
 			return CacheEvents{}, &Error{Kind: KindGarbage, Op: op, Detail: "invalid cache event"}
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -60,6 +60,17 @@
 	return c.revision
 }
 
+// Replace puts other bytes in the place of the newest value without a new revision, as a
+// service does that has lost its newest writes.
+func (c *Config) Replace(key string, data []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	values := c.values[key]
+	if len(values) > 0 {
+		values[len(values)-1].Data = append([]byte(nil), data...)
+	}
+}
+
 // SetDown takes the service away or brings it back. While it is away, connections break.
 func (c *Config) SetDown(down bool) {
 	c.mu.Lock()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -82,6 +82,7 @@
 	downUntil time.Time
 	closed    bool
 	looping   bool
+	loops     sync.WaitGroup
 	sequence  uint64
 	waiting   []*job
 	running   []*job
@@ -161,8 +162,13 @@
 	e.reset()
 }
 
-// Close stops all work. The engine answers nobody from then on.
+// Close stops all work and waits for its end. The engine answers nobody from then on.
 func (e *Engine) Close() {
+	e.stop()
+	e.loops.Wait()
+}
+
+func (e *Engine) stop() {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	if e.closed {
--- a/internal/standin/engine_batch.go
+++ b/internal/standin/engine_batch.go
@@ -118,24 +118,38 @@
 		return
 	}
 	e.looping = true
-	go e.loop(e.boot)
+	boot, dead := e.boot, e.dead
+	e.loops.Go(func() { e.loop(boot, dead) })
 }
 
 // loop runs steps until no job is left, a step is not allowed or the boot ends.
-func (e *Engine) loop(boot uint64) {
+func (e *Engine) loop(boot uint64, dead <-chan struct{}) {
 	for {
-		delay, more := e.step(boot)
-		if !more {
+		delay, more := e.beginStep(boot)
+		if !more || !sleep(delay, dead) {
 			return
 		}
-		if delay > 0 {
-			time.Sleep(delay)
-		}
+		e.endStep(boot)
+	}
+}
+
+// sleep waits for the duration; false if the boot ended before.
+func sleep(duration time.Duration, dead <-chan struct{}) bool {
+	if duration <= 0 {
+		return true
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-dead:
+		return false
 	}
 }
 
-// step runs one step and returns how long it takes and whether to go on.
-func (e *Engine) step(boot uint64) (time.Duration, bool) {
+// beginStep starts one step and returns how long it takes; false if there is none to run.
+func (e *Engine) beginStep(boot uint64) (time.Duration, bool) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	if e.boot != boot {
@@ -151,14 +165,23 @@
 		return 0, false
 	}
 	e.noteMap(e.orders.takeStep())
-	batch := len(e.running)
+	e.sample()
+	delay := e.options.StepDelay + time.Duration(uncached)*e.options.PrefillDelay
+	return delay + time.Duration(len(e.running)-1)*e.options.BatchDelay, true
+}
+
+// endStep gives each running job its token.
+func (e *Engine) endStep(boot uint64) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.boot != boot {
+		return
+	}
 	for _, j := range e.running {
 		e.emit(j)
 	}
 	e.running = slices.DeleteFunc(e.running, (*job).ended)
 	e.sample()
-	delay := e.options.StepDelay + time.Duration(uncached)*e.options.PrefillDelay
-	return delay + time.Duration(max(0, batch-1))*e.options.BatchDelay, true
 }
 
 // noteMap records the first step of each map.
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -118,14 +118,7 @@
 
 // work takes as long as a run does. It breaks the connection if the service crashes.
 func (p *Plain) work(dead chan struct{}) {
-	if p.options.Delay <= 0 {
-		return
-	}
-	timer := time.NewTimer(p.options.Delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-dead:
+	if !sleep(p.options.Delay, dead) {
 		abort()
 	}
 }
