--- /dev/null
+++ b/internal/membership/lease_test.go
@@ -0,0 +1,292 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleyspool/bramleyspool/charts"
+	"github.com/bramleyspool/bramleyspool/internal/chart"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const agentVM = ident.VM("agent-1")
+
+func newHolder(c *qt.C) *membership.Holder {
+	holder, err := membership.NewHolder(membership.HolderSettings{Self: ident.Instance{VM: "entry-1", Incarnation: 1}}, charts.Files)
+	c.Assert(err, qt.IsNil)
+	return holder
+}
+
+func newGrantor(incarnation ident.Incarnation, slots int) *membership.Grantor {
+	return membership.NewGrantor(membership.GrantorSettings{Self: ident.Instance{VM: agentVM, Incarnation: incarnation}, Slots: slots})
+}
+
+// pair is one entry and one agent with a connection that tests may cut.
+type pair struct {
+	c       *qt.C
+	now     time.Time
+	holder  *membership.Holder
+	grantor *membership.Grantor
+	// silent loses what is sent over the old connection, unreachable also probes.
+	silent      bool
+	unreachable bool
+	// grants are all grants that were sent, delivered or not.
+	grants []membership.LeaseGrant
+	seen   []membership.HolderAction
+}
+
+func newPair(c *qt.C) *pair {
+	p := &pair{c: c, now: start, holder: newHolder(c), grantor: newGrantor(7, 16)}
+	p.hold(membership.BackendsChosen{VMs: []ident.VM{agentVM}})
+	return p
+}
+
+func (p *pair) hold(event membership.HolderEvent) {
+	for _, action := range p.holder.Step(p.now, event) {
+		p.seen = append(p.seen, action)
+		switch action := action.(type) {
+		case membership.SendLeaseRequest:
+			p.request(action.Request, false, p.silent || p.unreachable)
+		case membership.ProbeNewConnection:
+			p.request(action.Request, true, p.unreachable)
+		}
+	}
+}
+
+func (p *pair) request(request membership.LeaseRequest, fresh, lost bool) {
+	if lost {
+		return
+	}
+	from := ident.Instance{VM: "entry-1", Incarnation: 1}
+	for _, action := range p.grantor.Step(p.now, membership.LeaseRequested{From: from, Request: request}) {
+		grant := action.(membership.SendGrant).Grant
+		p.grants = append(p.grants, grant)
+		p.hold(membership.GrantReceived{From: agentVM, Grant: grant, NewConnection: fresh})
+	}
+}
+
+func (p *pair) run(d time.Duration) {
+	for end := p.now.Add(d); p.now.Before(end); {
+		p.now = p.now.Add(100 * time.Millisecond)
+		p.hold(membership.HolderTick{})
+	}
+}
+
+func (p *pair) view() membership.BackendView {
+	view, ok := p.holder.View(agentVM)
+	p.c.Assert(ok, qt.IsTrue)
+	return view
+}
+
+func count[T any](p *pair) int {
+	total := 0
+	for _, action := range p.seen {
+		if _, ok := action.(T); ok {
+			total++
+		}
+	}
+	return total
+}
+
+func TestLeaseCases(t *testing.T) {
+	cases := []struct {
+		name string
+		run  func(p *pair)
+		want chart.State
+	}{
+		{"granted", func(p *pair) { p.run(time.Second) }, membership.StateAlive},
+		{"the list says leaving, the agent grants", func(p *pair) {
+			p.hold(membership.VMListed{VM: agentVM, State: membership.ListedLeaving})
+			p.run(time.Second)
+		}, membership.StateAlive},
+		{"the list lacks the VM, the agent grants", func(p *pair) {
+			p.hold(membership.VMListed{VM: agentVM, State: membership.ListedAbsent})
+			p.run(5 * time.Second)
+		}, membership.StateAlive},
+		{"the agent says leaving, the list says live", func(p *pair) {
+			p.hold(membership.VMListed{VM: agentVM, State: membership.ListedLive})
+			p.hold(membership.LeavingReceived{From: agentVM, Leaving: membership.Leaving{Incarnation: 7}})
+			p.run(time.Second)
+		}, membership.StateLeaving},
+		{"the leave message is lost, the next answer tells it", func(p *pair) {
+			p.grantor.Step(p.now, membership.LeaveRequested{})
+			p.run(2 * time.Second)
+		}, membership.StateLeaving},
+		{"silent everywhere, still listed", func(p *pair) {
+			p.unreachable = true
+			p.run(20 * time.Second)
+		}, membership.StateSuspect},
+		{"silent everywhere, then off the list", func(p *pair) {
+			p.unreachable = true
+			p.run(5 * time.Second)
+			p.hold(membership.VMListed{VM: agentVM, State: membership.ListedAbsent})
+		}, membership.StateGone},
+		{"off the list, then silent everywhere", func(p *pair) {
+			p.hold(membership.VMListed{VM: agentVM, State: membership.ListedAbsent})
+			p.unreachable = true
+			p.run(5 * time.Second)
+		}, membership.StateGone},
+		{"back after it was gone", func(p *pair) {
+			p.hold(membership.VMListed{VM: agentVM, State: membership.ListedAbsent})
+			p.unreachable = true
+			p.run(5 * time.Second)
+			p.unreachable = false
+			p.run(10 * time.Second)
+		}, membership.StateAlive},
+		{"left, then restarted under the same address", func(p *pair) {
+			p.grantor.Step(p.now, membership.LeaveRequested{})
+			p.run(2 * time.Second)
+			p.grantor = newGrantor(8, 16)
+			p.run(2 * time.Second)
+		}, membership.StateAlive},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPair(qt.New(t))
+			tc.run(p)
+			p.c.Assert(p.view().State, qt.Equals, tc.want)
+		})
+	}
+}
+
+func TestSilentConnectionIsReplacedAfterProbe(t *testing.T) {
+	p := newPair(qt.New(t))
+	p.silent = true
+	p.run(4 * time.Second)
+	p.c.Check(count[membership.ProbeNewConnection](p) > 0, qt.IsTrue)
+	p.c.Check(count[membership.ReplaceConnection](p) > 0, qt.IsTrue)
+	p.c.Check(count[membership.BackendRestarted](p), qt.Equals, 0)
+	p.silent = false
+	p.run(2 * time.Second)
+	p.c.Check(p.view().Usable(p.now), qt.IsTrue)
+}
+
+func TestGapMakesAllLeasesWorthless(t *testing.T) {
+	p := newPair(qt.New(t))
+	p.run(time.Second)
+	old := p.grants
+	p.silent = true
+	p.now = p.now.Add(1500 * time.Millisecond)
+	p.hold(membership.HolderTick{})
+	p.c.Assert(p.view().Usable(p.now), qt.IsFalse)
+	for _, grant := range old {
+		grant.Number += 100
+		p.hold(membership.GrantReceived{From: agentVM, Grant: grant})
+	}
+	p.c.Assert(p.view().Usable(p.now), qt.IsFalse, qt.Commentf("a grant from before the gap was believed"))
+	p.silent = false
+	p.run(1200 * time.Millisecond)
+	p.c.Assert(p.view().Usable(p.now), qt.IsTrue)
+	p.c.Assert(count[membership.GapDetected](p), qt.Equals, 1)
+}
+
+func TestLateGrantsOfAnOldIncarnationAreDropped(t *testing.T) {
+	p := newPair(qt.New(t))
+	p.run(500 * time.Millisecond)
+	late := p.grants[len(p.grants)-1]
+	p.grantor = newGrantor(8, 16)
+	p.run(time.Second)
+	p.c.Assert(p.view().Incarnation, qt.Equals, ident.Incarnation(8))
+	late.Number = 1000
+	p.hold(membership.GrantReceived{From: agentVM, Grant: late})
+	p.hold(membership.LeavingReceived{From: agentVM, Leaving: membership.Leaving{Incarnation: 7}})
+	p.c.Assert(p.view().Incarnation, qt.Equals, ident.Incarnation(8))
+	p.c.Assert(p.view().State, qt.Equals, membership.StateAlive)
+}
+
+func TestDoubledOlderGrantIsDropped(t *testing.T) {
+	p := newPair(qt.New(t))
+	p.run(500 * time.Millisecond)
+	older := p.grants[len(p.grants)-1]
+	p.run(time.Second)
+	newer := p.view()
+	older.Credits = newer.Credits + 5
+	p.hold(membership.GrantReceived{From: agentVM, Grant: older})
+	p.c.Assert(p.view().Lease, qt.Equals, newer.Lease)
+	p.c.Assert(p.view().Credits, qt.Equals, newer.Credits)
+}
+
+func TestCheckRefusesDispatches(t *testing.T) {
+	c := qt.New(t)
+	entry := ident.Instance{VM: "entry-1", Incarnation: 1}
+	grantor := newGrantor(7, 2)
+	actions := grantor.Step(start, membership.LeaseRequested{From: entry, Request: membership.LeaseRequest{Sequence: 1}})
+	grant := actions[0].(membership.SendGrant).Grant
+	check := func(at time.Duration, from ident.Instance, incarnation ident.Incarnation, number membership.LeaseNumber) outcome.Cause {
+		return grantor.Check(start.Add(at), from, incarnation, number)
+	}
+	c.Check(check(0, entry, 7, grant.Number), qt.Equals, outcome.CauseNone)
+	c.Check(check(time.Hour, entry, 7, grant.Number), qt.Equals, outcome.CauseStaleLease)
+	c.Check(check(0, entry, 6, grant.Number), qt.Equals, outcome.CauseStaleLease)
+	c.Check(check(0, entry, 7, grant.Number+1), qt.Equals, outcome.CauseStaleLease)
+	c.Check(check(0, ident.Instance{VM: "entry-1", Incarnation: 2}, 7, grant.Number), qt.Equals, outcome.CauseStaleLease)
+	for range 2 {
+		grantor.Step(start, membership.WorkStarted{Entry: entry})
+	}
+	c.Check(check(0, entry, 7, grant.Number), qt.Equals, outcome.CauseBackendsFull)
+	grantor.Step(start, membership.WorkEnded{Entry: entry})
+	grantor.Step(start, membership.SuspectQueued{})
+	c.Check(check(0, entry, 7, grant.Number), qt.Equals, outcome.CauseBackendsFull)
+	grantor.Step(start, membership.SuspectEnded{})
+	c.Check(check(0, entry, 7, grant.Number), qt.Equals, outcome.CauseNone)
+	grantor.Step(start, membership.LeaveRequested{})
+	c.Check(check(0, entry, 7, grant.Number), qt.Equals, outcome.CauseLeaving)
+}
+
+func TestDrainedOnceWorkAndLeasesEnded(t *testing.T) {
+	c := qt.New(t)
+	entry := ident.Instance{VM: "entry-1", Incarnation: 1}
+	grantor := newGrantor(7, 2)
+	grantor.Step(start, membership.LeaseRequested{From: entry, Request: membership.LeaseRequest{Sequence: 1}})
+	grantor.Step(start, membership.WorkStarted{Entry: entry})
+	drained := func(actions []membership.GrantorAction) bool {
+		for _, action := range actions {
+			if _, ok := action.(membership.GrantorDrained); ok {
+				return true
+			}
+		}
+		return false
+	}
+	c.Check(drained(grantor.Step(start, membership.LeaveRequested{})), qt.IsFalse)
+	c.Check(drained(grantor.Step(start.Add(time.Minute), membership.GrantorTick{})), qt.IsFalse)
+	c.Check(drained(grantor.Step(start.Add(time.Minute), membership.WorkEnded{Entry: entry})), qt.IsTrue)
+	c.Check(drained(grantor.Step(start.Add(time.Hour), membership.GrantorTick{})), qt.IsFalse)
+}
+
+// TestLeaseChartTransitions walks every transition of the chart with each value of its guard.
+func TestLeaseChartTransitions(t *testing.T) {
+	c := qt.New(t)
+	vocabulary := chart.Vocabulary{
+		Guards:  []chart.Guard{"probed", "absent-from-list", "probe-has-failed", "other-incarnation"},
+		Actions: []chart.Action{"publish", "probe", "renew", "replace-connection"},
+	}
+	lease, err := chart.Load(charts.Files, "lease", vocabulary)
+	c.Assert(err, qt.IsNil)
+	type want struct {
+		event       chart.Event
+		then, other chart.State
+	}
+	table := map[chart.State][]want{
+		"unleased": {{"granted", "alive", "alive"}, {"left", "leaving", "leaving"}, {"silent", "suspect", "suspect"}, {"probe-failed", "unleased", "unleased"}, {"absent", "unleased", "unleased"}, {"gap", "unleased", "unleased"}},
+		"alive":    {{"granted", "alive", "alive"}, {"left", "leaving", "leaving"}, {"silent", "suspect", "suspect"}, {"probe-failed", "alive", "alive"}, {"absent", "alive", "alive"}, {"gap", "unleased", "unleased"}},
+		"suspect":  {{"granted", "alive", "alive"}, {"left", "leaving", "leaving"}, {"silent", "suspect", "suspect"}, {"probe-failed", "gone", "suspect"}, {"absent", "gone", "suspect"}, {"gap", "unleased", "unleased"}},
+		"leaving":  {{"granted", "alive", "leaving"}, {"left", "leaving", "leaving"}, {"silent", "leaving", "leaving"}, {"probe-failed", "gone", "gone"}, {"absent", "leaving", "leaving"}, {"gap", "leaving", "leaving"}},
+		"gone":     {{"granted", "alive", "alive"}, {"left", "leaving", "leaving"}, {"silent", "gone", "gone"}, {"probe-failed", "gone", "gone"}, {"absent", "gone", "gone"}, {"gap", "unleased", "unleased"}},
+	}
+	for state, wants := range table {
+		c.Assert(wants, qt.HasLen, len(lease.Spec().Events))
+		for _, want := range wants {
+			for holds, target := range map[bool]chart.State{true: want.then, false: want.other} {
+				step, err := lease.Next(state, want.event, func(chart.Guard) bool { return holds })
+				c.Assert(err, qt.IsNil)
+				c.Check(step.To, qt.Equals, target, qt.Commentf("%s in %s, guard %v", want.event, state, holds))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/main_test.go
@@ -0,0 +1,20 @@
+package routing_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed and the number of checks of the properties unless flags give others.
+func TestMain(m *testing.M) {
+	defaults := map[string]string{"rapid.seed": "20260101", "rapid.checks": "300", "rapid.nofailfile": "true"}
+	flag.Parse()
+	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
+	for name, value := range defaults {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
