Check run keys against a record of what ran under random faults

A world of 2-3 entries and agents on one simulated clock: messages lost, doubled, reordered, processes killed, paused and woken, lists that differ, links cut. The property test compares outcomes with what the back ends ran.

--- a/internal/attempt/log.go
+++ b/internal/attempt/log.go
@@ -19,6 +19,17 @@
 	Self ident.Instance
 	// AskAgain is the time after which an unanswered PeerQuestion is repeated.
 	AskAgain time.Duration
+	// StartsWithin bounds the time from a dispatch to its start at the agent: keys are
+	// kept that much longer than the retention.
+	StartsWithin time.Duration
+}
+
+// DefaultStartsWithin is longer than a lease and the wait for a start together.
+const DefaultStartsWithin = time.Minute
+
+// DefaultLogConfig returns the configuration of an entry.
+func DefaultLogConfig(self ident.Instance) LogConfig {
+	return LogConfig{Self: self, AskAgain: 200 * time.Millisecond, StartsWithin: DefaultStartsWithin}
 }
 
 // Log is an entry's record of the run keys that it dispatched, and of the agents' claims
--- a/internal/attempt/log_step.go
+++ b/internal/attempt/log_step.go
@@ -156,7 +156,7 @@
 	if log == nil {
 		return []LogAction{SendClaimAnswer{answer}}
 	}
-	log.expire(now)
+	log.expire(now, l.config.StartsWithin)
 	for _, earlier := range log.earlier {
 		answer.Earlier = append(answer.Earlier, EarlierList{VMs: earlier.vms, Age: now.Sub(earlier.replacedAt)})
 	}
@@ -306,8 +306,8 @@
 func (l *Log) expire(now time.Time) {
 	var longest time.Duration
 	for _, log := range l.services {
-		log.expire(now)
-		longest = max(longest, retentionOf(log.service))
+		log.expire(now, l.config.StartsWithin)
+		longest = max(longest, retentionOf(log.service)+l.config.StartsWithin)
 	}
 	for vm, at := range l.removed {
 		if now.Sub(at) > longest {
@@ -316,8 +316,8 @@
 	}
 }
 
-func (s *serviceLog) expire(now time.Time) {
-	retention := retentionOf(s.service)
+func (s *serviceLog) expire(now time.Time, startsWithin time.Duration) {
+	retention := retentionOf(s.service) + startsWithin
 	for name, key := range s.keys {
 		kept := key.targets[:0]
 		for _, target := range key.targets {
--- a/internal/attempt/owner.go
+++ b/internal/attempt/owner.go
@@ -20,7 +20,9 @@
 	HoldLimit time.Duration
 	// ClockSkew bounds the difference between the clocks of two VMs.
 	ClockSkew time.Duration
-	Doubt     DoubtPolicy
+	// StartsWithin bounds the time from a dispatch to its start, as in LogConfig.
+	StartsWithin time.Duration
+	Doubt        DoubtPolicy
 }
 
 // DoubtPolicy says what an agent does with keys that an earlier owner may have run.
@@ -45,6 +47,8 @@
 		AskAgain:  200 * time.Millisecond,
 		HoldLimit: 2 * time.Second,
 		ClockSkew: 500 * time.Millisecond,
+
+		StartsWithin: DefaultStartsWithin,
 	}
 }
 
--- a/internal/attempt/owner_claims.go
+++ b/internal/attempt/owner_claims.go
@@ -129,7 +129,7 @@
 		before := record.state
 		o.keyEvent(now, record, "doubt")
 		if before != record.state {
-			record.expires = now.Add(-key.Age).Add(retentionOf(service.published)).Add(o.config.ClockSkew)
+			record.expires = now.Add(-key.Age).Add(o.windowOf(service)).Add(o.config.ClockSkew)
 		}
 	}
 }
@@ -193,7 +193,7 @@
 	if service.covered != nil && sameVMs(service.covered, service.list) {
 		return
 	}
-	complete := service.logsCover(now, o.config.ClockSkew) || o.allHandedOver(now, service)
+	complete := o.logsCover(now, service) || o.allHandedOver(now, service)
 	for _, vm := range o.earlierOwners(now, service) {
 		complete = complete && (o.gone[vm] || service.hasReleased(vm))
 	}
--- a/internal/attempt/owner_handover.go
+++ b/internal/attempt/owner_handover.go
@@ -58,7 +58,7 @@
 	var owners []ident.VM
 	note := func(lists []earlierList) {
 		for _, list := range lists {
-			if now.Sub(list.replacedAt) > retentionOf(service.published) {
+			if now.Sub(list.replacedAt) > o.windowOf(service) {
 				continue
 			}
 			for _, vm := range list.vms {
--- a/internal/attempt/owner_keys.go
+++ b/internal/attempt/owner_keys.go
@@ -35,7 +35,7 @@
 func (o *Owner) receiveKeyed(now time.Time, held *heldAttempt) {
 	dispatch := held.dispatch
 	service := o.services[dispatch.Service]
-	if service == nil || (dispatch.Ticket == nil && service.ownerOf(dispatch.RunKey) != o.config.Self.VM) {
+	if service == nil || (dispatch.Ticket == nil && !o.checksOwner(service, dispatch.RunKey)) {
 		o.settle(dispatch.ID, held, ReplyNeverStarted, outcome.Refused(outcome.CauseNotOwner))
 		return
 	}
@@ -56,6 +56,11 @@
 	o.admitKey(now, service, held)
 }
 
+// checksOwner reports whether the key is the agent's under its own version.
+func (o *Owner) checksOwner(service *ownedService, key ident.RunKey) bool {
+	return o.config.Doubt == DoubtIgnore || service.ownerOf(key) == o.config.Self.VM
+}
+
 // join lets an attempt share what became or becomes of a key.
 func (o *Owner) join(record *keyRecord, held *heldAttempt) {
 	id := held.dispatch.ID
--- a/internal/attempt/owner_service.go
+++ b/internal/attempt/owner_service.go
@@ -185,18 +185,18 @@
 	if o.unreleased(now, service, dispatch.RunKey) != "" {
 		return verdictPending, 0
 	}
-	if service.logsCover(now, o.config.ClockSkew) || service.covers(dispatch.RunKey, o.config.Self.VM) || o.handedOver(now, service, dispatch.RunKey) {
+	if o.logsCover(now, service) || service.covers(dispatch.RunKey, o.config.Self.VM) || o.handedOver(now, service, dispatch.RunKey) {
 		return verdictClear, 0
 	}
 	if now.Sub(service.since) < o.config.HoldLimit {
 		return verdictPending, 0
 	}
-	return verdictDoubt, service.uncoveredFor(now, o.config.ClockSkew)
+	return verdictDoubt, o.uncoveredFor(now, service)
 }
 
 // judgeByAge lets keys run once the agent has owned them for the whole retention.
 func (o *Owner) judgeByAge(now time.Time, service *ownedService) (verdict, time.Duration) {
-	opened := !service.published.OpenedAt.Before(o.startedAt)
+	opened := !service.published.OpenedAt.Before(service.since)
 	wait := service.since.Add(retentionOf(service.published)).Sub(now)
 	if opened || wait <= 0 {
 		return verdictClear, 0
@@ -211,13 +211,13 @@
 }
 
 // priorOwners returns the VMs that owned the key under lists that were in force within the retention.
-func (s *ownedService) priorOwners(now time.Time, key ident.RunKey) []ident.VM {
-	retention := retentionOf(s.published)
+func (o *Owner) priorOwners(now time.Time, service *ownedService, key ident.RunKey) []ident.VM {
+	window := o.windowOf(service)
 	seen := map[ident.VM]bool{}
 	var owners []ident.VM
 	note := func(lists []earlierList) {
 		for _, list := range lists {
-			if now.Sub(list.replacedAt) > retention {
+			if now.Sub(list.replacedAt) > window {
 				continue
 			}
 			if vm := Highest(string(key), list.vms); !seen[vm] {
@@ -226,9 +226,9 @@
 			}
 		}
 	}
-	note(s.earlier)
-	for _, vm := range s.claimants() {
-		note(s.claims[vm].earlier)
+	note(service.earlier)
+	for _, vm := range service.claimants() {
+		note(service.claims[vm].earlier)
 	}
 	return owners
 }
@@ -244,7 +244,7 @@
 
 // unreleased returns an earlier owner of the key that may still run it, or "".
 func (o *Owner) unreleased(now time.Time, service *ownedService, key ident.RunKey) ident.VM {
-	for _, vm := range service.priorOwners(now, key) {
+	for _, vm := range o.priorOwners(now, service, key) {
 		if vm != o.config.Self.VM && !o.gone[vm] && !service.hasReleased(vm) {
 			return vm
 		}
@@ -272,7 +272,7 @@
 	if !o.knowsOwnRuns(now, service) {
 		return false
 	}
-	for _, vm := range service.priorOwners(now, key) {
+	for _, vm := range o.priorOwners(now, service, key) {
 		if vm != o.config.Self.VM && !service.releasedAll(vm) {
 			return false
 		}
@@ -325,21 +325,22 @@
 	return false
 }
 
-// windowStart returns since when runs of keys matter, on this agent's clock.
-func (s *ownedService) windowStart(now time.Time, skew time.Duration) time.Time {
-	return later(now.Add(-retentionOf(s.published)), s.published.OpenedAt.Add(-skew))
+// windowOf returns the time after a dispatch over which its run matters.
+func (o *Owner) windowOf(service *ownedService) time.Duration {
+	return retentionOf(service.published) + o.config.StartsWithin
 }
 
-func (s *ownedService) logsCover(now time.Time, skew time.Duration) bool {
-	return s.uncoveredFor(now, skew) == 0
+func (o *Owner) logsCover(now time.Time, service *ownedService) bool {
+	return o.uncoveredFor(now, service) == 0
 }
 
-// uncoveredFor returns the time until the entries' logs cover the whole window.
-func (s *ownedService) uncoveredFor(now time.Time, skew time.Duration) time.Duration {
-	start := s.windowStart(now, skew)
-	retention := retentionOf(s.published)
+// uncoveredFor returns the time until the entries' logs cover the whole window: since the
+// service's opening, or over the time after a dispatch over which its run matters.
+func (o *Owner) uncoveredFor(now time.Time, service *ownedService) time.Duration {
+	retention := o.windowOf(service)
+	start := later(now.Add(-retention), service.published.OpenedAt.Add(-o.config.ClockSkew))
 	var wait time.Duration
-	for _, claim := range s.claims {
+	for _, claim := range service.claims {
 		if claim.accepted && claim.coversSince.After(start) {
 			wait = max(wait, claim.coversSince.Add(retention).Sub(now))
 		}
--- a/internal/attempt/owner_stop.go
+++ b/internal/attempt/owner_stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/bramleyspool/bramleyspool/internal/chart"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
 )
 
 // advanceStop hands all keys over once nothing runs, and reports the end.
@@ -148,6 +149,14 @@
 
 func (o *Owner) importKey(now time.Time, service *ownedService, transfer KeyTransfer) {
 	record := service.keys[transfer.RunKey]
+	if record != nil && record.state == keyHeld && record.body != transfer.Body {
+		record.refusal = outcome.Refused(outcome.CauseKeyConflict)
+		if transfer.Status != KeyServed {
+			record.refusal = o.doubt(record.key, 0)
+		}
+		o.keyEvent(now, record, "expire")
+		record = nil
+	}
 	if record == nil {
 		record = o.newRecord(service, transfer.RunKey, transfer.Body)
 	}
--- /dev/null
+++ b/internal/attempt/property_test.go
@@ -0,0 +1,66 @@
+package attempt_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/experiment/calls"
+)
+
+// chaosSteps is the number of steps in one interleaving. The nightly command is
+//
+//	go test ./internal/attempt -run TestNothingRunsTwice -chaos.steps 1000 -rapid.checks 1200
+var chaosSteps = flag.Int("chaos.steps", 300, "steps in one random interleaving")
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	fixed := map[string]string{"rapid.seed": "1", "rapid.checks": "60"}
+	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
+	for name, value := range fixed {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// drawn makes rapid's draws, so that a failing interleaving is shrunk.
+type drawn struct{ t *rapid.T }
+
+func (d drawn) IntN(n int) int { return rapid.IntRange(0, n-1).Draw(d.t, "choice") }
+
+func chaosConfig(t *rapid.T) calls.Config {
+	return calls.Config{
+		Entries:   rapid.IntRange(2, 3).Draw(t, "entries"),
+		Agents:    rapid.IntRange(2, 3).Draw(t, "agents"),
+		Retention: 20 * time.Second,
+		OpenedAt:  rapid.SampledFrom([]time.Duration{-time.Hour, 0, time.Second}).Draw(t, "opened"),
+	}
+}
+
+func TestNothingRunsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		world := calls.NewWorld(chaosConfig(t))
+		chaos := calls.NewChaos(world, drawn{t})
+		for step := range *chaosSteps {
+			name := chaos.Step()
+			if faults := chaos.Violations(); len(faults) > 0 {
+				t.Fatalf("step %d (%s): %s", step, name, faults[0])
+			}
+		}
+		open := chaos.Settle()
+		if faults := chaos.Violations(); len(faults) > 0 {
+			t.Fatalf("after the faults: %s", faults[0])
+		}
+		if open > 0 {
+			t.Fatalf("%d calls have no outcome after the faults", open)
+		}
+	})
+}
+
+var _ = attempt.DoubtAsk
--- /dev/null
+++ b/internal/experiment/calls/chaos.go
@@ -0,0 +1,239 @@
+package calls
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+// Chooser makes the random choices of a run.
+type Chooser interface {
+	// IntN returns a number in [0, n).
+	IntN(n int) int
+}
+
+const (
+	maxMessages = 300
+	maxBatch    = 20
+	keyCount    = 5
+	maxAgents   = 5
+)
+
+// Chaos drives a world through random faults.
+type Chaos struct {
+	World  *World
+	choose Chooser
+	deeds  []deed
+	weight int
+}
+
+// deed is one kind of step with its weight.
+type deed struct {
+	name   string
+	weight int
+	do     func()
+}
+
+// NewChaos returns a driver for the world.
+func NewChaos(world *World, choose Chooser) *Chaos {
+	c := &Chaos{World: world, choose: choose}
+	// A world with few faults gets further than one with many: try both.
+	calm := []int{1, 3, 10, 30}[choose.IntN(4)]
+	c.deeds = []deed{
+		{"deliver", 200 * calm, c.deliver},
+		{"call", 60 * calm, c.call},
+		{"pass", 60 * calm, func() { world.pass(time.Duration(10+choose.IntN(300)) * time.Millisecond) }},
+		{"end run", 80 * calm, c.endRun},
+		{"pass long", 2, func() { world.pass(world.config.Retention / time.Duration(2+choose.IntN(3))) }},
+		{"deliver twice", 20, c.duplicate},
+		{"lose", 15, c.lose},
+		{"crash backend", 4, c.crashBackend},
+		{"crash agent", 5, c.crashAgent},
+		{"stop agent", 3, c.stopAgent},
+		{"replace agent VM", 1, c.replaceAgent},
+		{"pause agent", 5, c.pauseAgent},
+		{"start agent", 10, c.startAgent},
+		{"wake agent", 8, c.wakeAgent},
+		{"crash entry", 3, c.crashEntry},
+		{"pause entry", 3, c.pauseEntry},
+		{"start entry", 10, c.startEntry},
+		{"wake entry", 8, c.wakeEntry},
+		{"cut link", 4, c.cut},
+		{"heal links", 4, func() { world.blocked = map[link]bool{} }},
+		{"publish", 3, c.publish},
+		{"learn fleet", 25, c.learnFleet},
+		{"learn gone", 8, c.learnGone},
+		{"lose connection", 5, c.loseConnection},
+		{"caller gone", 3, c.callerGone},
+	}
+	for _, deed := range c.deeds {
+		c.weight += deed.weight
+	}
+	return c
+}
+
+// Step takes one random step and returns its name.
+func (c *Chaos) Step() string {
+	pick := c.choose.IntN(c.weight)
+	for _, deed := range c.deeds {
+		if pick < deed.weight {
+			deed.do()
+			return deed.name
+		}
+		pick -= deed.weight
+	}
+	panic("invariant: the weights of the steps do not add up")
+}
+
+// Violations returns what must never happen and did.
+func (c *Chaos) Violations() []string { return c.World.record.violations }
+
+func (c *Chaos) take(keep bool) (envelope, bool) {
+	w := c.World
+	if len(w.network) == 0 {
+		return envelope{}, false
+	}
+	index := c.choose.IntN(min(len(w.network), 5))
+	if c.choose.IntN(10) == 0 {
+		index = c.choose.IntN(len(w.network))
+	}
+	e := w.network[index]
+	if !keep {
+		w.network = append(w.network[:index:index], w.network[index+1:]...)
+	}
+	return e, true
+}
+
+func (c *Chaos) deliver() {
+	for range 1 + c.choose.IntN(maxBatch) {
+		if e, ok := c.take(false); ok {
+			c.arrive(e)
+		}
+	}
+	for len(c.World.network) > maxMessages {
+		e := c.World.network[0]
+		c.World.network = c.World.network[1:]
+		c.arrive(e)
+	}
+}
+
+func (c *Chaos) duplicate() {
+	if e, ok := c.take(true); ok {
+		c.arrive(e)
+	}
+}
+
+func (c *Chaos) lose() { c.take(false) }
+
+// arrive hands a message to a process of the VM that it was sent to; an earlier process
+// that woke may still get it.
+func (c *Chaos) arrive(e envelope) {
+	w := c.World
+	if w.blocked[link{e.from, e.to}] {
+		return
+	}
+	if host := w.entryHostOf(e.to); host != nil {
+		if awake := host.awake(); len(awake) > 0 {
+			w.deliverEntry(awake[c.choose.IntN(len(awake))], e.message)
+		}
+		return
+	}
+	if awake := w.agentHostOf(e.to).awake(); len(awake) > 0 {
+		w.deliverAgent(awake[c.choose.IntN(len(awake))], e.message)
+	}
+}
+
+func (c *Chaos) call() {
+	w := c.World
+	awake := c.awakeEntry()
+	if awake == nil {
+		return
+	}
+	class := template.ClassPlan{Name: "redemption", Service: serviceName, Deadline: 3 * time.Second}
+	w.nextID++
+	call := attempt.Call{
+		Request: ident.Request(fmt.Sprintf("r%05d", w.nextID)), Customer: "customer0",
+		Deadline: w.now.Add(class.Deadline),
+	}
+	key := c.choose.IntN(keyCount)
+	body := fmt.Sprintf("body of %d", key)
+	switch c.choose.IntN(10) {
+	case 0, 1:
+		class.Name, class.Idempotent = "lookup", true
+	case 2:
+		// A request that cannot be sent again has no run key.
+	case 3:
+		body = "another body"
+		call.RunKey = ident.NewRunKey(call.Customer, serviceName, fmt.Sprint(key))
+	default:
+		call.RunKey = ident.NewRunKey(call.Customer, serviceName, fmt.Sprint(key))
+	}
+	call.Class = class
+	call.Body = sha256.Sum256([]byte(body))
+	w.startCall(awake, call)
+}
+
+func (w *World) startCall(process *entryProcess, call attempt.Call) {
+	w.record.start(w.now, call)
+	w.stepCaller(process, attempt.CallStarted{Call: call})
+}
+
+func (c *Chaos) awakeEntry() *entryProcess {
+	host := c.World.entries[c.choose.IntN(len(c.World.entries))]
+	awake := host.awake()
+	if len(awake) == 0 {
+		return nil
+	}
+	return awake[c.choose.IntN(len(awake))]
+}
+
+func (c *Chaos) awakeAgent() *agentProcess {
+	host := c.World.agents[c.choose.IntN(len(c.World.agents))]
+	awake := host.awake()
+	if len(awake) == 0 {
+		return nil
+	}
+	return awake[c.choose.IntN(len(awake))]
+}
+
+func (c *Chaos) endRun() {
+	process := c.awakeAgent()
+	if process == nil || len(process.running) == 0 {
+		return
+	}
+	result := outcome.Outcome{Kind: outcome.Served}
+	switch c.choose.IntN(12) {
+	case 0:
+		result = outcome.Refused(outcome.CauseBackendError)
+	case 1:
+		result = outcome.InDoubt(outcome.CauseBackendError, "")
+	}
+	c.World.endRun(process, c.choose.IntN(len(process.running)), result)
+}
+
+func (c *Chaos) crashBackend() {
+	if process := c.awakeAgent(); process != nil {
+		c.World.crashBackend(process)
+	}
+}
+
+func (c *Chaos) loseConnection() {
+	process := c.awakeEntry()
+	agent := c.awakeAgent()
+	if process != nil && agent != nil {
+		c.World.stepCaller(process, attempt.ConnectionLost{Target: agent.instance})
+	}
+}
+
+func (c *Chaos) callerGone() {
+	process := c.awakeEntry()
+	if process != nil && c.World.nextID > 0 {
+		request := ident.Request(fmt.Sprintf("r%05d", 1+c.choose.IntN(c.World.nextID)))
+		c.World.stepCaller(process, attempt.CallerGone{Request: request})
+	}
+}
--- /dev/null
+++ b/internal/experiment/calls/chaos_faults.go
@@ -0,0 +1,235 @@
+package calls
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+func (c *Chaos) agentHost() *agentHost {
+	return c.World.agents[c.choose.IntN(len(c.World.agents))]
+}
+
+func (c *Chaos) crashAgent() {
+	host := c.agentHost()
+	if len(host.processes) > 0 {
+		host.processes[c.choose.IntN(len(host.processes))].dead = true
+	}
+}
+
+func (c *Chaos) stopAgent() {
+	if process := c.awakeAgent(); process != nil {
+		c.World.stepOwner(process, attempt.OwnerStop{})
+	}
+}
+
+// replaceAgent destroys a VM for good and adds another one.
+func (c *Chaos) replaceAgent() {
+	w := c.World
+	host := c.agentHost()
+	if len(w.agents) >= maxAgents || len(w.agentVMs()) < 2 || host.gone {
+		return
+	}
+	for _, process := range host.processes {
+		process.dead = true
+	}
+	host.gone = true
+	w.startAgent(w.addAgentHost(), c.recentFleet())
+	w.publish(w.agentVMs())
+}
+
+func (c *Chaos) pauseAgent() {
+	if process := c.awakeAgent(); process != nil {
+		process.paused = true
+	}
+}
+
+func (c *Chaos) startAgent() {
+	host := c.agentHost()
+	if current := host.current(); host.gone || (current != nil && !current.paused) {
+		return
+	}
+	c.World.startAgent(host, c.recentFleet())
+}
+
+func (c *Chaos) wakeAgent() {
+	host := c.agentHost()
+	for _, process := range host.processes {
+		if !process.dead && process.paused {
+			process.paused = false
+			c.World.stepOwner(process, attempt.ClockGap{})
+		}
+	}
+}
+
+func (c *Chaos) entryHost() *entryHost {
+	return c.World.entries[c.choose.IntN(len(c.World.entries))]
+}
+
+func (c *Chaos) crashEntry() {
+	host := c.entryHost()
+	host.processes[c.choose.IntN(len(host.processes))].dead = true
+}
+
+func (c *Chaos) pauseEntry() {
+	if process := c.awakeEntry(); process != nil {
+		process.paused = true
+	}
+}
+
+func (c *Chaos) startEntry() {
+	host := c.entryHost()
+	if current := host.current(); current != nil && !current.paused {
+		return
+	}
+	c.World.startEntry(host, c.recentFleet())
+}
+
+func (c *Chaos) wakeEntry() {
+	for _, process := range c.entryHost().processes {
+		process.paused = false
+	}
+}
+
+// recentFleet returns the index of one of the latest fleet versions.
+func (c *Chaos) recentFleet() int {
+	count := len(c.World.fleets)
+	return count - 1 - c.choose.IntN(min(count, 3))
+}
+
+func (c *Chaos) cut() {
+	vms := c.vms()
+	a := vms[c.choose.IntN(len(vms))]
+	b := vms[c.choose.IntN(len(vms))]
+	c.World.blocked[link{a, b}] = true
+	if c.choose.IntN(2) == 0 {
+		c.World.blocked[link{b, a}] = true
+	}
+}
+
+func (c *Chaos) vms() []ident.VM {
+	var vms []ident.VM
+	for _, host := range c.World.entries {
+		vms = append(vms, host.vm)
+	}
+	for _, host := range c.World.agents {
+		vms = append(vms, host.vm)
+	}
+	return vms
+}
+
+// publish lists a random part of the agents' VMs.
+func (c *Chaos) publish() {
+	all := c.World.agentVMs()
+	var listed []ident.VM
+	for _, vm := range all {
+		if c.choose.IntN(3) > 0 {
+			listed = append(listed, vm)
+		}
+	}
+	if len(listed) == 0 {
+		listed = all[:1]
+	}
+	c.World.publish(listed)
+}
+
+func (c *Chaos) learnFleet() {
+	w := c.World
+	next := w.fleets[c.recentFleet()]
+	if process := c.awakeAgent(); process != nil {
+		w.stepOwner(process, attempt.OwnerFleetChanged{Fleet: next})
+	}
+	if process := c.awakeEntry(); process != nil {
+		w.stepLog(process, attempt.LogFleetChanged{Fleet: next})
+	}
+}
+
+func (c *Chaos) learnGone() {
+	process := c.awakeAgent()
+	if process == nil {
+		return
+	}
+	var gone []ident.VM
+	for _, host := range c.World.agents {
+		if host.gone {
+			gone = append(gone, host.vm)
+		}
+	}
+	c.World.stepOwner(process, attempt.VMsGone{VMs: gone})
+}
+
+// Settle ends all faults and lets the world come to rest. It returns the number of calls
+// that are still open at live entries.
+func (c *Chaos) Settle() int {
+	w := c.World
+	w.blocked = map[link]bool{}
+	last := len(w.fleets) - 1
+	for _, host := range w.entries {
+		if host.current() == nil {
+			w.startEntry(host, last)
+		}
+	}
+	for _, host := range w.agents {
+		if !host.gone && host.current() == nil {
+			w.startAgent(host, last)
+		}
+	}
+	c.catchUp(last)
+	const rest = 100
+	for range rest {
+		for range 20 {
+			network := w.network
+			w.network = nil
+			for _, e := range network {
+				c.arrive(e)
+			}
+		}
+		w.pass(100 * time.Millisecond)
+		c.endAllRuns()
+	}
+	return c.openCalls()
+}
+
+func (c *Chaos) catchUp(last int) {
+	w := c.World
+	for _, host := range w.entries {
+		for _, process := range host.processes {
+			process.paused = false
+			if !process.dead {
+				w.stepLog(process, attempt.LogFleetChanged{Fleet: w.fleets[last]})
+			}
+		}
+	}
+	for _, host := range w.agents {
+		for _, process := range host.processes {
+			if !process.dead && process.paused {
+				process.paused = false
+				w.stepOwner(process, attempt.ClockGap{})
+			}
+			if !process.dead {
+				w.stepOwner(process, attempt.OwnerFleetChanged{Fleet: w.fleets[last]})
+			}
+		}
+	}
+}
+
+func (c *Chaos) endAllRuns() {
+	for _, host := range c.World.agents {
+		for _, process := range host.awake() {
+			for len(process.running) > 0 {
+				c.World.endRun(process, 0, servedOutcome)
+			}
+		}
+	}
+}
+
+func (c *Chaos) openCalls() int {
+	open := 0
+	for _, host := range c.World.entries {
+		for _, process := range host.awake() {
+			open += process.caller.Open()
+		}
+	}
+	return open
+}
--- /dev/null
+++ b/internal/experiment/calls/record.go
@@ -0,0 +1,133 @@
+package calls
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+)
+
+// Record holds what the backend servers truly ran and what the callers were told.
+type Record struct {
+	retention  time.Duration
+	calls      map[ident.Request]*CallRecord
+	runs       map[ident.RunKey][]keyRun
+	violations []string
+}
+
+type keyRun struct {
+	at time.Time
+	id attempt.Attempt
+}
+
+// CallRecord is one call as its caller sees it.
+type CallRecord struct {
+	Call    attempt.Call
+	Started time.Time
+	Ended   time.Time
+	Outcome outcome.Outcome
+	// Ran counts the runs of the call's attempts.
+	Ran      int
+	Attempts int
+}
+
+// NewRecord returns an empty record for a service that remembers run keys for the retention.
+func NewRecord(retention time.Duration) *Record {
+	return &Record{
+		retention: retention,
+		calls:     map[ident.Request]*CallRecord{},
+		runs:      map[ident.RunKey][]keyRun{},
+	}
+}
+
+// Violations returns what must never happen and did.
+func (r *Record) Violations() []string { return r.violations }
+
+// Record returns the record of what truly ran.
+func (w *World) Record() *Record { return w.record }
+
+// Calls returns all calls by request.
+func (r *Record) Calls() map[ident.Request]*CallRecord { return r.calls }
+
+func (r *Record) violate(format string, arguments ...any) {
+	r.violations = append(r.violations, fmt.Sprintf(format, arguments...))
+}
+
+func (r *Record) start(now time.Time, call attempt.Call) {
+	r.calls[call.Request] = &CallRecord{Call: call, Started: now}
+}
+
+// run notes that a backend server starts a request.
+func (r *Record) run(now time.Time, dispatch attempt.Dispatch) {
+	call := r.calls[dispatch.ID.Request]
+	call.Ran++
+	if call.Outcome.Kind == outcome.NotRun {
+		r.violate("%s: %v runs after the caller was told that it was not run (%s)", now.Format("05.000"), dispatch.ID, call.Outcome.Cause)
+	}
+	if dispatch.Idempotent {
+		return
+	}
+	if call.Ran > 1 {
+		r.violate("%s: %v runs a second time within one call", now.Format("05.000"), dispatch.ID)
+	}
+	if dispatch.RunKey == "" {
+		return
+	}
+	for _, earlier := range r.runs[dispatch.RunKey] {
+		if now.Sub(earlier.at) < r.retention {
+			r.violate("%s: key %s runs as %v on %v and ran as %v %v before", now.Format("05.000"), dispatch.RunKey, dispatch.ID, dispatch.Target, earlier.id, now.Sub(earlier.at))
+		}
+	}
+	r.runs[dispatch.RunKey] = append(r.runs[dispatch.RunKey], keyRun{at: now, id: dispatch.ID})
+}
+
+// notRun takes back a run that the backend server proved that it did not start.
+func (r *Record) notRun(dispatch attempt.Dispatch) {
+	r.calls[dispatch.ID.Request].Ran--
+	runs := r.runs[dispatch.RunKey]
+	for i, run := range runs {
+		if run.id == dispatch.ID {
+			r.runs[dispatch.RunKey] = append(runs[:i:i], runs[i+1:]...)
+			return
+		}
+	}
+}
+
+// finish notes what the caller was told.
+func (r *Record) finish(now time.Time, finish attempt.Finish) {
+	call := r.calls[finish.Request]
+	if call.Outcome.Kind != outcome.Open {
+		r.violate("%s has a second outcome %v after %v", finish.Request, finish.Outcome, call.Outcome)
+	}
+	call.Outcome = finish.Outcome
+	call.Ended = now
+	call.Attempts = finish.Attempts
+	switch finish.Outcome.Kind {
+	case outcome.NotRun:
+		if call.Ran > 0 {
+			r.violate("%s was told not run (%s) and ran", finish.Request, finish.Outcome.Cause)
+		}
+	case outcome.Served:
+		if finish.Answer.Digest != answerDigest(call.Call.RunKey, call.Call.Request, call.Call.Body) {
+			r.violate("%s got the answer of another request", finish.Request)
+		}
+	case outcome.Open:
+		r.violate("%s was finished without an outcome", finish.Request)
+	case outcome.Unknown:
+	}
+}
+
+// answerDigest is the digest of the answer that belongs to a request; requests with one
+// run key share one answer.
+func answerDigest(key ident.RunKey, request ident.Request, body attempt.Digest) attempt.Digest {
+	identity := string(key)
+	if identity == "" {
+		identity = string(request)
+	}
+	return sha256.Sum256(append([]byte(identity+"\x1f"), body[:]...))
+}
+
+var servedOutcome = outcome.Outcome{Kind: outcome.Served}
--- /dev/null
+++ b/internal/experiment/calls/world.go
@@ -0,0 +1,273 @@
+package calls
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/fleet"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+const (
+	serviceName  ident.Service = "redemptions"
+	leasePeriod                = 2 * time.Second
+	leasesToKeep               = 20
+	// startsWithin covers three lease periods and the wait for a start.
+	startsWithin = 8 * time.Second
+)
+
+var epoch = time.Unix(1_700_000_000, 0).UTC()
+
+// Config configures a World.
+type Config struct {
+	Entries int
+	Agents  int
+	// Retention is the service's run key retention.
+	Retention time.Duration
+	// OpenedAt is the time from the world's start to the service's opening; it may be negative.
+	OpenedAt time.Duration
+	Doubt    attempt.DoubtPolicy
+	Caller   func(*attempt.CallerConfig)
+}
+
+// World is a small fleet on a simulated clock.
+type World struct {
+	config  Config
+	now     time.Time
+	started time.Time
+	last    ident.Incarnation
+	network []envelope
+	entries []*entryHost
+	agents  []*agentHost
+	fleets  []fleet.Fleet
+	blocked map[link]bool
+	record  *Record
+	nextID  int
+	// send takes messages; it can be replaced to model a network.
+	send func(envelope)
+	// route picks the target of a request without an owner.
+	route func(*entryProcess, attempt.NeedRoute) (ident.VM, bool)
+	// onRun is told of each run that starts; it may be nil.
+	onRun func(*agentProcess, attempt.Dispatch)
+}
+
+type envelope struct {
+	from, to ident.VM
+	message  any
+}
+
+type link struct{ a, b ident.VM }
+
+type entryHost struct {
+	vm        ident.VM
+	processes []*entryProcess
+}
+
+type entryProcess struct {
+	host     *entryHost
+	instance ident.Instance
+	log      *attempt.Log
+	caller   *attempt.Caller
+	paused   bool
+	dead     bool
+	view     map[ident.VM]agentView
+}
+
+type agentView struct {
+	instance ident.Instance
+	lease    attempt.Number
+}
+
+type agentHost struct {
+	vm        ident.VM
+	processes []*agentProcess
+	gone      bool
+}
+
+type agentProcess struct {
+	host     *agentHost
+	instance ident.Instance
+	owner    *attempt.Owner
+	paused   bool
+	dead     bool
+	running  []attempt.Dispatch
+}
+
+// NewWorld returns a world whose processes all run and know the first fleet version.
+func NewWorld(config Config) *World {
+	w := &World{config: config, now: epoch, started: epoch, blocked: map[link]bool{}, record: NewRecord(config.Retention)}
+	w.send = func(e envelope) { w.network = append(w.network, e) }
+	w.route = w.anyAgent
+	for i := range config.Entries {
+		w.entries = append(w.entries, &entryHost{vm: ident.VM(fmt.Sprintf("entry%d", i))})
+	}
+	for range config.Agents {
+		w.addAgentHost()
+	}
+	w.publish(w.agentVMs())
+	for _, host := range w.entries {
+		w.startEntry(host, 0)
+	}
+	for _, host := range w.agents {
+		w.startAgent(host, 0)
+	}
+	return w
+}
+
+func (w *World) addAgentHost() *agentHost {
+	host := &agentHost{vm: ident.VM(fmt.Sprintf("backend%d", len(w.agents)))}
+	w.agents = append(w.agents, host)
+	return host
+}
+
+func (w *World) agentVMs() []ident.VM {
+	var vms []ident.VM
+	for _, host := range w.agents {
+		if !host.gone {
+			vms = append(vms, host.vm)
+		}
+	}
+	return vms
+}
+
+// publish adds a fleet version with the backend servers.
+func (w *World) publish(backends []ident.VM) {
+	next := fleet.Fleet{Version: template.Version(len(w.fleets) + 1)}
+	for _, host := range w.entries {
+		next.Entries = append(next.Entries, fleet.EntryVM{VM: host.vm})
+	}
+	service := fleet.Service{
+		Name: serviceName, Kind: template.KindPlain,
+		OpenedAt: w.started.Add(w.config.OpenedAt), RunKeyRetention: w.config.Retention,
+	}
+	for _, vm := range backends {
+		service.Backends = append(service.Backends, fleet.BackendServer{VM: vm, Capacity: 8})
+	}
+	next.Services = []fleet.Service{service}
+	w.fleets = append(w.fleets, next)
+}
+
+func (w *World) newInstance(vm ident.VM) ident.Instance {
+	w.last++
+	return ident.Instance{VM: vm, Incarnation: w.last}
+}
+
+func (w *World) startEntry(host *entryHost, fleetIndex int) {
+	process := &entryProcess{host: host, instance: w.newInstance(host.vm), view: map[ident.VM]agentView{}}
+	process.log = attempt.NewLog(w.now, w.logConfig(process.instance))
+	config := attempt.DefaultCallerConfig(process.instance)
+	if w.config.Caller != nil {
+		w.config.Caller(&config)
+	}
+	process.caller = attempt.NewCaller(config, process.log)
+	host.processes = append(host.processes, process)
+	w.stepLog(process, attempt.LogFleetChanged{Fleet: w.fleets[fleetIndex]})
+}
+
+func (w *World) logConfig(self ident.Instance) attempt.LogConfig {
+	config := attempt.DefaultLogConfig(self)
+	config.StartsWithin = startsWithin
+	return config
+}
+
+func (w *World) startAgent(host *agentHost, fleetIndex int) {
+	process := &agentProcess{host: host, instance: w.newInstance(host.vm)}
+	config := attempt.DefaultOwnerConfig(process.instance)
+	config.Doubt = w.config.Doubt
+	config.ClockSkew = 0
+	config.StartsWithin = startsWithin
+	process.owner = attempt.NewOwner(w.now, config)
+	host.processes = append(host.processes, process)
+	w.stepOwner(process, w.leases())
+	w.stepOwner(process, attempt.OwnerFleetChanged{Fleet: w.fleets[fleetIndex]})
+}
+
+// leases returns the agents' lease numbers of the present time.
+func (w *World) leases() attempt.LeaseMoved {
+	current := attempt.Number(w.now.Sub(w.started)/leasePeriod) + leasesToKeep
+	return attempt.LeaseMoved{Current: current, Start: current - 2, Forget: current - leasesToKeep + 1}
+}
+
+// current returns the latest process of the host that is not dead, or nil.
+func (h *entryHost) current() *entryProcess {
+	for i := len(h.processes) - 1; i >= 0; i-- {
+		if !h.processes[i].dead {
+			return h.processes[i]
+		}
+	}
+	return nil
+}
+
+func (h *agentHost) current() *agentProcess {
+	for i := len(h.processes) - 1; i >= 0; i-- {
+		if !h.processes[i].dead {
+			return h.processes[i]
+		}
+	}
+	return nil
+}
+
+// awake returns the processes of the host that can take a message.
+func (h *agentHost) awake() []*agentProcess {
+	var awake []*agentProcess
+	for _, process := range h.processes {
+		if !process.dead && !process.paused {
+			awake = append(awake, process)
+		}
+	}
+	return awake
+}
+
+func (h *entryHost) awake() []*entryProcess {
+	var awake []*entryProcess
+	for _, process := range h.processes {
+		if !process.dead && !process.paused {
+			awake = append(awake, process)
+		}
+	}
+	return awake
+}
+
+func (w *World) entryHostOf(vm ident.VM) *entryHost {
+	for _, host := range w.entries {
+		if host.vm == vm {
+			return host
+		}
+	}
+	return nil
+}
+
+func (w *World) agentHostOf(vm ident.VM) *agentHost {
+	for _, host := range w.agents {
+		if host.vm == vm {
+			return host
+		}
+	}
+	return nil
+}
+
+// anyAgent picks an agent that the entry has heard of and that the request does not exclude.
+func (w *World) anyAgent(process *entryProcess, need attempt.NeedRoute) (ident.VM, bool) {
+	candidates := need.Among
+	if len(candidates) == 0 {
+		candidates = w.agentVMs()
+	}
+	for i := range candidates {
+		vm := candidates[(i+w.nextID)%len(candidates)]
+		if _, known := process.view[vm]; known && !contains(need.Exclude, vm) {
+			return vm, true
+		}
+	}
+	return "", false
+}
+
+func contains(vms []ident.VM, vm ident.VM) bool {
+	for _, member := range vms {
+		if member == vm {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/experiment/calls/world_step.go
@@ -0,0 +1,236 @@
+package calls
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+)
+
+// greeting tells an entry that an agent's run exists, and its lease number.
+type greeting struct {
+	agent ident.Instance
+	lease attempt.Number
+}
+
+func (w *World) stepLog(process *entryProcess, event attempt.LogEvent) {
+	for _, action := range process.log.Step(w.now, event) {
+		switch action := action.(type) {
+		case attempt.SendClaimAnswer:
+			w.post(process.host.vm, action.Answer.Claimant.VM, action.Answer)
+		case attempt.SendPeerQuestion:
+			w.post(process.host.vm, action.To, action.Question)
+		case attempt.SendPeerAnswer:
+			w.post(process.host.vm, action.Answer.Asker.VM, action.Answer)
+		case attempt.Superseded:
+			process.dead = true
+		case attempt.NeedFleet:
+		}
+	}
+}
+
+func (w *World) stepCaller(process *entryProcess, event attempt.CallerEvent) {
+	for _, action := range process.caller.Step(w.now, event) {
+		w.performCaller(process, action)
+	}
+}
+
+func (w *World) performCaller(process *entryProcess, action attempt.CallerAction) {
+	from := process.host.vm
+	switch action := action.(type) {
+	case attempt.NeedRoute:
+		w.answerRoute(process, action)
+	case attempt.SendDispatch:
+		w.post(from, action.Dispatch.Target.VM, action.Dispatch)
+	case attempt.SendRevoke:
+		w.post(from, action.Revoke.Target.VM, action.Revoke)
+	case attempt.SendQuery:
+		w.post(from, action.Query.Target.VM, action.Query)
+	case attempt.SendCancel:
+		w.post(from, action.Cancel.Target.VM, action.Cancel)
+	case attempt.SendQuarantine:
+		w.postEntries(from, action.Notice)
+	case attempt.SendCleared:
+		w.postEntries(from, attempt.SuspectCleared(action))
+	case attempt.Finish:
+		w.record.finish(w.now, action)
+	case attempt.ResumeStream:
+	}
+}
+
+func (w *World) answerRoute(process *entryProcess, need attempt.NeedRoute) {
+	vm := need.Only
+	found := vm != ""
+	if !found {
+		vm, found = w.route(process, need)
+	}
+	view, known := process.view[vm]
+	if !found || !known {
+		w.stepCaller(process, attempt.NoRoute{Request: need.Request, Cause: outcome.CauseNoBackend, RetryAfter: time.Second})
+		return
+	}
+	w.stepCaller(process, attempt.Routed{Request: need.Request, Target: view.instance, Lease: view.lease})
+}
+
+func (w *World) stepOwner(process *agentProcess, event attempt.OwnerEvent) {
+	for _, action := range process.owner.Step(w.now, event) {
+		w.performOwner(process, action)
+	}
+}
+
+func (w *World) performOwner(process *agentProcess, action attempt.OwnerAction) {
+	from := process.host.vm
+	switch action := action.(type) {
+	case attempt.Run:
+		w.record.run(w.now, action.Dispatch)
+		process.running = append(process.running, action.Dispatch)
+		if w.onRun != nil {
+			w.onRun(process, action.Dispatch)
+		}
+	case attempt.SendReply:
+		w.post(from, action.Reply.ID.Entry.VM, action.Reply)
+	case attempt.SendClaim:
+		w.post(from, action.To, action.Claim)
+	case attempt.SendRelease:
+		w.post(from, action.To, action.Request)
+	case attempt.SendHandOver:
+		w.post(from, action.HandOver.To, action.HandOver)
+	case attempt.SendHandOverAck:
+		w.post(from, action.Ack.From, action.Ack)
+	case attempt.SendCrashReport:
+		w.postEntries(from, action.Report)
+	case attempt.SendTicket:
+		w.post(from, action.Reply.Entry.VM, action.Reply)
+	case attempt.OwnerStopped:
+		process.dead = true
+	case attempt.OwnerSuperseded, attempt.CancelRun, attempt.SendKeyAnswer, attempt.OwnerNeedsFleet,
+		attempt.KeysRefused, attempt.OwnershipChanged:
+	}
+}
+
+func (w *World) post(from, to ident.VM, message any) {
+	w.send(envelope{from: from, to: to, message: message})
+}
+
+func (w *World) postEntries(from ident.VM, message any) {
+	for _, host := range w.entries {
+		w.post(from, host.vm, message)
+	}
+}
+
+// deliverEntry hands a message to an entry.
+func (w *World) deliverEntry(process *entryProcess, message any) {
+	switch message := message.(type) {
+	case greeting:
+		w.see(process, message.agent, message.lease)
+	case attempt.Claim:
+		w.see(process, message.Claimant, 0)
+		w.stepLog(process, attempt.ClaimReceived{Claim: message})
+	case attempt.PeerQuestion:
+		w.stepLog(process, attempt.PeerQuestionReceived{Question: message})
+	case attempt.PeerAnswer:
+		w.stepLog(process, attempt.PeerAnswerReceived{Answer: message})
+	case attempt.Reply:
+		w.see(process, message.Agent, message.Lease)
+		w.stepCaller(process, attempt.ReplyReceived{Reply: message})
+	case attempt.CrashReport:
+		w.stepCaller(process, attempt.CrashReported{Report: message})
+	case attempt.QuarantineNotice:
+		w.stepCaller(process, attempt.QuarantineNoticed{Notice: message})
+	case attempt.SuspectCleared:
+		w.stepCaller(process, message)
+	}
+}
+
+// see keeps the agent's latest run and lease number.
+func (w *World) see(process *entryProcess, agent ident.Instance, lease attempt.Number) {
+	known := process.view[agent.VM]
+	if agent.Incarnation < known.instance.Incarnation {
+		return
+	}
+	if agent == known.instance {
+		lease = max(lease, known.lease)
+	}
+	process.view[agent.VM] = agentView{instance: agent, lease: lease}
+}
+
+// deliverAgent hands a message to an agent.
+func (w *World) deliverAgent(process *agentProcess, message any) {
+	switch message := message.(type) {
+	case attempt.Dispatch:
+		w.stepOwner(process, attempt.DispatchReceived{Dispatch: message})
+	case attempt.Revoke:
+		w.stepOwner(process, attempt.RevokeReceived{Revoke: message})
+	case attempt.Query:
+		w.stepOwner(process, attempt.QueryReceived{Query: message})
+	case attempt.Cancel:
+		w.stepOwner(process, attempt.CancelReceived{Cancel: message})
+	case attempt.ClaimAnswer:
+		w.stepOwner(process, attempt.ClaimAnswered{Answer: message})
+	case attempt.ReleaseRequest:
+		w.stepOwner(process, attempt.ReleaseAsked{Request: message})
+	case attempt.HandOver:
+		w.stepOwner(process, attempt.HandOverReceived{HandOver: message})
+	case attempt.HandOverAck:
+		w.stepOwner(process, attempt.HandOverKept{Ack: message})
+	}
+}
+
+// endRun ends a run on the agent's backend server.
+func (w *World) endRun(process *agentProcess, index int, result outcome.Outcome) {
+	dispatch := process.running[index]
+	process.running = append(process.running[:index:index], process.running[index+1:]...)
+	if result.Kind == outcome.NotRun {
+		w.record.notRun(dispatch)
+	}
+	w.stepOwner(process, attempt.RunEnded{
+		ID: dispatch.ID, Outcome: result,
+		Answer: attempt.Answer{Digest: answerDigest(dispatch.RunKey, dispatch.ID.Request, dispatch.Body)},
+	})
+}
+
+// crashBackend ends all runs of the agent's backend server without an answer.
+func (w *World) crashBackend(process *agentProcess) {
+	process.running = nil
+	w.stepOwner(process, attempt.BackendDied{})
+}
+
+// pass lets time pass by the duration, with ticks in all awake processes.
+func (w *World) pass(duration time.Duration) {
+	const tick = 100 * time.Millisecond
+	end := w.now.Add(duration)
+	for w.now.Before(end) {
+		w.now = w.now.Add(min(tick, end.Sub(w.now)))
+		w.tick()
+	}
+}
+
+func (w *World) tick() {
+	for _, host := range w.agents {
+		for _, process := range host.awake() {
+			w.stepOwner(process, w.leases())
+			w.stepOwner(process, attempt.OwnerTick{})
+			w.greet(process)
+		}
+	}
+	for _, host := range w.entries {
+		for _, process := range host.awake() {
+			w.stepLog(process, attempt.LogTick{})
+			w.stepCaller(process, attempt.CallerTick{})
+		}
+	}
+}
+
+// greet models the load reports that agents send to entries.
+func (w *World) greet(process *agentProcess) {
+	hello := greeting{agent: process.instance, lease: w.leases().Current}
+	for _, host := range w.entries {
+		current := host.current()
+		if current == nil || current.paused || w.blocked[link{process.host.vm, host.vm}] {
+			continue
+		}
+		w.deliverEntry(current, hello)
+		w.stepOwner(process, attempt.EntrySeen{Entry: current.instance})
+	}
+}
