--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -73,7 +73,7 @@
 
 // LoadReport is an engine's load; it lags.
 type LoadReport struct {
-	// Boot numbers the starts of the engine; all its caches and requests are lost with each.
+	// Boot numbers the starts of the engine, growing; all its caches and requests are lost with each.
 	Boot uint64 `json:"boot"`
 	// Sequence grows by 1 with each report of one boot.
 	Sequence uint64 `json:"sequence"`
@@ -117,13 +117,16 @@
 	Last uint64 `json:"-"`
 }
 
-// Engine calls one model engine.
+// Engine calls one model engine. Reports that are older than one read before are errors
+// of KindStale.
 type Engine interface {
 	// Call runs a request whose body does not ask for a stream.
 	Call(ctx context.Context, request EngineRequest) (Completion, error)
 	// Stream starts a request whose body asks for a stream. The context bounds the whole stream.
 	Stream(ctx context.Context, request EngineRequest) (Stream, error)
-	// Resume continues the stream of a request from the offset.
+	// Resume continues the stream of a request from the offset. Who has the chunk with
+	// the finish reason has the whole answer; resuming behind it is an error of KindGarbage,
+	// since the end mark alone does not show that the answer is whole.
 	Resume(ctx context.Context, id ident.Request, from uint64) (Stream, error)
 	// Cancel stops the request, or keeps it from ever starting.
 	Cancel(ctx context.Context, id ident.Request) (CancelState, error)
