Test the configuration nodes under faults, and measure them at three sizes

A random schedule found that a reader waited 90 s for the answer to a watch that was lost in a pause: watches now wait 4 s, are repeated over a new connection, and are dropped after a pause. A damaged transfer made a process refuse a good configuration for good: it now asks another peer.

--- /dev/null
+++ b/internal/experiment/fanout/experiment.go
@@ -0,0 +1,127 @@
+package fanout
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"github.com/bramleyspool/bramleyspool/internal/experiment"
+)
+
+// fleets are the sizes that are measured.
+func fleets() []size {
+	return []size{
+		{Entries: 3, Agents: 20, Regions: 1, Zones: 3},
+		{Entries: 36, Agents: 250, Regions: 2, Zones: 3},
+		{Entries: 360, Agents: 2500, Regions: 6, Zones: 4},
+	}
+}
+
+const (
+	// fragments and fragmentSize make up the configuration in the fault scenarios, in bytes.
+	fragments    = 64
+	fragmentSize = 500
+	// fullFragments and fullFragmentSize make up one of 1 MB for 570 customers.
+	fullFragments    = 570
+	fullFragmentSize = 1750
+)
+
+// All returns the measurements of this package.
+func All() []experiment.Experiment {
+	return []experiment.Experiment{
+		{Name: "fanout", Summary: "Distributes configuration changes over fleets of three sizes under faults.", Run: runFanout},
+		{Name: "fanout-bytes", Summary: "Counts the bytes that changes of a configuration of 1 MB cost each process.", Run: runBytes},
+		{Name: "subsets", Summary: "Compares ways to assign subsets of backend servers to entries.", Run: runSubsets},
+	}
+}
+
+var fanoutColumns = []experiment.Column{
+	{Name: "in force, median", Unit: "s"},
+	{Name: "in force, worst", Unit: "s"},
+	{Name: "late or missing", Unit: "processes"},
+	{Name: "reverted", Unit: "processes"},
+	{Name: "start to ready, worst", Unit: "s"},
+	{Name: "recovery", Unit: "s"},
+	{Name: "service calls, worst second", Unit: "calls"},
+	{Name: "bytes of a process, mean", Unit: "B/s"},
+	{Name: "bytes of a process, most", Unit: "B/s"},
+}
+
+func runFanout(ctx context.Context, params experiment.Params) (experiment.Result, error) {
+	table := experiment.Table{Title: "Configuration in force under faults", Labels: []string{"entries+agents", "fault"}, Columns: fanoutColumns}
+	total := len(fleets()) * len(scenarios()) * params.Seeds
+	done := 0
+	for _, fleet := range fleets() {
+		for _, s := range scenarios() {
+			var samples [][]float64
+			for i := range params.Seeds {
+				if err := ctx.Err(); err != nil {
+					return experiment.Result{}, err
+				}
+				samples = append(samples, measure(fleet, s, params.Seed+uint64(i), fragments, fragmentSize).figures())
+				done++
+				params.Report(done, total)
+			}
+			table.Rows = append(table.Rows, experiment.Row{Labels: []string{fleet.String(), s.name}, Cells: cells(samples)})
+		}
+	}
+	return experiment.Result{Tables: []experiment.Table{table}}, nil
+}
+
+// figures returns the values of fanoutColumns.
+func (m *measurement) figures() []float64 {
+	mean, most := m.byteRates()
+	return []float64{
+		quantile(m.waits, 0.5),
+		quantile(m.waits, 1),
+		float64(m.late),
+		float64(m.reverted),
+		quantile(m.restarts, 1),
+		m.recovery.Seconds(),
+		float64(m.service.worstSecond()),
+		mean,
+		most,
+	}
+}
+
+// byteRates returns the bytes that a process sends and receives a second, with the
+// headers of its datagrams: the mean over all, and the most of any.
+func (m *measurement) byteRates() (mean, most float64) {
+	for _, p := range m.processes {
+		rate := (p.sent.wire() + p.received.wire()) / m.seconds
+		mean += rate / float64(len(m.processes))
+		most = max(most, rate)
+	}
+	return mean, most
+}
+
+func (t traffic) wire() float64 {
+	return float64(t.bytes + t.packets*packetOverhead)
+}
+
+func quantile(durations []time.Duration, q float64) float64 {
+	if len(durations) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(durations)
+	slices.Sort(sorted)
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)].Seconds()
+}
+
+// cells returns the mean and the spread of each column over the samples.
+func cells(samples [][]float64) []experiment.Cell {
+	list := make([]experiment.Cell, len(samples[0]))
+	column := make([]float64, len(samples))
+	for i := range list {
+		for j := range samples {
+			column[j] = samples[j][i]
+		}
+		list[i].Mean = stat.Mean(column, nil)
+		if len(column) > 1 {
+			list[i].Spread = stat.StdDev(column, nil)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/experiment/fanout/fanout_test.go
@@ -0,0 +1,70 @@
+package fanout
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleyspool/bramleyspool/internal/experiment"
+)
+
+var (
+	name  = flag.String("experiment", "", "run this experiment and print its tables")
+	seeds = flag.Int("seeds", 1, "number of seeds")
+)
+
+// print writes a table as Markdown.
+func printTable(table experiment.Table) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s\n|%s|", table.Title, strings.Join(table.Labels, "|"))
+	for _, column := range table.Columns {
+		fmt.Fprintf(&text, "%s (%s)|", column.Name, column.Unit)
+	}
+	text.WriteString("\n")
+	for _, row := range table.Rows {
+		fmt.Fprintf(&text, "|%s|", strings.Join(row.Labels, "|"))
+		for _, cell := range row.Cells {
+			fmt.Fprintf(&text, "%.3g ± %.2g|", cell.Mean, cell.Spread)
+		}
+		text.WriteString("\n")
+	}
+	return text.String()
+}
+
+func TestPrintExperiment(t *testing.T) {
+	for _, e := range All() {
+		if e.Name != *name {
+			continue
+		}
+		result, err := e.Run(context.Background(), experiment.Params{Seed: 1, Seeds: *seeds})
+		qt.Assert(t, err, qt.IsNil)
+		for _, table := range result.Tables {
+			fmt.Println(printTable(table))
+		}
+	}
+}
+
+// TestTargets holds the fleets of the two smaller sizes to the stated targets.
+func TestTargets(t *testing.T) {
+	for _, fleet := range fleets()[:2] {
+		for _, s := range scenarios() {
+			if s.name == "service down" && fleet.Agents > 100 {
+				continue
+			}
+			t.Run(fleet.String()+" "+s.name, func(t *testing.T) {
+				c := qt.New(t)
+				m := measure(fleet, s, 1, fragments, fragmentSize)
+				c.Check(m.reverted, qt.Equals, 0)
+				c.Check(m.late, qt.Equals, 0)
+				c.Check(m.recovery <= target, qt.IsTrue, qt.Commentf("recovery took %v", m.recovery))
+				c.Check(m.service.worstSecond() < 2000, qt.IsTrue)
+				_, most := m.byteRates()
+				c.Check(most < 9000, qt.IsTrue, qt.Commentf("%f bytes a second", most))
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/experiment/fanout/scenarios.go
@@ -0,0 +1,281 @@
+package fanout
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+const (
+	// changeInterval is the time between two changes: 7,900 a day.
+	changeInterval = 24 * time.Hour / 7900
+	// target is the time in which a change must be in force everywhere.
+	target = 6 * time.Second
+	// settleTime lets a fleet come up before a scenario.
+	settleTime = 40 * time.Second
+)
+
+// scenario is a fault and what goes on around it.
+type scenario struct {
+	name string
+	run  func(m *measurement)
+}
+
+// measurement collects what a scenario shows.
+type measurement struct {
+	*world
+	large bool
+	// waits are the times from publication to being in force, of processes that could be reached.
+	waits []time.Duration
+	// late counts processes that could be reached and had a change later than the target, or not at all.
+	late int
+	// restarts are the times from start to readiness.
+	restarts []time.Duration
+	// recovery is the time from the end of the fault until all had the newest version.
+	recovery time.Duration
+	seconds  float64
+}
+
+func scenarios() []scenario {
+	return []scenario{
+		{"no fault", func(m *measurement) { m.changes(6, nil) }},
+		{"processes killed", killed},
+		{"service down", serviceDown},
+		{"stale replicas", staleReplicas},
+		{"zone cut off", zoneCut},
+		{"zone and service cut off", zoneAndServiceCut},
+		{"half the fleet restarted", halfRestarted},
+		{"whole fleet restarted", wholeRestarted},
+		{"one message in ten lost", func(m *measurement) { m.loss = 0.1; m.changes(6, nil) }},
+		{"fifth of the fleet paused", paused},
+	}
+}
+
+// changes publishes changes and notes when each came into force where it could.
+func (m *measurement) changes(count int, during func(change int)) {
+	for change := range count {
+		before := m.runs()
+		version := m.service.publish()
+		if during != nil {
+			during(change)
+		}
+		m.run(changeInterval)
+		m.note(version, before)
+	}
+}
+
+// runs tells which run of each process is alive and reachable.
+func (m *measurement) runs() []int {
+	runs := make([]int, len(m.processes))
+	for i, p := range m.processes {
+		if p.alive && !p.paused && !m.unreachable(p) {
+			runs[i] = p.run
+		}
+	}
+	return runs
+}
+
+// unreachable tells whether a process is cut off from the first one, which never is.
+func (m *measurement) unreachable(p *process) bool {
+	return m.cut != nil && p != m.processes[0] && m.cut(m.processes[0], p)
+}
+
+func (m *measurement) note(version template.Version, before []int) {
+	published := m.service.publishAt[version]
+	for i, p := range m.processes {
+		if before[i] == 0 || before[i] != p.run || !p.alive || p.paused {
+			continue
+		}
+		at := m.firstAtLeast(p, version)
+		if at.IsZero() {
+			m.late++
+			continue
+		}
+		wait := at.Sub(published)
+		m.waits = append(m.waits, wait)
+		if wait > target {
+			m.late++
+		}
+	}
+}
+
+// firstAtLeast is when the process put the version or a later one in force.
+func (m *measurement) firstAtLeast(p *process, version template.Version) time.Time {
+	var first time.Time
+	for later := version; later <= m.service.version; later++ {
+		if m.arrived[later] == nil {
+			continue
+		}
+		at := m.arrived[later][p.index]
+		if !at.IsZero() && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	return first
+}
+
+// recover lets time pass until all processes have the newest version in force.
+func (m *measurement) recover() {
+	healed := m.now
+	for !m.converged(m.service.version) && m.now.Sub(healed) < time.Minute {
+		m.run(100 * time.Millisecond)
+	}
+	m.recovery = max(m.recovery, m.now.Sub(healed))
+}
+
+// restart kills processes and starts them anew after a while.
+func (m *measurement) restart(list []*process, downtime time.Duration) {
+	for _, p := range list {
+		m.kill(p)
+		m.after(downtime, func() { m.start(p) })
+	}
+}
+
+func (m *measurement) noteRestarts(list []*process) {
+	for _, p := range list {
+		if p.ready {
+			m.restarts = append(m.restarts, p.readyAt.Sub(p.startAt))
+		} else {
+			m.late++
+		}
+	}
+}
+
+// share returns a random part of the processes but the first.
+func (m *measurement) share(part float64) []*process {
+	var list []*process
+	for _, p := range m.processes[1:] {
+		if m.random.Float64() < part {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+func killed(m *measurement) {
+	m.changes(6, func(int) {
+		list := m.share(0.05)
+		for _, p := range list {
+			m.after(time.Duration(m.random.Int64N(int64(3*time.Second))), func() { m.restart([]*process{p}, time.Second) })
+		}
+		m.after(changeInterval-time.Millisecond, func() { m.noteRestarts(list) })
+	})
+	m.recover()
+}
+
+func serviceDown(m *measurement) {
+	m.changes(1, nil)
+	m.service.setDown(true)
+	downtime := time.Hour
+	if m.large {
+		downtime = 5 * time.Minute
+	}
+	m.run(downtime / 2)
+	list := m.share(0.5)
+	m.restart(list, time.Second)
+	m.run(downtime / 2)
+	m.noteRestarts(list)
+	version := m.service.publish()
+	m.service.setDown(false)
+	m.recover()
+	m.changes(2, nil)
+	_ = version
+}
+
+func staleReplicas(m *measurement) {
+	m.changes(3, nil)
+	m.service.lag = [replicas]template.Version{0, 2, 5}
+	m.changes(4, func(change int) {
+		if change == 1 {
+			list := m.share(0.5)
+			m.restart(list, time.Second)
+			m.after(changeInterval, func() { m.noteRestarts(list) })
+		}
+	})
+	m.service.lag = [replicas]template.Version{}
+	m.service.wake()
+	m.recover()
+}
+
+// cutZone cuts the zone of the last process off from all others.
+func (m *measurement) cutZone() []*process {
+	zone := m.processes[len(m.processes)-1].zone
+	m.cut = func(from, to *process) bool { return (from.zone == zone) != (to.zone == zone) }
+	var inside []*process
+	for _, p := range m.processes {
+		if p.zone == zone {
+			inside = append(inside, p)
+		}
+	}
+	return inside
+}
+
+func zoneCut(m *measurement) {
+	m.changes(1, nil)
+	inside := m.cutZone()
+	m.changes(4, func(change int) {
+		if change == 1 {
+			m.restart(inside[:len(inside)/2], time.Second)
+		}
+	})
+	m.noteRestarts(inside[:len(inside)/2])
+	m.cut = nil
+	m.recover()
+	m.changes(2, nil)
+}
+
+func zoneAndServiceCut(m *measurement) {
+	zone := m.processes[len(m.processes)-1].zone
+	m.service.cut = func(p *process) bool { return p.zone == zone }
+	zoneCut(m)
+}
+
+func halfRestarted(m *measurement) {
+	m.changes(2, nil)
+	list := m.share(0.5)
+	m.changes(1, func(int) {
+		m.after(5*time.Millisecond, func() { m.restart(list, time.Second) })
+	})
+	m.recover()
+	m.noteRestarts(list)
+	m.changes(2, nil)
+}
+
+func wholeRestarted(m *measurement) {
+	m.changes(2, nil)
+	m.restart(m.processes, time.Second)
+	m.run(40 * time.Second)
+	m.noteRestarts(m.processes)
+	m.recover()
+	m.changes(2, nil)
+}
+
+func paused(m *measurement) {
+	m.changes(1, nil)
+	list := m.share(0.2)
+	for _, p := range list {
+		p.paused = true
+	}
+	m.changes(2, nil)
+	for _, p := range list {
+		p.paused = false
+	}
+	m.recover()
+	m.changes(2, nil)
+}
+
+// measure runs a scenario on a new fleet.
+func measure(fleet size, s scenario, seed uint64, fragments, fragmentSize int) *measurement {
+	m := &measurement{world: newWorld(fleet, seed, membership.ManifestOfParts, fragments, fragmentSize)}
+	m.large = fleet.Entries+fleet.Agents > 1000
+	m.service.publish()
+	m.startAll()
+	m.run(settleTime)
+	m.resetTraffic()
+	m.service.resetCalls()
+	began := m.now
+	s.run(m)
+	m.seconds = m.now.Sub(began).Seconds()
+	return m
+}
--- /dev/null
+++ b/internal/experiment/fanout/world.go
@@ -0,0 +1,297 @@
+// Package fanout measures the distribution of the configuration: many configuration
+// nodes run in one process on a simulated network and a simulated configuration service.
+package fanout
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+const (
+	tickInterval = 200 * time.Millisecond
+	// packetOverhead is the size of the UDP, IP and QUIC headers of one datagram, in bytes.
+	packetOverhead = 28 + 30
+	packetSize     = 1200
+)
+
+// size describes a fleet.
+type size struct {
+	Entries int
+	Agents  int
+	Regions int
+	// Zones is the number of zones of a region.
+	Zones int
+}
+
+func (s size) String() string {
+	return fmt.Sprintf("%d+%d", s.Entries, s.Agents)
+}
+
+// process is one VM with the configuration node that runs on it.
+type process struct {
+	index  int
+	vm     ident.VM
+	zone   ident.Zone
+	region int
+	node   *membership.ConfigNode
+	// run counts the starts of the process; messages to earlier runs are lost.
+	run    int
+	alive  bool
+	paused bool
+	// highest is the highest version ever in force on the VM, over restarts.
+	highest template.Version
+	// inForce is the version in force in this run.
+	inForce  template.Version
+	ready    bool
+	startAt  time.Time
+	readyAt  time.Time
+	sent     traffic
+	received traffic
+}
+
+// traffic counts messages and bytes.
+type traffic struct {
+	messages int
+	bytes    int
+	// packets counts datagrams, for their headers.
+	packets int
+}
+
+func (t *traffic) add(bytes int) {
+	t.messages++
+	t.bytes += bytes
+	t.packets += (bytes + packetSize - 1) / packetSize
+}
+
+// event is something that happens at a time.
+type event struct {
+	at   time.Time
+	seq  int
+	what func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop implements heap.Interface.
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	item := (*q)[last]
+	(*q)[last] = event{}
+	*q = (*q)[:last]
+	return item
+}
+
+// world is a fleet of configuration nodes with its network and configuration service.
+type world struct {
+	now       time.Time
+	began     time.Time
+	queue     eventQueue
+	seq       int
+	random    *rand.Rand
+	seed      uint64
+	processes []*process
+	byVM      map[ident.VM]*process
+	peers     []membership.Peer
+	service   *service
+	layout    membership.Layout
+	loss      float64
+	// cut tells whether messages between two processes are lost.
+	cut func(from, to *process) bool
+	// reverted counts versions put in force below one that was in force on the VM before.
+	reverted int
+	refused  int
+	// arrived tells when each version came into force at each process.
+	arrived map[template.Version][]time.Time
+}
+
+func newWorld(fleet size, seed uint64, layout membership.Layout, fragments, fragmentSize int) *world {
+	w := &world{
+		now:     time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		seed:    seed,
+		byVM:    map[ident.VM]*process{},
+		layout:  layout,
+		loss:    0.002,
+		arrived: map[template.Version][]time.Time{},
+	}
+	w.began = w.now
+	w.service = newService(w, fragments, fragmentSize)
+	for i := range fleet.Entries + fleet.Agents {
+		kind := "entry"
+		if i >= fleet.Entries {
+			kind = "agent"
+		}
+		region := i % fleet.Regions
+		zone := i / fleet.Regions % fleet.Zones
+		p := &process{index: i, vm: ident.VM(fmt.Sprintf("%s-%04d", kind, i)), region: region, zone: ident.Zone(fmt.Sprintf("r%d-z%d", region, zone))}
+		w.processes = append(w.processes, p)
+		w.byVM[p.vm] = p
+		w.peers = append(w.peers, membership.Peer{VM: p.vm, Zone: p.zone})
+	}
+	return w
+}
+
+// after schedules something.
+func (w *world) after(d time.Duration, what func()) {
+	w.seq++
+	heap.Push(&w.queue, event{at: w.now.Add(d), seq: w.seq, what: what})
+}
+
+// run lets time pass.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		next := heap.Pop(&w.queue).(event)
+		w.now = next.at
+		next.what()
+	}
+	w.now = end
+}
+
+// start starts a process anew; it remembers nothing.
+func (w *world) start(p *process) {
+	p.run++
+	p.alive, p.paused, p.ready = true, false, false
+	p.inForce = 0
+	p.startAt = w.now
+	p.node = membership.NewConfigNode(membership.ConfigSettings{
+		Self:   p.vm,
+		Zone:   p.zone,
+		Key:    mainKey,
+		Layout: w.layout,
+		Accept: accept,
+		Seed:   w.seed*1000003 + uint64(p.index)*31 + uint64(p.run),
+	})
+	w.step(p, membership.PeersChanged{Peers: w.peers})
+	w.scheduleTick(p, time.Duration(w.random.Int64N(int64(tickInterval))))
+}
+
+func (w *world) startAll() {
+	for _, p := range w.processes {
+		w.start(p)
+	}
+}
+
+func (w *world) kill(p *process) {
+	p.alive = false
+}
+
+func (w *world) scheduleTick(p *process, d time.Duration) {
+	run := p.run
+	w.after(d, func() {
+		if p.run != run || !p.alive {
+			return
+		}
+		if !p.paused {
+			w.step(p, membership.ConfigTick{})
+		}
+		w.scheduleTick(p, tickInterval)
+	})
+}
+
+// step hands an event to a process and carries out its actions.
+func (w *world) step(p *process, event membership.ConfigEvent) {
+	for _, action := range p.node.Step(w.now, event) {
+		switch action := action.(type) {
+		case membership.SendConfig:
+			w.transmit(p, w.byVM[action.To], action.Message)
+		case membership.CallService:
+			w.service.call(p, action.Call)
+		case membership.PutInForce:
+			w.putInForce(p, action.Stamp.Version)
+		case membership.ReportRefused:
+			w.refused++
+		case membership.ReadinessChanged:
+			p.ready = action.Ready
+			if action.Ready {
+				p.readyAt = w.now
+			}
+		}
+	}
+}
+
+func (w *world) putInForce(p *process, version template.Version) {
+	if version < p.highest {
+		w.reverted++
+	}
+	p.highest = max(p.highest, version)
+	p.inForce = version
+	if w.arrived[version] == nil {
+		w.arrived[version] = make([]time.Time, len(w.processes))
+	}
+	if w.arrived[version][p.index].IsZero() {
+		w.arrived[version][p.index] = w.now
+	}
+}
+
+// transmit sends a message unless it is lost or the way is cut.
+func (w *world) transmit(from, to *process, message membership.ConfigMessage) {
+	bytes := encodedSize(message)
+	from.sent.add(bytes)
+	if w.random.Float64() < w.loss || w.cut != nil && w.cut(from, to) {
+		return
+	}
+	run := to.run
+	w.after(w.delay(from, to, bytes), func() {
+		if to.alive && to.run == run && !to.paused {
+			to.received.add(bytes)
+			w.step(to, membership.ConfigReceived{From: from.vm, Message: message})
+		}
+	})
+}
+
+// delay is the time on the way: a millisecond within a region, tens of them between
+// regions, with jitter, and 100 Mbit/s for the rest.
+func (w *world) delay(from, to *process, bytes int) time.Duration {
+	base := time.Millisecond
+	if from.region != to.region {
+		base = 60 * time.Millisecond
+	}
+	jitter := time.Duration(w.random.ExpFloat64() * float64(base) / 4)
+	return base + jitter + time.Duration(bytes)*80*time.Nanosecond
+}
+
+// encodedSize returns the size of a message as it is sent, with one byte for its type.
+func encodedSize(message membership.ConfigMessage) int {
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		panic("invariant: a message can't be encoded: " + err.Error())
+	}
+	return len(data) + 1
+}
+
+// converged tells whether all running processes have the version in force.
+func (w *world) converged(version template.Version) bool {
+	for _, p := range w.processes {
+		if p.alive && !p.paused && p.inForce < version {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) resetTraffic() {
+	for _, p := range w.processes {
+		p.sent, p.received = traffic{}, traffic{}
+	}
+}
--- a/internal/membership/config_api.go
+++ b/internal/membership/config_api.go
@@ -57,10 +57,13 @@
 type ServiceCall struct {
 	ID  CallID
 	Key string
-	// Watch waits until the key's revision differs from After, or until the service's
-	// time limit; a plain read answers at once.
+	// Watch waits until the key's revision differs from After, or until Wait has passed;
+	// a plain read answers at once.
 	Watch bool
 	After uint64
+	Wait  time.Duration
+	// NewConnection is true if the last call got no answer, so that its connection may be dead.
+	NewConnection bool
 }
 
 // ConfigEvent is an event that a ConfigNode handles.
--- a/internal/membership/config_fetch.go
+++ b/internal/membership/config_fetch.go
@@ -82,7 +82,7 @@
 	if containsVM(n.fetch.holders, vm) {
 		return
 	}
-	if n.zoneOf[vm] == n.settings.Zone {
+	if n.isInZone(vm) {
 		n.fetch.holders = append([]ident.VM{vm}, n.fetch.holders...)
 	} else {
 		n.fetch.holders = append(n.fetch.holders, vm)
@@ -165,12 +165,10 @@
 		n.send(n.fetch.from, ConfigChunksRequest{Stamp: n.fetch.want, Chunks: missing})
 		return
 	}
-	stamp := n.fetch.want
+	// A peer's fault must not speak against the configuration: another peer is asked.
 	candidate := configuration{chunks: chunks}
-	if DigestOf(candidate.value()) != stamp.Digest {
-		n.refuse(stamp, "the parts do not add up to the announced value")
-	} else {
-		n.adopt(now, stamp, chunks)
+	if DigestOf(candidate.value()) == n.fetch.want.Digest {
+		n.adopt(now, n.fetch.want, chunks)
 	}
 	n.fetch.bodies = nil
 	n.fetchNext(now)
--- a/internal/membership/config_node.go
+++ b/internal/membership/config_node.go
@@ -1,7 +1,8 @@
 package membership
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -39,7 +40,6 @@
 	peers    []Peer
 	inZone   []ident.VM
 	outside  []ident.VM
-	zoneOf   map[ident.VM]ident.Zone
 
 	current *configuration
 	recent  []version
@@ -127,16 +127,15 @@
 }
 
 func (n *ConfigNode) setPeers(now time.Time, peers []Peer) {
-	n.peers = n.peers[:0]
-	n.inZone, n.outside = nil, nil
-	n.zoneOf = make(map[ident.VM]ident.Zone, len(peers))
+	n.peers = make([]Peer, 0, len(peers))
 	for _, peer := range peers {
-		if peer.VM != n.settings.Self && n.zoneOf[peer.VM] == "" {
+		if peer.VM != n.settings.Self {
 			n.peers = append(n.peers, peer)
-			n.zoneOf[peer.VM] = peer.Zone
 		}
 	}
-	sort.Slice(n.peers, func(i, j int) bool { return n.peers[i].VM < n.peers[j].VM })
+	slices.SortFunc(n.peers, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
+	n.peers = slices.CompactFunc(n.peers, func(a, b Peer) bool { return a.VM == b.VM })
+	n.inZone, n.outside = nil, nil
 	for _, peer := range n.peers {
 		if peer.Zone == n.settings.Zone {
 			n.inZone = append(n.inZone, peer.VM)
@@ -150,6 +149,12 @@
 	}
 }
 
+// isInZone reports whether a peer is known to be in the process's own zone.
+func (n *ConfigNode) isInZone(vm ident.VM) bool {
+	at, found := slices.BinarySearchFunc(n.peers, vm, func(peer Peer, vm ident.VM) int { return cmp.Compare(peer.VM, vm) })
+	return found && n.peers[at].Zone == n.settings.Zone
+}
+
 // checkGap has the process ask its peers again after it stood still.
 func (n *ConfigNode) checkGap(now time.Time) {
 	last := n.lastStep
@@ -203,7 +208,7 @@
 
 func (n *ConfigNode) digest(now time.Time, to ident.VM) ConfigDigest {
 	digest := ConfigDigest{Held: n.stamp(), Starting: n.asking.phase != askDone}
-	if n.zoneOf[to] == n.settings.Zone {
+	if n.isInZone(to) {
 		digest.Readers = n.reader.report(now, n.settings.Self)
 	}
 	return digest
--- a/internal/membership/config_parts.go
+++ b/internal/membership/config_parts.go
@@ -159,7 +159,6 @@
 		n.finishLoad(now)
 		return
 	}
-	open := 0
 	for _, read := range load.reads {
 		if read.call != 0 && !now.Before(read.deadline) {
 			n.retryPart(now, read)
@@ -169,11 +168,23 @@
 			n.callFailed(now)
 			return
 		}
-		if read.call == 0 && !now.Before(read.next) && open < partsAtOnce {
+	}
+	n.readParts(now)
+}
+
+// readParts opens reads of parts, a few at the same time.
+func (n *ConfigNode) readParts(now time.Time) {
+	reads := n.reader.load.reads
+	open := 0
+	for _, read := range reads {
+		if read.call != 0 {
+			open++
+		}
+	}
+	for _, read := range reads {
+		if open < partsAtOnce && read.call == 0 && !now.Before(read.next) {
 			read.call = n.call(ServiceCall{Key: read.key})
 			read.deadline = now.Add(serviceTimeout)
-		}
-		if read.call != 0 {
 			open++
 		}
 	}
--- a/internal/membership/config_reader.go
+++ b/internal/membership/config_reader.go
@@ -109,9 +109,12 @@
 	return list
 }
 
-// forget drops signs of life that are not to be trusted after a pause of the process.
+// forget drops signs of life that are not to be trusted after a pause of the process, and
+// calls whose answers may be lost.
 func (r *reader) forget() {
 	clear(r.beats)
+	r.main = 0
+	r.load = partsLoad{}
 	r.lackingSince, r.spareSince = time.Time{}, time.Time{}
 }
 
--- a/internal/membership/config_service.go
+++ b/internal/membership/config_service.go
@@ -7,8 +7,11 @@
 const (
 	// serviceTimeout is how long the process waits for the answer to a read.
 	serviceTimeout = 5 * time.Second
-	// watchTimeout is how long the process waits for the answer to a watch.
-	watchTimeout = 90 * time.Second
+	// watchWait is how long a watch waits for a change. It is short, so that a change
+	// comes into force in time although the watch's connection went silent.
+	watchWait = 4 * time.Second
+	// watchGrace is how much longer the answer to a watch may take.
+	watchGrace = 500 * time.Millisecond
 	// minServiceBackoff and maxServiceBackoff bound the wait after a failed call.
 	minServiceBackoff = 500 * time.Millisecond
 	maxServiceBackoff = 15 * time.Second
@@ -25,6 +28,8 @@
 	// main is the call of the configuration's key; 0 if none is open.
 	main     CallID
 	mainEnds time.Time
+	// silent is true if the last call got no answer.
+	silent   bool
 	revision uint64
 	known    bool
 	nextCall time.Time
@@ -37,8 +42,7 @@
 func (n *ConfigNode) tickService(now time.Time) {
 	r := &n.reader
 	if r.main != 0 && !now.Before(r.mainEnds) {
-		r.main = 0
-		n.callFailed(now)
+		n.callUnanswered(now)
 	}
 	n.tickLoad(now)
 	if r.main != 0 || now.Before(r.nextCall) || r.load.active() {
@@ -57,15 +61,30 @@
 
 func (n *ConfigNode) callMain(now time.Time) {
 	r := &n.reader
-	call := ServiceCall{Key: n.settings.Key, Watch: r.known && r.active, After: r.revision}
+	call := ServiceCall{Key: n.settings.Key, Watch: r.known && r.active, After: r.revision, NewConnection: r.silent}
 	timeout := serviceTimeout
 	if call.Watch {
-		timeout = watchTimeout
+		call.Wait = watchWait
+		timeout = watchWait + watchGrace
 	}
 	r.main = n.call(call)
 	r.mainEnds = now.Add(timeout)
 }
 
+// callUnanswered gives a call up. A first watch without answer is repeated at once over a
+// new connection; the service is not to blame yet.
+func (n *ConfigNode) callUnanswered(now time.Time) {
+	r := &n.reader
+	r.main = 0
+	if r.silent {
+		n.callFailed(now)
+		return
+	}
+	r.silent = true
+	r.failures++
+	r.nextCall = now
+}
+
 // call makes a call of the configuration service and returns its number.
 func (n *ConfigNode) call(call ServiceCall) CallID {
 	r := &n.reader
@@ -106,11 +125,19 @@
 		return
 	}
 	r.main = 0
+	r.silent = false
 	r.backoff = 0
 	r.nextCall = now
-	if event.Unchanged {
-		return
+	if !event.Unchanged {
+		n.mainAnswered(now, event)
 	}
+	if r.active {
+		n.tickService(now)
+	}
+}
+
+func (n *ConfigNode) mainAnswered(now time.Time, event ServiceAnswered) {
+	r := &n.reader
 	r.revision, r.known = event.Revision, true
 	before := n.stamp()
 	if n.settings.Layout == ManifestOfParts {
@@ -121,9 +148,6 @@
 	if n.stamp() == before {
 		r.nextCall = now.Add(minWatchPause)
 	}
-	if r.active {
-		n.tickService(now)
-	}
 }
 
 // valuePublished handles a whole configuration from the service.
