Bound what a restart of the fleet costs the readers and the service

Cause: every starting process asked the readers of all zones, every adopter told its zone's readers, and readers read all parts of a manifest at full speed. Change: ask the readers of the own and of six other zones; tell the readers only of what came from another zone; read at most 20 parts a second; spread the fallback to the service; ask holders again after 300 ms, the same one included, where a message may be lost.

--- a/internal/membership/config_ask.go
+++ b/internal/membership/config_ask.go
@@ -21,15 +21,17 @@
 	// askAllUpTo is the number of peers up to which a starting process asks all of them.
 	askAllUpTo = 64
 	// askInZone and askOutside are the numbers of random peers asked in a larger fleet.
-	askInZone  = 12
-	askOutside = 12
+	askInZone  = 8
+	askOutside = 8
+	// askZones is the number of other zones one of whose readers is asked in a larger fleet.
+	askZones = 6
 	// askRounds is how often unanswered peers are asked within the timeout.
 	askRounds = 3
 	// fetchPatience is how long a starting process tries to fetch a newer configuration.
 	fetchPatience = 4 * time.Second
-	// coldStartRate bounds the calls a second of the configuration service by all
-	// processes that find no peer with a configuration.
-	coldStartRate = 200
+	// coldStartRate is the number of processes a second that turn to the configuration
+	// service because they find no peer with a configuration.
+	coldStartRate = 5
 )
 
 // asking is the state of a starting process.
@@ -53,13 +55,14 @@
 	n.askAgain(now)
 }
 
-// askTargets returns all peers of a small fleet; of a large one the readers of each
-// zone, who hear first of every version in their zone, and random others.
+// askTargets returns all peers of a small fleet; of a large one the readers of the own and
+// of some other zones, who hear first of every version in their zone, and random others.
 func (n *ConfigNode) askTargets() []ident.VM {
 	if len(n.peers) <= askAllUpTo {
 		return n.sample(append(append([]ident.VM(nil), n.inZone...), n.outside...), askAllUpTo)
 	}
-	targets := append([]ident.VM(nil), n.reader.ofAllZones...)
+	targets := n.zoneReaders()
+	targets = append(targets, n.sample(n.reader.ofOtherZones, askZones)...)
 	for _, vm := range append(n.sample(n.inZone, askInZone), n.sample(n.outside, askOutside)...) {
 		if !containsVM(targets, vm) {
 			targets = append(targets, vm)
--- a/internal/membership/config_fetch.go
+++ b/internal/membership/config_fetch.go
@@ -8,7 +8,10 @@
 
 const (
 	// fetchTimeout is how long a peer may take to answer a fetch.
-	fetchTimeout = 600 * time.Millisecond
+	fetchTimeout = 300 * time.Millisecond
+	// fetchAttempts is how often a configuration is asked for before the node waits for
+	// another offer.
+	fetchAttempts = 8
 	// messageBodies is the number of bytes of chunks after which a message is full.
 	messageBodies = 64 << 10
 	// chunksPerRequest is the number of chunks asked for in one message.
@@ -22,6 +25,7 @@
 	want     Stamp
 	from     ident.VM
 	deadline time.Time
+	attempts int
 	// holders are other peers known to hold the newest configuration.
 	holders []ident.VM
 	// digests lists the chunks once the manifest is known.
@@ -98,7 +102,11 @@
 		return
 	}
 	holder := n.fetch.holders[0]
-	n.fetch = fetch{want: n.newest, from: holder, deadline: now.Add(fetchTimeout), holders: n.fetch.holders[1:], bodies: bodies}
+	attempts := n.fetch.attempts + 1
+	if n.fetch.want != n.newest {
+		attempts = 1
+	}
+	n.fetch = fetch{want: n.newest, from: holder, deadline: now.Add(fetchTimeout), attempts: attempts, holders: n.fetch.holders[1:], bodies: bodies}
 	if n.fetch.bodies == nil {
 		n.fetch.bodies = map[Digest][]byte{}
 	}
@@ -106,9 +114,14 @@
 }
 
 func (n *ConfigNode) tickFetch(now time.Time) {
-	if n.fetch.active() && !now.Before(n.fetch.deadline) {
-		n.fetchNext(now)
+	if !n.fetch.active() || now.Before(n.fetch.deadline) {
+		return
 	}
+	// The message may be lost, so the holder has another turn after the others.
+	if n.fetch.attempts < fetchAttempts && n.fetch.want == n.newest {
+		n.fetch.holders = append(n.fetch.holders, n.fetch.from)
+	}
+	n.fetchNext(now)
 }
 
 func (n *ConfigNode) manifestReceived(now time.Time, from ident.VM, message ConfigManifest) {
@@ -168,7 +181,7 @@
 	// A peer's fault must not speak against the configuration: another peer is asked.
 	candidate := configuration{chunks: chunks}
 	if DigestOf(candidate.value()) == n.fetch.want.Digest {
-		n.adopt(now, n.fetch.want, chunks)
+		n.adopt(now, n.fetch.from, n.fetch.want, chunks)
 	}
 	n.fetch.bodies = nil
 	n.fetchNext(now)
--- a/internal/membership/config_node.go
+++ b/internal/membership/config_node.go
@@ -193,12 +193,15 @@
 	}
 }
 
-// offer tells peers in the own and in other zones of a new configuration.
-func (n *ConfigNode) offer(now time.Time) {
+// offer tells peers in the own and in other zones of a new configuration. The zone's
+// readers, whom starting processes ask, are told of what came from another zone.
+func (n *ConfigNode) offer(now time.Time, source ident.VM) {
 	inZone := (n.settings.Fanout + 1) / 2
 	targets := n.sample(n.inZone, inZone)
 	targets = append(targets, n.sample(n.outside, n.settings.Fanout-len(targets))...)
-	targets = append(targets, n.zoneReaders()...)
+	if source != "" && !n.isInZone(source) {
+		targets = append(targets, n.zoneReaders()...)
+	}
 	for i, vm := range targets {
 		if !containsVM(targets[:i], vm) {
 			n.send(vm, n.digest(now, vm))
@@ -238,10 +241,11 @@
 	return false
 }
 
-// adopt puts a configuration in force if it is newer and accepted.
-func (n *ConfigNode) adopt(now time.Time, stamp Stamp, chunks []chunk) bool {
+// adopt puts a configuration in force if it is newer and accepted. The source is the peer
+// that it came from; "" for the configuration service.
+func (n *ConfigNode) adopt(now time.Time, source ident.VM, stamp Stamp, chunks []chunk) {
 	if !n.stamp().Less(stamp) || n.isRefused(stamp) {
-		return false
+		return
 	}
 	candidate := &configuration{stamp: stamp, chunks: chunks}
 	value := candidate.value()
@@ -249,10 +253,10 @@
 	switch {
 	case err != nil:
 		n.refuse(stamp, err.Error())
-		return false
+		return
 	case accepted != stamp.Version:
 		n.refuse(stamp, "the version differs from the one that was announced")
-		return false
+		return
 	}
 	if n.current != nil {
 		n.recent = append(n.recent, version{stamp: n.current.stamp, digests: n.current.digests()})
@@ -261,8 +265,7 @@
 	n.current = candidate
 	n.raiseNewest(stamp)
 	n.emit(PutInForce{Stamp: stamp, Value: value})
-	n.offer(now)
-	return true
+	n.offer(now, source)
 }
 
 func (n *ConfigNode) raiseNewest(stamp Stamp) {
--- a/internal/membership/config_parts.go
+++ b/internal/membership/config_parts.go
@@ -28,6 +28,9 @@
 const (
 	// partsAtOnce is the number of parts that are read at the same time.
 	partsAtOnce = 4
+	// partRate is the number of reads of parts a second by one process, so that all readers
+	// of a large fleet together stay within what the service answers.
+	partRate = 20
 	// partAttempts is how often a part is read before the manifest is read again.
 	partAttempts = 6
 	// maxParts bounds the number of parts of a manifest.
@@ -86,6 +89,14 @@
 	digests []Digest
 	reads   []*partRead
 	bodies  map[Digest][]byte
+	started time.Time
+	// opened counts the reads.
+	opened int
+}
+
+// mayRead reports whether another read stays within the rate.
+func (l *partsLoad) mayRead(now time.Time) bool {
+	return l.opened < partsAtOnce+int(now.Sub(l.started).Seconds()*partRate)
 }
 
 func (l *partsLoad) active() bool {
@@ -119,7 +130,7 @@
 	if manifest.Version == n.stamp().Version {
 		return
 	}
-	load := partsLoad{version: manifest.Version, bodies: map[Digest][]byte{}}
+	load := partsLoad{version: manifest.Version, bodies: map[Digest][]byte{}, started: now}
 	keys := map[Digest]string{}
 	for _, part := range manifest.Parts {
 		digest, _ := part.digest()
@@ -174,15 +185,16 @@
 
 // readParts opens reads of parts, a few at the same time.
 func (n *ConfigNode) readParts(now time.Time) {
-	reads := n.reader.load.reads
+	load := &n.reader.load
 	open := 0
-	for _, read := range reads {
+	for _, read := range load.reads {
 		if read.call != 0 {
 			open++
 		}
 	}
-	for _, read := range reads {
-		if open < partsAtOnce && read.call == 0 && !now.Before(read.next) {
+	for _, read := range load.reads {
+		if open < partsAtOnce && load.mayRead(now) && read.call == 0 && !now.Before(read.next) {
+			load.opened++
 			read.call = n.call(ServiceCall{Key: read.key})
 			read.deadline = now.Add(serviceTimeout)
 			open++
--- a/internal/membership/config_reader.go
+++ b/internal/membership/config_reader.go
@@ -26,8 +26,8 @@
 	// order lists the members of the zone by rendezvous, the process itself included.
 	order []ident.VM
 	place map[ident.VM]int
-	// ofAllZones lists the first readers of every zone but the process itself.
-	ofAllZones []ident.VM
+	// ofOtherZones lists the first readers of the other zones.
+	ofOtherZones []ident.VM
 	// beats tells when each reader of the zone last gave a sign of life.
 	beats map[ident.VM]time.Time
 	// lackingSince and spareSince tell since when there are too few or enough better readers.
@@ -49,13 +49,11 @@
 		names = append(names, zone)
 	}
 	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	n.reader.ofAllZones = nil
+	n.reader.ofOtherZones = nil
 	for _, zone := range names {
-		order := readerOrder(zone, zones[zone])
-		for _, vm := range order[:min(n.settings.Readers, len(order))] {
-			if vm != n.settings.Self {
-				n.reader.ofAllZones = append(n.reader.ofAllZones, vm)
-			}
+		if zone != n.settings.Zone {
+			order := readerOrder(zone, zones[zone])
+			n.reader.ofOtherZones = append(n.reader.ofOtherZones, order[:min(n.settings.Readers, len(order))]...)
 		}
 	}
 	n.reader.setOrder(n.settings.Self, readerOrder(n.settings.Zone, zones[n.settings.Zone]))
--- a/internal/membership/config_service.go
+++ b/internal/membership/config_service.go
@@ -169,7 +169,7 @@
 		n.reportOlder(stamp)
 		return
 	}
-	n.adopt(now, stamp, chunks)
+	n.adopt(now, "", stamp, chunks)
 }
 
 func (n *ConfigNode) reportOlder(stamp Stamp) {
