admission: test the division of limits under faults, divide without waste

Cause: entries asked for 1.3 times their demand also when the pool was short, so that entries with little demand kept what the loaded entry needed. Change: entries report plain demand; the coordinator adds headroom only while the pool has room. Buckets are cut to their size when a part shrinks; scaling the level as well was not needed for the bound and is gone.

--- a/internal/admission/bucket.go
+++ b/internal/admission/bucket.go
@@ -17,13 +17,10 @@
 	}
 }
 
-// resize changes the rate. Units that accrued under a rate that is given back are dropped,
-// because another entry accrues them from now on.
+// resize changes the rate and the size. What exceeds the new size is dropped, so that the
+// levels of all entries together never exceed the sum of their sizes.
 func (b *bucket) resize(now time.Time, rate, size float64) {
 	b.refill(now)
-	if rate < b.rate && b.level > 0 {
-		b.level *= rate / b.rate
-	}
 	b.rate = rate
 	b.size = size
 	b.level = min(b.level, size)
--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -8,9 +8,6 @@
 // demandWindow is the time over which demand is averaged.
 const demandWindow = 4 * time.Second
 
-// demandHeadroom is the factor by which an entry asks for more than it saw.
-const demandHeadroom = 1.3
-
 // demandMeter measures the demand for one limit at one entry, refused requests included.
 type demandMeter struct {
 	at time.Time
@@ -79,7 +76,7 @@
 const negligible = 1e-4
 
 func wanted(demand, static, limit float64) float64 {
-	want := min(demand*demandHeadroom, limit) - static
+	want := min(demand, limit) - static
 	if want < limit*negligible {
 		return 0
 	}
--- a/internal/admission/holding.go
+++ b/internal/admission/holding.go
@@ -14,9 +14,9 @@
 	key      LimitKey
 	limits   template.Limits
 	holdings map[ident.Instance]*holding
-	// level is the greatest part that a holder is offered, computed at leveledAt.
-	level     Part
-	leveledAt time.Time
+	// rate, concurrency and tokens divide the pool, as computed at leveledAt.
+	rate, concurrency, tokens division
+	leveledAt                 time.Time
 }
 
 // holding is what one entry process may be using of a limit.
@@ -126,9 +126,9 @@
 	others := l.leased(now, settings, h)
 	smallest := 1 / settings.Leases.BurstWindow.Seconds()
 	part := Part{
-		Rate:        max(0, min(max(smallest, h.want.Rate), max(smallest, l.level.Rate), pool.Rate-others.Rate)),
-		Concurrency: max(0, min(h.want.Concurrency, max(1, l.level.Concurrency), pool.Concurrency-others.Concurrency)),
-		Tokens:      max(0, min(h.want.Tokens, l.level.Tokens, pool.Tokens-others.Tokens)),
+		Rate:        max(0, min(max(smallest, l.rate.part(h.want.Rate)), pool.Rate-others.Rate)),
+		Concurrency: max(0, min(l.concurrency.wholePart(h.want.Concurrency), pool.Concurrency-others.Concurrency)),
+		Tokens:      max(0, min(l.tokens.part(h.want.Tokens), pool.Tokens-others.Tokens)),
 	}
 	if part.Rate < smallest || h.want.Rate == 0 {
 		part.Rate = 0
@@ -136,7 +136,7 @@
 	return part
 }
 
-// relevel computes the max-min fair level of each component over the present wants.
+// relevel divides each component of the pool between the present wants.
 func (l *coordinatedLimit) relevel(now time.Time, settings Settings, pool Part) {
 	var rates, concurrencies, tokens []float64
 	for _, process := range l.processes() {
@@ -148,29 +148,12 @@
 		concurrencies = append(concurrencies, float64(h.want.Concurrency))
 		tokens = append(tokens, h.want.Tokens)
 	}
-	l.level = Part{
-		Rate:        maxMinLevel(rates, pool.Rate),
-		Concurrency: int(maxMinLevel(concurrencies, float64(pool.Concurrency))),
-		Tokens:      maxMinLevel(tokens, pool.Tokens),
-	}
+	l.rate = divide(rates, pool.Rate)
+	l.concurrency = divide(concurrencies, float64(pool.Concurrency))
+	l.tokens = divide(tokens, pool.Tokens)
 	l.leveledAt = now
 }
 
-// maxMinLevel returns the level at which the wants, each cut to the level, fill the
-// pool; the pool if all wants fit.
-func maxMinLevel(wants []float64, pool float64) float64 {
-	slices.Sort(wants)
-	left := pool
-	for i, want := range wants {
-		equal := left / float64(len(wants)-i)
-		if want > equal {
-			return equal
-		}
-		left -= want
-	}
-	return pool
-}
-
 // expire drops grants and holdings that nobody can use any more.
 func (l *coordinatedLimit) expire(now time.Time, settings Settings) {
 	hold := settings.lengthen(settings.Leases.MaxHold)
--- /dev/null
+++ b/internal/admission/lease_test.go
@@ -0,0 +1,185 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+var testKey = LimitKey{Customer: "c", Class: "lookup"}
+
+// leaseBench drives a coordinator on "a" with hand-made requests of "a", "b" and "c".
+type leaseBench struct {
+	coordinator *LimitCoordinator
+	settings    Settings
+	now         time.Time
+	sequence    uint64
+	polls       map[ident.VM]uint64
+	roster      []ident.VM
+}
+
+func newLeaseBench(limits template.Limits) *leaseBench {
+	settings := DefaultSettings(ident.Instance{VM: "a", Incarnation: 7})
+	settings.Leases.MaxCoordinators = 1
+	b := &leaseBench{settings: settings, now: time.Unix(1000, 0), polls: make(map[ident.VM]uint64)}
+	// The coordinator of a roster depends on its names: take names for which it is "a".
+	for i := 0; ; i++ {
+		b.roster = []ident.VM{"a", ident.VM(fmt.Sprintf("b%d", i)), ident.VM(fmt.Sprintf("c%d", i))}
+		if newRoster(b.roster, 1).coordinator("c") == "a" {
+			break
+		}
+	}
+	b.coordinator = NewLimitCoordinator(settings)
+	class := template.ClassPlan{Name: "lookup", Limits: limits}
+	plan := template.CustomerPlan{Customer: "c", Weight: 1, Classes: []template.ClassPlan{class}}
+	b.coordinator.Step(b.now, Configure{Plans: []template.CustomerPlan{plan}, Roster: b.roster})
+	return b
+}
+
+// ask sends one request and returns the granted part.
+func (b *leaseBench) ask(node int, demand PartDemand) (PartGrant, bool) {
+	vm := b.roster[node]
+	b.sequence++
+	demand.Key = testKey
+	request := LimitRequest{
+		From: ident.Instance{VM: vm, Incarnation: 1}, Roster: newRoster(b.roster, 1).digest, Sequence: b.sequence,
+		Poll: b.polls[vm], PollOf: 7, Demands: []PartDemand{demand},
+	}
+	for _, action := range b.coordinator.Step(b.now, LimitRequested{Request: request}) {
+		answer := action.(SendLimitGrant).Message
+		b.polls[vm] = answer.Poll
+		for _, grant := range answer.Grants {
+			return grant, true
+		}
+	}
+	return PartGrant{}, false
+}
+
+// pass lets time pass while the first nodes confirm the roster.
+func (b *leaseBench) pass(d time.Duration, nodes int) {
+	for end := b.now.Add(d); b.now.Before(end); b.now = b.now.Add(time.Second) {
+		for node := range nodes {
+			b.ask(node, PartDemand{})
+		}
+		b.coordinator.Step(b.now, Tick{})
+	}
+}
+
+// startUp is long enough for the takeover and for all earlier leases to run out.
+const startUp = 2 * time.Minute
+
+func TestCoordinatorGrantsNothingBeforeOldLeasesEnd(t *testing.T) {
+	c := qt.New(t)
+	b := newLeaseBench(template.Limits{RatePerSecond: 100})
+	b.pass(b.settings.Leases.TTL, 3)
+	grant, _ := b.ask(1, PartDemand{Want: Part{Rate: 10}})
+	c.Assert(grant.Part, qt.Equals, Part{})
+	b.pass(startUp, 3)
+	grant, _ = b.ask(1, PartDemand{Want: Part{Rate: 10}})
+	c.Assert(grant.Part.Rate >= 10, qt.IsTrue)
+}
+
+func TestPartIsRaisedOnlyAfterAnotherWasGivenBack(t *testing.T) {
+	c := qt.New(t)
+	b := newLeaseBench(template.Limits{RatePerSecond: 100})
+	b.pass(startUp, 3)
+	first, _ := b.ask(1, PartDemand{Want: Part{Rate: 50}})
+	b.now = b.now.Add(time.Second)
+	lowered, _ := b.ask(1, PartDemand{Want: Part{Rate: 20}, Grantor: 7, Grant: first.Number, Held: first.Part})
+	c.Assert(lowered.Part.Rate < first.Part.Rate, qt.IsTrue)
+	pool := leasedPool(template.Limits{RatePerSecond: 100}, b.settings.Leases).Rate
+	// The holder may not have heard of the lower part.
+	other, _ := b.ask(2, PartDemand{Want: Part{Rate: 80}})
+	c.Assert(other.Part.Rate, qt.Equals, pool-first.Part.Rate)
+	b.now = b.now.Add(time.Second)
+	b.ask(1, PartDemand{Want: Part{Rate: 20}, Grantor: 7, Grant: lowered.Number, Held: lowered.Part})
+	other, _ = b.ask(2, PartDemand{Want: Part{Rate: 80}})
+	c.Assert(other.Part.Rate, qt.Equals, pool-lowered.Part.Rate)
+}
+
+func TestLatePollEchoConfirmsNothing(t *testing.T) {
+	c := qt.New(t)
+	b := newLeaseBench(template.Limits{RatePerSecond: 100})
+	b.pass(startUp, 3)
+	c.Assert(b.coordinator.authority.active, qt.IsTrue)
+	// Messages that echo old polls keep coming after the entries went elsewhere.
+	for range 20 {
+		b.now = b.now.Add(time.Second)
+		old := b.polls["a"]
+		for node := range 3 {
+			b.ask(node, PartDemand{})
+			b.polls[b.roster[node]] = old
+		}
+		b.coordinator.Step(b.now, Tick{})
+	}
+	c.Assert(b.coordinator.authority.active, qt.IsFalse)
+}
+
+func TestCoordinatorWaitsAgainAfterLongLoss(t *testing.T) {
+	for _, tc := range []struct {
+		loss    time.Duration
+		granted bool
+	}{{8 * time.Second, true}, {40 * time.Second, false}} {
+		t.Run(tc.loss.String(), func(t *testing.T) {
+			c := qt.New(t)
+			b := newLeaseBench(template.Limits{RatePerSecond: 100})
+			b.pass(startUp, 3)
+			b.pass(tc.loss, 1)
+			c.Assert(b.coordinator.authority.active, qt.IsFalse)
+			b.pass(10*time.Second, 3)
+			c.Assert(b.coordinator.authority.active, qt.IsTrue)
+			grant, _ := b.ask(1, PartDemand{Want: Part{Rate: 10}})
+			c.Assert(grant.Part.Rate > 0, qt.Equals, tc.granted)
+		})
+	}
+}
+
+func TestCoordinatorGoesOnWithMajority(t *testing.T) {
+	c := qt.New(t)
+	b := newLeaseBench(template.Limits{RatePerSecond: 100})
+	b.pass(startUp, 3)
+	b.pass(startUp, 2)
+	grant, _ := b.ask(1, PartDemand{Want: Part{Rate: 10}})
+	c.Assert(grant.Part.Rate >= 10, qt.IsTrue)
+}
+
+func TestMovedRateIsNotUsedTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit, window = 10.0, 2.0
+		now := time.Unix(0, 0)
+		buckets := []*bucket{{at: now}, {at: now}}
+		share := limit
+		monitor, used := limit*window, 0.0
+		for range 60 {
+			step := rapid.Float64Range(0, 3).Draw(t, "seconds")
+			now = now.Add(time.Duration(step * float64(time.Second)))
+			// The part that shrinks is given back before the other one grows.
+			share = rapid.SampledFrom([]float64{0, limit / 2, limit, share}).Draw(t, "share")
+			parts := []float64{share, limit - share}
+			order := []int{0, 1}
+			if parts[1] < buckets[1].rate {
+				order = []int{1, 0}
+			}
+			for _, i := range order {
+				buckets[i].resize(now, parts[i], parts[i]*window)
+			}
+			monitor = min(limit*window, monitor+step*limit)
+			for _, b := range buckets {
+				if rapid.Bool().Draw(t, "use") && b.level > 0 {
+					monitor -= b.level
+					used += b.level
+					b.level = 0
+				}
+			}
+			if monitor < -1e-6 {
+				t.Fatalf("%.3f units beyond the limit, %.3f used", -monitor, used)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/experiment/overload/cluster.go
@@ -0,0 +1,299 @@
+// Package overload measures how the admission of requests behaves under overload and faults.
+package overload
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/admission"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+// epoch is the true time at which clusters start.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Cluster runs the admission of several entries in one process, with clocks that
+// differ, messages that are lost, doubled and reordered, and processes that pause,
+// restart and use old rosters.
+type Cluster struct {
+	Nodes []*Node
+	// Now is the true time.
+	Now time.Time
+	// Loss and Double are the probabilities that a message is lost or doubled.
+	Loss, Double float64
+	// MaxDelay is the longest delay of a message.
+	MaxDelay time.Duration
+	// Cut reports whether messages between two nodes are dropped; nil for none.
+	Cut func(from, to *Node) bool
+	// OnAccept and OnEnd are called when a request is accepted by a node and when it ends.
+	OnAccept func(node *Node, request ident.Request, tokens int)
+	OnEnd    func(node *Node, request ident.Request)
+	// OnRefuse is called for each refusal.
+	OnRefuse func(node *Node, refusal admission.Refuse)
+	// Messages and Bytes count the messages sent, by Size.
+	Messages, Bytes int
+	Size            func(message any) int
+
+	plans    []template.CustomerPlan
+	settings func(self ident.Instance) admission.Settings
+	slots    map[ident.Service]int
+	random   *rand.Rand
+	inFlight messageHeap
+	requests int
+	sent     uint64
+}
+
+// Node is one entry of a cluster.
+type Node struct {
+	VM          ident.VM
+	Controller  *admission.Controller
+	Coordinator *admission.LimitCoordinator
+	Roster      []ident.VM
+	// Offset and Speed set the node's clock against the true time.
+	Offset time.Duration
+	Speed  float64
+	// PausedUntil is the true time at which the node goes on; it sees nothing before.
+	PausedUntil time.Time
+	Down        bool
+	Incarnation ident.Incarnation
+	pending     []message
+	open        map[ident.Request]openRequest
+}
+
+type openRequest struct {
+	tokens int
+	hold   time.Duration
+	endsAt time.Time
+}
+
+type message struct {
+	from, to *Node
+	at       time.Time
+	order    uint64
+	event    any
+}
+
+// NewCluster returns a cluster whose nodes all know of each other.
+func NewCluster(size int, seed uint64, plans []template.CustomerPlan, settings func(ident.Instance) admission.Settings) *Cluster {
+	c := &Cluster{
+		Now: epoch, plans: plans, settings: settings, random: rand.New(rand.NewPCG(seed, uint64(size))),
+		slots: make(map[ident.Service]int), MaxDelay: time.Millisecond,
+	}
+	for i := range size {
+		c.Nodes = append(c.Nodes, &Node{VM: ident.VM(fmt.Sprintf("entry-%03d", i)), Speed: 1})
+	}
+	return c
+}
+
+// VMs returns the VMs of the nodes from one index up to another.
+func (c *Cluster) VMs(from, to int) []ident.VM {
+	var vms []ident.VM
+	for _, node := range c.Nodes[from:to] {
+		vms = append(vms, node.VM)
+	}
+	return vms
+}
+
+// SetSlots gives each node that starts later the number of slots at a service.
+func (c *Cluster) SetSlots(service ident.Service, slots int) {
+	c.slots[service] = slots
+}
+
+// Start starts or restarts a node's process with a roster. Its open requests end.
+func (c *Cluster) Start(node *Node, roster []ident.VM) {
+	c.Stop(node)
+	node.Down = false
+	node.Incarnation++
+	node.PausedUntil = time.Time{}
+	self := ident.Instance{VM: node.VM, Incarnation: node.Incarnation}
+	node.Controller = admission.NewController(c.settings(self))
+	node.Coordinator = admission.NewLimitCoordinator(c.settings(self))
+	node.open = make(map[ident.Request]openRequest)
+	c.Configure(node, roster)
+	for service, slots := range c.slots {
+		capacity := admission.Capacity{Service: service, Slots: slots}
+		c.act(node, node.Controller.Step(c.clock(node), capacity))
+	}
+}
+
+// Stop ends a node's process without notice.
+func (c *Cluster) Stop(node *Node) {
+	for request := range node.open {
+		c.ended(node, request)
+	}
+	node.open = nil
+	node.pending = nil
+	node.Down = true
+}
+
+// Configure gives a node a roster.
+func (c *Cluster) Configure(node *Node, roster []ident.VM) {
+	node.Roster = roster
+	configure := admission.Configure{Plans: c.plans, Roster: roster}
+	c.act(node, node.Controller.Step(c.clock(node), configure))
+	c.coordinate(node, node.Coordinator.Step(c.clock(node), configure))
+}
+
+func (c *Cluster) clock(node *Node) time.Time {
+	elapsed := time.Duration(float64(c.Now.Sub(epoch)) * node.Speed)
+	return epoch.Add(elapsed + node.Offset)
+}
+
+// Running reports whether the node's process runs and is not paused.
+func (c *Cluster) Running(node *Node) bool {
+	return !node.Down && !node.PausedUntil.After(c.Now)
+}
+
+// Offer lets a request arrive that is held for a time once it is admitted.
+func (c *Cluster) Offer(node *Node, arrive admission.Arrive, hold time.Duration) {
+	if !c.Running(node) {
+		return
+	}
+	c.requests++
+	arrive.Request = ident.Request(fmt.Sprintf("r%08d", c.requests))
+	node.open[arrive.Request] = openRequest{tokens: arrive.Tokens, hold: hold}
+	c.act(node, node.Controller.Step(c.clock(node), arrive))
+}
+
+// Advance moves the true time, delivers messages, and lets nodes that run tick.
+func (c *Cluster) Advance(step time.Duration) {
+	c.Now = c.Now.Add(step)
+	for len(c.inFlight) > 0 && !c.inFlight[0].at.After(c.Now) {
+		m := heap.Pop(&c.inFlight).(message)
+		m.to.pending = append(m.to.pending, m)
+	}
+	for _, node := range c.Nodes {
+		c.endRequests(node)
+		if c.Running(node) {
+			c.wake(node)
+		}
+	}
+}
+
+// endRequests ends what is due. The backend server ends a request also while the
+// entry's process is paused; the process learns of it when it goes on.
+func (c *Cluster) endRequests(node *Node) {
+	for request, open := range node.open {
+		if !open.endsAt.IsZero() && !open.endsAt.After(c.Now) {
+			c.ended(node, request)
+			delete(node.open, request)
+			done := admission.Done{Request: request, Outcome: outcome.Outcome{Kind: outcome.Served}}
+			node.pending = append(node.pending, message{to: node, event: done})
+		}
+	}
+}
+
+func (c *Cluster) ended(node *Node, request ident.Request) {
+	if c.OnEnd != nil && !node.open[request].endsAt.IsZero() {
+		c.OnEnd(node, request)
+	}
+}
+
+func (c *Cluster) wake(node *Node) {
+	pending := node.pending
+	node.pending = nil
+	for _, m := range pending {
+		c.deliver(node, m)
+	}
+	c.act(node, node.Controller.Step(c.clock(node), admission.Tick{}))
+	c.coordinate(node, node.Coordinator.Step(c.clock(node), admission.Tick{}))
+}
+
+func (c *Cluster) deliver(node *Node, m message) {
+	now := c.clock(node)
+	switch event := m.event.(type) {
+	case admission.LimitRequest:
+		c.coordinate(node, node.Coordinator.Step(now, admission.LimitRequested{Request: event}))
+	case admission.LimitGrant:
+		c.act(node, node.Controller.Step(now, admission.LimitGranted{Grant: event}))
+	case admission.Done:
+		c.act(node, node.Controller.Step(now, event))
+	}
+}
+
+func (c *Cluster) act(node *Node, actions []admission.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case admission.Admit:
+			open := node.open[a.Request]
+			open.endsAt = c.Now.Add(open.hold)
+			node.open[a.Request] = open
+			if c.OnAccept != nil {
+				c.OnAccept(node, a.Request, open.tokens)
+			}
+		case admission.Refuse:
+			delete(node.open, a.Request)
+			if c.OnRefuse != nil {
+				c.OnRefuse(node, a)
+			}
+		case admission.SendLimitRequest:
+			c.send(node, a.To, a.Message)
+		}
+	}
+}
+
+func (c *Cluster) coordinate(node *Node, actions []admission.CoordinatorAction) {
+	for _, action := range actions {
+		if grant, ok := action.(admission.SendLimitGrant); ok {
+			c.send(node, grant.To, grant.Message)
+		}
+	}
+}
+
+func (c *Cluster) send(from *Node, vm ident.VM, event any) {
+	if c.Size != nil {
+		c.Messages++
+		c.Bytes += c.Size(event)
+	}
+	for _, to := range c.Nodes {
+		if to.VM != vm {
+			continue
+		}
+		cut := c.Cut != nil && from != to && c.Cut(from, to)
+		if cut || to.Down || c.random.Float64() < c.Loss {
+			return
+		}
+		c.queue(from, to, event)
+		if c.random.Float64() < c.Double {
+			c.queue(from, to, event)
+		}
+	}
+}
+
+func (c *Cluster) queue(from, to *Node, event any) {
+	delay := time.Duration(c.random.Float64() * float64(c.MaxDelay))
+	c.sent++
+	heap.Push(&c.inFlight, message{from: from, to: to, at: c.Now.Add(delay), order: c.sent, event: event})
+}
+
+// messageHeap orders messages by their arrival.
+type messageHeap []message
+
+// Len returns the number of messages.
+func (h messageHeap) Len() int { return len(h) }
+
+// Less orders two messages.
+func (h messageHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].order < h[j].order
+}
+
+// Swap exchanges two messages.
+func (h messageHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push appends a message.
+func (h *messageHeap) Push(x any) { *h = append(*h, x.(message)) }
+
+// Pop removes the last message.
+func (h *messageHeap) Pop() any {
+	last := len(*h) - 1
+	m := (*h)[last]
+	*h = (*h)[:last]
+	return m
+}
