--- a/internal/expert/events.go
+++ b/internal/expert/events.go
@@ -144,6 +144,9 @@
 	RolloutGivenUp
 	// RolloutRefused is a proposal that the leader did not start.
 	RolloutRefused
+	// RolloutHandedOver is a rollout whose leader lost the leadership, or claims it anew:
+	// the next claim completes or aborts it.
+	RolloutHandedOver
 )
 
 // String returns the result as it is logged.
@@ -155,6 +158,8 @@
 		return "given-up"
 	case RolloutRefused:
 		return "refused"
+	case RolloutHandedOver:
+		return "handed-over"
 	default:
 		return "unknown"
 	}
--- a/internal/expert/leader.go
+++ b/internal/expert/leader.go
@@ -69,6 +69,8 @@
 
 // leaderRollout is the rollout at hand.
 type leaderRollout struct {
+	// open is true until the end of the rollout was reported.
+	open       bool
 	expertMap  Map
 	forming    bool
 	generation Generation
--- a/internal/expert/leader_rollout.go
+++ b/internal/expert/leader_rollout.go
@@ -178,7 +178,7 @@
 	case "claim":
 		return l.claim()
 	case "step-down":
-		return []Action{LeadershipChanged{Epoch: l.epoch}}
+		return append(l.handOver(), LeadershipChanged{Epoch: l.epoch})
 	case "lead":
 		return l.lead()
 	case "form":
@@ -186,7 +186,7 @@
 	case "complete":
 		l.complete()
 	case "abort-left-over":
-		l.rollout = leaderRollout{expertMap: Map{Version: l.newestPending()}, generation: l.rollout.generation, cause: "left over by an earlier leader"}
+		l.rollout = leaderRollout{open: true, expertMap: Map{Version: l.newestPending()}, generation: l.rollout.generation, cause: "left over by an earlier leader"}
 	case "prepare":
 		l.prepare()
 	case "hold":
@@ -214,6 +214,7 @@
 
 // claim starts a new epoch. Its number is greater than all that the agent has heard of.
 func (l *Leader) claim() []Action {
+	actions := l.handOver()
 	l.greatest++
 	l.epoch = Epoch{Number: l.greatest, Leader: l.config.Self}
 	l.sequence = 0
@@ -222,7 +223,15 @@
 	for i, member := range l.roster.Members {
 		l.views[i].vm = member.VM
 	}
-	return nil
+	return actions
+}
+
+// handOver reports a rollout that this epoch does not end.
+func (l *Leader) handOver() []Action {
+	if !l.rollout.open {
+		return nil
+	}
+	return []Action{l.ended(RolloutHandedOver)}
 }
 
 func (l *Leader) lead() []Action {
@@ -243,12 +252,13 @@
 	}
 	base = base.Clone()
 	base.Version = l.nextVersion()
-	l.rollout = leaderRollout{expertMap: base, forming: true, generation: l.epoch, step: 1}
+	l.rollout = leaderRollout{open: true, expertMap: base, forming: true, generation: l.epoch, step: 1}
 }
 
 // complete goes on with the rollout that some agent has activated.
 func (l *Leader) complete() {
 	version := l.newestActivated()
+	l.rollout.open = true
 	l.rollout.expertMap = l.Map()
 	l.rollout.expertMap.Version = version
 	for i := range l.views {
@@ -263,7 +273,7 @@
 
 func (l *Leader) prepare() {
 	l.proposal.Version = l.nextVersion()
-	l.rollout = leaderRollout{expertMap: l.proposal, generation: l.rollout.generation, margin: l.config.StepMargin}
+	l.rollout = leaderRollout{open: true, expertMap: l.proposal, generation: l.rollout.generation, margin: l.config.StepMargin}
 }
 
 // chooseStep picks the first step of the new map; the margin grows with each try.
@@ -277,6 +287,7 @@
 }
 
 func (l *Leader) ended(result RolloutResult) RolloutEnded {
+	l.rollout.open = false
 	return RolloutEnded{
 		Version: l.rollout.expertMap.Version,
 		Result:  result,
--- a/internal/expert/member_rollout.go
+++ b/internal/expert/member_rollout.go
@@ -150,9 +150,9 @@
 
 // restart forgets all that the engine held: it is in no generation and has no weights.
 func (m *Member) restart() []Action {
+	actions := m.leave()
 	m.version = m.pending.Map.Version
-	actions := m.fire("abort")
-	actions = append(actions, m.leave()...)
+	actions = append(actions, m.fire("abort")...)
 	m.active = Map{}
 	m.next = Map{}
 	return actions
