Notice a silent watch of the configuration service in four seconds

Cause: a watch whose connection has gone silent was noticed after its wait of 30 s and 2 s of grace, far beyond the 6 s within which a change must be in force. Change: the service is asked to hold a watch for 3 s, and an answer is expected 1 s later. go test -run TestConfigChangeIsSeenOverASilentConnection ./internal/standin before: 32 s on the test's clock, red; after: 4 s, green. Cost: a watch is one call each 3 s instead of each 30 s for each watching reader.

--- a/internal/platform/config_client.go
+++ b/internal/platform/config_client.go
@@ -13,11 +13,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// DefaultWatchWait is how long the configuration service is asked to hold a watch.
-const DefaultWatchWait = 30 * time.Second
+// DefaultWatchWait is how long the configuration service is asked to hold a watch. A
+// watch whose connection has gone silent is noticed after this time and watchGrace, so
+// that their sum bounds how late a change is seen.
+const DefaultWatchWait = 3 * time.Second
 
 // watchGrace is how long after the wait an answer to a watch is expected.
-const watchGrace = 2 * time.Second
+const watchGrace = time.Second
 
 // ConfigClient is the ConfigService over HTTP.
 type ConfigClient struct {
--- a/internal/standin/call_contract_test.go
+++ b/internal/standin/call_contract_test.go
@@ -35,7 +35,7 @@
 	{standin.Fault{Kind: standin.FaultHalfClean}, "garbage", 1},
 	{standin.Fault{Kind: standin.FaultHalfUnmarked}, "garbage", 1},
 	{standin.Fault{Kind: standin.FaultGarbage}, "garbage", 1},
-	{standin.Fault{Kind: standin.FaultHuge}, "too-large", 1},
+	{standin.Fault{Kind: standin.FaultHuge, Bytes: hugeBytes}, "too-large", 1},
 	{standin.Fault{Kind: standin.FaultRefusal}, "refused", 0},
 	{standin.Fault{Kind: standin.FaultError}, "unknown", 1},
 	{standin.Fault{Kind: standin.FaultSilent}, "unknown", 0},
--- a/internal/standin/config_contract_test.go
+++ b/internal/standin/config_contract_test.go
@@ -36,7 +36,7 @@
 		{standin.Fault{Kind: standin.FaultHalf}, "unknown"},
 		{standin.Fault{Kind: standin.FaultHalfClean}, "garbage"},
 		{standin.Fault{Kind: standin.FaultGarbage}, "garbage"},
-		{standin.Fault{Kind: standin.FaultHuge}, "too-large"},
+		{standin.Fault{Kind: standin.FaultHuge, Bytes: hugeBytes}, "too-large"},
 		{standin.Fault{Kind: standin.FaultRefusal}, "refused"},
 		{standin.Fault{Kind: standin.FaultError}, "unknown"},
 		{standin.Fault{Kind: standin.FaultRedirect}, "garbage"},
@@ -89,6 +89,30 @@
 	})
 }
 
+// changeInForce is the time within which a change must be in force everywhere.
+const changeInForce = 6 * time.Second
+
+func TestConfigChangeIsSeenOverASilentConnection(t *testing.T) {
+	inBubble(t, func(c *qt.C) {
+		config := standin.NewConfig(standin.ConfigOptions{})
+		faults := standin.NewFaults(standin.Fault{Kind: standin.FaultSilent, Skip: 1, Count: 1})
+		_, options := listen(c, faults.Wrap(config))
+		client := platform.NewConfigClient(options, 0)
+		c.Cleanup(client.CloseIdle)
+		first := config.Set("k", []byte("one"))
+		_, err := client.Watch(context.Background(), "k", 0)
+		c.Assert(err, qt.IsNil)
+		published := time.Now()
+		second := config.Set("k", []byte("two"))
+		value, err := client.Watch(context.Background(), "k", first)
+		c.Assert(errorKind(err), qt.Equals, "unknown", qt.Commentf("%v", value))
+		value, err = client.Watch(context.Background(), "k", first)
+		c.Assert(err, qt.IsNil)
+		c.Assert(value.Revision, qt.Equals, second)
+		c.Assert(time.Since(published) < changeInForce, qt.IsTrue)
+	})
+}
+
 func TestConfigGoesBack(t *testing.T) {
 	inBubble(t, func(c *qt.C) {
 		ctx := context.Background()
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -42,9 +42,9 @@
 	FaultError FaultKind = "error"
 	// FaultRedirect answers 307 to the same place; the request is not handled.
 	FaultRedirect FaultKind = "redirect"
-	// FaultSilent never answers on the connection again; new connections work.
+	// FaultSilent neither handles the request nor answers; new connections work.
 	FaultSilent FaultKind = "silent"
-	// FaultSilentAnswer handles the request and never answers on the connection again.
+	// FaultSilentAnswer handles the request and never answers.
 	FaultSilentAnswer FaultKind = "silent-answer"
 	// FaultLostEvent leaves one event out of a stream.
 	FaultLostEvent FaultKind = "lost-event"
@@ -67,6 +67,8 @@
 	Delay time.Duration `json:"delay,omitempty"`
 	// Event is the index of the event of a stream that is hit, or after which it is cut.
 	Event int `json:"event,omitempty"`
+	// Bytes is the size of FaultHuge's answers; 0 means hugeAnswerBytes.
+	Bytes int `json:"bytes,omitempty"`
 }
 
 // armed is a fault with the number of calls that it has seen.
@@ -88,8 +90,6 @@
 	injected map[FaultKind]int
 	// oldest holds the first answer for each method and path.
 	oldest map[string]capture
-	// silent holds the client addresses whose connections have gone silent.
-	silent map[string]bool
 	// answered is closed and replaced when a call was answered.
 	answered chan struct{}
 }
@@ -99,7 +99,7 @@
 func NewFaults(faults ...Fault) *Faults {
 	f := &Faults{
 		injected: make(map[FaultKind]int), oldest: make(map[string]capture),
-		silent: make(map[string]bool), answered: make(chan struct{}),
+		answered: make(chan struct{}),
 	}
 	for _, fault := range faults {
 		f.Add(fault)
@@ -114,7 +114,7 @@
 	f.armed = append(f.armed, &armed{Fault: fault})
 }
 
-// Clear disarms all faults. Connections that have gone silent stay silent.
+// Clear disarms all faults. Calls that a fault has hit go on as they are.
 func (f *Faults) Clear() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -148,9 +148,6 @@
 // Wrap returns a handler that injects the faults into calls on the given one.
 func (f *Faults) Wrap(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if f.isSilent(r.RemoteAddr) {
-			waitForClient(bufferRequest(r).original)
-		}
 		fault, hit := f.pick(r.URL.Path)
 		if !hit {
 			f.handle(w, r, handler)
@@ -210,15 +207,3 @@
 	defer f.mu.Unlock()
 	return f.answered
 }
-
-func (f *Faults) isSilent(address string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.silent[address]
-}
-
-func (f *Faults) silence(address string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.silent[address] = true
-}
--- a/internal/standin/faults_inject.go
+++ b/internal/standin/faults_inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -12,7 +13,7 @@
 )
 
 const (
-	// hugeAnswerBytes is the size of FaultHuge's answers.
+	// hugeAnswerBytes is the usual size of FaultHuge's answers.
 	hugeAnswerBytes = 32 << 20
 	// defaultRefusalWait is the Retry-After of FaultRefusal.
 	defaultRefusalWait = time.Second
@@ -144,7 +145,7 @@
 	abort()
 }
 
-// unmarked sends a part whose end is the end of the connection.
+// unmarked sends a part whose end is the end of the connection, without a digest.
 func (c *faultyCall) unmarked(part capture) {
 	conn, _, err := http.NewResponseController(c.writer).Hijack()
 	if err != nil {
@@ -154,6 +155,7 @@
 	var text bytes.Buffer
 	fmt.Fprintf(&text, "HTTP/1.1 %d %s\r\nConnection: close\r\n", part.status, http.StatusText(part.status))
 	part.header.Del("Content-Length")
+	part.header.Del(platform.HeaderDigest)
 	_ = part.header.Write(&text)
 	text.WriteString("\r\n")
 	text.Write(part.body)
@@ -176,7 +178,8 @@
 func (c *faultyCall) huge(answer capture) {
 	answer.writeHeader(c.writer, -1)
 	block := bytes.Repeat([]byte("x"), 64<<10)
-	for sent := 0; sent < hugeAnswerBytes; sent += len(block) {
+	size := cmp.Or(c.fault.Bytes, hugeAnswerBytes)
+	for sent := 0; sent < size; sent += len(block) {
 		if _, err := c.writer.Write(block); err != nil {
 			abort()
 		}
@@ -184,22 +187,13 @@
 }
 
 func (c *faultyCall) refusal() {
-	wait := c.fault.Delay
-	if wait == 0 {
-		wait = defaultRefusalWait
-	}
+	wait := cmp.Or(c.fault.Delay, defaultRefusalWait)
 	refuseFor(c.writer, http.StatusServiceUnavailable, wait, "refused")
 }
 
-// silent marks the connection as silent and waits until the client gives it up.
+// silent waits until the client gives the connection up.
 func (c *faultyCall) silent() {
-	c.faults.silence(c.request.original.RemoteAddr)
-	waitForClient(c.request.original)
-}
-
-// waitForClient waits until the client has closed the connection.
-func waitForClient(r *http.Request) {
-	<-r.Context().Done()
+	<-c.request.original.Context().Done()
 	abort()
 }
 
--- a/internal/standin/network_test.go
+++ b/internal/standin/network_test.go
@@ -23,6 +23,12 @@
 // callTimeout is the clients' timeout in the contract tests, on the bubble's clock.
 const callTimeout = 5 * time.Second
 
+// Limits of the clients' answers, and the size of answers beyond them.
+const (
+	maxAnswerBytes = 2 << 20
+	hugeBytes      = 4 << 20
+)
+
 // inBubble runs a test on a clock of its own, which jumps when all goroutines wait.
 func inBubble(t *testing.T, test func(c *qt.C)) {
 	synctest.Test(t, func(t *testing.T) { test(qt.New(t)) })
@@ -90,7 +96,9 @@
 	server := &http.Server{Handler: handler}
 	go server.Serve(l)
 	c.Cleanup(func() { server.Close() })
-	return l, platform.Options{BaseURL: "http://10.0.0.1", Dial: l.dial, Timeout: callTimeout, IdleTimeout: callTimeout}
+	return l, platform.Options{
+		BaseURL: "http://10.0.0.1", Dial: l.dial, Timeout: callTimeout, IdleTimeout: callTimeout, MaxAnswerBytes: maxAnswerBytes,
+	}
 }
 
 // completionBody returns the body of a model call.
--- a/internal/standin/reader_contract_test.go
+++ b/internal/standin/reader_contract_test.go
@@ -31,7 +31,7 @@
 	{standin.Fault{Kind: standin.FaultHalfClean}, "garbage"},
 	{standin.Fault{Kind: standin.FaultHalfUnmarked}, "garbage"},
 	{standin.Fault{Kind: standin.FaultGarbage}, "garbage"},
-	{standin.Fault{Kind: standin.FaultHuge}, "too-large"},
+	{standin.Fault{Kind: standin.FaultHuge, Bytes: hugeBytes}, "too-large"},
 	{standin.Fault{Kind: standin.FaultRefusal}, "refused"},
 	{standin.Fault{Kind: standin.FaultError}, "unknown"},
 	{standin.Fault{Kind: standin.FaultRedirect}, "garbage"},
--- a/internal/standin/stream_contract_test.go
+++ b/internal/standin/stream_contract_test.go
@@ -45,7 +45,7 @@
 	{standin.Fault{Kind: standin.FaultReorderedEvents, Event: 2}, "garbage", 2, 1},
 	{standin.Fault{Kind: standin.FaultReorderedEvents, Event: streamTokens - 1}, "garbage", streamTokens - 1, 1},
 	{standin.Fault{Kind: standin.FaultGarbage}, "garbage", 0, 1},
-	{standin.Fault{Kind: standin.FaultHuge}, "too-large", 0, 1},
+	{standin.Fault{Kind: standin.FaultHuge, Bytes: hugeBytes}, "too-large", 0, 1},
 	{standin.Fault{Kind: standin.FaultStale}, "garbage", 0, 0},
 	{standin.Fault{Kind: standin.FaultRefusal}, "refused", 0, 0},
 	{standin.Fault{Kind: standin.FaultError}, "unknown", 0, 1},
