--- a/internal/attempt/log.go
+++ b/internal/attempt/log.go
@@ -97,6 +97,8 @@
 	Recorded RecordResult = iota + 1
 	// RecordNotOwner means that the target does not own the key under the entry's version.
 	RecordNotOwner
+	// RecordNotOpen means that the service has not opened yet.
+	RecordNotOpen
 	// RecordNotClaimed means that the target has not claimed its VM at this entry, or a later
 	// run has; it may be allowed later.
 	RecordNotClaimed
@@ -117,6 +119,9 @@
 	if l.claims[dispatch.Target.VM].Current != dispatch.Target.Incarnation {
 		return RecordNotClaimed
 	}
+	if now.Before(log.service.OpenedAt) {
+		return RecordNotOpen
+	}
 	key := log.keys[dispatch.RunKey]
 	if key == nil {
 		key = &loggedKey{}
--- a/internal/attempt/messages.go
+++ b/internal/attempt/messages.go
@@ -263,8 +263,9 @@
 	// Round is the round of the ReleaseRequest, or 0 for a hand-over that was not asked for.
 	Round uint64        `cbor:"5,keyasint,omitempty"`
 	Keys  []KeyTransfer `cbor:"6,keyasint,omitempty"`
-	// Complete is true if the sender knows every run of the keys within the retention.
-	Complete bool `cbor:"7,keyasint,omitempty"`
+	// CompleteFor identifies the list of backend servers under which the sender owned keys
+	// and knows every run of them within the retention; 0 for none.
+	CompleteFor uint64 `cbor:"7,keyasint,omitempty"`
 	// Final is true if the sender stops and will run nothing any more.
 	Final bool `cbor:"8,keyasint,omitempty"`
 	// Custody is true for keys that the receiver keeps for the next run of the sender's VM.
--- a/internal/attempt/owner.go
+++ b/internal/attempt/owner.go
@@ -238,6 +238,8 @@
 	attempts  map[Attempt]*heldAttempt
 	services  map[ident.Service]*ownedService
 	gone      map[ident.VM]bool
+	// removed holds the entries that left the roster, with when the agent saw it.
+	removed   map[ident.VM]time.Time
 	lease     LeaseMoved
 	tickets   ticketBook
 	handOvers handOvers
@@ -274,6 +276,7 @@
 		attempts:  map[Attempt]*heldAttempt{},
 		services:  map[ident.Service]*ownedService{},
 		gone:      map[ident.VM]bool{},
+		removed:   map[ident.VM]time.Time{},
 		tickets:   ticketBook{issued: map[uint64]*issuedTicket{}},
 		handOvers: handOvers{custody: map[custodyKey]*custody{}, unacknowledged: map[handOverKey]HandOver{}},
 	}
--- a/internal/attempt/owner_handover.go
+++ b/internal/attempt/owner_handover.go
@@ -56,23 +56,14 @@
 func (o *Owner) earlierOwners(now time.Time, service *ownedService) []ident.VM {
 	seen := map[ident.VM]bool{o.config.Self.VM: true}
 	var owners []ident.VM
-	note := func(lists []earlierList) {
-		for _, list := range lists {
-			if now.Sub(list.replacedAt) > o.windowOf(service) {
-				continue
-			}
-			for _, vm := range list.vms {
-				if !seen[vm] {
-					seen[vm] = true
-					owners = append(owners, vm)
-				}
+	for _, list := range o.earlierLists(now, service) {
+		for _, vm := range list {
+			if !seen[vm] {
+				seen[vm] = true
+				owners = append(owners, vm)
 			}
 		}
 	}
-	note(service.earlier)
-	for _, vm := range service.claimants() {
-		note(service.claims[vm].earlier)
-	}
 	sort.Slice(owners, func(i, j int) bool { return owners[i] < owners[j] })
 	return owners
 }
@@ -82,9 +73,12 @@
 	if !o.knowsOwnRuns(now, service) {
 		return false
 	}
-	for _, vm := range o.earlierOwners(now, service) {
-		if !service.releasedAll(vm) {
-			return false
+	for _, list := range o.earlierLists(now, service) {
+		for _, vm := range list {
+			prior := priorOwner{vm: vm, list: listID(list)}
+			if vm != o.config.Self.VM && !service.releasedAll(prior) {
+				return false
+			}
 		}
 	}
 	return true
@@ -122,7 +116,7 @@
 func (o *Owner) handOverTo(now time.Time, service *ownedService, to ident.VM) HandOver {
 	handOver := HandOver{
 		From: o.config.Self, To: to, Service: service.published.Name, FleetVersion: o.fleet.Version,
-		List: listID(service.list), Complete: service.knewAll(),
+		List: listID(service.list), CompleteFor: service.completeFor(),
 	}
 	for _, record := range service.sortedRecords() {
 		if service.ownerOf(record.key) == to && record.movable() {
@@ -132,16 +126,17 @@
 	return handOver
 }
 
-// knewAll reports whether the agent knew every run of its keys under the list that was
-// in force before the present one, or under the present one if there was no other.
-func (s *ownedService) knewAll() bool {
+// completeFor identifies the list under which the agent knows every run of its keys: the
+// present one, or the one before if it has not become complete since; 0 for none.
+func (s *ownedService) completeFor() uint64 {
 	if s.covered == nil {
-		return false
+		return 0
 	}
-	if sameVMs(s.covered, s.list) {
-		return true
+	latest := len(s.earlier) - 1
+	if sameVMs(s.covered, s.list) || (latest >= 0 && sameVMs(s.covered, s.earlier[latest].vms)) {
+		return listID(s.covered)
 	}
-	return len(s.earlier) > 0 && sameVMs(s.covered, s.earlier[len(s.earlier)-1].vms)
+	return 0
 }
 
 // movable reports whether another agent must know the key: it may have run, and may run elsewhere.
@@ -164,6 +159,6 @@
 	}
 	o.act(SendHandOver{HandOver{
 		From: o.config.Self, To: owner, Service: service.published.Name, FleetVersion: o.fleet.Version,
-		List: listID(service.list), Complete: service.knewAll(), Keys: []KeyTransfer{record.transfer(now)},
+		List: listID(service.list), CompleteFor: service.completeFor(), Keys: []KeyTransfer{record.transfer(now)},
 	}})
 }
--- a/internal/attempt/owner_service.go
+++ b/internal/attempt/owner_service.go
@@ -45,9 +45,10 @@
 }
 
 type release struct {
-	version  template.Version
-	from     ident.Instance
-	complete bool
+	version template.Version
+	from    ident.Instance
+	// completeFor identifies the list under which the VM's agent knew every run of its keys; 0 for none.
+	completeFor uint64
 }
 
 // claimState is an entry's answer to the claim of the present round.
@@ -74,6 +75,7 @@
 	if next.Version <= o.fleet.Version {
 		return
 	}
+	o.noteRemovedEntries(now, next)
 	o.fleet = next
 	for _, published := range next.Services {
 		o.setService(now, published)
@@ -83,6 +85,19 @@
 	}
 }
 
+func (o *Owner) noteRemovedEntries(now time.Time, next fleet.Fleet) {
+	listed := map[ident.VM]bool{}
+	for _, entry := range next.Entries {
+		listed[entry.VM] = true
+		delete(o.removed, entry.VM)
+	}
+	for _, entry := range o.fleet.Entries {
+		if !listed[entry.VM] {
+			o.removed[entry.VM] = now
+		}
+	}
+}
+
 func (o *Owner) setService(now time.Time, published fleet.Service) {
 	list := backendVMs(published)
 	service := o.services[published.Name]
@@ -114,6 +129,7 @@
 	s.asked = map[ident.VM]time.Time{}
 	s.fenced = false
 	s.fencedAt = time.Time{}
+	s.reported = false
 }
 
 func (s *ownedService) heldRecords() []*keyRecord {
@@ -176,6 +192,9 @@
 	if o.config.Doubt == DoubtIgnore {
 		return verdictClear, 0
 	}
+	if now.Before(service.published.OpenedAt) {
+		return verdictPending, 0
+	}
 	if !service.fenced || !o.accepted(service, dispatch.ID.Entry) {
 		return verdictPending, 0
 	}
@@ -210,27 +229,42 @@
 	return claim != nil && claim.accepted && claim.entry == entry
 }
 
-// priorOwners returns the VMs that owned the key under lists that were in force within the retention.
-func (o *Owner) priorOwners(now time.Time, service *ownedService, key ident.RunKey) []ident.VM {
+// priorOwner is an agent's VM with the list under which it owned a key.
+type priorOwner struct {
+	vm   ident.VM
+	list uint64
+}
+
+// priorOwners returns who owned the key under lists that were in force within the retention.
+func (o *Owner) priorOwners(now time.Time, service *ownedService, key ident.RunKey) []priorOwner {
+	var owners []priorOwner
+	for _, list := range o.earlierLists(now, service) {
+		owners = append(owners, priorOwner{vm: Highest(string(key), list), list: listID(list)})
+	}
+	return owners
+}
+
+// earlierLists returns the different lists, other than the present one, that the agent or an
+// entry saw in force within the retention.
+func (o *Owner) earlierLists(now time.Time, service *ownedService) [][]ident.VM {
 	window := o.windowOf(service)
-	seen := map[ident.VM]bool{}
-	var owners []ident.VM
-	note := func(lists []earlierList) {
-		for _, list := range lists {
-			if now.Sub(list.replacedAt) > window {
+	seen := map[uint64]bool{listID(service.list): true}
+	var lists [][]ident.VM
+	note := func(earlier []earlierList) {
+		for _, list := range earlier {
+			id := listID(list.vms)
+			if now.Sub(list.replacedAt) > window || seen[id] {
 				continue
 			}
-			if vm := Highest(string(key), list.vms); !seen[vm] {
-				seen[vm] = true
-				owners = append(owners, vm)
-			}
+			seen[id] = true
+			lists = append(lists, list.vms)
 		}
 	}
 	note(service.earlier)
 	for _, vm := range service.claimants() {
 		note(service.claims[vm].earlier)
 	}
-	return owners
+	return lists
 }
 
 func (s *ownedService) claimants() []ident.VM {
@@ -244,9 +278,9 @@
 
 // unreleased returns an earlier owner of the key that may still run it, or "".
 func (o *Owner) unreleased(now time.Time, service *ownedService, key ident.RunKey) ident.VM {
-	for _, vm := range o.priorOwners(now, service, key) {
-		if vm != o.config.Self.VM && !o.gone[vm] && !service.hasReleased(vm) {
-			return vm
+	for _, prior := range o.priorOwners(now, service, key) {
+		if prior.vm != o.config.Self.VM && !o.gone[prior.vm] && !service.hasReleased(prior.vm) {
+			return prior.vm
 		}
 	}
 	return ""
@@ -257,9 +291,9 @@
 	return ok && released.version >= s.listVersion
 }
 
-// releasedAll reports whether the VM's agent released its keys and knew every run of them.
-func (s *ownedService) releasedAll(vm ident.VM) bool {
-	return s.hasReleased(vm) && s.released[vm].complete
+// releasedAll reports whether the earlier owner released its keys and knew every run of them.
+func (s *ownedService) releasedAll(prior priorOwner) bool {
+	return s.hasReleased(prior.vm) && s.released[prior.vm].completeFor == prior.list
 }
 
 // covers reports whether the agent has known every run of the key since an earlier claim.
@@ -272,8 +306,8 @@
 	if !o.knowsOwnRuns(now, service) {
 		return false
 	}
-	for _, vm := range o.priorOwners(now, service, key) {
-		if vm != o.config.Self.VM && !service.releasedAll(vm) {
+	for _, prior := range o.priorOwners(now, service, key) {
+		if prior.vm != o.config.Self.VM && !service.releasedAll(prior) {
 			return false
 		}
 	}
@@ -287,7 +321,7 @@
 
 // predecessorCovers reports whether the VM's latest earlier run handed over all that it knew.
 func (s *ownedService) predecessorCovers() bool {
-	if s.predecessor == nil || !s.predecessor.Complete || s.predecessor.List != listID(s.list) {
+	if s.predecessor == nil || s.predecessor.CompleteFor != listID(s.list) {
 		return false
 	}
 	matched := false
@@ -345,10 +379,21 @@
 			wait = max(wait, claim.coversSince.Add(retention).Sub(now))
 		}
 		for _, removed := range claim.removed {
-			if removed.at.After(start) {
-				wait = max(wait, removed.at.Add(retention).Sub(now))
-			}
+			wait = max(wait, o.removedFor(now, service, removed, start))
 		}
 	}
+	for vm, at := range o.removed {
+		wait = max(wait, o.removedFor(now, service, removedEntry{vm: vm, at: at}, start))
+	}
 	return wait
 }
+
+// removedFor returns the time for which keys of an entry's log may be missing that was taken
+// off the roster. The log of one that accepted the claim before is known.
+func (o *Owner) removedFor(now time.Time, service *ownedService, removed removedEntry, start time.Time) time.Duration {
+	claim := service.claims[removed.vm]
+	if (claim != nil && claim.accepted) || !removed.at.After(start) {
+		return 0
+	}
+	return removed.at.Add(o.windowOf(service)).Sub(now)
+}
--- a/internal/attempt/owner_stop.go
+++ b/internal/attempt/owner_stop.go
@@ -136,7 +136,7 @@
 		return
 	}
 	service.released[handOver.From.VM] = release{
-		version: handOver.FleetVersion, from: handOver.From, complete: handOver.Complete,
+		version: handOver.FleetVersion, from: handOver.From, completeFor: handOver.CompleteFor,
 	}
 }
 
--- a/internal/experiment/calls/chaos.go
+++ b/internal/experiment/calls/chaos.go
@@ -63,6 +63,8 @@
 		{"pause entry", 3, c.pauseEntry},
 		{"start entry", 10, c.startEntry},
 		{"wake entry", 8, c.wakeEntry},
+		{"restart all entries", 1, c.restartEntries},
+		{"change roster", 2, c.changeRoster},
 		{"cut link", 4, c.cut},
 		{"heal links", 4, func() { world.blocked = map[link]bool{} }},
 		{"publish", 3, c.publish},
@@ -82,6 +84,9 @@
 	pick := c.choose.IntN(c.weight)
 	for _, deed := range c.deeds {
 		if pick < deed.weight {
+			if deed.name != "deliver" && deed.name != "pass" {
+				c.World.trace("-- %s", deed.name)
+			}
 			deed.do()
 			return deed.name
 		}
@@ -161,6 +166,9 @@
 		Deadline: w.now.Add(class.Deadline),
 	}
 	key := c.choose.IntN(keyCount)
+	if c.choose.IntN(8) == 0 && c.ticketCall(awake, call, class) {
+		return
+	}
 	body := fmt.Sprintf("body of %d", key)
 	switch c.choose.IntN(10) {
 	case 0, 1:
@@ -178,6 +186,26 @@
 	w.startCall(awake, call)
 }
 
+// ticketCall sends a request on a ticket: a new one, or one that was used before.
+func (c *Chaos) ticketCall(process *entryProcess, call attempt.Call, class template.ClassPlan) bool {
+	tickets := c.World.tickets
+	if len(tickets) == 0 || c.choose.IntN(2) == 0 {
+		if agent := c.awakeAgent(); agent != nil {
+			c.World.stepOwner(agent, attempt.TicketAsked{Request: attempt.TicketRequest{
+				Entry: process.instance, Request: call.Request, Service: serviceName,
+			}})
+		}
+		return false
+	}
+	ticket := tickets[c.choose.IntN(len(tickets))]
+	call.Class = class
+	call.Ticket = &ticket
+	call.RunKey = attempt.TicketKey(call.Customer, serviceName, ticket)
+	call.Body = sha256.Sum256([]byte("body for a ticket"))
+	c.World.startCall(process, call)
+	return true
+}
+
 func (w *World) startCall(process *entryProcess, call attempt.Call) {
 	w.record.start(w.now, call)
 	w.stepCaller(process, attempt.CallStarted{Call: call})
--- a/internal/experiment/calls/chaos_faults.go
+++ b/internal/experiment/calls/chaos_faults.go
@@ -72,6 +72,38 @@
 	host.processes[c.choose.IntN(len(host.processes))].dead = true
 }
 
+// restartEntries kills all entries at once.
+func (c *Chaos) restartEntries() {
+	for _, host := range c.World.entries {
+		for _, process := range host.processes {
+			process.dead = true
+		}
+	}
+	for _, host := range c.World.entries {
+		c.World.startEntry(host, c.recentFleet())
+	}
+}
+
+// changeRoster lists an entry, or takes it off the list. Its process runs on.
+func (c *Chaos) changeRoster() {
+	w := c.World
+	host := c.entryHost()
+	if w.unlisted[host.vm] {
+		delete(w.unlisted, host.vm)
+	} else {
+		w.unlisted[host.vm] = true
+	}
+	if len(w.unlisted) >= len(w.entries) {
+		w.unlisted = map[ident.VM]bool{}
+	}
+	latest := w.fleets[len(w.fleets)-1]
+	var listed []ident.VM
+	for _, backend := range latest.Services[0].Backends {
+		listed = append(listed, backend.VM)
+	}
+	w.publish(listed)
+}
+
 func (c *Chaos) pauseEntry() {
 	if process := c.awakeEntry(); process != nil {
 		process.paused = true
--- a/internal/experiment/calls/world.go
+++ b/internal/experiment/calls/world.go
@@ -30,6 +30,8 @@
 	OpenedAt time.Duration
 	Doubt    attempt.DoubtPolicy
 	Caller   func(*attempt.CallerConfig)
+	// Trace is told of each message that arrives and each step; it may be nil.
+	Trace func(line string)
 }
 
 // World is a small fleet on a simulated clock.
@@ -44,7 +46,10 @@
 	fleets  []fleet.Fleet
 	blocked map[link]bool
 	record  *Record
-	nextID  int
+	tickets []attempt.Ticket
+	// unlisted holds the entries that are not in the roster.
+	unlisted map[ident.VM]bool
+	nextID   int
 	// send takes messages; it can be replaced to model a network.
 	send func(envelope)
 	// route picks the target of a request without an owner.
@@ -97,7 +102,7 @@
 
 // NewWorld returns a world whose processes all run and know the first fleet version.
 func NewWorld(config Config) *World {
-	w := &World{config: config, now: epoch, started: epoch, blocked: map[link]bool{}, record: NewRecord(config.Retention)}
+	w := &World{config: config, now: epoch, started: epoch, blocked: map[link]bool{}, unlisted: map[ident.VM]bool{}, record: NewRecord(config.Retention)}
 	w.send = func(e envelope) { w.network = append(w.network, e) }
 	w.route = w.anyAgent
 	for i := range config.Entries {
@@ -116,6 +121,12 @@
 	return w
 }
 
+func (w *World) trace(format string, arguments ...any) {
+	if w.config.Trace != nil {
+		w.config.Trace(w.now.Sub(w.started).String() + " " + fmt.Sprintf(format, arguments...))
+	}
+}
+
 func (w *World) addAgentHost() *agentHost {
 	host := &agentHost{vm: ident.VM(fmt.Sprintf("backend%d", len(w.agents)))}
 	w.agents = append(w.agents, host)
@@ -136,7 +147,9 @@
 func (w *World) publish(backends []ident.VM) {
 	next := fleet.Fleet{Version: template.Version(len(w.fleets) + 1)}
 	for _, host := range w.entries {
-		next.Entries = append(next.Entries, fleet.EntryVM{VM: host.vm})
+		if !w.unlisted[host.vm] {
+			next.Entries = append(next.Entries, fleet.EntryVM{VM: host.vm})
+		}
 	}
 	service := fleet.Service{
 		Name: serviceName, Kind: template.KindPlain,
@@ -147,6 +160,7 @@
 	}
 	next.Services = []fleet.Service{service}
 	w.fleets = append(w.fleets, next)
+	w.trace("published version %d: entries %v, backends %v", next.Version, next.Entries, backends)
 }
 
 func (w *World) newInstance(vm ident.VM) ident.Instance {
--- a/internal/experiment/calls/world_step.go
+++ b/internal/experiment/calls/world_step.go
@@ -83,6 +83,7 @@
 	from := process.host.vm
 	switch action := action.(type) {
 	case attempt.Run:
+		w.trace("%v runs %s as %v", process.instance, action.Dispatch.RunKey, action.Dispatch.ID)
 		w.record.run(w.now, action.Dispatch)
 		process.running = append(process.running, action.Dispatch)
 		if w.onRun != nil {
@@ -101,11 +102,14 @@
 	case attempt.SendCrashReport:
 		w.postEntries(from, action.Report)
 	case attempt.SendTicket:
-		w.post(from, action.Reply.Entry.VM, action.Reply)
+		if action.Reply.Refused.Kind == outcome.Open {
+			w.tickets = append(w.tickets, action.Reply.Ticket)
+		}
 	case attempt.OwnerStopped:
 		process.dead = true
-	case attempt.OwnerSuperseded, attempt.CancelRun, attempt.SendKeyAnswer, attempt.OwnerNeedsFleet,
-		attempt.KeysRefused, attempt.OwnershipChanged:
+	case attempt.OwnershipChanged, attempt.OwnerSuperseded:
+		w.trace("%v %T %+v", process.instance, action, action)
+	case attempt.CancelRun, attempt.SendKeyAnswer, attempt.OwnerNeedsFleet, attempt.KeysRefused:
 	}
 }
 
@@ -121,6 +125,9 @@
 
 // deliverEntry hands a message to an entry.
 func (w *World) deliverEntry(process *entryProcess, message any) {
+	if _, routine := message.(greeting); !routine {
+		w.trace("%v gets %T %+v", process.instance, message, message)
+	}
 	switch message := message.(type) {
 	case greeting:
 		w.see(process, message.agent, message.lease)
@@ -157,6 +164,7 @@
 
 // deliverAgent hands a message to an agent.
 func (w *World) deliverAgent(process *agentProcess, message any) {
+	w.trace("%v gets %T %+v", process.instance, message, message)
 	switch message := message.(type) {
 	case attempt.Dispatch:
 		w.stepOwner(process, attempt.DispatchReceived{Dispatch: message})
