--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -73,6 +73,8 @@
 type Engine struct {
 	options EngineOptions
 	mux     *http.ServeMux
+	// group is the engine's lock-step group; nil outside groups.
+	group *Group
 	record
 
 	lock sync.Mutex
@@ -143,11 +145,22 @@
 func (e *Engine) down() bool {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	return e.closed || time.Now().Before(e.downUntil)
+	return e.isDown(time.Now())
 }
 
-// Crash ends the boot: all connections break, and the next boot starts empty.
+func (e *Engine) isDown(now time.Time) bool { return e.closed || now.Before(e.downUntil) }
+
+// Crash ends the boot: all connections break, and the next boot starts empty. A rank of
+// a group takes the others with it.
 func (e *Engine) Crash() {
+	if e.group != nil {
+		e.group.Crash()
+		return
+	}
+	e.crashAlone()
+}
+
+func (e *Engine) crashAlone() {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	e.crash()
--- a/internal/standin/engine_batch.go
+++ b/internal/standin/engine_batch.go
@@ -114,6 +114,10 @@
 
 // kick starts the loop over steps unless it runs.
 func (e *Engine) kick() {
+	if e.group != nil {
+		e.group.kick()
+		return
+	}
 	if e.looping || e.closed {
 		return
 	}
@@ -155,19 +159,56 @@
 	if e.boot != boot {
 		return 0, false
 	}
-	if len(e.running)+len(e.waiting) == 0 || !e.orders.mayStep(time.Now()) {
+	if !e.hasWork() || !e.orders.mayStep(time.Now()) {
 		e.looping = false
 		return 0, false
 	}
+	step, alive := e.startStep()
+	if !alive {
+		e.crash()
+	}
+	return step.delay, alive
+}
+
+// canStep reports whether the engine has work, and whether it may run the next step.
+func (e *Engine) canStep() (busy, may bool) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	now := time.Now()
+	return e.hasWork(), !e.isDown(now) && e.orders.mayStep(now)
+}
+
+func (e *Engine) hasWork() bool { return len(e.running)+len(e.waiting) > 0 }
+
+// beginLockStep starts a step of the engine's group, also without work; false if a job
+// crashes the engine.
+func (e *Engine) beginLockStep() (startedStep, bool) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return e.startStep()
+}
+
+// startedStep is a step that has begun.
+type startedStep struct {
+	boot       uint64
+	number     uint64
+	mapVersion uint64
+	delay      time.Duration
+}
+
+// startStep admits jobs and takes the next step's number; false if a job crashes the engine.
+func (e *Engine) startStep() (startedStep, bool) {
 	uncached := e.admit()
 	if slices.ContainsFunc(e.running, func(j *job) bool { return j.crashes }) {
-		e.crash()
-		return 0, false
+		return startedStep{}, false
 	}
-	e.noteMap(e.orders.takeStep())
+	step := startedStep{boot: e.boot}
+	step.number, step.mapVersion = e.orders.takeStep()
+	e.noteMap(step.number, step.mapVersion)
 	e.sample()
-	delay := e.options.StepDelay + time.Duration(uncached)*e.options.PrefillDelay
-	return delay + time.Duration(len(e.running)-1)*e.options.BatchDelay, true
+	step.delay = e.options.StepDelay + time.Duration(uncached)*e.options.PrefillDelay +
+		time.Duration(max(0, len(e.running)-1))*e.options.BatchDelay
+	return step, true
 }
 
 // endStep gives each running job its token.
--- a/internal/standin/faults_inject.go
+++ b/internal/standin/faults_inject.go
@@ -197,8 +197,12 @@
 	abort()
 }
 
-// editEvents sends a stream with one fault in its events.
+// editEvents sends a stream with one fault in its events. Other answers are sent as they are.
 func (c *faultyCall) editEvents(answer capture) {
+	if !answer.isStream() {
+		answer.write(c.writer)
+		return
+	}
 	events := answer.events()
 	index := min(c.fault.Event, len(events)-1)
 	switch c.fault.Kind {
--- a/internal/standin/network_test.go
+++ b/internal/standin/network_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -90,10 +91,23 @@
 	}
 }
 
+// failingLog fails the test with every line, so that no panic of a stand-in passes as a
+// broken connection.
+type failingLog struct{ t testing.TB }
+
+func (l failingLog) Write(line []byte) (int, error) {
+	l.t.Errorf("server: %s", line)
+	return len(line), nil
+}
+
+func newServer(t testing.TB, handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ErrorLog: log.New(failingLog{t}, "", 0)}
+}
+
 // listen serves the handler over pipes until the test ends.
 func listen(c *qt.C, handler http.Handler) (*pipeListener, platform.Options) {
 	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-	server := &http.Server{Handler: handler}
+	server := newServer(c, handler)
 	go server.Serve(l)
 	c.Cleanup(func() { server.Close() })
 	return l, platform.Options{
--- a/internal/standin/property_test.go
+++ b/internal/standin/property_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"slices"
 	"sync"
@@ -101,7 +100,7 @@
 func newCallWorld(t *testing.T, faults []standin.Fault) *callWorld {
 	engine := standin.NewEngine(standin.EngineOptions{StepDelay: 100 * time.Millisecond, MaxRunning: 2, MaxWaiting: 2, RestartAfter: time.Second})
 	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-	server := &http.Server{Handler: standin.NewFaults(faults...).Wrap(engine)}
+	server := newServer(t, standin.NewFaults(faults...).Wrap(engine))
 	go server.Serve(l)
 	client := platform.NewEngineClient(platform.Options{BaseURL: "http://10.0.0.1", Dial: l.dial, Timeout: callTimeout, IdleTimeout: callTimeout})
 	t.Cleanup(func() { client.CloseIdle(); server.Close(); engine.Close() })
