--- /dev/null
+++ b/internal/experiment/routes/engine.go
@@ -0,0 +1,174 @@
+// Package routes measures ways to choose a backend server on a small queueing model of
+// engines that batch continuously and cache prompt prefixes.
+package routes
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/routing"
+)
+
+// The model of an engine.
+const (
+	// slots is the number of requests that an engine runs at once.
+	slots = 32
+	// stepBase is the time of a step with an empty batch.
+	stepBase = 20 * time.Millisecond
+	// stepPerRequest is the time that each request in the batch adds to a step.
+	stepPerRequest = 150 * time.Microsecond
+	// promptTime is the time to process one token of a prompt.
+	promptTime = 50 * time.Microsecond
+	// promptPerStep is the number of prompt tokens processed in one step.
+	promptPerStep = 1024
+	// blockTokens is the number of tokens of a cache block.
+	blockTokens = 64
+	// cacheBlocks is the number of blocks that an engine caches.
+	cacheBlocks = 1500
+)
+
+// call is one request on its way through the model.
+type call struct {
+	id      int
+	entry   int
+	blocks  []routing.Block
+	prompt  int
+	output  int
+	arrived time.Time
+	// first is when the first token was generated, last when the latest was.
+	first time.Time
+	last  time.Time
+	// promptLeft and outputLeft are the tokens yet to process and to generate.
+	promptLeft int
+	outputLeft int
+	cached     int
+	retries    int
+}
+
+// engine is one model engine with its queue and its prefix cache.
+type engine struct {
+	vm      ident.VM
+	slow    float64
+	running []*call
+	waiting []*call
+	cache   map[routing.Block]*list.Element
+	recent  *list.List
+	// stored and evicted are the changes of the cache since the last event.
+	stored   []routing.Block
+	evicted  []routing.Block
+	sequence uint64
+	stepping bool
+	stepTime time.Duration
+}
+
+func newEngine(vm ident.VM, slow float64) *engine {
+	return &engine{vm: vm, slow: slow, cache: map[routing.Block]*list.Element{}, recent: list.New()}
+}
+
+func (e *engine) open() int {
+	return len(e.running) + len(e.waiting)
+}
+
+// promptBacklog is the number of prompt tokens yet to process.
+func (e *engine) promptBacklog() int {
+	tokens := 0
+	for _, c := range e.running {
+		tokens += c.promptLeft
+	}
+	for _, c := range e.waiting {
+		tokens += c.promptLeft
+	}
+	return tokens
+}
+
+// admit moves waiting requests into the batch and looks their prefixes up.
+func (e *engine) admit() {
+	for len(e.waiting) > 0 && len(e.running) < slots {
+		c := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		c.cached = min(e.match(c.blocks)*blockTokens, c.prompt-1)
+		c.promptLeft = c.prompt - c.cached
+		e.touch(c.blocks)
+		e.running = append(e.running, c)
+	}
+}
+
+func (e *engine) match(blocks []routing.Block) int {
+	for i, block := range blocks {
+		if e.cache[block] == nil {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+// touch puts the blocks into the cache and evicts those used least recently. Longer
+// prefixes count as used less recently, so that no prefix outlives a shorter one.
+func (e *engine) touch(blocks []routing.Block) {
+	for i := len(blocks) - 1; i >= 0; i-- {
+		if element := e.cache[blocks[i]]; element != nil {
+			e.recent.MoveToFront(element)
+			continue
+		}
+		e.cache[blocks[i]] = e.recent.PushFront(blocks[i])
+		e.stored = append(e.stored, blocks[i])
+	}
+	for e.recent.Len() > cacheBlocks {
+		oldest := e.recent.Remove(e.recent.Back()).(routing.Block)
+		delete(e.cache, oldest)
+		e.evicted = append(e.evicted, oldest)
+	}
+}
+
+// step plans one step and returns its duration; finish takes its effect.
+func (e *engine) step() time.Duration {
+	e.admit()
+	budget, processed := promptPerStep, 0
+	for _, c := range e.running {
+		part := min(c.promptLeft, budget)
+		c.promptLeft -= part
+		budget -= part
+		processed += part
+	}
+	duration := stepBase + time.Duration(len(e.running))*stepPerRequest + time.Duration(processed)*promptTime
+	duration = time.Duration(float64(duration) * e.slow)
+	e.stepTime += (duration - e.stepTime) / 8
+	return duration
+}
+
+// finish generates one token for each request whose prompt is processed, and returns the
+// requests that are done.
+func (e *engine) finish(now time.Time, token func(c *call, gap time.Duration)) []*call {
+	var done []*call
+	kept := e.running[:0]
+	for _, c := range e.running {
+		if c.promptLeft == 0 {
+			c.outputLeft--
+			if c.first.IsZero() {
+				c.first = now
+			} else {
+				token(c, now.Sub(c.last))
+			}
+			c.last = now
+		}
+		if c.outputLeft == 0 {
+			done = append(done, c)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	e.running = kept
+	return done
+}
+
+// cacheEvent returns the changes of the cache since the last event.
+func (e *engine) cacheEvent() (routing.CacheEvent, bool) {
+	if len(e.stored) == 0 && len(e.evicted) == 0 {
+		return routing.CacheEvent{}, false
+	}
+	e.sequence++
+	event := routing.CacheEvent{VM: e.vm, Incarnation: 1, Sequence: e.sequence, Stored: e.stored, Evicted: e.evicted}
+	e.stored, e.evicted = nil, nil
+	return event, true
+}
--- /dev/null
+++ b/internal/experiment/routes/experiment.go
@@ -0,0 +1,182 @@
+package routes
+
+import (
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"github.com/bramleyspool/bramleyspool/internal/experiment"
+)
+
+const (
+	firstTokenTarget = 580 * time.Millisecond
+	betweenTarget    = 47 * time.Millisecond
+)
+
+// figures collects what a run shows, after the time to warm up.
+type figures struct {
+	firsts   []float64
+	betweens []float64
+	// inTime counts the calls whose first token came within the target.
+	inTime       int
+	served       int
+	prompt       int
+	cached       int
+	refusals     int
+	spreads      []float64
+	stillWaiting int
+}
+
+func (f *figures) measured(w *world) bool {
+	return w.now.Sub(w.start) > warmTime
+}
+
+// token returns a function that notes the time between two tokens.
+func (f *figures) token(w *world) func(*call, time.Duration) {
+	return func(_ *call, gap time.Duration) {
+		// One token in eight is enough for the quantiles.
+		if f.measured(w) && w.random.IntN(8) == 0 {
+			f.betweens = append(f.betweens, gap.Seconds())
+		}
+	}
+}
+
+func (f *figures) done(w *world, c *call) {
+	if !f.measured(w) {
+		return
+	}
+	wait := c.first.Sub(c.arrived)
+	f.firsts = append(f.firsts, wait.Seconds())
+	if wait <= firstTokenTarget {
+		f.inTime++
+	}
+	f.served++
+	f.prompt += c.prompt
+	f.cached += c.cached
+}
+
+// sampleSpread notes how far the loads of the replicas lie apart: standard deviation over mean.
+func (w *world) sampleSpread() {
+	var loads []float64
+	for _, r := range w.replicas {
+		if !r.leaving {
+			loads = append(loads, float64(r.engine.open()))
+		}
+	}
+	if mean := stat.Mean(loads, nil); mean > 0 && w.figures.measured(w) {
+		w.figures.spreads = append(w.figures.spreads, stat.StdDev(loads, nil)/mean)
+	}
+}
+
+// finish counts the calls that wait for their first token at the end as late.
+func (f *figures) finish(w *world) {
+	for _, e := range w.entries {
+		f.stillWaiting += len(e.queue)
+	}
+	for _, r := range w.replicas {
+		for _, c := range append(slices.Clone(r.engine.running), r.engine.waiting...) {
+			if c.first.IsZero() {
+				f.stillWaiting++
+			}
+		}
+	}
+}
+
+var columns = []experiment.Column{
+	{Name: "first token, median", Unit: "s"},
+	{Name: "first token, 95 in 100", Unit: "s"},
+	{Name: "first token, 99 in 100", Unit: "s"},
+	{Name: "within 0.58 s", Unit: "share"},
+	{Name: "between tokens, 95 in 100", Unit: "s"},
+	{Name: "prompt tokens cached", Unit: "share"},
+	{Name: "load spread", Unit: "deviation over mean"},
+	{Name: "served", Unit: "calls a second"},
+	{Name: "refused by agents", Unit: "in 1000"},
+}
+
+func (f *figures) values(seconds time.Duration) []float64 {
+	slices.Sort(f.firsts)
+	slices.Sort(f.betweens)
+	return []float64{
+		quantile(f.firsts, 0.5),
+		quantile(f.firsts, 0.95),
+		quantile(f.firsts, 0.99),
+		float64(f.inTime) / math.Max(float64(f.served+f.stillWaiting), 1),
+		quantile(f.betweens, 0.95),
+		float64(f.cached) / math.Max(float64(f.prompt), 1),
+		stat.Mean(f.spreads, nil),
+		float64(f.served) / (seconds - warmTime).Seconds(),
+		1000 * float64(f.refusals) / math.Max(float64(f.served), 1),
+	}
+}
+
+func quantile(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return stat.Quantile(q, stat.Empirical, sorted, nil)
+}
+
+// setups lists the cases.
+func setups() []setup {
+	const length = 100 * time.Second
+	return []setup{
+		{name: "half loaded", entries: 3, replicas: 16, rate: 3, seconds: length, straggler: 1},
+		{name: "well loaded", entries: 3, replicas: 16, rate: 5, seconds: length, straggler: 1},
+		{name: "near capacity", entries: 3, replicas: 16, rate: 6, seconds: length, straggler: 1},
+		{name: "many entries", entries: 12, replicas: 48, rate: 5, seconds: length, straggler: 1},
+		{name: "uneven entries", entries: 6, replicas: 16, rate: 5, seconds: length, straggler: 1, uneven: true},
+		{name: "straggler", entries: 3, replicas: 16, rate: 4.5, seconds: length, straggler: 1.8},
+		{name: "four replicas join", entries: 6, replicas: 16, rate: 5, seconds: length, straggler: 1, joins: 4},
+		{name: "two replicas leave", entries: 6, replicas: 16, rate: 4.5, seconds: length, straggler: 1, leaves: 2},
+	}
+}
+
+// All returns the measurements of this package.
+func All() []experiment.Experiment {
+	return []experiment.Experiment{{
+		Name:    "routes",
+		Summary: "Compares ways to choose a backend server on a model of engines that batch and cache prefixes.",
+		Run:     run,
+	}}
+}
+
+func run(ctx context.Context, params experiment.Params) (experiment.Result, error) {
+	table := experiment.Table{Title: "Choice of the backend server", Labels: []string{"case", "policy"}, Columns: columns}
+	total := len(setups()) * len(policies()) * params.Seeds
+	done := 0
+	for _, s := range setups() {
+		for _, p := range policies() {
+			var samples [][]float64
+			for i := range params.Seeds {
+				if err := ctx.Err(); err != nil {
+					return experiment.Result{}, err
+				}
+				samples = append(samples, newWorld(s, p, params.Seed+uint64(i)).run().values(s.seconds))
+				done++
+				params.Report(done, total)
+			}
+			table.Rows = append(table.Rows, experiment.Row{Labels: []string{s.name, p.name}, Cells: cells(samples)})
+		}
+	}
+	return experiment.Result{Tables: []experiment.Table{table}}, nil
+}
+
+// cells returns the mean and the spread of each column over the samples.
+func cells(samples [][]float64) []experiment.Cell {
+	list := make([]experiment.Cell, len(samples[0]))
+	column := make([]float64, len(samples))
+	for i := range list {
+		for j := range samples {
+			column[j] = samples[j][i]
+		}
+		list[i].Mean = stat.Mean(column, nil)
+		if len(column) > 1 {
+			list[i].Spread = stat.StdDev(column, nil)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/experiment/routes/policies.go
@@ -0,0 +1,78 @@
+package routes
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/routing"
+)
+
+// policy is one way to choose a backend server.
+type policy struct {
+	name string
+	// prefixes is true if the policy looks at prefixes, credits if it keeps to credits.
+	prefixes bool
+	credits  bool
+	routing  func() routing.Policy
+}
+
+// openWork scores the number of open requests.
+type openWork struct{}
+
+// Cost implements routing.Scorer.
+func (openWork) Cost(_ time.Time, _ *routing.Request, candidate *routing.Candidate, _ routing.Match) float64 {
+	return float64(candidate.OpenWork())
+}
+
+// roundRobin takes the candidates in turn.
+type roundRobin struct{ next int }
+
+// Choose implements routing.Chooser.
+func (r *roundRobin) Choose(_ uint64, scored []routing.Scored) int {
+	r.next++
+	return r.next % len(scored)
+}
+
+func estimate() routing.Estimate {
+	return routing.Estimate{PromptRate: float64(time.Second) / float64(promptTime), StepTime: stepBase, OutputTokens: 110, ServiceTime: time.Second}
+}
+
+func plain(chooser func() routing.Chooser, scorers ...routing.Scorer) func() routing.Policy {
+	return func() routing.Policy {
+		return routing.Policy{Filters: []routing.Filter{routing.Usable{}}, Scorers: scorers, Chooser: chooser(), Estimate: estimate()}
+	}
+}
+
+func full(change func(*routing.Policy)) func() routing.Policy {
+	return func() routing.Policy {
+		p := routing.DefaultPolicy(estimate())
+		if change != nil {
+			change(&p)
+		}
+		return p
+	}
+}
+
+// policies lists the baselines, the default policy, and the default policy with one part changed.
+func policies() []policy {
+	return []policy{
+		{name: "random", routing: plain(func() routing.Chooser { return routing.Random{} })},
+		{name: "round robin", routing: plain(func() routing.Chooser { return &roundRobin{} })},
+		{name: "least requests", routing: plain(func() routing.Chooser { return routing.Cheapest{} }, openWork{})},
+		{name: "two choices", routing: plain(func() routing.Chooser { return routing.TwoChoices{} }, openWork{})},
+		{name: "default", prefixes: true, credits: true, routing: full(nil)},
+		{name: "default without prefixes", credits: true, routing: full(nil)},
+		{name: "default without credits", prefixes: true, routing: full(withoutCredits)},
+		{name: "default, cheapest", prefixes: true, credits: true, routing: full(func(p *routing.Policy) { p.Chooser = routing.Cheapest{} })},
+		{name: "default, two choices", prefixes: true, credits: true, routing: full(func(p *routing.Policy) { p.Chooser = routing.TwoChoices{} })},
+	}
+}
+
+func withoutCredits(p *routing.Policy) {
+	kept := p.Filters[:0]
+	for _, filter := range p.Filters {
+		if _, credits := filter.(routing.WithinCredits); !credits {
+			kept = append(kept, filter)
+		}
+	}
+	p.Filters = kept
+}
--- /dev/null
+++ b/internal/experiment/routes/world.go
@@ -0,0 +1,388 @@
+package routes
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/charts"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+	"github.com/bramleyspool/bramleyspool/internal/routing"
+)
+
+const (
+	// wayTime is the time of a message between an entry and an agent.
+	wayTime = time.Millisecond
+	// queueSlots is the number of requests that may wait at an agent beyond the slots.
+	queueSlots = 8
+	// reportInterval is the time between two load reports of an engine to its agent.
+	reportInterval = 500 * time.Millisecond
+	// warmTime is not measured.
+	warmTime = 20 * time.Second
+)
+
+// setup is one case of the measurement.
+type setup struct {
+	name     string
+	entries  int
+	replicas int
+	// rate is the number of requests a second and replica.
+	rate    float64
+	seconds time.Duration
+	// straggler slows the first replica by this factor; 1 for none.
+	straggler float64
+	// joins is the number of replicas that come up cold in the middle.
+	joins int
+	// leaves is the number of replicas that leave in the middle.
+	leaves int
+	// uneven sends half of the requests to the first entry.
+	uneven bool
+}
+
+type event struct {
+	at   time.Time
+	seq  int
+	what func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop implements heap.Interface.
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	item := (*q)[last]
+	*q = (*q)[:last]
+	return item
+}
+
+// entry is one entry with the decision code.
+type entry struct {
+	self     ident.Instance
+	holder   *membership.Holder
+	picker   *routing.Picker
+	prefixes *routing.PrefixIndex
+	// pending are the prompt tokens dispatched to each replica since its last load report.
+	pending map[ident.VM]int
+	queue   []*call
+	views   []membership.BackendView
+	list    []routing.Candidate
+}
+
+// replica is a backend server with its agent.
+type replica struct {
+	engine  *engine
+	grantor *membership.Grantor
+	leaving bool
+}
+
+// world is the model.
+type world struct {
+	setup
+	policy   policy
+	now      time.Time
+	start    time.Time
+	queue    eventQueue
+	seq      int
+	random   *rand.Rand
+	entries  []*entry
+	replicas []*replica
+	byVM     map[ident.VM]*replica
+	prompts  [][]routing.Block
+	calls    int
+	figures  figures
+}
+
+func newWorld(s setup, p policy, seed uint64) *world {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	w := &world{setup: s, policy: p, now: now, start: now, random: rand.New(rand.NewPCG(seed, 2)), byVM: map[ident.VM]*replica{}}
+	w.makePrompts()
+	for i := range s.replicas {
+		slow := 1.0
+		if i == 0 {
+			slow = s.straggler
+		}
+		w.addReplica(slow)
+	}
+	for i := range s.entries {
+		w.entries = append(w.entries, w.newEntry(i, seed))
+	}
+	w.chooseBackends()
+	return w
+}
+
+// makePrompts makes the shared prefixes of prompts: a few system prompts, each continued
+// by many documents.
+func (w *world) makePrompts() {
+	for range 20 {
+		var system []routing.Block
+		for range 4 {
+			system = append(system, routing.Block(w.random.Uint64()))
+		}
+		for range 30 {
+			prompt := append([]routing.Block(nil), system...)
+			for range 6 + w.random.IntN(24) {
+				prompt = append(prompt, routing.Block(w.random.Uint64()))
+			}
+			w.prompts = append(w.prompts, prompt)
+		}
+	}
+	w.random.Shuffle(len(w.prompts), func(i, j int) { w.prompts[i], w.prompts[j] = w.prompts[j], w.prompts[i] })
+}
+
+func (w *world) addReplica(slow float64) {
+	vm := ident.VM(fmt.Sprintf("replica-%02d", len(w.replicas)))
+	r := &replica{engine: newEngine(vm, slow)}
+	r.engine.stepTime = stepBase
+	r.grantor = membership.NewGrantor(membership.GrantorSettings{Self: ident.Instance{VM: vm, Incarnation: 1}, Slots: slots + queueSlots})
+	w.replicas = append(w.replicas, r)
+	w.byVM[vm] = r
+	w.every(reportInterval, func() { w.reportLoad(r) })
+	w.every(200*time.Millisecond, func() { w.sendCacheEvents(r) })
+}
+
+func (w *world) newEntry(i int, seed uint64) *entry {
+	self := ident.Instance{VM: ident.VM(fmt.Sprintf("entry-%02d", i)), Incarnation: 1}
+	holder, err := membership.NewHolder(membership.HolderSettings{Self: self}, charts.Files)
+	if err != nil {
+		panic("invariant: " + err.Error())
+	}
+	e := &entry{
+		self:     self,
+		holder:   holder,
+		picker:   routing.NewPicker(w.policy.routing(), seed*7919+uint64(i)),
+		prefixes: routing.NewPrefixIndex(w.now, 2*cacheBlocks, 0),
+		pending:  map[ident.VM]int{},
+	}
+	w.every(100*time.Millisecond, func() { w.hold(e, membership.HolderTick{}) })
+	return e
+}
+
+func (w *world) chooseBackends() {
+	var vms []ident.VM
+	for _, r := range w.replicas {
+		vms = append(vms, r.engine.vm)
+	}
+	for _, e := range w.entries {
+		w.hold(e, membership.BackendsChosen{VMs: vms})
+	}
+}
+
+func (w *world) after(d time.Duration, what func()) {
+	w.seq++
+	heap.Push(&w.queue, event{at: w.now.Add(d), seq: w.seq, what: what})
+}
+
+func (w *world) every(d time.Duration, what func()) {
+	w.after(time.Duration(w.random.Int64N(int64(d))), func() {
+		what()
+		w.repeat(d, what)
+	})
+}
+
+func (w *world) repeat(d time.Duration, what func()) {
+	w.after(d, func() {
+		what()
+		w.repeat(d, what)
+	})
+}
+
+// run lets the model run and returns what was measured.
+func (w *world) run() *figures {
+	w.after(time.Second, w.arrive)
+	half := w.seconds / 2
+	w.after(half, func() {
+		for range w.joins {
+			w.addReplica(1)
+		}
+		w.chooseBackends()
+		for _, r := range w.replicas[len(w.replicas)-w.leaves:] {
+			w.leave(r)
+		}
+	})
+	w.every(250*time.Millisecond, w.sampleSpread)
+	end := w.start.Add(w.seconds)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		next := heap.Pop(&w.queue).(event)
+		w.now = next.at
+		next.what()
+	}
+	w.figures.finish(w)
+	return &w.figures
+}
+
+// arrive takes in the next call and schedules the one after it.
+func (w *world) arrive() {
+	rate := w.rate * float64(w.setup.replicas)
+	w.after(time.Duration(w.random.ExpFloat64()/rate*float64(time.Second)), w.arrive)
+	w.calls++
+	at := w.random.IntN(len(w.entries))
+	if w.uneven && w.random.IntN(2) == 0 {
+		at = 0
+	}
+	// Popular documents are asked for more often.
+	document := int(float64(len(w.prompts)) * math.Pow(w.random.Float64(), 2.5))
+	c := &call{id: w.calls, entry: at, blocks: w.prompts[document], arrived: w.now}
+	c.prompt = len(c.blocks)*blockTokens + 20 + w.random.IntN(200)
+	c.output = 20 + int(math.Exp(4.4+0.7*w.random.NormFloat64()))
+	c.output = min(c.output, 1000)
+	c.promptLeft, c.outputLeft = c.prompt, c.output
+	w.entries[at].queue = append(w.entries[at].queue, c)
+	w.dispatchQueue(w.entries[at])
+}
+
+// dispatchQueue sends waiting calls as long as a target is found.
+func (w *world) dispatchQueue(e *entry) {
+	for len(e.queue) > 0 {
+		if !w.dispatch(e, e.queue[0]) {
+			return
+		}
+		e.queue = e.queue[1:]
+	}
+}
+
+func (w *world) dispatch(e *entry, c *call) bool {
+	request := routing.Request{ID: ident.Request(fmt.Sprint(c.id)), Blocks: c.blocks, PromptTokens: c.prompt, OutputTokens: 110}
+	snapshot := routing.Snapshot{Candidates: w.candidates(e)}
+	if w.policy.prefixes {
+		snapshot.Prefixes = e.prefixes
+	}
+	decision := e.picker.Pick(w.now, request, snapshot)
+	if decision.Cause != outcome.CauseNone {
+		return false
+	}
+	w.hold(e, membership.DispatchStarted{VM: decision.VM})
+	e.pending[decision.VM] += c.prompt - decision.PrefixBlocks*blockTokens
+	if w.policy.prefixes {
+		e.prefixes.Expect(w.now, decision.VM, c.blocks)
+	}
+	w.after(wayTime, func() { w.take(e, c, decision) })
+	return true
+}
+
+func (w *world) candidates(e *entry) []routing.Candidate {
+	e.views = e.holder.Views(e.views[:0])
+	e.list = e.list[:0]
+	for _, view := range e.views {
+		e.list = append(e.list, routing.Candidate{BackendView: view, Capacity: slots, PendingTokens: e.pending[view.VM]})
+	}
+	return e.list
+}
+
+// take hands a dispatched call to the engine, or back if the agent refuses it.
+func (w *world) take(e *entry, c *call, decision routing.Decision) {
+	r := w.byVM[decision.VM]
+	cause := r.grantor.Check(w.now, e.self, decision.Incarnation, decision.Lease)
+	refused := cause != outcome.CauseNone && (w.policy.credits || cause != outcome.CauseBackendsFull)
+	if refused {
+		c.retries++
+		w.figures.refusals++
+		w.after(wayTime, func() {
+			w.hold(e, membership.DispatchEnded{VM: decision.VM})
+			e.queue = append([]*call{c}, e.queue...)
+			w.dispatchQueue(e)
+		})
+		return
+	}
+	r.grantor.Step(w.now, membership.WorkStarted{Entry: e.self})
+	r.engine.waiting = append(r.engine.waiting, c)
+	w.startStep(r)
+}
+
+func (w *world) startStep(r *replica) {
+	if r.engine.stepping || r.engine.open() == 0 {
+		return
+	}
+	r.engine.stepping = true
+	w.after(r.engine.step(), func() {
+		r.engine.stepping = false
+		for _, c := range r.engine.finish(w.now, w.figures.token(w)) {
+			w.done(r, c)
+		}
+		w.startStep(r)
+	})
+}
+
+func (w *world) done(r *replica, c *call) {
+	e := w.entries[c.entry]
+	r.grantor.Step(w.now, membership.WorkEnded{Entry: e.self})
+	w.figures.done(w, c)
+	w.after(wayTime, func() {
+		w.hold(e, membership.DispatchEnded{VM: r.engine.vm})
+		w.dispatchQueue(e)
+	})
+}
+
+func (w *world) leave(r *replica) {
+	r.leaving = true
+	for _, action := range r.grantor.Step(w.now, membership.LeaveRequested{}) {
+		if leave, ok := action.(membership.SendLeaving); ok {
+			w.after(wayTime, func() {
+				for _, e := range w.entries {
+					if e.self == leave.To {
+						w.hold(e, membership.LeavingReceived{From: r.engine.vm, Leaving: leave.Leaving})
+					}
+				}
+			})
+		}
+	}
+}
+
+// hold hands an event to an entry's holder and carries out its actions.
+func (w *world) hold(e *entry, event membership.HolderEvent) {
+	for _, action := range e.holder.Step(w.now, event) {
+		if send, ok := action.(membership.SendLeaseRequest); ok {
+			w.after(wayTime, func() { w.grant(e, send) })
+		}
+	}
+}
+
+func (w *world) grant(e *entry, send membership.SendLeaseRequest) {
+	r := w.byVM[send.To]
+	for _, action := range r.grantor.Step(w.now, membership.LeaseRequested{From: e.self, Request: send.Request}) {
+		grant := action.(membership.SendGrant).Grant
+		w.after(wayTime, func() {
+			e.pending[send.To] = 0
+			w.hold(e, membership.GrantReceived{From: send.To, Grant: grant})
+			w.dispatchQueue(e)
+		})
+	}
+}
+
+func (w *world) reportLoad(r *replica) {
+	r.grantor.Step(w.now, membership.LoadReported{Load: membership.Load{
+		Running:  uint32(len(r.engine.running)),
+		Waiting:  uint32(len(r.engine.waiting)),
+		Tokens:   uint32(r.engine.promptBacklog()),
+		StepTime: uint32(r.engine.stepTime / time.Microsecond),
+	}})
+}
+
+// sendCacheEvents tells the entries of changes of the cache, late and with gaps.
+func (w *world) sendCacheEvents(r *replica) {
+	event, ok := r.engine.cacheEvent()
+	if !ok || !w.policy.prefixes {
+		return
+	}
+	for _, e := range w.entries {
+		if w.random.IntN(20) == 0 {
+			continue
+		}
+		w.after(time.Duration(300+w.random.IntN(500))*time.Millisecond, func() { e.prefixes.Apply(w.now, event) })
+	}
+}
