--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -45,7 +45,8 @@
 		ErrWriter:   errOut,
 		Commands: []*cli.Command{
 			entryCommand(errOut), agentCommand(errOut), checkCommand(out), statusCommand(out),
-			timelineCommand(out), demoCommand(out, errOut), keysCommand(out), versionCommand(out),
+			timelineCommand(out), demoCommand(out, errOut), experimentCommand(out, errOut), keysCommand(out),
+			exampleCommand(out), standinsCommand(), versionCommand(out),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"path/filepath"
 	"strings"
 	"time"
@@ -22,7 +21,6 @@
 
 const (
 	operatorTimeout = 5 * time.Second
-	keyFileMode     = 0o600
 	defaultValidity = 30 * 24 * time.Hour
 )
 
@@ -189,25 +187,10 @@
 		if err != nil {
 			return err
 		}
-		if err := writePair(directory, string(identity.VM), pair); err != nil {
+		if err := wire.SaveKeyPair(directory, string(identity.VM), pair); err != nil {
 			return err
 		}
 		fmt.Fprintln(out, filepath.Join(directory, string(identity.VM)+".pem"))
 	}
 	return nil
 }
-
-func writePair(directory, name string, pair wire.KeyPair) error {
-	files := []struct {
-		name string
-		data []byte
-	}{
-		{name + ".pem", pair.Certificate}, {name + ".key", pair.PrivateKey}, {"authority.pem", pair.Authority},
-	}
-	for _, file := range files {
-		if err := os.WriteFile(filepath.Join(directory, file.name), file.data, keyFileMode); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/wire/identity.go
+++ b/internal/wire/identity.go
@@ -13,6 +13,7 @@
 	"math/big"
 	"net/url"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"time"
@@ -157,6 +158,25 @@
 	return keys, keys.Replace(pair)
 }
 
+// keyFileMode lets only the owner read key files.
+const keyFileMode = 0o600
+
+// SaveKeyPair writes a key pair into a directory: NAME.pem, NAME.key and authority.pem.
+func SaveKeyPair(directory, name string, pair KeyPair) error {
+	files := []struct {
+		name string
+		data []byte
+	}{
+		{name + ".pem", pair.Certificate}, {name + ".key", pair.PrivateKey}, {"authority.pem", pair.Authority},
+	}
+	for _, file := range files {
+		if err := os.WriteFile(filepath.Join(directory, file.name), file.data, keyFileMode); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // LoadKeyPair reads a key pair from PEM files.
 func LoadKeyPair(certificate, privateKey, authority string) (KeyPair, error) {
 	var pair KeyPair
