Read the events of a stream with fewer allocations

Cause: each line of an event was copied, and fields of a chunk were decoded that nobody reads. Change: lines are read in place, only the data is copied; object, model and index are skipped. go test -run xxx -bench StreamNext -count 3 ./internal/platform before: 5.6-6.1 us, 743 B, 15 allocations a chunk; after: 4.1-4.5 us, 535 B, 11 allocations. At 840 tokens a second, the share of one of 5,000 replicas at the peak, that is 0.4% of a core.

--- a/internal/platform/completions.go
+++ b/internal/platform/completions.go
@@ -21,17 +21,14 @@
 	errUnfinished    = errors.New("answer has no finish reason")
 )
 
-// completionBody is the JSON form of a completion and of a chunk of a streamed one.
+// completionBody is what is read of a completion and of a chunk of a streamed one.
 type completionBody struct {
 	ID      string             `json:"id"`
-	Object  string             `json:"object"`
-	Model   string             `json:"model"`
 	Choices []completionChoice `json:"choices"`
 	Usage   *Usage             `json:"usage,omitempty"`
 }
 
 type completionChoice struct {
-	Index        int    `json:"index"`
 	Text         string `json:"text"`
 	FinishReason string `json:"finish_reason"`
 }
--- a/internal/platform/sse.go
+++ b/internal/platform/sse.go
@@ -29,6 +29,8 @@
 // eventReader decodes a stream of server-sent events.
 type eventReader struct {
 	lines *bufio.Reader
+	// scratch holds a line that is longer than the reader's buffer.
+	scratch []byte
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -66,25 +68,36 @@
 	return err
 }
 
-// line returns the next line without its end. A last line without end is cut.
+// line returns the next line without its end; it is valid until the next call. A last
+// line without end is cut.
 func (r *eventReader) line(limit int) ([]byte, error) {
-	var line []byte
+	line, err := r.lines.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		line, err = r.longLine(line, limit)
+	}
+	switch {
+	case errors.Is(err, io.EOF) && len(line) > 0:
+		return nil, errCutEvent
+	case err != nil:
+		return nil, err
+	case len(line) > limit:
+		return nil, errEventTooLarge
+	}
+	return bytes.TrimRight(line, "\r\n"), nil
+}
+
+// longLine reads the rest of a line that is longer than the reader's buffer.
+func (r *eventReader) longLine(start []byte, limit int) ([]byte, error) {
+	r.scratch = append(r.scratch[:0], start...)
 	for {
 		part, err := r.lines.ReadSlice('\n')
-		if len(line)+len(part) > limit {
+		if len(r.scratch)+len(part) > limit {
 			return nil, errEventTooLarge
 		}
-		line = append(line, part...)
-		if err == nil {
-			return bytes.TrimRight(line, "\r\n"), nil
+		r.scratch = append(r.scratch, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return r.scratch, err
 		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if errors.Is(err, io.EOF) && len(line) > 0 {
-			return nil, errCutEvent
-		}
-		return nil, err
 	}
 }
 
@@ -100,13 +113,11 @@
 		}
 		e.ID, e.HasID = id, true
 	case "data":
-		if e.Data != nil {
-			e.Data = append(e.Data, '\n')
-		}
-		e.Data = append(e.Data, value...)
 		if e.Data == nil {
-			e.Data = []byte{}
+			e.Data = append(make([]byte, 0, len(value)), value...)
+			return nil
 		}
+		e.Data = append(append(e.Data, '\n'), value...)
 	}
 	return nil
 }
