--- a/internal/platform/sse_test.go
+++ b/internal/platform/sse_test.go
@@ -28,6 +28,7 @@
 		{"cut after a line", "data: a\n", nil, errCutEvent},
 		{"bad id", "id: -1\ndata: a\n\n", nil, errBadEventID},
 		{"too large line", "data: " + strings.Repeat("x", maxEventBytes) + "\n\n", nil, errEventTooLarge},
+		{"too large in sum of short lines", strings.Repeat("data: "+long[:1000]+"\n", maxEventBytes/1000+1) + "\n", nil, errEventTooLarge},
 		{"too large in sum", strings.Repeat("data: "+long+"\n", maxEventBytes/len(long)+1) + "\n", nil, errEventTooLarge},
 	}
 	for _, tc := range cases {
@@ -47,3 +48,25 @@
 		})
 	}
 }
+
+// endless is a line without end that counts what was read of it.
+type endless struct{ read int }
+
+func (e *endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	e.read += len(p)
+	if e.read > 4*maxEventBytes {
+		return 0, io.ErrUnexpectedEOF
+	}
+	return len(p), nil
+}
+
+func TestEventReaderStopsReadingBeyondTheLimit(t *testing.T) {
+	c := qt.New(t)
+	var source endless
+	_, err := newEventReader(&source).next()
+	c.Assert(errors.Is(err, errEventTooLarge), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(source.read < 2*maxEventBytes, qt.IsTrue)
+}
