--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -45,7 +45,8 @@
 	// Credential is sent as bearer token; "" sends none. Back ends that check who
 	// gives them orders compare it.
 	Credential string
-	// Timeout bounds a whole call other than a stream; 0 means DefaultTimeout.
+	// Timeout bounds a whole call, and the start of a stream; 0 means DefaultTimeout. A
+	// call's context may bound it further, but not extend it.
 	Timeout time.Duration
 	// ConnectTimeout bounds the opening of a connection; 0 means DefaultConnectTimeout.
 	ConnectTimeout time.Duration
--- a/internal/standin/engine_calls.go
+++ b/internal/standin/engine_calls.go
@@ -88,23 +88,42 @@
 	return j, nil
 }
 
+// refusal is why a job is not accepted.
+type refusal struct {
+	status int
+	detail string
+	// wait is the Retry-After; 0 sends none.
+	wait time.Duration
+}
+
 // accept queues the job or refuses it.
 func (e *Engine) accept(w http.ResponseWriter, j *job) bool {
+	reason := e.enqueue(j)
+	switch {
+	case reason == nil:
+		return true
+	case reason.wait > 0:
+		refuseFor(w, reason.status, reason.wait, reason.detail)
+	default:
+		refuse(w, reason.status, reason.detail)
+	}
+	return false
+}
+
+// enqueue queues the job; it returns nil, or why it did not.
+func (e *Engine) enqueue(j *job) *refusal {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	if e.refused[j.id] {
-		refuse(w, http.StatusConflict, "request was cancelled before it came")
-		return false
+		return &refusal{status: http.StatusConflict, detail: "request was cancelled before it came"}
 	}
 	if model := e.orders.state.Model; model != "" && model != j.request.Model {
-		refuse(w, http.StatusNotFound, "model is not loaded")
-		return false
+		return &refusal{status: http.StatusNotFound, detail: "model is not loaded"}
 	}
 	if !e.submit(j) {
-		refuseFor(w, http.StatusTooManyRequests, fullQueueWait, "queue is full")
-		return false
+		return &refusal{status: http.StatusTooManyRequests, detail: "queue is full", wait: fullQueueWait}
 	}
-	return true
+	return nil
 }
 
 // progress is a job's state at one moment.
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// maxRememberedAnswers bounds the answers that are kept for FaultStale.
+const maxRememberedAnswers = 256
+
 // FaultKind is a way in which a call on an outside system goes wrong.
 type FaultKind string
 
@@ -162,7 +165,7 @@
 func (f *Faults) handle(w http.ResponseWriter, r *http.Request, handler http.Handler) {
 	defer f.announce()
 	key := answerKey(r)
-	if f.remembers(key) {
+	if !f.wants(key) {
 		handler.ServeHTTP(w, r)
 		return
 	}
@@ -173,11 +176,12 @@
 
 func answerKey(r *http.Request) string { return r.Method + " " + r.URL.Path }
 
-func (f *Faults) remembers(key string) bool {
+// wants reports whether the answer to the call is to be remembered.
+func (f *Faults) wants(key string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	_, ok := f.oldest[key]
-	return ok
+	return !ok && len(f.oldest) < maxRememberedAnswers
 }
 
 func (f *Faults) remember(key string, answer capture) {
