--- /dev/null
+++ b/internal/experiment/groups/demand.go
@@ -0,0 +1,207 @@
+package groups
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/bramleyspool/bramleyspool/internal/expert"
+)
+
+// Pattern is a way in which the popularity of experts moves.
+type Pattern string
+
+// The patterns.
+const (
+	Steady      Pattern = "steady"
+	Drifting    Pattern = "drifting"
+	Flipping    Pattern = "flipping"
+	Bursty      Pattern = "bursty"
+	Adversarial Pattern = "adversarial"
+)
+
+// Patterns lists all patterns in the order of the tables.
+var Patterns = []Pattern{Steady, Drifting, Flipping, Bursty, Adversarial}
+
+// Parameters of the demand, in ticks of stepsPerTick steps.
+const (
+	stepsPerTick  = 25
+	driftTicks    = 240
+	flipMinTicks  = 40
+	flipMaxTicks  = 200
+	burstGapTicks = 60
+	burstTicks    = 30
+	burstFactor   = 8
+	hostileTicks  = 120
+	logSpread     = 1.0
+	tokensPerRank = 64 * 8
+)
+
+// demand generates the popularity of experts over time.
+type demand struct {
+	pattern Pattern
+	shape   expert.Shape
+	random  *rand.Rand
+	from    expert.Load
+	to      expert.Load
+	now     expert.Load
+	flipped bool
+	next    int
+	// bursts holds the tick at which each layer's burst ends, and its expert.
+	bursts []burst
+}
+
+type burst struct {
+	until  int
+	expert int
+}
+
+func newDemand(pattern Pattern, shape expert.Shape, seed uint64) *demand {
+	d := &demand{pattern: pattern, shape: shape, random: rand.New(rand.NewPCG(seed, 1))}
+	d.from = d.draw()
+	d.to = d.draw()
+	d.now = d.from
+	d.bursts = make([]burst, shape.Layers)
+	return d
+}
+
+// draw returns a random popularity; each layer adds up to the tokens of a step.
+func (d *demand) draw() expert.Load {
+	load := expert.NewLoad(d.shape.Layers, d.shape.Experts)
+	for _, layer := range load {
+		for e := range layer {
+			layer[e] = math.Exp(logSpread * d.random.NormFloat64())
+		}
+		d.normalise(layer)
+	}
+	return load
+}
+
+func (d *demand) normalise(layer []float64) {
+	sum := 0.0
+	for _, weight := range layer {
+		sum += weight
+	}
+	for e := range layer {
+		layer[e] *= float64(d.shape.Ranks*tokensPerRank) / sum
+	}
+}
+
+// at moves to a tick and returns its popularity. The map in use and whether it was just
+// activated matter to the adversarial pattern alone.
+func (d *demand) at(tick int, current expert.Map, activated bool) expert.Load {
+	switch d.pattern {
+	case Drifting:
+		d.drift(tick)
+	case Flipping:
+		d.flip(tick)
+	case Bursty:
+		d.burst(tick)
+	case Adversarial:
+		if tick >= d.next || activated {
+			d.attack(current)
+			d.next = tick + hostileTicks
+		}
+	}
+	return d.now
+}
+
+func (d *demand) drift(tick int) {
+	if tick > 0 && tick%driftTicks == 0 {
+		d.from, d.to = d.to, d.draw()
+	}
+	part := float64(tick%driftTicks) / driftTicks
+	mixed := expert.NewLoad(d.shape.Layers, d.shape.Experts)
+	for l, layer := range mixed {
+		for e := range layer {
+			layer[e] = d.from[l][e]*(1-part) + d.to[l][e]*part
+		}
+	}
+	d.now = mixed
+}
+
+func (d *demand) flip(tick int) {
+	if tick < d.next {
+		return
+	}
+	d.now = d.from
+	if d.flipped {
+		d.now = d.to
+	}
+	d.flipped = !d.flipped
+	d.next = tick + flipMinTicks + d.random.IntN(flipMaxTicks-flipMinTicks)
+}
+
+func (d *demand) burst(tick int) {
+	now := expert.NewLoad(d.shape.Layers, d.shape.Experts)
+	for l, layer := range now {
+		copy(layer, d.from[l])
+		b := &d.bursts[l]
+		if tick >= b.until && d.random.IntN(burstGapTicks) == 0 {
+			*b = burst{until: tick + 1 + d.random.IntN(2*burstTicks), expert: d.random.IntN(d.shape.Experts)}
+		}
+		if tick < b.until {
+			layer[b.expert] *= burstFactor
+			d.normalise(layer)
+		}
+	}
+	d.now = now
+}
+
+// attack gives the greatest popularity to the experts of the ranks with the fewest
+// replicas of their experts elsewhere.
+func (d *demand) attack(current expert.Map) {
+	now := expert.NewLoad(d.shape.Layers, d.shape.Experts)
+	for l, layer := range now {
+		weights := slices.Clone(d.from[l])
+		slices.Sort(weights)
+		slices.Reverse(weights)
+		for i, e := range d.victims(current.Layers[l]) {
+			layer[e] = weights[i]
+		}
+	}
+	d.now = now
+}
+
+// victims returns the experts, those first whose load one rank would bear alone.
+func (d *demand) victims(layer expert.Layer) []int {
+	alone := make([]float64, d.shape.Experts)
+	home := make([]int, d.shape.Experts)
+	for rank, replicas := range layer.Ranks {
+		for _, replica := range replicas {
+			share := float64(replica.Share) / expert.ShareUnit
+			if share > alone[replica.Expert] {
+				alone[replica.Expert] = share
+				home[replica.Expert] = rank
+			}
+		}
+	}
+	burden := make([]float64, d.shape.Ranks)
+	for e, share := range alone {
+		burden[home[e]] += share
+	}
+	order := d.random.Perm(d.shape.Experts)
+	slices.SortStableFunc(order, func(a, b int) int {
+		if burden[home[a]] != burden[home[b]] {
+			return compareDown(burden[home[a]], burden[home[b]])
+		}
+		return home[a] - home[b]
+	})
+	return order
+}
+
+func compareDown(a, b float64) int {
+	if a > b {
+		return -1
+	}
+	return 1
+}
+
+// sample returns the tokens that choose each expert in one step.
+func sample(random *rand.Rand, popularity []float64) []float64 {
+	tokens := make([]float64, len(popularity))
+	for e, mean := range popularity {
+		tokens[e] = max(0, mean+math.Sqrt(mean)*random.NormFloat64())
+	}
+	return tokens
+}
--- /dev/null
+++ b/internal/experiment/groups/reports.go
@@ -0,0 +1,106 @@
+package groups
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"github.com/bramleyspool/bramleyspool/internal/expert"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// Parameters of the reports of counts.
+const (
+	ranksPerAgent = 8
+	reportTicks   = 10
+	maxDelayTicks = 4
+	lossShare     = 0.1
+	silentShare   = 0.25
+	localSpread   = 0.2
+)
+
+// reporters are the agents of a group, which count what their own ranks choose.
+type reporters struct {
+	shape   expert.Shape
+	random  *rand.Rand
+	agents  []reporter
+	pending map[int][]expert.Counts
+}
+
+type reporter struct {
+	silent   bool
+	ranks    int
+	sequence uint64
+	bias     expert.Load
+	counted  expert.Load
+}
+
+func newReporters(shape expert.Shape, seed uint64) *reporters {
+	r := &reporters{shape: shape, random: rand.New(rand.NewPCG(seed, 2)), pending: map[int][]expert.Counts{}}
+	agents := max(2, shape.Ranks/ranksPerAgent)
+	for i := range agents {
+		agent := reporter{
+			silent:  float64(i) < silentShare*float64(agents) && i < agents-1,
+			ranks:   shape.Ranks / agents,
+			bias:    expert.NewLoad(shape.Layers, shape.Experts),
+			counted: expert.NewLoad(shape.Layers, shape.Experts),
+		}
+		for _, layer := range agent.bias {
+			for e := range layer {
+				layer[e] = math.Exp(localSpread * r.random.NormFloat64())
+			}
+		}
+		r.agents = append(r.agents, agent)
+	}
+	return r
+}
+
+// count lets the agents count a tick and returns the reports that arrive in it.
+func (r *reporters) count(tick int, popularity expert.Load) []expert.Counts {
+	for i := range r.agents {
+		agent := &r.agents[i]
+		if agent.silent {
+			continue
+		}
+		agent.add(popularity, r.shape.Ranks)
+		if (tick+i)%reportTicks == reportTicks-1 {
+			r.send(tick, i, agent)
+		}
+	}
+	arrived := r.pending[tick]
+	delete(r.pending, tick)
+	return arrived
+}
+
+func (a *reporter) add(popularity expert.Load, ranks int) {
+	part := float64(a.ranks) / float64(ranks) * stepsPerTick
+	for l, layer := range a.counted {
+		for e := range layer {
+			layer[e] += popularity[l][e] * a.bias[l][e] * part
+		}
+	}
+}
+
+func (r *reporters) send(tick, index int, agent *reporter) {
+	agent.sequence++
+	report := expert.Counts{
+		From:     ident.Instance{VM: ident.VM(fmt.Sprintf("vm%d", index)), Incarnation: 1},
+		Sequence: agent.sequence,
+		Until:    expert.Step((tick + 1) * stepsPerTick),
+		Steps:    reportTicks * stepsPerTick,
+		Ranks:    uint16(agent.ranks),
+	}
+	for _, layer := range agent.counted {
+		counts := make([]uint64, len(layer))
+		for e, mean := range sample(r.random, layer) {
+			counts[e] = uint64(mean)
+			layer[e] = 0
+		}
+		report.Layers = append(report.Layers, expert.ScaleCounts(counts))
+	}
+	if r.random.Float64() < lossShare {
+		return
+	}
+	due := tick + 1 + r.random.IntN(maxDelayTicks)
+	r.pending[due] = append(r.pending[due], report)
+}
--- /dev/null
+++ b/internal/experiment/groups/run.go
@@ -0,0 +1,142 @@
+package groups
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/bramleyspool/bramleyspool/internal/expert"
+)
+
+// Parameters of a run.
+const (
+	runTicks        = 960
+	planTicks       = 10
+	fullPlanTicks   = 120
+	activationTicks = 1
+	expertBytes     = 22 << 20
+	storeRate       = 1 << 30
+	stepSeconds     = 0.04
+	loadSlowdown    = 0.05
+	activationDelay = 1.0
+)
+
+// policy decides on the map of a group.
+type policy interface {
+	// plan returns a new map, or false to keep the current one.
+	plan(tick int, current expert.Map, load expert.Load) (expert.Map, bool)
+}
+
+// outcome is what one run measured.
+type outcome struct {
+	// skew is the mean over steps of the worst rank's load over the mean.
+	skew float64
+	// waited is the part of rank time spent waiting for the worst rank.
+	waited float64
+	// bound is the mean skew of the best placement that a relaxation allows.
+	bound float64
+	bytes float64
+	moves float64
+	// rollouts is the number of maps activated.
+	rollouts float64
+	// delayed is the number of steps lost to loading and activating.
+	delayed float64
+}
+
+// group is one simulated group of ranks.
+type group struct {
+	shape      expert.Shape
+	policy     policy
+	popularity *expert.Popularity
+	current    expert.Map
+	pending    expert.Map
+	// readyAt is the tick at which the pending map is activated; loading is true if it
+	// loads weights until then.
+	readyAt int
+	rolling bool
+	loading bool
+	outcome outcome
+}
+
+// run measures a policy on one demand.
+func run(pattern Pattern, shape expert.Shape, chosen policy, seed uint64) outcome {
+	g := &group{
+		shape:      shape,
+		policy:     chosen,
+		popularity: expert.NewPopularity(expert.PopularityConfig{Shape: shape}),
+		current:    expert.StaticMap(expert.Version{}, shape),
+	}
+	source := newDemand(pattern, shape, seed)
+	agents := newReporters(shape, seed)
+	noise := rand.New(rand.NewPCG(seed, 3))
+	for tick := range runTicks {
+		activated := g.activate(tick)
+		popularity := source.at(tick, g.current, activated)
+		g.measure(noise, popularity)
+		for _, report := range agents.count(tick, popularity) {
+			g.popularity.Add(report)
+		}
+		g.plan(tick)
+	}
+	g.outcome.skew /= runTicks
+	g.outcome.waited /= runTicks
+	g.outcome.bound /= runTicks
+	return g.outcome
+}
+
+// activate puts the pending map into use; it reports whether that moved replicas.
+func (g *group) activate(tick int) bool {
+	if !g.rolling || tick < g.readyAt {
+		return false
+	}
+	moved := g.loading
+	g.current = g.pending
+	g.rolling, g.loading = false, false
+	g.outcome.rollouts++
+	if moved {
+		g.outcome.delayed += activationDelay
+	}
+	return moved
+}
+
+func (g *group) measure(noise *rand.Rand, popularity expert.Load) {
+	worst, mean, bound := 0.0, 0.0, 0.0
+	for l, layer := range g.current.Layers {
+		tokens := sample(noise, popularity[l])
+		ranks := make([]float64, g.shape.Ranks)
+		for rank, replicas := range layer.Ranks {
+			for _, replica := range replicas {
+				ranks[rank] += tokens[replica.Expert] * float64(replica.Share) / expert.ShareUnit
+			}
+		}
+		worst += slices.Max(ranks)
+		for _, load := range ranks {
+			mean += load / float64(len(ranks))
+		}
+		bound += expert.Bound(g.shape, tokens)
+	}
+	g.outcome.skew += worst / mean
+	g.outcome.waited += 1 - mean/worst
+	g.outcome.bound += bound / mean
+	if g.loading {
+		g.outcome.delayed += loadSlowdown * stepsPerTick
+	}
+}
+
+func (g *group) plan(tick int) {
+	if g.rolling {
+		return
+	}
+	next, found := g.policy.plan(tick, g.current, g.popularity.Load())
+	if !found {
+		return
+	}
+	moves := float64(len(expert.Added(g.current, next)))
+	bytes := moves * expertBytes
+	g.outcome.moves += moves
+	g.outcome.bytes += bytes
+	g.pending = next
+	g.rolling = true
+	g.loading = moves > 0
+	loadTicks := int(bytes / storeRate / stepSeconds / stepsPerTick)
+	g.readyAt = tick + 1 + activationTicks + loadTicks
+}
--- a/internal/expert/plan.go
+++ b/internal/expert/plan.go
@@ -114,11 +114,3 @@
 	}
 	return &Planner{config: config.withDefaults()}, nil
 }
-
-// Plan proposes a change of the current map for a load, or PlanNone if none is worth
-// its cost.
-func (p *Planner) Plan(current Map, load Load) Plan {
-	_ = current
-	_ = load
-	return Plan{}
-}
--- /dev/null
+++ b/internal/expert/planner.go
@@ -0,0 +1,313 @@
+package expert
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// Limits of the search in one layer.
+const (
+	maxChanges       = 4
+	maxMovedExperts  = 3
+	maxTargets       = 8
+	worstRankSlack   = 1e-3
+	leastImprovement = 1e-3
+)
+
+// change is a step of the search in one layer: its placement and what it loads.
+type change struct {
+	layer   int
+	moves   []Placement
+	balance *balance
+	// worst is the worst rank's load after the change, saved what it saves of it.
+	worst float64
+	saved float64
+}
+
+// Plan proposes a change of the current map for a load, or PlanNone if none is worth
+// its cost.
+func (p *Planner) Plan(current Map, load Load) Plan {
+	plan := Plan{SkewBefore: Skew(current, load)}
+	plan.SkewAfter = plan.SkewBefore
+	totalMean := 0.0
+	layers := make([]*balance, len(current.Layers))
+	before := make([]float64, len(current.Layers))
+	var changes []change
+	for i, layer := range current.Layers {
+		b := newBalance(layer, load[i], p.config.EvenShares)
+		before[i] = b.max()
+		totalMean += b.mean()
+		b.share()
+		layers[i] = b
+		changes = append(changes, p.search(i, b)...)
+	}
+	if totalMean == 0 {
+		return plan
+	}
+	gain := 0.0
+	for i, b := range layers {
+		gain += before[i] - b.max()
+	}
+	taken, saved := p.choose(changes, totalMean)
+	for _, taken := range taken {
+		layers[taken.layer] = taken.balance
+		plan.Moves += len(taken.moves)
+	}
+	plan.Bytes = int64(plan.Moves) * p.config.ExpertBytes
+	plan.Gain = p.gain(gain+saved, totalMean)
+	plan.Cost = p.cost(plan.Moves)
+	if plan.Gain <= plan.Cost {
+		plan.Moves, plan.Bytes = 0, 0
+		return plan
+	}
+	plan.Kind = PlanIncremental
+	if plan.Moves == 0 {
+		plan.Kind = PlanShares
+	}
+	plan.Map = Map{Layers: make([]Layer, len(layers))}
+	for i, b := range layers {
+		plan.Map.Layers[i] = b.layer()
+	}
+	plan.SkewAfter = Skew(plan.Map, load)
+	return plan
+}
+
+// gain returns what a cut of the worst ranks' load is worth, in steps over the horizon.
+func (p *Planner) gain(saved, totalMean float64) float64 {
+	return p.config.Weights.Skew * saved / totalMean * p.config.Horizon
+}
+
+// moveCost returns what loading replicas costs, in steps.
+func (p *Planner) moveCost(moves int) float64 {
+	seconds := float64(moves) * float64(p.config.ExpertBytes) / p.config.StoreRate
+	steps := seconds / p.config.StepTime.Seconds()
+	return p.config.Weights.Rebalancing * steps * p.config.LoadSlowdown
+}
+
+func (p *Planner) cost(moves int) float64 {
+	if moves == 0 {
+		return 0
+	}
+	return p.moveCost(moves) + p.config.Weights.Rebalancing*p.config.ActivationSteps
+}
+
+// choose takes the changes that are worth their loads, the best first, within the moves
+// that a rank can stage. Changes of a layer build on each other and go in order.
+func (p *Planner) choose(changes []change, totalMean float64) ([]change, float64) {
+	worth := func(c change) float64 { return p.gain(c.saved, totalMean) / p.moveCost(len(c.moves)) }
+	order := slices.Clone(changes)
+	slices.SortStableFunc(order, func(a, b change) int {
+		return cmp.Or(cmp.Compare(worth(b), worth(a)), cmp.Compare(a.layer, b.layer))
+	})
+	staged := make([]int, p.config.Shape.Ranks)
+	done := make([]int, p.config.Shape.Layers)
+	var taken []change
+	saved := 0.0
+	for progress := true; progress; {
+		progress = false
+		for _, c := range order {
+			if worth(c) <= 1 || done[c.layer] != indexInLayer(changes, c) || !p.stage(staged, c) {
+				continue
+			}
+			done[c.layer]++
+			taken = append(taken, c)
+			saved += c.saved
+			progress = true
+		}
+	}
+	return taken, saved
+}
+
+// indexInLayer returns how many changes of the layer come before c.
+func indexInLayer(changes []change, c change) int {
+	n := 0
+	for _, other := range changes {
+		if other.layer != c.layer {
+			continue
+		}
+		if other.balance == c.balance {
+			return n
+		}
+		n++
+	}
+	return n
+}
+
+// stage books the change's loads on their ranks if they fit.
+func (p *Planner) stage(staged []int, c change) bool {
+	for _, move := range c.moves {
+		if staged[move.Rank]+len(c.moves) > p.config.MovesPerRank {
+			return false
+		}
+	}
+	for _, move := range c.moves {
+		staged[move.Rank]++
+	}
+	return true
+}
+
+// search improves a layer change by change.
+func (p *Planner) search(layer int, b *balance) []change {
+	var changes []change
+	current := b
+	for range maxChanges {
+		best, found := p.bestChange(layer, current)
+		if !found {
+			return changes
+		}
+		changes = append(changes, best)
+		current = best.balance
+	}
+	return changes
+}
+
+// bestChange returns the change that saves most of the worst rank's load a move.
+func (p *Planner) bestChange(layer int, b *balance) (change, bool) {
+	worst := b.max()
+	var best change
+	found := false
+	for _, rank := range b.worstRanks() {
+		for _, expert := range b.heaviest(rank) {
+			for _, target := range b.lightest() {
+				for _, candidate := range p.candidates(layer, b, expert, rank, target) {
+					candidate.worst = candidate.balance.max()
+					candidate.saved = worst - candidate.worst
+					if candidate.saved < leastImprovement*worst {
+						continue
+					}
+					if !found || candidate.saved*float64(len(best.moves)) > best.saved*float64(len(candidate.moves)) {
+						best, found = candidate, true
+					}
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+// worstRanks returns the first of the ranks at the worst level.
+func (b *balance) worstRanks() []int {
+	worst := b.max()
+	for rank, load := range b.ranks {
+		if load >= worst*(1-worstRankSlack) {
+			return []int{rank}
+		}
+	}
+	return nil
+}
+
+// heaviest returns the experts of a rank that put most load on it.
+func (b *balance) heaviest(rank int) []Expert {
+	experts := slices.Clone(b.slots[rank])
+	slices.SortStableFunc(experts, func(x, y Expert) int {
+		return cmp.Or(cmp.Compare(b.part(y, rank), b.part(x, rank)), cmp.Compare(x, y))
+	})
+	return experts[:min(len(experts), maxMovedExperts)]
+}
+
+func (b *balance) part(expert Expert, rank int) float64 {
+	return b.parts[expert][slices.Index(b.hosts[expert], rank)]
+}
+
+// lightest returns the ranks with the least load.
+func (b *balance) lightest() []int {
+	ranks := make([]int, len(b.ranks))
+	for i := range ranks {
+		ranks[i] = i
+	}
+	slices.SortStableFunc(ranks, func(x, y int) int { return cmp.Compare(b.ranks[x], b.ranks[y]) })
+	return ranks[:min(len(ranks), maxTargets)]
+}
+
+// candidates returns ways to relieve a rank of an expert at the cost of a target rank:
+// a further replica in place of one that another rank can do without, and a swap.
+func (p *Planner) candidates(layer int, b *balance, expert Expert, rank, target int) []change {
+	if slices.Contains(b.hosts[expert], target) {
+		return nil
+	}
+	var found []change
+	if replicated, ok := p.replicate(layer, b, expert, target); ok {
+		found = append(found, replicated)
+	}
+	if swapped, ok := p.swap(layer, b, expert, rank, target); ok {
+		found = append(found, swapped)
+	}
+	return found
+}
+
+func (p *Planner) replicate(layer int, b *balance, expert Expert, target int) (change, bool) {
+	c := b.clone()
+	if len(c.slots[target]) >= p.config.Shape.Slots {
+		victim, found := c.victim(target)
+		if !found {
+			return change{}, false
+		}
+		c.remove(victim, target)
+	}
+	c.add(expert, target)
+	c.share()
+	return change{layer: layer, balance: c, moves: []Placement{place(layer, expert, target)}}, true
+}
+
+// victim returns the replica that puts least load on a rank and is not the last one.
+func (b *balance) victim(rank int) (Expert, bool) {
+	var victim Expert
+	found := false
+	for _, expert := range b.slots[rank] {
+		if len(b.hosts[expert]) < 2 {
+			continue
+		}
+		if !found || b.part(expert, rank) < b.part(victim, rank) {
+			victim, found = expert, true
+		}
+	}
+	return victim, found
+}
+
+// swap exchanges the expert with one of the target whose load is nearest to half the gap
+// below it.
+func (p *Planner) swap(layer int, b *balance, expert Expert, rank, target int) (change, bool) {
+	wanted := b.part(expert, rank) - (b.ranks[rank]-b.ranks[target])/2
+	var partner Expert
+	found := false
+	distance := 0.0
+	for _, other := range b.slots[target] {
+		if slices.Contains(b.hosts[other], rank) {
+			continue
+		}
+		d := b.part(other, target) - wanted
+		if d < 0 {
+			d = -d
+		}
+		if !found || d < distance {
+			partner, distance, found = other, d, true
+		}
+	}
+	if !found {
+		return change{}, false
+	}
+	c := b.clone()
+	c.replace(expert, rank, target)
+	c.replace(partner, target, rank)
+	c.share()
+	moves := []Placement{place(layer, expert, target), place(layer, partner, rank)}
+	return change{layer: layer, balance: c, moves: moves}, true
+}
+
+// replace moves a replica with its load.
+func (b *balance) replace(expert Expert, from, to int) {
+	part := b.part(expert, from)
+	i := slices.Index(b.hosts[expert], from)
+	b.hosts[expert][i] = to
+	at := slices.Index(b.slots[from], expert)
+	b.slots[from] = slices.Delete(b.slots[from], at, at+1)
+	b.slots[to] = append(b.slots[to], expert)
+	b.ranks[from] -= part
+	b.ranks[to] += part
+}
+
+func place(layer int, expert Expert, rank int) Placement {
+	return Placement{Layer: layer, Expert: expert, Rank: ident.Rank(rank)}
+}
