Measure a call through the path and an idle fleet, and bound the hand-over at a stop

Cause: no figure told what entry and agent add. A planned stop of all agents at once never ended, as each waited for another to take its run keys over; it now ends after 10 s and says so.

--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -14,6 +14,9 @@
 // clockGap is the time between two events after which the process was paused.
 const clockGap = time.Second
 
+// handOverLimit is how long a planned stop waits for others to take run keys over.
+const handOverLimit = 10 * time.Second
+
 // listedGone is how long a VM must be off the platform's list to count as gone for good.
 const listedGone = 30 * time.Second
 
@@ -28,6 +31,8 @@
 	running map[attempt.Attempt]ident.Instance
 	load    membership.Load
 	last    time.Time
+	// handOverSince is when a planned stop began to hand run keys over; zero before.
+	handOverSince time.Time
 }
 
 // NewAgent returns the control state of an agent that starts now.
@@ -95,6 +100,17 @@
 	a.stepGrantor(now, membership.GrantorTick{})
 	a.moveLeases(now)
 	a.stepOwner(now, attempt.OwnerTick{})
+	a.endHandOver(now)
+}
+
+// endHandOver ends a planned stop whose run keys nobody takes over. The next owner finds
+// them in doubt, as after a crash.
+func (a *Agent) endHandOver(now time.Time) {
+	if a.state != stateDraining || a.handOverSince.IsZero() || now.Sub(a.handOverSince) < handOverLimit {
+		return
+	}
+	a.note("hand-over-incomplete", SeverityWarning, "")
+	a.fire(eventDrained)
 }
 
 func (a *Agent) useConfiguration(now time.Time) {
@@ -180,6 +196,7 @@
 		case membership.SendLeaving:
 			a.act(Send{To: action.To.VM, Body: &action.Leaving})
 		case membership.GrantorDrained:
+			a.handOverSince = now
 			a.stepOwner(now, attempt.OwnerStop{})
 		}
 	}
--- /dev/null
+++ b/internal/demo/bench_test.go
@@ -0,0 +1,162 @@
+package demo
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleyspool/bramleyspool/internal/published"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+const (
+	benchPath     = "/v1/balances/V1"
+	benchCustomer = "plateau-employers"
+	benchParallel = 16
+)
+
+// removeLimits lets a benchmark send as fast as it can.
+func removeLimits(document *published.Document) {
+	for i := range document.Templates {
+		for j := range document.Templates[i].Classes {
+			document.Templates[i].Classes[j].Limits = template.LimitNumbers{}
+		}
+	}
+}
+
+func startCluster(b *testing.B) *cluster {
+	ctx, cancel := context.WithCancel(context.Background())
+	c, err := newCluster(ctx, Options{Deployment: "ndiaye", Log: io.Discard, LogLevel: "error", adjust: removeLimits})
+	qt.Assert(b, err, qt.IsNil)
+	b.Cleanup(func() {
+		cancel()
+		c.close()
+	})
+	d := &demonstration{cluster: c, options: Options{Out: io.Discard}, started: time.Now()}
+	d.balancer = newBalancer(c.entries(), 1)
+	go d.balancer.run(ctx)
+	qt.Assert(b, d.waitReady(ctx), qt.IsNil)
+	return c
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkCall compares a call on the stand-in with the same call through entry and agent,
+// one after the other and by several callers at once.
+func BenchmarkCall(b *testing.B) {
+	c := startCluster(b)
+	var direct string
+	for _, v := range c.agents() {
+		if v.plain != nil {
+			direct = v.settings.Backend.URL
+		}
+	}
+	entry := "http://" + c.entries()[0].current().CallersAddress()
+	for _, target := range []struct{ name, url string }{{"direct", direct}, {"path", entry}} {
+		b.Run(target.name+"/one", func(b *testing.B) { benchmarkCalls(b, target.url, 1) })
+		b.Run(target.name+"/parallel", func(b *testing.B) { benchmarkCalls(b, target.url, benchParallel) })
+	}
+}
+
+func benchmarkCalls(b *testing.B, url string, parallel int) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: parallel}}
+	histogram := hdrhistogram.New(1, maxLatency, latencyDigits)
+	var mu sync.Mutex
+	var working sync.WaitGroup
+	numbers := make(chan struct{}, b.N)
+	for range b.N {
+		numbers <- struct{}{}
+	}
+	close(numbers)
+	b.ReportAllocs()
+	b.ResetTimer()
+	cpu := processorTime()
+	for range parallel {
+		working.Add(1)
+		go func() {
+			defer working.Done()
+			for range numbers {
+				started := time.Now()
+				if !getOnce(client, url) {
+					b.Error("a call was not served")
+					return
+				}
+				took := time.Since(started)
+				mu.Lock()
+				_ = histogram.RecordValue(took.Microseconds())
+				mu.Unlock()
+			}
+		}()
+	}
+	working.Wait()
+	b.StopTimer()
+	used := processorTime() - cpu
+	b.ReportMetric(float64(histogram.ValueAtPercentile(percentileMedian)), "µs-median")
+	b.ReportMetric(float64(histogram.ValueAtPercentile(percentileHigh)), "µs-p99")
+	b.ReportMetric(float64(b.N)/used.Seconds(), "calls/core-s")
+}
+
+func getOnce(client *http.Client, url string) bool {
+	request, err := http.NewRequest(http.MethodGet, url+benchPath, strings.NewReader(""))
+	if err != nil {
+		return false
+	}
+	request.Header.Set("Authorization", "Bearer "+credentialPrefix+benchCustomer)
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// BenchmarkIdle measures what a fleet of 3 entries and 19 agents spends without calls: a
+// second an operation. It divides by all processes and shows the control threads apart.
+func BenchmarkIdle(b *testing.B) {
+	c := startCluster(b)
+	sleep(context.Background(), 2*time.Second)
+	busy := map[bool]time.Duration{}
+	bytes := map[bool]int64{}
+	count := func(sign time.Duration) {
+		for _, v := range c.vms {
+			host := v.current().Host()
+			busy[v.role == "entry"] += sign * host.Loop().Busy
+			bytes[v.role == "entry"] += int64(sign) * (host.Transport().Traffic().SentBytes + host.Transport().Traffic().ReceivedBytes)
+		}
+	}
+	b.ResetTimer()
+	cpu := processorTime()
+	count(-1)
+	for range b.N {
+		sleep(context.Background(), time.Second)
+	}
+	count(1)
+	b.StopTimer()
+	seconds := float64(b.N)
+	entries, agents := float64(len(c.entries())), float64(len(c.agents()))
+	b.ReportMetric(100*(processorTime()-cpu).Seconds()/seconds/(entries+agents), "%core/process")
+	b.ReportMetric(100*busy[true].Seconds()/seconds/entries, "%control/entry")
+	b.ReportMetric(100*busy[false].Seconds()/seconds/agents, "%control/agent")
+	b.ReportMetric(float64(bytes[true])/seconds/entries, "B/s/entry")
+	b.ReportMetric(float64(bytes[false])/seconds/agents, "B/s/agent")
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	b.ReportMetric(float64(memory.HeapAlloc)/1024/(entries+agents), "KB-heap/process")
+}
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -61,6 +61,9 @@
 	if err := c.readDocument(options.Deployment); err != nil {
 		return nil, err
 	}
+	if options.adjust != nil {
+		options.adjust(&c.document)
+	}
 	var err error
 	if c.authority, err = wire.NewAuthority(time.Now(), keyValidity); err != nil {
 		return nil, err
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/published"
 )
 
 // Options are the settings of a demonstration.
@@ -32,6 +33,8 @@
 	Log io.Writer
 	// LogLevel is the least severe level that is logged; "" means info.
 	LogLevel string
+	// adjust may change the deployment's document before it is used.
+	adjust func(document *published.Document)
 }
 
 const (
