--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -48,6 +48,7 @@
 
 // job is one attempt at the agent.
 type job struct {
+	// payload is the request until its run ended; nil afterwards.
 	payload   *relay.Payload
 	execution *relay.Execution
 	cancel    context.CancelFunc
@@ -145,6 +146,9 @@
 		a.host.Post(control.BackendLost{})
 	}
 	result.Content = a.stored(job)
+	a.mu.Lock()
+	job.payload = nil
+	a.mu.Unlock()
 	a.host.Post(control.RunFinished{Result: result})
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,7 +20,11 @@
 	"github.com/bramleyspool/bramleyspool/internal/wire"
 )
 
-const shutdownTimeout = 5 * time.Second
+const (
+	shutdownTimeout = 5 * time.Second
+	// idleTimeout is how long a caller's connection may be open without a call.
+	idleTimeout = 2 * time.Minute
+)
 
 // Config sets an entry up.
 type Config struct {
@@ -63,6 +67,7 @@
 		Handler:           e.routes(),
 		ReadHeaderTimeout: e.readTimeout(),
 		MaxHeaderBytes:    config.Settings.MaxHeaderBytes,
+		IdleTimeout:       idleTimeout,
 	}
 	return e, nil
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -98,7 +98,7 @@
 func (x *exchange) cut() {
 	if x.isStreaming() {
 		<-x.written
-		panic(http.ErrAbortHandler)
+		abortConnection()
 	}
 	writeProblem(x.writer, outcome.InDoubt(outcome.CauseConnectionLost, ""))
 }
@@ -126,11 +126,16 @@
 	result := x.deliver(finished)
 	x.entry.host.Post(control.CallDelivered{Request: x.id, Outcome: result})
 	if result.Kind != outcome.Served && x.isStreaming() {
-		// An aborted connection tells the caller that the answer is not whole.
-		panic(http.ErrAbortHandler)
+		abortConnection()
 	}
 }
 
+// abortConnection ends a handler so that the caller sees an answer that is not whole. This
+// panic is the way of net/http to do so, which recovers from it; no invariant is broken.
+func abortConnection() {
+	panic(http.ErrAbortHandler)
+}
+
 func (x *exchange) deliver(finished control.FinishCall) outcome.Outcome {
 	if finished.Outcome.Kind != outcome.Served {
 		if x.isStreaming() {
--- /dev/null
+++ b/internal/wire/pool.go
@@ -0,0 +1,146 @@
+package wire
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// pooledConn is a dialed connection, or one that is being dialed.
+type pooledConn struct {
+	ready chan struct{}
+	conn  *quic.Conn
+	err   error
+}
+
+// Renew makes the next use of a target dial a new connection. Streams on the old connection go
+// on until they end or the connection times out.
+func (t *Transport) Renew(target Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.accepted, target.VM)
+	pooled := t.conns[target]
+	if pooled == nil {
+		return
+	}
+	select {
+	case <-pooled.ready:
+		delete(t.conns, target)
+	default:
+	}
+}
+
+func (t *Transport) connect(ctx context.Context, target Target) (*quic.Conn, error) {
+	t.mu.Lock()
+	pooled := t.conns[target]
+	if pooled != nil && pooled.ended() {
+		pooled = nil
+	}
+	if pooled == nil && t.isOpen(target.VM) {
+		conn := t.accepted[target.VM]
+		t.mu.Unlock()
+		return conn, nil
+	}
+	if pooled == nil && target.Address == "" {
+		t.mu.Unlock()
+		return nil, fmt.Errorf("connect to %s: %w", target.VM, ErrNoAddress)
+	}
+	if pooled == nil {
+		pooled = &pooledConn{ready: make(chan struct{})}
+		t.conns[target] = pooled
+		t.done.Add(1)
+		go t.dial(target, pooled)
+	}
+	t.mu.Unlock()
+	select {
+	case <-pooled.ready:
+		return pooled.conn, pooled.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("connect to %s: %w", target.VM, ctx.Err())
+	}
+}
+
+// isOpen reports whether an accepted connection of the VM is open; the lock is held.
+func (t *Transport) isOpen(vm ident.VM) bool {
+	conn := t.accepted[vm]
+	if conn == nil {
+		return false
+	}
+	if conn.Context().Err() != nil {
+		delete(t.accepted, vm)
+		return false
+	}
+	return true
+}
+
+func (p *pooledConn) ended() bool {
+	select {
+	case <-p.ready:
+		return p.err != nil || p.conn.Context().Err() != nil
+	default:
+		return false
+	}
+}
+
+func (t *Transport) dial(target Target, pooled *pooledConn) {
+	defer t.done.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	conn, err := t.dialVerified(ctx, target)
+	pooled.conn, pooled.err = conn, err
+	close(pooled.ready)
+	if err != nil {
+		t.forget(target, pooled)
+		return
+	}
+	t.done.Add(1)
+	go t.serve(conn)
+}
+
+func (t *Transport) dialVerified(ctx context.Context, target Target) (*quic.Conn, error) {
+	address, err := net.ResolveUDPAddr("udp", target.Address)
+	if err != nil {
+		return nil, fmt.Errorf("address of %s: %w", target.VM, err)
+	}
+	conn, err := t.quic.Dial(ctx, address, t.config.Keys.clientConfig(), quicConfig())
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", target.VM, err)
+	}
+	peer, err := IdentityOf(conn.ConnectionState().TLS.PeerCertificates[0])
+	if err == nil && target.VM != "" && peer.VM != target.VM {
+		err = fmt.Errorf("%w: expected %s, found %s", ErrWrongIdentity, target.VM, peer.VM)
+	}
+	if err == nil {
+		err = t.config.Handler.Authorize(peer)
+	}
+	if err != nil {
+		t.config.Handler.Report(Fault{Peer: peer, Address: target.Address, Reason: FaultRefusedPeer, Err: err})
+		_ = conn.CloseWithError(codeRefused, "refused")
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (t *Transport) forget(target Target, pooled *pooledConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conns[target] == pooled {
+		delete(t.conns, target)
+	}
+}
+
+func (t *Transport) drop(target Target, conn *quic.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pooled := t.conns[target]
+	if pooled != nil && pooled.conn == conn {
+		delete(t.conns, target)
+	}
+	if t.accepted[target.VM] == conn {
+		delete(t.accepted, target.VM)
+	}
+}
