Index run keys by expiry and owner, and measure faults

Keys are now queued by expiry, attempts listed by lease, and an entry's log by owner; an agent asks only earlier owners from which a key can have moved by rendezvous hashing, and one keeper.

--- a/internal/attempt/log.go
+++ b/internal/attempt/log.go
@@ -53,13 +53,21 @@
 	service fleet.Service
 	earlier []earlierList
 	keys    map[ident.RunKey]*loggedKey
+	expiry  expiryQueue[ident.RunKey]
+	// byOwner lists the keys by their owner under the present list; nil if not known.
+	byOwner map[ident.VM][]ident.RunKey
 }
 
 type earlierList struct {
 	vms        []ident.VM
+	id         uint64
 	replacedAt time.Time
 }
 
+func newEarlierList(vms []ident.VM, replacedAt time.Time) earlierList {
+	return earlierList{vms: vms, id: listID(vms), replacedAt: replacedAt}
+}
+
 type loggedKey struct {
 	targets []loggedTarget
 }
@@ -126,7 +134,9 @@
 	if key == nil {
 		key = &loggedKey{}
 		log.keys[dispatch.RunKey] = key
+		log.noteOwner(dispatch.RunKey, dispatch.Target.VM)
 	}
+	log.expiry.add(now.Add(retentionOf(log.service)+l.config.StartsWithin), dispatch.RunKey)
 	target := key.target(dispatch.Target)
 	target.body = dispatch.Body
 	target.at = now
@@ -241,3 +251,22 @@
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
 	return sorted
 }
+
+func (s *serviceLog) noteOwner(key ident.RunKey, owner ident.VM) {
+	if s.byOwner != nil {
+		s.byOwner[owner] = append(s.byOwner[owner], key)
+	}
+}
+
+// keysOf returns the keys that the VM owns under the present list.
+func (s *serviceLog) keysOf(vm ident.VM) []ident.RunKey {
+	if s.byOwner == nil {
+		s.byOwner = map[ident.VM][]ident.RunKey{}
+		vms := backendVMs(s.service)
+		for _, key := range sortedKeys(s.keys) {
+			owner := Highest(string(key), vms)
+			s.byOwner[owner] = append(s.byOwner[owner], key)
+		}
+	}
+	return s.byOwner[vm]
+}
--- a/internal/attempt/log_step.go
+++ b/internal/attempt/log_step.go
@@ -112,7 +112,8 @@
 		return
 	}
 	if before := backendVMs(log.service); !sameVMs(before, backendVMs(service)) {
-		log.earlier = append(log.earlier, earlierList{vms: before, replacedAt: now})
+		log.earlier = append(log.earlier, newEarlierList(before, now))
+		log.byOwner = nil
 	}
 	log.service = service
 }
@@ -209,9 +210,13 @@
 // keysFor returns the keys that other runs than the claimant got. Unless the claimant's
 // version is the entry's, it returns those of all owners, as the claimant's list is not known.
 func (s *serviceLog) keysFor(now time.Time, claim Claim, sameVersion bool) []DispatchedKey {
+	names := s.keysOf(claim.Claimant.VM)
+	if !sameVersion {
+		names = sortedKeys(s.keys)
+	}
 	var keys []DispatchedKey
-	for _, name := range sortedKeys(s.keys) {
-		if sameVersion && OwnerOf(name, s.service) != claim.Claimant.VM {
+	for _, name := range names {
+		if s.keys[name] == nil {
 			continue
 		}
 		for _, target := range s.keys[name].targets {
@@ -318,15 +323,8 @@
 
 func (s *serviceLog) expire(now time.Time, startsWithin time.Duration) {
 	retention := retentionOf(s.service) + startsWithin
-	for name, key := range s.keys {
-		kept := key.targets[:0]
-		for _, target := range key.targets {
-			if now.Sub(target.at) <= retention {
-				kept = append(kept, target)
-			}
-		}
-		key.targets = kept
-		if len(kept) == 0 {
+	for name, due := s.expiry.next(now); due; name, due = s.expiry.next(now) {
+		if key := s.keys[name]; key != nil && key.expire(now, retention) {
 			delete(s.keys, name)
 		}
 	}
@@ -338,3 +336,15 @@
 	}
 	s.earlier = kept
 }
+
+// expire drops the targets whose dispatch no longer matters, and reports whether none is left.
+func (k *loggedKey) expire(now time.Time, retention time.Duration) bool {
+	kept := k.targets[:0]
+	for _, target := range k.targets {
+		if now.Sub(target.at) <= retention {
+			kept = append(kept, target)
+		}
+	}
+	k.targets = kept
+	return len(kept) == 0
+}
--- a/internal/attempt/owner.go
+++ b/internal/attempt/owner.go
@@ -236,8 +236,10 @@
 	startedAt time.Time
 	fleet     fleet.Fleet
 	attempts  map[Attempt]*heldAttempt
-	services  map[ident.Service]*ownedService
-	gone      map[ident.VM]bool
+	// byLease lists the attempts by the lease that they rest on.
+	byLease  map[Number][]Attempt
+	services map[ident.Service]*ownedService
+	gone     map[ident.VM]bool
 	// removed holds the entries that left the roster, with when the agent saw it.
 	removed   map[ident.VM]time.Time
 	lease     LeaseMoved
@@ -274,6 +276,7 @@
 		config:    config,
 		startedAt: now,
 		attempts:  map[Attempt]*heldAttempt{},
+		byLease:   map[Number][]Attempt{},
 		services:  map[ident.Service]*ownedService{},
 		gone:      map[ident.VM]bool{},
 		removed:   map[ident.VM]time.Time{},
--- a/internal/attempt/owner_claims.go
+++ b/internal/attempt/owner_claims.go
@@ -17,11 +17,16 @@
 }
 
 func (o *Owner) expireKeys(now time.Time, service *ownedService) {
-	for _, record := range service.sortedRecords() {
-		expirable := record.state == keyServed || record.state == keyInDoubt
-		if expirable && now.After(record.expires) {
-			o.keyEvent(now, record, "expire")
+	for key, due := service.expiry.next(now); due; key, due = service.expiry.next(now) {
+		record := service.keys[key]
+		if record == nil || (record.state != keyServed && record.state != keyInDoubt) {
+			continue
+		}
+		if !now.After(record.expires) {
+			service.expiry.add(record.expires, key)
+			continue
 		}
+		o.keyEvent(now, record, "expire")
 	}
 }
 
@@ -103,7 +108,7 @@
 		previous: answer.Previous, peers: answer.Peers,
 	}
 	for _, list := range answer.Earlier {
-		claim.earlier = append(claim.earlier, earlierList{vms: list.VMs, replacedAt: now.Add(-list.Age)})
+		claim.earlier = append(claim.earlier, newEarlierList(list.VMs, now.Add(-list.Age)))
 	}
 	for _, removed := range answer.Removed {
 		claim.removed = append(claim.removed, removedEntry{vm: removed.VM, at: now.Add(-removed.Age)})
@@ -130,6 +135,7 @@
 		o.keyEvent(now, record, "doubt")
 		if before != record.state {
 			record.expires = now.Add(-key.Age).Add(o.windowOf(service)).Add(o.config.ClockSkew)
+			service.expiry.add(record.expires, key.RunKey)
 		}
 	}
 }
--- a/internal/attempt/owner_dispatch.go
+++ b/internal/attempt/owner_dispatch.go
@@ -27,7 +27,7 @@
 		return
 	}
 	held := &heldAttempt{dispatch: dispatch, lease: dispatch.Lease, deadline: o.holdUntil(now, dispatch)}
-	o.attempts[id] = held
+	o.remember(id, held)
 	if refused := o.refusal(now, dispatch); refused.Kind != outcome.Open {
 		o.settle(id, held, ReplyNeverStarted, refused)
 		return
@@ -139,7 +139,7 @@
 		return
 	case held == nil:
 		held = &heldAttempt{lease: revoke.Lease}
-		o.attempts[revoke.ID] = held
+		o.remember(revoke.ID, held)
 		o.settle(revoke.ID, held, ReplyNeverStarted, outcome.Refused(outcome.CauseRevoked))
 		return
 	case held.state == ReplyQueued:
@@ -173,7 +173,7 @@
 	default:
 		// The dispatch may still be on its way: only a tombstone makes the answer final.
 		held = &heldAttempt{lease: query.Lease}
-		o.attempts[query.ID] = held
+		o.remember(query.ID, held)
 		o.settle(query.ID, held, ReplyNeverStarted, outcome.Refused(outcome.CauseConnectionLost))
 	}
 }
@@ -270,14 +270,36 @@
 	o.lease.Current = max(o.lease.Current, lease.Current)
 	o.lease.Start = max(o.lease.Start, lease.Start)
 	o.lease.Forget = max(o.lease.Forget, lease.Forget)
-	for id, held := range o.attempts {
-		open := held.state == ReplyStarted || held.state == ReplyQueued
-		if !open && held.lease < o.lease.Forget {
-			delete(o.attempts, id)
+	for number, ids := range o.byLease {
+		if number < o.lease.Forget {
+			o.forget(number, ids)
 		}
 	}
 }
 
+// forget drops the ended attempts of a lease.
+func (o *Owner) forget(number Number, ids []Attempt) {
+	var open []Attempt
+	for _, id := range ids {
+		held := o.attempts[id]
+		if held.state == ReplyStarted || held.state == ReplyQueued {
+			open = append(open, id)
+			continue
+		}
+		delete(o.attempts, id)
+	}
+	if len(open) == 0 {
+		delete(o.byLease, number)
+		return
+	}
+	o.byLease[number] = open
+}
+
+func (o *Owner) remember(id Attempt, held *heldAttempt) {
+	o.attempts[id] = held
+	o.byLease[held.lease] = append(o.byLease[held.lease], id)
+}
+
 // advance starts a waiting suspect once nothing else runs, and ends waits that took too long.
 func (o *Owner) advance(now time.Time) {
 	o.advanceSuspect(now)
--- a/internal/attempt/owner_handover.go
+++ b/internal/attempt/owner_handover.go
@@ -33,10 +33,12 @@
 	service ident.Service
 }
 
-// askReleases asks the agents of the list, and of earlier owners, for keys and custody.
+// askReleases asks earlier owners for their keys, and the keeper for those of the VM's earlier run.
 func (o *Owner) askReleases(now time.Time, service *ownedService) {
-	vms := append([]ident.VM(nil), service.list...)
-	vms = append(vms, o.earlierOwners(now, service)...)
+	vms := o.earlierOwners(now, service)
+	if keeper := service.keeperOf(o.config.Self.VM); keeper != "" && service.predecessor == nil {
+		vms = append(vms, keeper)
+	}
 	for _, vm := range vms {
 		asked, wasAsked := service.asked[vm]
 		if vm == o.config.Self.VM || o.gone[vm] || service.hasReleased(vm) {
@@ -52,12 +54,31 @@
 	}
 }
 
+// losers returns the VMs that may have owned keys under the earlier list that the agent owns
+// now. By rendezvous hashing a key moves only from a VM that left the list, or to one that joined it.
+func (s *ownedService) losers(earlier earlierList, self ident.VM) []ident.VM {
+	if !containsVM(earlier.vms, self) {
+		return earlier.vms
+	}
+	members := make(map[ident.VM]bool, len(s.list))
+	for _, vm := range s.list {
+		members[vm] = true
+	}
+	var left []ident.VM
+	for _, vm := range earlier.vms {
+		if !members[vm] {
+			left = append(left, vm)
+		}
+	}
+	return left
+}
+
 // earlierOwners returns the other VMs of the lists that were in force within the retention.
 func (o *Owner) earlierOwners(now time.Time, service *ownedService) []ident.VM {
 	seen := map[ident.VM]bool{o.config.Self.VM: true}
 	var owners []ident.VM
 	for _, list := range o.earlierLists(now, service) {
-		for _, vm := range list {
+		for _, vm := range service.losers(list, o.config.Self.VM) {
 			if !seen[vm] {
 				seen[vm] = true
 				owners = append(owners, vm)
@@ -74,9 +95,8 @@
 		return false
 	}
 	for _, list := range o.earlierLists(now, service) {
-		for _, vm := range list {
-			prior := priorOwner{vm: vm, list: listID(list)}
-			if vm != o.config.Self.VM && !service.releasedAll(prior) {
+		for _, vm := range service.losers(list, o.config.Self.VM) {
+			if vm != o.config.Self.VM && !service.releasedAll(priorOwner{vm: vm, list: list.id}) {
 				return false
 			}
 		}
@@ -116,7 +136,7 @@
 func (o *Owner) handOverTo(now time.Time, service *ownedService, to ident.VM) HandOver {
 	handOver := HandOver{
 		From: o.config.Self, To: to, Service: service.published.Name, FleetVersion: o.fleet.Version,
-		List: listID(service.list), CompleteFor: service.completeFor(),
+		List: service.listID, CompleteFor: service.completeFor(),
 	}
 	for _, record := range service.sortedRecords() {
 		if service.ownerOf(record.key) == to && record.movable() {
@@ -159,6 +179,6 @@
 	}
 	o.act(SendHandOver{HandOver{
 		From: o.config.Self, To: owner, Service: service.published.Name, FleetVersion: o.fleet.Version,
-		List: listID(service.list), CompleteFor: service.completeFor(), Keys: []KeyTransfer{record.transfer(now)},
+		List: service.listID, CompleteFor: service.completeFor(), Keys: []KeyTransfer{record.transfer(now)},
 	}})
 }
--- a/internal/attempt/owner_keys.go
+++ b/internal/attempt/owner_keys.go
@@ -156,6 +156,7 @@
 	}
 	if step.To == keyServed || step.To == keyInDoubt {
 		record.expires = later(record.expires, now.Add(retentionOf(service.published)))
+		service.expiry.add(record.expires, record.key)
 	}
 	if step.To == keyForgotten {
 		delete(service.keys, record.key)
--- a/internal/attempt/owner_service.go
+++ b/internal/attempt/owner_service.go
@@ -15,12 +15,14 @@
 type ownedService struct {
 	published fleet.Service
 	list      []ident.VM
+	listID    uint64
 	// listVersion is the version at which the agent saw the present list for the first time.
 	listVersion template.Version
 	since       time.Time
 	earlier     []earlierList
 	keys        map[ident.RunKey]*keyRecord
 	held        map[ident.RunKey]*keyRecord
+	expiry      expiryQueue[ident.RunKey]
 	round       uint64
 	claims      map[ident.VM]*claimState
 	// fenced is true while all entries of the roster accepted the claim.
@@ -103,7 +105,7 @@
 	service := o.services[published.Name]
 	if service == nil {
 		service = &ownedService{
-			published: published, list: list, listVersion: o.fleet.Version, since: now,
+			published: published, list: list, listID: listID(list), listVersion: o.fleet.Version, since: now,
 			keys: map[ident.RunKey]*keyRecord{}, held: map[ident.RunKey]*keyRecord{},
 			released: map[ident.VM]release{},
 		}
@@ -114,10 +116,11 @@
 	before := service.list
 	service.published = published
 	service.list = list
+	service.listID = listID(list)
 	if sameVMs(before, list) {
 		return
 	}
-	service.earlier = append(service.earlier, earlierList{vms: before, replacedAt: now})
+	service.earlier = append(service.earlier, newEarlierList(before, now))
 	service.listVersion = o.fleet.Version
 	service.since = now
 	service.newRound()
@@ -239,25 +242,24 @@
 func (o *Owner) priorOwners(now time.Time, service *ownedService, key ident.RunKey) []priorOwner {
 	var owners []priorOwner
 	for _, list := range o.earlierLists(now, service) {
-		owners = append(owners, priorOwner{vm: Highest(string(key), list), list: listID(list)})
+		owners = append(owners, priorOwner{vm: Highest(string(key), list.vms), list: list.id})
 	}
 	return owners
 }
 
 // earlierLists returns the different lists, other than the present one, that the agent or an
 // entry saw in force within the retention.
-func (o *Owner) earlierLists(now time.Time, service *ownedService) [][]ident.VM {
+func (o *Owner) earlierLists(now time.Time, service *ownedService) []earlierList {
 	window := o.windowOf(service)
-	seen := map[uint64]bool{listID(service.list): true}
-	var lists [][]ident.VM
+	seen := map[uint64]bool{service.listID: true}
+	var lists []earlierList
 	note := func(earlier []earlierList) {
 		for _, list := range earlier {
-			id := listID(list.vms)
-			if now.Sub(list.replacedAt) > window || seen[id] {
+			if now.Sub(list.replacedAt) > window || seen[list.id] {
 				continue
 			}
-			seen[id] = true
-			lists = append(lists, list.vms)
+			seen[list.id] = true
+			lists = append(lists, list)
 		}
 	}
 	note(service.earlier)
@@ -321,7 +323,7 @@
 
 // predecessorCovers reports whether the VM's latest earlier run handed over all that it knew.
 func (s *ownedService) predecessorCovers() bool {
-	if s.predecessor == nil || s.predecessor.CompleteFor != listID(s.list) {
+	if s.predecessor == nil || s.predecessor.CompleteFor != s.listID {
 		return false
 	}
 	matched := false
--- a/internal/attempt/owner_stop.go
+++ b/internal/attempt/owner_stop.go
@@ -45,13 +45,7 @@
 }
 
 func (o *Owner) collectCustody(now time.Time, service *ownedService) {
-	others := make([]ident.VM, 0, len(service.list))
-	for _, vm := range service.list {
-		if vm != o.config.Self.VM {
-			others = append(others, vm)
-		}
-	}
-	keeper := Highest(string(o.config.Self.VM), others)
+	keeper := service.keeperOf(o.config.Self.VM)
 	if keeper == "" {
 		return
 	}
@@ -62,6 +56,17 @@
 	o.handOvers.unacknowledged[handOverKey{keeper, service.published.Name}] = handOver
 }
 
+// keeperOf returns the VM whose agent keeps the keys of a VM that restarts; "" for none.
+func (s *ownedService) keeperOf(self ident.VM) ident.VM {
+	others := make([]ident.VM, 0, len(s.list))
+	for _, vm := range s.list {
+		if vm != self {
+			others = append(others, vm)
+		}
+	}
+	return Highest(string(self), others)
+}
+
 func (o *Owner) sendFinal(now time.Time) {
 	o.handOvers.sentAt = now
 	if len(o.handOvers.unacknowledged) == 0 {
@@ -111,7 +116,7 @@
 		service.predecessor = &handOver
 	case handOver.Custody || own || handOver.To != o.config.Self.VM:
 		return
-	case handOver.List == listID(service.list) && handOver.FleetVersion >= service.listVersion:
+	case handOver.List == service.listID && handOver.FleetVersion >= service.listVersion:
 		o.noteRelease(service, handOver)
 	}
 	for _, transfer := range handOver.Keys {
--- a/internal/attempt/rendezvous.go
+++ b/internal/attempt/rendezvous.go
@@ -16,8 +16,9 @@
 func Highest(key string, vms []ident.VM) ident.VM {
 	var best ident.VM
 	var bestScore uint64
+	keyHash := xxhash.Sum64String(key)
 	for _, vm := range vms {
-		score := xxhash.Sum64String(key + hashSeparator + string(vm))
+		score := mix(keyHash ^ xxhash.Sum64String(string(vm)))
 		if best == "" || score > bestScore || (score == bestScore && vm < best) {
 			best, bestScore = vm, score
 		}
@@ -25,6 +26,13 @@
 	return best
 }
 
+// mix spreads the bits of a hash; it is the finalizer of SplitMix64.
+func mix(hash uint64) uint64 {
+	hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9
+	hash = (hash ^ (hash >> 27)) * 0x94d049bb133111eb
+	return hash ^ (hash >> 31)
+}
+
 // OwnerOf returns the VM whose agent owns the run key under the published list of the service.
 func OwnerOf(key ident.RunKey, service fleet.Service) ident.VM {
 	return Highest(string(key), backendVMs(service))
--- /dev/null
+++ b/internal/experiment/calls/experiments.go
@@ -0,0 +1,28 @@
+package calls
+
+import (
+	"gonum.org/v1/gonum/stat"
+
+	"github.com/bramleyspool/bramleyspool/internal/experiment"
+)
+
+// Experiments are the measurements of package attempt.
+var Experiments = []experiment.Experiment{
+	{
+		Name:    "calls-faults",
+		Summary: "Outcomes of non-idempotent calls by fault, and time until keys run again, against two baselines.",
+		Run:     runFaults,
+	},
+}
+
+// cellsOf returns mean and standard deviation of each column's samples.
+func cellsOf(samples [][]float64) []experiment.Cell {
+	cells := make([]experiment.Cell, len(samples))
+	for i, column := range samples {
+		cells[i].Mean = stat.Mean(column, nil)
+		if len(column) > 1 {
+			cells[i].Spread = stat.StdDev(column, nil)
+		}
+	}
+	return cells
+}
--- /dev/null
+++ b/internal/experiment/calls/faults.go
@@ -0,0 +1,278 @@
+package calls
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/experiment"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+const (
+	faultAt        = 10 * time.Second
+	demandEnd      = 40 * time.Second
+	runEnd         = 50 * time.Second
+	callInterval   = 10 * time.Millisecond
+	faultRetention = 24 * time.Hour
+)
+
+// fault is one kind of fault; the victim is the first agent.
+type fault struct {
+	name string
+	do   func(*Timeline)
+}
+
+func faults() []fault {
+	return []fault{
+		{"none", func(*Timeline) {}},
+		{"backend server crashes", func(t *Timeline) { t.world.crashBackend(t.victim()) }},
+		{"agent killed, back in 1 s", func(t *Timeline) { t.killVictim(time.Second) }},
+		{"agent stopped in turn, back in 1 s", stopVictim},
+		{"agent paused for 5 s", pauseVictim},
+		{"agent paused for 5 s, another started", replacePaused},
+		{"VM replaced by a new one, 5 s", replaceVM},
+		{"VM taken off the list, alive", delistVictim},
+		{"entry killed, back in 1 s", func(t *Timeline) { t.killEntry(0, time.Second) }},
+		{"entry killed, then agent killed", func(t *Timeline) {
+			t.killEntry(0, time.Second)
+			t.after(3*time.Second, func() { t.killVictim(time.Second) })
+		}},
+		{"all entries killed, back in 1 s", func(t *Timeline) {
+			for i := range t.world.entries {
+				t.killEntry(i, time.Second)
+			}
+		}},
+		{"link entry to agent cut for 5 s", cutLink},
+		{"2 % of messages lost for 5 s", losePart},
+	}
+}
+
+func (t *Timeline) victim() *agentProcess { return t.world.agents[0].current() }
+
+func (t *Timeline) killVictim(back time.Duration) {
+	t.victim().dead = true
+	t.after(back, func() { t.world.startAgent(t.world.agents[0], len(t.world.fleets)-1) })
+}
+
+func (t *Timeline) killEntry(index int, back time.Duration) {
+	host := t.world.entries[index]
+	host.current().dead = true
+	t.after(back, func() { t.world.startEntry(host, len(t.world.fleets)-1) })
+}
+
+func stopVictim(t *Timeline) {
+	t.world.stepOwner(t.victim(), attempt.OwnerStop{})
+	t.after(time.Second, func() {
+		for _, process := range t.world.agents[0].processes {
+			process.dead = true
+		}
+		t.world.startAgent(t.world.agents[0], len(t.world.fleets)-1)
+	})
+}
+
+func pauseVictim(t *Timeline) {
+	process := t.victim()
+	process.paused = true
+	t.after(5*time.Second, func() { t.wake(process) })
+}
+
+func replacePaused(t *Timeline) {
+	process := t.victim()
+	process.paused = true
+	t.after(time.Second, func() { t.world.startAgent(t.world.agents[0], 0) })
+	t.after(5*time.Second, func() { t.wake(process) })
+}
+
+// replaceVM destroys the victim's VM; the list says so, and a new VM is published, 5 s later.
+func replaceVM(t *Timeline) {
+	host := t.world.agents[0]
+	host.current().dead = true
+	host.gone = true
+	t.after(5*time.Second, func() {
+		added := t.world.addAgentHost()
+		t.publishAll()
+		t.world.startAgent(added, len(t.world.fleets)-1)
+		for _, other := range t.world.agents {
+			if process := other.current(); process != nil {
+				t.world.stepOwner(process, attempt.VMsGone{VMs: []ident.VM{host.vm}})
+			}
+		}
+	})
+}
+
+func delistVictim(t *Timeline) {
+	var listed []ident.VM
+	for _, host := range t.world.agents[1:] {
+		listed = append(listed, host.vm)
+	}
+	t.world.publish(listed)
+	t.spreadFleet()
+}
+
+func (t *Timeline) publishAll() {
+	t.world.publish(t.world.agentVMs())
+	t.spreadFleet()
+}
+
+// spreadFleet brings the latest fleet to each process at a time of its own within a second.
+func (t *Timeline) spreadFleet() {
+	next := t.world.fleets[len(t.world.fleets)-1]
+	for _, host := range t.world.entries {
+		process := host.current()
+		t.after(time.Duration(t.random.IntN(1000))*time.Millisecond, func() {
+			t.world.stepLog(process, attempt.LogFleetChanged{Fleet: next})
+		})
+	}
+	for _, host := range t.world.agents {
+		if process := host.current(); process != nil {
+			t.after(time.Duration(t.random.IntN(1000))*time.Millisecond, func() {
+				t.world.stepOwner(process, attempt.OwnerFleetChanged{Fleet: next})
+			})
+		}
+	}
+}
+
+func cutLink(t *Timeline) {
+	a, b := t.world.entries[0].vm, t.world.agents[0].vm
+	t.world.blocked = map[link]bool{{a, b}: true, {b, a}: true}
+	t.after(5*time.Second, func() { t.world.blocked = map[link]bool{} })
+}
+
+func losePart(t *Timeline) {
+	t.lose = func(envelope) bool { return t.random.IntN(50) == 0 }
+	t.after(5*time.Second, func() { t.lose = nil })
+}
+
+// policies are the ways to treat keys that an earlier owner may have run.
+var policies = []struct {
+	name  string
+	doubt attempt.DoubtPolicy
+}{
+	{"ask entries and earlier owners", attempt.DoubtAsk},
+	{"refuse for the retention", attempt.DoubtRefuse},
+	{"no ownership check", attempt.DoubtIgnore},
+}
+
+// faultFigures are the figures of one run.
+type faultFigures struct {
+	served, notRun, unknown float64
+	// recovery is the time until new keys of the victim's share run again.
+	recovery time.Duration
+	doubled  int
+}
+
+// demand posts new keys at a steady rate and sends calls that were not served again, after
+// a second and through another entry.
+type demand struct {
+	timeline *Timeline
+	class    template.ClassPlan
+	first    map[ident.Request]bool
+	posted   int
+}
+
+func (d *demand) postNext() {
+	t := d.timeline
+	if t.world.now.Sub(t.world.started) >= demandEnd {
+		return
+	}
+	d.posted++
+	d.post(request{
+		class: d.class, key: fmt.Sprintf("voucher%d", d.posted), body: fmt.Sprintf("body%d", d.posted),
+		entry: t.random.IntN(len(t.world.entries)),
+	}, 0)
+	t.after(callInterval, d.postNext)
+}
+
+func (d *demand) post(r request, resends int) {
+	const maxResends = 3
+	t := d.timeline
+	id, ok := t.post(r)
+	if !ok {
+		return
+	}
+	d.first[id] = resends == 0
+	t.after(d.class.Deadline+time.Second, func() {
+		if t.outcomeOf(id).Kind != outcome.Served && resends < maxResends {
+			r.entry++
+			d.post(r, resends+1)
+		}
+	})
+}
+
+func runFault(f fault, doubt attempt.DoubtPolicy, seed uint64) faultFigures {
+	t := NewTimeline(Config{Entries: 3, Agents: 3, Retention: faultRetention, OpenedAt: 500 * time.Millisecond, Doubt: doubt}, seed)
+	d := &demand{
+		timeline: t, first: map[ident.Request]bool{},
+		class: template.ClassPlan{Name: "redemption", Service: serviceName, Deadline: 2 * time.Second},
+	}
+	t.after(time.Second, d.postNext)
+	t.after(faultAt, func() { f.do(t) })
+	t.run(runEnd)
+	return d.figures()
+}
+
+func (d *demand) figures() faultFigures {
+	t := d.timeline
+	faultTime := t.world.started.Add(faultAt)
+	counts := map[outcome.Kind]float64{}
+	var figures faultFigures
+	total := 0.0
+	for id, call := range t.world.record.calls {
+		if call.Started.Before(faultTime) || call.Started.After(faultTime.Add(20*time.Second)) {
+			continue
+		}
+		counts[call.Outcome.Kind]++
+		total++
+		if d.first[id] && call.Outcome.Kind != outcome.Served {
+			recovered := call.Ended.Sub(faultTime) + call.Outcome.RetryAfter
+			figures.recovery = max(figures.recovery, recovered)
+		}
+	}
+	percent := func(kind outcome.Kind) float64 { return 100 * counts[kind] / math.Max(total, 1) }
+	figures.served = percent(outcome.Served)
+	figures.notRun = percent(outcome.NotRun)
+	figures.unknown = percent(outcome.Unknown)
+	figures.doubled = len(t.world.record.violations)
+	return figures
+}
+
+func runFaults(ctx context.Context, params experiment.Params) (experiment.Result, error) {
+	table := experiment.Table{
+		Title:  "Non-idempotent calls in the 20 s after a fault: 3 entries, 3 agents, 100 new keys a second, resent up to 3 times",
+		Labels: []string{"fault", "keys in doubt"},
+		Columns: []experiment.Column{
+			{Name: "served", Unit: "%"},
+			{Name: "not run", Unit: "%"},
+			{Name: "unknown", Unit: "%"},
+			{Name: "all new keys run again", Unit: "s"},
+			{Name: "doubled runs"},
+		},
+	}
+	kinds := faults()
+	done := 0
+	for _, f := range kinds {
+		for _, policy := range policies {
+			samples := make([][]float64, len(table.Columns))
+			for i := range params.Seeds {
+				if err := ctx.Err(); err != nil {
+					return experiment.Result{}, err
+				}
+				figures := runFault(f, policy.doubt, params.Seed+uint64(i))
+				for column, value := range []float64{
+					figures.served, figures.notRun, figures.unknown, figures.recovery.Seconds(), float64(figures.doubled),
+				} {
+					samples[column] = append(samples[column], value)
+				}
+				done++
+				params.Report(done, len(kinds)*len(policies)*params.Seeds)
+			}
+			table.Rows = append(table.Rows, experiment.Row{Labels: []string{f.name, policy.name}, Cells: cellsOf(samples)})
+		}
+	}
+	return experiment.Result{Tables: []experiment.Table{table}}, nil
+}
--- /dev/null
+++ b/internal/experiment/calls/timeline.go
@@ -0,0 +1,198 @@
+package calls
+
+import (
+	"container/heap"
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+const (
+	minDelay     = 500 * time.Microsecond
+	maxDelay     = 3 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
+)
+
+// Timeline runs a world on a schedule, with a network that delays messages.
+type Timeline struct {
+	world  *World
+	random *rand.Rand
+	queue  schedule
+	serial uint64
+	// buffered holds messages to paused processes.
+	buffered map[ident.VM][]envelope
+	// lose returns whether a message is lost; nil loses none.
+	lose func(envelope) bool
+	// serve gives the time that a run takes, and whether it crashes its backend server.
+	serve func(attempt.Dispatch) (time.Duration, bool)
+}
+
+type scheduled struct {
+	at     time.Time
+	serial uint64
+	do     func()
+}
+
+type schedule []scheduled
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	return s[i].at.Before(s[j].at) || (s[i].at.Equal(s[j].at) && s[i].serial < s[j].serial)
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+
+// Push adds an element for package heap.
+func (s *schedule) Push(x any) { *s = append(*s, x.(scheduled)) }
+
+// Pop removes the last element for package heap.
+func (s *schedule) Pop() any {
+	old := *s
+	last := old[len(old)-1]
+	*s = old[:len(old)-1]
+	return last
+}
+
+// NewTimeline returns a timeline over a new world.
+func NewTimeline(config Config, seed uint64) *Timeline {
+	t := &Timeline{
+		random:   rand.New(rand.NewPCG(seed, 0x5eed)),
+		buffered: map[ident.VM][]envelope{},
+	}
+	t.serve = func(attempt.Dispatch) (time.Duration, bool) {
+		return time.Duration(20+t.random.IntN(40)) * time.Millisecond, false
+	}
+	t.world = NewWorld(config)
+	t.world.send = t.sendLater
+	t.world.onRun = t.runLater
+	pending := t.world.network
+	t.world.network = nil
+	for _, e := range pending {
+		t.sendLater(e)
+	}
+	t.tickLater()
+	return t
+}
+
+func (t *Timeline) after(wait time.Duration, do func()) {
+	t.serial++
+	heap.Push(&t.queue, scheduled{at: t.world.now.Add(wait), serial: t.serial, do: do})
+}
+
+// run lets time pass up to the duration since the start.
+func (t *Timeline) run(until time.Duration) {
+	end := t.world.started.Add(until)
+	for len(t.queue) > 0 && !t.queue[0].at.After(end) {
+		next := heap.Pop(&t.queue).(scheduled)
+		t.world.now = next.at
+		next.do()
+	}
+	t.world.now = end
+}
+
+func (t *Timeline) tickLater() {
+	t.after(tickInterval, func() {
+		t.world.tick()
+		t.tickLater()
+	})
+}
+
+func (t *Timeline) sendLater(e envelope) {
+	if t.world.blocked[link{e.from, e.to}] || (t.lose != nil && t.lose(e)) {
+		return
+	}
+	delay := minDelay + time.Duration(t.random.Int64N(int64(maxDelay-minDelay)))
+	t.after(delay, func() { t.arrive(e) })
+}
+
+// arrive hands a message to the VM's present process; a paused one gets it when it wakes.
+func (t *Timeline) arrive(e envelope) {
+	if host := t.world.entryHostOf(e.to); host != nil {
+		if process := host.current(); process != nil && !process.paused {
+			t.world.deliverEntry(process, e.message)
+		}
+		return
+	}
+	process := t.world.agentHostOf(e.to).current()
+	switch {
+	case process == nil:
+	case process.paused:
+		t.buffered[e.to] = append(t.buffered[e.to], e)
+	default:
+		t.world.deliverAgent(process, e.message)
+	}
+}
+
+// wake lets a paused agent go on: it notes the gap before it handles what was buffered.
+func (t *Timeline) wake(process *agentProcess) {
+	process.paused = false
+	t.world.stepOwner(process, attempt.ClockGap{})
+	buffered := t.buffered[process.host.vm]
+	delete(t.buffered, process.host.vm)
+	for _, e := range buffered {
+		t.world.deliverAgent(process, e.message)
+	}
+}
+
+func (t *Timeline) runLater(process *agentProcess, dispatch attempt.Dispatch) {
+	took, crashes := t.serve(dispatch)
+	t.after(took, func() { t.endRun(process, dispatch.ID, crashes) })
+}
+
+func (t *Timeline) endRun(process *agentProcess, id attempt.Attempt, crashes bool) {
+	for i, dispatch := range process.running {
+		if dispatch.ID != id || process.dead {
+			continue
+		}
+		if process.paused {
+			t.after(tickInterval, func() { t.endRun(process, id, crashes) })
+			return
+		}
+		if crashes {
+			t.world.crashBackend(process)
+			return
+		}
+		t.world.endRun(process, i, servedOutcome)
+		return
+	}
+}
+
+// request describes one call of the generated demand.
+type request struct {
+	class template.ClassPlan
+	key   string
+	body  string
+	entry int
+}
+
+// post starts a call at an entry, or at the next one that runs.
+func (t *Timeline) post(r request) (ident.Request, bool) {
+	entries := t.world.entries
+	for i := range entries {
+		process := entries[(r.entry+i)%len(entries)].current()
+		if process == nil || process.paused {
+			continue
+		}
+		t.world.nextID++
+		call := attempt.Call{
+			Request: ident.Request(fmt.Sprintf("r%07d", t.world.nextID)), Customer: "customer0", Class: r.class,
+			Body: sha256.Sum256([]byte(r.body)), Deadline: t.world.now.Add(r.class.Deadline),
+		}
+		if r.key != "" {
+			call.RunKey = ident.NewRunKey(call.Customer, serviceName, r.key)
+		}
+		t.world.startCall(process, call)
+		return call.Request, true
+	}
+	return "", false
+}
+
+// outcomeOf returns what the caller of a request was told.
+func (t *Timeline) outcomeOf(id ident.Request) outcome.Outcome {
+	return t.world.record.calls[id].Outcome
+}
