--- a/internal/attempt/caller.go
+++ b/internal/attempt/caller.go
@@ -15,6 +15,8 @@
 	Self ident.Instance
 	// RevokeWait is the time after the deadline for the agent's word on a revocation.
 	RevokeWait time.Duration
+	// AckWithin is the time within which an agent's first word on a dispatch is expected.
+	AckWithin time.Duration
 	// SilenceAfter is the time without a word after which an agent is asked over a new connection.
 	SilenceAfter time.Duration
 	// Probes is the number of unanswered questions after which an agent counts as unreachable.
@@ -40,6 +42,7 @@
 	return CallerConfig{
 		Self:         self,
 		RevokeWait:   250 * time.Millisecond,
+		AckWithin:    250 * time.Millisecond,
 		SilenceAfter: time.Second,
 		Probes:       3,
 		RunLimit:     10 * time.Minute,
@@ -108,8 +111,10 @@
 	open    bool
 	started bool
 	heardAt time.Time
-	probes  int
-	sentAt  time.Time
+	// acknowledged is true once the agent said anything about the attempt.
+	acknowledged bool
+	probes       int
+	sentAt       time.Time
 }
 
 // NewCaller returns a Caller without open calls that records run keys in the log.
@@ -277,6 +282,11 @@
 	open.refusal = outcome.Refused(event.Cause)
 	open.refusal.RetryAfter = event.RetryAfter
 	open.refusal.CausedBy = event.CausedBy
+	if open.RunKey != "" && event.Cause == outcome.CauseNoBackend && open.state == callRouting {
+		// Only the owner may run the key: wait for it or its successor.
+		c.rerouteLater(open, open.refusal)
+		return
+	}
 	c.fire(open, "no-route")
 }
 
--- a/internal/attempt/caller_chart.go
+++ b/internal/attempt/caller_chart.go
@@ -165,6 +165,7 @@
 	}
 	for _, try := range open.tries {
 		if try.open {
+			try.heardAt = c.now
 			c.act(SendRevoke{Revoke{ID: try.id, Target: try.target, Lease: try.lease}})
 		}
 	}
--- a/internal/attempt/caller_replies.go
+++ b/internal/attempt/caller_replies.go
@@ -35,6 +35,7 @@
 	open.reply = reply
 	try.heardAt = c.now
 	try.probes = 0
+	try.acknowledged = true
 	switch reply.State {
 	case ReplyQueued:
 		c.fire(open, "queued")
@@ -160,10 +161,14 @@
 		}
 		open.current = try
 		waited := c.now.Sub(try.heardAt)
+		patience := c.config.SilenceAfter
+		if !try.acknowledged {
+			patience = c.config.AckWithin
+		}
 		if !try.started && c.config.HedgeAfter > 0 && c.now.Sub(try.sentAt) >= c.config.HedgeAfter {
 			c.fire(open, "hedge")
 		}
-		if waited < c.config.SilenceAfter {
+		if waited < patience {
 			continue
 		}
 		if try.probes < c.config.Probes {
--- a/internal/attempt/property_test.go
+++ b/internal/attempt/property_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"flag"
+	"math/rand/v2"
 	"os"
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
@@ -63,4 +65,22 @@
 	})
 }
 
-var _ = attempt.DoubtAsk
+// TestUncheckedOwnersRunTwice shows that the interleavings find doubled runs if agents
+// neither check ownership nor ask what may have run.
+func TestUncheckedOwnersRunTwice(t *testing.T) {
+	const seeds, steps = 60, 600
+	doubled := 0
+	for seed := range uint64(seeds) {
+		world := calls.NewWorld(calls.Config{
+			Entries: 3, Agents: 3, Retention: 20 * time.Second, OpenedAt: time.Second, Doubt: attempt.DoubtIgnore,
+		})
+		chaos := calls.NewChaos(world, rand.New(rand.NewPCG(seed, 1)))
+		for range steps {
+			chaos.Step()
+		}
+		if len(chaos.Violations()) > 0 {
+			doubled++
+		}
+	}
+	qt.Assert(t, doubled > 0, qt.IsTrue)
+}
--- a/internal/experiment/calls/faults.go
+++ b/internal/experiment/calls/faults.go
@@ -19,6 +19,7 @@
 	runEnd         = 50 * time.Second
 	callInterval   = 10 * time.Millisecond
 	faultRetention = 24 * time.Hour
+	downAfter      = 300 * time.Millisecond
 )
 
 // fault is one kind of fault; the victim is the first agent.
@@ -205,7 +206,7 @@
 }
 
 func runFault(f fault, doubt attempt.DoubtPolicy, seed uint64) faultFigures {
-	t := NewTimeline(Config{Entries: 3, Agents: 3, Retention: faultRetention, OpenedAt: 500 * time.Millisecond, Doubt: doubt}, seed)
+	t := NewTimeline(Config{Entries: 3, Agents: 3, Retention: faultRetention, OpenedAt: 500 * time.Millisecond, Doubt: doubt, DownAfter: downAfter}, seed)
 	d := &demand{
 		timeline: t, first: map[ident.Request]bool{},
 		class: template.ClassPlan{Name: "redemption", Service: serviceName, Deadline: 2 * time.Second},
--- a/internal/experiment/calls/timeline.go
+++ b/internal/experiment/calls/timeline.go
@@ -65,10 +65,11 @@
 		buffered: map[ident.VM][]envelope{},
 	}
 	t.serve = func(attempt.Dispatch) (time.Duration, bool) {
-		return time.Duration(20+t.random.IntN(40)) * time.Millisecond, false
+		return time.Duration(50+t.random.IntN(200)) * time.Millisecond, false
 	}
 	t.world = NewWorld(config)
 	t.world.send = t.sendLater
+	t.world.drains = true
 	t.world.onRun = t.runLater
 	pending := t.world.network
 	t.world.network = nil
--- a/internal/experiment/calls/world.go
+++ b/internal/experiment/calls/world.go
@@ -32,6 +32,8 @@
 	Caller   func(*attempt.CallerConfig)
 	// Trace is told of each message that arrives and each step; it may be nil.
 	Trace func(line string)
+	// DownAfter is the time without a word after which an entry sends an agent nothing; 0 for never.
+	DownAfter time.Duration
 }
 
 // World is a small fleet on a simulated clock.
@@ -54,6 +56,8 @@
 	send func(envelope)
 	// route picks the target of a request without an owner.
 	route func(*entryProcess, attempt.NeedRoute) (ident.VM, bool)
+	// drains is true if a stopped agent goes on refusing work until it is killed.
+	drains bool
 	// onRun is told of each run that starts; it may be nil.
 	onRun func(*agentProcess, attempt.Dispatch)
 }
@@ -83,6 +87,8 @@
 type agentView struct {
 	instance ident.Instance
 	lease    attempt.Number
+	// heardAt is when the entry last heard of the agent.
+	heardAt time.Time
 }
 
 type agentHost struct {
--- a/internal/experiment/calls/world_step.go
+++ b/internal/experiment/calls/world_step.go
@@ -66,7 +66,8 @@
 		vm, found = w.route(process, need)
 	}
 	view, known := process.view[vm]
-	if !found || !known {
+	down := w.config.DownAfter > 0 && w.now.Sub(view.heardAt) > w.config.DownAfter
+	if !found || !known || down {
 		w.stepCaller(process, attempt.NoRoute{Request: need.Request, Cause: outcome.CauseNoBackend, RetryAfter: time.Second})
 		return
 	}
@@ -106,7 +107,7 @@
 			w.tickets = append(w.tickets, action.Reply.Ticket)
 		}
 	case attempt.OwnerStopped:
-		process.dead = true
+		process.dead = !w.drains
 	case attempt.OwnershipChanged, attempt.OwnerSuperseded:
 		w.trace("%v %T %+v", process.instance, action, action)
 	case attempt.CancelRun, attempt.SendKeyAnswer, attempt.OwnerNeedsFleet, attempt.KeysRefused:
@@ -159,7 +160,7 @@
 	if agent == known.instance {
 		lease = max(lease, known.lease)
 	}
-	process.view[agent.VM] = agentView{instance: agent, lease: lease}
+	process.view[agent.VM] = agentView{instance: agent, lease: lease, heardAt: w.now}
 }
 
 // deliverAgent hands a message to an agent.
