Let the load of a backend server ride on its answers

Cause: with 12 entries before 48 replicas, reports a second old made the entries crowd the same replicas. Change: first tokens and ends of answers carry the agent's own count.

--- a/internal/experiment/routes/engine.go
+++ b/internal/experiment/routes/engine.go
@@ -146,10 +146,9 @@
 		if c.promptLeft == 0 {
 			c.outputLeft--
 			if c.first.IsZero() {
-				c.first = now
-			} else {
-				token(c, now.Sub(c.last))
+				c.first, c.last = now, now
 			}
+			token(c, now.Sub(c.last))
 			c.last = now
 		}
 		if c.outputLeft == 0 {
--- a/internal/experiment/routes/experiment.go
+++ b/internal/experiment/routes/experiment.go
@@ -34,12 +34,16 @@
 	return w.now.Sub(w.start) > warmTime
 }
 
-// token returns a function that notes the time between two tokens.
-func (f *figures) token(w *world) func(*call, time.Duration) {
-	return func(_ *call, gap time.Duration) {
+// token returns a function that takes note of a token; the first one brings the load along.
+func (w *world) token(r *replica) func(*call, time.Duration) {
+	return func(c *call, gap time.Duration) {
+		if gap == 0 {
+			w.sendLoad(r, c)
+			return
+		}
 		// One token in eight is enough for the quantiles.
-		if f.measured(w) && w.random.IntN(8) == 0 {
-			f.betweens = append(f.betweens, gap.Seconds())
+		if w.figures.measured(w) && w.random.IntN(8) == 0 {
+			w.figures.betweens = append(w.figures.betweens, gap.Seconds())
 		}
 	}
 }
--- a/internal/experiment/routes/world.go
+++ b/internal/experiment/routes/world.go
@@ -311,7 +311,7 @@
 	r.engine.stepping = true
 	w.after(r.engine.step(), func() {
 		r.engine.stepping = false
-		for _, c := range r.engine.finish(w.now, w.figures.token(w)) {
+		for _, c := range r.engine.finish(w.now, w.token(r)) {
 			w.done(r, c)
 		}
 		w.startStep(r)
@@ -322,12 +322,23 @@
 	e := w.entries[c.entry]
 	r.grantor.Step(w.now, membership.WorkEnded{Entry: e.self})
 	w.figures.done(w, c)
+	w.sendLoad(r, c)
 	w.after(wayTime, func() {
 		w.hold(e, membership.DispatchEnded{VM: r.engine.vm})
 		w.dispatchQueue(e)
 	})
 }
 
+// sendLoad lets the replica's load ride on an answer.
+func (w *world) sendLoad(r *replica, c *call) {
+	e := w.entries[c.entry]
+	heard := membership.LoadHeard{From: r.engine.vm, Incarnation: 1, Load: r.grantor.Load(w.now)}
+	w.after(wayTime, func() {
+		e.pending[heard.From] = 0
+		w.hold(e, heard)
+	})
+}
+
 func (w *world) leave(r *replica) {
 	r.leaving = true
 	for _, action := range r.grantor.Step(w.now, membership.LeaveRequested{}) {
--- a/internal/membership/backend.go
+++ b/internal/membership/backend.go
@@ -239,6 +239,13 @@
 	h.apply(now, b, signal{event: eventGranted, overProbe: overProbe, otherIncarnation: !left}, out)
 }
 
+// loadHeard takes in a load of the present incarnation.
+func (b *backend) loadHeard(now time.Time, event LoadHeard) {
+	if event.Incarnation == b.view.Incarnation {
+		b.view.Load, b.view.LoadAt, b.view.SinceLoad = event.Load, now, 0
+	}
+}
+
 // restarted forgets what the old incarnation granted.
 func (h *Holder) restarted(b *backend, incarnation ident.Incarnation, out *holderActions) {
 	if b.view.Incarnation != 0 {
--- a/internal/membership/grantor.go
+++ b/internal/membership/grantor.go
@@ -193,7 +193,7 @@
 	answer := LeaseGrant{
 		Sequence:    event.Request.Sequence,
 		Incarnation: g.settings.Self.Incarnation,
-		Load:        g.currentLoad(now),
+		Load:        g.Load(now),
 		Leaving:     g.leaving,
 		Config:      g.config,
 	}
@@ -215,7 +215,9 @@
 	return answer
 }
 
-func (g *Grantor) currentLoad(now time.Time) Load {
+// Load returns the load to send along with answers: the engine's last report, with the
+// number of open requests as the agent itself counts them.
+func (g *Grantor) Load(now time.Time) Load {
 	load := g.load
 	if !g.loadAt.IsZero() {
 		load.Age += ToMilliseconds(now.Sub(g.loadAt))
--- a/internal/membership/holder.go
+++ b/internal/membership/holder.go
@@ -82,6 +82,13 @@
 	Leaving Leaving
 }
 
+// LoadHeard reports the load that rode on an answer of a backend server.
+type LoadHeard struct {
+	From        ident.VM
+	Incarnation ident.Incarnation
+	Load        Load
+}
+
 // DispatchStarted reports that a request was sent to a backend server.
 type DispatchStarted struct{ VM ident.VM }
 
@@ -110,6 +117,7 @@
 func (VMListed) isHolderEvent()        {}
 func (GrantReceived) isHolderEvent()   {}
 func (LeavingReceived) isHolderEvent() {}
+func (LoadHeard) isHolderEvent()       {}
 func (DispatchStarted) isHolderEvent() {}
 func (DispatchEnded) isHolderEvent()   {}
 func (WantChanged) isHolderEvent()     {}
@@ -240,6 +248,8 @@
 		h.withBackend(event.From, func(b *backend) { h.granted(now, b, event, out) })
 	case LeavingReceived:
 		h.withBackend(event.From, func(b *backend) { h.left(now, b, event.Leaving.Incarnation, out) })
+	case LoadHeard:
+		h.withBackend(event.From, func(b *backend) { b.loadHeard(now, event) })
 	case DispatchStarted:
 		h.withBackend(event.VM, func(b *backend) { b.view.Open++; b.view.SinceLoad++ })
 	case DispatchEnded:
