Choose the cheapest of three random candidates and the longest cached prefix

Cause: by lot over all candidates the default policy spreads prompts that another replica has cached, and the cheapest of all makes many entries crowd one replica.

--- a/internal/experiment/fanout/fanout_test.go
+++ b/internal/experiment/fanout/fanout_test.go
@@ -14,6 +14,7 @@
 
 var (
 	name  = flag.String("experiment", "", "run this experiment and print its tables")
+	fault = flag.String("fault", "", "run this fault at the largest size and print its figures")
 	seeds = flag.Int("seeds", 1, "number of seeds")
 )
 
@@ -48,6 +49,15 @@
 	}
 }
 
+func TestPrintFault(t *testing.T) {
+	for _, s := range scenarios() {
+		if s.name == *fault {
+			m := measure(fleets()[2], s, 1, fragments, fragmentSize)
+			fmt.Println(fanoutColumns, "\n", m.figures())
+		}
+	}
+}
+
 // TestTargets holds the fleets of the two smaller sizes to the stated targets.
 func TestTargets(t *testing.T) {
 	for _, fleet := range fleets()[:2] {
--- a/internal/experiment/routes/experiment.go
+++ b/internal/experiment/routes/experiment.go
@@ -132,6 +132,7 @@
 		{name: "well loaded", entries: 3, replicas: 16, rate: 5, seconds: length, straggler: 1},
 		{name: "near capacity", entries: 3, replicas: 16, rate: 6, seconds: length, straggler: 1},
 		{name: "many entries", entries: 12, replicas: 48, rate: 5, seconds: length, straggler: 1},
+		{name: "many entries, subsets", entries: 12, replicas: 48, rate: 5, seconds: length, straggler: 1, subsets: true},
 		{name: "uneven entries", entries: 6, replicas: 16, rate: 5, seconds: length, straggler: 1, uneven: true},
 		{name: "straggler", entries: 3, replicas: 16, rate: 4.5, seconds: length, straggler: 1.8},
 		{name: "four replicas join", entries: 6, replicas: 16, rate: 5, seconds: length, straggler: 1, joins: 4},
--- a/internal/experiment/routes/world.go
+++ b/internal/experiment/routes/world.go
@@ -39,6 +39,8 @@
 	joins int
 	// leaves is the number of replicas that leave in the middle.
 	leaves int
+	// subsets lets each entry hold a subset of the replicas.
+	subsets bool
 	// uneven sends half of the requests to the first entry.
 	uneven bool
 }
@@ -174,15 +176,27 @@
 }
 
 func (w *world) chooseBackends() {
-	var vms []ident.VM
-	for _, r := range w.replicas {
-		vms = append(vms, r.engine.vm)
+	var backends, entries []membership.Member
+	for i, r := range w.replicas {
+		backends = append(backends, membership.Member{VM: r.engine.vm, Zone: zone(i)})
 	}
+	for i, e := range w.entries {
+		entries = append(entries, membership.Member{VM: e.self.VM, Zone: zone(i)})
+	}
+	settings := membership.DefaultSubsetSettings()
+	if !w.subsets {
+		settings.MinEntries = len(entries)
+	}
+	subsets := membership.Subsets(entries, backends, settings)
 	for _, e := range w.entries {
-		w.hold(e, membership.BackendsChosen{VMs: vms})
+		w.hold(e, membership.BackendsChosen{VMs: subsets[e.self.VM]})
 	}
 }
 
+func zone(i int) ident.Zone {
+	return ident.Zone(fmt.Sprintf("z%d", i%3))
+}
+
 func (w *world) after(d time.Duration, what func()) {
 	w.seq++
 	heap.Push(&w.queue, event{at: w.now.Add(d), seq: w.seq, what: what})
--- a/internal/membership/config_ask.go
+++ b/internal/membership/config_ask.go
@@ -103,6 +103,9 @@
 	if n.asking.phase == askWaiting && (len(n.asking.waiting) == 0 || !now.Before(n.asking.deadline)) {
 		n.asking.phase = askFetching
 		n.asking.deadline = now.Add(fetchPatience)
+		if !n.fetch.active() {
+			n.fetchFromAny(now)
+		}
 	}
 	if n.asking.phase == askFetching && n.caughtUp(now) {
 		n.asking.phase = askDone
--- a/internal/membership/config_fetch.go
+++ b/internal/membership/config_fetch.go
@@ -76,11 +76,28 @@
 	if n.fetch.from != from || n.fetch.want != stamp {
 		n.addHolder(from)
 	}
+	if n.asking.phase == askWaiting {
+		return
+	}
 	if !n.fetch.active() || n.fetch.want.Less(stamp) && n.fetch.digests == nil {
 		n.fetchNext(now)
 	}
 }
 
+// fetchFromAny fetches the newest configuration from a random holder in the own zone, so
+// that many starting processes don't all turn to the one that answers first.
+func (n *ConfigNode) fetchFromAny(now time.Time) {
+	inZone := 0
+	for inZone < len(n.fetch.holders) && n.isInZone(n.fetch.holders[inZone]) {
+		inZone++
+	}
+	if inZone > 1 {
+		other := n.random.below(inZone)
+		n.fetch.holders[0], n.fetch.holders[other] = n.fetch.holders[other], n.fetch.holders[0]
+	}
+	n.fetchNext(now)
+}
+
 // addHolder remembers a holder, those of the own zone first.
 func (n *ConfigNode) addHolder(vm ident.VM) {
 	if containsVM(n.fetch.holders, vm) {
--- a/internal/routing/choosers.go
+++ b/internal/routing/choosers.go
@@ -50,6 +50,40 @@
 	return int(draw % uint64(len(scored)))
 }
 
+// Sampled picks the cheapest of a few random candidates and the one with the longest cached
+// prefix: entries with the same report look at different candidates.
+type Sampled struct {
+	// Count is the number of random candidates.
+	Count int
+}
+
+// Choose implements Chooser.
+func (s Sampled) Choose(draw uint64, scored []Scored) int {
+	best := longestMatch(draw, scored)
+	for range min(s.Count, len(scored)) {
+		draw = mix(draw)
+		next := int(draw % uint64(len(scored)))
+		if scored[next].Cost < scored[best].Cost {
+			best = next
+		}
+	}
+	return best
+}
+
+// longestMatch returns the cheapest of the candidates with the longest cached prefix; a
+// random one if nothing is cached anywhere.
+func longestMatch(draw uint64, scored []Scored) int {
+	best := int(draw % uint64(len(scored)))
+	for i := range scored {
+		longer := scored[i].Match.Blocks > scored[best].Match.Blocks
+		cheaper := scored[i].Match.Blocks == scored[best].Match.Blocks && scored[i].Match.Blocks > 0 && scored[i].Cost < scored[best].Cost
+		if longer || cheaper {
+			best = i
+		}
+	}
+	return best
+}
+
 // Softmin picks by lot, cheaper candidates more often: entries that see the same report
 // do not all choose the same backend server.
 type Softmin struct {
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -30,7 +30,7 @@
 			CachePressure{Above: 0.85, Weight: 1},
 			OtherZone{Seconds: 0.002},
 		},
-		Chooser:  Softmin{Temperature: 0.02},
+		Chooser:  Sampled{Count: 3},
 		Ranks:    RankChooser{CacheWeight: 1},
 		Estimate: estimate,
 	}
