Spare the zones' readers when many processes start

Cause: all starting processes ask the two readers of their zone, so both were among the few known holders. Change: other holders go first.

--- a/internal/membership/config_fetch.go
+++ b/internal/membership/config_fetch.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -17,7 +18,7 @@
 	// chunksPerRequest is the number of chunks asked for in one message.
 	chunksPerRequest = 64
 	// maxHolders is how many peers that hold the newest configuration are remembered.
-	maxHolders = 6
+	maxHolders = 8
 )
 
 // fetch is the transfer of a configuration from peers.
@@ -84,17 +85,26 @@
 	}
 }
 
-// fetchFromAny fetches the newest configuration from a random holder in the own zone, so
-// that many starting processes don't all turn to the one that answers first.
+// fetchFromAny fetches the newest configuration from a random holder in the own zone. All
+// starting processes ask the zone's readers, which are therefore spared where others hold it.
 func (n *ConfigNode) fetchFromAny(now time.Time) {
-	inZone := 0
-	for inZone < len(n.fetch.holders) && n.isInZone(n.fetch.holders[inZone]) {
-		inZone++
+	readers := n.zoneReaders()
+	rank := func(vm ident.VM) int {
+		switch {
+		case !n.isInZone(vm):
+			return 2
+		case containsVM(readers, vm):
+			return 1
+		}
+		return 0
 	}
-	if inZone > 1 {
-		other := n.random.below(inZone)
-		n.fetch.holders[0], n.fetch.holders[other] = n.fetch.holders[other], n.fetch.holders[0]
+	holders := slices.Clone(n.fetch.holders)
+	for i := range holders {
+		other := i + n.random.below(len(holders)-i)
+		holders[i], holders[other] = holders[other], holders[i]
 	}
+	slices.SortStableFunc(holders, func(a, b ident.VM) int { return rank(a) - rank(b) })
+	n.fetch.holders = holders
 	n.fetchNext(now)
 }
 
