--- a/internal/admission/collector.go
+++ b/internal/admission/collector.go
@@ -38,6 +38,8 @@
 	newest uint64
 	// missing holds the numbers below newest that were not received.
 	missing map[uint64]struct{}
+	// lost is the number of reports that are awaited no more.
+	lost    uint64
 	final   bool
 	entries map[LimitKey]versionedEntry
 }
@@ -62,11 +64,7 @@
 		}
 		c.sources[report.From] = from
 	}
-	for from.newest < report.Sequence {
-		from.newest++
-		from.missing[from.newest] = struct{}{}
-	}
-	delete(from.missing, report.Sequence)
+	from.note(report.Sequence)
 	from.final = from.final || report.Final
 	for _, entry := range report.Entries {
 		if from.entries[entry.Key].sequence < report.Sequence {
@@ -75,6 +73,24 @@
 	}
 }
 
+// maxMissing is the number of reports that are still awaited from one process.
+const maxMissing = 1024
+
+// note takes in a sequence number. Reports that lie far back count as lost for good.
+func (s *source) note(sequence uint64) {
+	if sequence > s.newest+maxMissing {
+		s.lost += sequence - s.newest - 1 + uint64(len(s.missing))
+		clear(s.missing)
+		s.newest = sequence
+		return
+	}
+	for s.newest < sequence {
+		s.newest++
+		s.missing[s.newest] = struct{}{}
+	}
+	delete(s.missing, sequence)
+}
+
 // Forget drops a process whose counts are no longer wanted.
 func (c *AccountCollector) Forget(process ident.Instance) {
 	delete(c.sources, process)
@@ -86,7 +102,7 @@
 	totals := make(map[LimitKey]*AccountEntry)
 	for _, process := range c.processes() {
 		from := c.sources[process]
-		lost := uint64(len(from.missing))
+		lost := from.lost + uint64(len(from.missing))
 		merged.Lost += lost
 		merged.Sources = append(merged.Sources, SourceState{process, from.newest - lost, lost, from.final})
 		for key, versioned := range from.entries {
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -46,6 +46,9 @@
 // The caller may keep the returned actions.
 func (c *Controller) Step(now time.Time, event Event) []Action {
 	c.actions = nil
+	for _, s := range c.services {
+		s.advance(now)
+	}
 	c.expire(now)
 	switch e := event.(type) {
 	case Configure:
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -19,7 +19,8 @@
 	answerTime  time.Duration
 	// virtual is the virtual time: the slot time in seconds that a waiting customer of
 	// weight 1 is entitled to since the start.
-	virtual float64
+	virtual    float64
+	advancedAt time.Time
 	// waitingWeight is the sum of the weights of customers with waiting requests.
 	waitingWeight float64
 	// activeWeight is the sum of the weights of customers with waiting or open requests.
@@ -40,6 +41,17 @@
 	}
 }
 
+// advance moves the virtual time: customers with waiting requests are entitled to the
+// slots that the others leave.
+func (s *service) advance(now time.Time) {
+	elapsed := now.Sub(s.advancedAt).Seconds()
+	s.advancedAt = now
+	if s.waitingWeight <= 0 || elapsed <= 0 {
+		return
+	}
+	s.virtual += elapsed * float64(max(0, s.slots-s.idleOpen)) / s.waitingWeight
+}
+
 // enqueue adds a request to its lane.
 func (s *service) enqueue(r *request) {
 	f := r.lane.flow
@@ -75,12 +87,10 @@
 		return nil
 	}
 	r := f.next.head
-	weight := s.waitingWeight
 	f.creditFloors(r.lane, r.cost, floor)
 	f.start += r.cost / f.weight
 	s.beginOpen(f)
 	s.withdraw(r)
-	s.virtual += r.cost / weight
 	return r
 }
 
--- a/internal/experiment/overload/cluster.go
+++ b/internal/experiment/overload/cluster.go
@@ -148,13 +148,18 @@
 	return !node.Down && !node.PausedUntil.After(c.Now)
 }
 
+// NextRequest returns the name that the next offered request gets.
+func (c *Cluster) NextRequest() ident.Request {
+	return ident.Request(fmt.Sprintf("r%08d", c.requests))
+}
+
 // Offer lets a request arrive that is held for a time once it is admitted.
 func (c *Cluster) Offer(node *Node, arrive admission.Arrive, hold time.Duration) {
 	if !c.Running(node) {
 		return
 	}
+	arrive.Request = c.NextRequest()
 	c.requests++
-	arrive.Request = ident.Request(fmt.Sprintf("r%08d", c.requests))
 	node.open[arrive.Request] = openRequest{tokens: arrive.Tokens, hold: hold}
 	c.act(node, node.Controller.Step(c.clock(node), arrive))
 }
