--- /dev/null
+++ b/internal/experiment/overload/bench.go
@@ -0,0 +1,307 @@
+package overload
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/admission"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+)
+
+// bench runs one policy on one scenario with one seed.
+type bench struct {
+	scenario scenario
+	random   *rand.Rand
+	now      time.Time
+	entries  []Policy
+	slots    [][]int
+	agenda   agenda
+	order    uint64
+	calls    map[ident.Request]*call
+	loads    []workload
+	figures  figures
+}
+
+// call is one call of a caller over all its tries.
+type call struct {
+	customer, load, entry int
+	tries                 int
+	first                 time.Time
+	arrived               time.Time
+	running               bool
+}
+
+type benchEvent struct {
+	at    time.Time
+	order uint64
+	kind  eventKind
+	call  *call
+	id    ident.Request
+	// customer and load are those of a new call.
+	customer, load int
+}
+
+type eventKind int
+
+const (
+	newCall eventKind = iota
+	retryCall
+	endCall
+	giveUp
+	tick
+)
+
+// maxTries is the number of times that a caller asks.
+const maxTries = 5
+
+// patientCallers is the fraction of callers that heed Retry-After.
+const patientCallers = 0.5
+
+// figures are the sums of one run.
+type figures struct {
+	worth        float64
+	offeredWorth float64
+	lookups      []float64
+	drafts       []float64
+	draftsSent   int
+	// slotTime is the served slot time of each customer at the counter service.
+	slotTime []float64
+	// arrivals counts the tries, withinShareRefused the refused or abandoned tries of customers within their share.
+	arrivals, withinShare, withinShareRefused int
+}
+
+func runBench(s scenario, seed uint64, newPolicy func(entry int) Policy) figures {
+	b := &bench{
+		scenario: s, random: rand.New(rand.NewPCG(seed, 3)), now: epoch,
+		calls: make(map[ident.Request]*call), loads: workloads(),
+	}
+	b.figures.slotTime = make([]float64, customerCount)
+	for entry := range s.split {
+		policy := newPolicy(entry)
+		b.entries = append(b.entries, policy)
+		policy.Step(b.now, admission.Configure{Plans: plans(), Roster: []ident.VM{"entry"}})
+		b.grantSlots(entry)
+	}
+	for customer := range customerCount {
+		for load := range b.loads {
+			b.scheduleNew(customer, load)
+		}
+	}
+	b.schedule(benchEvent{at: b.now, kind: tick})
+	for len(b.agenda) > 0 {
+		event := heap.Pop(&b.agenda).(benchEvent)
+		b.now = event.at
+		if b.now.Sub(epoch) > duration {
+			break
+		}
+		b.handle(event)
+	}
+	return b.figures
+}
+
+// grantSlots gives an entry the slots that follow the balancer's split.
+func (b *bench) grantSlots(entry int) {
+	part := b.scenario.split[entry]
+	seen := make(map[ident.Service]bool)
+	for _, load := range b.loads {
+		if seen[load.plan.Service] {
+			continue
+		}
+		seen[load.plan.Service] = true
+		slots := int(float64(load.slots)*part + 0.5)
+		b.entries[entry].Step(b.now, admission.Capacity{Service: load.plan.Service, Slots: slots, ServiceTime: load.hold})
+	}
+}
+
+func (b *bench) schedule(event benchEvent) {
+	b.order++
+	event.order = b.order
+	heap.Push(&b.agenda, event)
+}
+
+// scheduleNew schedules the next call of a Poisson process.
+func (b *bench) scheduleNew(customer, load int) {
+	w := b.loads[load]
+	rate := b.scenario.demand(customer) * w.part * float64(w.slots) / w.hold.Seconds()
+	if rate <= 0 {
+		return
+	}
+	gap := time.Duration(b.random.ExpFloat64() / rate * float64(time.Second))
+	b.schedule(benchEvent{at: b.now.Add(gap), kind: newCall, customer: customer, load: load})
+}
+
+func (b *bench) handle(event benchEvent) {
+	switch event.kind {
+	case newCall:
+		b.scheduleNew(event.customer, event.load)
+		b.offer(&call{customer: event.customer, load: event.load, entry: b.pickEntry(), first: b.now})
+	case retryCall:
+		event.call.entry = b.pickEntry()
+		b.offer(event.call)
+	case endCall:
+		b.end(event)
+	case giveUp:
+		b.abandon(event)
+	case tick:
+		b.schedule(benchEvent{at: b.now.Add(admission.TickInterval), kind: tick})
+		for entry, policy := range b.entries {
+			b.act(entry, policy.Step(b.now, admission.Tick{}))
+		}
+	}
+}
+
+func (b *bench) pickEntry() int {
+	at := b.random.Float64()
+	for entry, part := range b.scenario.split {
+		if at < part {
+			return entry
+		}
+		at -= part
+	}
+	return len(b.scenario.split) - 1
+}
+
+// measured reports whether the figures include a call.
+func (b *bench) measured(c *call) bool {
+	return c.first.Sub(epoch) > warmUp
+}
+
+func (b *bench) withinShare(c *call) bool {
+	return b.scenario.flood && c.customer != flooder
+}
+
+func (b *bench) offer(c *call) {
+	w := b.loads[c.load]
+	c.tries++
+	c.arrived = b.now
+	c.running = false
+	id := ident.Request(fmt.Sprint(b.order, "-", c.tries))
+	b.order++
+	b.calls[id] = c
+	if b.measured(c) {
+		b.count(c, w)
+	}
+	b.schedule(benchEvent{at: b.now.Add(w.plan.Deadline), kind: giveUp, id: id})
+	arrive := admission.Arrive{Request: id, Customer: customerName(c.customer), Class: w.plan.Name, Retry: c.tries > 1}
+	b.act(c.entry, b.entries[c.entry].Step(b.now, arrive))
+}
+
+func (b *bench) count(c *call, w workload) {
+	b.figures.arrivals++
+	if b.withinShare(c) {
+		b.figures.withinShare++
+	}
+	if c.tries > 1 {
+		return
+	}
+	b.figures.offeredWorth += w.plan.Worth
+	if w.plan.Name == "draft" {
+		b.figures.draftsSent++
+	}
+}
+
+func (b *bench) act(entry int, actions []admission.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case admission.Admit:
+			b.admitted(a)
+		case admission.Refuse:
+			b.refused(a.Request, a.Outcome)
+		}
+	}
+	_ = entry
+}
+
+func (b *bench) admitted(a admission.Admit) {
+	c := b.calls[a.Request]
+	c.running = true
+	w := b.loads[c.load]
+	hold := time.Duration(b.random.ExpFloat64()*0.5*float64(w.hold)) + w.hold/2
+	b.schedule(benchEvent{at: b.now.Add(hold), kind: endCall, id: a.Request})
+	if !b.measured(c) {
+		return
+	}
+	waited := b.now.Sub(c.arrived).Seconds()
+	switch w.plan.Name {
+	case "lookup":
+		b.figures.lookups = append(b.figures.lookups, waited)
+	case "draft":
+		b.figures.drafts = append(b.figures.drafts, waited)
+	}
+	b.figures.worth += w.plan.Worth
+	if w.plan.Service == "counter" {
+		b.figures.slotTime[c.customer] += hold.Seconds()
+	}
+}
+
+func (b *bench) end(event benchEvent) {
+	c := b.calls[event.id]
+	delete(b.calls, event.id)
+	done := admission.Done{Request: event.id, Outcome: outcome.Outcome{Kind: outcome.Served}}
+	b.act(c.entry, b.entries[c.entry].Step(b.now, done))
+}
+
+func (b *bench) refused(id ident.Request, result outcome.Outcome) {
+	c := b.calls[id]
+	delete(b.calls, id)
+	if b.measured(c) && b.withinShare(c) {
+		b.figures.withinShareRefused++
+	}
+	b.retry(c, result.RetryAfter)
+}
+
+// abandon lets a caller leave whose request was not dispatched by its deadline.
+func (b *bench) abandon(event benchEvent) {
+	c := b.calls[event.id]
+	if c == nil || c.running {
+		return
+	}
+	actions := b.entries[c.entry].Step(b.now, admission.Cancel{Request: event.id})
+	if len(actions) > 0 {
+		b.act(c.entry, actions)
+		return
+	}
+	b.refused(event.id, outcome.Outcome{})
+}
+
+// retry lets some callers come back when they are told to, and others when they like.
+func (b *bench) retry(c *call, after time.Duration) {
+	if !b.scenario.retries || c.tries >= maxTries {
+		return
+	}
+	if after == 0 || b.random.Float64() >= patientCallers {
+		after = time.Duration((0.1 + 0.4*b.random.Float64()) * float64(time.Second))
+	}
+	b.schedule(benchEvent{at: b.now.Add(after), kind: retryCall, call: c})
+}
+
+// agenda orders events by time.
+type agenda []benchEvent
+
+// Len returns the number of events.
+func (a agenda) Len() int { return len(a) }
+
+// Less orders two events.
+func (a agenda) Less(i, j int) bool {
+	if !a[i].at.Equal(a[j].at) {
+		return a[i].at.Before(a[j].at)
+	}
+	return a[i].order < a[j].order
+}
+
+// Swap exchanges two events.
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+
+// Push appends an event.
+func (a *agenda) Push(x any) { *a = append(*a, x.(benchEvent)) }
+
+// Pop removes the last event.
+func (a *agenda) Pop() any {
+	last := len(*a) - 1
+	event := (*a)[last]
+	*a = (*a)[:last]
+	return event
+}
