admission: prefer worth over bands for overloaded customers, keep their queues short

Cause: under its own overload a customer's bands decided what was served, and its queues stayed as long as the deadlines allow: worth was lost and waits were long. Change: once a customer has had waiting requests without a break for longer than its shortest deadline, worth for the slot time decides before the band, and its requests may wait for a quarter of the time to their deadline only.

--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -95,6 +95,10 @@
 	return refused, true
 }
 
+// overloadedPatience is the fraction of the time to the deadline that the requests of an
+// overloaded customer may wait. A longer queue would serve no more of them.
+const overloadedPatience = 0.25
+
 // judgeQueue refuses what cannot be dispatched in time. A customer that is within its
 // share and has nothing waiting is never refused for the queues of others.
 func (c *Controller) judgeQueue(now time.Time, r *request) (refusal, bool) {
@@ -107,13 +111,16 @@
 	if patience < 0 {
 		return refusal{cause: outcome.CauseDeadline}, true
 	}
-	ahead := r.lane.costAhead()
+	ahead := r.ahead()
 	r.behind = ahead + s.lead(f)
 	if r.behind <= 0 {
 		return refusal{}, false
 	}
 	rate := s.rate(f)
 	wait := seconds(c.expectedWait(r.lane, ahead, rate))
+	if f.overloaded() {
+		patience = time.Duration(overloadedPatience * float64(patience))
+	}
 	tooLong := wait > patience && s.open >= s.slots
 	tooMany := f.queued >= c.queueBound(f)
 	if !tooLong && !tooMany {
@@ -129,17 +136,6 @@
 	return refused, true
 }
 
-// costAhead returns the slot time that waits before a new request of the lane.
-func (l *lane) costAhead() float64 {
-	ahead := 0.0
-	for _, other := range l.flow.lanes {
-		if other.plan.Priority <= l.plan.Priority {
-			ahead += other.queuedCost
-		}
-	}
-	return ahead
-}
-
 // expectedWait returns the time in seconds until a new request of the lane is dispatched.
 func (c *Controller) expectedWait(l *lane, ahead, rate float64) float64 {
 	lead := l.flow.service.lead(l.flow)
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -89,6 +89,8 @@
 	queuedCost float64
 	// open is the number of dispatched requests.
 	open int
+	// waitingSince is when the customer began to have waiting requests without a break.
+	waitingSince time.Time
 	// next is the lane whose head goes next; nil if nothing waits.
 	next *lane
 	// index is the position in the heap of the service; eligible says in which one.
@@ -108,18 +110,33 @@
 	return f.start + f.next.head.cost/f.weight
 }
 
+// overloaded reports whether the customer has had waiting requests for so long that its
+// demand exceeds what it gets.
+func (f *flow) overloaded() bool {
+	if f.queued == 0 {
+		return false
+	}
+	shortest := f.lanes[0].plan.Deadline
+	for _, l := range f.lanes {
+		shortest = min(shortest, l.plan.Deadline)
+	}
+	return f.service.advancedAt.Sub(f.waitingSince) > shortest
+}
+
 // choose sets the lane that goes next: a lane that its floor owes a request, else the
-// lowest band, then the greatest worth for the slot time, then the oldest request.
+// lowest band. If the customer is overloaded, the greatest worth for the slot time goes
+// before the band, because not all requests can be served.
 func (f *flow) choose() {
 	f.next = nil
+	overloaded := f.overloaded()
 	for _, candidate := range f.lanes {
-		if candidate.head != nil && (f.next == nil || candidate.before(f.next)) {
+		if candidate.head != nil && (f.next == nil || candidate.before(f.next, overloaded)) {
 			f.next = candidate
 		}
 	}
 }
 
-func (l *lane) before(other *lane) bool {
+func (l *lane) before(other *lane, overloaded bool) bool {
 	due, otherDue := l.owed >= l.head.cost, other.owed >= other.head.cost
 	if due != otherDue {
 		return due
@@ -127,16 +144,39 @@
 	if due {
 		return l.owed > other.owed
 	}
-	if l.plan.Priority != other.plan.Priority {
+	sameBand := l.plan.Priority == other.plan.Priority
+	if !overloaded && !sameBand {
 		return l.plan.Priority < other.plan.Priority
 	}
 	worth, otherWorth := l.head.worth*other.head.cost, other.head.worth*l.head.cost
 	if worth != otherWorth {
 		return worth > otherWorth
 	}
+	if !sameBand {
+		return l.plan.Priority < other.plan.Priority
+	}
 	return l.head.arrived.Before(other.head.arrived)
 }
 
+// ahead returns the slot time in seconds that waits before a new request of its lane.
+func (r *request) ahead() float64 {
+	overloaded := r.lane.flow.overloaded()
+	sum := 0.0
+	for _, other := range r.lane.flow.lanes {
+		if other.head == nil {
+			continue
+		}
+		goesFirst := other.plan.Priority <= r.lane.plan.Priority
+		if overloaded {
+			goesFirst = other == r.lane || other.head.worth*r.cost >= r.worth*other.head.cost
+		}
+		if goesFirst {
+			sum += other.queuedCost
+		}
+	}
+	return sum
+}
+
 // creditFloors lets the floors of the waiting lanes accrue while a request of the flow
 // is dispatched.
 func (f *flow) creditFloors(served *lane, cost, floor float64) {
