--- a/internal/experiment/routes/experiment.go
+++ b/internal/experiment/routes/experiment.go
@@ -34,12 +34,16 @@
 	return w.now.Sub(w.start) > warmTime
 }
 
-// token returns a function that notes the time between two tokens.
-func (f *figures) token(w *world) func(*call, time.Duration) {
-	return func(_ *call, gap time.Duration) {
+// token returns a function that takes note of a token; the first one brings the load along.
+func (w *world) token(r *replica) func(*call, time.Duration) {
+	return func(c *call, gap time.Duration) {
+		if gap == 0 {
+			w.sendLoad(r, c)
+			return
+		}
 		// One token in eight is enough for the quantiles.
-		if f.measured(w) && w.random.IntN(8) == 0 {
-			f.betweens = append(f.betweens, gap.Seconds())
+		if w.figures.measured(w) && w.random.IntN(8) == 0 {
+			w.figures.betweens = append(w.figures.betweens, gap.Seconds())
 		}
 	}
 }
@@ -128,6 +132,7 @@
 		{name: "well loaded", entries: 3, replicas: 16, rate: 5, seconds: length, straggler: 1},
 		{name: "near capacity", entries: 3, replicas: 16, rate: 6, seconds: length, straggler: 1},
 		{name: "many entries", entries: 12, replicas: 48, rate: 5, seconds: length, straggler: 1},
+		{name: "many entries, subsets", entries: 12, replicas: 48, rate: 5, seconds: length, straggler: 1, subsets: true},
 		{name: "uneven entries", entries: 6, replicas: 16, rate: 5, seconds: length, straggler: 1, uneven: true},
 		{name: "straggler", entries: 3, replicas: 16, rate: 4.5, seconds: length, straggler: 1.8},
 		{name: "four replicas join", entries: 6, replicas: 16, rate: 5, seconds: length, straggler: 1, joins: 4},
