--- /dev/null
+++ b/internal/chart/drawing.go
@@ -0,0 +1,50 @@
+package chart
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Drawing returns the chart as a Markdown page with a Mermaid state diagram.
+func (c *Chart) Drawing() string {
+	var page strings.Builder
+	fmt.Fprintf(&page, "# Chart `%s`\n\n%s\n\n```mermaid\nstateDiagram-v2\n", c.spec.Name, c.spec.Doc)
+	fmt.Fprintf(&page, "    [*] --> %s\n", node(c.spec.Initial))
+	for _, state := range c.spec.States {
+		if state.Parent != "" {
+			fmt.Fprintf(&page, "    note right of %s: within %s\n", node(state.Name), state.Parent)
+		}
+		if state.Timeout != nil {
+			fmt.Fprintf(&page, "    note right of %s: %s after %s\n", node(state.Name), state.Timeout.Event, time.Duration(state.Timeout.After))
+		}
+		for _, transition := range state.On {
+			fmt.Fprintf(&page, "    %s --> %s: %s\n", node(state.Name), node(transition.Target), label(transition))
+		}
+		if state.Final {
+			fmt.Fprintf(&page, "    %s --> [*]\n", node(state.Name))
+		}
+	}
+	page.WriteString("```\n")
+	return page.String()
+}
+
+// node returns a state's name in the form of Mermaid identifiers.
+func node(state State) string {
+	return strings.ReplaceAll(string(state), "-", "_")
+}
+
+func label(transition Transition) string {
+	text := string(transition.Event)
+	if transition.Guard != "" {
+		text += " [" + string(transition.Guard) + "]"
+	}
+	if len(transition.Actions) == 0 {
+		return text
+	}
+	actions := make([]string, len(transition.Actions))
+	for i, action := range transition.Actions {
+		actions[i] = string(action)
+	}
+	return text + " / " + strings.Join(actions, ", ")
+}
--- a/internal/published/published_test.go
+++ b/internal/published/published_test.go
@@ -59,3 +59,17 @@
 	}
 	c.Assert(string(published.Schema.Text()), qt.Equals, string(text))
 }
+
+func TestReferencePageIsCurrent(t *testing.T) {
+	c := qt.New(t)
+	const file = "../../docs/operate/configuration-reference.md"
+	page, err := schema.Reference("The published configuration", published.Schema.Text())
+	c.Assert(err, qt.IsNil)
+	if *update {
+		c.Assert(os.WriteFile(file, []byte(page), 0o644), qt.IsNil)
+		return
+	}
+	committed, err := os.ReadFile(file)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(committed), qt.Equals, page)
+}
--- /dev/null
+++ b/internal/schema/reference.go
@@ -0,0 +1,151 @@
+package schema
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// definition is the part of a JSON schema that a reference page shows.
+type definition struct {
+	Ref         string                `json:"$ref"`
+	Type        string                `json:"type"`
+	Description string                `json:"description"`
+	Properties  json.RawMessage       `json:"properties"`
+	Required    []string              `json:"required"`
+	Items       *definition           `json:"items"`
+	Enum        []string              `json:"enum"`
+	AnyOf       []definition          `json:"anyOf"`
+	Minimum     *float64              `json:"minimum"`
+	Maximum     *float64              `json:"maximum"`
+	Pattern     string                `json:"pattern"`
+	MinLength   int                   `json:"minLength"`
+	MinItems    int                   `json:"minItems"`
+	Defs        map[string]definition `json:"$defs"`
+}
+
+// field is a property with its name; properties keep the order of the Go struct.
+type field struct {
+	name string
+	definition
+}
+
+// Reference returns a Markdown page that describes all fields of a schema.
+func Reference(title string, text []byte) (string, error) {
+	var root definition
+	if err := json.Unmarshal(text, &root); err != nil {
+		return "", err
+	}
+	r := &reference{defs: root.Defs, written: map[string]bool{}}
+	fmt.Fprintf(&r.page, "# %s\n\nThis page is made from the JSON schema; a test keeps it current.\n", title)
+	if err := r.object("", root); err != nil {
+		return "", err
+	}
+	return r.page.String(), nil
+}
+
+type reference struct {
+	page    strings.Builder
+	defs    map[string]definition
+	written map[string]bool
+}
+
+// object writes the fields of an object, and then the objects that they refer to.
+func (r *reference) object(path string, object definition) error {
+	fields, err := fieldsOf(object)
+	if err != nil {
+		return err
+	}
+	heading := path
+	if heading == "" {
+		heading = "/"
+	}
+	fmt.Fprintf(&r.page, "\n## `%s`\n\n| field | type | meaning |\n| --- | --- | --- |\n", heading)
+	required := map[string]bool{}
+	for _, name := range object.Required {
+		required[name] = true
+	}
+	for _, f := range fields {
+		kind := r.kind(f.definition)
+		if required[f.name] {
+			kind += ", required"
+		}
+		meaning := strings.Join(strings.Fields(f.Description), " ")
+		fmt.Fprintf(&r.page, "| `%s` | %s | %s |\n", f.name, kind, strings.ReplaceAll(meaning, "|", "\\|"))
+	}
+	for _, f := range fields {
+		if err := r.referred(path, f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// referred writes the object that a field holds or lists, once.
+func (r *reference) referred(path string, f field) error {
+	target, inner := f.Ref, path+"/"+f.name
+	if f.Items != nil {
+		target, inner = f.Items.Ref, inner+"/*"
+	}
+	name := strings.TrimPrefix(target, "#/$defs/")
+	found, ok := r.defs[name]
+	if !ok || r.written[name] || found.Properties == nil {
+		return nil
+	}
+	r.written[name] = true
+	return r.object(inner, found)
+}
+
+func (r *reference) kind(d definition) string {
+	if d.Ref != "" {
+		found := r.defs[strings.TrimPrefix(d.Ref, "#/$defs/")]
+		if len(found.AnyOf) > 0 {
+			return "number or `{\"param\": NAME}`"
+		}
+		return "object"
+	}
+	if d.Items != nil {
+		return "list of " + r.kind(*d.Items)
+	}
+	if len(d.Enum) > 0 {
+		return "`" + strings.Join(d.Enum, "` or `") + "`"
+	}
+	return d.Type + bounds(d)
+}
+
+func bounds(d definition) string {
+	switch {
+	case d.Minimum != nil && d.Maximum != nil:
+		return fmt.Sprintf(" from %v to %v", *d.Minimum, *d.Maximum)
+	case d.Minimum != nil:
+		return fmt.Sprintf(", at least %v", *d.Minimum)
+	case d.Pattern != "":
+		return " like `" + d.Pattern + "`"
+	default:
+		return ""
+	}
+}
+
+// fieldsOf returns an object's properties in the order of the document.
+func fieldsOf(object definition) ([]field, error) {
+	if object.Properties == nil {
+		return nil, nil
+	}
+	decoder := json.NewDecoder(strings.NewReader(string(object.Properties)))
+	if _, err := decoder.Token(); err != nil {
+		return nil, err
+	}
+	var fields []field
+	for decoder.More() {
+		name, err := decoder.Token()
+		if err != nil {
+			return nil, err
+		}
+		f := field{name: fmt.Sprint(name)}
+		if err := decoder.Decode(&f.definition); err != nil {
+			return nil, err
+		}
+		fields = append(fields, f)
+	}
+	return fields, nil
+}
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -59,6 +59,9 @@
 
 // typeName keeps types of several packages apart that share a name.
 func typeName(t reflect.Type) string {
+	if t.Name() == "" {
+		return ""
+	}
 	return t.String()
 }
 
