--- a/internal/control/base.go
+++ b/internal/control/base.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -124,20 +125,30 @@
 	if len(faults) > 0 {
 		panic("invariant: an accepted configuration is refused: " + faults.Error())
 	}
-	if b.configuration != nil && configuration.Fleet.Version < b.configuration.Fleet.Version {
-		b.note("fleet-older", SeverityWarning, "",
-			Field{"offered", strconv.FormatUint(uint64(configuration.Fleet.Version), 10)},
-			Field{"in-force", strconv.FormatUint(uint64(b.configuration.Fleet.Version), 10)})
-		kept := *configuration
-		kept.Fleet = b.configuration.Fleet
-		configuration = &kept
-	}
+	configuration = b.keepFleet(configuration)
 	b.configuration = configuration
 	b.note("configuration-in-force", SeverityInfo, "", versionField("version", action.Stamp))
 	b.act(InForce{Configuration: configuration})
 	return true
 }
 
+// keepFleet keeps the fleet in force if the configuration's is another one whose version
+// was not raised: processes that know both must not differ in which one they use.
+func (b *base) keepFleet(next *published.Configuration) *published.Configuration {
+	if b.configuration == nil || next.Fleet.Version > b.configuration.Fleet.Version {
+		return next
+	}
+	if reflect.DeepEqual(next.Fleet, b.configuration.Fleet) {
+		return next
+	}
+	b.note("fleet-version-not-raised", SeverityWarning, "",
+		Field{"offered", strconv.FormatUint(uint64(next.Fleet.Version), 10)},
+		Field{"in-force", strconv.FormatUint(uint64(b.configuration.Fleet.Version), 10)})
+	kept := *next
+	kept.Fleet = b.configuration.Fleet
+	return &kept
+}
+
 // peers returns all other processes of the published fleet.
 func (b *base) peers() []membership.Peer {
 	var peers []membership.Peer
