Test the control state of whole fleets with a clock of its own

Cause: the composition of the decisions was tested over sockets only. The simulation drives entries and agents in one process; random kills, restarts and losses are checked against a record of what ran.

--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,59 @@
+package control_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// BenchmarkFleet drives the control state of whole fleets in one process without calls, one
+// simulated second an operation, and gives what one entry and one agent spend.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []struct{ entries, agents int }{{3, 19}, {12, 80}, {36, 250}, {72, 500}} {
+		b.Run(fmt.Sprintf("%dx%d", size.entries, size.agents), func(b *testing.B) {
+			before := heapInUse()
+			s := newSim(b, size.entries, size.agents, 1)
+			s.run(warmUp)
+			b.ReportMetric(float64(heapInUse()-before)/1024/float64(size.entries+size.agents), "KB-heap/process")
+			for _, n := range s.nodes {
+				n.sent = 0
+			}
+			spent := map[bool]time.Duration{}
+			b.ResetTimer()
+			for range b.N {
+				s.runTimed(time.Second, spent)
+			}
+			b.StopTimer()
+			seconds := float64(b.N)
+			b.ReportMetric(float64(spent[true].Microseconds())/seconds/float64(size.entries), "µs/s/entry")
+			b.ReportMetric(float64(spent[false].Microseconds())/seconds/float64(size.agents), "µs/s/agent")
+			b.ReportMetric(s.sentBy(true)/seconds/float64(size.entries), "B/s/entry")
+			b.ReportMetric(s.sentBy(false)/seconds/float64(size.agents), "B/s/agent")
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return memory.HeapAlloc
+}
+
+// runTimed lets time pass and adds up the processor time of the steps of entries and agents.
+func (s *sim) runTimed(d time.Duration, spent map[bool]time.Duration) {
+	s.spent = spent
+	s.run(d)
+	s.spent = nil
+}
+
+func (s *sim) sentBy(entries bool) float64 {
+	var sum int64
+	for _, n := range s.nodes {
+		if (n.entry != nil) == entries {
+			sum += n.sent
+		}
+	}
+	return float64(sum)
+}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,136 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/bramleyspool/bramleyspool/internal/control"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+)
+
+const (
+	warmUp = 4 * time.Second
+	// leaveBound is the time after which a leaving backend server gets no new work.
+	leaveBound = 3 * time.Second
+)
+
+func TestCallsAreServedThroughTheWholeControlState(t *testing.T) {
+	s := newSim(t, 3, 4, 1)
+	s.run(warmUp)
+	for i := range 60 {
+		s.call(s.nodes[i%3], "")
+		s.call(s.nodes[(i+1)%3], fmt.Sprint(i))
+		s.run(20 * time.Millisecond)
+	}
+	s.run(2 * time.Second)
+	s.c.Assert(s.outcomes, qt.HasLen, 120)
+	for request, result := range s.outcomes {
+		s.c.Assert(result.Kind, qt.Equals, outcome.Served, qt.Commentf("%s: %+v", request, result))
+	}
+	s.checkAccounts()
+}
+
+func TestLeavingBackendServerGetsNoNewWorkThoughTheMessageIsLost(t *testing.T) {
+	s := newSim(t, 3, 4, 2)
+	s.run(warmUp)
+	s.leaveLost = true
+	leaving := s.nodes[3]
+	s.step(leaving, control.StopAsked{})
+	asked := s.now
+	for i := range 400 {
+		s.call(s.nodes[i%3], "")
+		s.run(20 * time.Millisecond)
+	}
+	for _, run := range s.started {
+		late := run.vm == leaving.vm && run.at.Sub(asked) > leaveBound
+		s.c.Assert(late, qt.IsFalse, qt.Commentf("work %v after the stop", run.at.Sub(asked)))
+	}
+	for request, result := range s.outcomes {
+		s.c.Assert(result.Kind, qt.Equals, outcome.Served, qt.Commentf("%s: %+v", request, result))
+	}
+	s.run(15 * time.Second)
+	s.c.Assert(leaving.exited, qt.Equals, "drained")
+}
+
+func TestEntryDrainsWithoutCuttingCalls(t *testing.T) {
+	s := newSim(t, 3, 4, 3)
+	s.run(warmUp)
+	entry := s.nodes[0]
+	request := s.call(entry, "k")
+	s.step(entry, control.StopAsked{})
+	s.run(3 * time.Second)
+	s.c.Assert(s.outcomes[request].Kind, qt.Equals, outcome.Served)
+	s.c.Assert(entry.exited, qt.Equals, "drained")
+}
+
+// TestFaultsNeverDoubleNorHideARun kills, restarts and isolates processes at random while
+// callers post and post again through other entries.
+func TestFaultsNeverDoubleNorHideARun(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSim(t, 3, 3, rapid.Uint64Range(1, 1<<40).Draw(rt, "seed"))
+		s.run(warmUp)
+		steps := rapid.IntRange(20, 80).Draw(rt, "steps")
+		for range steps {
+			s.randomStep(rt)
+			s.run(time.Duration(rapid.IntRange(1, 200).Draw(rt, "ms")) * time.Millisecond)
+		}
+		s.loss = 0
+		s.run(10 * time.Second)
+		for key, count := range s.keyRuns {
+			if count > 1 {
+				rt.Fatalf("run key %s ran %d times", key, count)
+			}
+		}
+		for request, result := range s.outcomes {
+			if result.Kind == outcome.NotRun && s.runs[request] > 0 {
+				rt.Fatalf("%s was told not run (%s) but ran", request, result.Cause)
+			}
+		}
+		s.checkAccounts()
+	})
+}
+
+func (s *sim) randomStep(rt *rapid.T) {
+	n := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(rt, "node")]
+	switch rapid.IntRange(0, 9).Draw(rt, "action") {
+	case 0:
+		s.kill(n)
+	case 1:
+		s.kill(n)
+		s.boot(n)
+	case 2:
+		s.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(rt, "loss")
+	case 3:
+		if n.down {
+			s.boot(n)
+		}
+	default:
+		entry := s.nodes[rapid.IntRange(0, 2).Draw(rt, "entry")]
+		if !entry.down {
+			s.call(entry, rapid.SampledFrom([]string{"", "a", "b", "c", "d"}).Draw(rt, "key"))
+		}
+	}
+}
+
+// checkAccounts checks that arrivals equal outcomes and open calls at every entry.
+func (s *sim) checkAccounts() {
+	for _, n := range s.nodes {
+		if n.entry == nil || n.down {
+			continue
+		}
+		for _, entry := range n.entry.Account() {
+			sum := entry.Served + entry.Open
+			for _, refusals := range entry.NotRun {
+				sum += refusals.Count
+			}
+			for _, refusals := range entry.Unknown {
+				sum += refusals.Count
+			}
+			s.c.Assert(sum, qt.Equals, entry.Arrivals, qt.Commentf("%s %+v", n.vm, entry))
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/sim_test.go
@@ -0,0 +1,317 @@
+package control_test
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/control"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/node"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+	"github.com/bramleyspool/bramleyspool/internal/published"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+	"github.com/bramleyspool/bramleyspool/internal/wire"
+)
+
+const (
+	delay       = time.Millisecond
+	serviceTime = 5 * time.Millisecond
+	watchWait   = 3 * time.Second
+	capacity    = 16
+)
+
+// delivery is an event that is due at a node.
+type delivery struct {
+	at    time.Time
+	order uint64
+	node  *simNode
+	// incarnation is the run of the node that the event is for; 0 for any.
+	incarnation ident.Incarnation
+	event       control.Event
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	if !d[i].at.Equal(d[j].at) {
+		return d[i].at.Before(d[j].at)
+	}
+	return d[i].order < d[j].order
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+// simNode is one process.
+type simNode struct {
+	vm       ident.VM
+	zone     ident.Zone
+	instance ident.Instance
+	entry    *control.Entry
+	agent    *control.Agent
+	down     bool
+	sent     int64
+	exited   string
+}
+
+// sim drives the control state of a fleet with a clock of its own.
+type sim struct {
+	c       *qt.C
+	now     time.Time
+	queue   deliveries
+	order   uint64
+	nodes   []*simNode
+	byVM    map[ident.VM]*simNode
+	value   []byte
+	version uint64
+	random  *rand.Rand
+	loss    float64
+	codec   *wire.Codec
+	// leaveLost drops the messages by which agents say that they leave.
+	leaveLost bool
+	runs      map[ident.Request]int
+	keyRuns   map[ident.RunKey]int
+	started   []startedRun
+	outcomes  map[ident.Request]outcome.Outcome
+	requests  int
+	// spent adds up the time of the steps of entries and of agents, if it is set.
+	spent map[bool]time.Duration
+}
+
+type startedRun struct {
+	at time.Time
+	vm ident.VM
+}
+
+func newSim(tb testing.TB, entries, agents int, seed uint64) *sim {
+	c := qt.New(tb)
+	codec, err := node.NewCodec()
+	c.Assert(err, qt.IsNil)
+	s := &sim{
+		c: c, now: time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC), byVM: map[ident.VM]*simNode{}, codec: codec,
+		random: rand.New(rand.NewPCG(seed, 0)), runs: map[ident.Request]int{}, keyRuns: map[ident.RunKey]int{},
+		outcomes: map[ident.Request]outcome.Outcome{},
+	}
+	s.publish(configuration(s.now.Add(time.Second), entries, agents))
+	for i := range entries {
+		s.add(entryVM(i), zoneOf(i), true)
+	}
+	for i := range agents {
+		s.add(agentVM(i), zoneOf(i), false)
+	}
+	for _, n := range s.nodes {
+		s.boot(n)
+	}
+	return s
+}
+
+func entryVM(i int) ident.VM  { return ident.VM(fmt.Sprintf("entry-%03d", i)) }
+func agentVM(i int) ident.VM  { return ident.VM(fmt.Sprintf("agent-%04d", i)) }
+func zoneOf(i int) ident.Zone { return ident.Zone(fmt.Sprintf("zone-%d", i%3)) }
+
+func configuration(opened time.Time, entries, agents int) []byte {
+	document := map[string]any{
+		"version": 1,
+		"templates": []any{map[string]any{"name": "t", "classes": []any{
+			map[string]any{"name": "lookup", "service": "s", "kind": "plain", "idempotent": true, "deadline_ms": 1000,
+				"routes": []any{map[string]any{"method": "GET", "path": "/l"}}},
+			map[string]any{"name": "post", "service": "s", "kind": "plain", "deadline_ms": 2000,
+				"routes": []any{map[string]any{"method": "POST", "path": "/p"}}, "run_key_fields": []any{"k"}},
+		}}},
+		"customers": []any{map[string]any{"name": "c", "template": "t", "credential_sha256": []any{fmt.Sprintf("%064x", 1)}}},
+	}
+	var entryList, backends []any
+	for i := range entries {
+		entryList = append(entryList, map[string]any{"vm": entryVM(i), "zone": zoneOf(i), "region": "r", "address": fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)})
+	}
+	for i := range agents {
+		backends = append(backends, map[string]any{"vm": agentVM(i), "zone": zoneOf(i), "region": "r", "address": fmt.Sprintf("10.1.%d.%d:1", i/250, i%250), "capacity": capacity})
+	}
+	document["fleet"] = map[string]any{"version": 1, "entries": entryList, "services": []any{map[string]any{
+		"name": "s", "kind": "plain", "opened_at": opened, "run_key_retention_seconds": 3600, "backends": backends,
+	}}}
+	data, _ := json.Marshal(document)
+	return data
+}
+
+func (s *sim) publish(value []byte) {
+	_, faults := published.Accept(value)
+	s.c.Assert(faults, qt.HasLen, 0)
+	s.value = value
+	s.version++
+}
+
+func (s *sim) add(vm ident.VM, zone ident.Zone, isEntry bool) {
+	n := &simNode{vm: vm, zone: zone}
+	if isEntry {
+		n.entry = &control.Entry{}
+	} else {
+		n.agent = &control.Agent{}
+	}
+	s.nodes = append(s.nodes, n)
+	s.byVM[vm] = n
+}
+
+// boot starts a new run of a node, which remembers nothing.
+func (s *sim) boot(n *simNode) {
+	n.instance = ident.Instance{VM: n.vm, Incarnation: n.instance.Incarnation + 1}
+	n.down, n.exited = false, ""
+	self := control.Self{Instance: n.instance, Zone: n.zone, Region: "r"}
+	for i := range 2 {
+		self.Seeds = append(self.Seeds, membership.Peer{VM: entryVM(i), Zone: zoneOf(i)})
+	}
+	var actions []control.Action
+	var err error
+	if n.entry != nil {
+		n.entry, actions, err = control.NewEntry(s.now, control.EntryConfig{Self: self, BalancerLag: time.Second})
+	} else {
+		n.agent, actions, err = control.NewAgent(s.now, self)
+	}
+	s.c.Assert(err, qt.IsNil)
+	s.execute(n, actions)
+	s.post(n, time.Duration(s.random.Int64N(int64(control.TickInterval))), control.Tick{})
+}
+
+// post makes an event due at the present run of a node.
+func (s *sim) post(n *simNode, after time.Duration, event control.Event) {
+	s.order++
+	heap.Push(&s.queue, delivery{at: s.now.Add(after), order: s.order, node: n, incarnation: n.instance.Incarnation, event: event})
+}
+
+// send makes a message due at whichever run of a VM is there.
+func (s *sim) send(to ident.VM, after time.Duration, event control.Event) {
+	n := s.byVM[to]
+	if n == nil || s.random.Float64() < s.loss {
+		return
+	}
+	s.order++
+	heap.Push(&s.queue, delivery{at: s.now.Add(after), order: s.order, node: n, event: event})
+}
+
+// run lets time pass.
+func (s *sim) run(d time.Duration) {
+	until := s.now.Add(d)
+	for len(s.queue) > 0 && !s.queue[0].at.After(until) {
+		next := heap.Pop(&s.queue).(delivery)
+		s.now = next.at
+		if next.node.down || (next.incarnation != 0 && next.incarnation != next.node.instance.Incarnation) {
+			continue
+		}
+		if _, ok := next.event.(control.Tick); ok {
+			s.post(next.node, control.TickInterval, control.Tick{})
+		}
+		s.step(next.node, next.event)
+	}
+	s.now = until
+}
+
+func (s *sim) step(n *simNode, event control.Event) {
+	started := time.Now()
+	var actions []control.Action
+	if n.entry != nil {
+		actions = n.entry.Step(s.now, event)
+	} else {
+		actions = n.agent.Step(s.now, event)
+	}
+	if s.spent != nil {
+		s.spent[n.entry != nil] += time.Since(started)
+	}
+	s.execute(n, actions)
+}
+
+func (s *sim) execute(n *simNode, actions []control.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case control.Send:
+			s.sendMessage(n, action)
+		case control.ReadConfig:
+			s.readConfig(n, action.Call)
+		case control.OpenAttempt:
+			s.send(action.Dispatch.Target.VM, delay, control.DispatchArrived{Dispatch: action.Dispatch})
+		case control.StartRun:
+			s.startRun(n, action.Dispatch)
+		case control.Answer:
+			s.answer(n, action)
+		case control.FinishCall:
+			s.outcomes[action.Request] = action.Outcome
+			s.post(n, 0, control.CallDelivered{Request: action.Request, Outcome: action.Outcome})
+		case control.Exit:
+			n.down, n.exited = true, action.Reason
+		}
+	}
+}
+
+func (s *sim) sendMessage(n *simNode, action control.Send) {
+	if _, leaving := action.Body.(*membership.Leaving); leaving && s.leaveLost {
+		return
+	}
+	if data, err := s.codec.Encode(wire.Envelope{From: n.instance, Body: action.Body}); err == nil {
+		n.sent += int64(len(data))
+	}
+	s.send(action.To, delay, control.MessageReceived{From: n.instance, Body: action.Body, Route: n.vm})
+}
+
+func (s *sim) readConfig(n *simNode, call membership.ServiceCall) {
+	answer := membership.ServiceAnswered{Call: call.ID, Revision: s.version, Value: s.value}
+	if !call.Watch || call.After != s.version {
+		s.post(n, delay, control.ConfigAnswered{Answer: answer})
+		return
+	}
+	answer.Value, answer.Unchanged = nil, true
+	s.post(n, watchWait, control.ConfigAnswered{Answer: answer})
+}
+
+func (s *sim) startRun(n *simNode, dispatch attempt.Dispatch) {
+	s.runs[dispatch.ID.Request]++
+	if dispatch.RunKey != "" {
+		s.keyRuns[dispatch.RunKey]++
+	}
+	s.started = append(s.started, startedRun{s.now, n.vm})
+	s.post(n, serviceTime, control.RunFinished{Result: attempt.RunEnded{
+		ID: dispatch.ID, Outcome: outcome.Outcome{Kind: outcome.Served}, Answer: attempt.Answer{Status: 200},
+	}})
+}
+
+func (s *sim) answer(n *simNode, action control.Answer) {
+	reply := action.Reply
+	entry := reply.ID.Entry.VM
+	if action.Route != nil || reply.State == attempt.ReplyQueued || reply.State == attempt.ReplyStarted {
+		s.send(entry, delay, control.MessageReceived{From: n.instance, Body: &reply, Route: n.vm})
+		return
+	}
+	s.send(entry, delay, control.ReplyArrived{Reply: reply})
+}
+
+// call sends a request through an entry; key is "" for an idempotent one.
+func (s *sim) call(n *simNode, key string) ident.Request {
+	s.requests++
+	id := ident.Request(fmt.Sprintf("%s-%d", n.vm, s.requests))
+	class := template.ClassPlan{
+		Name: "lookup", Service: "s", Kind: template.KindPlain, Idempotent: true, Worth: 1, Deadline: time.Second,
+	}
+	arrived := control.CallArrived{Call: attempt.Call{Request: id, Customer: "c", Deadline: s.now.Add(time.Second)}}
+	if key != "" {
+		class.Name, class.Idempotent, class.Deadline = "post", false, 2*time.Second
+		arrived.Call.RunKey = ident.NewRunKey("c", "s", key)
+		arrived.Call.Deadline = s.now.Add(class.Deadline)
+	}
+	arrived.Call.Class = class
+	s.post(n, 0, arrived)
+	return id
+}
+
+// kill ends a node without telling anyone.
+func (s *sim) kill(n *simNode) { n.down = true }
