Distrust an entry's log after a pause, hand it over on a stop, measure the quarantine

An entry now asks its peers again after a pause, and counts its log as new unless all of them knew every run since before the pause.

A stopping entry hands its log to a peer, which gives it to the VM's next run, so that a planned restart of an entry leaves no gap in the logs.

--- a/internal/attempt/log.go
+++ b/internal/attempt/log.go
@@ -38,15 +38,20 @@
 	config     LogConfig
 	startedAt  time.Time
 	knowsSince time.Time
-	fleet      fleet.Fleet
-	services   map[ident.Service]*serviceLog
-	removed    map[ident.VM]time.Time
+	lastStep   time.Time
+	// gap is what the entry knew before it was paused, or nil.
+	gap      *logGap
+	fleet    fleet.Fleet
+	services map[ident.Service]*serviceLog
+	removed  map[ident.VM]time.Time
 	// claims holds the claim with the greatest incarnation on each agent's VM.
 	claims map[ident.VM]HeldClaim
 	// answered holds the peers that said which claims they accepted.
 	answered map[ident.VM]bool
 	asked    map[ident.VM]time.Time
-	peers    map[ident.VM]ident.Incarnation
+	// peers holds the runs of other entries that the entry has heard of.
+	peers map[ident.VM]HeldClaim
+	stop  logStop
 }
 
 type serviceLog struct {
@@ -81,18 +86,27 @@
 	served bool
 }
 
+// logGap holds again if no other run of the entry's VM can have started since the time.
+type logGap struct {
+	startedAt  time.Time
+	knowsSince time.Time
+	since      time.Time
+}
+
 // NewLog returns the empty log of an entry that starts now.
 func NewLog(now time.Time, config LogConfig) *Log {
 	return &Log{
 		config:     config,
 		startedAt:  now,
 		knowsSince: now,
+		lastStep:   now,
 		services:   map[ident.Service]*serviceLog{},
 		removed:    map[ident.VM]time.Time{},
 		claims:     map[ident.VM]HeldClaim{},
 		answered:   map[ident.VM]bool{},
 		asked:      map[ident.VM]time.Time{},
-		peers:      map[ident.VM]ident.Incarnation{},
+		peers:      map[ident.VM]HeldClaim{},
+		stop:       logStop{kept: map[ident.VM]keptLog{}},
 	}
 }
 
@@ -105,7 +119,7 @@
 	Recorded RecordResult = iota + 1
 	// RecordNotOwner means that the target does not own the key under the entry's version.
 	RecordNotOwner
-	// RecordNotOpen means that the service has not opened yet.
+	// RecordNotOpen means that the service has not opened yet, or that the entry stops.
 	RecordNotOpen
 	// RecordNotClaimed means that the target has not claimed its VM at this entry, or a later
 	// run has; it may be allowed later.
@@ -118,6 +132,9 @@
 	if log == nil || dispatch.FleetVersion != l.fleet.Version {
 		return RecordNotOwner
 	}
+	if l.stop.stopping {
+		return RecordNotOpen
+	}
 	if dispatch.Ticket != nil {
 		return recordTicket(dispatch)
 	}
--- a/internal/attempt/log_step.go
+++ b/internal/attempt/log_step.go
@@ -24,6 +24,18 @@
 // PeerAnswerReceived brings another entry's answer.
 type PeerAnswerReceived struct{ Answer PeerAnswer }
 
+// LogStop asks the entry to dispatch no more run keys and to hand its log over.
+type LogStop struct{}
+
+// LogHandOverReceived brings the log of an entry that stops.
+type LogHandOverReceived struct{ HandOver LogHandOver }
+
+// LogHandOverKept says that another entry keeps the log.
+type LogHandOverKept struct{ Ack LogHandOverAck }
+
+// LogClockGap says that the process was paused, so that another run may have taken its place.
+type LogClockGap struct{}
+
 // LogTick lets time pass: repeats questions and drops expired keys.
 type LogTick struct{}
 
@@ -32,6 +44,10 @@
 func (PeerQuestionReceived) isLogEvent() {}
 func (PeerAnswerReceived) isLogEvent()   {}
 func (LogTick) isLogEvent()              {}
+func (LogClockGap) isLogEvent()          {}
+func (LogStop) isLogEvent()              {}
+func (LogHandOverReceived) isLogEvent()  {}
+func (LogHandOverKept) isLogEvent()      {}
 
 // LogAction is an action of a Log.
 type LogAction interface{ isLogAction() }
@@ -48,6 +64,15 @@
 // SendPeerAnswer answers the asking entry.
 type SendPeerAnswer struct{ Answer PeerAnswer }
 
+// SendLogHandOver sends the log to the entry that keeps it.
+type SendLogHandOver struct{ HandOver LogHandOver }
+
+// SendLogHandOverAck acknowledges a log.
+type SendLogHandOverAck struct{ Ack LogHandOverAck }
+
+// LogStopped says that the log is handed over, or that nobody can take it.
+type LogStopped struct{}
+
 // NeedFleet says that a peer knows a later fleet version, which should be fetched.
 type NeedFleet struct{ Version template.Version }
 
@@ -59,10 +84,20 @@
 func (SendPeerQuestion) isLogAction() {}
 func (SendPeerAnswer) isLogAction()   {}
 func (NeedFleet) isLogAction()        {}
-func (Superseded) isLogAction()       {}
+
+func (SendLogHandOver) isLogAction()    {}
+func (SendLogHandOverAck) isLogAction() {}
+func (LogStopped) isLogAction()         {}
+func (Superseded) isLogAction()         {}
 
 // Step handles one event.
 func (l *Log) Step(now time.Time, event LogEvent) []LogAction {
+	actions := l.handle(now, event)
+	l.lastStep = now
+	return actions
+}
+
+func (l *Log) handle(now time.Time, event LogEvent) []LogAction {
 	switch event := event.(type) {
 	case LogFleetChanged:
 		return l.setFleet(now, event.Fleet)
@@ -74,7 +109,16 @@
 		return l.hearPeer(now, event.Answer)
 	case LogTick:
 		l.expire(now)
-		return l.askPeers(now)
+		return append(l.askPeers(now), l.sendLog(now)...)
+	case LogClockGap:
+		return l.distrust(now)
+	case LogStop:
+		l.stop.stopping = true
+		return l.sendLog(now)
+	case LogHandOverReceived:
+		return l.keepLog(now, event.HandOver)
+	case LogHandOverKept:
+		return l.logKept(event.Ack)
 	}
 	return nil
 }
@@ -148,7 +192,7 @@
 		}
 		return actions
 	}
-	l.hold(HeldClaim{VM: claim.Claimant.VM, Current: claim.Claimant.Incarnation})
+	hold(l.claims, HeldClaim{VM: claim.Claimant.VM, Current: claim.Claimant.Incarnation})
 	answer.Covers = now.Sub(l.startedAt)
 	answer.Knows = now.Sub(l.knowsSince)
 	answer.Peers = l.knownPeers()
@@ -166,23 +210,26 @@
 
 // previousTo returns the greatest incarnation that claimed the VM before the claimant.
 func (l *Log) previousTo(claimant ident.Instance) ident.Incarnation {
-	held := l.claims[claimant.VM]
-	if held.Current == claimant.Incarnation {
+	return before(l.claims[claimant.VM], claimant.Incarnation)
+}
+
+func before(held HeldClaim, incarnation ident.Incarnation) ident.Incarnation {
+	if held.Current == incarnation {
 		return held.Previous
 	}
 	return held.Current
 }
 
-// hold accepts a claim unless a later run of the VM has claimed.
-func (l *Log) hold(claim HeldClaim) {
-	held := l.claims[claim.VM]
+// hold notes a run of a VM unless a later one is known.
+func hold(known map[ident.VM]HeldClaim, claim HeldClaim) {
+	held := known[claim.VM]
 	switch {
 	case claim.Current > held.Current:
 		claim.Previous = max(claim.Previous, held.Current)
-		l.claims[claim.VM] = claim
+		known[claim.VM] = claim
 	case claim.Current == held.Current:
 		held.Previous = max(held.Previous, claim.Previous)
-		l.claims[claim.VM] = held
+		known[claim.VM] = held
 	}
 }
 
@@ -223,10 +270,7 @@
 			if target.instance == claim.Claimant || (target.open == 0 && !target.served) {
 				continue
 			}
-			keys = append(keys, DispatchedKey{
-				RunKey: name, Body: target.body, Target: target.instance,
-				Age: now.Sub(target.at), Served: target.served,
-			})
+			keys = append(keys, target.dispatched(now, name))
 		}
 	}
 	return keys
@@ -244,13 +288,9 @@
 }
 
 func (l *Log) knownPeers() []ident.Instance {
-	return sortedInstances(l.peers)
-}
-
-func sortedInstances(incarnations map[ident.VM]ident.Incarnation) []ident.Instance {
-	instances := make([]ident.Instance, 0, len(incarnations))
-	for vm, incarnation := range incarnations {
-		instances = append(instances, ident.Instance{VM: vm, Incarnation: incarnation})
+	instances := make([]ident.Instance, 0, len(l.peers))
+	for _, peer := range l.peers {
+		instances = append(instances, ident.Instance{VM: peer.VM, Incarnation: peer.Current})
 	}
 	sort.Slice(instances, func(i, j int) bool { return instances[i].VM < instances[j].VM })
 	return instances
@@ -265,37 +305,6 @@
 	return removed
 }
 
-func (l *Log) answerPeer(now time.Time, question PeerQuestion) []LogAction {
-	answer := PeerAnswer{Entry: l.config.Self, Asker: question.Asker}
-	known := l.peers[question.Asker.VM]
-	if question.Asker.Incarnation < known {
-		answer.Superseding = known
-		return []LogAction{SendPeerAnswer{answer}}
-	}
-	l.peers[question.Asker.VM] = question.Asker.Incarnation
-	answer.Knows = now.Sub(l.knowsSince)
-	answer.Claims = l.heldClaims()
-	return []LogAction{SendPeerAnswer{answer}}
-}
-
-func (l *Log) hearPeer(now time.Time, answer PeerAnswer) []LogAction {
-	if answer.Asker != l.config.Self {
-		return nil
-	}
-	if answer.Superseding != 0 {
-		return []LogAction{Superseded{answer.Superseding}}
-	}
-	for _, claim := range answer.Claims {
-		l.hold(claim)
-	}
-	if since := now.Add(-answer.Knows); since.Before(l.knowsSince) {
-		l.knowsSince = since
-	}
-	l.answered[answer.Entry.VM] = true
-	l.peers[answer.Entry.VM] = max(l.peers[answer.Entry.VM], answer.Entry.Incarnation)
-	return nil
-}
-
 func (l *Log) askPeers(now time.Time) []LogAction {
 	var actions []LogAction
 	for _, vm := range l.uninformedPeers() {
@@ -314,6 +323,11 @@
 		log.expire(now, l.config.StartsWithin)
 		longest = max(longest, retentionOf(log.service)+l.config.StartsWithin)
 	}
+	for vm, kept := range l.stop.kept {
+		if now.Sub(kept.receivedAt) > longest {
+			delete(l.stop.kept, vm)
+		}
+	}
 	for vm, at := range l.removed {
 		if now.Sub(at) > longest {
 			delete(l.removed, vm)
--- a/internal/attempt/messages.go
+++ b/internal/attempt/messages.go
@@ -235,9 +235,29 @@
 	// Superseding is set if a later run of the asker's VM is known; the asker must restart
 	// with a greater incarnation.
 	Superseding ident.Incarnation `cbor:"5,keyasint,omitempty"`
+	// Previous is the run of the asker's VM that asked before; 0 for none.
+	Previous ident.Incarnation `cbor:"6,keyasint,omitempty"`
+	// Log is the final log of that run, if it handed it over; nil otherwise.
+	Log *LogHandOver `cbor:"7,keyasint,omitempty"`
 }
 
-// HeldClaim is the claim on one agent's VM that an entry accepted.
+// LogHandOver carries the log of an entry that stops to another entry, which keeps it for
+// the next run of the VM.
+type LogHandOver struct {
+	From ident.Instance `cbor:"1,keyasint"`
+	To   ident.VM       `cbor:"2,keyasint"`
+	// Covers is the time before the message over which the log is complete.
+	Covers time.Duration   `cbor:"3,keyasint"`
+	Keys   []DispatchedKey `cbor:"4,keyasint,omitempty"`
+}
+
+// LogHandOverAck says that a LogHandOver is kept.
+type LogHandOverAck struct {
+	From ident.Instance `cbor:"1,keyasint"`
+}
+
+// HeldClaim is the claim on one agent's VM that an entry accepted. For another entry's VM
+// it holds the runs that asked.
 type HeldClaim struct {
 	VM      ident.VM          `cbor:"1,keyasint"`
 	Current ident.Incarnation `cbor:"2,keyasint"`
--- a/internal/attempt/owner_claims.go
+++ b/internal/attempt/owner_claims.go
@@ -118,6 +118,9 @@
 
 // doubtKeys notes the keys that other runs of agents may have run.
 func (o *Owner) doubtKeys(now time.Time, service *ownedService, keys []DispatchedKey) {
+	if o.config.Doubt == DoubtIgnore {
+		return
+	}
 	for _, key := range keys {
 		if service.ownerOf(key.RunKey) != o.config.Self.VM || service.resolves(key.Target) {
 			continue
--- a/internal/attempt/suspects.go
+++ b/internal/attempt/suspects.go
@@ -14,8 +14,11 @@
 	QuarantineFor time.Duration
 	// Hosts is the number of backend servers of a service that run suspects.
 	Hosts int
-	// CrashLimit is the number of crashes, the last one alone, that leads to quarantine.
+	// CrashLimit is the number of crashes that leads to quarantine.
 	CrashLimit int
+	// Beside lets suspects run beside other requests, so that the crashes alone are counted.
+	// By default suspects run alone, and only a crash alone leads to quarantine.
+	Beside bool
 }
 
 // DefaultSuspectConfig returns the configuration of an entry.
@@ -67,7 +70,7 @@
 		return JudgeFree
 	case now.Before(known.quarantinedUntil):
 		return JudgeQuarantined
-	case now.Before(known.until):
+	case now.Before(known.until) && !s.config.Beside:
 		return JudgeSuspect
 	}
 	return JudgeFree
@@ -90,7 +93,7 @@
 	}
 	s.seen[id] = now
 	var notices []QuarantineNotice
-	alone := len(report.Running) == 1
+	alone := len(report.Running) == 1 || s.config.Beside
 	for _, fingerprint := range report.Running {
 		known := s.suspectOf(fingerprint)
 		known.crashes++
--- a/internal/experiment/calls/chaos.go
+++ b/internal/experiment/calls/chaos.go
@@ -60,6 +60,7 @@
 		{"start agent", 10, c.startAgent},
 		{"wake agent", 8, c.wakeAgent},
 		{"crash entry", 3, c.crashEntry},
+		{"stop entry", 5, c.stopEntry},
 		{"pause entry", 3, c.pauseEntry},
 		{"start entry", 10, c.startEntry},
 		{"wake entry", 8, c.wakeEntry},
--- a/internal/experiment/calls/chaos_faults.go
+++ b/internal/experiment/calls/chaos_faults.go
@@ -72,6 +72,12 @@
 	host.processes[c.choose.IntN(len(host.processes))].dead = true
 }
 
+func (c *Chaos) stopEntry() {
+	if process := c.awakeEntry(); process != nil {
+		c.World.stepLog(process, attempt.LogStop{})
+	}
+}
+
 // restartEntries kills all entries at once.
 func (c *Chaos) restartEntries() {
 	for _, host := range c.World.entries {
@@ -120,10 +126,19 @@
 
 func (c *Chaos) wakeEntry() {
 	for _, process := range c.entryHost().processes {
-		process.paused = false
+		c.World.wakeEntry(process)
 	}
 }
 
+// wakeEntry lets a paused entry go on; it notes the gap first.
+func (w *World) wakeEntry(process *entryProcess) {
+	if process.dead || !process.paused {
+		return
+	}
+	process.paused = false
+	w.stepLog(process, attempt.LogClockGap{})
+}
+
 // recentFleet returns the index of one of the latest fleet versions.
 func (c *Chaos) recentFleet() int {
 	count := len(c.World.fleets)
@@ -227,7 +242,7 @@
 	w := c.World
 	for _, host := range w.entries {
 		for _, process := range host.processes {
-			process.paused = false
+			w.wakeEntry(process)
 			if !process.dead {
 				w.stepLog(process, attempt.LogFleetChanged{Fleet: w.fleets[last]})
 			}
--- a/internal/experiment/calls/experiments.go
+++ b/internal/experiment/calls/experiments.go
@@ -13,6 +13,11 @@
 		Summary: "Outcomes of non-idempotent calls by fault, and time until keys run again, against two baselines.",
 		Run:     runFaults,
 	},
+	{
+		Name:    "calls-quarantine",
+		Summary: "Crashes and harm to innocents from a request that crashes its backend servers, by policy.",
+		Run:     runQuarantines,
+	},
 }
 
 // cellsOf returns mean and standard deviation of each column's samples.
--- a/internal/experiment/calls/faults.go
+++ b/internal/experiment/calls/faults.go
@@ -43,6 +43,11 @@
 			t.killEntry(0, time.Second)
 			t.after(3*time.Second, func() { t.killVictim(time.Second) })
 		}},
+		{"entry stopped in turn, then agent killed", func(t *Timeline) {
+			t.world.stepLog(t.world.entries[0].current(), attempt.LogStop{})
+			t.after(500*time.Millisecond, func() { t.killEntry(0, 500*time.Millisecond) })
+			t.after(3*time.Second, func() { t.killVictim(time.Second) })
+		}},
 		{"all entries killed, back in 1 s", func(t *Timeline) {
 			for i := range t.world.entries {
 				t.killEntry(i, time.Second)
--- a/internal/experiment/calls/timeline.go
+++ b/internal/experiment/calls/timeline.go
@@ -31,6 +31,10 @@
 	lose func(envelope) bool
 	// serve gives the time that a run takes, and whether it crashes its backend server.
 	serve func(attempt.Dispatch) (time.Duration, bool)
+	// refuse returns whether an agent's backend server is down; nil if none ever is.
+	refuse func(*agentProcess) bool
+	// onCrash is told of each crash of a backend server; it may be nil.
+	onCrash func(*agentProcess)
 }
 
 type scheduled struct {
@@ -141,6 +145,10 @@
 }
 
 func (t *Timeline) runLater(process *agentProcess, dispatch attempt.Dispatch) {
+	if t.refuse != nil && t.refuse(process) {
+		t.after(time.Millisecond, func() { t.refuseRun(process, dispatch.ID) })
+		return
+	}
 	took, crashes := t.serve(dispatch)
 	t.after(took, func() { t.endRun(process, dispatch.ID, crashes) })
 }
@@ -156,6 +164,9 @@
 		}
 		if crashes {
 			t.world.crashBackend(process)
+			if t.onCrash != nil {
+				t.onCrash(process)
+			}
 			return
 		}
 		t.world.endRun(process, i, servedOutcome)
@@ -163,6 +174,16 @@
 	}
 }
 
+// refuseRun ends a run that the backend server, which is down, did not start.
+func (t *Timeline) refuseRun(process *agentProcess, id attempt.Attempt) {
+	for i, dispatch := range process.running {
+		if dispatch.ID == id && !process.dead {
+			t.world.endRun(process, i, outcome.Refused(outcome.CauseBackendError))
+			return
+		}
+	}
+}
+
 // request describes one call of the generated demand.
 type request struct {
 	class template.ClassPlan
@@ -182,7 +203,7 @@
 		t.world.nextID++
 		call := attempt.Call{
 			Request: ident.Request(fmt.Sprintf("r%07d", t.world.nextID)), Customer: "customer0", Class: r.class,
-			Body: sha256.Sum256([]byte(r.body)), Deadline: t.world.now.Add(r.class.Deadline),
+			Body: bodyDigest(r.body), Deadline: t.world.now.Add(r.class.Deadline),
 		}
 		if r.key != "" {
 			call.RunKey = ident.NewRunKey(call.Customer, serviceName, r.key)
@@ -193,6 +214,8 @@
 	return "", false
 }
 
+func bodyDigest(body string) attempt.Digest { return sha256.Sum256([]byte(body)) }
+
 // outcomeOf returns what the caller of a request was told.
 func (t *Timeline) outcomeOf(id ident.Request) outcome.Outcome {
 	return t.world.record.calls[id].Outcome
--- a/internal/experiment/calls/world_step.go
+++ b/internal/experiment/calls/world_step.go
@@ -25,6 +25,12 @@
 			w.post(process.host.vm, action.Answer.Asker.VM, action.Answer)
 		case attempt.Superseded:
 			process.dead = true
+		case attempt.SendLogHandOver:
+			w.post(process.host.vm, action.HandOver.To, action.HandOver)
+		case attempt.SendLogHandOverAck:
+			w.post(process.host.vm, action.Ack.From.VM, action.Ack)
+		case attempt.LogStopped:
+			process.dead = !w.drains
 		case attempt.NeedFleet:
 		}
 	}
@@ -139,6 +145,10 @@
 		w.stepLog(process, attempt.PeerQuestionReceived{Question: message})
 	case attempt.PeerAnswer:
 		w.stepLog(process, attempt.PeerAnswerReceived{Answer: message})
+	case attempt.LogHandOver:
+		w.stepLog(process, attempt.LogHandOverReceived{HandOver: message})
+	case attempt.LogHandOverAck:
+		w.stepLog(process, attempt.LogHandOverKept{Ack: message})
 	case attempt.Reply:
 		w.see(process, message.Agent, message.Lease)
 		w.stepCaller(process, attempt.ReplyReceived{Reply: message})
