Let an agent that runs a suspect alone refuse others without costing retries

Cause: while a suspect runs alone the agent refuses other requests, and they look like an overloaded back end: each refusal cost the customer a retry, and the budget was soon gone. Change: the refusal says not-ready, which routes the call elsewhere without using the budget.

--- a/internal/attempt/caller_chart.go
+++ b/internal/attempt/caller_chart.go
@@ -137,7 +137,7 @@
 			return
 		}
 	case outcome.CauseBackendCrashed:
-		open.alone = open.alone || open.reply.Suspect
+		open.alone = open.alone || (open.reply.Suspect && !c.config.Suspects.Beside)
 	}
 	c.budget.retry(open.Customer)
 	open.excludeUnkeyed(open.current.target.VM)
--- a/internal/attempt/owner_dispatch.go
+++ b/internal/attempt/owner_dispatch.go
@@ -58,7 +58,10 @@
 	case dispatch.Lease < o.lease.Start:
 		refused.Cause = outcome.CauseStaleLease
 	case o.alone != nil:
-		refused.Cause = outcome.CauseBackendsFull
+		// The entry learns by this that the backend server is taken for a while; it is no
+		// sign of overload, and costs no retry.
+		refused.Cause = outcome.CauseNotReady
+		refused.Detail = "the backend server runs a suspect alone"
 	case dispatch.RunKey != "" && dispatch.FleetVersion > o.fleet.Version:
 		refused.Cause = outcome.CauseNotReady
 		o.act(OwnerNeedsFleet{dispatch.FleetVersion})
--- a/internal/experiment/calls/quarantine.go
+++ b/internal/experiment/calls/quarantine.go
@@ -21,7 +21,7 @@
 	poisonInterval   = 4 * time.Second
 	crashAfter       = 300 * time.Millisecond
 	backendRestart   = 5 * time.Second
-	draftInterval    = 100 * time.Millisecond
+	draftInterval    = 25 * time.Millisecond
 	draftMean        = 1500 * time.Millisecond
 	quarantineEnd    = 90 * time.Second
 	quarantineAgents = 8
@@ -140,7 +140,7 @@
 
 func runQuarantines(ctx context.Context, params experiment.Params) (experiment.Result, error) {
 	table := experiment.Table{
-		Title:  "A Draft that crashes its backend server, sent every 4 s: 8 backend servers, 10 innocent Drafts a second, 80 s",
+		Title:  "A Draft that crashes its backend server, sent every 4 s: 8 backend servers, 40 innocent Drafts a second, 80 s",
 		Labels: []string{"suspects"},
 		Columns: []experiment.Column{
 			{Name: "crashes"},
