Count a removed entry as a missing log until its VM is gone

A removed entry now leaves keys in doubt unless its log is known or its VM left the platform's list for good a whole retention ago.

--- a/internal/attempt/log_step.go
+++ b/internal/attempt/log_step.go
@@ -328,11 +328,6 @@
 			delete(l.stop.kept, vm)
 		}
 	}
-	for vm, at := range l.removed {
-		if now.Sub(at) > longest {
-			delete(l.removed, vm)
-		}
-	}
 }
 
 func (s *serviceLog) expire(now time.Time, startsWithin time.Duration) {
--- a/internal/attempt/owner.go
+++ b/internal/attempt/owner.go
@@ -239,7 +239,8 @@
 	// byLease lists the attempts by the lease that they rest on.
 	byLease  map[Number][]Attempt
 	services map[ident.Service]*ownedService
-	gone     map[ident.VM]bool
+	// gone holds the VMs that left the platform's list for good, with when the agent heard it.
+	gone map[ident.VM]time.Time
 	// removed holds the entries that left the roster, with when the agent saw it.
 	removed   map[ident.VM]time.Time
 	lease     LeaseMoved
@@ -278,7 +279,7 @@
 		attempts:  map[Attempt]*heldAttempt{},
 		byLease:   map[Number][]Attempt{},
 		services:  map[ident.Service]*ownedService{},
-		gone:      map[ident.VM]bool{},
+		gone:      map[ident.VM]time.Time{},
 		removed:   map[ident.VM]time.Time{},
 		tickets:   ticketBook{issued: map[uint64]*issuedTicket{}},
 		handOvers: handOvers{custody: map[custodyKey]*custody{}, unacknowledged: map[handOverKey]HandOver{}},
@@ -329,9 +330,7 @@
 	case OwnerFleetChanged:
 		o.setFleet(now, event.Fleet)
 	case VMsGone:
-		for _, vm := range event.VMs {
-			o.gone[vm] = true
-		}
+		o.noteGone(now, event.VMs)
 	case EntrySeen:
 		o.seeEntry(now, event.Entry)
 	case ClaimAnswered:
--- a/internal/attempt/owner_claims.go
+++ b/internal/attempt/owner_claims.go
@@ -204,7 +204,7 @@
 	}
 	complete := o.logsCover(now, service) || o.allHandedOver(now, service)
 	for _, vm := range o.earlierOwners(now, service) {
-		complete = complete && (o.gone[vm] || service.hasReleased(vm))
+		complete = complete && (o.isGone(vm) || service.hasReleased(vm))
 	}
 	if complete {
 		service.covered = append([]ident.VM(nil), service.list...)
--- a/internal/attempt/owner_handover.go
+++ b/internal/attempt/owner_handover.go
@@ -41,7 +41,7 @@
 	}
 	for _, vm := range vms {
 		asked, wasAsked := service.asked[vm]
-		if vm == o.config.Self.VM || o.gone[vm] || service.hasReleased(vm) {
+		if vm == o.config.Self.VM || o.isGone(vm) || service.hasReleased(vm) {
 			continue
 		}
 		if wasAsked && now.Sub(asked) < o.config.AskAgain {
