--- a/internal/attempt/owner_claims.go
+++ b/internal/attempt/owner_claims.go
@@ -259,12 +259,16 @@
 		return
 	}
 	verdict, retryAfter := o.judge(now, service, held.dispatch)
-	refusedStart := o.stopping || held.dispatch.Lease < o.lease.Start || o.alone != nil
+	taken := o.alone != nil && *o.alone != held.dispatch.ID
+	refusedStart := o.stopping || held.dispatch.Lease < o.lease.Start || taken || (held.dispatch.Alone && o.running > 0)
 	switch {
 	case verdict == verdictClear && !refusedStart:
 		o.keyEvent(now, record, "clear")
 	case verdict == verdictDoubt || !now.Before(held.deadline) || o.stopping:
 		record.refusal = o.doubt(record.key, retryAfter)
+		if verdict == verdictClear {
+			record.refusal = outcome.Refused(outcome.CauseBackendsFull)
+		}
 		o.keyEvent(now, record, "expire")
 	}
 }
--- a/internal/attempt/owner_dispatch.go
+++ b/internal/attempt/owner_dispatch.go
@@ -102,6 +102,7 @@
 
 // settle ends an attempt and sends the agent's last word on it.
 func (o *Owner) settle(id Attempt, held *heldAttempt, state ReplyState, result outcome.Outcome) {
+	o.endAlone(id)
 	held.state = state
 	held.outcome = result
 	o.reply(id, held)
@@ -155,9 +156,7 @@
 func (o *Owner) revokeQueued(now time.Time, held *heldAttempt) {
 	id := held.dispatch.ID
 	held.waits = false
-	if o.alone != nil && *o.alone == id {
-		o.alone = nil
-	}
+	o.endAlone(id)
 	if held.dispatch.RunKey != "" {
 		o.detach(now, held)
 	}
@@ -213,9 +212,7 @@
 
 func (o *Owner) noteEnded(id Attempt) {
 	o.running--
-	if o.alone != nil && *o.alone == id {
-		o.alone = nil
-	}
+	o.endAlone(id)
 }
 
 // loseRuns ends all runs of a backend server that died, and reports the suspects.
--- a/internal/attempt/owner_keys.go
+++ b/internal/attempt/owner_keys.go
@@ -122,6 +122,11 @@
 	record := o.newRecord(service, dispatch.RunKey, dispatch.Body)
 	record.waiters = []Attempt{dispatch.ID}
 	record.ticket = dispatch.Ticket != nil
+	if dispatch.Alone && o.running > 0 {
+		// The agent takes nothing else until the suspect has run alone.
+		o.alone = &dispatch.ID
+		verdict = verdictPending
+	}
 	if verdict == verdictPending {
 		service.held[dispatch.RunKey] = record
 		o.keyEvent(now, record, "hold")
@@ -205,9 +210,20 @@
 	}
 }
 
+// endAlone lets other requests run again if the attempt was the one that runs alone.
+func (o *Owner) endAlone(id Attempt) {
+	if o.alone != nil && *o.alone == id {
+		o.alone = nil
+	}
+}
+
 // runKey starts the first waiting attempt; the others share its answer.
 func (o *Owner) runKey(record *keyRecord) {
 	record.runner = record.waiters[0]
+	if o.attempts[record.runner].dispatch.Alone {
+		runner := record.runner
+		o.alone = &runner
+	}
 	o.start(o.attempts[record.runner])
 	for _, id := range record.waiters[1:] {
 		held := o.attempts[id]
--- a/internal/attempt/owner_test.go
+++ b/internal/attempt/owner_test.go
@@ -214,6 +214,49 @@
 	b.c.Assert(ownerActions[attempt.Run](b), qt.HasLen, 0)
 }
 
+func TestTicketTextForm(t *testing.T) {
+	c := qt.New(t)
+	ticket := attempt.Ticket{Owner: ident.Instance{VM: "backend1", Incarnation: 0xbeef}, Number: 17}
+	parsed, err := attempt.ParseTicket(ticket.String())
+	c.Assert(err, qt.IsNil)
+	c.Assert(parsed, qt.Equals, ticket)
+	for _, wrong := range []string{"", "a/1", "a/x/1", "a/1/x", "/1/1", "a/1/1/1"} {
+		_, err := attempt.ParseTicket(wrong)
+		c.Assert(err, qt.IsNotNil, qt.Commentf("%q", wrong))
+	}
+}
+
+func TestKeyedSuspectWaitsUntilItIsAlone(t *testing.T) {
+	b := newOwnerBench(t, nil)
+	b.claimed(time.Hour)
+	beside, suspect := b.keyed("k", 1), b.keyed("suspect", 1)
+	suspect.Alone = true
+	b.reply(beside)
+	b.expect(b.reply(suspect), attempt.ReplyQueued, outcome.Open, "")
+	b.expect(b.reply(b.keyed("other", 1)), attempt.ReplyNeverStarted, outcome.NotRun, outcome.CauseNotReady)
+	b.end(beside.ID, served)
+	b.c.Assert(ownerActions[attempt.Run](b)[0].Dispatch.ID, qt.Equals, suspect.ID)
+	b.expect(b.reply(b.keyed("other", 1)), attempt.ReplyNeverStarted, outcome.NotRun, outcome.CauseNotReady)
+	b.end(suspect.ID, served)
+	b.expect(b.reply(b.keyed("other", 1)), attempt.ReplyStarted, outcome.Open, "")
+}
+
+func TestSuspectThatIsAnsweredElsewhereFreesTheAgent(t *testing.T) {
+	b := newOwnerBench(t, nil)
+	b.claimed(time.Hour)
+	beside, suspect := b.keyed("k", 1), b.keyed("suspect", 1)
+	suspect.Alone = true
+	b.reply(beside)
+	b.reply(suspect)
+	b.step(attempt.HandOverReceived{HandOver: attempt.HandOver{
+		From: agentB, To: "a", Service: "s", FleetVersion: 1, Keys: []attempt.KeyTransfer{{
+			RunKey: suspect.RunKey, Body: suspect.Body, Status: attempt.KeyServed, Outcome: served, ExpiresIn: time.Hour,
+		}},
+	}})
+	b.expect(b.reply(suspect), attempt.ReplyFinished, outcome.Served, "")
+	b.expect(b.reply(b.keyed("other", 1)), attempt.ReplyStarted, outcome.Open, "")
+}
+
 func TestBackendCrashLeavesKeysInDoubt(t *testing.T) {
 	b := newOwnerBench(t, nil)
 	b.claimed(time.Hour)
--- a/internal/attempt/tickets.go
+++ b/internal/attempt/tickets.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -12,6 +13,9 @@
 // ticketValidity is the time for which a ticket can be used.
 const ticketValidity = 10 * time.Minute
 
+// ticketParts is the number of parts of a ticket's text form.
+const ticketParts = 3
+
 // ticketPrefix sets the keys of tickets apart from keys that callers choose, which
 // contain no control characters.
 const ticketPrefix = "\x1eticket\x1e"
@@ -21,6 +25,31 @@
 	return ident.NewRunKey(customer, service, fmt.Sprintf("%s%s/%d", ticketPrefix, ticket.Owner, ticket.Number))
 }
 
+// String returns the ticket in the form that callers are given.
+func (t Ticket) String() string {
+	return fmt.Sprintf("%s/%x/%d", t.Owner.VM, uint64(t.Owner.Incarnation), t.Number)
+}
+
+// ParseTicket reads the form of String.
+func ParseTicket(text string) (Ticket, error) {
+	var ticket Ticket
+	parts := strings.Split(text, "/")
+	if len(parts) != ticketParts || parts[0] == "" {
+		return Ticket{}, fmt.Errorf("ticket %q: want VM/INCARNATION/NUMBER", text)
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 16, 64)
+	if err != nil {
+		return Ticket{}, fmt.Errorf("ticket %q: incarnation: %w", text, err)
+	}
+	number, err := strconv.ParseUint(parts[2], 10, 64)
+	if err != nil {
+		return Ticket{}, fmt.Errorf("ticket %q: number: %w", text, err)
+	}
+	ticket.Owner = ident.Instance{VM: ident.VM(parts[0]), Incarnation: ident.Incarnation(incarnation)}
+	ticket.Number = number
+	return ticket, nil
+}
+
 // ticketBook holds the tickets that the agent issued and that are still valid.
 type ticketBook struct {
 	last   uint64
