Send hand-overs in parts, and tell the parts of different answers apart

Parts of two answers to one claim were counted together: a key that moved over a part's boundary between them, as another expired, would have been missed, and could have run twice. Answers and hand-overs now carry a serial number, and the random interleavings use parts of 3 keys.

--- a/internal/attempt/log.go
+++ b/internal/attempt/log.go
@@ -8,9 +8,6 @@
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 )
 
-// maxKeysPerPart bounds the run keys in one part of a ClaimAnswer.
-const maxKeysPerPart = 2000
-
 // DefaultRunKeyRetention is how long run keys are kept if the service does not say.
 const DefaultRunKeyRetention = 24 * time.Hour
 
@@ -22,14 +19,19 @@
 	// StartsWithin bounds the time from a dispatch to its start at the agent: keys are
 	// kept that much longer than the retention.
 	StartsWithin time.Duration
+	// KeysPerPart bounds the run keys in one part of an answer.
+	KeysPerPart int
 }
 
+// DefaultKeysPerPart bounds the run keys in one message.
+const DefaultKeysPerPart = 2000
+
 // DefaultStartsWithin is longer than a lease and the wait for a start together.
 const DefaultStartsWithin = time.Minute
 
 // DefaultLogConfig returns the configuration of an entry.
 func DefaultLogConfig(self ident.Instance) LogConfig {
-	return LogConfig{Self: self, AskAgain: 200 * time.Millisecond, StartsWithin: DefaultStartsWithin}
+	return LogConfig{Self: self, AskAgain: 200 * time.Millisecond, StartsWithin: DefaultStartsWithin, KeysPerPart: DefaultKeysPerPart}
 }
 
 // Log is an entry's record of the run keys that it dispatched, and of the agents' claims
@@ -39,6 +41,7 @@
 	startedAt  time.Time
 	knowsSince time.Time
 	lastStep   time.Time
+	serial     uint64
 	// gap is what the entry knew before it was paused, or nil.
 	gap      *logGap
 	fleet    fleet.Fleet
--- a/internal/attempt/log_step.go
+++ b/internal/attempt/log_step.go
@@ -205,7 +205,9 @@
 	for _, earlier := range log.earlier {
 		answer.Earlier = append(answer.Earlier, EarlierList{VMs: earlier.vms, Age: now.Sub(earlier.replacedAt)})
 	}
-	return splitAnswer(answer, log.keysFor(now, claim, claim.FleetVersion == l.fleet.Version))
+	l.serial++
+	answer.Serial = l.serial
+	return splitAnswer(l.config.KeysPerPart, answer, log.keysFor(now, claim, claim.FleetVersion == l.fleet.Version))
 }
 
 // previousTo returns the greatest incarnation that claimed the VM before the claimant.
@@ -276,12 +278,12 @@
 	return keys
 }
 
-func splitAnswer(answer ClaimAnswer, keys []DispatchedKey) []LogAction {
-	answer.Parts = max(1, (len(keys)+maxKeysPerPart-1)/maxKeysPerPart)
+func splitAnswer(keysPerPart int, answer ClaimAnswer, keys []DispatchedKey) []LogAction {
+	answer.Parts = max(1, (len(keys)+keysPerPart-1)/keysPerPart)
 	actions := make([]LogAction, 0, answer.Parts)
 	for part := range answer.Parts {
 		answer.Part = part
-		answer.Keys = keys[part*maxKeysPerPart : min(len(keys), (part+1)*maxKeysPerPart)]
+		answer.Keys = keys[part*keysPerPart : min(len(keys), (part+1)*keysPerPart)]
 		actions = append(actions, SendClaimAnswer{answer})
 	}
 	return actions
--- a/internal/attempt/messages.go
+++ b/internal/attempt/messages.go
@@ -179,6 +179,8 @@
 	Removed []RemovedEntry `cbor:"15,keyasint,omitempty"`
 	// FleetVersion is the entry's version.
 	FleetVersion template.Version `cbor:"16,keyasint,omitempty"`
+	// Serial numbers the entry's answers; parts of different answers do not belong together.
+	Serial uint64 `cbor:"17,keyasint"`
 }
 
 // EarlierList is a list of a service's backend servers that was in force before.
@@ -292,6 +294,10 @@
 	Custody bool `cbor:"9,keyasint,omitempty"`
 	// List identifies the list of backend servers that the sender picked the keys by.
 	List uint64 `cbor:"10,keyasint"`
+	// Part counts from 0 to Parts-1; parts with one Serial belong together.
+	Part   int    `cbor:"11,keyasint"`
+	Parts  int    `cbor:"12,keyasint"`
+	Serial uint64 `cbor:"13,keyasint"`
 }
 
 // KeyTransfer is one run key of a HandOver.
--- a/internal/attempt/owner.go
+++ b/internal/attempt/owner.go
@@ -22,9 +22,15 @@
 	ClockSkew time.Duration
 	// StartsWithin bounds the time from a dispatch to its start, as in LogConfig.
 	StartsWithin time.Duration
+	// KeysPerPart and BytesPerPart bound the run keys and the answers in one part of a hand-over.
+	KeysPerPart  int
+	BytesPerPart int
 	Doubt        DoubtPolicy
 }
 
+// DefaultBytesPerPart bounds the answers in one part of a hand-over.
+const DefaultBytesPerPart = 256 << 10
+
 // DoubtPolicy says what an agent does with keys that an earlier owner may have run.
 type DoubtPolicy uint8
 
@@ -49,6 +55,8 @@
 		ClockSkew: 500 * time.Millisecond,
 
 		StartsWithin: DefaultStartsWithin,
+		KeysPerPart:  DefaultKeysPerPart,
+		BytesPerPart: DefaultBytesPerPart,
 	}
 }
 
@@ -282,7 +290,7 @@
 		gone:      map[ident.VM]time.Time{},
 		removed:   map[ident.VM]time.Time{},
 		tickets:   ticketBook{issued: map[uint64]*issuedTicket{}},
-		handOvers: handOvers{custody: map[custodyKey]*custody{}, unacknowledged: map[handOverKey]HandOver{}},
+		handOvers: handOvers{custody: map[custodyKey]*custody{}, arriving: map[arrivalKey]*arrival{}, unacknowledged: map[handOverKey]HandOver{}},
 	}
 }
 
--- a/internal/attempt/owner_claims.go
+++ b/internal/attempt/owner_claims.go
@@ -92,8 +92,7 @@
 		claim = service.claims[answer.Entry.VM]
 	}
 	o.doubtKeys(now, service, answer.Keys)
-	claim.parts[answer.Part] = true
-	claim.accepted = len(claim.parts) == answer.Parts
+	claim.notePart(answer)
 	if claim.accepted && !service.fencedAt.IsZero() && claim.knowsSince.After(service.fencedAt) {
 		// The entry cannot tell whether a later run claimed the VM: ask all entries again.
 		service.newRound()
@@ -101,9 +100,22 @@
 	o.refreshFence(now, service)
 }
 
+// notePart counts the parts of the entry's latest answer. An answer that is complete stays so.
+func (c *claimState) notePart(answer ClaimAnswer) {
+	if answer.Serial < c.serial || c.accepted {
+		return
+	}
+	if answer.Serial > c.serial {
+		c.serial = answer.Serial
+		c.parts = map[int]bool{}
+	}
+	c.parts[answer.Part] = true
+	c.accepted = len(c.parts) == answer.Parts
+}
+
 func claimOf(now, askedAt time.Time, answer ClaimAnswer) *claimState {
 	claim := &claimState{
-		askedAt: askedAt, parts: map[int]bool{}, entry: answer.Entry,
+		serial: answer.Serial, askedAt: askedAt, parts: map[int]bool{}, entry: answer.Entry,
 		coversSince: now.Add(-answer.Covers), knowsSince: now.Add(-answer.Knows),
 		previous: answer.Previous, peers: answer.Peers,
 	}
--- a/internal/attempt/owner_handover.go
+++ b/internal/attempt/owner_handover.go
@@ -15,6 +15,78 @@
 	unacknowledged map[handOverKey]HandOver
 	sentAt         time.Time
 	begun          bool
+	serial         uint64
+	// arriving holds the parts of the latest hand-overs that are not whole yet.
+	arriving map[arrivalKey]*arrival
+}
+
+type arrivalKey struct {
+	from    ident.Instance
+	service ident.Service
+	custody bool
+}
+
+type arrival struct {
+	serial uint64
+	parts  map[int]HandOver
+}
+
+// sendHandOver sends a hand-over in parts.
+func (o *Owner) sendHandOver(handOver HandOver) {
+	o.handOvers.serial++
+	handOver.Serial = o.handOvers.serial
+	groups := o.splitKeys(handOver.Keys)
+	handOver.Parts = len(groups)
+	for part, keys := range groups {
+		handOver.Part = part
+		handOver.Keys = keys
+		o.act(SendHandOver{handOver})
+	}
+}
+
+// splitKeys returns at least one group of keys within the bounds of a part.
+func (o *Owner) splitKeys(keys []KeyTransfer) [][]KeyTransfer {
+	groups := [][]KeyTransfer{nil}
+	bytes := 0
+	for _, key := range keys {
+		last := len(groups) - 1
+		full := len(groups[last]) >= o.config.KeysPerPart || bytes+len(key.Content) > o.config.BytesPerPart
+		if full && len(groups[last]) > 0 {
+			groups = append(groups, nil)
+			last++
+			bytes = 0
+		}
+		groups[last] = append(groups[last], key)
+		bytes += len(key.Content)
+	}
+	return groups
+}
+
+// assemble returns the whole hand-over once its last part is there.
+func (o *Owner) assemble(part HandOver) (HandOver, bool) {
+	if part.Parts <= 1 {
+		return part, true
+	}
+	key := arrivalKey{part.From, part.Service, part.Custody}
+	arriving := o.handOvers.arriving[key]
+	if arriving == nil || part.Serial > arriving.serial {
+		arriving = &arrival{serial: part.Serial, parts: map[int]HandOver{}}
+		o.handOvers.arriving[key] = arriving
+	}
+	if part.Serial < arriving.serial {
+		return HandOver{}, false
+	}
+	arriving.parts[part.Part] = part
+	if len(arriving.parts) < part.Parts {
+		return HandOver{}, false
+	}
+	delete(o.handOvers.arriving, key)
+	whole := part
+	whole.Keys = nil
+	for i := range part.Parts {
+		whole.Keys = append(whole.Keys, arriving.parts[i].Keys...)
+	}
+	return whole, true
 }
 
 type custodyKey struct {
@@ -117,7 +189,7 @@
 	o.giveCustody(request)
 	handOver := o.handOverTo(now, service, request.Asker.VM)
 	handOver.Round = request.Round
-	o.act(SendHandOver{handOver})
+	o.sendHandOver(handOver)
 }
 
 func (o *Owner) giveCustody(request ReleaseRequest) {
@@ -129,7 +201,7 @@
 		return
 	}
 	kept.taker = request.Asker.Incarnation
-	o.act(SendHandOver{kept.handOver})
+	o.sendHandOver(kept.handOver)
 }
 
 // handOverTo returns the hand-over of the keys that the VM owns under the present list.
@@ -177,8 +249,8 @@
 	if owner == o.config.Self.VM || owner == "" || !record.movable() || service.keys[record.key] == nil {
 		return
 	}
-	o.act(SendHandOver{HandOver{
+	o.sendHandOver(HandOver{
 		From: o.config.Self, To: owner, Service: service.published.Name, FleetVersion: o.fleet.Version,
 		List: service.listID, CompleteFor: service.completeFor(), Keys: []KeyTransfer{record.transfer(now)},
-	}})
+	})
 }
--- a/internal/attempt/owner_service.go
+++ b/internal/attempt/owner_service.go
@@ -57,6 +57,7 @@
 type claimState struct {
 	askedAt  time.Time
 	parts    map[int]bool
+	serial   uint64
 	entry    ident.Instance
 	accepted bool
 	// coversSince and knowsSince are on this agent's clock.
--- a/internal/attempt/owner_stop.go
+++ b/internal/attempt/owner_stop.go
@@ -81,7 +81,7 @@
 		return keys[i].to < keys[j].to || (keys[i].to == keys[j].to && keys[i].service < keys[j].service)
 	})
 	for _, key := range keys {
-		o.act(SendHandOver{o.handOvers.unacknowledged[key]})
+		o.sendHandOver(o.handOvers.unacknowledged[key])
 	}
 }
 
@@ -101,7 +101,11 @@
 }
 
 // takeOver keeps the keys of a hand-over.
-func (o *Owner) takeOver(now time.Time, handOver HandOver) {
+func (o *Owner) takeOver(now time.Time, part HandOver) {
+	handOver, whole := o.assemble(part)
+	if !whole {
+		return
+	}
 	service := o.services[handOver.Service]
 	if service == nil {
 		return
--- a/internal/attempt/owner_test.go
+++ b/internal/attempt/owner_test.go
@@ -257,6 +257,54 @@
 	b.expect(b.reply(b.keyed("other", 1)), attempt.ReplyStarted, outcome.Open, "")
 }
 
+func TestPartsOfDifferentAnswersDoNotBelongTogether(t *testing.T) {
+	b := newOwnerBench(t, nil)
+	held := b.keyed("k", 1)
+	b.reply(held)
+	part := func(serial uint64, part int) {
+		b.step(attempt.ClaimAnswered{Answer: attempt.ClaimAnswer{
+			Entry: entry, Claimant: b.self, Service: "s", Round: 1, Part: part, Parts: 2, Serial: serial, Covers: time.Hour,
+		}})
+	}
+	part(1, 0)
+	part(2, 1)
+	b.c.Assert(ownerActions[attempt.Run](b), qt.HasLen, 0)
+	part(2, 0)
+	b.c.Assert(ownerActions[attempt.Run](b), qt.HasLen, 1)
+}
+
+func TestHandOverComesInParts(t *testing.T) {
+	b := newOwnerBench(t, func(config *attempt.OwnerConfig) { config.KeysPerPart = 2 })
+	b.claimed(time.Hour)
+	for i := range 5 {
+		dispatch := b.keyed(fmt.Sprint("k", i), 1)
+		b.reply(dispatch)
+		b.end(dispatch.ID, served)
+	}
+	next := oneEntryFleet(start.Add(-time.Minute), "b")
+	next.Version = 2
+	b.step(attempt.OwnerFleetChanged{Fleet: next})
+	b.step(attempt.ReleaseAsked{Request: attempt.ReleaseRequest{Asker: agentB, Service: "s", FleetVersion: 2, Round: 1}})
+	parts := ownerActions[attempt.SendHandOver](b)
+	b.c.Assert(parts, qt.HasLen, 3)
+	receiver := attempt.NewOwner(start, attempt.DefaultOwnerConfig(agentB))
+	receiver.Step(start, attempt.OwnerFleetChanged{Fleet: next})
+	acks := 0
+	for _, index := range []int{2, 0, 0, 1} {
+		for _, action := range receiver.Step(start, attempt.HandOverReceived{HandOver: parts[index].HandOver}) {
+			if _, ok := action.(attempt.SendHandOverAck); ok {
+				acks++
+			}
+		}
+	}
+	b.c.Assert(acks, qt.Equals, 1)
+	for i := range 5 {
+		question := attempt.KeyQuestion{RunKey: ident.NewRunKey("c", "s", fmt.Sprint("k", i))}
+		actions := receiver.Step(start, attempt.KeyAsked{Question: question})
+		b.c.Assert(actions[len(actions)-1].(attempt.SendKeyAnswer).Answer.Status, qt.Equals, attempt.KeyServed)
+	}
+}
+
 func TestBackendCrashLeavesKeysInDoubt(t *testing.T) {
 	b := newOwnerBench(t, nil)
 	b.claimed(time.Hour)
--- a/internal/experiment/calls/world.go
+++ b/internal/experiment/calls/world.go
@@ -16,6 +16,8 @@
 	leasesToKeep               = 20
 	// startsWithin covers three lease periods and the wait for a start.
 	startsWithin = 8 * time.Second
+	// keysPerPart is small, so that answers and hand-overs come in parts.
+	keysPerPart = 3
 )
 
 var epoch = time.Unix(1_700_000_000, 0).UTC()
@@ -189,6 +191,7 @@
 func (w *World) logConfig(self ident.Instance) attempt.LogConfig {
 	config := attempt.DefaultLogConfig(self)
 	config.StartsWithin = startsWithin
+	config.KeysPerPart = keysPerPart
 	return config
 }
 
@@ -198,6 +201,7 @@
 	config.Doubt = w.config.Doubt
 	config.ClockSkew = 0
 	config.StartsWithin = startsWithin
+	config.KeysPerPart = keysPerPart
 	process.owner = attempt.NewOwner(w.now, config)
 	host.processes = append(host.processes, process)
 	w.stepOwner(process, w.leases())
