Count entries off the roster that any entry has heard of

Entries now name every peer that is not on the roster, pass on the peers they know, and agents note entries that they see and that are not listed.

--- a/internal/attempt/log_peers.go
+++ b/internal/attempt/log_peers.go
@@ -34,6 +34,7 @@
 	hold(l.peers, HeldClaim{VM: question.Asker.VM, Current: question.Asker.Incarnation})
 	answer.Knows = now.Sub(l.knowsSince)
 	answer.Claims = l.heldClaims()
+	answer.Peers = l.knownPeers()
 	answer.Previous = before(l.peers[question.Asker.VM], question.Asker.Incarnation)
 	if kept, ok := l.stop.kept[question.Asker.VM]; ok && kept.handOver.From.Incarnation == answer.Previous {
 		handOver := kept.aged(now)
@@ -73,6 +74,11 @@
 	l.answered[answer.Entry.VM] = true
 	l.closeGap(now, answer)
 	hold(l.peers, HeldClaim{VM: answer.Entry.VM, Current: answer.Entry.Incarnation})
+	for _, peer := range answer.Peers {
+		if peer.VM != l.config.Self.VM {
+			hold(l.peers, HeldClaim{VM: peer.VM, Current: peer.Incarnation})
+		}
+	}
 	l.noteOffer(now, answer)
 	return nil
 }
--- a/internal/attempt/log_step.go
+++ b/internal/attempt/log_step.go
@@ -298,9 +298,21 @@
 	return instances
 }
 
+// removedEntries returns the entries that left the roster, or that the entry has heard of and
+// that are not on it.
 func (l *Log) removedEntries(now time.Time) []RemovedEntry {
-	removed := make([]RemovedEntry, 0, len(l.removed))
+	since := map[ident.VM]time.Time{}
+	for vm := range l.peers {
+		since[vm] = now
+	}
 	for vm, at := range l.removed {
+		since[vm] = at
+	}
+	for _, entry := range l.fleet.Entries {
+		delete(since, entry.VM)
+	}
+	removed := make([]RemovedEntry, 0, len(since))
+	for vm, at := range since {
 		removed = append(removed, RemovedEntry{VM: vm, Age: now.Sub(at)})
 	}
 	sort.Slice(removed, func(i, j int) bool { return removed[i].VM < removed[j].VM })
--- a/internal/attempt/log_test.go
+++ b/internal/attempt/log_test.go
@@ -112,3 +112,11 @@
 		c.Assert(answer.Keys, qt.HasLen, tc.keys)
 	}
 }
+
+func TestEntriesOffTheRosterAreNamed(t *testing.T) {
+	c := qt.New(t)
+	stranger := ident.Instance{VM: "entry2", Incarnation: 4}
+	log := newLog(c, entry, attempt.PeerAnswer{Peers: []ident.Instance{stranger}})
+	answer := claim(c, log, start, agentA)
+	c.Assert(answer.Removed, qt.DeepEquals, []attempt.RemovedEntry{{VM: stranger.VM}})
+}
--- a/internal/attempt/messages.go
+++ b/internal/attempt/messages.go
@@ -241,6 +241,8 @@
 	Previous ident.Incarnation `cbor:"6,keyasint,omitempty"`
 	// Log is the final log of that run, if it handed it over; nil otherwise.
 	Log *LogHandOver `cbor:"7,keyasint,omitempty"`
+	// Peers are the runs of entries that the answering entry has heard of.
+	Peers []ident.Instance `cbor:"8,keyasint,omitempty"`
 }
 
 // LogHandOver carries the log of an entry that stops to another entry, which keeps it for
--- a/internal/attempt/owner_claims.go
+++ b/internal/attempt/owner_claims.go
@@ -172,6 +172,9 @@
 
 // seeEntry claims at a run of an entry that has not accepted the claim.
 func (o *Owner) seeEntry(now time.Time, entry ident.Instance) {
+	if _, known := o.removed[entry.VM]; !known && !o.listsEntry(entry.VM) {
+		o.removed[entry.VM] = now
+	}
 	for _, name := range o.serviceNames() {
 		service := o.services[name]
 		claim := service.claims[entry.VM]
@@ -187,6 +190,15 @@
 	}
 }
 
+func (o *Owner) listsEntry(vm ident.VM) bool {
+	for _, entry := range o.fleet.Entries {
+		if entry.VM == vm {
+			return true
+		}
+	}
+	return false
+}
+
 func (o *Owner) updateFence(now time.Time, service *ownedService) {
 	fenced := len(o.fleet.Entries) > 0
 	for _, entry := range o.fleet.Entries {
