--- a/internal/attempt/owner_test.go
+++ b/internal/attempt/owner_test.go
@@ -159,10 +159,13 @@
 		{"an old lease", change(func(d *attempt.Dispatch) { d.Lease = 8 }), attempt.ReplyNeverStarted, outcome.NotRun, outcome.CauseStaleLease},
 		{"a forgotten lease", change(func(d *attempt.Dispatch) { d.Lease = 4 }), attempt.ReplyInDoubt, outcome.Unknown, outcome.CauseStaleLease},
 		{"a later fleet version", change(func(d *attempt.Dispatch) { d.FleetVersion = 2 }), attempt.ReplyNeverStarted, outcome.NotRun, outcome.CauseNotReady},
-		{"another run's ticket", change(func(d *attempt.Dispatch) {
-			d.Ticket = &attempt.Ticket{Owner: ident.Instance{VM: "a", Incarnation: 0x99}, Number: 1}
-			d.RunKey = attempt.TicketKey("c", "s", *d.Ticket)
-		}), attempt.ReplyNeverStarted, outcome.Unknown, outcome.CauseKeyInDoubt},
+		{"another run's ticket", func(b *ownerBench) attempt.Dispatch {
+			b.step(attempt.TicketAsked{Request: attempt.TicketRequest{Entry: entry, Request: "t", Service: "s"}})
+			dispatch := b.keyed("k", 1)
+			dispatch.Ticket = &attempt.Ticket{Owner: ident.Instance{VM: "a", Incarnation: 0x99}, Number: 1}
+			dispatch.RunKey = attempt.TicketKey("c", "s", *dispatch.Ticket)
+			return dispatch
+		}, attempt.ReplyNeverStarted, outcome.Unknown, outcome.CauseKeyInDoubt},
 		{"a ticket's key without the ticket", change(func(d *attempt.Dispatch) {
 			d.RunKey = attempt.TicketKey("c", "s", attempt.Ticket{Owner: agentA, Number: 1})
 		}), attempt.ReplyNeverStarted, outcome.NotRun, outcome.CauseBadRequest},
