--- a/internal/attempt/messages.go
+++ b/internal/attempt/messages.go
@@ -179,6 +179,8 @@
 	Removed []RemovedEntry `cbor:"15,keyasint,omitempty"`
 	// FleetVersion is the entry's version.
 	FleetVersion template.Version `cbor:"16,keyasint,omitempty"`
+	// Serial numbers the entry's answers; parts of different answers do not belong together.
+	Serial uint64 `cbor:"17,keyasint"`
 }
 
 // EarlierList is a list of a service's backend servers that was in force before.
@@ -235,9 +237,31 @@
 	// Superseding is set if a later run of the asker's VM is known; the asker must restart
 	// with a greater incarnation.
 	Superseding ident.Incarnation `cbor:"5,keyasint,omitempty"`
+	// Previous is the run of the asker's VM that asked before; 0 for none.
+	Previous ident.Incarnation `cbor:"6,keyasint,omitempty"`
+	// Log is the final log of that run, if it handed it over; nil otherwise.
+	Log *LogHandOver `cbor:"7,keyasint,omitempty"`
+	// Peers are the runs of entries that the answering entry has heard of.
+	Peers []ident.Instance `cbor:"8,keyasint,omitempty"`
 }
 
-// HeldClaim is the claim on one agent's VM that an entry accepted.
+// LogHandOver carries the log of an entry that stops to another entry, which keeps it for
+// the next run of the VM.
+type LogHandOver struct {
+	From ident.Instance `cbor:"1,keyasint"`
+	To   ident.VM       `cbor:"2,keyasint"`
+	// Covers is the time before the message over which the log is complete.
+	Covers time.Duration   `cbor:"3,keyasint"`
+	Keys   []DispatchedKey `cbor:"4,keyasint,omitempty"`
+}
+
+// LogHandOverAck says that a LogHandOver is kept.
+type LogHandOverAck struct {
+	From ident.Instance `cbor:"1,keyasint"`
+}
+
+// HeldClaim is the claim on one agent's VM that an entry accepted. For another entry's VM
+// it holds the runs that asked.
 type HeldClaim struct {
 	VM      ident.VM          `cbor:"1,keyasint"`
 	Current ident.Incarnation `cbor:"2,keyasint"`
@@ -272,6 +296,10 @@
 	Custody bool `cbor:"9,keyasint,omitempty"`
 	// List identifies the list of backend servers that the sender picked the keys by.
 	List uint64 `cbor:"10,keyasint"`
+	// Part counts from 0 to Parts-1; parts with one Serial belong together.
+	Part   int    `cbor:"11,keyasint"`
+	Parts  int    `cbor:"12,keyasint"`
+	Serial uint64 `cbor:"13,keyasint"`
 }
 
 // KeyTransfer is one run key of a HandOver.
--- a/internal/attempt/owner_dispatch.go
+++ b/internal/attempt/owner_dispatch.go
@@ -58,7 +58,10 @@
 	case dispatch.Lease < o.lease.Start:
 		refused.Cause = outcome.CauseStaleLease
 	case o.alone != nil:
-		refused.Cause = outcome.CauseBackendsFull
+		// The entry learns by this that the backend server is taken for a while; it is no
+		// sign of overload, and costs no retry.
+		refused.Cause = outcome.CauseNotReady
+		refused.Detail = "the backend server runs a suspect alone"
 	case dispatch.RunKey != "" && dispatch.FleetVersion > o.fleet.Version:
 		refused.Cause = outcome.CauseNotReady
 		o.act(OwnerNeedsFleet{dispatch.FleetVersion})
@@ -99,6 +102,7 @@
 
 // settle ends an attempt and sends the agent's last word on it.
 func (o *Owner) settle(id Attempt, held *heldAttempt, state ReplyState, result outcome.Outcome) {
+	o.endAlone(id)
 	held.state = state
 	held.outcome = result
 	o.reply(id, held)
@@ -152,9 +156,7 @@
 func (o *Owner) revokeQueued(now time.Time, held *heldAttempt) {
 	id := held.dispatch.ID
 	held.waits = false
-	if o.alone != nil && *o.alone == id {
-		o.alone = nil
-	}
+	o.endAlone(id)
 	if held.dispatch.RunKey != "" {
 		o.detach(now, held)
 	}
@@ -210,9 +212,7 @@
 
 func (o *Owner) noteEnded(id Attempt) {
 	o.running--
-	if o.alone != nil && *o.alone == id {
-		o.alone = nil
-	}
+	o.endAlone(id)
 }
 
 // loseRuns ends all runs of a backend server that died, and reports the suspects.
