admission: recognize overloaded customers by a sequential test

Cause: bursts of customers within their share counted as overload, since waiting without a break is common on few slots. Change: a repeated sequential probability ratio test on the arrivals (0.9 against 1.5 of the rate that the customer gets) replaces the time without a break; a customer that is not overloaded may have twice its patience queued, as bursts are mostly served faster than at the guaranteed rate.

--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -33,6 +33,7 @@
 		return
 	}
 	r := c.newRequest(now, l, e)
+	l.flow.load.arrive(now, l.flow.service.rate(l.flow)/r.cost)
 	if refused, ok := c.judge(now, r, e); ok {
 		c.refuseArrival(now, r, refused)
 		return
@@ -99,6 +100,10 @@
 // overloaded customer may wait. A longer queue would serve no more of them.
 const overloadedPatience = 0.25
 
+// burstPatience is the same for other customers. It exceeds 1 because a burst is mostly
+// served faster than at the guaranteed rate.
+const burstPatience = 2.0
+
 // judgeQueue refuses what cannot be dispatched in time. A customer that is within its
 // share and has nothing waiting is never refused for the queues of others.
 func (c *Controller) judgeQueue(now time.Time, r *request) (refusal, bool) {
@@ -118,9 +123,11 @@
 	}
 	rate := s.rate(f)
 	wait := seconds(c.expectedWait(r.lane, ahead, rate))
-	if f.overloaded() {
-		patience = time.Duration(overloadedPatience * float64(patience))
+	factor := burstPatience
+	if f.load.overloaded {
+		factor = overloadedPatience
 	}
+	patience = time.Duration(factor * float64(patience))
 	tooLong := wait > patience && s.open >= s.slots
 	tooMany := f.queued >= c.queueBound(f)
 	if !tooLong && !tooMany {
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -89,8 +89,8 @@
 	queuedCost float64
 	// open is the number of dispatched requests.
 	open int
-	// waitingSince is when the customer began to have waiting requests without a break.
-	waitingSince time.Time
+	// load tests whether the customer's demand exceeds what it gets.
+	load overloadTest
 	// next is the lane whose head goes next; nil if nothing waits.
 	next *lane
 	// index is the position in the heap of the service; eligible says in which one.
@@ -110,25 +110,12 @@
 	return f.start + f.next.head.cost/f.weight
 }
 
-// overloaded reports whether the customer has had waiting requests for so long that its
-// demand exceeds what it gets.
-func (f *flow) overloaded() bool {
-	if f.queued == 0 {
-		return false
-	}
-	shortest := f.lanes[0].plan.Deadline
-	for _, l := range f.lanes {
-		shortest = min(shortest, l.plan.Deadline)
-	}
-	return f.service.advancedAt.Sub(f.waitingSince) > shortest
-}
-
 // choose sets the lane that goes next: a lane that its floor owes a request, else the
 // lowest band. If the customer is overloaded, the greatest worth for the slot time goes
 // before the band, because not all requests can be served.
 func (f *flow) choose() {
 	f.next = nil
-	overloaded := f.overloaded()
+	overloaded := f.load.overloaded
 	for _, candidate := range f.lanes {
 		if candidate.head != nil && (f.next == nil || candidate.before(f.next, overloaded)) {
 			f.next = candidate
@@ -160,7 +147,7 @@
 
 // ahead returns the slot time in seconds that waits before a new request of its lane.
 func (r *request) ahead() float64 {
-	overloaded := r.lane.flow.overloaded()
+	overloaded := r.lane.flow.load.overloaded
 	sum := 0.0
 	for _, other := range r.lane.flow.lanes {
 		if other.head == nil {
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -144,7 +144,6 @@
 
 func (s *service) beginWaiting(f *flow) {
 	f.start = max(f.start, s.virtual)
-	f.waitingSince = s.advancedAt
 	s.waitingWeight += f.weight
 	s.idleOpen -= f.open
 	if f.open == 0 {
--- a/internal/experiment/overload/bench.go
+++ b/internal/experiment/overload/bench.go
@@ -65,8 +65,10 @@
 	worth        float64
 	offeredWorth float64
 	lookups      []float64
-	drafts       []float64
-	draftsSent   int
+	// sharedLookups are those of customers within their share.
+	sharedLookups []float64
+	drafts        []float64
+	draftsSent    int
 	// slotTime is the served slot time of each customer at the counter service.
 	slotTime []float64
 	// arrivals counts the tries, withinShareRefused the refused or abandoned tries of customers within their share.
@@ -147,8 +149,8 @@
 		b.abandon(event)
 	case tick:
 		b.schedule(benchEvent{at: b.now.Add(admission.TickInterval), kind: tick})
-		for entry, policy := range b.entries {
-			b.act(entry, policy.Step(b.now, admission.Tick{}))
+		for _, policy := range b.entries {
+			b.act(policy.Step(b.now, admission.Tick{}))
 		}
 	}
 }
@@ -186,7 +188,7 @@
 	}
 	b.schedule(benchEvent{at: b.now.Add(w.plan.Deadline), kind: giveUp, id: id})
 	arrive := admission.Arrive{Request: id, Customer: customerName(c.customer), Class: w.plan.Name, Retry: c.tries > 1}
-	b.act(c.entry, b.entries[c.entry].Step(b.now, arrive))
+	b.act(b.entries[c.entry].Step(b.now, arrive))
 }
 
 func (b *bench) count(c *call, w workload) {
@@ -203,7 +205,7 @@
 	}
 }
 
-func (b *bench) act(entry int, actions []admission.Action) {
+func (b *bench) act(actions []admission.Action) {
 	for _, action := range actions {
 		switch a := action.(type) {
 		case admission.Admit:
@@ -212,7 +214,6 @@
 			b.refused(a.Request, a.Outcome)
 		}
 	}
-	_ = entry
 }
 
 func (b *bench) admitted(a admission.Admit) {
@@ -228,6 +229,9 @@
 	switch w.plan.Name {
 	case "lookup":
 		b.figures.lookups = append(b.figures.lookups, waited)
+		if b.withinShare(c) {
+			b.figures.sharedLookups = append(b.figures.sharedLookups, waited)
+		}
 	case "draft":
 		b.figures.drafts = append(b.figures.drafts, waited)
 	}
@@ -241,7 +245,7 @@
 	c := b.calls[event.id]
 	delete(b.calls, event.id)
 	done := admission.Done{Request: event.id, Outcome: outcome.Outcome{Kind: outcome.Served}}
-	b.act(c.entry, b.entries[c.entry].Step(b.now, done))
+	b.act(b.entries[c.entry].Step(b.now, done))
 }
 
 func (b *bench) refused(id ident.Request, result outcome.Outcome) {
@@ -261,7 +265,7 @@
 	}
 	actions := b.entries[c.entry].Step(b.now, admission.Cancel{Request: event.id})
 	if len(actions) > 0 {
-		b.act(c.entry, actions)
+		b.act(actions)
 		return
 	}
 	b.refused(event.id, outcome.Outcome{})
