--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -88,7 +88,7 @@
 }
 
 func (c *Controller) configure(now time.Time, e Configure) {
-	c.roster = newRoster(e.Roster, c.settings.Leases.MaxCoordinators)
+	c.roster = c.roster.update(e.Roster, c.settings.Leases.MaxCoordinators)
 	seen := make(map[LimitKey]struct{}, len(c.lanes))
 	c.totalWeight = 0
 	for i := range e.Plans {
--- a/internal/admission/coordinator.go
+++ b/internal/admission/coordinator.go
@@ -54,7 +54,7 @@
 }
 
 func (c *LimitCoordinator) configure(now time.Time, e Configure) {
-	r := newRoster(e.Roster, c.settings.Leases.MaxCoordinators)
+	r := c.roster.update(e.Roster, c.settings.Leases.MaxCoordinators)
 	if r.digest != c.roster.digest {
 		c.authority.restart()
 	}
--- a/internal/admission/roster.go
+++ b/internal/admission/roster.go
@@ -14,10 +14,20 @@
 	vms          []ident.VM
 	digest       uint64
 	coordinators []ident.VM
+	// given is the list that the roster was made from.
+	given []ident.VM
 }
 
 const separator = "\x1f"
 
+// update returns the roster of the VMs; an unchanged list costs nothing.
+func (r roster) update(vms []ident.VM, maxCoordinators int) roster {
+	if r.vms != nil && slices.Equal(vms, r.given) {
+		return r
+	}
+	return newRoster(vms, maxCoordinators)
+}
+
 // newRoster sorts the VMs and chooses those that may coordinate limits.
 func newRoster(vms []ident.VM, maxCoordinators int) roster {
 	sorted := slices.Clone(vms)
@@ -33,7 +43,7 @@
 		return cmp.Or(cmp.Compare(rendezvousWeight("coordinator", b), rendezvousWeight("coordinator", a)), cmp.Compare(a, b))
 	})
 	ranked = ranked[:min(len(ranked), maxCoordinators)]
-	return roster{vms: sorted, digest: digest.Sum64(), coordinators: ranked}
+	return roster{vms: sorted, digest: digest.Sum64(), coordinators: ranked, given: slices.Clone(vms)}
 }
 
 func rendezvousWeight(key string, vm ident.VM) uint64 {
--- a/internal/experiment/overload/experiment.go
+++ b/internal/experiment/overload/experiment.go
@@ -54,6 +54,11 @@
 		Summary: "Worth served, waits and fairness under overload, floods and retries, against two baselines.",
 		Run:     runOverload,
 	},
+	{
+		Name:    "limits",
+		Summary: "Use of one rate limit over unevenly loaded entries and under faults, against a static split.",
+		Run:     runLimits,
+	},
 }
 
 var overloadColumns = []experiment.Column{
--- a/internal/experiment/overload/experiment_test.go
+++ b/internal/experiment/overload/experiment_test.go
@@ -15,6 +15,8 @@
 
 var printSeeds = flag.Int("overload.seeds", 0, "print the tables of all experiments over this many seeds")
 
+var printOnly = flag.String("overload.only", "", "the experiment to print; empty for all")
+
 // TestPrintTables prints the tables as Markdown when asked to.
 func TestPrintTables(t *testing.T) {
 	if *printSeeds == 0 {
@@ -22,6 +24,9 @@
 	}
 	c := qt.New(t)
 	for _, e := range overload.Experiments {
+		if *printOnly != "" && e.Name != *printOnly {
+			continue
+		}
 		result, err := e.Run(context.Background(), experiment.Params{Seed: 1, Seeds: *printSeeds})
 		c.Assert(err, qt.IsNil)
 		for _, table := range result.Tables {
--- /dev/null
+++ b/internal/experiment/overload/limits.go
@@ -0,0 +1,191 @@
+package overload
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bramleyspool/bramleyspool/internal/admission"
+	"github.com/bramleyspool/bramleyspool/internal/experiment"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+// limitScenario describes the demand for one customer's limit over all entries.
+type limitScenario struct {
+	name    string
+	entries int
+	// demand is the demand as a multiple of the limit.
+	demand float64
+	// hot is the fraction of the demand that goes to one entry.
+	hot float64
+	// moves is the time after which another entry is the hot one; 0 for never.
+	moves time.Duration
+	// fault changes the cluster when the measured time begins; nil for nothing.
+	fault func(c *Cluster)
+}
+
+// The customer's limit and the times of the limit scenarios.
+const (
+	limitRate     = 100.0
+	limitWarmUp   = 50 * time.Second
+	limitDuration = 60 * time.Second
+	limitStep     = 50 * time.Millisecond
+)
+
+func limitScenarios() []limitScenario {
+	halves := func(c *Cluster) {
+		c.Cut = func(from, to *Node) bool { return c.half(from) != c.half(to) }
+	}
+	restartAll := func(c *Cluster) {
+		for _, node := range c.Nodes {
+			c.Start(node, node.Roster)
+		}
+	}
+	stopOne := func(c *Cluster) { c.Stop(c.Nodes[len(c.Nodes)-1]) }
+	var list []limitScenario
+	for _, entries := range []int{3, 36} {
+		list = append(list,
+			limitScenario{name: "even", entries: entries, demand: 0.8},
+			limitScenario{name: "90% at one entry", entries: entries, demand: 0.8, hot: 0.9},
+			limitScenario{name: "90% at one entry, moving each 20 s", entries: entries, demand: 0.8, hot: 0.9, moves: 20 * time.Second},
+			limitScenario{name: "flood at one entry", entries: entries, demand: 5, hot: 0.9},
+			limitScenario{name: "one entry stopped", entries: entries, demand: 0.8, hot: 0.5, fault: stopOne},
+			limitScenario{name: "halves cut off", entries: entries, demand: 0.8, hot: 0.5, fault: halves},
+			limitScenario{name: "all restarted", entries: entries, demand: 0.8, hot: 0.5, fault: restartAll},
+		)
+	}
+	return list
+}
+
+// half returns in which half of the cluster a node is.
+func (c *Cluster) half(node *Node) bool {
+	for i, other := range c.Nodes {
+		if other == node {
+			return i < len(c.Nodes)/2
+		}
+	}
+	return false
+}
+
+// limitPolicies are the compared divisions of a limit.
+var limitPolicies = []struct {
+	name   string
+	adjust func(*admission.LeaseSettings)
+}{
+	{"static split", func(l *admission.LeaseSettings) { l.StaticFraction, l.RosterOverlap = 1, 1 }},
+	{"leases", func(*admission.LeaseSettings) {}},
+}
+
+var limitColumns = []experiment.Column{
+	{Name: "accepted of demand up to the limit", Unit: "%"},
+	{Name: "most in 10 s of the limit", Unit: "%"},
+	{Name: "messages an entry", Unit: "1/s"},
+	{Name: "bytes an entry", Unit: "B/s"},
+}
+
+func runLimits(ctx context.Context, params experiment.Params) (experiment.Result, error) {
+	table := experiment.Table{
+		Title: "One rate limit over all entries", Labels: []string{"demand", "entries", "division"}, Columns: limitColumns,
+	}
+	list := limitScenarios()
+	total := len(list) * len(limitPolicies) * params.Seeds
+	done := 0
+	for _, s := range list {
+		for _, policy := range limitPolicies {
+			var samples [][]float64
+			for i := range params.Seeds {
+				if err := ctx.Err(); err != nil {
+					return experiment.Result{}, err
+				}
+				samples = append(samples, s.run(params.Seed+uint64(i), policy.adjust))
+				done++
+				params.Report(done, total)
+			}
+			labels := []string{s.name, fmt.Sprint(s.entries), policy.name}
+			table.Rows = append(table.Rows, experiment.Row{Labels: labels, Cells: spread(samples)})
+		}
+	}
+	return experiment.Result{Tables: []experiment.Table{table}}, nil
+}
+
+// run returns the columns of one sample.
+func (s limitScenario) run(seed uint64, adjust func(*admission.LeaseSettings)) []float64 {
+	class := template.ClassPlan{
+		Name: "lookup", Service: "counter", Worth: 1, Deadline: time.Second, Limits: template.Limits{RatePerSecond: limitRate},
+	}
+	plan := template.CustomerPlan{Customer: "customer", Weight: 1, Classes: []template.ClassPlan{class}}
+	c := NewCluster(s.entries, seed, []template.CustomerPlan{plan}, func(self ident.Instance) admission.Settings {
+		settings := admission.DefaultSettings(self)
+		adjust(&settings.Leases)
+		return settings
+	})
+	c.SetSlots("counter", 1<<20)
+	c.Size = encodedSize
+	for _, node := range c.Nodes {
+		c.Start(node, c.VMs(0, s.entries))
+	}
+	random := rand.New(rand.NewPCG(seed, 4))
+	var accepted []time.Time
+	c.OnAccept = func(*Node, ident.Request, int) { accepted = append(accepted, c.Now) }
+	s.drive(c, random, limitWarmUp)
+	if s.fault != nil {
+		s.fault(c)
+	}
+	accepted, c.Messages, c.Bytes = nil, 0, 0
+	s.drive(c, random, limitDuration)
+	seconds := limitDuration.Seconds()
+	const percent = 100
+	return []float64{
+		percent * float64(len(accepted)) / (math.Min(1, s.demand) * limitRate * seconds),
+		percent * most(accepted, 10*time.Second) / (limitRate * 10),
+		float64(c.Messages) / seconds / float64(s.entries),
+		float64(c.Bytes) / seconds / float64(s.entries),
+	}
+}
+
+// drive offers the demand for a time. Requests for a stopped entry go to the next one.
+func (s limitScenario) drive(c *Cluster, random *rand.Rand, d time.Duration) {
+	perStep := s.demand * limitRate * limitStep.Seconds()
+	for end := c.Now.Add(d); c.Now.Before(end); {
+		hot := 0
+		if s.moves > 0 {
+			hot = int(c.Now.Sub(epoch)/s.moves) % s.entries
+		}
+		for budget := random.ExpFloat64(); budget < perStep; budget += random.ExpFloat64() {
+			at := random.IntN(s.entries)
+			if random.Float64() < s.hot {
+				at = hot
+			}
+			for c.Nodes[at].Down {
+				at = (at + 1) % s.entries
+			}
+			c.Offer(c.Nodes[at], admission.Arrive{Customer: "customer", Class: "lookup"}, 100*time.Millisecond)
+		}
+		c.Advance(limitStep)
+	}
+}
+
+// most returns the greatest number of times within a window.
+func most(times []time.Time, window time.Duration) float64 {
+	best, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) > window {
+			first++
+		}
+		best = max(best, i-first+1)
+	}
+	return float64(best)
+}
+
+func encodedSize(message any) int {
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		panic("invariant: a message cannot be encoded: " + err.Error())
+	}
+	return len(data)
+}
