admission: let small parts of a limit serve bursts, follow demand faster

Cause: a part's bucket held one second of its rate, so that 36 entries with 2 requests a second each refused much of a demand below the limit; and demand was averaged over 4 s, so that parts followed a moving load late. Change: a bucket holds 4 requests more, within the bound of the burst window; demand is averaged over 2 s. Refusals for a limit say that it is this entry's part.

--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -8,6 +8,9 @@
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 )
 
+// partUsedUp tells the caller that other entries may have room in the limit.
+const partUsedUp = "the part of the limit at this entry is used up"
+
 // refusal is the decision not to run a request.
 type refusal struct {
 	cause    outcome.Cause
@@ -87,7 +90,7 @@
 	}
 	refused := refusal{
 		cause: verdict.cause, causedBy: e.Customer, limit: verdict.kind,
-		wait: verdict.wait, spacing: verdict.spacing,
+		wait: verdict.wait, spacing: verdict.spacing, detail: partUsedUp,
 	}
 	if verdict.kind == LimitConcurrency {
 		refused.wait = seconds(r.cost)
--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -6,7 +6,7 @@
 )
 
 // demandWindow is the time over which demand is averaged.
-const demandWindow = 4 * time.Second
+const demandWindow = 2 * time.Second
 
 // demandMeter measures the demand for one limit at one entry, refused requests included.
 type demandMeter struct {
--- a/internal/admission/holder.go
+++ b/internal/admission/holder.go
@@ -149,13 +149,17 @@
 	rate := held.static.Rate + held.lease.part.Rate
 	size := 0.0
 	if rate*window > 1-rounding {
-		size = max(1, rate)
+		size = max(1, min(rate*window, rate+burstSlack))
 	}
 	held.rate.resize(now, rate, size)
 	tokens := held.static.Tokens + held.lease.part.Tokens
 	held.tokens.resize(now, tokens, tokens*window)
 }
 
+// burstSlack is the number of requests by which a burst may exceed the rate of a second.
+// Without it small parts would refuse much of a demand below the rate.
+const burstSlack = 4
+
 // rounding absorbs the rounding of floating point numbers.
 const rounding = 1e-9
 
