--- a/internal/experiment/overload/bench.go
+++ b/internal/experiment/overload/bench.go
@@ -17,7 +17,6 @@
 	random   *rand.Rand
 	now      time.Time
 	entries  []Policy
-	slots    [][]int
 	agenda   agenda
 	order    uint64
 	calls    map[ident.Request]*call
