admission: serve the floors of overloaded customers without a queue

Cause: requests of little worth of an overloaded customer were queued by a forecast that ignored the requests of greater worth that keep coming; they waited until near their deadline. Change: such a request is accepted only if the floor of its class will serve it in time; floors accrue while nothing waits.

--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -119,13 +120,13 @@
 	if patience < 0 {
 		return refusal{cause: outcome.CauseDeadline}, true
 	}
-	ahead := r.ahead()
+	ahead, outbid := r.ahead()
 	r.behind = ahead + s.lead(f)
 	if r.behind <= 0 {
 		return refusal{}, false
 	}
 	rate := s.rate(f)
-	wait := seconds(c.expectedWait(r.lane, ahead, rate))
+	wait := seconds(c.expectedWait(r, ahead, rate, outbid))
 	factor := burstPatience
 	if f.load.overloaded {
 		factor = overloadedPatience
@@ -146,14 +147,19 @@
 	return refused, true
 }
 
-// expectedWait returns the time in seconds until a new request of the lane is dispatched.
-func (c *Controller) expectedWait(l *lane, ahead, rate float64) float64 {
+// expectedWait returns the time in seconds until a new request is dispatched. One that is
+// outbid by requests of greater worth depends on the floor of its class alone.
+func (c *Controller) expectedWait(r *request, ahead, rate float64, outbid bool) float64 {
+	l := r.lane
 	lead := l.flow.service.lead(l.flow)
-	wait := (lead + ahead) / rate
+	byFloor := math.Inf(1)
 	if floor := c.settings.ClassFloor * rate; floor > 0 {
-		wait = min(wait, (lead+l.queuedCost)/floor)
+		byFloor = lead/rate + max(0, l.queuedCost+r.cost-l.owed)/floor
 	}
-	return wait
+	if outbid {
+		return byFloor
+	}
+	return min((lead+ahead)/rate, byFloor)
 }
 
 // queueBound returns how many requests the customer may have waiting at the service.
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -73,7 +73,6 @@
 	l.queuedCost -= r.cost
 	if l.queued == 0 {
 		l.queuedCost = 0
-		l.owed = 0
 	}
 }
 
@@ -145,10 +144,10 @@
 	return l.head.arrived.Before(other.head.arrived)
 }
 
-// ahead returns the slot time in seconds that waits before a new request of its lane.
-func (r *request) ahead() float64 {
+// ahead returns the slot time in seconds that waits before a new request of its lane, and
+// whether requests of greater worth keep coming before it.
+func (r *request) ahead() (sum float64, outbid bool) {
 	overloaded := r.lane.flow.load.overloaded
-	sum := 0.0
 	for _, other := range r.lane.flow.lanes {
 		if other.head == nil {
 			continue
@@ -156,23 +155,33 @@
 		goesFirst := other.plan.Priority <= r.lane.plan.Priority
 		if overloaded {
 			goesFirst = other == r.lane || other.head.worth*r.cost >= r.worth*other.head.cost
+			outbid = outbid || other != r.lane && goesFirst
 		}
 		if goesFirst {
 			sum += other.queuedCost
 		}
 	}
-	return sum
+	return sum, outbid
 }
 
-// creditFloors lets the floors of the waiting lanes accrue while a request of the flow
-// is dispatched.
+// maxOwed bounds the slot time that a floor owes a lane, in requests of the lane.
+const maxOwed = 4
+
+// creditFloors lets the floors of the other lanes accrue while a request of the flow is
+// dispatched. Lanes of an overloaded customer accrue also if nothing waits in them,
+// because their requests are refused on arrival until the floor owes them one.
 func (f *flow) creditFloors(served *lane, cost, floor float64) {
-	for _, waiting := range f.lanes {
-		if waiting != served && waiting.head != nil {
-			waiting.owed += floor * cost
+	for _, other := range f.lanes {
+		switch {
+		case other == served:
+			other.owed = max(0, other.owed-cost)
+		case other.head != nil || f.load.overloaded:
+			longest := maxOwed * other.cost.estimate(0, f.service.serviceTime)
+			other.owed = min(other.owed+floor*cost, longest)
+		default:
+			other.owed = 0
 		}
 	}
-	served.owed = max(0, served.owed-cost)
 }
 
 // costMeter estimates the slot time of requests of one class.
