--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -31,11 +31,11 @@
 	}
 	key := LimitKey{Customer: e.Customer, Class: e.Class}
 	l := c.lanes[key]
-	c.account.Arrive(key)
 	if l == nil {
-		c.refuseUnplanned(key, e)
+		c.refuseUnplanned(e)
 		return
 	}
+	c.account.Arrive(key)
 	r := c.newRequest(now, l, e)
 	l.flow.load.arrive(now, l.flow.service.rate(l.flow)/r.cost)
 	if refused, ok := c.judge(now, r, e); ok {
@@ -49,8 +49,13 @@
 	c.dispatch(now, s)
 }
 
+// UnplannedClass stands in the account for all classes that no plan names.
+const UnplannedClass ident.Class = "*"
+
 // refuseUnplanned refuses a request of a customer or class without a plan.
-func (c *Controller) refuseUnplanned(key LimitKey, e Arrive) {
+func (c *Controller) refuseUnplanned(e Arrive) {
+	key := LimitKey{Customer: e.Customer, Class: UnplannedClass}
+	c.account.Arrive(key)
 	result := outcome.Refused(outcome.CauseNoRoute)
 	c.account.Close(key, result, LimitNone, e.Worth)
 	c.act(Refuse{Request: e.Request, Outcome: result})
--- a/internal/admission/fairness_test.go
+++ b/internal/admission/fairness_test.go
@@ -260,9 +260,53 @@
 		controller.Step(now, admission.Arrive{Request: ident.Request(fmt.Sprint(i)), Customer: "a", Class: "x"})
 	}
 	c.Assert(controller.Step(now, admission.Arrive{Request: "b", Customer: "b", Class: "x"}), qt.HasLen, 0)
+	c.Assert(controller.Queues(), qt.DeepEquals, []admission.QueueState{
+		{Service: "model", Customer: "a", Open: 4, Slots: 2},
+		{Service: "model", Customer: "b", Waiting: 1, Slots: 2},
+	})
 	actions := controller.Step(now.Add(2*time.Second), admission.Tick{})
 	at := slices.IndexFunc(actions, func(a admission.Action) bool { _, ok := a.(admission.Refuse); return ok })
 	refused := actions[at].(admission.Refuse).Outcome
 	c.Assert(refused.Cause, qt.Equals, outcome.CauseBackendsFull)
 	c.Assert(refused.CausedBy, qt.Equals, ident.Customer("a"))
 }
+
+// TestSharesCountSlotTimeThatNoEstimateKnows lets requests end without an outcome from
+// which their slot time could be learned.
+func TestSharesCountSlotTimeThatNoEstimateKnows(t *testing.T) {
+	c := qt.New(t)
+	controller := admission.NewController(admission.DefaultSettings(ident.Instance{VM: "e", Incarnation: 1}))
+	class := template.ClassPlan{Name: "x", Service: "model", Worth: 1, Deadline: 50 * time.Second}
+	holds := map[ident.Customer]time.Duration{"long": time.Second, "short": 100 * time.Millisecond}
+	var plans []template.CustomerPlan
+	for _, name := range []ident.Customer{"long", "short"} {
+		plans = append(plans, template.CustomerPlan{Customer: name, Weight: 1, Classes: []template.ClassPlan{class}})
+	}
+	now := time.Unix(100, 0)
+	controller.Step(now, admission.Configure{Plans: plans, Roster: []ident.VM{"e"}})
+	running := ident.Request("")
+	take := func(actions []admission.Action) {
+		for _, action := range actions {
+			if admit, ok := action.(admission.Admit); ok {
+				running = admit.Request
+			}
+		}
+	}
+	owners := make(map[ident.Request]ident.Customer)
+	got := make(map[ident.Customer]time.Duration)
+	take(controller.Step(now, admission.Capacity{Service: "model", Slots: 1}))
+	for i := range 1000 {
+		for _, name := range []ident.Customer{"long", "short"} {
+			request := ident.Request(fmt.Sprint(name, i))
+			owners[request] = name
+			take(controller.Step(now, admission.Arrive{Request: request, Customer: name, Class: "x"}))
+		}
+		hold := holds[owners[running]]
+		got[owners[running]] += hold
+		now = now.Add(hold)
+		unknown := outcome.InDoubt(outcome.CauseConnectionLost, "")
+		take(controller.Step(now, admission.Done{Request: running, Outcome: unknown}))
+	}
+	ratio := got["long"].Seconds() / got["short"].Seconds()
+	c.Assert(ratio > 0.9 && ratio < 1.1, qt.IsTrue, qt.Commentf("slot time %v", got))
+}
