--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -73,7 +73,6 @@
 	l.queuedCost -= r.cost
 	if l.queued == 0 {
 		l.queuedCost = 0
-		l.owed = 0
 	}
 }
 
@@ -89,8 +88,8 @@
 	queuedCost float64
 	// open is the number of dispatched requests.
 	open int
-	// waitingSince is when the customer began to have waiting requests without a break.
-	waitingSince time.Time
+	// load tests whether the customer's demand exceeds what it gets.
+	load overloadTest
 	// next is the lane whose head goes next; nil if nothing waits.
 	next *lane
 	// index is the position in the heap of the service; eligible says in which one.
@@ -110,25 +109,12 @@
 	return f.start + f.next.head.cost/f.weight
 }
 
-// overloaded reports whether the customer has had waiting requests for so long that its
-// demand exceeds what it gets.
-func (f *flow) overloaded() bool {
-	if f.queued == 0 {
-		return false
-	}
-	shortest := f.lanes[0].plan.Deadline
-	for _, l := range f.lanes {
-		shortest = min(shortest, l.plan.Deadline)
-	}
-	return f.service.advancedAt.Sub(f.waitingSince) > shortest
-}
-
 // choose sets the lane that goes next: a lane that its floor owes a request, else the
 // lowest band. If the customer is overloaded, the greatest worth for the slot time goes
 // before the band, because not all requests can be served.
 func (f *flow) choose() {
 	f.next = nil
-	overloaded := f.overloaded()
+	overloaded := f.load.overloaded
 	for _, candidate := range f.lanes {
 		if candidate.head != nil && (f.next == nil || candidate.before(f.next, overloaded)) {
 			f.next = candidate
@@ -158,10 +144,10 @@
 	return l.head.arrived.Before(other.head.arrived)
 }
 
-// ahead returns the slot time in seconds that waits before a new request of its lane.
-func (r *request) ahead() float64 {
-	overloaded := r.lane.flow.overloaded()
-	sum := 0.0
+// ahead returns the slot time in seconds that waits before a new request of its lane, and
+// whether requests of greater worth keep coming before it.
+func (r *request) ahead() (sum float64, outbid bool) {
+	overloaded := r.lane.flow.load.overloaded
 	for _, other := range r.lane.flow.lanes {
 		if other.head == nil {
 			continue
@@ -169,23 +155,33 @@
 		goesFirst := other.plan.Priority <= r.lane.plan.Priority
 		if overloaded {
 			goesFirst = other == r.lane || other.head.worth*r.cost >= r.worth*other.head.cost
+			outbid = outbid || other != r.lane && goesFirst
 		}
 		if goesFirst {
 			sum += other.queuedCost
 		}
 	}
-	return sum
+	return sum, outbid
 }
 
-// creditFloors lets the floors of the waiting lanes accrue while a request of the flow
-// is dispatched.
+// maxOwed bounds the slot time that a floor owes a lane, in requests of the lane.
+const maxOwed = 4
+
+// creditFloors lets the floors of the other lanes accrue while a request of the flow is
+// dispatched. Lanes of an overloaded customer accrue also if nothing waits in them,
+// because their requests are refused on arrival until the floor owes them one.
 func (f *flow) creditFloors(served *lane, cost, floor float64) {
-	for _, waiting := range f.lanes {
-		if waiting != served && waiting.head != nil {
-			waiting.owed += floor * cost
+	for _, other := range f.lanes {
+		switch {
+		case other == served:
+			other.owed = max(0, other.owed-cost)
+		case other.head != nil || f.load.overloaded:
+			longest := maxOwed * other.cost.estimate(0, f.service.serviceTime)
+			other.owed = min(other.owed+floor*cost, longest)
+		default:
+			other.owed = 0
 		}
 	}
-	served.owed = max(0, served.owed-cost)
 }
 
 // costMeter estimates the slot time of requests of one class.
--- a/internal/experiment/overload/experiment.go
+++ b/internal/experiment/overload/experiment.go
@@ -54,12 +54,18 @@
 		Summary: "Worth served, waits and fairness under overload, floods and retries, against two baselines.",
 		Run:     runOverload,
 	},
+	{
+		Name:    "limits",
+		Summary: "Use of one rate limit over unevenly loaded entries and under faults, against a static split.",
+		Run:     runLimits,
+	},
 }
 
 var overloadColumns = []experiment.Column{
 	{Name: "worth served", Unit: "1/s"},
 	{Name: "Lookup wait p50", Unit: "ms"},
 	{Name: "Lookup wait p99", Unit: "ms"},
+	{Name: "the same within share", Unit: "ms"},
 	{Name: "Draft wait p50", Unit: "s"},
 	{Name: "Drafts served", Unit: "%"},
 	{Name: "Jain's index", Unit: ""},
@@ -112,6 +118,7 @@
 		f.worth / measured,
 		quantile(f.lookups, 0.5) * 1000,
 		quantile(f.lookups, 0.99) * 1000,
+		quantile(f.sharedLookups, 0.99) * 1000,
 		quantile(f.drafts, 0.5),
 		percent * float64(len(f.drafts)) / math.Max(1, float64(f.draftsSent)),
 		jain(ratios),
