--- a/internal/experiment/fanout/experiment.go
+++ b/internal/experiment/fanout/experiment.go
@@ -61,7 +61,7 @@
 				if err := ctx.Err(); err != nil {
 					return experiment.Result{}, err
 				}
-				samples = append(samples, measure(fleet, s, params.Seed+uint64(i), fragments, fragmentSize).figures())
+				samples = append(samples, measure(fleet, s, params.Seed+uint64(i), downtimeOf(fleet)).figures())
 				done++
 				params.Report(done, total)
 			}
--- a/internal/experiment/routes/routes_test.go
+++ b/internal/experiment/routes/routes_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -47,3 +48,30 @@
 		}
 	}
 }
+
+// TestDefaultPolicyMeetsTheTarget holds the default policy to the target for first tokens, and
+// to beating two choices, where entries hold subsets and where a replica is slow.
+func TestDefaultPolicyMeetsTheTarget(t *testing.T) {
+	var chosen, twoChoices policy
+	for _, p := range policies() {
+		switch p.name {
+		case "default":
+			chosen = p
+		case "two choices":
+			twoChoices = p
+		}
+	}
+	for _, s := range setups() {
+		if s.name != "many entries, subsets" && s.name != "straggler" {
+			continue
+		}
+		t.Run(s.name, func(t *testing.T) {
+			s.seconds = 40 * time.Second
+			figures := newWorld(s, chosen, 1).run().values(s.seconds)
+			baseline := newWorld(s, twoChoices, 1).run().values(s.seconds)
+			qt.Check(t, figures[3] >= 0.95, qt.IsTrue, qt.Commentf("%f within 0.58 s", figures[3]))
+			qt.Check(t, figures[1] < baseline[1], qt.IsTrue, qt.Commentf("95 in 100: %f s, two choices %f s", figures[1], baseline[1]))
+			qt.Check(t, figures[5] > baseline[5], qt.IsTrue, qt.Commentf("cached: %f, two choices %f", figures[5], baseline[5]))
+		})
+	}
+}
