Let no version that nobody can give hide others; bound the size of parts

Cause: after hearing of a version whose only holder died, a process ignored offers of every older one, newer than its own or not. Change: it forgets the version when nobody is left to ask. A part that would not fit a message between peers is refused and reported.

--- a/internal/membership/config_ask.go
+++ b/internal/membership/config_ask.go
@@ -74,7 +74,7 @@
 func (n *ConfigNode) askAgain(now time.Time) {
 	n.asking.next = now.Add(n.settings.AskTimeout / askRounds)
 	for _, vm := range n.asking.waiting {
-		n.send(vm, ConfigDigest{Held: n.stamp(), Ask: true, Starting: true})
+		n.send(vm, ConfigDigest{Held: n.stamp(), Ask: true})
 	}
 }
 
--- a/internal/membership/config_fetch.go
+++ b/internal/membership/config_fetch.go
@@ -126,6 +126,9 @@
 	bodies := n.fetch.bodies
 	if len(n.fetch.holders) == 0 || !n.stamp().Less(n.newest) {
 		n.fetch = fetch{bodies: bodies}
+		// A version that nobody can give must not keep older ones out that are newer than
+		// the one in force.
+		n.newest = n.stamp()
 		return
 	}
 	holder := n.fetch.holders[0]
--- a/internal/membership/config_node.go
+++ b/internal/membership/config_node.go
@@ -210,7 +210,7 @@
 }
 
 func (n *ConfigNode) digest(now time.Time, to ident.VM) ConfigDigest {
-	digest := ConfigDigest{Held: n.stamp(), Starting: n.asking.phase != askDone}
+	digest := ConfigDigest{Held: n.stamp()}
 	if n.isInZone(to) {
 		digest.Readers = n.reader.report(now, n.settings.Self)
 	}
--- a/internal/membership/config_parts.go
+++ b/internal/membership/config_parts.go
@@ -26,6 +26,8 @@
 }
 
 const (
+	// MaxPartSize is the largest size of a part, in bytes, so that it fits a message between peers.
+	MaxPartSize = messageBodies
 	// partsAtOnce is the number of parts that are read at the same time.
 	partsAtOnce = 4
 	// partRate is the number of reads of parts a second by one process, so that all readers
@@ -235,6 +237,12 @@
 		n.retryPart(now, read)
 		return
 	}
+	if len(event.Value) > MaxPartSize {
+		n.refuseOnce(Stamp{Version: load.version, Digest: read.digest},
+			fmt.Sprintf("part %s: expected at most %d bytes, found %d", read.key, MaxPartSize, len(event.Value)))
+		*load = partsLoad{}
+		return
+	}
 	load.bodies[read.digest] = event.Value
 	for i, other := range load.reads {
 		if other == read {
--- a/internal/membership/config_test.go
+++ b/internal/membership/config_test.go
@@ -219,6 +219,35 @@
 	}
 }
 
+func TestVersionThatNobodyCanGiveDoesNotHideOthers(t *testing.T) {
+	peers := []membership.Peer{{VM: "vm-1", Zone: "z0"}, {VM: "vm-2", Zone: "z0"}}
+	b := newConfigBench(qt.New(t), membership.SingleValue, peers...)
+	b.hear("vm-1", membership.ConfigDigest{Held: stampOf(5)})
+	b.hear("vm-2", membership.ConfigDigest{Held: stampOf(4)})
+	whole := configValue(4)
+	for range 100 {
+		b.run(100 * time.Millisecond)
+		b.hear("vm-2", membership.ConfigDigest{Held: stampOf(4)})
+		if fetch, asked := messages[membership.ConfigFetch](b)["vm-2"]; asked {
+			b.c.Assert(fetch.Want, qt.Equals, stampOf(4))
+			b.hear("vm-2", membership.ConfigManifest{Stamp: stampOf(4), Segments: []membership.Segment{{Chunks: []membership.Digest{membership.DigestOf(whole)}}}, Bodies: [][]byte{whole}})
+		}
+	}
+	b.c.Assert(b.node.Status().InForce, qt.Equals, stampOf(4))
+	b.c.Assert(b.node.Status().Ready, qt.IsTrue)
+}
+
+func TestOversizedPartIsRefused(t *testing.T) {
+	b := newConfigBench(qt.New(t), membership.ManifestOfParts)
+	part := append([]byte("5\n"), make([]byte, membership.MaxPartSize)...)
+	manifest := fmt.Appendf(nil, `{"version":5,"parts":[{"key":"all","digest":%q}]}`, membership.NewPublishedPart("all", part).Digest)
+	b.answer(5, manifest)
+	b.answerParts(map[string][]byte{"all": part})
+	b.c.Assert(b.node.Status().InForce.IsZero(), qt.IsTrue)
+	b.c.Assert(b.node.Status().Refused, qt.IsNotNil)
+	b.c.Assert(b.node.Status().Refused.Reason, qt.Contains, "part all")
+}
+
 func TestDamagedTransferDoesNotSpeakAgainstTheConfiguration(t *testing.T) {
 	peers := []membership.Peer{{VM: "vm-1", Zone: "z0"}, {VM: "vm-2", Zone: "z0"}}
 	b := newConfigBench(qt.New(t), membership.SingleValue, peers...)
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -134,8 +134,6 @@
 	Ask bool `cbor:"2,keyasint,omitempty"`
 	// Readers are the readers of the sender's zone that it believes alive; only within a zone.
 	Readers []ReaderBeat `cbor:"3,keyasint,omitempty"`
-	// Starting is true while the sender has not yet asked its peers.
-	Starting bool `cbor:"4,keyasint,omitempty"`
 }
 
 // ConfigFetch asks a peer for a configuration.
