--- /dev/null
+++ b/internal/membership/state_bench_test.go
@@ -0,0 +1,92 @@
+package membership_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/charts"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+)
+
+// heapOf returns the bytes that what a function makes keeps on the heap, each of count times.
+func heapOf(count int, build func(i int) any) float64 {
+	kept := []any{}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range count {
+		kept = append(kept, build(i))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc-before.HeapAlloc) / float64(count)
+}
+
+// BenchmarkState reports the bytes of state of one node at three sizes of the fleet.
+func BenchmarkState(b *testing.B) {
+	value := append([]byte("5\n"), make([]byte, 1<<20)...)
+	for i := range value[2:] {
+		value[2+i] = byte(i * i >> 7)
+	}
+	for _, size := range []struct{ entries, agents, zones, subset int }{{3, 20, 3, 20}, {36, 250, 6, 21}, {360, 5000, 21, 42}} {
+		b.Run(fmt.Sprintf("%d+%d", size.entries, size.agents), func(b *testing.B) {
+			peers := make([]membership.Peer, size.entries+size.agents)
+			for i := range peers {
+				peers[i] = membership.Peer{VM: ident.VM(fmt.Sprintf("vm-%d", i)), Zone: ident.Zone(fmt.Sprintf("z%d", i%size.zones))}
+			}
+			for b.Loop() {
+				b.ReportMetric(heapOf(4, func(int) any { return configState(peers, value) }), "config-B")
+				b.ReportMetric(heapOf(20, func(int) any { return holderState(size.subset) }), "holder-B")
+				b.ReportMetric(heapOf(200, func(int) any { return grantorState(4) }), "grantor-B")
+			}
+		})
+	}
+}
+
+func configState(peers []membership.Peer, value []byte) *membership.ConfigNode {
+	node := membership.NewConfigNode(membership.ConfigSettings{Self: peers[0].VM, Zone: peers[0].Zone, Key: configKey, Accept: acceptConfig})
+	node.Step(start, membership.PeersChanged{Peers: peers})
+	chunk := membership.DigestOf(value)
+	stamp := membership.Stamp{Version: 5, Digest: chunk}
+	node.Step(start, membership.ConfigReceived{From: peers[1].VM, Message: membership.ConfigDigest{Held: stamp}})
+	for at := time.Duration(0); at < 2*time.Second; at += 100 * time.Millisecond {
+		node.Step(start.Add(at), membership.ConfigTick{})
+	}
+	node.Step(start.Add(2*time.Second), membership.ConfigReceived{From: peers[1].VM, Message: membership.ConfigDigest{Held: stamp}})
+	body := append([]byte(nil), value...)
+	node.Step(start.Add(2*time.Second), membership.ConfigReceived{From: peers[1].VM, Message: membership.ConfigManifest{
+		Stamp: stamp, Segments: []membership.Segment{{Chunks: []membership.Digest{chunk}}}, Bodies: [][]byte{body},
+	}})
+	if node.Status().InForce != stamp {
+		panic("invariant: the configuration is not in force")
+	}
+	return node
+}
+
+func holderState(subset int) *membership.Holder {
+	holder, err := membership.NewHolder(membership.HolderSettings{}, charts.Files)
+	if err != nil {
+		panic(err)
+	}
+	var vms []ident.VM
+	for i := range subset {
+		vms = append(vms, ident.VM(fmt.Sprintf("backend-%d", i)))
+	}
+	holder.Step(start, membership.BackendsChosen{VMs: vms})
+	return holder
+}
+
+func grantorState(entries int) *membership.Grantor {
+	grantor := newGrantor(1, 40)
+	for i := range entries {
+		for sequence := range membership.Sequence(3) {
+			from := ident.Instance{VM: ident.VM(fmt.Sprintf("entry-%d", i)), Incarnation: 1}
+			grantor.Step(start, membership.LeaseRequested{From: from, Request: membership.LeaseRequest{Sequence: sequence}})
+		}
+	}
+	return grantor
+}
