Weigh one other random candidate against the longest cached prefix

Cause: of three random candidates the emptiest often wins over the one with the prefix, and the time of a step is counted twice, as it grows with the load. Change: one random candidate; a second of generation weighs 0.01 s instead of 0.05 s. A test then failed: drawn with replacement, the one candidate is the holder of the prefix itself once in so many, however busy it is. It is now always another one. Conclusion: both kept.

--- a/internal/experiment/routes/policies.go
+++ b/internal/experiment/routes/policies.go
@@ -62,6 +62,7 @@
 		{name: "default", prefixes: true, credits: true, routing: full(nil)},
 		{name: "default without prefixes", credits: true, routing: full(nil)},
 		{name: "default without credits", prefixes: true, routing: full(withoutCredits)},
+		{name: "default, of three and longest prefix", prefixes: true, credits: true, routing: full(func(p *routing.Policy) { p.Chooser = routing.Sampled{Count: 3} })},
 		{name: "default, softmin 20 ms", prefixes: true, credits: true, routing: full(func(p *routing.Policy) { p.Chooser = routing.Softmin{Temperature: 0.02} })},
 		{name: "default, cheapest", prefixes: true, credits: true, routing: full(func(p *routing.Policy) { p.Chooser = routing.Cheapest{} })},
 		{name: "default, two choices", prefixes: true, credits: true, routing: full(func(p *routing.Policy) { p.Chooser = routing.TwoChoices{} })},
--- a/internal/routing/choosers.go
+++ b/internal/routing/choosers.go
@@ -59,10 +59,12 @@
 
 // Choose implements Chooser.
 func (s Sampled) Choose(draw uint64, scored []Scored) int {
-	best := longestMatch(draw, scored)
-	for range min(s.Count, len(scored)) {
+	first := longestMatch(draw, scored)
+	best := first
+	others := len(scored) - 1
+	for range min(s.Count, others) {
 		draw = mix(draw)
-		next := int(draw % uint64(len(scored)))
+		next := (first + 1 + int(draw%uint64(others))) % len(scored)
 		if scored[next].Cost < scored[best].Cost {
 			best = next
 		}
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -26,11 +26,11 @@
 		Scorers: []Scorer{
 			FirstToken{Estimate: estimate},
 			Occupancy{Weight: 0.5, WarmUp: 30 * time.Second},
-			StepSpeed{Estimate: estimate, Weight: 0.05, StragglerCost: 1},
+			StepSpeed{Estimate: estimate, Weight: 0.01, StragglerCost: 1},
 			CachePressure{Above: 0.85, Weight: 1},
 			OtherZone{Seconds: 0.002},
 		},
-		Chooser:  Sampled{Count: 3},
+		Chooser:  Sampled{Count: 1},
 		Ranks:    RankChooser{CacheWeight: 1},
 		Estimate: estimate,
 	}
