Trust no grant after the agent stood still

Cause: a dispatch that arrived while an agent was paused for less than its lease was taken in on waking. Change: grants from before a gap are refused on the agent's side; their credits still count until they run out, as entries may believe them. The test failed before.

--- a/internal/membership/credits.go
+++ b/internal/membership/credits.go
@@ -129,7 +129,7 @@
 func (c *client) holds(now time.Time, number LeaseNumber) bool {
 	for _, grant := range c.grants {
 		if grant.number == number {
-			return now.Before(grant.expires)
+			return !grant.untrusted && now.Before(grant.expires)
 		}
 	}
 	return false
--- a/internal/membership/grantor.go
+++ b/internal/membership/grantor.go
@@ -23,6 +23,9 @@
 	LeaseDuration time.Duration
 	// Slots is the number of requests that may be open at the agent: running and waiting.
 	Slots int
+	// MaxGap is the longest time between two steps after which grants are still trusted; 0
+	// means the default.
+	MaxGap time.Duration
 }
 
 // GrantorEvent is an event that a Grantor handles.
@@ -96,6 +99,9 @@
 	number  LeaseNumber
 	credits uint32
 	expires time.Time
+	// untrusted is true if the agent stood still since: no dispatch is taken in under the
+	// grant, but the entry may still believe its credits.
+	untrusted bool
 }
 
 // client is what a Grantor knows of one run of an entry process.
@@ -119,18 +125,19 @@
 	suspects int
 	leaving  bool
 	drained  bool
+	lastStep time.Time
 }
 
 // NewGrantor returns a Grantor that has granted nothing.
 func NewGrantor(settings GrantorSettings) *Grantor {
-	if settings.LeaseDuration <= 0 {
-		settings.LeaseDuration = DefaultLeaseDuration
-	}
+	setDefault(&settings.LeaseDuration, DefaultLeaseDuration)
+	setDefault(&settings.MaxGap, DefaultMaxGap)
 	return &Grantor{settings: settings}
 }
 
 // Step handles one event.
 func (g *Grantor) Step(now time.Time, event GrantorEvent) []GrantorAction {
+	g.checkGap(now)
 	g.expire(now)
 	switch event := event.(type) {
 	case LeaseRequested:
@@ -170,7 +177,7 @@
 		return outcome.CauseLeaving
 	}
 	c := g.find(from)
-	if c == nil || !c.holds(now, number) {
+	if c == nil || !c.holds(now, number) || g.stoodStill(now) {
 		return outcome.CauseStaleLease
 	}
 	if g.suspects > 0 || c.open >= c.outstanding() {
@@ -179,6 +186,28 @@
 	return outcome.CauseNone
 }
 
+// checkGap takes the trust from all grants after the agent stood still: a dispatch that
+// was sent meanwhile may come long after its entry gave it up.
+func (g *Grantor) checkGap(now time.Time) {
+	if g.stoodStill(now) {
+		for _, c := range g.clients {
+			for i := range c.grants {
+				c.grants[i].untrusted = true
+			}
+		}
+	}
+	g.lastStep = now
+}
+
+// stoodStill reports whether too much time has passed since the last step. A VM that was
+// stopped as a whole shows on the wall clock only.
+func (g *Grantor) stoodStill(now time.Time) bool {
+	if g.lastStep.IsZero() {
+		return false
+	}
+	return max(now.Sub(g.lastStep), now.Round(0).Sub(g.lastStep.Round(0))) > g.settings.MaxGap
+}
+
 // Open returns the number of requests that are open at the agent.
 func (g *Grantor) Open() int {
 	return int(g.open)
--- a/internal/membership/lease_test.go
+++ b/internal/membership/lease_test.go
@@ -300,6 +300,28 @@
 	c.Check(check(0, entry, 7, grant.Number), qt.Equals, outcome.CauseLeaving)
 }
 
+func TestAgentTrustsNoLeaseFromBeforeAGap(t *testing.T) {
+	c := qt.New(t)
+	first, second := ident.Instance{VM: "entry-1", Incarnation: 1}, ident.Instance{VM: "entry-2", Incarnation: 1}
+	grantor := newGrantor(7, 4)
+	ask := func(at time.Duration, from ident.Instance) membership.LeaseGrant {
+		actions := grantor.Step(start.Add(at), membership.LeaseRequested{From: from, Request: membership.LeaseRequest{Sequence: 1, Wanted: 4}})
+		return actions[0].(membership.SendGrant).Grant
+	}
+	check := func(at time.Duration, grant membership.LeaseGrant) outcome.Cause {
+		return grantor.Check(start.Add(at), first, 7, grant.Number)
+	}
+	old := ask(0, first)
+	c.Assert(old.Credits, qt.Equals, uint32(4))
+	grantor.Step(start.Add(500*time.Millisecond), membership.GrantorTick{})
+	c.Check(check(600*time.Millisecond, old), qt.Equals, outcome.CauseNone)
+	c.Check(check(2*time.Second, old), qt.Equals, outcome.CauseStaleLease)
+	grantor.Step(start.Add(2*time.Second), membership.GrantorTick{})
+	c.Check(check(2*time.Second, old), qt.Equals, outcome.CauseStaleLease)
+	c.Check(ask(2*time.Second, second).Credits, qt.Equals, uint32(0), qt.Commentf("the entry may still believe its credits"))
+	c.Check(check(2*time.Second, ask(2*time.Second, first)), qt.Equals, outcome.CauseNone)
+}
+
 func TestDrainedOnceWorkAndLeasesEnded(t *testing.T) {
 	c := qt.New(t)
 	entry := ident.Instance{VM: "entry-1", Incarnation: 1}
