--- a/internal/experiment/routes/world.go
+++ b/internal/experiment/routes/world.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/charts"
+	"github.com/bramleyspool/bramleyspool/internal/fleet"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
@@ -45,45 +46,15 @@
 	uneven bool
 }
 
-type event struct {
-	at   time.Time
-	seq  int
-	what func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
-
-// Pop implements heap.Interface.
-func (q *eventQueue) Pop() any {
-	last := len(*q) - 1
-	item := (*q)[last]
-	*q = (*q)[:last]
-	return item
-}
-
 // entry is one entry with the decision code.
 type entry struct {
 	self     ident.Instance
 	holder   *membership.Holder
 	picker   *routing.Picker
 	prefixes *routing.PrefixIndex
-	// pending are the prompt tokens dispatched to each replica since its last load report.
-	pending map[ident.VM]int
-	queue   []*call
-	views   []membership.BackendView
-	list    []routing.Candidate
+	builder  *routing.SnapshotBuilder
+	queue    []*call
+	views    []membership.BackendView
 }
 
 // replica is a backend server with its agent.
@@ -169,7 +140,7 @@
 		holder:   holder,
 		picker:   routing.NewPicker(w.policy.routing(), seed*7919+uint64(i)),
 		prefixes: routing.NewPrefixIndex(w.now, 2*cacheBlocks, 0),
-		pending:  map[ident.VM]int{},
+		builder:  routing.NewSnapshotBuilder(nil),
 	}
 	w.every(100*time.Millisecond, func() { w.hold(e, membership.HolderTick{}) })
 	return e
@@ -188,7 +159,12 @@
 		settings.MinEntries = len(entries)
 	}
 	subsets := membership.Subsets(entries, backends, settings)
+	var published []fleet.BackendServer
+	for _, backend := range backends {
+		published = append(published, fleet.BackendServer{VM: backend.VM, Capacity: slots})
+	}
 	for _, e := range w.entries {
+		e.builder.SetBackends(published)
 		w.hold(e, membership.BackendsChosen{VMs: subsets[e.self.VM]})
 	}
 }
@@ -197,25 +173,6 @@
 	return ident.Zone(fmt.Sprintf("z%d", i%3))
 }
 
-func (w *world) after(d time.Duration, what func()) {
-	w.seq++
-	heap.Push(&w.queue, event{at: w.now.Add(d), seq: w.seq, what: what})
-}
-
-func (w *world) every(d time.Duration, what func()) {
-	w.after(time.Duration(w.random.Int64N(int64(d))), func() {
-		what()
-		w.repeat(d, what)
-	})
-}
-
-func (w *world) repeat(d time.Duration, what func()) {
-	w.after(d, func() {
-		what()
-		w.repeat(d, what)
-	})
-}
-
 // run lets the model run and returns what was measured.
 func (w *world) run() *figures {
 	w.after(time.Second, w.arrive)
@@ -272,7 +229,8 @@
 
 func (w *world) dispatch(e *entry, c *call) bool {
 	request := routing.Request{ID: ident.Request(fmt.Sprint(c.id)), Blocks: c.blocks, PromptTokens: c.prompt, OutputTokens: 110}
-	snapshot := routing.Snapshot{Candidates: w.candidates(e)}
+	e.views = e.holder.Views(e.views[:0])
+	snapshot := e.builder.Build(e.views, nil)
 	if w.policy.prefixes {
 		snapshot.Prefixes = e.prefixes
 	}
@@ -281,7 +239,7 @@
 		return false
 	}
 	w.hold(e, membership.DispatchStarted{VM: decision.VM})
-	e.pending[decision.VM] += c.prompt - decision.PrefixBlocks*blockTokens
+	e.builder.Dispatched(&request, decision)
 	if w.policy.prefixes {
 		e.prefixes.Expect(w.now, decision.VM, c.blocks)
 	}
@@ -289,15 +247,6 @@
 	return true
 }
 
-func (w *world) candidates(e *entry) []routing.Candidate {
-	e.views = e.holder.Views(e.views[:0])
-	e.list = e.list[:0]
-	for _, view := range e.views {
-		e.list = append(e.list, routing.Candidate{BackendView: view, Capacity: slots, PendingTokens: e.pending[view.VM]})
-	}
-	return e.list
-}
-
 // take hands a dispatched call to the engine, or back if the agent refuses it.
 func (w *world) take(e *entry, c *call, decision routing.Decision) {
 	r := w.byVM[decision.VM]
@@ -348,7 +297,7 @@
 	e := w.entries[c.entry]
 	heard := membership.LoadHeard{From: r.engine.vm, Incarnation: 1, Load: r.grantor.Load(w.now)}
 	w.after(wayTime, func() {
-		e.pending[heard.From] = 0
+		e.builder.LoadReported(heard.From)
 		w.hold(e, heard)
 	})
 }
@@ -382,7 +331,7 @@
 	for _, action := range r.grantor.Step(w.now, membership.LeaseRequested{From: e.self, Request: send.Request}) {
 		grant := action.(membership.SendGrant).Grant
 		w.after(wayTime, func() {
-			e.pending[send.To] = 0
+			e.builder.LoadReported(send.To)
 			w.hold(e, membership.GrantReceived{From: send.To, Grant: grant})
 			w.dispatchQueue(e)
 		})
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -43,6 +43,8 @@
 	seed   uint64
 	picks  uint64
 	scored []Scored
+	// request is kept here, as interfaces that take its address would move it to the heap.
+	request Request
 }
 
 // NewPicker returns a picker that draws lots from the seed.
@@ -53,16 +55,17 @@
 // Pick returns the target for a request, or the cause why there is none.
 func (p *Picker) Pick(now time.Time, request Request, snapshot Snapshot) Decision {
 	p.picks++
-	strongest := p.filter(now, &request, snapshot)
+	p.request = request
+	strongest := p.filter(now, &p.request, snapshot)
 	if len(p.scored) == 0 {
-		return p.refuse(&request, snapshot, strongest)
+		return p.refuse(&p.request, snapshot, strongest)
 	}
 	for i := range p.scored {
-		p.score(now, &request, snapshot, &p.scored[i])
+		p.score(now, &p.request, snapshot, &p.scored[i])
 	}
 	draw := mix(p.seed ^ mix(p.picks))
-	chosen := p.scored[p.choose(draw, &request, snapshot)]
-	return p.decide(&request, snapshot, chosen, draw)
+	chosen := p.scored[p.choose(draw, &p.request, snapshot)]
+	return p.decide(&p.request, snapshot, chosen, draw)
 }
 
 // filter collects the candidates that pass all filters, and returns the strongest rejection.
