Keep to a few neighbours for digests and offers

Cause: two random peers a second mean a new connection each time in a fleet of thousands, whose handshake costs more than the digest. Change: six neighbours in the zone and four outside, by rendezvous; one digest in thirty goes to any peer. A process that knew no peer when it started asks once it knows some.

--- a/internal/membership/config_node.go
+++ b/internal/membership/config_node.go
@@ -21,6 +21,12 @@
 	DefaultAskTimeout = time.Second
 	// DefaultConfigMaxGap is the longest time between two steps that passes for normal.
 	DefaultConfigMaxGap = 2 * time.Second
+	// neighboursInZone and neighboursOutside are the numbers of peers that a process sends
+	// digests and offers to. They are fixed, so that their connections last.
+	neighboursInZone  = 6
+	neighboursOutside = 4
+	// strangerOdds is one in how many digests goes to any peer instead.
+	strangerOdds = 30
 	// recentConfigurations is how many former configurations a delta may refer to.
 	recentConfigurations = 8
 	// maxRefused is how many refused stamps are remembered.
@@ -40,6 +46,9 @@
 	peers    []Peer
 	inZone   []ident.VM
 	outside  []ident.VM
+	// nearInZone and nearOutside are the process's neighbours.
+	nearInZone  []ident.VM
+	nearOutside []ident.VM
 
 	current *configuration
 	recent  []version
@@ -127,6 +136,7 @@
 }
 
 func (n *ConfigNode) setPeers(now time.Time, peers []Peer) {
+	alone := n.asking.phase == askDone && len(n.peers) == 0
 	n.peers = make([]Peer, 0, len(peers))
 	for _, peer := range peers {
 		if peer.VM != n.settings.Self {
@@ -143,12 +153,29 @@
 			n.outside = append(n.outside, peer.VM)
 		}
 	}
+	n.nearInZone = n.neighbours(n.inZone, neighboursInZone)
+	n.nearOutside = n.neighbours(n.outside, neighboursOutside)
 	n.rankReaders()
-	if n.asking.phase == askIdle {
+	// A process that knew no peer has asked nobody.
+	if n.asking.phase == askIdle || alone && len(n.peers) > 0 {
 		n.startAsking(now)
 	}
 }
 
+// neighbours returns the members of the list that come first by rendezvous with the process.
+func (n *ConfigNode) neighbours(list []ident.VM, count int) []ident.VM {
+	self := hashName("neighbours/" + string(n.settings.Self))
+	members := make([]*hashedMember, len(list))
+	for i, vm := range list {
+		members[i] = &hashedMember{Member: Member{VM: vm}, hash: hashName(string(vm))}
+	}
+	near := make([]ident.VM, 0, count)
+	for _, best := range bestEntries(self, members, count) {
+		near = append(near, best.entry.VM)
+	}
+	return near
+}
+
 // isInZone reports whether a peer is known to be in the process's own zone.
 func (n *ConfigNode) isInZone(vm ident.VM) bool {
 	at, found := slices.BinarySearchFunc(n.peers, vm, func(peer Peer, vm ident.VM) int { return cmp.Compare(peer.VM, vm) })
@@ -179,26 +206,32 @@
 	}
 }
 
-// sendDigests tells a few random peers what is in force here.
+// sendDigests tells a few peers what is in force here.
 func (n *ConfigNode) sendDigests(now time.Time) {
 	inZone := 1
 	if n.reader.active {
 		inZone = n.settings.Fanout
 	}
-	for _, vm := range n.sample(n.inZone, inZone) {
+	targets := append(n.partners(n.nearInZone, n.inZone, inZone), n.partners(n.nearOutside, n.outside, 1)...)
+	for _, vm := range targets {
 		n.send(vm, n.digest(now, vm))
 	}
-	for _, vm := range n.sample(n.outside, 1) {
-		n.send(vm, n.digest(now, vm))
+}
+
+// partners returns random neighbours, or now and then any peer of the list instead.
+func (n *ConfigNode) partners(near, list []ident.VM, count int) []ident.VM {
+	if n.random.below(strangerOdds) == 0 {
+		return n.sample(list, 1)
 	}
+	return n.sample(near, count)
 }
 
 // offer tells peers in the own and in other zones of a new configuration. The zone's
 // readers, whom starting processes ask, are told of what came from another zone.
 func (n *ConfigNode) offer(now time.Time, source ident.VM) {
 	inZone := (n.settings.Fanout + 1) / 2
-	targets := n.sample(n.inZone, inZone)
-	targets = append(targets, n.sample(n.outside, n.settings.Fanout-len(targets))...)
+	targets := n.sample(n.nearInZone, inZone)
+	targets = append(targets, n.sample(n.nearOutside, n.settings.Fanout-len(targets))...)
 	if source != "" && !n.isInZone(source) {
 		targets = append(targets, n.zoneReaders()...)
 	}
--- a/internal/membership/lease_test.go
+++ b/internal/membership/lease_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -322,6 +323,28 @@
 	c.Check(check(2*time.Second, ask(2*time.Second, first)), qt.Equals, outcome.CauseNone)
 }
 
+func TestMoreEntriesThanSlotsTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	grantor := newGrantor(7, 3)
+	type entry struct {
+		held membership.LeaseGrant
+		had  bool
+	}
+	entries := make([]entry, 10)
+	for round := range 200 {
+		now := start.Add(time.Duration(round) * time.Second)
+		for i := range entries {
+			from := ident.Instance{VM: ident.VM(fmt.Sprintf("entry-%d", i)), Incarnation: 1}
+			request := membership.LeaseRequest{Sequence: membership.Sequence(round + 1), Wanted: 2, Held: entries[i].held.Number, Incarnation: 7}
+			entries[i].held = grantor.Step(now, membership.LeaseRequested{From: from, Request: request})[0].(membership.SendGrant).Grant
+			entries[i].had = entries[i].had || entries[i].held.Credits > 0
+		}
+	}
+	for i := range entries {
+		c.Check(entries[i].had, qt.IsTrue, qt.Commentf("entry %d never had a credit", i))
+	}
+}
+
 func TestDrainedOnceWorkAndLeasesEnded(t *testing.T) {
 	c := qt.New(t)
 	entry := ident.Instance{VM: "entry-1", Incarnation: 1}
