--- a/internal/membership/backend.go
+++ b/internal/membership/backend.go
@@ -179,7 +179,7 @@
 
 func (h *Holder) request(now time.Time, b *backend) LeaseRequest {
 	b.sequence++
-	b.pending[int(b.sequence)%pendingRequests] = pending{sequence: b.sequence, sent: now}
+	b.pending[b.sequence%pendingRequests] = pending{sequence: b.sequence, sent: now}
 	return LeaseRequest{
 		Sequence:    b.sequence,
 		Held:        b.view.Lease,
@@ -216,7 +216,7 @@
 
 // sentAt returns when the request with the sequence number was sent, unless it is too old.
 func (b *backend) sentAt(sequence Sequence) (time.Time, bool) {
-	entry := b.pending[int(sequence)%pendingRequests]
+	entry := b.pending[sequence%pendingRequests]
 	return entry.sent, entry.sequence == sequence && sequence > b.trustedAfter
 }
 
@@ -251,7 +251,7 @@
 	}
 	b.view.Lease = grant.Number
 	b.view.Credits = grant.Credits
-	b.view.Expires = sent.Add(grant.Duration.Duration() - leaseMargin)
+	b.view.Expires = sent.Add(min(grant.Duration.Duration(), maxLease) - leaseMargin)
 	if b.view.FirstGranted.IsZero() {
 		b.view.FirstGranted = now
 	}
--- a/internal/membership/holder.go
+++ b/internal/membership/holder.go
@@ -31,6 +31,8 @@
 	retryInterval = 300 * time.Millisecond
 	// maxRetries is how often that is done before requests go at the usual interval.
 	maxRetries = 4
+	// maxLease is the longest lease that is believed, whatever an agent grants.
+	maxLease = 3 * time.Second
 	// leaseMargin is kept back from each lease for the drift of the two clocks.
 	leaseMargin = 50 * time.Millisecond
 	// maxProbeBackoff is the longest time between two probes of a silent backend server.
--- a/internal/membership/state_bench_test.go
+++ b/internal/membership/state_bench_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/charts"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/template"
 )
 
 // heapOf returns the bytes that what a function makes keeps on the heap, each of count times.
@@ -90,3 +92,43 @@
 	}
 	return grantor
 }
+
+// BenchmarkChange takes in a change of one part of a configuration of 1 MB from a peer.
+func BenchmarkChange(b *testing.B) {
+	const parts = 128
+	peer := membership.Peer{VM: "vm-1", Zone: "z0"}
+	node := membership.NewConfigNode(membership.ConfigSettings{Self: "vm-0", Zone: "z0", Key: configKey, Accept: acceptConfig})
+	node.Step(start, membership.PeersChanged{Peers: []membership.Peer{peer}})
+	node.Step(start, membership.ConfigReceived{From: peer.VM, Message: membership.ConfigDigest{}})
+	value := make([][]byte, parts)
+	for i := range value {
+		value[i] = fmt.Appendf(nil, "\npart %d %08000d", i, i)
+	}
+	var held membership.Stamp
+	version := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		version++
+		value[0] = fmt.Appendf(nil, "%d", version)
+		whole := slices.Concat(value...)
+		next := membership.Stamp{Version: template.Version(version), Digest: membership.DigestOf(whole)}
+		message := membership.ConfigManifest{Stamp: next, Bodies: value[:1], Segments: []membership.Segment{{Chunks: []membership.Digest{membership.DigestOf(value[0])}}}}
+		if held.IsZero() {
+			message.Bodies = value
+			for _, part := range value[1:] {
+				message.Segments[0].Chunks = append(message.Segments[0].Chunks, membership.DigestOf(part))
+			}
+		} else {
+			message.Base = held
+			message.Segments = append(message.Segments, membership.Segment{From: 1, Count: parts - 1})
+		}
+		b.StartTimer()
+		node.Step(start, membership.ConfigReceived{From: peer.VM, Message: membership.ConfigDigest{Held: next}})
+		node.Step(start, membership.ConfigReceived{From: peer.VM, Message: message})
+		held = next
+	}
+	if node.Status().InForce != held {
+		b.Fatalf("%v in force, want %v", node.Status().InForce, held)
+	}
+}
--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -95,6 +95,9 @@
 // Apply takes in a cache event. After a gap the older entries are in doubt, for an
 // eviction may be among the lost events; late and doubled events are dropped.
 func (x *PrefixIndex) Apply(now time.Time, event CacheEvent) {
+	if event.Sequence == 0 {
+		return
+	}
 	server := x.server(event.VM)
 	if server.incarnation != event.Incarnation {
 		clear(server.entries)
--- a/internal/routing/prefix_test.go
+++ b/internal/routing/prefix_test.go
@@ -59,6 +59,10 @@
 			x.Apply(now, store(1, prompt))
 			x.Apply(now, store(3, prompt[:2]))
 		}, time.Minute, 2},
+		{"event without a number", func(x *routing.PrefixIndex) {
+			x.Apply(now, store(0, nil))
+			x.Apply(now, store(1, prompt))
+		}, 0, 8},
 		{"restarted engine", func(x *routing.PrefixIndex) {
 			x.Apply(now, store(1, prompt))
 			x.Apply(now, routing.CacheEvent{VM: vm, Incarnation: 2, Sequence: 1, Stored: prompt[:1]})
