--- a/internal/experiment/groups/groups_test.go
+++ b/internal/experiment/groups/groups_test.go
@@ -12,12 +12,17 @@
 
 var printSeeds = flag.Int("print-seeds", 0, "run all experiments with this many seeds and print their tables")
 
+var printOnly = flag.String("print-only", "", "the experiment to print; all if empty")
+
 // TestPrint prints the tables when asked to.
 func TestPrint(t *testing.T) {
 	if *printSeeds == 0 {
 		t.Skip("only with -print-seeds")
 	}
 	for _, e := range Experiments {
+		if *printOnly != "" && *printOnly != e.Name {
+			continue
+		}
 		result, err := e.Run(context.Background(), experiment.Params{Seed: 1, Seeds: *printSeeds})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/experiment/groups/policies.go
+++ b/internal/experiment/groups/policies.go
@@ -26,6 +26,16 @@
 	return expert.GreedyMap(f.shape, load), true
 }
 
+// oracle knows the popularity and moves for nothing; it shows what sampling leaves.
+type oracle struct {
+	keepMap
+	shape expert.Shape
+}
+
+func (o oracle) foresee(popularity expert.Load) expert.Map {
+	return expert.ShareByLoad(expert.GreedyMap(o.shape, popularity), popularity)
+}
+
 // planned asks the planner at fixed times.
 type planned struct {
 	planner *expert.Planner
@@ -35,7 +45,7 @@
 	if tick%planTicks != 0 || tick == 0 {
 		return expert.Map{}, false
 	}
-	plan := p.planner.Plan(current, load)
+	plan := p.planner.Plan(expert.Situation{Steps: float64(tick * stepsPerTick), Current: current, Load: load})
 	return plan.Map, plan.Kind != expert.PlanNone
 }
 
@@ -80,6 +90,12 @@
 		config.EvenShares = true
 		return newPlanned(config)
 	}},
+	{"planner without move budget", func(shape expert.Shape) policy {
+		config := plannerConfig(shape, ndiayeWeights)
+		config.MoveShare = 1
+		return newPlanned(config)
+	}},
 	{"planner, Ndiaye", func(shape expert.Shape) policy { return newPlanned(plannerConfig(shape, ndiayeWeights)) }},
 	{"planner, Andina", func(shape expert.Shape) policy { return newPlanned(plannerConfig(shape, andinaWeights)) }},
+	{"oracle, free moves", func(shape expert.Shape) policy { return oracle{shape: shape} }},
 }
--- a/internal/experiment/groups/run.go
+++ b/internal/experiment/groups/run.go
@@ -71,6 +71,9 @@
 	for tick := range runTicks {
 		activated := g.activate(tick)
 		popularity := source.at(tick, g.current, activated)
+		if o, ok := g.policy.(oracle); ok {
+			g.current = o.foresee(popularity)
+		}
 		g.measure(noise, popularity)
 		for _, report := range agents.count(tick, popularity) {
 			g.popularity.Add(report)
--- a/internal/experiment/groups/skew.go
+++ b/internal/experiment/groups/skew.go
@@ -32,6 +32,11 @@
 		Summary: "Skew and cost of rebalancing of expert maps under moving popularity.",
 		Run:     runSkew,
 	},
+	{
+		Name:    "stragglers",
+		Summary: "Time to find a straggling rank, and false alarms, of several detectors.",
+		Run:     runStragglers,
+	},
 }
 
 // job is one run of the experiment.
--- /dev/null
+++ b/internal/experiment/groups/straggler.go
@@ -0,0 +1,160 @@
+package groups
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/bramleyspool/bramleyspool/internal/experiment"
+	"github.com/bramleyspool/bramleyspool/internal/expert"
+)
+
+// Parameters of the step times.
+const (
+	healthySteps     = 1_000_000
+	slowSteps        = 2_000
+	stepDeviation    = 0.05
+	hiccupShare      = 0.01
+	hiccupFactor     = 2.0
+	plainThreshold   = 1.3
+	windowSteps      = 32
+	shortWindowSteps = 16
+	windowThreshold  = 1.10
+	slowRepeats      = 50
+)
+
+// detector finds stragglers from a rank's step times over the median's.
+type detector interface {
+	Observe(timeOverMedian float64) bool
+}
+
+// thresholdDetector alarms at one long step.
+type thresholdDetector struct{}
+
+// Observe takes in one step.
+func (thresholdDetector) Observe(x float64) bool { return x > plainThreshold }
+
+// windowDetector alarms when the mean of a window is long. The window then starts anew.
+type windowDetector struct {
+	seen []float64
+}
+
+// Observe takes in one step.
+func (d *windowDetector) Observe(x float64) bool {
+	d.seen = append(d.seen, x)
+	if len(d.seen) < windowSteps {
+		return false
+	}
+	sum := 0.0
+	for _, seen := range d.seen {
+		sum += seen
+	}
+	d.seen = d.seen[:0]
+	return sum/windowSteps > windowThreshold
+}
+
+// medianDetector alarms when the median of a sliding window is long.
+type medianDetector struct {
+	size int
+	seen []float64
+}
+
+// Observe takes in one step.
+func (d *medianDetector) Observe(x float64) bool {
+	d.seen = append(d.seen, x)
+	if len(d.seen) < d.size {
+		return false
+	}
+	sorted := slices.Clone(d.seen)
+	slices.Sort(sorted)
+	d.seen = d.seen[1:]
+	return sorted[d.size/2] > windowThreshold
+}
+
+var detectors = []struct {
+	name  string
+	build func() detector
+}{
+	{"one step over 1.3", func() detector { return thresholdDetector{} }},
+	{"mean of 32 steps over 1.1", func() detector { return &windowDetector{} }},
+	{"median of 32 steps over 1.1", func() detector { return &medianDetector{size: windowSteps} }},
+	{"median of 16 steps over 1.1", func() detector { return &medianDetector{size: shortWindowSteps} }},
+	{"sequential test", func() detector { return expert.NewStragglerTest(expert.StragglerConfig{}) }},
+}
+
+// stepTime draws the time of a rank's step over the median's.
+func stepTime(random *rand.Rand, slowdown float64) float64 {
+	x := (1 + slowdown) * math.Exp(stepDeviation*random.NormFloat64())
+	if random.Float64() < hiccupShare {
+		x *= hiccupFactor
+	}
+	return x
+}
+
+func runStragglers(ctx context.Context, params experiment.Params) (experiment.Result, error) {
+	table := experiment.Table{
+		Title:  "Finding a straggling rank",
+		Labels: []string{"slowdown", "detector"},
+		Columns: []experiment.Column{
+			{Name: "false alarms", Unit: "per million steps"},
+			{Name: "time to find", Unit: "steps"},
+			{Name: "missed", Unit: "% in 2000 steps"},
+		},
+	}
+	slowdowns := []float64{0.1, 0.15, 0.2, 0.5}
+	for i, slowdown := range slowdowns {
+		for _, d := range detectors {
+			if err := ctx.Err(); err != nil {
+				return experiment.Result{}, err
+			}
+			var alarms, delays, missed []float64
+			for seed := range params.Seeds {
+				random := rand.New(rand.NewPCG(params.Seed+uint64(seed), 4))
+				alarms = append(alarms, falseAlarms(random, d.build()))
+				delay, miss := timeToFind(random, d.build, slowdown)
+				delays = append(delays, delay)
+				missed = append(missed, miss)
+			}
+			table.Rows = append(table.Rows, experiment.Row{
+				Labels: []string{fmt.Sprintf("%.0f%%", slowdown*100), d.name},
+				Cells:  []experiment.Cell{newCell(alarms), newCell(delays), newCell(missed)},
+			})
+		}
+		params.Report(i+1, len(slowdowns))
+	}
+	return experiment.Result{Tables: []experiment.Table{table}}, nil
+}
+
+// falseAlarms returns the alarms on a healthy rank per million steps.
+func falseAlarms(random *rand.Rand, d detector) float64 {
+	alarms := 0
+	for range healthySteps {
+		if d.Observe(stepTime(random, 0)) {
+			alarms++
+		}
+	}
+	return float64(alarms) * 1e6 / healthySteps
+}
+
+// timeToFind returns the mean number of steps until a slow rank is found, and the
+// percentage of slow ranks that are not.
+func timeToFind(random *rand.Rand, build func() detector, slowdown float64) (float64, float64) {
+	steps, missed := 0, 0
+	for range slowRepeats {
+		d := build()
+		found := slowSteps
+		for step := range slowSteps {
+			if d.Observe(stepTime(random, slowdown)) {
+				found = step + 1
+				break
+			}
+		}
+		if found == slowSteps {
+			missed++
+		}
+		steps += found
+	}
+	return float64(steps) / slowRepeats, float64(missed) * 100 / slowRepeats
+}
--- a/internal/expert/balance.go
+++ b/internal/expert/balance.go
@@ -204,6 +204,17 @@
 	return shares
 }
 
+// ShareByLoad returns the map with the shares that balance a load best.
+func ShareByLoad(m Map, load Load) Map {
+	shared := Map{Version: m.Version, Layers: make([]Layer, len(m.Layers))}
+	for i, layer := range m.Layers {
+		b := newBalance(layer, load[i], false)
+		b.share()
+		shared.Layers[i] = b.layer()
+	}
+	return shared
+}
+
 // LayerSkew returns the load of the worst rank over the mean; 1 without load.
 func LayerSkew(layer Layer, load []float64) float64 {
 	b := newBalance(layer, load, false)
--- a/internal/expert/order.go
+++ b/internal/expert/order.go
@@ -64,12 +64,15 @@
 	number uint64
 	sentAt time.Time
 	// clearAt is when an order of an earlier issuer or the order in doubt lapses.
-	clearAt  time.Time
-	request  uint64
-	readAt   time.Time
-	engine   EngineState
-	answered OrderAnswered
-	reported bool
+	clearAt time.Time
+	// request numbers the reads; freshFrom is the first that tells of the present state
+	// of affairs.
+	request   uint64
+	freshFrom uint64
+	readAt    time.Time
+	engine    EngineState
+	answered  OrderAnswered
+	reported  bool
 }
 
 // OrderVocabulary lists the guards and actions of the chart "order".
@@ -183,12 +186,12 @@
 	}
 }
 
-// takeState uses the answer to the last read alone: an older one may be outdated.
+// takeState ignores reads that began before the last order or were overtaken by others.
 func (o *OrderIssuer) takeState(now time.Time, read EngineRead) []Action {
-	if read.Request != o.request || read.Failed {
+	if read.Request < o.freshFrom || read.Failed {
 		return nil
 	}
-	o.request++
+	o.freshFrom = read.Request + 1
 	o.readAt = time.Time{}
 	restarted := o.engine.Engine != "" && read.State.Engine != o.engine.Engine
 	o.engine = read.State
--- a/internal/expert/order_actions.go
+++ b/internal/expert/order_actions.go
@@ -47,6 +47,7 @@
 func (o *OrderIssuer) send(now time.Time) []Action {
 	o.number++
 	o.sentAt = now
+	o.freshFrom = o.request + 1
 	o.readAt = time.Time{}
 	o.reported = false
 	return []Action{SendOrder{Number: o.number, Order: o.order}}
@@ -56,6 +57,9 @@
 // effect shows or its lifetime ends.
 func (o *OrderIssuer) startReading(now time.Time) []Action {
 	var actions []Action
+	if o.state == orderChecking {
+		o.freshFrom = o.request + 1
+	}
 	if o.state == orderDoubtful {
 		if o.config.Lifetime > 0 {
 			o.clearAt = o.sentAt.Add(o.config.Lifetime)
--- a/internal/expert/plan.go
+++ b/internal/expert/plan.go
@@ -40,6 +40,8 @@
 const (
 	DefaultHorizon         = 3000
 	DefaultMovesPerRank    = 64
+	DefaultMoveShare       = 0.045
+	DefaultLeastSaving     = 0.01
 	DefaultExpertBytes     = 22 << 20
 	DefaultStoreRate       = 1 << 30
 	DefaultStepTime        = 40 * time.Millisecond
@@ -62,6 +64,11 @@
 	// MovesPerRank is the number of replicas that one rollout may load on a rank, over
 	// all layers: they are staged beside the replicas in use.
 	MovesPerRank int
+	// MoveShare is the part of the group's replicas that may be loaded over a horizon at
+	// equal weights of skew and rebalancing; it goes with the root of their ratio.
+	MoveShare float64
+	// LeastSaving is the part of the worst rank's load in a layer that a move must save.
+	LeastSaving float64
 	// ActivationSteps is the number of steps by which an activation that moves replicas
 	// delays the group.
 	ActivationSteps float64
@@ -77,6 +84,8 @@
 	c.StepTime = cmp.Or(c.StepTime, DefaultStepTime)
 	c.Horizon = cmp.Or(c.Horizon, float64(DefaultHorizon))
 	c.MovesPerRank = cmp.Or(c.MovesPerRank, DefaultMovesPerRank)
+	c.MoveShare = cmp.Or(c.MoveShare, DefaultMoveShare)
+	c.LeastSaving = cmp.Or(c.LeastSaving, DefaultLeastSaving)
 	c.ActivationSteps = cmp.Or(c.ActivationSteps, DefaultActivationSteps)
 	c.LoadSlowdown = cmp.Or(c.LoadSlowdown, DefaultLoadSlowdown)
 	if c.Weights == (template.ExpertWeights{}) {
@@ -101,10 +110,22 @@
 	Cost float64
 }
 
+// Situation is what a planner decides on.
+type Situation struct {
+	// Steps is the number of steps that the group has run, over all generations.
+	Steps float64
+	// Current is the map in use, with no other one scheduled.
+	Current Map
+	Load    Load
+}
+
 // Planner decides when to change a group's map. It is deterministic and not safe for
 // concurrent use.
 type Planner struct {
 	config PlannerConfig
+	safe   Map
+	budget moveBudget
+	trust  trust
 }
 
 // NewPlanner returns a planner, or an error if the shape is not valid.
@@ -112,5 +133,11 @@
 	if err := config.Shape.Validate(); err != nil {
 		return nil, err
 	}
-	return &Planner{config: config.withDefaults()}, nil
+	config = config.withDefaults()
+	return &Planner{
+		config: config,
+		safe:   StaticMap(Version{}, config.Shape),
+		budget: newMoveBudget(config),
+		trust:  trust{horizon: config.Horizon},
+	}, nil
 }
--- a/internal/expert/planner.go
+++ b/internal/expert/planner.go
@@ -9,11 +9,11 @@
 
 // Limits of the search in one layer.
 const (
-	maxChanges       = 4
-	maxMovedExperts  = 3
-	maxTargets       = 8
-	worstRankSlack   = 1e-3
-	leastImprovement = 1e-3
+	maxChanges      = 4
+	maxMovedExperts = 3
+	maxTargets      = 8
+	worstRankSlack  = 1e-3
+	leastSkewGain   = 0.002
 )
 
 // change is a step of the search in one layer: its placement and what it loads.
@@ -26,51 +26,83 @@
 	saved float64
 }
 
-// Plan proposes a change of the current map for a load, or PlanNone if none is worth
-// its cost.
-func (p *Planner) Plan(current Map, load Load) Plan {
+// Plan proposes a change of the current map, or PlanNone if none is worth its cost.
+func (p *Planner) Plan(situation Situation) Plan {
+	current, load := situation.Current, situation.Load
 	plan := Plan{SkewBefore: Skew(current, load)}
 	plan.SkewAfter = plan.SkewBefore
-	totalMean := 0.0
-	layers := make([]*balance, len(current.Layers))
-	before := make([]float64, len(current.Layers))
-	var changes []change
-	for i, layer := range current.Layers {
-		b := newBalance(layer, load[i], p.config.EvenShares)
-		before[i] = b.max()
-		totalMean += b.mean()
-		b.share()
-		layers[i] = b
-		changes = append(changes, p.search(i, b)...)
-	}
-	if totalMean == 0 {
+	p.budget.advance(situation.Steps)
+	switch p.trust.observe(situation.Steps, plan.SkewBefore, Skew(p.safe, load)) {
+	case trustLost:
+		return p.retreat(plan, current, load)
+	case trustWaiting:
 		return plan
 	}
-	gain := 0.0
-	for i, b := range layers {
-		gain += before[i] - b.max()
+	found := p.searchAll(current, load)
+	if found.totalMean == 0 {
+		return plan
 	}
-	taken, saved := p.choose(changes, totalMean)
-	for _, taken := range taken {
-		layers[taken.layer] = taken.balance
-		plan.Moves += len(taken.moves)
+	taken, saved := p.choose(found.changes, found.totalMean)
+	moves := 0
+	for _, c := range taken {
+		found.layers[c.layer] = c.balance
+		moves += len(c.moves)
 	}
-	plan.Bytes = int64(plan.Moves) * p.config.ExpertBytes
-	plan.Gain = p.gain(gain+saved, totalMean)
-	plan.Cost = p.cost(plan.Moves)
-	if plan.Gain <= plan.Cost {
-		plan.Moves, plan.Bytes = 0, 0
+	plan.Gain = p.gain(found.saved+saved, found.totalMean)
+	plan.Cost = p.cost(moves)
+	if plan.Gain <= max(plan.Cost, p.config.Weights.Skew*leastSkewGain*p.config.Horizon) {
 		return plan
 	}
-	plan.Kind = PlanIncremental
-	if plan.Moves == 0 {
-		plan.Kind = PlanShares
+	return p.propose(plan, current, found.layers, load)
+}
+
+// searched is the result of the search in all layers.
+type searched struct {
+	layers []*balance
+	// saved is what new shares alone save of the worst ranks' load.
+	saved     float64
+	totalMean float64
+	changes   []change
+}
+
+func (p *Planner) searchAll(current Map, load Load) searched {
+	found := searched{layers: make([]*balance, len(current.Layers))}
+	for i, layer := range current.Layers {
+		b := newBalance(layer, load[i], p.config.EvenShares)
+		before := b.max()
+		found.totalMean += b.mean()
+		b.share()
+		found.saved += before - b.max()
+		found.layers[i] = b
+		found.changes = append(found.changes, p.search(i, b)...)
 	}
+	return found
+}
+
+func (p *Planner) propose(plan Plan, current Map, layers []*balance, load Load) Plan {
 	plan.Map = Map{Layers: make([]Layer, len(layers))}
 	for i, b := range layers {
 		plan.Map.Layers[i] = b.layer()
 	}
+	plan.Moves = len(Added(current, plan.Map))
+	plan.Bytes = int64(plan.Moves) * p.config.ExpertBytes
+	plan.SkewAfter = Skew(plan.Map, load)
+	plan.Kind = PlanIncremental
+	if plan.Moves == 0 {
+		plan.Kind = PlanShares
+	}
+	p.budget.take(plan.Moves)
+	return plan
+}
+
+// retreat proposes the static map, whose replicas no popularity can exploit as much.
+func (p *Planner) retreat(plan Plan, current Map, load Load) Plan {
+	plan.Map = p.safe.Clone()
+	plan.Moves = len(Added(current, plan.Map))
+	plan.Bytes = int64(plan.Moves) * p.config.ExpertBytes
 	plan.SkewAfter = Skew(plan.Map, load)
+	plan.Kind = PlanFull
+	p.budget.take(plan.Moves)
 	return plan
 }
 
@@ -105,12 +137,14 @@
 	done := make([]int, p.config.Shape.Layers)
 	var taken []change
 	saved := 0.0
+	left := p.budget.moves()
 	for progress := true; progress; {
 		progress = false
 		for _, c := range order {
-			if worth(c) <= 1 || done[c.layer] != indexInLayer(changes, c) || !p.stage(staged, c) {
+			if worth(c) <= 1 || done[c.layer] != indexInLayer(changes, c) || len(c.moves) > left || !p.stage(staged, c) {
 				continue
 			}
+			left -= len(c.moves)
 			done[c.layer]++
 			taken = append(taken, c)
 			saved += c.saved
@@ -174,7 +208,7 @@
 				for _, candidate := range p.candidates(layer, b, expert, rank, target) {
 					candidate.worst = candidate.balance.max()
 					candidate.saved = worst - candidate.worst
-					if candidate.saved < leastImprovement*worst {
+					if candidate.saved < p.config.LeastSaving*worst*float64(len(candidate.moves)) {
 						continue
 					}
 					if !found || candidate.saved*float64(len(best.moves)) > best.saved*float64(len(candidate.moves)) {
