--- a/internal/expert/balance.go
+++ b/internal/expert/balance.go
@@ -46,24 +46,24 @@
 	return b
 }
 
-// clone returns a copy that shares only the load.
-func (b *balance) clone() *balance {
-	c := &balance{
-		load:  b.load,
-		hosts: make([][]int, len(b.hosts)),
-		parts: make([][]float64, len(b.parts)),
-		ranks: slices.Clone(b.ranks),
-		slots: make([][]Expert, len(b.slots)),
-		even:  b.even,
-	}
-	for expert := range b.hosts {
-		c.hosts[expert] = slices.Clone(b.hosts[expert])
-		c.parts[expert] = slices.Clone(b.parts[expert])
+// copyFrom makes b a copy of other that shares only the load; it reuses b's memory.
+func (b *balance) copyFrom(other *balance) {
+	b.load = other.load
+	b.even = other.even
+	b.ranks = append(b.ranks[:0], other.ranks...)
+	b.hosts = copyRows(b.hosts, other.hosts)
+	b.parts = copyRows(b.parts, other.parts)
+	b.slots = copyRows(b.slots, other.slots)
+}
+
+func copyRows[T any](to, from [][]T) [][]T {
+	if len(to) != len(from) {
+		to = make([][]T, len(from))
 	}
-	for rank := range b.slots {
-		c.slots[rank] = slices.Clone(b.slots[rank])
+	for i, row := range from {
+		to[i] = append(to[i][:0], row...)
 	}
-	return c
+	return to
 }
 
 func (b *balance) max() float64 {
--- a/internal/expert/planner.go
+++ b/internal/expert/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -21,8 +22,7 @@
 	layer   int
 	moves   []Placement
 	balance *balance
-	// worst is the worst rank's load after the change, saved what it saves of it.
-	worst float64
+	// saved is what the change saves of the worst rank's load.
 	saved float64
 }
 
@@ -202,34 +202,50 @@
 	worst := b.max()
 	var best change
 	found := false
-	for _, rank := range b.worstRanks() {
-		for _, expert := range b.heaviest(rank) {
-			for _, target := range b.lightest() {
-				for _, candidate := range p.candidates(layer, b, expert, rank, target) {
-					candidate.worst = candidate.balance.max()
-					candidate.saved = worst - candidate.worst
-					if candidate.saved < p.config.LeastSaving*worst*float64(len(candidate.moves)) {
-						continue
-					}
-					if !found || candidate.saved*float64(len(best.moves)) > best.saved*float64(len(candidate.moves)) {
-						best, found = candidate, true
-					}
-				}
+	scratch := &balance{}
+	consider := func(moves []Placement) {
+		saved := worst - scratch.max()
+		if saved < p.config.LeastSaving*worst*float64(len(moves)) {
+			return
+		}
+		if found && saved*float64(len(best.moves)) <= best.saved*float64(len(moves)) {
+			return
+		}
+		spare := best.balance
+		if spare == nil {
+			spare = &balance{}
+		}
+		best = change{layer: layer, moves: moves, balance: scratch, saved: saved}
+		scratch = spare
+		found = true
+	}
+	rank := b.worstRank()
+	targets := b.lightest()
+	for _, expert := range b.heaviest(rank) {
+		for _, target := range targets {
+			if slices.Contains(b.hosts[expert], target) {
+				continue
+			}
+			if scratch.replicate(b, expert, target, p.config.Shape.Slots) {
+				consider([]Placement{place(layer, expert, target)})
+			}
+			if partner, ok := scratch.swap(b, expert, rank, target); ok {
+				consider([]Placement{place(layer, expert, target), place(layer, partner, rank)})
 			}
 		}
 	}
 	return best, found
 }
 
-// worstRanks returns the first of the ranks at the worst level.
-func (b *balance) worstRanks() []int {
-	worst := b.max()
+// worstRank returns the first of the ranks with the greatest load.
+func (b *balance) worstRank() int {
+	worst := 0
 	for rank, load := range b.ranks {
-		if load >= worst*(1-worstRankSlack) {
-			return []int{rank}
+		if load > b.ranks[worst]*(1+worstRankSlack) {
+			worst = rank
 		}
 	}
-	return nil
+	return worst
 }
 
 // heaviest returns the experts of a rank that put most load on it.
@@ -255,34 +271,21 @@
 	return ranks[:min(len(ranks), maxTargets)]
 }
 
-// candidates returns ways to relieve a rank of an expert at the cost of a target rank:
-// a further replica in place of one that another rank can do without, and a swap.
-func (p *Planner) candidates(layer int, b *balance, expert Expert, rank, target int) []change {
-	if slices.Contains(b.hosts[expert], target) {
-		return nil
-	}
-	var found []change
-	if replicated, ok := p.replicate(layer, b, expert, target); ok {
-		found = append(found, replicated)
+// replicate makes b what becomes of from when the target gets a further replica of the
+// expert, in place of one that other ranks hold too. It returns false if there is none.
+func (b *balance) replicate(from *balance, expert Expert, target, slots int) bool {
+	full := len(from.slots[target]) >= slots
+	victim, found := from.victim(target)
+	if full && !found {
+		return false
 	}
-	if swapped, ok := p.swap(layer, b, expert, rank, target); ok {
-		found = append(found, swapped)
+	b.copyFrom(from)
+	if full {
+		b.remove(victim, target)
 	}
-	return found
-}
-
-func (p *Planner) replicate(layer int, b *balance, expert Expert, target int) (change, bool) {
-	c := b.clone()
-	if len(c.slots[target]) >= p.config.Shape.Slots {
-		victim, found := c.victim(target)
-		if !found {
-			return change{}, false
-		}
-		c.remove(victim, target)
-	}
-	c.add(expert, target)
-	c.share()
-	return change{layer: layer, balance: c, moves: []Placement{place(layer, expert, target)}}, true
+	b.add(expert, target)
+	b.share()
+	return true
 }
 
 // victim returns the replica that puts least load on a rank and is not the last one.
@@ -300,34 +303,30 @@
 	return victim, found
 }
 
-// swap exchanges the expert with one of the target whose load is nearest to half the gap
-// below it.
-func (p *Planner) swap(layer int, b *balance, expert Expert, rank, target int) (change, bool) {
-	wanted := b.part(expert, rank) - (b.ranks[rank]-b.ranks[target])/2
+// swap makes b what becomes of from when the rank's expert and one of the target change
+// places: the one whose load is nearest to half the gap below it, which is returned.
+func (b *balance) swap(from *balance, expert Expert, rank, target int) (Expert, bool) {
+	wanted := from.part(expert, rank) - (from.ranks[rank]-from.ranks[target])/2
 	var partner Expert
 	found := false
 	distance := 0.0
-	for _, other := range b.slots[target] {
-		if slices.Contains(b.hosts[other], rank) {
+	for _, other := range from.slots[target] {
+		if slices.Contains(from.hosts[other], rank) {
 			continue
 		}
-		d := b.part(other, target) - wanted
-		if d < 0 {
-			d = -d
-		}
+		d := math.Abs(from.part(other, target) - wanted)
 		if !found || d < distance {
 			partner, distance, found = other, d, true
 		}
 	}
 	if !found {
-		return change{}, false
+		return 0, false
 	}
-	c := b.clone()
-	c.replace(expert, rank, target)
-	c.replace(partner, target, rank)
-	c.share()
-	moves := []Placement{place(layer, expert, target), place(layer, partner, rank)}
-	return change{layer: layer, balance: c, moves: moves}, true
+	b.copyFrom(from)
+	b.replace(expert, rank, target)
+	b.replace(partner, target, rank)
+	b.share()
+	return partner, true
 }
 
 // replace moves a replica with its load.
