Load weights within the weight store's rate

Cause: the weight store is rate-limited and throttles; a rollout that asks for all weights at once would be refused.

--- a/internal/expert/weightstore.go
+++ b/internal/expert/weightstore.go
@@ -45,3 +45,12 @@
 	b.level = min(b.burst, b.level+elapsed*b.rate)
 	b.updated = now
 }
+
+// Rate returns the rate in units a second.
+func (b *TokenBucket) Rate() float64 { return b.rate }
+
+// SetRate changes the rate, which must be positive, from now on.
+func (b *TokenBucket) SetRate(now time.Time, rate float64) {
+	b.refill(now)
+	b.rate = rate
+}
