--- /dev/null
+++ b/internal/experiment/groups/rollout.go
@@ -0,0 +1,350 @@
+package groups
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/experiment"
+	"github.com/bramleyspool/bramleyspool/internal/expert"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// Parameters of the rollouts.
+const (
+	rolloutAgents   = 8
+	rolloutsPerRun  = 20
+	rolloutGap      = 10 * time.Second
+	leastLatency    = 500 * time.Microsecond
+	latencySpread   = 4 * time.Millisecond
+	loadTime        = 2 * time.Second
+	rolloutStepTime = 40 * time.Millisecond
+	leaderPause     = 5 * time.Second
+	electionDelay   = 2 * time.Second
+)
+
+// disturbance is what goes wrong during rollouts.
+type disturbance struct {
+	name string
+	loss float64
+	// pauseLeader pauses the leader at a random time of each rollout; another is elected.
+	pauseLeader bool
+}
+
+var disturbances = []disturbance{
+	{name: "none"},
+	{name: "1% of messages lost", loss: 0.01},
+	{name: "10% of messages lost", loss: 0.1},
+	{name: "leader paused 5 s in each rollout", pauseLeader: true},
+}
+
+// occurrence is something that happens at a time.
+type occurrence struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type occurrences []occurrence
+
+func (o occurrences) Len() int { return len(o) }
+
+func (o occurrences) Less(i, j int) bool {
+	if o[i].at.Equal(o[j].at) {
+		return o[i].seq < o[j].seq
+	}
+	return o[i].at.Before(o[j].at)
+}
+
+func (o occurrences) Swap(i, j int) { o[i], o[j] = o[j], o[i] }
+
+// Push adds an occurrence for package heap.
+func (o *occurrences) Push(x any) { *o = append(*o, x.(occurrence)) }
+
+// Pop removes the last occurrence for package heap.
+func (o *occurrences) Pop() any {
+	last := (*o)[len(*o)-1]
+	*o = (*o)[:len(*o)-1]
+	return last
+}
+
+// rolloutGroup is a group of agents that share one simulated clock and network.
+type rolloutGroup struct {
+	now        time.Time
+	seq        int
+	queue      occurrences
+	random     *rand.Rand
+	disturbing disturbance
+	shape      expert.Shape
+	agents     []*rolloutAgent
+	// asked counts the ranks that wait for the present step, and began when the first did.
+	generation expert.Generation
+	step       expert.Step
+	allowed    int
+	messages   int
+	held       time.Duration
+	lost       int
+	activeAt   time.Time
+	version    expert.Version
+}
+
+type rolloutAgent struct {
+	vm       ident.VM
+	member   *expert.Member
+	leader   *expert.Leader
+	paused   bool
+	heldFrom time.Time
+	tickAt   time.Time
+}
+
+func newRolloutGroup(d disturbance, seed uint64) *rolloutGroup {
+	g := &rolloutGroup{
+		now:        time.Unix(1_700_000_000, 0),
+		random:     rand.New(rand.NewPCG(seed, 5)),
+		disturbing: d,
+		shape:      expert.Shape{Ranks: rolloutAgents, Layers: 1, Experts: 16, Slots: 4},
+	}
+	roster := expert.Roster{Version: 1}
+	for i := range rolloutAgents {
+		roster.Members = append(roster.Members, expert.RosterMember{VM: ident.VM(fmt.Sprint("vm", i)), Ranks: []ident.Rank{ident.Rank(i)}})
+	}
+	for _, entry := range roster.Members {
+		self := ident.Instance{VM: entry.VM, Incarnation: 1}
+		member, err := expert.NewMember(expert.MemberConfig{Group: "g", Self: self, Ranks: entry.Ranks, Shape: g.shape})
+		if err != nil {
+			panic("invariant: " + err.Error())
+		}
+		leader, err := expert.NewLeader(expert.LeaderConfig{Group: "g", Self: self, Shape: g.shape})
+		if err != nil {
+			panic("invariant: " + err.Error())
+		}
+		agent := &rolloutAgent{vm: entry.VM, member: member, leader: leader}
+		g.agents = append(g.agents, agent)
+		g.handle(agent, expert.RosterChanged{Roster: roster})
+	}
+	g.handle(g.agents[0], expert.ElectionChanged{Elected: true})
+	return g
+}
+
+// after plans something.
+func (g *rolloutGroup) after(d time.Duration, do func()) {
+	g.seq++
+	heap.Push(&g.queue, occurrence{at: g.now.Add(d), seq: g.seq, do: do})
+}
+
+// runUntil lets the group run until a time, or until a condition holds.
+func (g *rolloutGroup) runUntil(until time.Time, holds func() bool) {
+	for len(g.queue) > 0 && !g.queue[0].at.After(until) && !holds() {
+		next := heap.Pop(&g.queue).(occurrence)
+		g.now = next.at
+		next.do()
+	}
+	if !holds() {
+		g.now = until
+	}
+}
+
+func (g *rolloutGroup) handle(agent *rolloutAgent, event expert.Event) {
+	if agent.paused {
+		return
+	}
+	actions := append(agent.member.Step(g.now, event), agent.leader.Step(g.now, event)...)
+	for _, action := range actions {
+		g.act(agent, action)
+	}
+	g.planTick(agent)
+}
+
+func (g *rolloutGroup) planTick(agent *rolloutAgent) {
+	at := agent.leader.NextTick()
+	if at.IsZero() || at.Equal(agent.tickAt) {
+		return
+	}
+	agent.tickAt = at
+	g.after(at.Sub(g.now), func() { g.handle(agent, expert.Tick{}) })
+}
+
+func (g *rolloutGroup) act(agent *rolloutAgent, action expert.Action) {
+	switch a := action.(type) {
+	case expert.Send:
+		g.send(agent, a)
+	case expert.LoadWeights:
+		g.after(loadTime, func() { g.handle(agent, expert.WeightsLoaded{Version: a.Version}) })
+	case expert.JoinGeneration:
+		g.join(agent, a.Generation)
+	case expert.StepHeld:
+		agent.heldFrom = g.now
+	case expert.AllowStep:
+		g.allow(agent, a)
+	}
+}
+
+func (g *rolloutGroup) send(from *rolloutAgent, message expert.Send) {
+	g.messages++
+	if from.vm != message.To && g.random.Float64() < g.disturbing.loss {
+		g.lost++
+		return
+	}
+	latency := leastLatency + time.Duration(g.random.Int64N(int64(latencySpread)))
+	for _, agent := range g.agents {
+		if agent.vm == message.To {
+			g.after(latency, func() { g.handle(agent, expert.Received{Message: message.Message}) })
+		}
+	}
+}
+
+// join starts the steps of a generation when its first agent joins.
+func (g *rolloutGroup) join(agent *rolloutAgent, generation expert.Generation) {
+	if g.generation != generation {
+		g.generation, g.step, g.allowed = generation, 1, 0
+	}
+	g.after(0, func() { g.request(agent, generation, 1) })
+}
+
+func (g *rolloutGroup) request(agent *rolloutAgent, generation expert.Generation, step expert.Step) {
+	if agent.paused {
+		g.after(rolloutStepTime, func() { g.request(agent, generation, step) })
+		return
+	}
+	rank := ident.Rank(0)
+	for i := range g.agents {
+		if g.agents[i] == agent {
+			rank = ident.Rank(i)
+		}
+	}
+	g.handle(agent, expert.StepRequested{Rank: rank, Generation: generation, Step: step})
+}
+
+// allow counts the ranks that started the step; the step ends when all did.
+func (g *rolloutGroup) allow(agent *rolloutAgent, allowed expert.AllowStep) {
+	if !agent.heldFrom.IsZero() {
+		g.held = max(g.held, g.now.Sub(agent.heldFrom))
+		agent.heldFrom = time.Time{}
+	}
+	if allowed.Generation != g.generation || allowed.Step != g.step {
+		return
+	}
+	g.allowed++
+	if g.allowed < len(g.agents) {
+		return
+	}
+	if allowed.Version != g.version {
+		g.version, g.activeAt = allowed.Version, g.now
+	}
+	g.step++
+	g.allowed = 0
+	generation, step := g.generation, g.step
+	for _, other := range g.agents {
+		g.after(rolloutStepTime, func() { g.request(other, generation, step) })
+	}
+}
+
+func (g *rolloutGroup) ready() *rolloutAgent {
+	for _, agent := range g.agents {
+		if agent.leader.Ready() && !agent.paused {
+			return agent
+		}
+	}
+	return nil
+}
+
+// rolloutFigures are the means over the rollouts of one run.
+type rolloutFigures struct {
+	seconds  float64
+	held     float64
+	messages float64
+	done     float64
+}
+
+func (g *rolloutGroup) measure() rolloutFigures {
+	var sum rolloutFigures
+	for i := range rolloutsPerRun {
+		g.runUntil(g.now.Add(time.Minute), func() bool { return g.ready() != nil && g.step > 1 })
+		leader := g.ready()
+		if leader == nil {
+			continue
+		}
+		before, start, messages := g.version, g.now, g.messages
+		g.held = 0
+		proposed := expert.StaticMap(expert.Version{}, g.shape)
+		by := 1 + i%(rolloutAgents-1)
+		ranks := proposed.Layers[0].Ranks
+		proposed.Layers[0].Ranks = append(append([][]expert.Replica{}, ranks[by:]...), ranks[:by]...)
+		g.handle(leader, expert.Propose{Map: proposed})
+		if g.disturbing.pauseLeader {
+			g.pause(leader)
+		}
+		g.runUntil(g.now.Add(rolloutGap), func() bool { return g.version != before })
+		if g.version != before {
+			sum.done += 100.0 / rolloutsPerRun
+			sum.seconds += g.activeAt.Sub(start).Seconds()
+		}
+		sum.messages += float64(g.messages-messages) / rolloutsPerRun
+		g.runUntil(start.Add(rolloutGap), func() bool { return false })
+		sum.held += float64(g.held.Milliseconds()) / rolloutsPerRun
+	}
+	if sum.done > 0 {
+		sum.seconds /= sum.done * rolloutsPerRun / 100
+	}
+	return sum
+}
+
+// pause stops the leader for a while at a random time of its rollout; another agent is
+// elected meanwhile, and both think they lead when the first wakes.
+func (g *rolloutGroup) pause(leader *rolloutAgent) {
+	heir := g.agents[0]
+	if heir == leader {
+		heir = g.agents[1]
+	}
+	at := time.Duration(g.random.Int64N(int64(loadTime + time.Second)))
+	g.after(at, func() { leader.paused = true })
+	g.after(at+electionDelay, func() { g.handle(heir, expert.ElectionChanged{Elected: true}) })
+	g.after(at+leaderPause, func() {
+		leader.paused = false
+		leader.tickAt = time.Time{}
+		g.handle(leader, expert.Tick{})
+	})
+	g.after(at+leaderPause+time.Second, func() { g.handle(leader, expert.ElectionChanged{}) })
+}
+
+func runRollouts(ctx context.Context, params experiment.Params) (experiment.Result, error) {
+	table := experiment.Table{
+		Title:  "Rollouts of an expert map over 8 agents",
+		Labels: []string{"disturbance"},
+		Columns: []experiment.Column{
+			{Name: "done", Unit: "% of rollouts in 10 s"},
+			{Name: "proposal to use", Unit: "s, of which 2 loading"},
+			{Name: "longest hold", Unit: "ms a rollout"},
+			{Name: "messages", Unit: "until used"},
+		},
+	}
+	for i, d := range disturbances {
+		figures := make([]rolloutFigures, params.Seeds)
+		err := forEach(ctx, params.Seeds, func(seed int) {
+			figures[seed] = newRolloutGroup(d, params.Seed+uint64(seed)).measure()
+		})
+		if err != nil {
+			return experiment.Result{}, err
+		}
+		column := func(value func(rolloutFigures) float64) experiment.Cell {
+			values := make([]float64, len(figures))
+			for i, f := range figures {
+				values[i] = value(f)
+			}
+			return newCell(values)
+		}
+		table.Rows = append(table.Rows, experiment.Row{
+			Labels: []string{d.name},
+			Cells: []experiment.Cell{
+				column(func(f rolloutFigures) float64 { return f.done }),
+				column(func(f rolloutFigures) float64 { return f.seconds }),
+				column(func(f rolloutFigures) float64 { return f.held }),
+				column(func(f rolloutFigures) float64 { return f.messages }),
+			},
+		})
+		params.Report(i+1, len(disturbances))
+	}
+	return experiment.Result{Tables: []experiment.Table{table}}, nil
+}
--- a/internal/experiment/groups/skew.go
+++ b/internal/experiment/groups/skew.go
@@ -37,6 +37,11 @@
 		Summary: "Planning at fixed times against planning when a test finds drift.",
 		Run:     runDrift,
 	},
+	{
+		Name:    "expert-rollout",
+		Summary: "Time, held steps and messages of rollouts of an expert map under faults.",
+		Run:     runRollouts,
+	},
 	{
 		Name:    "stragglers",
 		Summary: "Time to find a straggling rank, and false alarms, of several detectors.",
--- a/internal/expert/leader.go
+++ b/internal/expert/leader.go
@@ -313,11 +313,7 @@
 	if l.state == leaderStandby || l.state == leaderBackingOff {
 		return nil
 	}
-	interval := l.config.RetryInterval
-	if l.state == leaderReady {
-		interval = l.config.HeartbeatInterval
-	}
-	l.retryAt = now.Add(interval)
+	l.retryAt = now.Add(l.interval())
 	var actions []Action
 	for i := range l.views {
 		if message := l.due(&l.views[i]); message != nil {
@@ -326,3 +322,13 @@
 	}
 	return actions
 }
+
+// interval returns the time until messages are repeated. Agents that load tell by
+// themselves when they are done, so that it is enough to ask them now and then.
+func (l *Leader) interval() time.Duration {
+	loading := l.state == leaderPreparing && l.all(l.preparing)
+	if l.state == leaderReady || loading {
+		return l.config.HeartbeatInterval
+	}
+	return l.config.RetryInterval
+}
--- a/internal/expert/leader_rollout.go
+++ b/internal/expert/leader_rollout.go
@@ -91,6 +91,10 @@
 	return joined || left
 }
 
+func (l *Leader) preparing(view *memberView) bool {
+	return view.status.Rollout.Version == l.rollout.expertMap.Version
+}
+
 func (l *Leader) loaded(view *memberView) bool {
 	rollout := view.status.Rollout
 	return rollout.Version == l.rollout.expertMap.Version && rollout.Phase >= PhaseLoaded && rollout.Phase != PhaseFailed
@@ -309,7 +313,7 @@
 		header.To = ident.Instance{VM: view.vm}
 		return Claim{Header: header, Roster: l.roster}
 	case leaderPreparing:
-		if view.status.Rollout.Version == version {
+		if l.preparing(view) {
 			return Heartbeat{Header: header}
 		}
 		return Prepare{Header: header, Map: l.rollout.expertMap, Forming: l.rollout.forming, RosterDigest: l.roster.Digest()}
