--- a/internal/expert/member.go
+++ b/internal/expert/member.go
@@ -69,6 +69,8 @@
 	if err != nil {
 		return nil, err
 	}
+	config.Ranks = slices.Clone(config.Ranks)
+	slices.Sort(config.Ranks)
 	return &Member{config: config, chart: parsed, state: parsed.Initial()}, nil
 }
 
--- a/internal/expert/popularity.go
+++ b/internal/expert/popularity.go
@@ -60,8 +60,10 @@
 	config     PopularityConfig
 	generation Generation
 	sources    map[ident.Instance]*countSource
-	// reference is the step at which a count weighs 1.
+	// reference is the step at which a count weighs 1; earlier is the number of steps of
+	// earlier generations.
 	reference Step
+	earlier   Step
 	counts    Load
 	// rankSteps is the weighted number of steps counted, times ranks.
 	rankSteps float64
@@ -126,10 +128,16 @@
 // renumber starts the steps of a new generation; what was counted before stays.
 func (p *Popularity) renumber(generation Generation) {
 	p.generation = generation
+	p.earlier += p.reference
 	p.reference = 0
 	p.sources = map[ident.Instance]*countSource{}
 }
 
+// Steps returns the number of steps that reports tell of, over all generations.
+func (p *Popularity) Steps() float64 {
+	return float64(p.earlier + p.reference)
+}
+
 func (p *Popularity) source(from ident.Instance) *countSource {
 	if p.sources[from] == nil {
 		p.sources[from] = &countSource{}
--- a/internal/expert/units_test.go
+++ b/internal/expert/units_test.go
@@ -171,6 +171,42 @@
 	}
 }
 
+func TestStragglerWatchNamesTheSlowAgent(t *testing.T) {
+	c := qt.New(t)
+	watch := NewStragglerWatch(StragglerConfig{})
+	found := map[ident.VM]int{}
+	for sequence := uint64(1); sequence <= 30; sequence++ {
+		for _, vm := range []ident.VM{"a", "b", "c", "slow"} {
+			report := Counts{From: ident.Instance{VM: vm}, Sequence: sequence, StepTime: 40 * time.Millisecond}
+			if vm == "slow" && sequence > 10 {
+				report.StepTime = 46 * time.Millisecond
+			}
+			for range 2 {
+				if watch.Add(report) {
+					found[vm]++
+					c.Assert(sequence > 10, qt.IsTrue)
+				}
+			}
+		}
+	}
+	c.Assert(found["slow"] > 0, qt.IsTrue)
+	c.Assert(found, qt.HasLen, 1)
+}
+
+func TestPopularityCountsStepsOverGenerations(t *testing.T) {
+	c := qt.New(t)
+	p := NewPopularity(PopularityConfig{Shape: Shape{Ranks: 1, Layers: 1, Experts: 1, Slots: 1}})
+	report := Counts{Sequence: 1, Until: 70, Steps: 10, Ranks: 1, Layers: []LayerCounts{ScaleCounts([]uint64{5})}}
+	old := report
+	old.Sequence = 2
+	p.Add(report)
+	report.Generation = Epoch{Number: 2}
+	report.Until = 30
+	c.Assert(p.Add(report), qt.IsTrue)
+	c.Assert(p.Add(old), qt.IsFalse, qt.Commentf("the old generation's steps are numbered otherwise"))
+	c.Assert(p.Steps(), qt.Equals, 100.0)
+}
+
 func TestElectTakesALiveMember(t *testing.T) {
 	c := qt.New(t)
 	roster := Roster{Members: []RosterMember{{VM: "a"}, {VM: "b"}, {VM: "c"}}}
