Let an order's lifetime begin when its client gave it up

Cause: the lifetime ran from the decision to send. A process paused between the decision and the write sends the order when it wakes, after the next one. Change: an overdue order is cancelled, and its lifetime begins with the client's word; a directed test holds the order in the client for ten lifetimes. Conclusion: at engines that ignore numbers a silent client blocks orders until it answers, the effect shows or the engine restarts; engine_order_doubtful says so.

--- a/internal/expert/order.go
+++ b/internal/expert/order.go
@@ -23,9 +23,10 @@
 	Issuer ident.Incarnation
 	// HonoursFencing is true if the engine refuses an order with an old fencing number.
 	HonoursFencing bool
-	// Timeout is the time after which an order counts as unanswered.
+	// Timeout is the time after which an order without an answer is cancelled.
 	Timeout time.Duration
-	// Lifetime is the time after which an order that did not take effect never will; 0
+	// Lifetime is the time after the end of an order's connection at which an order that
+	// did not take effect never will; 0
 	// means DefaultOrderLifetime, and a negative one that it may take effect at any time
 	// until the engine restarts. Engines that honour fencing numbers need none.
 	Lifetime time.Duration
@@ -79,7 +80,7 @@
 func OrderVocabulary() chart.Vocabulary {
 	return chart.Vocabulary{
 		Guards:  []chart.Guard{"fenced", "shown"},
-		Actions: []chart.Action{"send", "read-state", "pause", "next", "end-done", "end-failed", "renumber", "requeue"},
+		Actions: []chart.Action{"send", "read-state", "pause", "limit", "cancel", "next", "end-done", "end-failed", "renumber", "requeue"},
 	}
 }
 
@@ -215,7 +216,7 @@
 func (o *OrderIssuer) tick(now time.Time) []Action {
 	var actions []Action
 	if due(o.timeoutAt(), now) {
-		actions = append(actions, o.fire(now, "unanswered")...)
+		actions = append(actions, o.fire(now, "overdue")...)
 	}
 	if due(o.clearAt, now) {
 		o.clearAt = time.Time{}
--- a/internal/expert/order_actions.go
+++ b/internal/expert/order_actions.go
@@ -24,6 +24,13 @@
 		return o.send(now)
 	case "read-state":
 		return o.startReading(now)
+	case "limit":
+		if o.config.Lifetime > 0 {
+			o.clearAt = now.Add(o.config.Lifetime)
+		}
+		return nil
+	case "cancel":
+		return []Action{CancelOrder{Number: o.number}}
 	case "pause":
 		o.clearAt = now.Add(o.config.ReadInterval)
 		return nil
@@ -54,20 +61,15 @@
 }
 
 // startReading reads the engine's state. An order that was sent is in doubt until its
-// effect shows or its lifetime ends.
+// effect shows or its lifetime ends, which begins when the client has given it up.
 func (o *OrderIssuer) startReading(now time.Time) []Action {
 	var actions []Action
 	if o.state == orderChecking {
 		o.freshFrom = o.request + 1
 	}
-	if o.state == orderDoubtful {
-		if o.config.Lifetime > 0 {
-			o.clearAt = o.sentAt.Add(o.config.Lifetime)
-		}
-		if !o.reported {
-			o.reported = true
-			actions = append(actions, OrderDoubtful{Order: o.order, Since: o.sentAt})
-		}
+	if o.state == orderDoubtful && !o.reported {
+		o.reported = true
+		actions = append(actions, OrderDoubtful{Order: o.order, Since: o.sentAt})
 	}
 	return append(actions, o.read(now)...)
 }
--- a/internal/expert/order_test.go
+++ b/internal/expert/order_test.go
@@ -25,6 +25,7 @@
 	order  Order
 	sentAt time.Time
 	serial int
+	agent  uint64
 }
 
 func (e *slowEngine) execute(i int) OrderAnswered {
@@ -61,13 +62,15 @@
 
 // orderWorld joins an engine with the agent that issues orders to it.
 type orderWorld struct {
-	now     time.Time
-	engine  *slowEngine
-	issuer  *OrderIssuer
-	reads   []uint64
-	serial  int
-	agents  uint64
-	pending []OrderAnswered
+	now    time.Time
+	engine *slowEngine
+	issuer *OrderIssuer
+	reads  []uint64
+	serial int
+	agents uint64
+	// unsent are orders that the client has not written yet, cancelled those to end.
+	unsent    []flight
+	cancelled []uint64
 }
 
 const testLifetime = time.Minute
@@ -81,7 +84,7 @@
 
 func (w *orderWorld) restartAgent() {
 	w.agents++
-	w.reads, w.pending = nil, nil
+	w.reads, w.unsent, w.cancelled = nil, nil, nil
 	issuer, err := NewOrderIssuer(w.now, OrderConfig{Issuer: 7, HonoursFencing: w.engine.honours, Lifetime: testLifetime})
 	if err != nil {
 		panic(err)
@@ -94,13 +97,50 @@
 		switch a := action.(type) {
 		case SendOrder:
 			w.serial++
-			w.engine.inFlight = append(w.engine.inFlight, flight{number: a.Number, order: a.Order, sentAt: w.now, serial: w.serial})
+			w.unsent = append(w.unsent, flight{number: a.Number, order: a.Order, serial: w.serial, agent: w.agents})
+		case CancelOrder:
+			w.cancelled = append(w.cancelled, a.Number)
 		case ReadEngine:
 			w.reads = append(w.reads, a.Request)
 		}
 	}
 }
 
+// execute lets the engine execute an order; its answer reaches only the agent that sent it.
+func (w *orderWorld) execute(i int, answered bool) {
+	agent := w.engine.inFlight[i].agent
+	answer := w.engine.execute(i)
+	if answered && agent == w.agents {
+		w.step(answer)
+	}
+}
+
+// write lets the client write the orders that wait in it; a paused process does so late.
+func (w *orderWorld) write() {
+	for _, f := range w.unsent {
+		f.sentAt = w.now
+		w.engine.inFlight = append(w.engine.inFlight, f)
+	}
+	w.unsent = nil
+}
+
+// cancel lets the client end the orders that it was asked to.
+func (w *orderWorld) cancel() {
+	cancelled := w.cancelled
+	w.cancelled = nil
+	for _, number := range cancelled {
+		answer := AnswerNone
+		for i, f := range w.unsent {
+			if f.number == number {
+				w.unsent = append(w.unsent[:i:i], w.unsent[i+1:]...)
+				answer = AnswerNotSent
+				break
+			}
+		}
+		w.step(OrderAnswered{Number: number, Answer: answer})
+	}
+}
+
 func (w *orderWorld) advance(d time.Duration) {
 	w.now = w.now.Add(d)
 	w.engine.expire(w.now)
@@ -131,18 +171,21 @@
 }
 
 func (w *orderWorld) disturb(t *rapid.T) {
-	switch rapid.IntRange(0, 13).Draw(t, "event") {
+	switch rapid.IntRange(0, 16).Draw(t, "event") {
 	case 0, 1, 2:
 		w.want(rapid.IntRange(0, 3).Draw(t, "revision"))
 	case 3, 4, 5:
 		if n := len(w.engine.inFlight); n > 0 {
-			answer := w.engine.execute(rapid.IntRange(0, n-1).Draw(t, "order"))
-			if rapid.Bool().Draw(t, "answered") {
-				w.step(answer)
-			}
+			w.execute(rapid.IntRange(0, n-1).Draw(t, "order"), rapid.Bool().Draw(t, "answered"))
 		}
 	case 6:
-		w.step(OrderAnswered{Number: w.issuer.number, Answer: AnswerNone})
+		if len(w.unsent) == 0 {
+			w.step(OrderAnswered{Number: w.issuer.number, Answer: AnswerNone})
+		}
+	case 14, 15:
+		w.write()
+	case 16:
+		w.cancel()
 	case 7, 8, 9:
 		w.read(rapid.IntRange(0, 3).Draw(t, "read fails") == 0)
 	case 10, 11:
@@ -180,8 +223,10 @@
 func (w *orderWorld) checkOrdersGoOn(t *rapid.T) {
 	w.want(99)
 	for elapsed := time.Duration(0); elapsed < 4*testLifetime; elapsed += time.Second {
+		w.write()
+		w.cancel()
 		for len(w.engine.inFlight) > 0 {
-			w.step(w.engine.execute(0))
+			w.execute(0, true)
 		}
 		w.read(false)
 		w.advance(time.Second)
@@ -200,6 +245,7 @@
 	w.advance(testLifetime)
 	w.want(1)
 	w.read(false)
+	w.write()
 	c.Assert(w.engine.inFlight, qt.HasLen, 1)
 	w.step(OrderAnswered{Number: w.issuer.number, Answer: AnswerNone})
 	w.want(2)
@@ -210,6 +256,7 @@
 	for range 5 {
 		w.advance(time.Second)
 		w.read(false)
+		w.write()
 	}
 	c.Assert(w.engine.inFlight, qt.HasLen, 1)
 	c.Assert(w.engine.inFlight[0].order.Revision, qt.Equals, "2")
@@ -231,6 +278,32 @@
 	for range 3 {
 		w.advance(time.Second)
 		w.read(false)
+		w.write()
 	}
 	c.Assert(w.engine.inFlight, qt.HasLen, 1)
 }
+
+// TestPausedClientHoldsBackNewOrders cancels an order that the client has not written
+// yet: until the client has said what became of it, no lifetime runs.
+func TestPausedClientHoldsBackNewOrders(t *testing.T) {
+	c := qt.New(t)
+	w := newOrderWorld(false)
+	w.advance(testLifetime)
+	w.want(1)
+	w.read(false)
+	c.Assert(w.unsent, qt.HasLen, 1)
+	w.want(2)
+	for range 10 {
+		w.advance(testLifetime)
+		w.read(false)
+	}
+	c.Assert(w.unsent, qt.HasLen, 1, qt.Commentf("a second order was sent"))
+	c.Assert(w.cancelled, qt.HasLen, 1)
+	w.cancel()
+	for range 5 {
+		w.advance(time.Second)
+		w.read(false)
+	}
+	c.Assert(w.unsent, qt.HasLen, 1)
+	c.Assert(w.unsent[0].order.Revision, qt.Equals, "2")
+}
--- a/internal/expert/order_types.go
+++ b/internal/expert/order_types.go
@@ -91,7 +91,8 @@
 	AnswerStale
 	// AnswerNotSent is the client's word that no byte of the order left.
 	AnswerNotSent
-	// AnswerNone means that no answer came: the order may take effect at any time.
+	// AnswerNone means that no answer came and that the client has closed the order's
+	// connection: the order may take effect at any time of its lifetime.
 	AnswerNone
 )
 
@@ -129,6 +130,12 @@
 	Order  Order
 }
 
+// CancelOrder asks the client to end a SendOrder that is overdue: it closes the
+// connection, or does not open one any more, and answers AnswerNone or AnswerNotSent.
+type CancelOrder struct {
+	Number uint64
+}
+
 // ReadEngine asks for the engine's state.
 type ReadEngine struct {
 	Request uint64
@@ -174,6 +181,7 @@
 }
 
 func (SendOrder) isAction()     {}
+func (CancelOrder) isAction()   {}
 func (ReadEngine) isAction()    {}
 func (OrderEnded) isAction()    {}
 func (OrderDoubtful) isAction() {}
