Gather the counts of an agent's ranks into reports

Cause: engines report counts rank by rank; one report an agent is a fraction of the bytes. Change: CountCollector, tested against Popularity.

--- /dev/null
+++ b/internal/expert/collector.go
@@ -0,0 +1,103 @@
+package expert
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// RankCounts is what an engine counted on one rank over some steps.
+type RankCounts struct {
+	Rank       ident.Rank
+	Generation Generation
+	// Until is the last step counted and Steps the number of steps.
+	Until Step
+	Steps uint32
+	// Tokens is the number of tokens that chose each expert, by layer and expert.
+	Tokens [][]uint64
+	// StepTime is the mean time that the rank computed in a step.
+	StepTime time.Duration
+}
+
+// CountCollector gathers the counts of an agent's ranks into reports to the group's
+// leader. It is not safe for concurrent use.
+type CountCollector struct {
+	shape    Shape
+	group    ident.Group
+	self     ident.Instance
+	sequence uint64
+	current  Counts
+	tokens   [][]uint64
+	// rankSteps is the number of steps counted, summed over ranks.
+	rankSteps uint64
+	ranks     map[ident.Rank]bool
+}
+
+// NewCountCollector returns a collector without counts.
+func NewCountCollector(group ident.Group, self ident.Instance, shape Shape) *CountCollector {
+	c := &CountCollector{shape: shape, group: group, self: self}
+	c.clear(Generation{})
+	return c
+}
+
+func (c *CountCollector) clear(generation Generation) {
+	c.current = Counts{Generation: generation}
+	c.rankSteps = 0
+	c.ranks = map[ident.Rank]bool{}
+	c.tokens = make([][]uint64, c.shape.Layers)
+	for layer := range c.tokens {
+		c.tokens[layer] = make([]uint64, c.shape.Experts)
+	}
+}
+
+// Add takes in the counts of a rank. It returns false for counts that do not fit the
+// shape or are of an earlier generation. Counts of a later one replace those gathered.
+func (c *CountCollector) Add(counted RankCounts) bool {
+	if !c.fits(counted) || counted.Generation.Compare(c.current.Generation) < 0 {
+		return false
+	}
+	if counted.Generation != c.current.Generation {
+		c.clear(counted.Generation)
+	}
+	for layer, tokens := range counted.Tokens {
+		for expert, n := range tokens {
+			c.tokens[layer][expert] += n
+		}
+	}
+	c.rankSteps += uint64(counted.Steps)
+	c.ranks[counted.Rank] = true
+	c.current.Until = max(c.current.Until, counted.Until)
+	c.current.StepTime = max(c.current.StepTime, counted.StepTime)
+	return true
+}
+
+func (c *CountCollector) fits(counted RankCounts) bool {
+	if counted.Steps == 0 || len(counted.Tokens) != c.shape.Layers {
+		return false
+	}
+	for _, tokens := range counted.Tokens {
+		if len(tokens) != c.shape.Experts {
+			return false
+		}
+	}
+	return true
+}
+
+// Report returns what was gathered since the last report, and false if nothing was.
+func (c *CountCollector) Report() (Counts, bool) {
+	if c.rankSteps == 0 {
+		return Counts{}, false
+	}
+	c.sequence++
+	report := c.current
+	report.Group = c.group
+	report.From = c.self
+	report.Sequence = c.sequence
+	report.Ranks = uint16(len(c.ranks))
+	report.Steps = uint32(max(1, c.rankSteps/uint64(len(c.ranks))))
+	for _, tokens := range c.tokens {
+		report.Layers = append(report.Layers, ScaleCounts(tokens))
+	}
+	c.clear(c.current.Generation)
+	return report, true
+}
--- a/internal/expert/units_test.go
+++ b/internal/expert/units_test.go
@@ -215,3 +215,26 @@
 	c.Assert(second != first && second != "", qt.IsTrue)
 	c.Assert(Elect("g", roster, func(ident.VM) bool { return false }), qt.Equals, ident.VM(""))
 }
+
+func TestCollectorReportsAllRanks(t *testing.T) {
+	c := qt.New(t)
+	shape := Shape{Ranks: 4, Layers: 1, Experts: 2, Slots: 1}
+	collector := NewCountCollector("g", ident.Instance{VM: "a"}, shape)
+	counted := RankCounts{Until: 100, Steps: 50, Tokens: [][]uint64{{1000, 500}}, StepTime: time.Millisecond}
+	c.Assert(collector.Add(counted), qt.IsTrue)
+	counted.Rank, counted.Until = 1, 90
+	c.Assert(collector.Add(counted), qt.IsTrue)
+	c.Assert(collector.Add(RankCounts{Steps: 1}), qt.IsFalse)
+	report, found := collector.Report()
+	c.Assert(found, qt.IsTrue)
+	c.Assert(report.Until, qt.Equals, Step(100))
+	_, found = collector.Report()
+	c.Assert(found, qt.IsFalse)
+	p := NewPopularity(PopularityConfig{Shape: shape})
+	c.Assert(p.Add(report), qt.IsTrue)
+	c.Assert(math.Abs(p.Load()[0][0]-80) < 0.5, qt.IsTrue, qt.Commentf("20 tokens a step on each of 4 ranks"))
+	counted.Generation = Epoch{Number: 1}
+	c.Assert(collector.Add(counted), qt.IsTrue)
+	counted.Generation = Generation{}
+	c.Assert(collector.Add(counted), qt.IsFalse)
+}
