Refuse maps and loads that do not fit the group's shape

Cause: a map of another shape in a Status would have reached the planner. Change: the leader forgets such maps, the planner proposes nothing for them.

--- a/internal/expert/leader.go
+++ b/internal/expert/leader.go
@@ -270,7 +270,9 @@
 	view.instance = status.From
 	view.status = status
 	for _, known := range status.Maps {
-		l.remember(known)
+		if known.Validate(l.config.Shape) == nil {
+			l.remember(known)
+		}
 	}
 	view.status.Maps = nil
 	return l.progress(now)
--- a/internal/expert/planner.go
+++ b/internal/expert/planner.go
@@ -26,11 +26,15 @@
 	saved float64
 }
 
-// Plan proposes a change of the current map, or PlanNone if none is worth its cost. It is
+// Plan proposes a change of the current map, or PlanNone if none is worth its cost or if
+// the situation does not fit the shape. It is
 // meant to be called at regular numbers of steps, some 250, without regard to the skew:
 // calls at times of great skew alone would make the maps look worse than they are.
 func (p *Planner) Plan(situation Situation) Plan {
 	current, load := situation.Current, situation.Load
+	if current.Validate(p.config.Shape) != nil || len(load) != len(current.Layers) {
+		return Plan{}
+	}
 	plan := Plan{SkewBefore: Skew(current, load)}
 	plan.SkewAfter = plan.SkewBefore
 	p.budget.advance(situation.Steps)
--- a/internal/expert/planner_test.go
+++ b/internal/expert/planner_test.go
@@ -165,3 +165,14 @@
 	c.Assert(costFirst > 0, qt.IsTrue)
 	c.Assert(costFirst < skewFirst, qt.IsTrue, qt.Commentf("%d against %d", costFirst, skewFirst))
 }
+
+func TestPlanRefusesAForeignMap(t *testing.T) {
+	c := qt.New(t)
+	shape := Shape{Ranks: 2, Layers: 2, Experts: 2, Slots: 2}
+	planner, err := NewPlanner(PlannerConfig{Shape: shape})
+	c.Assert(err, qt.IsNil)
+	c.Assert(planner.Plan(Situation{Load: NewLoad(2, 2)}).Kind, qt.Equals, PlanNone)
+	current := StaticMap(Version{}, shape)
+	c.Assert(planner.Plan(Situation{Current: current, Load: NewLoad(1, 2)}).Kind, qt.Equals, PlanNone)
+	c.Assert(planner.Plan(Situation{Current: current, Load: NewLoad(2, 2)}).Kind, qt.Equals, PlanNone)
+}
