--- a/internal/expert/order.go
+++ b/internal/expert/order.go
@@ -23,9 +23,10 @@
 	Issuer ident.Incarnation
 	// HonoursFencing is true if the engine refuses an order with an old fencing number.
 	HonoursFencing bool
-	// Timeout is the time after which an order counts as unanswered.
+	// Timeout is the time after which an order without an answer is cancelled.
 	Timeout time.Duration
-	// Lifetime is the time after which an order that did not take effect never will; 0
+	// Lifetime is the time after the end of an order's connection at which an order that
+	// did not take effect never will; 0
 	// means DefaultOrderLifetime, and a negative one that it may take effect at any time
 	// until the engine restarts. Engines that honour fencing numbers need none.
 	Lifetime time.Duration
@@ -64,19 +65,22 @@
 	number uint64
 	sentAt time.Time
 	// clearAt is when an order of an earlier issuer or the order in doubt lapses.
-	clearAt  time.Time
-	request  uint64
-	readAt   time.Time
-	engine   EngineState
-	answered OrderAnswered
-	reported bool
+	clearAt time.Time
+	// request numbers the reads; freshFrom is the first that tells of the present state
+	// of affairs.
+	request   uint64
+	freshFrom uint64
+	readAt    time.Time
+	engine    EngineState
+	answered  OrderAnswered
+	reported  bool
 }
 
 // OrderVocabulary lists the guards and actions of the chart "order".
 func OrderVocabulary() chart.Vocabulary {
 	return chart.Vocabulary{
 		Guards:  []chart.Guard{"fenced", "shown"},
-		Actions: []chart.Action{"send", "read-state", "pause", "next", "end-done", "end-failed", "renumber", "requeue"},
+		Actions: []chart.Action{"send", "read-state", "pause", "limit", "cancel", "next", "end-done", "end-failed", "renumber", "requeue"},
 	}
 }
 
@@ -183,12 +187,12 @@
 	}
 }
 
-// takeState uses the answer to the last read alone: an older one may be outdated.
+// takeState ignores reads that began before the last order or were overtaken by others.
 func (o *OrderIssuer) takeState(now time.Time, read EngineRead) []Action {
-	if read.Request != o.request || read.Failed {
+	if read.Request < o.freshFrom || read.Failed {
 		return nil
 	}
-	o.request++
+	o.freshFrom = read.Request + 1
 	o.readAt = time.Time{}
 	restarted := o.engine.Engine != "" && read.State.Engine != o.engine.Engine
 	o.engine = read.State
@@ -212,7 +216,7 @@
 func (o *OrderIssuer) tick(now time.Time) []Action {
 	var actions []Action
 	if due(o.timeoutAt(), now) {
-		actions = append(actions, o.fire(now, "unanswered")...)
+		actions = append(actions, o.fire(now, "overdue")...)
 	}
 	if due(o.clearAt, now) {
 		o.clearAt = time.Time{}
