Wire model groups into agents and the demonstration

Member, leader, planner and orders run in the agent's control state; orders, read back and counts go over HTTP. Engines of groups run only steps that the gate allowed.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -41,6 +41,7 @@
 	machine *control.Agent
 	backend *backend
 	watch   *watcher
+	group   *groupEngine
 
 	mu         sync.Mutex
 	executions map[attempt.Attempt]*job
@@ -62,6 +63,7 @@
 		backend:    &backend{engine: config.Engine, plain: config.Plain, self: config.Self.Instance},
 		executions: map[attempt.Attempt]*job{},
 	}
+	a.group = &groupEngine{host: config.Host, engine: config.Engine}
 	a.watch = &watcher{
 		host:      config.Host,
 		engine:    config.Engine,
@@ -92,8 +94,10 @@
 	a.host.Spawn(a.sweep)
 }
 
-// UseConfiguration takes note of a configuration; agents need nothing of it beyond control.
-func (a *Agent) UseConfiguration(*published.Configuration) {}
+// UseConfiguration begins to follow the engine once the configuration names its group.
+func (a *Agent) UseConfiguration(configuration *published.Configuration) {
+	a.group.use(configuration, a.config.Self.Instance.VM)
+}
 
 // SetReady takes note of the readiness; the lease protocol tells it to entries.
 func (a *Agent) SetReady(bool) {}
@@ -107,6 +111,12 @@
 		a.stopRun(action.ID)
 	case control.Answer:
 		a.answer(action)
+	case control.GiveOrder:
+		a.host.Spawn(func(ctx context.Context) { a.group.order(ctx, action) })
+	case control.ReadEngine:
+		a.host.Spawn(func(ctx context.Context) { a.group.read(ctx, action.Request) })
+	case control.MakePlan:
+		a.host.Spawn(func(context.Context) { a.group.plan(action) })
 	}
 }
 
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/expert"
 	"github.com/bramleyspool/bramleyspool/internal/fleet"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
@@ -28,6 +29,10 @@
 	running map[attempt.Attempt]ident.Instance
 	load    membership.Load
 	last    time.Time
+	// group is nil outside model groups and until the engine told its expert layers.
+	group        *group
+	expertLayers int
+	experts      int
 }
 
 // NewAgent returns the control state of an agent that starts now.
@@ -64,6 +69,9 @@
 		}
 		return
 	}
+	if a.stepGroup(now, event) {
+		return
+	}
 	switch event := event.(type) {
 	case MessageReceived:
 		a.route = event.Route
@@ -95,6 +103,9 @@
 	a.stepGrantor(now, membership.GrantorTick{})
 	a.moveLeases(now)
 	a.stepOwner(now, attempt.OwnerTick{})
+	if a.group != nil {
+		a.group.tick(now)
+	}
 }
 
 func (a *Agent) useConfiguration(now time.Time) {
@@ -107,6 +118,9 @@
 	}
 	a.stepGrantor(now, membership.ConfigInForce{Version: a.configuration.Version})
 	a.stepOwner(now, attempt.OwnerFleetChanged{Fleet: *published})
+	if backend != nil {
+		a.useGroup(now, service, backend)
+	}
 }
 
 func (a *Agent) useBackend(service *fleet.Service, backend *fleet.BackendServer) {
@@ -142,6 +156,10 @@
 		a.stepOwner(now, attempt.HandOverKept{Ack: *body})
 	case *attempt.TicketRequest:
 		a.stepOwner(now, attempt.TicketAsked{Request: *body})
+	case *expert.Envelope:
+		if a.group != nil {
+			a.group.receive(now, event.From, *body)
+		}
 	case *attempt.KeyQuestion:
 		a.stepOwner(now, attempt.KeyAsked{Question: *body})
 	default:
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -21,6 +21,8 @@
 	Region   ident.Region
 	// Seeds are peers to ask for the configuration before one is in force.
 	Seeds []membership.Peer
+	// Group sets the agent's part in a model group.
+	Group GroupSettings
 }
 
 // Route is an opaque handle of the connection that a message came over; nil for none.
--- /dev/null
+++ b/internal/control/group_agent.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/expert"
+	"github.com/bramleyspool/bramleyspool/internal/fleet"
+)
+
+// useGroup takes in the group of the agent's backend server.
+func (a *Agent) useGroup(now time.Time, service *fleet.Service, backend *fleet.BackendServer) {
+	if backend.Group == "" || len(backend.Ranks) == 0 {
+		return
+	}
+	a.startGroup(now, service, backend)
+	if a.group == nil || a.group.name != backend.Group {
+		return
+	}
+	roster := expert.RosterOf(*a.configuration.Fleet, backend.Group)
+	a.group.useConfiguration(now, roster, a.configuration.Templates.ExpertWeightsOf(service.Name))
+}
+
+// startGroup builds the group once the engine has told the size of its expert layers.
+func (a *Agent) startGroup(now time.Time, service *fleet.Service, backend *fleet.BackendServer) {
+	if a.group != nil || a.expertLayers == 0 || a.experts == 0 {
+		return
+	}
+	ranks := expert.RosterOf(*a.configuration.Fleet, backend.Group).Ranks()
+	shape := expert.Shape{Ranks: ranks, Layers: a.expertLayers, Experts: a.experts}
+	shape.Slots = min((shape.Experts+ranks-1)/ranks+spareSlots, shape.Experts)
+	group, err := newGroup(now, groupConfig{
+		name:     backend.Group,
+		self:     a.self.Instance,
+		ranks:    backend.Ranks,
+		shape:    shape,
+		settings: a.self.Group,
+		weights:  a.configuration.Templates.ExpertWeightsOf(service.Name),
+		fenced:   service.HonoursFencing,
+		out:      a.act,
+	})
+	if err != nil {
+		a.note("group-not-started", SeverityWarning, "", Field{"error", err.Error()})
+		return
+	}
+	a.group = group
+	group.carry(now, group.issuer.Step(now, expert.Tick{}))
+}
+
+// stepGroup handles an event of the group; it reports whether the event was one.
+func (a *Agent) stepGroup(now time.Time, event Event) bool {
+	if seen, ok := event.(CountsSeen); ok {
+		a.learnExperts(now, seen)
+	}
+	if a.group == nil {
+		return isGroupEvent(event)
+	}
+	switch event := event.(type) {
+	case EngineSeen:
+		if event.State.Gated {
+			a.group.see(now, event.State)
+		}
+	case EngineRead:
+		a.group.takeRead(now, event.Read)
+	case OrderAnswered:
+		a.group.takeAnswer(now, event.Answer)
+	case CountsSeen:
+		a.group.count(now, event)
+	case PlanMade:
+		a.group.takePlan(now, event)
+	default:
+		return false
+	}
+	return true
+}
+
+func isGroupEvent(event Event) bool {
+	switch event.(type) {
+	case EngineSeen, EngineRead, OrderAnswered, CountsSeen, PlanMade:
+		return true
+	}
+	return false
+}
+
+// learnExperts notes the size of the engine's expert layers.
+func (a *Agent) learnExperts(now time.Time, seen CountsSeen) {
+	if a.group != nil || len(seen.Layers) == 0 {
+		return
+	}
+	a.expertLayers, a.experts = len(seen.Layers), len(seen.Layers[0])
+	if a.configuration == nil {
+		return
+	}
+	if service, backend := a.configuration.Fleet.Backend(a.self.Instance.VM); backend != nil {
+		a.useGroup(now, service, backend)
+	}
+}
+
+// Group returns what operators see of the agent's group; nil outside groups.
+func (a *Agent) Group() *GroupStatus {
+	if a.group == nil {
+		return nil
+	}
+	return a.group.status()
+}
--- /dev/null
+++ b/internal/control/group_events.go
@@ -0,0 +1,139 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/expert"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// EngineSeen brings the engine's state, as it is polled.
+type EngineSeen struct{ State expert.EngineState }
+
+// EngineRead brings the answer to a ReadEngine action.
+type EngineRead struct{ Read expert.EngineRead }
+
+// OrderAnswered tells what became of a GiveOrder action.
+type OrderAnswered struct{ Answer expert.OrderAnswered }
+
+// CountsSeen brings the number of tokens that chose each expert since the engine started.
+type CountsSeen struct {
+	// Engine is the run of the engine, Step the step that the counts reach.
+	Engine string
+	Step   uint64
+	// Layers holds the tokens by layer and expert.
+	Layers [][]uint64
+}
+
+// PlanMade brings the answer to a MakePlan action.
+type PlanMade struct {
+	Number uint64
+	Epoch  expert.Epoch
+	Plan   expert.Plan
+}
+
+func (EngineSeen) isEvent()    {}
+func (EngineRead) isEvent()    {}
+func (OrderAnswered) isEvent() {}
+func (CountsSeen) isEvent()    {}
+func (PlanMade) isEvent()      {}
+
+// GiveOrder gives the engine an order, once and without a retry.
+type GiveOrder struct {
+	Rank   ident.Rank
+	Issuer ident.Instance
+	Order  expert.SendOrder
+}
+
+// ReadEngine reads the engine's state.
+type ReadEngine struct{ Request uint64 }
+
+// MakePlan computes a plan off the control thread.
+type MakePlan struct {
+	Number  uint64
+	Epoch   expert.Epoch
+	Planner *expert.Planner
+	Map     expert.Map
+	Load    expert.Load
+}
+
+func (GiveOrder) isAction()  {}
+func (ReadEngine) isAction() {}
+func (MakePlan) isAction()   {}
+
+// RolloutStatus is the last rollout that an agent led.
+type RolloutStatus struct {
+	Version string `json:"version"`
+	// Result is empty while the rollout goes on.
+	Result string `json:"result,omitempty"`
+	Cause  string `json:"cause,omitempty"`
+}
+
+// PlanStatus is a plan as operators see it.
+type PlanStatus struct {
+	At         time.Time `json:"at"`
+	Kind       string    `json:"kind"`
+	Moves      int       `json:"moves"`
+	Bytes      int64     `json:"bytes"`
+	SkewBefore float64   `json:"skew_before"`
+	SkewAfter  float64   `json:"skew_after"`
+	Gain       float64   `json:"gain"`
+	Cost       float64   `json:"cost"`
+}
+
+// GroupStatus is what operators see of an agent's part in a model group.
+type GroupStatus struct {
+	Group ident.Group `json:"group"`
+	// Elected is the agent that this one takes for the leader; Epoch is the epoch promised.
+	Elected ident.VM `json:"elected"`
+	Leading bool     `json:"leading"`
+	// LeaderState is the state of this agent's part as a leader.
+	LeaderState string `json:"leader_state"`
+	Epoch       string `json:"epoch"`
+	Generation  string `json:"generation"`
+	// Map is the version in use; Step is the generation's next step, 0 outside one.
+	Map     string      `json:"map"`
+	NextMap string      `json:"next_map,omitempty"`
+	Step    expert.Step `json:"step"`
+	// AllowedUntil is the last step that the engine may run.
+	AllowedUntil expert.Step `json:"allowed_until"`
+	// Held is true if a step waits for the decision on its map.
+	Held       bool   `json:"held"`
+	OrderState string `json:"order_state"`
+	// Skew is the worst rank's load over the mean, at the leader; 0 elsewhere.
+	Skew float64 `json:"skew"`
+	// BytesLoaded is the size of all weights that the agent had its engine load.
+	BytesLoaded int64          `json:"bytes_loaded"`
+	Rollout     *RolloutStatus `json:"rollout,omitempty"`
+	Plan        *PlanStatus    `json:"plan,omitempty"`
+}
+
+func (g *group) status() *GroupStatus {
+	gate := g.member.Gate()
+	status := &GroupStatus{
+		Group:        g.name,
+		Elected:      g.peers.elected,
+		Leading:      g.leader.Leading(),
+		LeaderState:  string(g.leader.State()),
+		Epoch:        g.member.Epoch().String(),
+		Generation:   gate.Generation().String(),
+		Map:          g.member.Map().Version.String(),
+		Step:         g.engine.next(),
+		AllowedUntil: g.engine.allowed,
+		Held:         len(gate.Waiting()) > 0,
+		OrderState:   string(g.issuer.State()),
+		BytesLoaded:  g.moved,
+		Plan:         g.plans.last,
+	}
+	if next := gate.Next().Version; !next.IsZero() {
+		status.NextMap = next.String()
+	}
+	if g.rollout.Version != "" {
+		rollout := g.rollout
+		status.Rollout = &rollout
+	}
+	if g.leader.Leading() && len(g.leader.Map().Layers) > 0 {
+		status.Skew = expert.Skew(g.leader.Map(), g.popularity.Load())
+	}
+	return status
+}
--- /dev/null
+++ b/internal/control/group_plan.go
@@ -0,0 +1,158 @@
+package control
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/expert"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+const (
+	// electedTimeout is how long an elected agent may be silent before another is elected.
+	electedTimeout = 3 * time.Second
+	// suspectTime is how long a silent agent is not elected.
+	suspectTime = 10 * time.Second
+)
+
+// peerWatch decides which agents of the group count as live for the election.
+type peerWatch struct {
+	heard    map[ident.VM]time.Time
+	suspects map[ident.VM]time.Time
+	// elected is the agent elected last, since a time.
+	elected ident.VM
+	since   time.Time
+	// told is the agent that the leader was told last; any is true once it was.
+	told ident.VM
+	any  bool
+}
+
+func (p *peerWatch) hear(now time.Time, vm ident.VM) {
+	p.heard[vm] = now
+	delete(p.suspects, vm)
+}
+
+func (p *peerWatch) live(now time.Time, self, vm ident.VM) bool {
+	if vm == self {
+		return true
+	}
+	since, suspected := p.suspects[vm]
+	return !suspected || now.Sub(since) >= suspectTime
+}
+
+func (p *peerWatch) elect(now time.Time, name ident.Group, self ident.VM, roster expert.Roster) ident.VM {
+	if p.elected != "" && p.elected != self {
+		last := p.since
+		if heard := p.heard[p.elected]; heard.After(last) {
+			last = heard
+		}
+		if now.Sub(last) > electedTimeout {
+			p.suspects[p.elected] = now
+		}
+	}
+	elected := expert.Elect(name, roster, func(vm ident.VM) bool { return p.live(now, self, vm) })
+	if elected != p.elected {
+		p.elected, p.since = elected, now
+	}
+	return elected
+}
+
+// groupCounts is what was reported of the engine's counts.
+type groupCounts struct {
+	sequence uint64
+	engine   string
+	step     uint64
+	layers   [][]uint64
+}
+
+// count reports the tokens since the last counts to the elected agent.
+func (g *group) count(now time.Time, seen CountsSeen) {
+	last := g.counts
+	g.counts.engine, g.counts.step, g.counts.layers = seen.Engine, seen.Step, seen.Layers
+	if last.engine != seen.Engine || seen.Step <= last.step || !g.engine.placed || seen.Step < g.engine.first {
+		return
+	}
+	g.counts.sequence++
+	report := expert.Counts{
+		Group:      g.name,
+		From:       g.self,
+		Sequence:   g.counts.sequence,
+		Generation: g.engine.generation,
+		Until:      expert.Step(seen.Step-g.engine.first) + 1,
+		Steps:      uint32(seen.Step - last.step),
+		Ranks:      uint16(len(g.ranks)),
+	}
+	for layer, counts := range seen.Layers {
+		report.Layers = append(report.Layers, expert.ScaleCounts(difference(counts, last.layers[layer])))
+	}
+	if g.peers.elected == g.self.VM {
+		g.popularity.Add(report)
+		return
+	}
+	envelope := expert.Wrap(report)
+	g.out(Send{To: g.peers.elected, Body: &envelope})
+	_ = now
+}
+
+func difference(counts, before []uint64) []uint64 {
+	tokens := make([]uint64, len(counts))
+	for i := range counts {
+		if counts[i] > before[i] {
+			tokens[i] = counts[i] - before[i]
+		}
+	}
+	return tokens
+}
+
+// groupPlans is the planning of a leader.
+type groupPlans struct {
+	nextAt  time.Time
+	number  uint64
+	last    *PlanStatus
+}
+
+// plan asks for a plan from time to time while the agent leads and nothing is rolled out.
+func (g *group) plan(now time.Time) {
+	if now.Before(g.plans.nextAt) {
+		return
+	}
+	if !g.leader.Ready() {
+		return
+	}
+	g.plans.nextAt = now.Add(g.settings.PlanInterval)
+	g.plans.number++
+	g.out(MakePlan{Number: g.plans.number, Epoch: g.leader.Epoch(), Planner: g.planner, Map: g.leader.Map(), Load: g.popularity.Load()})
+}
+
+// takePlan proposes a plan unless the leadership changed meanwhile.
+func (g *group) takePlan(now time.Time, made PlanMade) {
+	if made.Number != g.plans.number || made.Epoch != g.leader.Epoch() || !g.leader.Ready() {
+		return
+	}
+	plan := made.Plan
+	g.plans.last = &PlanStatus{
+		At: now, Kind: plan.Kind.String(), Moves: plan.Moves, Bytes: plan.Bytes,
+		SkewBefore: plan.SkewBefore, SkewAfter: plan.SkewAfter, Gain: plan.Gain, Cost: plan.Cost,
+	}
+	if plan.Kind == expert.PlanNone {
+		return
+	}
+	g.note("group-rollout-started", SeverityInfo, "", Field{"plan", plan.Kind.String()},
+		Field{"moves", strconv.Itoa(plan.Moves)}, Field{"bytes", strconv.FormatInt(plan.Bytes, 10)},
+		Field{"skew-before", skewText(plan.SkewBefore)}, Field{"skew-after", skewText(plan.SkewAfter)})
+	g.carry(now, g.leader.Step(now, expert.Propose{Map: plan.Map}))
+	g.settle(now)
+}
+
+func skewText(skew float64) string {
+	return strconv.FormatFloat(skew, 'f', 3, 64)
+}
+
+// noteRollout remembers the map that the agent rolls out as a leader.
+func (g *group) noteRollout(message expert.Message) {
+	if prepare, ok := message.(expert.Prepare); ok {
+		if version := prepare.Map.Version.String(); version != g.rollout.Version {
+			g.rollout = RolloutStatus{Version: version}
+		}
+	}
+}
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -33,10 +33,12 @@
 	prefillDelay = 200 * time.Microsecond
 	plainDelay   = 3 * time.Millisecond
 	restartAfter = time.Second
-	loadLag      = 300 * time.Millisecond
-	cacheLag     = 200 * time.Millisecond
-	cacheGap     = 13
-	vmListLag    = 2 * time.Second
+	// orderLifetime is longer than an order stays on its way to a stand-in.
+	orderLifetime = 3 * time.Second
+	loadLag       = 300 * time.Millisecond
+	cacheLag      = 200 * time.Millisecond
+	cacheGap      = 13
+	vmListLag     = 2 * time.Second
 )
 
 // cluster is one deployment with all stand-ins, in this process.
@@ -47,6 +49,7 @@
 	vms       []*vm
 	servers   []*server
 	authority *wire.Authority
+	groups    map[ident.Group]*modelGroup
 	log       io.Writer
 	logLevel  string
 	platform  settings.Platform
@@ -57,7 +60,7 @@
 
 // newCluster builds the deployment of an example and runs it.
 func newCluster(ctx context.Context, options Options) (*cluster, error) {
-	c := &cluster{log: options.Log, logLevel: options.LogLevel, ctx: ctx, config: standin.NewConfig(standin.ConfigOptions{CallsPerSecond: 2000})}
+	c := &cluster{groups: map[ident.Group]*modelGroup{}, log: options.Log, logLevel: options.LogLevel, ctx: ctx, config: standin.NewConfig(standin.ConfigOptions{CallsPerSecond: 2000})}
 	if err := c.readDocument(options.Deployment); err != nil {
 		return nil, err
 	}
@@ -161,24 +164,40 @@
 	}
 	v.settings.Backend = &settings.Backend{Kind: service.Kind}
 	if service.Kind == template.KindModel {
-		v.engine = standin.NewEngine(standin.EngineOptions{
-			IgnoresFencing:  !service.HonoursFencing,
-			StepDelay:       stepDelay,
-			BatchDelay:      batchDelay,
-			PrefillDelay:    prefillDelay,
-			MaxRunning:      backend.Capacity,
-			CacheEventDelay: cacheLag,
-			CacheGapEvery:   cacheGap,
-			LoadLag:         loadLag,
-			CrashMarker:     crashMarker,
-			RestartAfter:    restartAfter,
-		})
+		v.settings.Backend.OrderLifetimeMS = int(orderLifetime / time.Millisecond)
+		v.engine = c.engineOf(service, backend)
 		return c.addAgent(v, backend)
 	}
 	v.plain = standin.NewPlain(standin.PlainOptions{Delay: plainDelay, MaxRunning: backend.Capacity})
 	return c.addAgent(v, backend)
 }
 
+// engineOf returns the engine of a backend server: a rank of its group's stand-in, or one
+// of its own outside groups.
+func (c *cluster) engineOf(service *fleet.ServiceDocument, backend *fleet.BackendServer) *standin.Engine {
+	options := standin.EngineOptions{
+		IgnoresFencing:  !service.HonoursFencing,
+		StepDelay:       stepDelay,
+		BatchDelay:      batchDelay,
+		PrefillDelay:    prefillDelay,
+		MaxRunning:      backend.Capacity,
+		CacheEventDelay: cacheLag,
+		CacheGapEvery:   cacheGap,
+		LoadLag:         loadLag,
+		CrashMarker:     crashMarker,
+		RestartAfter:    restartAfter,
+	}
+	if backend.Group == "" {
+		return standin.NewEngine(options)
+	}
+	group := c.groups[backend.Group]
+	if group == nil {
+		group = newModelGroup(options, groupRanks(service, backend.Group))
+		c.groups[backend.Group] = group
+	}
+	return group.ranks.Rank(int(backend.Ranks[0]))
+}
+
 func (c *cluster) addAgent(v *vm, backend *fleet.BackendServer) error {
 	var stand *server
 	var err error
@@ -305,6 +324,9 @@
 	for _, s := range c.servers {
 		s.close()
 	}
+	for _, group := range c.groups {
+		group.ranks.Close()
+	}
 	for _, v := range c.vms {
 		if v.engine != nil {
 			v.engine.Close()
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -214,8 +214,10 @@
 		d.report.keepAccount(v)
 	}
 	d.report.check(d.cluster.plainRuns(), d.cluster.runs())
+	moved := d.cluster.bytesLoaded()
 	elapsed := time.Since(d.started)
 	fmt.Fprintf(d.options.Out, "\n%d calls in %v\n", d.report.total(), elapsed.Round(time.Millisecond))
+	d.cluster.checkGroups(d.report, d.options.Out, moved)
 	if !d.report.print(d.options.Out) {
 		return ErrDoesNotHold
 	}
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -134,10 +134,19 @@
 
 func (p *faultPlan) crashes() uint64 {
 	var boots uint64
+	counted := map[*modelGroup]bool{}
 	for _, v := range p.cluster.agents() {
-		if v.engine != nil {
-			boots += v.engine.Boot()
+		if v.engine == nil {
+			continue
 		}
+		// All ranks of a group crash as one.
+		if group := p.cluster.groupOf(v); group != nil {
+			if counted[group] {
+				continue
+			}
+			counted[group] = true
+		}
+		boots += v.engine.Boot()
 	}
 	return boots
 }
--- a/internal/expert/order_types.go
+++ b/internal/expert/order_types.go
@@ -1,6 +1,9 @@
 package expert
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // OrderKind is what an order asks an engine to do.
 type OrderKind string
@@ -11,6 +14,12 @@
 	OrderLoadAdapter OrderKind = "load-adapter"
 	OrderChangeRole  OrderKind = "change-role"
 	OrderLoadExperts OrderKind = "load-experts"
+	// OrderActivateMap makes Map the expert map from the engine's step Step on.
+	OrderActivateMap OrderKind = "activate-map"
+	// OrderAllowSteps lets the engine run its steps below Step under the map Experts.
+	OrderAllowSteps OrderKind = "allow-steps"
+	// OrderCloseSteps takes the allowance of all steps back that have not started.
+	OrderCloseSteps OrderKind = "close-steps"
 )
 
 // Order asks an engine for a change. Fields that its kind does not use are empty.
@@ -26,6 +35,12 @@
 	// Experts is the version of the map whose Placements are loaded.
 	Experts    Version     `json:"experts,omitzero"`
 	Placements []Placement `json:"placements,omitempty"`
+	// Map is the map to activate.
+	Map Map `json:"map,omitzero"`
+	// Step is a step of the engine's own numbering.
+	Step uint64 `json:"step,omitempty"`
+	// Engine is the run of the engine that the order is for; "" for whichever runs.
+	Engine string `json:"engine,omitempty"`
 }
 
 // Subject is what an order changes: a newer order on a subject replaces an older one
@@ -55,6 +70,18 @@
 	Role     string         `json:"role"`
 	// Experts is the newest map version whose weights were loaded.
 	Experts Version `json:"experts,omitzero"`
+	// Loaded are the placements whose weights are loaded.
+	Loaded []Placement `json:"loaded,omitempty"`
+	// Map is the Number of the map in use, and NextMap of the one in use from the
+	// engine's step NextStep on; 0 for none.
+	Map      uint64 `json:"map,omitempty"`
+	NextMap  uint64 `json:"next_map,omitempty"`
+	NextStep uint64 `json:"next_step,omitempty"`
+	// Step is the engine's next step; it runs those below Allowed.
+	Step    uint64 `json:"step,omitempty"`
+	Allowed uint64 `json:"allowed,omitempty"`
+	// Gated is true if the engine runs only steps that were allowed.
+	Gated bool `json:"gated,omitempty"`
 }
 
 // Shows reports whether the state has the effect of an order.
@@ -72,12 +99,28 @@
 	case OrderChangeRole:
 		return s.Role == order.Role
 	case OrderLoadExperts:
-		return s.Experts == order.Experts
+		return s.Experts == order.Experts || s.holds(order.Placements)
+	case OrderActivateMap:
+		number := order.Map.Version.Number()
+		return s.Map == number || s.NextMap == number && s.NextStep == order.Step
+	case OrderAllowSteps:
+		return s.Allowed >= order.Step
+	case OrderCloseSteps:
+		return s.Allowed <= s.Step
 	default:
 		return false
 	}
 }
 
+func (s EngineState) holds(placements []Placement) bool {
+	for _, placement := range placements {
+		if !slices.Contains(s.Loaded, placement) {
+			return false
+		}
+	}
+	return len(placements) > 0
+}
+
 // OrderAnswer is what became of a sent order, as far as the sender knows.
 type OrderAnswer uint8
 
--- a/internal/expert/version.go
+++ b/internal/expert/version.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"fmt"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 )
 
@@ -55,6 +57,12 @@
 	return fmt.Sprintf("%s/%d", v.Epoch, v.Sequence)
 }
 
+// Number returns a number that stands for v at engines; no other version of a group has
+// it, up to collisions of a 64-bit hash. It is not 0.
+func (v Version) Number() uint64 {
+	return max(xxhash.Sum64String(v.String()), 1)
+}
+
 // Generation identifies one formation of a group. Its value is the epoch whose leader
 // formed it. Steps are numbered from 1 in each generation. A group in which a rank was
 // replaced forms a new generation.
--- a/internal/platform/orders.go
+++ b/internal/platform/orders.go
@@ -25,6 +25,8 @@
 	OrderActivateMap OrderKind = "activate-map"
 	// OrderAllowSteps lets the engine run steps below Step under map MapVersion.
 	OrderAllowSteps OrderKind = "allow-steps"
+	// OrderCloseSteps takes the allowance of all steps back that have not started.
+	OrderCloseSteps OrderKind = "close-steps"
 )
 
 // Role is the part that an engine takes in serving a model.
@@ -66,6 +68,8 @@
 	Map        *ExpertMap  `json:"map,omitempty"`
 	MapVersion uint64      `json:"map_version,omitempty"`
 	Step       uint64      `json:"step,omitempty"`
+	// Boot is the boot that the order is for; an engine of another refuses it. 0 means any.
+	Boot uint64 `json:"boot,omitempty"`
 }
 
 // OrderState is the state of an order at the engine.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -159,6 +159,7 @@
 		Timeout:        time.Duration(backend.CallTimeoutMS) * time.Millisecond,
 		MaxAnswerBytes: int64(backend.MaxAnswerBytes),
 	}
+	self.Group.OrderLifetime = time.Duration(backend.OrderLifetimeMS) * time.Millisecond
 	config := agent.Config{Host: process.host, Settings: backend, Self: self}
 	if backend.Kind == template.KindModel {
 		config.Engine = platform.NewEngineClient(client)
@@ -239,6 +240,18 @@
 	return version, ok
 }
 
+// Group returns what operators see of an agent's model group; nil outside groups and for
+// a process that does not answer.
+func (p *Process) Group(ctx context.Context) *control.GroupStatus {
+	var status *control.GroupStatus
+	p.host.Inspect(ctx, func() {
+		if inspector, inGroup := p.inspect().(node.GroupInspector); inGroup {
+			status = inspector.Group()
+		}
+	})
+	return status
+}
+
 // Account returns the account of an entry. It returns false for other processes and for
 // one that does not answer.
 func (p *Process) Account(ctx context.Context) ([]admission.AccountEntry, bool) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -124,6 +124,10 @@
 	MaxAnswerBytes int `json:"max_answer_bytes,omitempty" jsonschema:"minimum=0"`
 	// CallTimeoutMS is the longest time that a call may take, in milliseconds. Default: 600000.
 	CallTimeoutMS int `json:"call_timeout_ms,omitempty" jsonschema:"minimum=0"`
+	// OrderLifetimeMS is the time after which an order that did not take effect never will, at
+	// an engine that ignores fencing numbers, in milliseconds. A new agent waits as long before
+	// its first order. Default: 120000.
+	OrderLifetimeMS int `json:"order_lifetime_ms,omitempty" jsonschema:"minimum=0"`
 }
 
 // Admin is the operators' interface.
@@ -157,6 +161,7 @@
 	DefaultMaxOpenCalls    = 4096
 	DefaultMaxAnswerBytes  = 8 << 20
 	DefaultCallTimeoutMS   = 600_000
+	DefaultOrderLifetimeMS = 120_000
 	DefaultBalancerLagMS   = 5_000
 	DefaultLogLevel        = "info"
 	DefaultHealthPath      = "/healthz"
@@ -218,6 +223,7 @@
 		setDefault(&s.Backend.MaxAnswerBytes, DefaultMaxAnswerBytes)
 		setDefault(&s.Backend.HealthPath, DefaultHealthPath)
 		setDefault(&s.Backend.CallTimeoutMS, DefaultCallTimeoutMS)
+		setDefault(&s.Backend.OrderLifetimeMS, DefaultOrderLifetimeMS)
 	}
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -54,6 +54,9 @@
 	// Layers and Experts are the size of the expert counts.
 	Layers  int
 	Experts int
+	// ChooseExpert returns the expert of a layer that a token is routed to; nil spreads
+	// tokens evenly. Token is a random number of the token.
+	ChooseExpert func(layer int, token uint64) int
 }
 
 func (o EngineOptions) withDefaults() EngineOptions {
--- a/internal/standin/engine_batch.go
+++ b/internal/standin/engine_batch.go
@@ -193,6 +193,7 @@
 	boot       uint64
 	number     uint64
 	mapVersion uint64
+	placed     *platform.ExpertMap
 	delay      time.Duration
 }
 
@@ -204,6 +205,7 @@
 	}
 	step := startedStep{boot: e.boot}
 	step.number, step.mapVersion = e.orders.takeStep()
+	step.placed = e.orders.placed
 	e.noteMap(step.number, step.mapVersion)
 	e.sample()
 	step.delay = e.options.StepDelay + time.Duration(uncached)*e.options.PrefillDelay +
@@ -262,7 +264,7 @@
 	seed := xxhash.Sum64String(j.tokens[j.emitted])
 	for layer := range e.counts {
 		if e.options.Experts > 0 {
-			e.counts[layer][mix(seed, uint64(layer))%uint64(e.options.Experts)]++
+			e.counts[layer][e.chooseExpert(layer, mix(seed, uint64(layer)))]++
 		}
 	}
 	j.emitted++
@@ -274,6 +276,13 @@
 	j.announce()
 }
 
+func (e *Engine) chooseExpert(layer int, token uint64) int {
+	if e.options.ChooseExpert != nil {
+		return e.options.ChooseExpert(layer, token)
+	}
+	return int(token % uint64(e.options.Experts))
+}
+
 // finish records the end of a started job and forgets the oldest ended ones.
 func (e *Engine) finish(j *job, state RunState) {
 	e.record.end(j.record, state)
--- a/internal/standin/engine_orders.go
+++ b/internal/standin/engine_orders.go
@@ -20,6 +20,9 @@
 	// pending is the order that is being carried out, nil if none is.
 	pending *platform.Order
 	dueAt   time.Time
+	// placed is the map in use and next the one to use from the state's NextMapStep on.
+	placed *platform.ExpertMap
+	next   *platform.ExpertMap
 	// effects are the orders that took effect, in that order.
 	effects []platform.Order
 }
@@ -42,6 +45,8 @@
 		return "order without id"
 	case !b.ignoresFencing && order.Fence < b.state.LastFence:
 		return "old fencing number"
+	case order.Boot != 0 && order.Boot != b.state.Boot:
+		return "order for another boot"
 	case b.pending != nil:
 		return "another order is running"
 	}
@@ -103,6 +108,8 @@
 		return b.activate(order)
 	case platform.OrderAllowSteps:
 		return b.allow(order)
+	case platform.OrderCloseSteps:
+		s.AllowedSteps = min(s.AllowedSteps, s.Step)
 	default:
 		return "unknown kind of order"
 	}
@@ -118,6 +125,7 @@
 		return "step has passed"
 	}
 	s.NextMapVersion, s.NextMapStep = order.Map.Version, order.Step
+	b.next = order.Map
 	b.switchMap()
 	return ""
 }
@@ -141,6 +149,7 @@
 	if s.NextMapVersion != 0 && s.Step >= s.NextMapStep {
 		s.MapVersion = s.NextMapVersion
 		s.NextMapVersion, s.NextMapStep = 0, 0
+		b.placed, b.next = b.next, nil
 	}
 }
 
@@ -185,6 +194,11 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	if e.group != nil {
+		// No order takes effect on a part of a step's ranks.
+		e.group.boundary.Lock()
+		defer e.group.boundary.Unlock()
+	}
 	e.lock.Lock()
 	receipt, reason := e.orders.take(order, time.Now())
 	e.kick()
--- a/internal/standin/group.go
+++ b/internal/standin/group.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/platform"
 )
 
 // GroupOptions are the settings of a lock-step group.
@@ -13,6 +15,8 @@
 	Engine EngineOptions
 	// RankDelay is added to a rank's time for a step; nil adds nothing.
 	RankDelay func(rank int, step uint64) time.Duration
+	// MapDelay is added to a rank's time for a step under a map; nil adds nothing.
+	MapDelay func(rank int, placed *platform.ExpertMap) time.Duration
 }
 
 // GroupReport sums up the steps of a group.
@@ -75,6 +79,17 @@
 	return g.report
 }
 
+// StepMaps returns the StepMaps of each rank, between two steps.
+func (g *Group) StepMaps() [][]StepMap {
+	g.boundary.Lock()
+	defer g.boundary.Unlock()
+	all := make([][]StepMap, len(g.ranks))
+	for i, rank := range g.ranks {
+		all[i] = rank.StepMaps()
+	}
+	return all
+}
+
 // Crash crashes all ranks.
 func (g *Group) Crash() {
 	g.boundary.Lock()
@@ -179,6 +194,9 @@
 		if g.options.RankDelay != nil {
 			step.delay += g.options.RankDelay(i, step.number)
 		}
+		if g.options.MapDelay != nil && step.placed != nil {
+			step.delay += g.options.MapDelay(i, step.placed)
+		}
 		started[i] = step
 	}
 	return started, true
