Form groups anew after lost agents, crashes and silent connections

An engine knows one map for a later step, so later maps wait until it is in use. Leaders ask over a new connection when nothing answers, answers go over the connection of the question, and an agent that left while a generation forms is noticed.

--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -158,7 +158,7 @@
 		a.stepOwner(now, attempt.TicketAsked{Request: *body})
 	case *expert.Envelope:
 		if a.group != nil {
-			a.group.receive(now, event.From, *body)
+			a.group.receive(now, event.From, event.Route, *body)
 		}
 	case *attempt.KeyQuestion:
 		a.stepOwner(now, attempt.KeyAsked{Question: *body})
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -19,6 +19,8 @@
 	groupOrderTimeout = 2 * time.Second
 	// groupReadInterval is the time between reads while an order is in doubt.
 	groupReadInterval = 100 * time.Millisecond
+	// groupHeartbeat is the time between two heartbeats of a leader without a rollout.
+	groupHeartbeat = 500 * time.Millisecond
 	// spareSlots is the number of replicas that a rank holds in a layer beyond its part.
 	spareSlots = 1
 	// weightBurst is the number of experts that may be loaded at once from an idle store.
@@ -69,6 +71,7 @@
 	popularity *expert.Popularity
 	planner    *expert.Planner
 	peers      peerWatch
+	links      groupLinks
 	engine     groupEngine
 	counts     groupCounts
 	loads      groupLoads
@@ -105,6 +108,7 @@
 		settings: settings,
 		weights:  config.weights,
 		peers:    peerWatch{heard: map[ident.VM]time.Time{}, suspects: map[ident.VM]time.Time{}},
+		links:    groupLinks{routes: map[ident.VM]Route{}, asked: map[ident.VM]time.Time{}},
 		out:      config.out,
 	}
 	slices.Sort(g.ranks)
@@ -116,7 +120,9 @@
 	if err != nil {
 		return nil, err
 	}
-	g.leader, err = expert.NewLeader(expert.LeaderConfig{Group: g.name, Self: g.self, Shape: g.shape})
+	g.leader, err = expert.NewLeader(expert.LeaderConfig{
+		Group: g.name, Self: g.self, Shape: g.shape, HeartbeatInterval: groupHeartbeat,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -159,13 +165,14 @@
 	g.elect(now)
 }
 
-func (g *group) receive(now time.Time, from ident.Instance, envelope expert.Envelope) {
+func (g *group) receive(now time.Time, from ident.Instance, route Route, envelope expert.Envelope) {
 	message, err := envelope.Unwrap()
 	if err != nil {
 		g.note("group-message-invalid", SeverityWarning, from.VM, Field{"error", err.Error()})
 		return
 	}
 	g.peers.hear(now, from.VM)
+	g.links.hear(from.VM, route)
 	if counts, ok := message.(expert.Counts); ok {
 		if counts.Group == g.name {
 			g.popularity.Add(counts)
@@ -195,6 +202,10 @@
 	}
 	g.peers.told, g.peers.any = elected, true
 	g.carry(now, g.leader.Step(now, expert.ElectionChanged{Elected: elected == g.self.VM}))
+	if elected != "" {
+		// A leader that knows an earlier process of the VM learns of this one.
+		g.send(now, expert.Send{To: elected, Message: g.member.Status()})
+	}
 	g.settle(now)
 }
 
@@ -226,7 +237,7 @@
 func (g *group) act(now time.Time, action expert.Action) {
 	switch action := action.(type) {
 	case expert.Send:
-		g.send(action)
+		g.send(now, action)
 	case expert.LoadWeights:
 		g.load(now, action)
 	case expert.DropWeights:
@@ -253,7 +264,7 @@
 
 // send sends a message. A status tells that a forming rollout is prepared only once the
 // engine starts no step that was allowed before.
-func (g *group) send(action expert.Send) {
+func (g *group) send(now time.Time, action expert.Send) {
 	message := action.Message
 	if status, ok := message.(expert.Status); ok {
 		if status.Rollout.Forming && status.Rollout.Phase == expert.PhaseLoaded && !g.engine.closed {
@@ -267,7 +278,14 @@
 		return
 	}
 	envelope := expert.Wrap(message)
-	g.out(Send{To: action.To, Body: &envelope})
+	out := Send{To: action.To, Body: &envelope}
+	switch message.(type) {
+	case expert.Status, expert.Counts:
+		out.Route = g.links.routes[action.To]
+	default:
+		out.NewConnection = g.links.ask(now, action.To)
+	}
+	g.out(out)
 }
 
 func (g *group) note(kind string, severity Severity, about ident.VM, fields ...Field) {
--- a/internal/control/group_engine.go
+++ b/internal/control/group_engine.go
@@ -28,6 +28,10 @@
 	read   uint64
 	readAt time.Time
 
+	// active is the map that was ordered last, with its first step. An engine knows one map
+	// for a later step: those behind it wait in later until active is in use.
+	active expert.Activation
+	later  []expert.MapScheduled
 	// allowed is the last step of the generation that the gate allowed, under version.
 	allowed expert.Step
 	version expert.Version
@@ -55,12 +59,21 @@
 	return expert.Step(e.state.Step-e.first) + 1
 }
 
+// orderable returns the last allowed step whose map was ordered, and that map.
+func (e *groupEngine) orderable() (expert.Step, expert.Version) {
+	if len(e.later) > 0 && e.allowed >= e.later[0].Activation.Step {
+		return e.later[0].Activation.Step - 1, e.active.Version
+	}
+	return e.allowed, e.version
+}
+
 // reset forgets the generation.
 func (e *groupEngine) reset() {
 	e.generation = expert.Generation{}
 	e.placed = false
 	e.readAt = time.Time{}
 	e.allowed, e.ordered = 0, 0
+	e.active, e.later = expert.Activation{}, nil
 	e.closed = false
 }
 
@@ -75,6 +88,7 @@
 		g.restart(now)
 	}
 	g.ensureClosed(now)
+	g.orderMap(now)
 	g.requestSteps(now)
 	g.settle(now)
 }
@@ -139,6 +153,9 @@
 // takeRead takes in the answer to a read.
 func (g *group) takeRead(now time.Time, read expert.EngineRead) {
 	if read.Request&joinRead == 0 {
+		if !read.Failed {
+			g.see(now, read.State)
+		}
 		g.carry(now, g.issuer.Step(now, read))
 		g.settle(now)
 		return
@@ -154,6 +171,7 @@
 	}
 	g.engine.placed = true
 	g.engine.first = read.State.Step
+	g.engine.active = expert.Activation{Version: g.engine.base.Version, Step: 1}
 	g.want(now, expert.Order{Kind: expert.OrderActivateMap, Map: g.engine.base, Step: g.engine.first})
 	g.requestSteps(now)
 	g.settle(now)
@@ -165,6 +183,18 @@
 	if !g.engine.placed {
 		panic("invariant: a map was scheduled in a generation without steps")
 	}
+	g.engine.later = append(g.engine.later, scheduled)
+	g.orderMap(now)
+}
+
+// orderMap orders the next map once the engine uses the one ordered before.
+func (g *group) orderMap(now time.Time) {
+	if len(g.engine.later) == 0 || g.engine.state.Map != g.engine.active.Version.Number() {
+		return
+	}
+	scheduled := g.engine.later[0]
+	g.engine.later = g.engine.later[1:]
+	g.engine.active = scheduled.Activation
 	step := g.engine.step(scheduled.Activation.Step)
 	g.want(now, expert.Order{Kind: expert.OrderActivateMap, Map: scheduled.Map, Step: step})
 }
@@ -187,13 +217,10 @@
 
 // orderAllowed orders the engine to run the steps that the gate allowed.
 func (g *group) orderAllowed(now time.Time) {
-	if !g.engine.placed || g.engine.allowed <= g.engine.ordered {
+	allowed, version := g.engine.orderable()
+	if !g.engine.placed || allowed <= g.engine.ordered {
 		return
 	}
-	g.engine.ordered = g.engine.allowed
-	g.want(now, expert.Order{
-		Kind:    expert.OrderAllowSteps,
-		Experts: g.engine.version,
-		Step:    g.engine.step(g.engine.allowed) + 1,
-	})
+	g.engine.ordered = allowed
+	g.want(now, expert.Order{Kind: expert.OrderAllowSteps, Experts: version, Step: g.engine.step(allowed) + 1})
 }
--- a/internal/control/group_orders.go
+++ b/internal/control/group_orders.go
@@ -121,7 +121,7 @@
 	}
 	g.engine.closed = true
 	if epoch := g.member.Epoch(); !epoch.IsZero() {
-		g.send(expert.Send{To: epoch.Leader.VM, Message: g.member.Status()})
+		g.send(now, expert.Send{To: epoch.Leader.VM, Message: g.member.Status()})
 	}
 }
 
--- a/internal/control/group_plan.go
+++ b/internal/control/group_plan.go
@@ -89,9 +89,9 @@
 		g.popularity.Add(report)
 		return
 	}
-	envelope := expert.Wrap(report)
-	g.out(Send{To: g.peers.elected, Body: &envelope})
-	_ = now
+	if g.peers.elected != "" {
+		g.send(now, expert.Send{To: g.peers.elected, Message: report})
+	}
 }
 
 func difference(counts, before []uint64) []uint64 {
@@ -106,9 +106,9 @@
 
 // groupPlans is the planning of a leader.
 type groupPlans struct {
-	nextAt  time.Time
-	number  uint64
-	last    *PlanStatus
+	nextAt time.Time
+	number uint64
+	last   *PlanStatus
 }
 
 // plan asks for a plan from time to time while the agent leads and nothing is rolled out.
--- a/internal/expert/leader_rollout.go
+++ b/internal/expert/leader_rollout.go
@@ -87,6 +87,9 @@
 		return status.Generation == l.rollout.generation
 	}
 	joined := status.Generation == l.rollout.generation
+	if l.state == leaderActivating && !joined && !l.loaded(view) {
+		return false
+	}
 	left := status.Generation.IsZero() || status.Generation.Compare(l.rollout.generation) < 0
 	return joined || left
 }
