Ask for configurations over new connections when nothing answers

The demonstration resends the crashing request until it is quarantined, since answers while a crashed group starts again used up the five resends; at most three crashes are still allowed. Steps that a crash broke off are not recorded as run.

--- a/internal/control/base.go
+++ b/internal/control/base.go
@@ -47,8 +47,14 @@
 	// route is the connection that the message being handled came over.
 	route   Route
 	actions []Action
+	// askedAt is since when the questions for a configuration have no answer.
+	askedAt time.Time
 }
 
+// configUnanswered is how long questions for a configuration may be unanswered before new
+// connections are opened for them.
+const configUnanswered = 250 * time.Millisecond
+
 func newBase(self Self) (*base, error) {
 	life, err := chart.Load(charts.Files, "process", ProcessVocabulary())
 	if err != nil {
@@ -92,7 +98,7 @@
 	for _, action := range b.config.Step(now, event) {
 		switch action := action.(type) {
 		case membership.SendConfig:
-			b.act(Send{To: action.To, Body: configBody(action.Message)})
+			b.act(Send{To: action.To, Body: configBody(action.Message), NewConnection: b.renews(now, action.Message)})
 		case membership.CallService:
 			b.act(ReadConfig{Call: action.Call})
 		case membership.PutInForce:
@@ -183,6 +189,29 @@
 	}
 }
 
+// renews reports whether a message goes over a new connection: a question of the
+// configuration distribution, while none was answered for a time. The connections in use
+// may lose everything without an error.
+func (b *base) renews(now time.Time, message membership.ConfigMessage) bool {
+	switch message.(type) {
+	case membership.ConfigFetch, membership.ConfigChunksRequest:
+	default:
+		return false
+	}
+	if b.askedAt.IsZero() {
+		b.askedAt = now
+	}
+	return now.Sub(b.askedAt) >= configUnanswered
+}
+
+// noteConfigAnswer notes that a question of the configuration distribution was answered.
+func (b *base) noteConfigAnswer(message membership.ConfigMessage) {
+	switch message.(type) {
+	case membership.ConfigManifest, membership.ConfigChunks:
+		b.askedAt = time.Time{}
+	}
+}
+
 // configMessage returns a message of the configuration distribution, if it is one.
 func configMessage(body any) (membership.ConfigMessage, bool) {
 	switch body := body.(type) {
@@ -230,6 +259,7 @@
 		if !ok {
 			return false, false
 		}
+		b.noteConfigAnswer(message)
 		return true, b.stepConfig(now, membership.ConfigReceived{From: event.From.VM, Message: message})
 	case StopForced:
 		b.fire(eventForce)
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -11,11 +11,13 @@
 )
 
 const (
-	faultPause    = 700 * time.Millisecond
-	outageTime    = 1500 * time.Millisecond
-	inForceTime   = 6 * time.Second
-	pollInterval  = 20 * time.Millisecond
-	crashResends  = 5
+	faultPause   = 700 * time.Millisecond
+	outageTime   = 1500 * time.Millisecond
+	inForceTime  = 6 * time.Second
+	pollInterval = 20 * time.Millisecond
+	// crashResends bounds the resends of the request that crashes its backend server. Some
+	// are answered while the servers that it crashed, a whole model group, start again.
+	crashResends  = 20
 	suspectPause  = 300 * time.Millisecond
 	maxQuarantine = 3
 )
--- a/internal/standin/engine_batch.go
+++ b/internal/standin/engine_batch.go
@@ -206,7 +206,9 @@
 	step := startedStep{boot: e.boot}
 	step.number, step.mapVersion = e.orders.takeStep()
 	step.placed = e.orders.placed
-	e.noteMap(step.number, step.mapVersion)
+	if e.group == nil {
+		e.noteMap(step.number, step.mapVersion)
+	}
 	e.sample()
 	step.delay = e.options.StepDelay + time.Duration(uncached)*e.options.PrefillDelay +
 		time.Duration(max(0, len(e.running)-1))*e.options.BatchDelay
@@ -227,6 +229,15 @@
 	e.sample()
 }
 
+// noteLockStep records the map of a step that all ranks of the group have begun.
+func (e *Engine) noteLockStep(step startedStep) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.boot == step.boot {
+		e.noteMap(step.number, step.mapVersion)
+	}
+}
+
 // noteMap records the first step of each map.
 func (e *Engine) noteMap(step, mapVersion uint64) {
 	if n := len(e.steps); n > 0 && e.steps[n-1].Boot == e.boot && e.steps[n-1].MapVersion == mapVersion {
--- a/internal/standin/group.go
+++ b/internal/standin/group.go
@@ -199,6 +199,9 @@
 		}
 		started[i] = step
 	}
+	for i, rank := range g.ranks {
+		rank.noteLockStep(started[i])
+	}
 	return started, true
 }
 
