--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -15,6 +15,9 @@
 // clockGap is the time between two events after which the process was paused.
 const clockGap = time.Second
 
+// handOverLimit is how long a planned stop waits for others to take run keys over.
+const handOverLimit = 10 * time.Second
+
 // listedGone is how long a VM must be off the platform's list to count as gone for good.
 const listedGone = 30 * time.Second
 
@@ -33,6 +36,8 @@
 	group        *group
 	expertLayers int
 	experts      int
+	// handOverSince is when a planned stop began to hand run keys over; zero before.
+	handOverSince time.Time
 }
 
 // NewAgent returns the control state of an agent that starts now.
@@ -106,6 +111,17 @@
 	if a.group != nil {
 		a.group.tick(now)
 	}
+	a.endHandOver(now)
+}
+
+// endHandOver ends a planned stop whose run keys nobody takes over. The next owner finds
+// them in doubt, as after a crash.
+func (a *Agent) endHandOver(now time.Time) {
+	if a.state != stateDraining || a.handOverSince.IsZero() || now.Sub(a.handOverSince) < handOverLimit {
+		return
+	}
+	a.note("hand-over-incomplete", SeverityWarning, "")
+	a.fire(eventDrained)
 }
 
 func (a *Agent) useConfiguration(now time.Time) {
@@ -198,6 +214,7 @@
 		case membership.SendLeaving:
 			a.act(Send{To: action.To.VM, Body: &action.Leaving})
 		case membership.GrantorDrained:
+			a.handOverSince = now
 			a.stepOwner(now, attempt.OwnerStop{})
 		}
 	}
--- a/internal/membership/config_fetch.go
+++ b/internal/membership/config_fetch.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -17,7 +18,7 @@
 	// chunksPerRequest is the number of chunks asked for in one message.
 	chunksPerRequest = 64
 	// maxHolders is how many peers that hold the newest configuration are remembered.
-	maxHolders = 6
+	maxHolders = 8
 )
 
 // fetch is the transfer of a configuration from peers.
@@ -76,11 +77,37 @@
 	if n.fetch.from != from || n.fetch.want != stamp {
 		n.addHolder(from)
 	}
+	if n.asking.phase == askWaiting {
+		return
+	}
 	if !n.fetch.active() || n.fetch.want.Less(stamp) && n.fetch.digests == nil {
 		n.fetchNext(now)
 	}
 }
 
+// fetchFromAny fetches the newest configuration from a random holder in the own zone. All
+// starting processes ask the zone's readers, which are therefore spared where others hold it.
+func (n *ConfigNode) fetchFromAny(now time.Time) {
+	readers := n.zoneReaders()
+	rank := func(vm ident.VM) int {
+		switch {
+		case !n.isInZone(vm):
+			return 2
+		case containsVM(readers, vm):
+			return 1
+		}
+		return 0
+	}
+	holders := slices.Clone(n.fetch.holders)
+	for i := range holders {
+		other := i + n.random.below(len(holders)-i)
+		holders[i], holders[other] = holders[other], holders[i]
+	}
+	slices.SortStableFunc(holders, func(a, b ident.VM) int { return rank(a) - rank(b) })
+	n.fetch.holders = holders
+	n.fetchNext(now)
+}
+
 // addHolder remembers a holder, those of the own zone first.
 func (n *ConfigNode) addHolder(vm ident.VM) {
 	if containsVM(n.fetch.holders, vm) {
--- a/internal/membership/holder.go
+++ b/internal/membership/holder.go
@@ -27,6 +27,10 @@
 	DefaultProbeTimeout = 500 * time.Millisecond
 	// DefaultMaxGap is the longest time between two steps after which leases are still trusted.
 	DefaultMaxGap = time.Second
+	// retryInterval is the time after which an unanswered lease request is sent again.
+	retryInterval = 300 * time.Millisecond
+	// maxRetries is how often that is done before requests go at the usual interval.
+	maxRetries = 4
 	// leaseMargin is kept back from each lease for the drift of the two clocks.
 	leaseMargin = 50 * time.Millisecond
 	// maxProbeBackoff is the longest time between two probes of a silent backend server.
@@ -82,6 +86,13 @@
 	Leaving Leaving
 }
 
+// LoadHeard reports the load that rode on an answer of a backend server.
+type LoadHeard struct {
+	From        ident.VM
+	Incarnation ident.Incarnation
+	Load        Load
+}
+
 // DispatchStarted reports that a request was sent to a backend server.
 type DispatchStarted struct{ VM ident.VM }
 
@@ -110,6 +121,7 @@
 func (VMListed) isHolderEvent()        {}
 func (GrantReceived) isHolderEvent()   {}
 func (LeavingReceived) isHolderEvent() {}
+func (LoadHeard) isHolderEvent()       {}
 func (DispatchStarted) isHolderEvent() {}
 func (DispatchEnded) isHolderEvent()   {}
 func (WantChanged) isHolderEvent()     {}
@@ -240,12 +252,14 @@
 		h.withBackend(event.From, func(b *backend) { h.granted(now, b, event, out) })
 	case LeavingReceived:
 		h.withBackend(event.From, func(b *backend) { h.left(now, b, event.Leaving.Incarnation, out) })
+	case LoadHeard:
+		h.withBackend(event.From, func(b *backend) { b.loadHeard(now, event) })
 	case DispatchStarted:
 		h.withBackend(event.VM, func(b *backend) { b.view.Open++; b.view.SinceLoad++ })
 	case DispatchEnded:
 		h.withBackend(event.VM, func(b *backend) { b.view.Open -= min(b.view.Open, 1) })
 	case WantChanged:
-		h.withBackend(event.VM, func(b *backend) { b.wanted = event.Wanted })
+		h.withBackend(event.VM, func(b *backend) { b.want(event.Wanted) })
 	case ProbeFailed:
 		h.withBackend(event.VM, func(b *backend) { h.probeFailed(now, b, event.Sequence, out) })
 	}
