Test groups of agents with engines in lock-step under faults

2 to 8 agents with engines of their own in one process; messages, orders and answers are lost, doubled and late, agents die and stand still, engines crash.

--- a/internal/control/group_engine.go
+++ b/internal/control/group_engine.go
@@ -180,16 +180,13 @@
 func (g *group) schedule(now time.Time, scheduled expert.MapScheduled) {
 	g.note("group-map-scheduled", SeverityInfo, "", Field{"map", scheduled.Activation.Version.String()},
 		Field{"step", stepText(scheduled.Activation.Step)})
-	if !g.engine.placed {
-		panic("invariant: a map was scheduled in a generation without steps")
-	}
 	g.engine.later = append(g.engine.later, scheduled)
 	g.orderMap(now)
 }
 
 // orderMap orders the next map once the engine uses the one ordered before.
 func (g *group) orderMap(now time.Time) {
-	if len(g.engine.later) == 0 || g.engine.state.Map != g.engine.active.Version.Number() {
+	if !g.engine.placed || len(g.engine.later) == 0 || g.engine.state.Map != g.engine.active.Version.Number() {
 		return
 	}
 	scheduled := g.engine.later[0]
--- /dev/null
+++ b/internal/control/group_world_test.go
@@ -0,0 +1,338 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/expert"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/template"
+)
+
+const (
+	worldTick     = 50 * time.Millisecond
+	worldLifetime = 4 * time.Second
+	worldGroup    = ident.Group("g")
+)
+
+// groupWorld runs the group part of agents in one process, with engines in lock-step, a
+// network that loses, doubles and reorders, and orders that come late or unanswered.
+type groupWorld struct {
+	now     time.Time
+	random  *rand.Rand
+	fenced  bool
+	faulty  bool
+	shape   expert.Shape
+	roster  expert.Roster
+	agents  []*worldAgent
+	engines []*worldEngine
+	boot    int
+	births  ident.Incarnation
+	flights []flight
+	maps    map[uint64]expert.Map
+	steps   int
+	done    int
+	fault   string
+}
+
+// worldAgent is one agent process; group is nil while it is dead.
+type worldAgent struct {
+	vm       ident.VM
+	rank     ident.Rank
+	self     ident.Instance
+	group    *group
+	wakes    time.Time
+	restarts time.Time
+}
+
+type worldEngine struct {
+	state expert.EngineState
+}
+
+// flight is a message, order or answer on its way.
+type flight struct {
+	at     time.Time
+	arrive func()
+}
+
+func newGroupWorld(seed uint64, agents int, fenced bool) *groupWorld {
+	w := &groupWorld{
+		now:    time.Unix(1_700_000_000, 0),
+		random: rand.New(rand.NewPCG(seed, 1)),
+		fenced: fenced,
+		shape:  expert.Shape{Ranks: agents, Layers: 1, Experts: 6, Slots: 6},
+		roster: expert.Roster{Version: 1},
+		maps:   map[uint64]expert.Map{},
+	}
+	for i := range agents {
+		vm := ident.VM(fmt.Sprintf("vm%d", i))
+		w.roster.Members = append(w.roster.Members, expert.RosterMember{VM: vm, Ranks: []ident.Rank{ident.Rank(i)}})
+		w.agents = append(w.agents, &worldAgent{vm: vm, rank: ident.Rank(i)})
+		w.engines = append(w.engines, &worldEngine{})
+	}
+	w.crash()
+	for _, agent := range w.agents {
+		w.start(agent)
+	}
+	return w
+}
+
+// start runs a new process of the agent beside the engine that lives.
+func (w *groupWorld) start(agent *worldAgent) {
+	w.births++
+	agent.self = ident.Instance{VM: agent.vm, Incarnation: w.births << 20}
+	started, err := newGroup(w.now, groupConfig{
+		name: worldGroup, self: agent.self, ranks: []ident.Rank{agent.rank}, shape: w.shape, fenced: w.fenced,
+		settings: GroupSettings{OrderLifetime: worldLifetime, StepWindow: 12, PlanInterval: time.Second, ExpertBytes: 1},
+		weights:  template.ExpertWeights{Skew: 1, Rebalancing: 1},
+	})
+	if err != nil {
+		panic(err)
+	}
+	agent.group = started
+	started.out = func(action Action) { w.act(agent, started, action) }
+	started.useConfiguration(w.now, w.roster, started.weights)
+}
+
+// awake reports whether the process is the agent's and handles events now.
+func (w *groupWorld) awake(agent *worldAgent, process *group) bool {
+	return process != nil && agent.group == process && !w.now.Before(agent.wakes)
+}
+
+func (w *groupWorld) chance(percent int) bool {
+	return w.faulty && w.random.IntN(100) < percent
+}
+
+// send lets something arrive within a time, perhaps twice or never.
+func (w *groupWorld) send(longest time.Duration, lossPercent int, arrive func()) {
+	copies := 1
+	if w.chance(lossPercent) {
+		copies = 2 * w.random.IntN(2)
+	}
+	for range copies {
+		delay := time.Duration(0)
+		if w.chance(20) {
+			delay = time.Duration(w.random.Int64N(int64(longest)))
+		}
+		w.flights = append(w.flights, flight{at: w.now.Add(delay), arrive: arrive})
+	}
+}
+
+func (w *groupWorld) act(agent *worldAgent, process *group, action Action) {
+	switch action := action.(type) {
+	case Send:
+		envelope := *action.Body.(*expert.Envelope)
+		from := process.self
+		w.send(2*time.Second, 20, func() { w.deliver(action.To, from, envelope) })
+	case GiveOrder:
+		w.sendOrder(agent, process, action)
+	case ReadEngine:
+		w.send(time.Second, 10, func() {
+			if w.awake(agent, process) {
+				process.takeRead(w.now, expert.EngineRead{Request: action.Request, State: w.engines[agent.rank].snapshot()})
+			}
+		})
+	case MakePlan:
+		plan := expert.Plan{Kind: expert.PlanIncremental, Map: w.otherMap()}
+		w.send(time.Second, 0, func() {
+			if w.awake(agent, process) {
+				process.takePlan(w.now, PlanMade{Number: action.Number, Epoch: action.Epoch, Plan: plan})
+			}
+		})
+	case Note:
+		if action.Kind == "group-rollout-ended" && slices.Contains(action.Fields, Field{"result", "done"}) &&
+			slices.Contains(action.Fields, Field{"forming", "false"}) {
+			w.done++
+		}
+	}
+}
+
+// sendOrder lets an order arrive within its lifetime, also if its process dies meanwhile.
+func (w *groupWorld) sendOrder(agent *worldAgent, process *group, action GiveOrder) {
+	w.send(worldLifetime-worldTick, 10, func() {
+		answer := w.engines[agent.rank].take(w, action.Order)
+		w.send(time.Second, 10, func() {
+			if w.awake(agent, process) {
+				process.takeAnswer(w.now, answer)
+			}
+		})
+	})
+}
+
+func (w *groupWorld) deliver(to ident.VM, from ident.Instance, envelope expert.Envelope) {
+	for _, agent := range w.agents {
+		if agent.vm == to && w.awake(agent, agent.group) {
+			agent.group.receive(w.now, from, nil, envelope)
+		}
+	}
+}
+
+// otherMap returns a random valid map.
+func (w *groupWorld) otherMap() expert.Map {
+	shape := w.shape
+	shape.Slots = (shape.Experts+shape.Ranks-1)/shape.Ranks + w.random.IntN(2)
+	made := expert.StaticMap(expert.Version{}, shape)
+	ranks := made.Layers[0].Ranks
+	by := w.random.IntN(len(ranks))
+	made.Layers[0].Ranks = append(slices.Clone(ranks[by:]), ranks[:by]...)
+	return made
+}
+
+// crash ends the run of all engines: a group crashes as one.
+func (w *groupWorld) crash() {
+	w.boot++
+	for _, engine := range w.engines {
+		engine.state = expert.EngineState{Engine: strconv.Itoa(w.boot), Gated: true}
+	}
+}
+
+func (e *worldEngine) snapshot() expert.EngineState {
+	e.switchMap()
+	state := e.state
+	state.Loaded = slices.Clone(state.Loaded)
+	return state
+}
+
+func (e *worldEngine) switchMap() {
+	if e.state.NextMap != 0 && e.state.Step >= e.state.NextStep {
+		e.state.Map, e.state.NextMap, e.state.NextStep = e.state.NextMap, 0, 0
+	}
+}
+
+// take carries an order out as an engine would.
+func (e *worldEngine) take(w *groupWorld, sent expert.SendOrder) expert.OrderAnswered {
+	answer := expert.OrderAnswered{Number: sent.Number, Answer: expert.AnswerDone}
+	if w.fenced && sent.Number < e.state.Greatest {
+		answer.Answer, answer.Greatest = expert.AnswerStale, e.state.Greatest
+		return answer
+	}
+	if sent.Order.Engine != e.state.Engine {
+		answer.Answer, answer.Cause = expert.AnswerFailed, "order for another boot"
+		return answer
+	}
+	if w.fenced {
+		e.state.Greatest = sent.Number
+	}
+	if cause := e.apply(w, sent.Order); cause != "" {
+		answer.Answer, answer.Cause = expert.AnswerFailed, cause
+	}
+	return answer
+}
+
+func (e *worldEngine) apply(w *groupWorld, order expert.Order) string {
+	s := &e.state
+	e.switchMap()
+	switch order.Kind {
+	case expert.OrderLoadExperts:
+		s.Loaded = append(s.Loaded, order.Placements...)
+	case expert.OrderActivateMap:
+		if order.Step < s.Step {
+			return "step has passed"
+		}
+		s.NextMap, s.NextStep = order.Map.Version.Number(), order.Step
+		w.maps[s.NextMap] = order.Map
+	case expert.OrderAllowSteps:
+		current := s.Map
+		if s.NextMap != 0 && s.NextStep < order.Step {
+			current = s.NextMap
+		}
+		if order.Experts.Number() != current {
+			return "steps are allowed under another map"
+		}
+		s.Allowed = max(s.Allowed, order.Step)
+	case expert.OrderCloseSteps:
+		s.Allowed = min(s.Allowed, s.Step)
+	}
+	return ""
+}
+
+// lockStep runs a step of all engines if each may, and checks its map.
+func (w *groupWorld) lockStep() {
+	for _, engine := range w.engines {
+		if engine.state.Step >= engine.state.Allowed {
+			return
+		}
+	}
+	w.steps++
+	for rank, engine := range w.engines {
+		engine.switchMap()
+		w.check(rank, engine)
+		engine.state.Step++
+	}
+}
+
+func (w *groupWorld) check(rank int, engine *worldEngine) {
+	first := w.engines[0].state.Map
+	if engine.state.Map != first || first == 0 {
+		w.fault = fmt.Sprintf("boot %d: rank %d uses map %x in step %d, rank 0 uses %x", w.boot, rank, engine.state.Map, engine.state.Step, first)
+		return
+	}
+	for _, replica := range w.maps[first].Layers[0].Ranks[rank] {
+		if !slices.Contains(engine.state.Loaded, expert.Placement{Expert: replica.Expert, Rank: ident.Rank(rank)}) {
+			w.fault = fmt.Sprintf("rank %d uses map %x without the weights of expert %d", rank, first, replica.Expert)
+		}
+	}
+}
+
+// disturb lets a process die or stand still, or the engines crash.
+func (w *groupWorld) disturb() {
+	agent := w.agents[w.random.IntN(len(w.agents))]
+	switch {
+	case w.chance(2):
+		agent.group = nil
+		agent.restarts = w.now.Add(time.Duration(w.random.Int64N(int64(2 * time.Second))))
+	case w.chance(1):
+		agent.wakes = w.now.Add(time.Duration(w.random.Int64N(int64(8 * time.Second))))
+	case w.random.IntN(4) == 0 && w.chance(1):
+		w.crash()
+	}
+}
+
+// pass lets one tick pass.
+func (w *groupWorld) pass() {
+	w.now = w.now.Add(worldTick)
+	w.disturb()
+	due := w.flights
+	w.flights = nil
+	if w.faulty {
+		w.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	}
+	for _, flight := range due {
+		if flight.at.After(w.now) {
+			w.flights = append(w.flights, flight)
+			continue
+		}
+		flight.arrive()
+	}
+	for _, agent := range w.agents {
+		w.turn(agent)
+	}
+	for range w.random.IntN(6) {
+		w.lockStep()
+	}
+}
+
+func (w *groupWorld) turn(agent *worldAgent) {
+	if agent.group == nil {
+		if !w.now.Before(agent.restarts) {
+			w.start(agent)
+		}
+		return
+	}
+	if !w.awake(agent, agent.group) {
+		return
+	}
+	if !w.chance(20) {
+		agent.group.see(w.now, w.engines[agent.rank].snapshot())
+	}
+	agent.group.tick(w.now)
+}
+
+func (w *groupWorld) run(length time.Duration, until func() bool) {
+	for elapsed := time.Duration(0); elapsed < length && w.fault == "" && !until(); elapsed += worldTick {
+		w.pass()
+	}
+}
