--- a/internal/expert/leaderchange_test.go
+++ b/internal/expert/leaderchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -164,3 +165,29 @@
 		return ident.Instance{}
 	}
 }
+
+// TestEngineRestartsWhileAGenerationForms restarts the engine of an agent that joined a
+// generation before the others were told to: the leader must form another one.
+func TestEngineRestartsWhileAGenerationForms(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(3, 1)
+	w.heal()
+	activating := func() bool {
+		return slices.ContainsFunc(w.nodes, func(n *node) bool { return n.leader.state == leaderActivating })
+	}
+	w.runUntil(endTime, activating)
+	c.Assert(activating(), qt.IsTrue)
+	first := slices.IndexFunc(w.network, func(s Send) bool { _, ok := s.Message.(Activate); return ok })
+	message := w.network[first]
+	w.network = slices.Delete(w.network, first, first+1)
+	w.deliver(message)
+	for _, n := range w.nodes {
+		if n.vm == message.To {
+			c.Assert(n.member.Gate().Generation().IsZero(), qt.IsFalse)
+			w.restartEngine(n)
+		}
+	}
+	w.run(endTime)
+	c.Assert(w.fault, qt.Equals, "")
+	c.Assert(w.ready(), qt.IsNotNil)
+}
