--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -11,11 +11,13 @@
 )
 
 const (
-	faultPause    = 700 * time.Millisecond
-	outageTime    = 1500 * time.Millisecond
-	inForceTime   = 6 * time.Second
-	pollInterval  = 20 * time.Millisecond
-	crashResends  = 5
+	faultPause   = 700 * time.Millisecond
+	outageTime   = 1500 * time.Millisecond
+	inForceTime  = 6 * time.Second
+	pollInterval = 20 * time.Millisecond
+	// crashResends bounds the resends of the request that crashes its backend server. Some
+	// are answered while the servers that it crashed, a whole model group, start again.
+	crashResends  = 20
 	suspectPause  = 300 * time.Millisecond
 	maxQuarantine = 3
 )
@@ -134,10 +136,19 @@
 
 func (p *faultPlan) crashes() uint64 {
 	var boots uint64
+	counted := map[*modelGroup]bool{}
 	for _, v := range p.cluster.agents() {
-		if v.engine != nil {
-			boots += v.engine.Boot()
+		if v.engine == nil {
+			continue
 		}
+		// All ranks of a group crash as one.
+		if group := p.cluster.groupOf(v); group != nil {
+			if counted[group] {
+				continue
+			}
+			counted[group] = true
+		}
+		boots += v.engine.Boot()
 	}
 	return boots
 }
