--- a/internal/agent/group.go
+++ b/internal/agent/group.go
@@ -226,6 +226,6 @@
 
 // plan computes a plan and hands it to the control thread.
 func (g *groupEngine) plan(action control.MakePlan) {
-	plan := action.Planner.Plan(action.Map, action.Load)
+	plan := action.Planner.Plan(action.Situation)
 	g.host.Post(control.PlanMade{Number: action.Number, Epoch: action.Epoch, Plan: plan})
 }
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -11,9 +11,6 @@
 	"github.com/bramleyspool/bramleyspool/internal/routing"
 )
 
-// askPeersAgain is the time after which an unanswered question to another entry is repeated.
-const askPeersAgain = 500 * time.Millisecond
-
 // EntryConfig configures an Entry.
 type EntryConfig struct {
 	Self Self
@@ -62,7 +59,7 @@
 		return nil, nil, err
 	}
 	limits := admission.DefaultSettings(self)
-	log := attempt.NewLog(now, attempt.LogConfig{Self: self, AskAgain: askPeersAgain})
+	log := attempt.NewLog(now, attempt.DefaultLogConfig(self))
 	e := &Entry{
 		base:        base,
 		config:      config,
--- a/internal/control/group_events.go
+++ b/internal/control/group_events.go
@@ -53,8 +53,8 @@
 	Number  uint64
 	Epoch   expert.Epoch
 	Planner *expert.Planner
-	Map     expert.Map
-	Load    expert.Load
+	// Situation is what the plan starts from.
+	Situation expert.Situation
 }
 
 func (GiveOrder) isAction()  {}
--- a/internal/control/group_plan.go
+++ b/internal/control/group_plan.go
@@ -109,6 +109,21 @@
 	nextAt time.Time
 	number uint64
 	last   *PlanStatus
+	// generation is the one of the last plan; earlier counts the steps of those before it,
+	// and latest is the greatest step that was seen of it.
+	generation expert.Generation
+	earlier    expert.Step
+	latest     expert.Step
+}
+
+// stepsRun returns the number of steps that the group has run over all generations.
+func (p *groupPlans) stepsRun(gate *expert.StepGate) float64 {
+	if gate.Generation() != p.generation {
+		p.earlier += p.latest
+		p.generation = gate.Generation()
+	}
+	p.latest = gate.Started()
+	return float64(p.earlier + p.latest)
 }
 
 // plan asks for a plan from time to time while the agent leads and nothing is rolled out.
@@ -121,7 +136,9 @@
 	}
 	g.plans.nextAt = now.Add(g.settings.PlanInterval)
 	g.plans.number++
-	g.out(MakePlan{Number: g.plans.number, Epoch: g.leader.Epoch(), Planner: g.planner, Map: g.leader.Map(), Load: g.popularity.Load()})
+	g.out(MakePlan{Number: g.plans.number, Epoch: g.leader.Epoch(), Planner: g.planner, Situation: expert.Situation{
+		Steps: g.plans.stepsRun(g.member.Gate()), Current: g.leader.Map(), Load: g.popularity.Load(),
+	}})
 }
 
 // takePlan proposes a plan unless the leadership changed meanwhile.
