--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -49,9 +49,10 @@
 			exampleCommand(out), standinsCommand(), versionCommand(out),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return usageError{err}
-		},
+		OnUsageError:   reportUsage,
+	}
+	for _, command := range root.Commands {
+		command.OnUsageError = reportUsage
 	}
 	err := root.Run(ctx, args)
 	if err == nil {
@@ -61,6 +62,11 @@
 	return exitCode(err)
 }
 
+// reportUsage marks a fault of the command line.
+func reportUsage(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return usageError{err}
+}
+
 // usageError is a fault of the command line.
 type usageError struct{ error }
 
--- a/internal/cli/experiments.go
+++ b/internal/cli/experiments.go
@@ -11,8 +11,12 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/bramleyspool/bramleyspool/internal/experiment"
+	"github.com/bramleyspool/bramleyspool/internal/experiment/calls"
 	"github.com/bramleyspool/bramleyspool/internal/experiment/fanout"
+	"github.com/bramleyspool/bramleyspool/internal/experiment/groups"
 	"github.com/bramleyspool/bramleyspool/internal/experiment/output"
+	"github.com/bramleyspool/bramleyspool/internal/experiment/overload"
+	"github.com/bramleyspool/bramleyspool/internal/experiment/routes"
 )
 
 const (
@@ -23,7 +27,11 @@
 // experiments returns all measurements, in the order of their names.
 func experiments() []experiment.Experiment {
 	var all []experiment.Experiment
+	all = append(all, calls.Experiments...)
 	all = append(all, fanout.All()...)
+	all = append(all, groups.Experiments...)
+	all = append(all, overload.Experiments...)
+	all = append(all, routes.All()...)
 	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
 	return all
 }
