Ask entries again only when time can change the answer

Cause: every 100 ms each agent compared all answers of all entries with each other, at a cost that grew with the square of the roster. Ruled out by the profile: leases and configuration. Change: the latest known run of each entry is kept in one table, and an agent that knows all runs of its keys asks nothing until an event changes that. The properties on run keys hold as before. The rank that routing chose now reaches the agent.

--- a/internal/attempt/owner_claims.go
+++ b/internal/attempt/owner_claims.go
@@ -11,7 +11,9 @@
 	for _, name := range o.serviceNames() {
 		service := o.services[name]
 		o.expireKeys(now, service)
-		o.refreshFence(now, service)
+		if service.isDue(now) {
+			o.refreshFence(now, service)
+		}
 	}
 	o.tickets.expire(now)
 }
@@ -30,8 +32,21 @@
 	}
 }
 
+// coverageInterval is the time between two looks at whether the agent now knows every run
+// of its keys, while all entries have accepted its claim.
+const coverageInterval = time.Second
+
+// isDue reports whether time alone may change what the agent knows or has to ask.
+func (s *ownedService) isDue(now time.Time) bool {
+	if s.settled {
+		return false
+	}
+	return !s.fenced || now.Sub(s.refreshedAt) >= coverageInterval
+}
+
 // refreshFence asks the entries and agents whose answers are missing.
 func (o *Owner) refreshFence(now time.Time, service *ownedService) {
+	service.refreshedAt = now
 	if !service.owns(o.config.Self.VM) {
 		service.fenced = false
 		return
@@ -61,15 +76,14 @@
 // contradicted reports whether another entry heard of a later run of the VM than the one
 // that accepted the claim.
 func (s *ownedService) contradicted(vm ident.VM) bool {
-	accepted := s.claims[vm].entry.Incarnation
-	for _, claim := range s.claims {
-		for _, peer := range claim.peers {
-			if peer.VM == vm && peer.Incarnation > accepted {
-				return true
-			}
-		}
+	return s.newestPeers[vm] > s.claims[vm].entry.Incarnation
+}
+
+// notePeers remembers the latest run of each entry that any entry has heard of.
+func (s *ownedService) notePeers(peers []ident.Instance) {
+	for _, peer := range peers {
+		s.newestPeers[peer.VM] = max(s.newestPeers[peer.VM], peer.Incarnation)
 	}
-	return false
 }
 
 func (o *Owner) hearClaim(now time.Time, answer ClaimAnswer) {
@@ -91,6 +105,7 @@
 		service.claims[answer.Entry.VM] = claimOf(now, claim.askedAt, answer)
 		claim = service.claims[answer.Entry.VM]
 	}
+	service.notePeers(answer.Peers)
 	o.doubtKeys(now, service, answer.Keys)
 	claim.notePart(answer)
 	if claim.accepted && !service.fencedAt.IsZero() && claim.knowsSince.After(service.fencedAt) {
@@ -117,7 +132,7 @@
 	claim := &claimState{
 		serial: answer.Serial, askedAt: askedAt, parts: map[int]bool{}, entry: answer.Entry,
 		coversSince: now.Add(-answer.Covers), knowsSince: now.Add(-answer.Knows),
-		previous: answer.Previous, peers: answer.Peers,
+		previous: answer.Previous,
 	}
 	for _, list := range answer.Earlier {
 		claim.earlier = append(claim.earlier, newEarlierList(list.VMs, now.Add(-list.Age)))
@@ -212,6 +227,7 @@
 	}
 	service.fenced = fenced
 	o.noteCoverage(now, service)
+	service.settled = fenced && service.covered != nil && sameVMs(service.covered, service.list)
 }
 
 // noteCoverage remembers that the agent knows every run of its keys under the present list.
--- a/internal/attempt/owner_service.go
+++ b/internal/attempt/owner_service.go
@@ -25,8 +25,14 @@
 	expiry      expiryQueue[ident.RunKey]
 	round       uint64
 	claims      map[ident.VM]*claimState
+	// newestPeers holds the latest run of each entry that an entry told of in this round.
+	newestPeers map[ident.VM]ident.Incarnation
 	// fenced is true while all entries of the roster accepted the claim.
 	fenced bool
+	// settled is true while fenced holds and the agent knows every run of its keys, so that
+	// nothing is asked until an event changes that.
+	settled     bool
+	refreshedAt time.Time
 	// covered is the list under which the agent knows every run of its keys, or nil.
 	covered []ident.VM
 	// fencedAt is when the claim was accepted by all in this round.
@@ -64,7 +70,6 @@
 	coversSince time.Time
 	knowsSince  time.Time
 	previous    ident.Incarnation
-	peers       []ident.Instance
 	earlier     []earlierList
 	removed     []removedEntry
 }
@@ -143,6 +148,8 @@
 func (s *ownedService) newRound() {
 	s.round++
 	s.claims = map[ident.VM]*claimState{}
+	s.newestPeers = map[ident.VM]ident.Incarnation{}
+	s.settled = false
 	s.asked = map[ident.VM]time.Time{}
 	s.fenced = false
 	s.fencedAt = time.Time{}
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -15,7 +15,7 @@
 			before := heapInUse()
 			s := newSim(b, size.entries, size.agents, 1)
 			s.run(warmUp)
-			b.ReportMetric(float64(heapInUse()-before)/1024/float64(size.entries+size.agents), "KB-heap/process")
+			heap := float64(heapInUse()-before) / 1024 / float64(size.entries+size.agents)
 			for _, n := range s.nodes {
 				n.sent = 0
 			}
@@ -28,6 +28,7 @@
 			seconds := float64(b.N)
 			b.ReportMetric(float64(spent[true].Microseconds())/seconds/float64(size.entries), "µs/s/entry")
 			b.ReportMetric(float64(spent[false].Microseconds())/seconds/float64(size.agents), "µs/s/agent")
+			b.ReportMetric(heap, "KB-heap/process")
 			b.ReportMetric(s.sentBy(true)/seconds/float64(size.entries), "B/s/entry")
 			b.ReportMetric(s.sentBy(false)/seconds/float64(size.agents), "B/s/agent")
 		})
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -43,6 +43,8 @@
 	started time.Time
 	// open are the attempts that may be open at their targets.
 	open map[attempt.Attempt]ident.VM
+	// rank is the rank that was chosen last, or routing.NoRank.
+	rank ident.Rank
 	// finished is true once the front was told the outcome.
 	finished bool
 }
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -26,7 +26,7 @@
 		e.act(FinishCall{Request: call.Request, Outcome: refused})
 		return
 	}
-	e.calls[call.Request] = &entryCall{arrived: event, at: now, open: map[attempt.Attempt]ident.VM{}}
+	e.calls[call.Request] = &entryCall{arrived: event, at: now, rank: routing.NoRank, open: map[attempt.Attempt]ident.VM{}}
 	e.stepAdmission(now, admission.Arrive{
 		Request:  call.Request,
 		Customer: call.Customer,
@@ -162,6 +162,7 @@
 		e.noRoute(now, need, call, decision)
 		return
 	}
+	call.rank = decision.Rank
 	e.stepCaller(now, attempt.Routed{
 		Request: need.Request,
 		Target:  ident.Instance{VM: decision.VM, Incarnation: decision.Incarnation},
@@ -237,7 +238,7 @@
 		Kind: "call-dispatched", Severity: SeverityDebug, Request: dispatch.ID.Request,
 		Customer: dispatch.Customer, About: dispatch.Target.VM,
 	})
-	e.act(OpenAttempt{Dispatch: dispatch, Rank: routing.NoRank})
+	e.act(OpenAttempt{Dispatch: dispatch, Rank: call.rank})
 }
 
 // endAttempt frees the credit of an attempt that is no longer open at its agent.
