--- a/internal/attempt/property_test.go
+++ b/internal/attempt/property_test.go
@@ -37,7 +37,10 @@
 func (d drawn) IntN(n int) int { return rapid.IntRange(0, n-1).Draw(d.t, "choice") }
 
 func chaosConfig(t *rapid.T) calls.Config {
+	hedgeAfter := rapid.SampledFrom([]time.Duration{0, 200 * time.Millisecond}).Draw(t, "hedge")
 	return calls.Config{
+		Caller: func(config *attempt.CallerConfig) { config.HedgeAfter = hedgeAfter },
+
 		Entries:   rapid.IntRange(2, 3).Draw(t, "entries"),
 		Agents:    rapid.IntRange(2, 3).Draw(t, "agents"),
 		Retention: 20 * time.Second,
