--- a/internal/admission/authority.go
+++ b/internal/admission/authority.go
@@ -89,6 +89,14 @@
 	return true
 }
 
+// basis returns the sending time of the newest poll that the entry's process echoed.
+func (a *authority) basis(vm ident.VM) time.Time {
+	if known := a.members[vm]; known != nil {
+		return known.basis
+	}
+	return time.Time{}
+}
+
 // forget drops an entry that uses another roster.
 func (a *authority) forget(request LimitRequest) {
 	known := a.members[request.From.VM]
--- a/internal/admission/coordinator.go
+++ b/internal/admission/coordinator.go
@@ -15,33 +15,26 @@
 	roster    roster
 	authority authority
 	limits    map[LimitKey]*coordinatedLimit
-	customers map[ident.Customer]*coordinatedCustomer
+	// customers are those whose limits are coordinated here under the present roster.
+	customers map[ident.Customer]struct{}
 	number    uint64
 }
 
-// coordinatedCustomer says when the limits of a customer could last be leased.
-type coordinatedCustomer struct {
-	// mine is true if this entry coordinates the customer under the present roster.
-	mine bool
-	// rate and concurrency are the last times at which parts could be raised.
-	rate, concurrency time.Time
-}
-
-// NewLimitCoordinator returns a LimitCoordinator that knows of no leases. It grants
-// nothing until all leases of an earlier coordinator must have run out.
+// NewLimitCoordinator returns a LimitCoordinator that knows of no leases. It raises no
+// part until all leases of an earlier coordinator must have run out, and prolongs
+// those that it hears of.
 func NewLimitCoordinator(settings Settings) *LimitCoordinator {
 	return &LimitCoordinator{
 		settings:  settings,
 		authority: newAuthority(settings),
 		limits:    make(map[LimitKey]*coordinatedLimit),
-		customers: make(map[ident.Customer]*coordinatedCustomer),
+		customers: make(map[ident.Customer]struct{}),
 	}
 }
 
 // Step handles one event at a time of the process's monotonic clock.
 func (c *LimitCoordinator) Step(now time.Time, event CoordinatorEvent) []CoordinatorAction {
 	c.authority.evaluate(now, c.roster)
-	c.noteUnlocked(now)
 	switch e := event.(type) {
 	case Configure:
 		c.configure(now, e)
@@ -59,9 +52,7 @@
 		c.authority.restart()
 	}
 	c.roster = r
-	for _, customer := range c.customers {
-		customer.mine = false
-	}
+	clear(c.customers)
 	for _, limit := range c.limits {
 		limit.limits = template.Limits{}
 	}
@@ -75,12 +66,7 @@
 	if c.roster.coordinator(plan.Customer) != c.settings.Self.VM {
 		return
 	}
-	customer := c.customers[plan.Customer]
-	if customer == nil {
-		customer = &coordinatedCustomer{}
-		c.customers[plan.Customer] = customer
-	}
-	customer.mine = true
+	c.customers[plan.Customer] = struct{}{}
 	for i := range plan.Classes {
 		class := &plan.Classes[i]
 		key := LimitKey{Customer: plan.Customer, Class: class.Name}
@@ -93,34 +79,13 @@
 	}
 }
 
-// noteUnlocked remembers until when parts could be raised.
-func (c *LimitCoordinator) noteUnlocked(now time.Time) {
-	for _, customer := range c.customers {
-		if !customer.mine {
-			continue
-		}
-		if c.unlocked(now, customer.rate, 0) {
-			customer.rate = now
-		}
-		if c.unlocked(now, customer.concurrency, c.settings.Leases.MaxHold) {
-			customer.concurrency = now
-		}
-	}
-}
-
-// unlocked reports whether all leases of other coordinators have run out. It holds
-// once the coordinator has been active for longer than a lease and the held time, and
-// also if it lost its authority for too short a time for another one to raise a part.
-func (c *LimitCoordinator) unlocked(now, last time.Time, hold time.Duration) bool {
+// mayRaise reports whether all leases of other coordinators have run out, and whatever
+// was accepted under them and is held for at most the given time has ended.
+func (c *LimitCoordinator) mayRaise(now time.Time, hold time.Duration) bool {
 	if !c.authority.active {
 		return false
 	}
-	ttl := c.settings.Leases.TTL
-	since := c.authority.since
-	if !last.IsZero() && since.Sub(last) < ttl {
-		return true
-	}
-	return now.Sub(since) > c.settings.lengthen(ttl+hold)
+	return now.Sub(c.authority.since) > c.settings.lengthen(c.settings.Leases.TTL+hold)
 }
 
 // lengthen returns a duration that has passed on every clock when it has on this one.
@@ -133,16 +98,10 @@
 func (c *LimitCoordinator) forget(now time.Time) {
 	for key, limit := range c.limits {
 		limit.expire(now, c.settings)
-		customer := c.customers[key.Customer]
-		if len(limit.holdings) == 0 && (customer == nil || !customer.mine) {
+		if _, mine := c.customers[key.Customer]; !mine && len(limit.holdings) == 0 {
 			delete(c.limits, key)
 		}
 	}
-	for name, customer := range c.customers {
-		if !customer.mine && now.Sub(customer.rate) > c.settings.Leases.TTL {
-			delete(c.customers, name)
-		}
-	}
 }
 
 // requested answers a holder's request.
@@ -170,27 +129,42 @@
 // grant decides on the demand for one limit.
 func (c *LimitCoordinator) grant(now time.Time, request LimitRequest, demand PartDemand) (PartGrant, bool) {
 	limit := c.limits[demand.Key]
-	customer := c.customers[demand.Key.Customer]
-	if limit == nil || customer == nil || !customer.mine {
+	if _, mine := c.customers[demand.Key.Customer]; !mine || limit == nil {
 		return PartGrant{}, false
 	}
 	holding := limit.update(now, c.settings, request, demand)
+	limit.replaceProcess(request.From, c.authority.basis(request.From.VM))
 	if !c.authority.active {
 		return PartGrant{}, false
 	}
-	part := limit.offer(now, c.settings, holding)
-	if !c.unlocked(now, customer.rate, 0) {
-		part.Rate, part.Tokens = 0, 0
-	}
-	if !c.unlocked(now, customer.concurrency, c.settings.Leases.MaxHold) {
-		part.Concurrency = 0
-	}
-	if part == (Part{}) && holding.charged(now, c.settings) == (Part{}) {
+	grant := PartGrant{Key: demand.Key, Part: limit.offer(now, c.settings, holding)}
+	c.keepWithinHeld(now, &grant, demand)
+	if grant.Part == (Part{}) && holding.charged(now, c.settings) == (Part{}) {
 		return PartGrant{}, false
 	}
 	c.number++
-	holding.record(c.number, part, now.Add(c.settings.lengthen(c.settings.Leases.TTL)))
-	return PartGrant{Key: demand.Key, Number: c.number, Part: part}, true
+	grant.Number = c.number
+	holding.record(c.number, grant.Part, now.Add(c.settings.lengthen(c.settings.Leases.TTL)))
+	return grant, true
+}
+
+// keepWithinHeld cuts a grant to what the holder has of an earlier coordinator, as long
+// as leases of that one may be in use elsewhere.
+func (c *LimitCoordinator) keepWithinHeld(now time.Time, grant *PartGrant, demand PartDemand) {
+	var prolongs bool
+	if !c.mayRaise(now, 0) {
+		grant.Part.Rate = min(grant.Part.Rate, demand.Held.Rate)
+		grant.Part.Tokens = min(grant.Part.Tokens, demand.Held.Tokens)
+		prolongs = grant.Part.Rate > 0 || grant.Part.Tokens > 0
+	}
+	if !c.mayRaise(now, c.settings.Leases.MaxHold) {
+		grant.Part.Concurrency = min(grant.Part.Concurrency, demand.Held.Concurrency)
+		prolongs = prolongs || grant.Part.Concurrency > 0
+	}
+	if prolongs {
+		grant.Adopts = demand.Grant
+		grant.AdoptsOf = demand.Grantor
+	}
 }
 
 // LimitState describes the division of one limit for the operators' API.
@@ -209,14 +183,13 @@
 func (c *LimitCoordinator) Snapshot(now time.Time) []LimitState {
 	var states []LimitState
 	for key, limit := range c.limits {
-		customer := c.customers[key.Customer]
-		if customer == nil || !customer.mine || limit.limits == (template.Limits{}) {
+		if _, mine := c.customers[key.Customer]; !mine || limit.limits == (template.Limits{}) {
 			continue
 		}
 		states = append(states, LimitState{
 			Key: key, Pool: leasedPool(limit.limits, c.settings.Leases),
 			Leased: limit.leased(now, c.settings, nil), Holders: len(limit.holdings),
-			Active: c.unlocked(now, customer.rate, 0),
+			Active: c.mayRaise(now, 0),
 		})
 	}
 	slices.SortFunc(states, func(a, b LimitState) int { return compareKeys(a.Key, b.Key) })
--- a/internal/admission/holder.go
+++ b/internal/admission/holder.go
@@ -277,7 +277,7 @@
 	if held.lease.grantor == from && grant.Number <= held.lease.number {
 		return
 	}
-	if grant.Adopts != 0 && (held.lease.number != grant.Adopts || held.lease.grantor.Incarnation != grant.AdoptsOf) {
+	if grant.Adopts != 0 && !held.lease.is(grant.AdoptsOf, grant.Adopts) {
 		return
 	}
 	lowered := held.lease.part != (Part{}) && below(grant.Part, held.lease.part)
@@ -291,6 +291,11 @@
 	}
 }
 
+// is reports whether the lease is that of a grant and has not run out.
+func (l lease) is(grantor ident.Incarnation, number uint64) bool {
+	return l.part != (Part{}) && l.number == number && l.grantor.Incarnation == grantor
+}
+
 // below reports whether any component of a is less than that of b.
 func below(a, b Part) bool {
 	return a.Rate < b.Rate || a.Concurrency < b.Concurrency || a.Tokens < b.Tokens
--- a/internal/admission/holding.go
+++ b/internal/admission/holding.go
@@ -56,6 +56,21 @@
 	return h
 }
 
+// replaceProcess ends the rates of earlier processes on the VM of a process. A process
+// that echoes a poll from after another one's last message came after that one; the
+// requests that the dead one accepted may still run.
+func (l *coordinatedLimit) replaceProcess(process ident.Instance, basis time.Time) {
+	for other, h := range l.holdings {
+		if other.VM != process.VM || other == process || !h.heardAt.Before(basis) {
+			continue
+		}
+		for i := range h.grants {
+			h.grants[i].part.Rate, h.grants[i].part.Tokens = 0, 0
+		}
+		h.want = Part{}
+	}
+}
+
 // acknowledge drops the grants that the holder will never use again.
 func (h *holding) acknowledge(number uint64, held Part) {
 	h.grants = slices.DeleteFunc(h.grants, func(g grantRecord) bool {
--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -63,7 +63,7 @@
 	Number uint64 `cbor:"2,keyasint"`
 	Part   Part   `cbor:"3,keyasint"`
 	// Adopts is the grant of an earlier coordinator that this grant prolongs; 0 if none.
-	// The holder ignores the grant if it no longer holds that one.
+	// The holder ignores the grant if it no longer holds that one or it ran out.
 	Adopts   uint64            `cbor:"4,keyasint,omitempty"`
 	AdoptsOf ident.Incarnation `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/experiment/overload/limits.go
+++ b/internal/experiment/overload/limits.go
@@ -25,6 +25,8 @@
 	hot float64
 	// moves is the time after which another entry is the hot one; 0 for never.
 	moves time.Duration
+	// restarts is the time between two restarts of entries, one after another; 0 for none.
+	restarts time.Duration
 	// fault changes the cluster when the measured time begins; nil for nothing.
 	fault func(c *Cluster)
 }
@@ -56,6 +58,7 @@
 			limitScenario{name: "flood at one entry", entries: entries, demand: 5, hot: 0.9},
 			limitScenario{name: "one entry stopped", entries: entries, demand: 0.8, hot: 0.5, fault: stopOne},
 			limitScenario{name: "halves cut off", entries: entries, demand: 0.8, hot: 0.5, fault: halves},
+			limitScenario{name: "an entry restarted each 20 s", entries: entries, demand: 0.8, hot: 0.5, restarts: 20 * time.Second},
 			limitScenario{name: "all restarted", entries: entries, demand: 0.8, hot: 0.5, fault: restartAll},
 		)
 	}
@@ -152,6 +155,10 @@
 func (s limitScenario) drive(c *Cluster, random *rand.Rand, d time.Duration) {
 	perStep := s.demand * limitRate * limitStep.Seconds()
 	for end := c.Now.Add(d); c.Now.Before(end); {
+		if since := c.Now.Sub(epoch); s.restarts > 0 && since > limitWarmUp && since%s.restarts == 0 {
+			node := c.Nodes[int(since/s.restarts)%s.entries]
+			c.Start(node, node.Roster)
+		}
 		hot := 0
 		if s.moves > 0 {
 			hot = int(c.Now.Sub(epoch)/s.moves) % s.entries
