Check the planner's targets in tests; half-life of counts 75 steps

Cause: the targets on drift and flips were measured but nothing kept them. Change: a test at 16 ranks with the bounds of the targets (seen to fail when the budget and the least saving are taken away); half-life 75 instead of 150 steps.

--- a/internal/experiment/groups/groups_test.go
+++ b/internal/experiment/groups/groups_test.go
@@ -7,25 +7,25 @@
 	"strings"
 	"testing"
 
+	qt "github.com/frankban/quicktest"
+
 	"github.com/bramleyspool/bramleyspool/internal/experiment"
 )
 
-var printSeeds = flag.Int("print-seeds", 0, "run all experiments with this many seeds and print their tables")
-
-var printOnly = flag.String("print-only", "", "the experiment to print; all if empty")
+var (
+	tableSeeds = flag.Int("table-seeds", 1, "seeds of the experiments that BenchmarkTables prints")
+	tableOnly  = flag.String("table-only", "", "the experiment that BenchmarkTables prints; all if empty")
+)
 
-// TestPrint prints the tables when asked to.
-func TestPrint(t *testing.T) {
-	if *printSeeds == 0 {
-		t.Skip("only with -print-seeds")
-	}
+// BenchmarkTables prints the tables of the experiments.
+func BenchmarkTables(b *testing.B) {
 	for _, e := range Experiments {
-		if *printOnly != "" && *printOnly != e.Name {
+		if *tableOnly != "" && *tableOnly != e.Name {
 			continue
 		}
-		result, err := e.Run(context.Background(), experiment.Params{Seed: 1, Seeds: *printSeeds})
+		result, err := e.Run(context.Background(), experiment.Params{Seed: 1, Seeds: *tableSeeds})
 		if err != nil {
-			t.Fatal(err)
+			b.Fatal(err)
 		}
 		for _, table := range result.Tables {
 			printTable(table)
@@ -47,3 +47,54 @@
 		fmt.Printf("| %s |\n", strings.Join(cells, " | "))
 	}
 }
+
+// testTicks is long enough for two changes of drifting popularity and several flips.
+const testTicks = 480
+
+// measured runs a contender on one seed at 16 ranks.
+func measured(t *testing.T, pattern Pattern, name string) outcome {
+	for _, c := range contenders {
+		if c.name == name {
+			return runFor(testTicks, pattern, shapes[1], c.build(shapes[1]), 1)
+		}
+	}
+	t.Fatalf("no contender %q", name)
+	return outcome{}
+}
+
+// TestPlannerMeetsItsTargets checks the targets at 16 ranks: on drift a skew within 5% of
+// the full re-plan's for a tenth of its bytes, on flips at most 1% over the static map's.
+func TestPlannerMeetsItsTargets(t *testing.T) {
+	c := qt.New(t)
+	full := measured(t, Drifting, "full re-plan")
+	static := measured(t, Flipping, "static")
+	for _, name := range []string{"planner, Ndiaye", "planner, Andina"} {
+		drifting := measured(t, Drifting, name)
+		c.Check(drifting.skew <= 1.05*full.skew, qt.IsTrue, qt.Commentf("%s: skew %v on drift, full re-plan %v", name, drifting.skew, full.skew))
+		c.Check(drifting.bytes <= 0.1*full.bytes, qt.IsTrue, qt.Commentf("%s: %v bytes on drift, full re-plan %v", name, drifting.bytes, full.bytes))
+		flipping := measured(t, Flipping, name)
+		c.Check(flipping.skew <= 1.01*static.skew, qt.IsTrue, qt.Commentf("%s: skew %v on flips, static %v", name, flipping.skew, static.skew))
+	}
+}
+
+// TestRunsRepeat checks that a run depends on its seed alone.
+func TestRunsRepeat(t *testing.T) {
+	c := qt.New(t)
+	const ticks = 100
+	build := func() policy { return newPlanned(plannerConfig(shapes[0], ndiayeWeights)) }
+	first := runFor(ticks, Bursty, shapes[0], build(), 7)
+	c.Assert(runFor(ticks, Bursty, shapes[0], build(), 7) == first, qt.IsTrue)
+	c.Assert(runFor(ticks, Bursty, shapes[0], build(), 8) == first, qt.IsFalse)
+}
+
+// TestExperimentsYieldFullTables runs the two short experiments.
+func TestExperimentsYieldFullTables(t *testing.T) {
+	c := qt.New(t)
+	result, err := runRollouts(context.Background(), experiment.Params{Seed: 1, Seeds: 1})
+	c.Assert(err, qt.IsNil)
+	c.Assert(result.Tables[0].Rows, qt.HasLen, len(disturbances))
+	for _, row := range result.Tables[0].Rows {
+		c.Assert(row.Cells, qt.HasLen, len(result.Tables[0].Columns))
+	}
+	c.Assert(result.Tables[0].Rows[0].Cells[0].Mean > 99, qt.IsTrue, qt.Commentf("all rollouts end without faults"))
+}
--- a/internal/experiment/groups/run.go
+++ b/internal/experiment/groups/run.go
@@ -57,8 +57,13 @@
 	outcome outcome
 }
 
-// run measures a policy on one demand.
+// run measures a policy on one demand for runTicks.
 func run(pattern Pattern, shape expert.Shape, chosen policy, seed uint64) outcome {
+	return runFor(runTicks, pattern, shape, chosen, seed)
+}
+
+// runFor measures a policy on one demand.
+func runFor(ticks int, pattern Pattern, shape expert.Shape, chosen policy, seed uint64) outcome {
 	g := &group{
 		shape:      shape,
 		policy:     chosen,
@@ -68,7 +73,7 @@
 	source := newDemand(pattern, shape, seed)
 	agents := newReporters(shape, seed)
 	noise := rand.New(rand.NewPCG(seed, 3))
-	for tick := range runTicks {
+	for tick := range ticks {
 		activated := g.activate(tick)
 		popularity := source.at(tick, g.current, activated)
 		if o, ok := g.policy.(oracle); ok {
@@ -80,9 +85,9 @@
 		}
 		g.plan(tick)
 	}
-	g.outcome.skew /= runTicks
-	g.outcome.waited /= runTicks
-	g.outcome.bound /= runTicks
+	g.outcome.skew /= float64(ticks)
+	g.outcome.waited /= float64(ticks)
+	g.outcome.bound /= float64(ticks)
 	return g.outcome
 }
 
--- a/internal/expert/planner.go
+++ b/internal/expert/planner.go
@@ -27,9 +27,9 @@
 }
 
 // Plan proposes a change of the current map, or PlanNone if none is worth its cost or if
-// the situation does not fit the shape. It is
-// meant to be called at regular numbers of steps, some 250, without regard to the skew:
-// calls at times of great skew alone would make the maps look worse than they are.
+// the situation does not fit the shape. It is meant to be called at regular numbers of
+// steps, some 250, without regard to the skew: calls at times of great skew alone would
+// make the maps look worse than they are.
 func (p *Planner) Plan(situation Situation) Plan {
 	current, load := situation.Current, situation.Load
 	if current.Validate(p.config.Shape) != nil || len(load) != len(current.Layers) {
--- a/internal/expert/popularity.go
+++ b/internal/expert/popularity.go
@@ -44,7 +44,7 @@
 }
 
 // DefaultHalfLife is the number of steps after which a count weighs half.
-const DefaultHalfLife = 150
+const DefaultHalfLife = 75
 
 // PopularityConfig describes an estimate.
 type PopularityConfig struct {
