--- a/internal/expert/trust.go
+++ b/internal/expert/trust.go
@@ -9,6 +9,8 @@
 	limit float64
 	level float64
 	steps float64
+	// batch is the level from which moves are made, so that few activations carry them.
+	batch float64
 }
 
 func newMoveBudget(config PlannerConfig) moveBudget {
@@ -16,7 +18,7 @@
 	replicas := float64(shape.Ranks * shape.Slots * shape.Layers)
 	ratio := math.Sqrt(config.Weights.Skew / max(config.Weights.Rebalancing, 1e-6))
 	limit := max(1, replicas*min(1, config.MoveShare*ratio))
-	return moveBudget{rate: limit / config.Horizon, limit: limit, level: limit}
+	return moveBudget{rate: limit / config.Horizon, limit: limit, level: limit, batch: limit * min(greatestBatch, batchShare/(ratio*ratio))}
 }
 
 func (b *moveBudget) advance(steps float64) {
@@ -28,6 +30,9 @@
 
 // moves returns the number of replicas that may be loaded now.
 func (b *moveBudget) moves() int {
+	if b.level < b.batch {
+		return 0
+	}
 	return max(0, int(b.level))
 }
 
@@ -36,6 +41,13 @@
 	b.level -= float64(moves)
 }
 
+// Parts of the budget that are saved up before moves are made: batchShare at equal weights
+// of skew and rebalancing, more the more rebalancing weighs.
+const (
+	batchShare    = 0.15
+	greatestBatch = 0.5
+)
+
 // trustState says whether the planner's maps are worth more than the static map.
 type trustState uint8
 
