--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -110,7 +110,7 @@
 	p.say("send a request that crashes its backend server")
 	generator := &generator{set: p.set, customers: []ident.Customer{p.customer}, random: p.random, number: crashNumber}
 	r := generator.make(&p.set.Crash)
-	r.kind = "crash"
+	r.kind = kindCrash
 	before := p.crashes()
 	refused := false
 	for range crashResends {
@@ -132,7 +132,11 @@
 	}
 }
 
-const crashNumber = 1_000_000
+const (
+	crashNumber = 1_000_000
+	// kindCrash is the kind of the request that crashes its backend server.
+	kindCrash = "crash"
+)
 
 func (p *faultPlan) crashes() uint64 {
 	var boots uint64
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -39,15 +39,17 @@
 
 // report gathers what callers learnt and what must not be.
 type report struct {
-	mu       sync.Mutex
-	rows     map[rowKey]*row
-	causes   map[outcome.Cause]int
-	latency  map[string]*hdrhistogram.Histogram
-	notRun   []ident.Request
-	torn     int
-	crossed  int
-	findings []string
-	accounts []admission.AccountEntry
+	mu      sync.Mutex
+	rows    map[rowKey]*row
+	causes  map[outcome.Cause]int
+	latency map[string]*hdrhistogram.Histogram
+	notRun  []ident.Request
+	torn    int
+	// innocents are the quarantined calls that crash nothing.
+	innocents int
+	crossed   int
+	findings  []string
+	accounts  []admission.AccountEntry
 	// accountsLost is true if the account of a process could not be read.
 	accountsLost bool
 	arrived      int
@@ -92,6 +94,9 @@
 		line.unknown++
 		r.causes[got.cause]++
 	}
+	if got.cause == outcome.CauseQuarantined && got.request.kind != kindCrash {
+		r.innocents++
+	}
 	if got.torn {
 		r.torn++
 	}
@@ -137,6 +142,9 @@
 	for _, id := range r.toldNotRun(runs) {
 		r.find("call %s was told not run, but ran", id)
 	}
+	if r.innocents > 0 {
+		r.find("%d calls that crash nothing were quarantined", r.innocents)
+	}
 	if r.torn > 0 {
 		r.find("%d torn answers", r.torn)
 	}
