--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -2,12 +2,16 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 )
 
+// partUsedUp tells the caller that other entries may have room in the limit.
+const partUsedUp = "the part of the limit at this entry is used up"
+
 // refusal is the decision not to run a request.
 type refusal struct {
 	cause    outcome.Cause
@@ -27,12 +31,13 @@
 	}
 	key := LimitKey{Customer: e.Customer, Class: e.Class}
 	l := c.lanes[key]
-	c.account.Arrive(key)
 	if l == nil {
-		c.refuseUnplanned(key, e)
+		c.refuseUnplanned(e)
 		return
 	}
+	c.account.Arrive(key)
 	r := c.newRequest(now, l, e)
+	l.flow.load.arrive(now, l.flow.service.rate(l.flow)/r.cost)
 	if refused, ok := c.judge(now, r, e); ok {
 		c.refuseArrival(now, r, refused)
 		return
@@ -44,8 +49,13 @@
 	c.dispatch(now, s)
 }
 
+// UnplannedClass stands in the account for all classes that no plan names.
+const UnplannedClass ident.Class = "*"
+
 // refuseUnplanned refuses a request of a customer or class without a plan.
-func (c *Controller) refuseUnplanned(key LimitKey, e Arrive) {
+func (c *Controller) refuseUnplanned(e Arrive) {
+	key := LimitKey{Customer: e.Customer, Class: UnplannedClass}
+	c.account.Arrive(key)
 	result := outcome.Refused(outcome.CauseNoRoute)
 	c.account.Close(key, result, LimitNone, e.Worth)
 	c.act(Refuse{Request: e.Request, Outcome: result})
@@ -86,7 +96,7 @@
 	}
 	refused := refusal{
 		cause: verdict.cause, causedBy: e.Customer, limit: verdict.kind,
-		wait: verdict.wait, spacing: verdict.spacing,
+		wait: verdict.wait, spacing: verdict.spacing, detail: partUsedUp,
 	}
 	if verdict.kind == LimitConcurrency {
 		refused.wait = seconds(r.cost)
@@ -99,6 +109,10 @@
 // overloaded customer may wait. A longer queue would serve no more of them.
 const overloadedPatience = 0.25
 
+// burstPatience is the same for other customers. It exceeds 1 because a burst is mostly
+// served faster than at the guaranteed rate.
+const burstPatience = 2.0
+
 // judgeQueue refuses what cannot be dispatched in time. A customer that is within its
 // share and has nothing waiting is never refused for the queues of others.
 func (c *Controller) judgeQueue(now time.Time, r *request) (refusal, bool) {
@@ -111,16 +125,18 @@
 	if patience < 0 {
 		return refusal{cause: outcome.CauseDeadline}, true
 	}
-	ahead := r.ahead()
+	ahead, outbid := r.ahead()
 	r.behind = ahead + s.lead(f)
 	if r.behind <= 0 {
 		return refusal{}, false
 	}
 	rate := s.rate(f)
-	wait := seconds(c.expectedWait(r.lane, ahead, rate))
-	if f.overloaded() {
-		patience = time.Duration(overloadedPatience * float64(patience))
+	wait := seconds(c.expectedWait(r, ahead, rate, outbid))
+	factor := burstPatience
+	if f.load.overloaded {
+		factor = overloadedPatience
 	}
+	patience = time.Duration(factor * float64(patience))
 	tooLong := wait > patience && s.open >= s.slots
 	tooMany := f.queued >= c.queueBound(f)
 	if !tooLong && !tooMany {
@@ -136,14 +152,19 @@
 	return refused, true
 }
 
-// expectedWait returns the time in seconds until a new request of the lane is dispatched.
-func (c *Controller) expectedWait(l *lane, ahead, rate float64) float64 {
+// expectedWait returns the time in seconds until a new request is dispatched. One that is
+// outbid by requests of greater worth depends on the floor of its class alone.
+func (c *Controller) expectedWait(r *request, ahead, rate float64, outbid bool) float64 {
+	l := r.lane
 	lead := l.flow.service.lead(l.flow)
-	wait := (lead + ahead) / rate
+	byFloor := math.Inf(1)
 	if floor := c.settings.ClassFloor * rate; floor > 0 {
-		wait = min(wait, (lead+l.queuedCost)/floor)
+		byFloor = lead/rate + max(0, l.queuedCost+r.cost-l.owed)/floor
+	}
+	if outbid {
+		return byFloor
 	}
-	return wait
+	return min((lead+ahead)/rate, byFloor)
 }
 
 // queueBound returns how many requests the customer may have waiting at the service.
--- a/internal/attempt/owner.go
+++ b/internal/attempt/owner.go
@@ -22,9 +22,15 @@
 	ClockSkew time.Duration
 	// StartsWithin bounds the time from a dispatch to its start, as in LogConfig.
 	StartsWithin time.Duration
+	// KeysPerPart and BytesPerPart bound the run keys and the answers in one part of a hand-over.
+	KeysPerPart  int
+	BytesPerPart int
 	Doubt        DoubtPolicy
 }
 
+// DefaultBytesPerPart bounds the answers in one part of a hand-over.
+const DefaultBytesPerPart = 256 << 10
+
 // DoubtPolicy says what an agent does with keys that an earlier owner may have run.
 type DoubtPolicy uint8
 
@@ -49,6 +55,8 @@
 		ClockSkew: 500 * time.Millisecond,
 
 		StartsWithin: DefaultStartsWithin,
+		KeysPerPart:  DefaultKeysPerPart,
+		BytesPerPart: DefaultBytesPerPart,
 	}
 }
 
@@ -239,7 +247,8 @@
 	// byLease lists the attempts by the lease that they rest on.
 	byLease  map[Number][]Attempt
 	services map[ident.Service]*ownedService
-	gone     map[ident.VM]bool
+	// gone holds the VMs that left the platform's list for good, with when the agent heard it.
+	gone map[ident.VM]time.Time
 	// removed holds the entries that left the roster, with when the agent saw it.
 	removed   map[ident.VM]time.Time
 	lease     LeaseMoved
@@ -278,10 +287,10 @@
 		attempts:  map[Attempt]*heldAttempt{},
 		byLease:   map[Number][]Attempt{},
 		services:  map[ident.Service]*ownedService{},
-		gone:      map[ident.VM]bool{},
+		gone:      map[ident.VM]time.Time{},
 		removed:   map[ident.VM]time.Time{},
 		tickets:   ticketBook{issued: map[uint64]*issuedTicket{}},
-		handOvers: handOvers{custody: map[custodyKey]*custody{}, unacknowledged: map[handOverKey]HandOver{}},
+		handOvers: handOvers{custody: map[custodyKey]*custody{}, arriving: map[arrivalKey]*arrival{}, unacknowledged: map[handOverKey]HandOver{}},
 	}
 }
 
@@ -329,9 +338,7 @@
 	case OwnerFleetChanged:
 		o.setFleet(now, event.Fleet)
 	case VMsGone:
-		for _, vm := range event.VMs {
-			o.gone[vm] = true
-		}
+		o.noteGone(now, event.VMs)
 	case EntrySeen:
 		o.seeEntry(now, event.Entry)
 	case ClaimAnswered:
--- a/internal/attempt/owner_claims.go
+++ b/internal/attempt/owner_claims.go
@@ -92,8 +92,7 @@
 		claim = service.claims[answer.Entry.VM]
 	}
 	o.doubtKeys(now, service, answer.Keys)
-	claim.parts[answer.Part] = true
-	claim.accepted = len(claim.parts) == answer.Parts
+	claim.notePart(answer)
 	if claim.accepted && !service.fencedAt.IsZero() && claim.knowsSince.After(service.fencedAt) {
 		// The entry cannot tell whether a later run claimed the VM: ask all entries again.
 		service.newRound()
@@ -101,9 +100,22 @@
 	o.refreshFence(now, service)
 }
 
+// notePart counts the parts of the entry's latest answer. An answer that is complete stays so.
+func (c *claimState) notePart(answer ClaimAnswer) {
+	if answer.Serial < c.serial || c.accepted {
+		return
+	}
+	if answer.Serial > c.serial {
+		c.serial = answer.Serial
+		c.parts = map[int]bool{}
+	}
+	c.parts[answer.Part] = true
+	c.accepted = len(c.parts) == answer.Parts
+}
+
 func claimOf(now, askedAt time.Time, answer ClaimAnswer) *claimState {
 	claim := &claimState{
-		askedAt: askedAt, parts: map[int]bool{}, entry: answer.Entry,
+		serial: answer.Serial, askedAt: askedAt, parts: map[int]bool{}, entry: answer.Entry,
 		coversSince: now.Add(-answer.Covers), knowsSince: now.Add(-answer.Knows),
 		previous: answer.Previous, peers: answer.Peers,
 	}
@@ -118,6 +130,9 @@
 
 // doubtKeys notes the keys that other runs of agents may have run.
 func (o *Owner) doubtKeys(now time.Time, service *ownedService, keys []DispatchedKey) {
+	if o.config.Doubt == DoubtIgnore {
+		return
+	}
 	for _, key := range keys {
 		if service.ownerOf(key.RunKey) != o.config.Self.VM || service.resolves(key.Target) {
 			continue
@@ -157,6 +172,9 @@
 
 // seeEntry claims at a run of an entry that has not accepted the claim.
 func (o *Owner) seeEntry(now time.Time, entry ident.Instance) {
+	if _, known := o.removed[entry.VM]; !known && !o.listsEntry(entry.VM) {
+		o.removed[entry.VM] = now
+	}
 	for _, name := range o.serviceNames() {
 		service := o.services[name]
 		claim := service.claims[entry.VM]
@@ -172,6 +190,15 @@
 	}
 }
 
+func (o *Owner) listsEntry(vm ident.VM) bool {
+	for _, entry := range o.fleet.Entries {
+		if entry.VM == vm {
+			return true
+		}
+	}
+	return false
+}
+
 func (o *Owner) updateFence(now time.Time, service *ownedService) {
 	fenced := len(o.fleet.Entries) > 0
 	for _, entry := range o.fleet.Entries {
@@ -201,7 +228,7 @@
 	}
 	complete := o.logsCover(now, service) || o.allHandedOver(now, service)
 	for _, vm := range o.earlierOwners(now, service) {
-		complete = complete && (o.gone[vm] || service.hasReleased(vm))
+		complete = complete && (o.isGone(vm) || service.hasReleased(vm))
 	}
 	if complete {
 		service.covered = append([]ident.VM(nil), service.list...)
@@ -256,12 +283,16 @@
 		return
 	}
 	verdict, retryAfter := o.judge(now, service, held.dispatch)
-	refusedStart := o.stopping || held.dispatch.Lease < o.lease.Start || o.alone != nil
+	taken := o.alone != nil && *o.alone != held.dispatch.ID
+	refusedStart := o.stopping || held.dispatch.Lease < o.lease.Start || taken || (held.dispatch.Alone && o.running > 0)
 	switch {
 	case verdict == verdictClear && !refusedStart:
 		o.keyEvent(now, record, "clear")
 	case verdict == verdictDoubt || !now.Before(held.deadline) || o.stopping:
 		record.refusal = o.doubt(record.key, retryAfter)
+		if verdict == verdictClear {
+			record.refusal = outcome.Refused(outcome.CauseBackendsFull)
+		}
 		o.keyEvent(now, record, "expire")
 	}
 }
--- a/internal/attempt/owner_test.go
+++ b/internal/attempt/owner_test.go
@@ -159,10 +159,13 @@
 		{"an old lease", change(func(d *attempt.Dispatch) { d.Lease = 8 }), attempt.ReplyNeverStarted, outcome.NotRun, outcome.CauseStaleLease},
 		{"a forgotten lease", change(func(d *attempt.Dispatch) { d.Lease = 4 }), attempt.ReplyInDoubt, outcome.Unknown, outcome.CauseStaleLease},
 		{"a later fleet version", change(func(d *attempt.Dispatch) { d.FleetVersion = 2 }), attempt.ReplyNeverStarted, outcome.NotRun, outcome.CauseNotReady},
-		{"another run's ticket", change(func(d *attempt.Dispatch) {
-			d.Ticket = &attempt.Ticket{Owner: ident.Instance{VM: "a", Incarnation: 0x99}, Number: 1}
-			d.RunKey = attempt.TicketKey("c", "s", *d.Ticket)
-		}), attempt.ReplyNeverStarted, outcome.Unknown, outcome.CauseKeyInDoubt},
+		{"another run's ticket", func(b *ownerBench) attempt.Dispatch {
+			b.step(attempt.TicketAsked{Request: attempt.TicketRequest{Entry: entry, Request: "t", Service: "s"}})
+			dispatch := b.keyed("k", 1)
+			dispatch.Ticket = &attempt.Ticket{Owner: ident.Instance{VM: "a", Incarnation: 0x99}, Number: 1}
+			dispatch.RunKey = attempt.TicketKey("c", "s", *dispatch.Ticket)
+			return dispatch
+		}, attempt.ReplyNeverStarted, outcome.Unknown, outcome.CauseKeyInDoubt},
 		{"a ticket's key without the ticket", change(func(d *attempt.Dispatch) {
 			d.RunKey = attempt.TicketKey("c", "s", attempt.Ticket{Owner: agentA, Number: 1})
 		}), attempt.ReplyNeverStarted, outcome.NotRun, outcome.CauseBadRequest},
@@ -214,6 +217,97 @@
 	b.c.Assert(ownerActions[attempt.Run](b), qt.HasLen, 0)
 }
 
+func TestTicketTextForm(t *testing.T) {
+	c := qt.New(t)
+	ticket := attempt.Ticket{Owner: ident.Instance{VM: "backend1", Incarnation: 0xbeef}, Number: 17}
+	parsed, err := attempt.ParseTicket(ticket.String())
+	c.Assert(err, qt.IsNil)
+	c.Assert(parsed, qt.Equals, ticket)
+	for _, wrong := range []string{"", "a/1", "a/x/1", "a/1/x", "/1/1", "a/1/1/1"} {
+		_, err := attempt.ParseTicket(wrong)
+		c.Assert(err, qt.IsNotNil, qt.Commentf("%q", wrong))
+	}
+}
+
+func TestKeyedSuspectWaitsUntilItIsAlone(t *testing.T) {
+	b := newOwnerBench(t, nil)
+	b.claimed(time.Hour)
+	beside, suspect := b.keyed("k", 1), b.keyed("suspect", 1)
+	suspect.Alone = true
+	b.reply(beside)
+	b.expect(b.reply(suspect), attempt.ReplyQueued, outcome.Open, "")
+	b.expect(b.reply(b.keyed("other", 1)), attempt.ReplyNeverStarted, outcome.NotRun, outcome.CauseNotReady)
+	b.end(beside.ID, served)
+	b.c.Assert(ownerActions[attempt.Run](b)[0].Dispatch.ID, qt.Equals, suspect.ID)
+	b.expect(b.reply(b.keyed("other", 1)), attempt.ReplyNeverStarted, outcome.NotRun, outcome.CauseNotReady)
+	b.end(suspect.ID, served)
+	b.expect(b.reply(b.keyed("other", 1)), attempt.ReplyStarted, outcome.Open, "")
+}
+
+func TestSuspectThatIsAnsweredElsewhereFreesTheAgent(t *testing.T) {
+	b := newOwnerBench(t, nil)
+	b.claimed(time.Hour)
+	beside, suspect := b.keyed("k", 1), b.keyed("suspect", 1)
+	suspect.Alone = true
+	b.reply(beside)
+	b.reply(suspect)
+	b.step(attempt.HandOverReceived{HandOver: attempt.HandOver{
+		From: agentB, To: "a", Service: "s", FleetVersion: 1, Keys: []attempt.KeyTransfer{{
+			RunKey: suspect.RunKey, Body: suspect.Body, Status: attempt.KeyServed, Outcome: served, ExpiresIn: time.Hour,
+		}},
+	}})
+	b.expect(b.reply(suspect), attempt.ReplyFinished, outcome.Served, "")
+	b.expect(b.reply(b.keyed("other", 1)), attempt.ReplyStarted, outcome.Open, "")
+}
+
+func TestPartsOfDifferentAnswersDoNotBelongTogether(t *testing.T) {
+	b := newOwnerBench(t, nil)
+	held := b.keyed("k", 1)
+	b.reply(held)
+	part := func(serial uint64, part int) {
+		b.step(attempt.ClaimAnswered{Answer: attempt.ClaimAnswer{
+			Entry: entry, Claimant: b.self, Service: "s", Round: 1, Part: part, Parts: 2, Serial: serial, Covers: time.Hour,
+		}})
+	}
+	part(1, 0)
+	part(2, 1)
+	b.c.Assert(ownerActions[attempt.Run](b), qt.HasLen, 0)
+	part(2, 0)
+	b.c.Assert(ownerActions[attempt.Run](b), qt.HasLen, 1)
+}
+
+func TestHandOverComesInParts(t *testing.T) {
+	b := newOwnerBench(t, func(config *attempt.OwnerConfig) { config.KeysPerPart = 2 })
+	b.claimed(time.Hour)
+	for i := range 5 {
+		dispatch := b.keyed(fmt.Sprint("k", i), 1)
+		b.reply(dispatch)
+		b.end(dispatch.ID, served)
+	}
+	next := oneEntryFleet(start.Add(-time.Minute), "b")
+	next.Version = 2
+	b.step(attempt.OwnerFleetChanged{Fleet: next})
+	b.step(attempt.ReleaseAsked{Request: attempt.ReleaseRequest{Asker: agentB, Service: "s", FleetVersion: 2, Round: 1}})
+	parts := ownerActions[attempt.SendHandOver](b)
+	b.c.Assert(parts, qt.HasLen, 3)
+	receiver := attempt.NewOwner(start, attempt.DefaultOwnerConfig(agentB))
+	receiver.Step(start, attempt.OwnerFleetChanged{Fleet: next})
+	acks := 0
+	for _, index := range []int{2, 0, 0, 1} {
+		for _, action := range receiver.Step(start, attempt.HandOverReceived{HandOver: parts[index].HandOver}) {
+			if _, ok := action.(attempt.SendHandOverAck); ok {
+				acks++
+			}
+		}
+	}
+	b.c.Assert(acks, qt.Equals, 1)
+	for i := range 5 {
+		question := attempt.KeyQuestion{RunKey: ident.NewRunKey("c", "s", fmt.Sprint("k", i))}
+		actions := receiver.Step(start, attempt.KeyAsked{Question: question})
+		b.c.Assert(actions[len(actions)-1].(attempt.SendKeyAnswer).Answer.Status, qt.Equals, attempt.KeyServed)
+	}
+}
+
 func TestBackendCrashLeavesKeysInDoubt(t *testing.T) {
 	b := newOwnerBench(t, nil)
 	b.claimed(time.Hour)
@@ -236,10 +330,10 @@
 	beside, suspect := plain(false), plain(true)
 	b.reply(beside)
 	b.expect(b.reply(suspect), attempt.ReplyQueued, outcome.Open, "")
-	b.expect(b.reply(plain(false)), attempt.ReplyNeverStarted, outcome.NotRun, outcome.CauseBackendsFull)
+	b.expect(b.reply(plain(false)), attempt.ReplyNeverStarted, outcome.NotRun, outcome.CauseNotReady)
 	b.end(beside.ID, served)
 	b.c.Assert(ownerActions[attempt.Run](b)[0].Dispatch.ID, qt.Equals, suspect.ID)
-	b.expect(b.reply(plain(false)), attempt.ReplyNeverStarted, outcome.NotRun, outcome.CauseBackendsFull)
+	b.expect(b.reply(plain(false)), attempt.ReplyNeverStarted, outcome.NotRun, outcome.CauseNotReady)
 	b.step(attempt.BackendDied{})
 	b.expect(b.lastReply(), attempt.ReplyInDoubt, outcome.Unknown, outcome.CauseQuarantined)
 	b.expect(b.reply(plain(false)), attempt.ReplyStarted, outcome.Open, "")
--- a/internal/expert/planner.go
+++ b/internal/expert/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -9,11 +10,11 @@
 
 // Limits of the search in one layer.
 const (
-	maxChanges       = 4
-	maxMovedExperts  = 3
-	maxTargets       = 8
-	worstRankSlack   = 1e-3
-	leastImprovement = 1e-3
+	maxChanges      = 4
+	maxMovedExperts = 3
+	maxTargets      = 8
+	worstRankSlack  = 1e-3
+	leastSkewGain   = 0.002
 )
 
 // change is a step of the search in one layer: its placement and what it loads.
@@ -21,56 +22,93 @@
 	layer   int
 	moves   []Placement
 	balance *balance
-	// worst is the worst rank's load after the change, saved what it saves of it.
-	worst float64
+	// saved is what the change saves of the worst rank's load.
 	saved float64
 }
 
-// Plan proposes a change of the current map for a load, or PlanNone if none is worth
-// its cost.
-func (p *Planner) Plan(current Map, load Load) Plan {
+// Plan proposes a change of the current map, or PlanNone if none is worth its cost or if
+// the situation does not fit the shape. It is
+// meant to be called at regular numbers of steps, some 250, without regard to the skew:
+// calls at times of great skew alone would make the maps look worse than they are.
+func (p *Planner) Plan(situation Situation) Plan {
+	current, load := situation.Current, situation.Load
+	if current.Validate(p.config.Shape) != nil || len(load) != len(current.Layers) {
+		return Plan{}
+	}
 	plan := Plan{SkewBefore: Skew(current, load)}
 	plan.SkewAfter = plan.SkewBefore
-	totalMean := 0.0
-	layers := make([]*balance, len(current.Layers))
-	before := make([]float64, len(current.Layers))
-	var changes []change
-	for i, layer := range current.Layers {
-		b := newBalance(layer, load[i], p.config.EvenShares)
-		before[i] = b.max()
-		totalMean += b.mean()
-		b.share()
-		layers[i] = b
-		changes = append(changes, p.search(i, b)...)
-	}
-	if totalMean == 0 {
+	p.budget.advance(situation.Steps)
+	switch p.trust.observe(situation.Steps, plan.SkewBefore, Skew(p.safe, load)) {
+	case trustLost:
+		return p.retreat(plan, current, load)
+	case trustWaiting:
 		return plan
 	}
-	gain := 0.0
-	for i, b := range layers {
-		gain += before[i] - b.max()
+	found := p.searchAll(current, load)
+	if found.totalMean == 0 {
+		return plan
 	}
-	taken, saved := p.choose(changes, totalMean)
-	for _, taken := range taken {
-		layers[taken.layer] = taken.balance
-		plan.Moves += len(taken.moves)
+	taken, saved := p.choose(found.changes, found.totalMean)
+	moves := 0
+	for _, c := range taken {
+		found.layers[c.layer] = c.balance
+		moves += len(c.moves)
 	}
-	plan.Bytes = int64(plan.Moves) * p.config.ExpertBytes
-	plan.Gain = p.gain(gain+saved, totalMean)
-	plan.Cost = p.cost(plan.Moves)
-	if plan.Gain <= plan.Cost {
-		plan.Moves, plan.Bytes = 0, 0
+	plan.Gain = p.gain(found.saved+saved, found.totalMean)
+	plan.Cost = p.cost(moves)
+	if plan.Gain <= max(plan.Cost, p.config.Weights.Skew*leastSkewGain*p.config.Horizon) {
 		return plan
 	}
-	plan.Kind = PlanIncremental
-	if plan.Moves == 0 {
-		plan.Kind = PlanShares
+	return p.propose(plan, current, found.layers, load)
+}
+
+// searched is the result of the search in all layers.
+type searched struct {
+	layers []*balance
+	// saved is what new shares alone save of the worst ranks' load.
+	saved     float64
+	totalMean float64
+	changes   []change
+}
+
+func (p *Planner) searchAll(current Map, load Load) searched {
+	found := searched{layers: make([]*balance, len(current.Layers))}
+	for i, layer := range current.Layers {
+		b := newBalance(layer, load[i], p.config.EvenShares)
+		before := b.max()
+		found.totalMean += b.mean()
+		b.share()
+		found.saved += before - b.max()
+		found.layers[i] = b
+		found.changes = append(found.changes, p.search(i, b)...)
 	}
+	return found
+}
+
+func (p *Planner) propose(plan Plan, current Map, layers []*balance, load Load) Plan {
 	plan.Map = Map{Layers: make([]Layer, len(layers))}
 	for i, b := range layers {
 		plan.Map.Layers[i] = b.layer()
 	}
+	plan.Moves = len(Added(current, plan.Map))
+	plan.Bytes = int64(plan.Moves) * p.config.ExpertBytes
 	plan.SkewAfter = Skew(plan.Map, load)
+	plan.Kind = PlanIncremental
+	if plan.Moves == 0 {
+		plan.Kind = PlanShares
+	}
+	p.budget.take(plan.Moves)
+	return plan
+}
+
+// retreat proposes the static map, whose replicas no popularity can exploit as much.
+func (p *Planner) retreat(plan Plan, current Map, load Load) Plan {
+	plan.Map = p.safe.Clone()
+	plan.Moves = len(Added(current, plan.Map))
+	plan.Bytes = int64(plan.Moves) * p.config.ExpertBytes
+	plan.SkewAfter = Skew(plan.Map, load)
+	plan.Kind = PlanFull
+	p.budget.take(plan.Moves)
 	return plan
 }
 
@@ -105,12 +143,14 @@
 	done := make([]int, p.config.Shape.Layers)
 	var taken []change
 	saved := 0.0
+	left := p.budget.moves()
 	for progress := true; progress; {
 		progress = false
 		for _, c := range order {
-			if worth(c) <= 1 || done[c.layer] != indexInLayer(changes, c) || !p.stage(staged, c) {
+			if worth(c) <= 1 || done[c.layer] != indexInLayer(changes, c) || len(c.moves) > left || !p.stage(staged, c) {
 				continue
 			}
+			left -= len(c.moves)
 			done[c.layer]++
 			taken = append(taken, c)
 			saved += c.saved
@@ -168,34 +208,50 @@
 	worst := b.max()
 	var best change
 	found := false
-	for _, rank := range b.worstRanks() {
-		for _, expert := range b.heaviest(rank) {
-			for _, target := range b.lightest() {
-				for _, candidate := range p.candidates(layer, b, expert, rank, target) {
-					candidate.worst = candidate.balance.max()
-					candidate.saved = worst - candidate.worst
-					if candidate.saved < leastImprovement*worst {
-						continue
-					}
-					if !found || candidate.saved*float64(len(best.moves)) > best.saved*float64(len(candidate.moves)) {
-						best, found = candidate, true
-					}
-				}
+	scratch := &balance{}
+	consider := func(moves []Placement) {
+		saved := worst - scratch.max()
+		if saved < p.config.LeastSaving*worst*float64(len(moves)) {
+			return
+		}
+		if found && saved*float64(len(best.moves)) <= best.saved*float64(len(moves)) {
+			return
+		}
+		spare := best.balance
+		if spare == nil {
+			spare = &balance{}
+		}
+		best = change{layer: layer, moves: moves, balance: scratch, saved: saved}
+		scratch = spare
+		found = true
+	}
+	rank := b.worstRank()
+	targets := b.lightest()
+	for _, expert := range b.heaviest(rank) {
+		for _, target := range targets {
+			if slices.Contains(b.hosts[expert], target) {
+				continue
+			}
+			if scratch.replicate(b, expert, target, p.config.Shape.Slots) {
+				consider([]Placement{place(layer, expert, target)})
+			}
+			if partner, ok := scratch.swap(b, expert, rank, target); ok {
+				consider([]Placement{place(layer, expert, target), place(layer, partner, rank)})
 			}
 		}
 	}
 	return best, found
 }
 
-// worstRanks returns the first of the ranks at the worst level.
-func (b *balance) worstRanks() []int {
-	worst := b.max()
+// worstRank returns the first of the ranks with the greatest load.
+func (b *balance) worstRank() int {
+	worst := 0
 	for rank, load := range b.ranks {
-		if load >= worst*(1-worstRankSlack) {
-			return []int{rank}
+		if load > b.ranks[worst]*(1+worstRankSlack) {
+			worst = rank
 		}
 	}
-	return nil
+	return worst
 }
 
 // heaviest returns the experts of a rank that put most load on it.
@@ -221,34 +277,21 @@
 	return ranks[:min(len(ranks), maxTargets)]
 }
 
-// candidates returns ways to relieve a rank of an expert at the cost of a target rank:
-// a further replica in place of one that another rank can do without, and a swap.
-func (p *Planner) candidates(layer int, b *balance, expert Expert, rank, target int) []change {
-	if slices.Contains(b.hosts[expert], target) {
-		return nil
+// replicate makes b what becomes of from when the target gets a further replica of the
+// expert, in place of one that other ranks hold too. It returns false if there is none.
+func (b *balance) replicate(from *balance, expert Expert, target, slots int) bool {
+	full := len(from.slots[target]) >= slots
+	victim, found := from.victim(target)
+	if full && !found {
+		return false
 	}
-	var found []change
-	if replicated, ok := p.replicate(layer, b, expert, target); ok {
-		found = append(found, replicated)
-	}
-	if swapped, ok := p.swap(layer, b, expert, rank, target); ok {
-		found = append(found, swapped)
-	}
-	return found
-}
-
-func (p *Planner) replicate(layer int, b *balance, expert Expert, target int) (change, bool) {
-	c := b.clone()
-	if len(c.slots[target]) >= p.config.Shape.Slots {
-		victim, found := c.victim(target)
-		if !found {
-			return change{}, false
-		}
-		c.remove(victim, target)
+	b.copyFrom(from)
+	if full {
+		b.remove(victim, target)
 	}
-	c.add(expert, target)
-	c.share()
-	return change{layer: layer, balance: c, moves: []Placement{place(layer, expert, target)}}, true
+	b.add(expert, target)
+	b.share()
+	return true
 }
 
 // victim returns the replica that puts least load on a rank and is not the last one.
@@ -266,34 +309,30 @@
 	return victim, found
 }
 
-// swap exchanges the expert with one of the target whose load is nearest to half the gap
-// below it.
-func (p *Planner) swap(layer int, b *balance, expert Expert, rank, target int) (change, bool) {
-	wanted := b.part(expert, rank) - (b.ranks[rank]-b.ranks[target])/2
+// swap makes b what becomes of from when the rank's expert and one of the target change
+// places: the one whose load is nearest to half the gap below it, which is returned.
+func (b *balance) swap(from *balance, expert Expert, rank, target int) (Expert, bool) {
+	wanted := from.part(expert, rank) - (from.ranks[rank]-from.ranks[target])/2
 	var partner Expert
 	found := false
 	distance := 0.0
-	for _, other := range b.slots[target] {
-		if slices.Contains(b.hosts[other], rank) {
+	for _, other := range from.slots[target] {
+		if slices.Contains(from.hosts[other], rank) {
 			continue
 		}
-		d := b.part(other, target) - wanted
-		if d < 0 {
-			d = -d
-		}
+		d := math.Abs(from.part(other, target) - wanted)
 		if !found || d < distance {
 			partner, distance, found = other, d, true
 		}
 	}
 	if !found {
-		return change{}, false
+		return 0, false
 	}
-	c := b.clone()
-	c.replace(expert, rank, target)
-	c.replace(partner, target, rank)
-	c.share()
-	moves := []Placement{place(layer, expert, target), place(layer, partner, rank)}
-	return change{layer: layer, balance: c, moves: moves}, true
+	b.copyFrom(from)
+	b.replace(expert, rank, target)
+	b.replace(partner, target, rank)
+	b.share()
+	return partner, true
 }
 
 // replace moves a replica with its load.
