Describe groups in the agent, cancel overdue orders, note loaded weights

The order issuer asks to cancel orders without an answer; without an answer to that, agents at engines that ignore fencing numbers stood still (test OneMap, first check).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -64,7 +64,7 @@
 		backend:    &backend{engine: config.Engine, plain: config.Plain, self: config.Self.Instance},
 		executions: map[attempt.Attempt]*job{},
 	}
-	a.group = &groupEngine{host: config.Host, engine: config.Engine}
+	a.group = &groupEngine{host: config.Host, engine: config.Engine, cancels: map[uint64]context.CancelFunc{}}
 	a.watch = &watcher{
 		host:      config.Host,
 		engine:    config.Engine,
@@ -113,7 +113,9 @@
 	case control.Answer:
 		a.answer(action)
 	case control.GiveOrder:
-		a.host.Spawn(func(ctx context.Context) { a.group.order(ctx, action) })
+		a.group.give(action)
+	case control.CancelOrder:
+		a.group.cancel(action.Number)
 	case control.ReadEngine:
 		a.host.Spawn(func(ctx context.Context) { a.group.read(ctx, action.Request) })
 	case control.MakePlan:
--- a/internal/agent/group.go
+++ b/internal/agent/group.go
@@ -19,8 +19,9 @@
 	// stateInterval is the time between two looks at the steps of an engine in a group.
 	stateInterval  = 50 * time.Millisecond
 	countsInterval = 500 * time.Millisecond
-	// orderTimeout bounds one order and one read of the state.
+	// orderTimeout bounds one read of the state, orderLimit an order that nobody cancels.
 	orderTimeout = 2 * time.Second
+	orderLimit   = 30 * time.Second
 	// receiptInterval is the time between two looks at an order that is being carried out.
 	receiptInterval = 20 * time.Millisecond
 )
@@ -33,6 +34,32 @@
 	// reading keeps the states that are posted in the order in which they were read.
 	reading sync.Mutex
 	start   sync.Once
+
+	mu sync.Mutex
+	// cancels close the connections of the orders under way, by fencing number.
+	cancels map[uint64]context.CancelFunc
+}
+
+// give gives an order in a goroutine of its own.
+func (g *groupEngine) give(action control.GiveOrder) {
+	ctx, cancel := context.WithTimeout(g.host.Context(), orderLimit)
+	g.mu.Lock()
+	g.cancels[action.Order.Number] = cancel
+	g.mu.Unlock()
+	g.host.Spawn(func(context.Context) {
+		defer g.cancel(action.Order.Number)
+		g.order(ctx, action)
+	})
+}
+
+// cancel closes the connection of an order that has no answer yet.
+func (g *groupEngine) cancel(number uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if stop := g.cancels[number]; stop != nil {
+		stop()
+		delete(g.cancels, number)
+	}
 }
 
 // use begins to follow the engine if the VM's backend server is in a group.
@@ -120,8 +147,6 @@
 
 // order gives an order once and tells what became of it.
 func (g *groupEngine) order(ctx context.Context, action control.GiveOrder) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
 	order := platformOrder(action)
 	receipt, err := g.engine.Order(ctx, order)
 	answer := expert.OrderAnswered{Number: action.Order.Number}
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -246,6 +246,9 @@
 		g.engine.allow(action)
 	case expert.StepHeld:
 		g.note("step-held", SeverityDebug, "", Field{"step", stepText(action.Step)})
+	case expert.RefuseStep:
+		g.note("group-step-refused", SeverityWarning, "", Field{"step", stepText(action.Step)},
+			Field{"generation", action.Generation.String()})
 	case expert.JoinGeneration:
 		g.join(action)
 	case expert.LeaveGeneration:
--- a/internal/control/group_events.go
+++ b/internal/control/group_events.go
@@ -45,6 +45,9 @@
 	Order  expert.SendOrder
 }
 
+// CancelOrder closes the connection of a GiveOrder that is overdue. An OrderAnswered follows.
+type CancelOrder struct{ Number uint64 }
+
 // ReadEngine reads the engine's state.
 type ReadEngine struct{ Request uint64 }
 
@@ -57,9 +60,10 @@
 	Situation expert.Situation
 }
 
-func (GiveOrder) isAction()  {}
-func (ReadEngine) isAction() {}
-func (MakePlan) isAction()   {}
+func (GiveOrder) isAction()   {}
+func (CancelOrder) isAction() {}
+func (ReadEngine) isAction()  {}
+func (MakePlan) isAction()    {}
 
 // RolloutStatus is the last rollout that an agent led.
 type RolloutStatus struct {
--- a/internal/control/group_orders.go
+++ b/internal/control/group_orders.go
@@ -60,6 +60,8 @@
 	switch action := action.(type) {
 	case expert.SendOrder:
 		g.out(GiveOrder{Rank: g.ranks[0], Issuer: g.self, Order: action})
+	case expert.CancelOrder:
+		g.out(CancelOrder(action))
 	case expert.ReadEngine:
 		g.out(ReadEngine(action))
 	case expert.OrderDoubtful:
@@ -103,7 +105,10 @@
 func (g *group) endLoad(now time.Time, ended expert.OrderEnded) {
 	version := ended.Order.Experts
 	if ended.Result == expert.OrderDone {
-		g.moved += int64(len(ended.Order.Placements)) * g.settings.ExpertBytes
+		bytes := int64(len(ended.Order.Placements)) * g.settings.ExpertBytes
+		g.moved += bytes
+		g.note("group-weights-loaded", SeverityInfo, "", Field{"map", version.String()},
+			Field{"replicas", strconv.Itoa(len(ended.Order.Placements))}, Field{"bytes", strconv.FormatInt(bytes, 10)})
 		g.carry(now, g.member.Step(now, expert.WeightsLoaded{Version: version}))
 		return
 	}
--- a/internal/control/group_world_test.go
+++ b/internal/control/group_world_test.go
@@ -40,12 +40,14 @@
 
 // worldAgent is one agent process; group is nil while it is dead.
 type worldAgent struct {
-	vm       ident.VM
-	rank     ident.Rank
-	self     ident.Instance
-	group    *group
-	wakes    time.Time
-	restarts time.Time
+	vm    ident.VM
+	rank  ident.Rank
+	self  ident.Instance
+	group *group
+	// cancelled are the orders whose client has closed the connection, by fencing number.
+	cancelled map[uint64]bool
+	wakes     time.Time
+	restarts  time.Time
 }
 
 type worldEngine struct {
@@ -93,6 +95,7 @@
 		panic(err)
 	}
 	agent.group = started
+	agent.cancelled = map[uint64]bool{}
 	started.out = func(action Action) { w.act(agent, started, action) }
 	started.useConfiguration(w.now, w.roster, started.weights)
 }
@@ -129,6 +132,13 @@
 		w.send(2*time.Second, 20, func() { w.deliver(action.To, from, envelope) })
 	case GiveOrder:
 		w.sendOrder(agent, process, action)
+	case CancelOrder:
+		agent.cancelled[action.Number] = true
+		w.send(time.Second, 0, func() {
+			if w.awake(agent, process) {
+				process.takeAnswer(w.now, expert.OrderAnswered{Number: action.Number, Answer: expert.AnswerNone})
+			}
+		})
 	case ReadEngine:
 		w.send(time.Second, 10, func() {
 			if w.awake(agent, process) {
@@ -155,7 +165,7 @@
 	w.send(worldLifetime-worldTick, 10, func() {
 		answer := w.engines[agent.rank].take(w, action.Order)
 		w.send(time.Second, 10, func() {
-			if w.awake(agent, process) {
+			if w.awake(agent, process) && !agent.cancelled[answer.Number] {
 				process.takeAnswer(w.now, answer)
 			}
 		})
