Report the engine's step time with its load

Cause: routing weighs the time of a step, and agents reported none. It follows from the running requests and the generated tokens a second of the engine's report.

--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -111,6 +112,17 @@
 		Running:   uint32(max(report.Running, 0)),
 		Waiting:   uint32(max(report.Waiting, 0)),
 		CacheUsed: membership.PerMille(report.KVCacheUse * perMille),
+		StepTime:  stepMicroseconds(report),
 		Age:       membership.ToMilliseconds(report.Age),
 	}
 }
+
+// stepMicroseconds returns the mean time of a step: each running request gets a token in
+// each step. It is 0 if the engine generates nothing.
+func stepMicroseconds(report platform.LoadReport) uint32 {
+	if report.Running <= 0 || report.GeneratedTokensPerSecond <= 0 {
+		return 0
+	}
+	step := float64(report.Running) / report.GeneratedTokensPerSecond * float64(time.Second/time.Microsecond)
+	return uint32(min(step, math.MaxUint32))
+}
