Let the readers fetch a first configuration before others turn to the service

Cause: when the whole fleet restarts, processes without a configuration added their reads of parts to those of the readers, who are done after 7 s.

--- a/internal/membership/config_ask.go
+++ b/internal/membership/config_ask.go
@@ -29,6 +29,8 @@
 	askRounds = 3
 	// fetchPatience is how long a starting process tries to fetch a newer configuration.
 	fetchPatience = 4 * time.Second
+	// fallbackDelay lets the readers fetch a first configuration and pass it on.
+	fallbackDelay = 8 * time.Second
 	// coldStartRate is the number of processes a second that turn to the configuration
 	// service because they find no peer with a configuration.
 	coldStartRate = 5
@@ -127,5 +129,5 @@
 // configuration service itself. The time is spread by the size of the fleet.
 func (n *ConfigNode) startFallback(now time.Time) {
 	spread := time.Duration(len(n.peers)+1) * time.Second / coldStartRate
-	n.reader.fallback = now.Add(time.Duration(n.random.below(int(spread))))
+	n.reader.fallback = now.Add(fallbackDelay + time.Duration(n.random.below(int(spread))))
 }
