--- a/internal/experiment/fanout/world.go
+++ b/internal/experiment/fanout/world.go
@@ -144,7 +144,7 @@
 		p := &process{index: i, vm: ident.VM(fmt.Sprintf("%s-%04d", kind, i)), region: region, zone: ident.Zone(fmt.Sprintf("r%d-z%d", region, zone))}
 		w.processes = append(w.processes, p)
 		w.byVM[p.vm] = p
-		w.peers = append(w.peers, membership.Peer{VM: p.vm, Zone: p.zone})
+		w.peers = append(w.peers, membership.Peer{VM: p.vm, Zone: p.zone, Agent: i >= fleet.Entries})
 	}
 	return w
 }
@@ -175,6 +175,7 @@
 	p.node = membership.NewConfigNode(membership.ConfigSettings{
 		Self:   p.vm,
 		Zone:   p.zone,
+		Agent:  w.isAgent(p),
 		Key:    mainKey,
 		Layout: w.layout,
 		Accept: accept,
@@ -184,6 +185,10 @@
 	w.scheduleTick(p, time.Duration(w.random.Int64N(int64(tickInterval))))
 }
 
+func (w *world) isAgent(p *process) bool {
+	return w.peers[p.index].Agent
+}
+
 func (w *world) startAll() {
 	for _, p := range w.processes {
 		w.start(p)
--- a/internal/membership/config_api.go
+++ b/internal/membership/config_api.go
@@ -26,6 +26,8 @@
 type ConfigSettings struct {
 	Self ident.VM
 	Zone ident.Zone
+	// Agent is true for an agent, see Peer.
+	Agent bool
 	// Key is the key of the configuration in the configuration service.
 	Key    string
 	Layout Layout
@@ -48,6 +50,9 @@
 type Peer struct {
 	VM   ident.VM
 	Zone ident.Zone
+	// Agent is true for an agent. Agents read the configuration service before entries do,
+	// which spend more on leases.
+	Agent bool
 }
 
 // CallID identifies one call of the configuration service.
--- a/internal/membership/config_reader.go
+++ b/internal/membership/config_reader.go
@@ -40,9 +40,10 @@
 
 // rankReaders orders the members of each zone by rendezvous.
 func (n *ConfigNode) rankReaders() {
-	zones := map[ident.Zone][]ident.VM{n.settings.Zone: {n.settings.Self}}
+	self := Peer{VM: n.settings.Self, Zone: n.settings.Zone, Agent: n.settings.Agent}
+	zones := map[ident.Zone][]Peer{self.Zone: {self}}
 	for _, peer := range n.peers {
-		zones[peer.Zone] = append(zones[peer.Zone], peer.VM)
+		zones[peer.Zone] = append(zones[peer.Zone], peer)
 	}
 	names := make([]ident.Zone, 0, len(zones))
 	for zone := range zones {
@@ -59,25 +60,29 @@
 	n.reader.setOrder(n.settings.Self, readerOrder(n.settings.Zone, zones[n.settings.Zone]))
 }
 
-func readerOrder(zone ident.Zone, members []ident.VM) []ident.VM {
+// readerOrder orders the members of a zone by rendezvous, agents before entries.
+func readerOrder(zone ident.Zone, members []Peer) []ident.VM {
 	type ranked struct {
-		vm    ident.VM
+		Peer
 		score uint64
 	}
 	zoneHash := hashName("readers/" + string(zone))
 	list := make([]ranked, len(members))
-	for i, vm := range members {
-		list[i] = ranked{vm: vm, score: score(zoneHash, hashName(string(vm)))}
+	for i, peer := range members {
+		list[i] = ranked{Peer: peer, score: score(zoneHash, hashName(string(peer.VM)))}
 	}
 	sort.Slice(list, func(i, j int) bool {
+		if list[i].Agent != list[j].Agent {
+			return list[i].Agent
+		}
 		if list[i].score != list[j].score {
 			return list[i].score > list[j].score
 		}
-		return list[i].vm < list[j].vm
+		return list[i].VM < list[j].VM
 	})
 	order := make([]ident.VM, len(list))
 	for i, entry := range list {
-		order[i] = entry.vm
+		order[i] = entry.VM
 	}
 	return order
 }
--- a/internal/membership/config_test.go
+++ b/internal/membership/config_test.go
@@ -260,6 +260,23 @@
 	b.c.Assert(b.node.Status().Ready, qt.IsTrue)
 }
 
+func TestAgentsReadBeforeEntries(t *testing.T) {
+	peers := make([]membership.Peer, 12)
+	for i := range peers {
+		peers[i] = membership.Peer{VM: ident.VM(fmt.Sprintf("vm-%d", i)), Zone: "z0", Agent: i%4 == 0}
+	}
+	for _, peer := range peers {
+		node := membership.NewConfigNode(membership.ConfigSettings{Self: peer.VM, Zone: peer.Zone, Agent: peer.Agent, Key: configKey, Accept: acceptConfig})
+		node.Step(start, membership.PeersChanged{Peers: peers})
+		for at := time.Duration(0); at < 2500*time.Millisecond; at += 100 * time.Millisecond {
+			node.Step(start.Add(at), membership.ConfigTick{})
+		}
+		if node.Status().Reader {
+			qt.Check(t, peer.Agent, qt.IsTrue, qt.Commentf("%s", peer.VM))
+		}
+	}
+}
+
 func TestDigestsGoToFewPeers(t *testing.T) {
 	var peers []membership.Peer
 	for i := range 400 {
