--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -126,10 +126,14 @@
 	document := map[string]any{
 		"version": 1,
 		"templates": []any{map[string]any{"name": "t", "classes": []any{
-			map[string]any{"name": "lookup", "service": "s", "kind": "plain", "idempotent": true, "deadline_ms": 1000,
-				"routes": []any{map[string]any{"method": "GET", "path": "/l"}}},
-			map[string]any{"name": "post", "service": "s", "kind": "plain", "deadline_ms": 2000,
-				"routes": []any{map[string]any{"method": "POST", "path": "/p"}}, "run_key_fields": []any{"k"}},
+			map[string]any{
+				"name": "lookup", "service": "s", "kind": "plain", "idempotent": true, "deadline_ms": 1000,
+				"routes": []any{map[string]any{"method": "GET", "path": "/l"}},
+			},
+			map[string]any{
+				"name": "post", "service": "s", "kind": "plain", "deadline_ms": 2000,
+				"routes": []any{map[string]any{"method": "POST", "path": "/p"}}, "run_key_fields": []any{"k"},
+			},
 		}}},
 		"customers": []any{map[string]any{"name": "c", "template": "t", "credential_sha256": []any{fmt.Sprintf("%064x", 1)}}},
 	}
