--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/node"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
 	"github.com/bramleyspool/bramleyspool/internal/platform"
 	"github.com/bramleyspool/bramleyspool/internal/published"
 	"github.com/bramleyspool/bramleyspool/internal/relay"
@@ -107,7 +108,8 @@
 func (a *Agent) Execute(action control.Action) {
 	switch action := action.(type) {
 	case control.StartRun:
-		a.host.Spawn(func(ctx context.Context) { a.run(ctx, action.Dispatch) })
+		decided := time.Now()
+		a.host.Spawn(func(ctx context.Context) { a.run(ctx, action.Dispatch, decided) })
 	case control.StopRun:
 		a.stopRun(action.ID)
 	case control.Answer:
@@ -142,7 +144,7 @@
 }
 
 // run hands a request to the backend server and reports how it ended.
-func (a *Agent) run(ctx context.Context, dispatch attempt.Dispatch) {
+func (a *Agent) run(ctx context.Context, dispatch attempt.Dispatch, decided time.Time) {
 	job := a.get(dispatch.ID)
 	if job == nil {
 		panic("invariant: a run without its payload")
@@ -153,6 +155,12 @@
 	a.mu.Lock()
 	job.cancel = cancel
 	a.mu.Unlock()
+	if control.GapBetween(decided, time.Now()) > attempt.DefaultStartsWithin {
+		// The process was paused: another agent may own the run key by now.
+		refused := attempt.RunEnded{ID: dispatch.ID, Outcome: outcome.Refused(outcome.CauseStaleLease)}
+		a.host.Post(control.RunFinished{Result: refused})
+		return
+	}
 	result := a.backend.run(ctx, dispatch, job.payload, job.execution)
 	if a.watch.diedDuring(ctx, result.Outcome) {
 		a.host.Post(control.BackendLost{})
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -81,6 +82,12 @@
 			}
 		}
 	}()
-	_, err = process.Run(ctx)
+	reason, err := process.Run(ctx)
+	if err == nil && reason == program.ReasonSuperseded {
+		err = errSuperseded
+	}
 	return err
 }
+
+// errSuperseded asks the supervisor to start the process again.
+var errSuperseded = errors.New("a later run of this VM's process is known: start it again")
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -58,7 +58,7 @@
 
 // Step handles one event.
 func (a *Agent) Step(now time.Time, event Event) []Action {
-	if gap := now.Sub(a.last); gap > clockGap {
+	if gap := GapBetween(a.last, now); gap > clockGap {
 		a.note("clock-gap", SeverityWarning, "", Field{"gap", gap.String()})
 		a.stepOwner(now, attempt.ClockGap{})
 	}
@@ -151,6 +151,10 @@
 }
 
 func (a *Agent) receive(now time.Time, event MessageReceived) {
+	if claimed, ok := claimedSender(event.Body); ok && claimed != event.From {
+		a.note("message-of-another-sender", SeverityWarning, event.From.VM, Field{"claimed", claimed.String()})
+		return
+	}
 	switch body := event.Body.(type) {
 	case *membership.LeaseRequest:
 		a.stepConfig(now, membership.VersionHeard{From: event.From.VM, Version: body.Config})
@@ -266,7 +270,7 @@
 	switch action := action.(type) {
 	case attempt.OwnerSuperseded:
 		a.note("superseded", SeverityWarning, "", Field{"by", strconv.FormatUint(uint64(action.By), 16)})
-		a.act(Exit{Reason: "superseded"})
+		a.act(Exit{Reason: ReasonSuperseded})
 	case attempt.OwnerStopped:
 		a.fire(eventDrained)
 	case attempt.KeysRefused:
--- a/internal/control/base.go
+++ b/internal/control/base.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/charts"
+	"github.com/bramleyspool/bramleyspool/internal/admission"
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/chart"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
@@ -288,3 +290,45 @@
 func (b *base) State() string {
 	return string(b.state)
 }
+
+// GapBetween returns the time between two events on the monotonic or on the wall clock,
+// whichever is longer: a VM that was stopped as a whole shows on the wall clock only.
+func GapBetween(last, now time.Time) time.Duration {
+	return max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+}
+
+// claimedSender returns the process that a message says it is from, for messages that say so
+// and are never passed on by others.
+func claimedSender(body any) (ident.Instance, bool) {
+	switch body := body.(type) {
+	case *attempt.Claim:
+		return body.Claimant, true
+	case *attempt.ClaimAnswer:
+		return body.Entry, true
+	case *attempt.PeerQuestion:
+		return body.Asker, true
+	case *attempt.PeerAnswer:
+		return body.Entry, true
+	case *attempt.Reply:
+		return body.Agent, true
+	case *attempt.CrashReport:
+		return body.Agent, true
+	case *attempt.ReleaseRequest:
+		return body.Asker, true
+	case *attempt.TicketRequest:
+		return body.Entry, true
+	case *attempt.KeyQuestion:
+		return body.Entry, true
+	case *attempt.Revoke:
+		return body.ID.Entry, true
+	case *attempt.Query:
+		return body.ID.Entry, true
+	case *attempt.Cancel:
+		return body.ID.Entry, true
+	case *admission.LimitRequest:
+		return body.From, true
+	case *admission.LimitGrant:
+		return body.From, true
+	}
+	return ident.Instance{}, false
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -93,6 +93,9 @@
 // Readiness tells whether the process takes calls.
 type Readiness struct{ Ready bool }
 
+// ReasonSuperseded is the reason of an Exit because a later run of the VM is known.
+const ReasonSuperseded = "superseded"
+
 // Exit ends the process.
 type Exit struct{ Reason string }
 
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -30,7 +30,10 @@
 	backends    backendSet
 	calls       map[ident.Request]*entryCall
 	unrouted    []attempt.NeedRoute
+	last        time.Time
 	stopAt      time.Time
+	// logSince is when a planned stop began to hand the log over; zero before.
+	logSince time.Time
 }
 
 // entryCall is what the entry keeps of an open call beside its attempts.
@@ -72,6 +75,7 @@
 		caller:      attempt.NewCaller(attempt.DefaultCallerConfig(self), log),
 		backends:    newBackendSet(self, config.Self.Zone),
 		calls:       map[ident.Request]*entryCall{},
+		last:        now,
 	}
 	e.start(now)
 	return e, e.take(), nil
@@ -79,6 +83,10 @@
 
 // Step handles one event.
 func (e *Entry) Step(now time.Time, event Event) []Action {
+	if GapBetween(e.last, now) > clockGap {
+		e.stepLog(now, attempt.LogClockGap{})
+	}
+	e.last = now
 	e.handle(now, event)
 	return e.take()
 }
@@ -143,14 +151,23 @@
 	e.checkDrained(now)
 }
 
-// checkDrained ends a planned stop once the balancer's lag has passed and no call is open.
+// checkDrained ends a planned stop once the balancer's lag has passed, no call is open and
+// another entry keeps the log of run keys.
 func (e *Entry) checkDrained(now time.Time) {
 	if e.state != stateDraining || now.Sub(e.stopAt) < e.config.BalancerLag || len(e.calls) > 0 {
 		return
 	}
-	report := e.admission.Stop()
-	e.noteAccount(report.Message)
-	e.fire(eventDrained)
+	if e.logSince.IsZero() {
+		e.logSince = now
+		report := e.admission.Stop()
+		e.noteAccount(report.Message)
+		e.stepLog(now, attempt.LogStop{})
+		return
+	}
+	if now.Sub(e.logSince) >= handOverLimit {
+		e.note("hand-over-incomplete", SeverityWarning, "")
+		e.fire(eventDrained)
+	}
 }
 
 func (e *Entry) useConfiguration(now time.Time) {
--- a/internal/control/entry_messages.go
+++ b/internal/control/entry_messages.go
@@ -12,6 +12,10 @@
 
 func (e *Entry) receive(now time.Time, event MessageReceived) {
 	from := event.From.VM
+	if claimed, ok := claimedSender(event.Body); ok && claimed != event.From {
+		e.note("message-of-another-sender", SeverityWarning, from, Field{"claimed", claimed.String()})
+		return
+	}
 	switch body := event.Body.(type) {
 	case *attempt.Reply:
 		e.hear(now, *body)
@@ -27,6 +31,10 @@
 		e.stepLog(now, attempt.PeerQuestionReceived{Question: *body})
 	case *attempt.PeerAnswer:
 		e.stepLog(now, attempt.PeerAnswerReceived{Answer: *body})
+	case *attempt.LogHandOver:
+		e.stepLog(now, attempt.LogHandOverReceived{HandOver: *body})
+	case *attempt.LogHandOverAck:
+		e.stepLog(now, attempt.LogHandOverKept{Ack: *body})
 	case *attempt.CrashReport:
 		e.stepCaller(now, attempt.CrashReported{Report: *body})
 	case *attempt.QuarantineNotice:
@@ -93,9 +101,15 @@
 			e.act(Send{To: action.To, Body: &action.Question})
 		case attempt.SendPeerAnswer:
 			e.act(Send{To: action.Answer.Asker.VM, Body: &action.Answer})
+		case attempt.SendLogHandOver:
+			e.act(Send{To: action.HandOver.To, Body: &action.HandOver})
+		case attempt.SendLogHandOverAck:
+			e.act(Send{To: action.Ack.From.VM, Body: &action.Ack})
+		case attempt.LogStopped:
+			e.fire(eventDrained)
 		case attempt.Superseded:
 			e.note("superseded", SeverityWarning, "", Field{"by", strconv.FormatUint(uint64(action.By), 16)})
-			e.act(Exit{Reason: "superseded"})
+			e.act(Exit{Reason: ReasonSuperseded})
 		}
 	}
 }
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -58,7 +58,21 @@
 	return max(w.moved.Start, 1) - 1
 }
 
-// absence notes since when published backend servers are off the platform's list.
+// publishedVMs returns the VMs of all entries and backend servers.
+func publishedVMs(published *fleet.Fleet) []ident.VM {
+	var vms []ident.VM
+	for i := range published.Entries {
+		vms = append(vms, published.Entries[i].VM)
+	}
+	for i := range published.Services {
+		for _, backend := range published.Services[i].Backends {
+			vms = append(vms, backend.VM)
+		}
+	}
+	return vms
+}
+
+// absence notes since when published VMs are off the platform's list.
 type absence struct {
 	since map[ident.VM]time.Time
 	gone  map[ident.VM]bool
@@ -77,18 +91,16 @@
 		delete(a.gone, vm.VM)
 	}
 	var gone []ident.VM
-	for i := range published.Services {
-		for _, backend := range published.Services[i].Backends {
-			if present[backend.VM] || a.gone[backend.VM] {
-				continue
-			}
-			if _, noted := a.since[backend.VM]; !noted {
-				a.since[backend.VM] = now
-			}
-			if now.Sub(a.since[backend.VM]) >= listedGone {
-				a.gone[backend.VM] = true
-				gone = append(gone, backend.VM)
-			}
+	for _, vm := range publishedVMs(published) {
+		if present[vm] || a.gone[vm] {
+			continue
+		}
+		if _, noted := a.since[vm]; !noted {
+			a.since[vm] = now
+		}
+		if now.Sub(a.since[vm]) >= listedGone {
+			a.gone[vm] = true
+			gone = append(gone, vm)
 		}
 	}
 	sort.Slice(gone, func(i, j int) bool { return gone[i] < gone[j] })
--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/bramleyspool/bramleyspool/internal/admission"
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/expert"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
 	"github.com/bramleyspool/bramleyspool/internal/relay"
@@ -45,6 +46,9 @@
 	kindLimitGrant
 	kindAccountReport
 	kindGroup
+	kindLogHandOver
+	kindLogHandOverAck
+	kindClearedNotice
 )
 
 // NewCodec returns the codec that knows all messages between the system's processes.
@@ -96,4 +100,7 @@
 	wire.Register[attempt.KeyAnswer](codec, kindKeyAnswer)
 	wire.Register[attempt.CrashReport](codec, kindCrashReport)
 	wire.Register[attempt.QuarantineNotice](codec, kindQuarantineNotice)
+	wire.Register[attempt.LogHandOver](codec, kindLogHandOver)
+	wire.Register[attempt.LogHandOverAck](codec, kindLogHandOverAck)
+	wire.Register[control.ClearedNotice](codec, kindClearedNotice)
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -33,6 +33,10 @@
 	incarnationBits = 20
 )
 
+// ReasonSuperseded is the reason of a process that ended because a later run of its VM
+// is known; it has to be started again.
+const ReasonSuperseded = control.ReasonSuperseded
+
 // Options are what a process is built from.
 type Options struct {
 	Settings *settings.Settings
