Refuse a claim under another list of the same version

Cause: a fleet published twice under one version with different backend servers would give a run key two owners, one known to processes that ran before and one to those that started after. An entry now refuses a claim whose list differs from its own at the same version, so that the claimant's keys are not run.

--- a/internal/attempt/log.go
+++ b/internal/attempt/log.go
@@ -59,6 +59,8 @@
 
 type serviceLog struct {
 	service fleet.Service
+	// listID identifies the present list of backend servers.
+	listID  uint64
 	earlier []earlierList
 	keys    map[ident.RunKey]*loggedKey
 	expiry  expiryQueue[ident.RunKey]
@@ -73,7 +75,7 @@
 }
 
 func newEarlierList(vms []ident.VM, replacedAt time.Time) earlierList {
-	return earlierList{vms: vms, id: listID(vms), replacedAt: replacedAt}
+	return earlierList{vms: vms, id: ListID(vms), replacedAt: replacedAt}
 }
 
 type loggedKey struct {
--- a/internal/attempt/log_step.go
+++ b/internal/attempt/log_step.go
@@ -152,12 +152,15 @@
 func (l *Log) setService(now time.Time, service fleet.Service) {
 	log := l.services[service.Name]
 	if log == nil {
-		l.services[service.Name] = &serviceLog{service: service, keys: map[ident.RunKey]*loggedKey{}}
+		l.services[service.Name] = &serviceLog{
+			service: service, listID: ListID(backendVMs(service)), keys: map[ident.RunKey]*loggedKey{},
+		}
 		return
 	}
 	if before := backendVMs(log.service); !sameVMs(before, backendVMs(service)) {
 		log.earlier = append(log.earlier, newEarlierList(before, now))
 		log.byOwner = nil
+		log.listID = ListID(backendVMs(service))
 	}
 	log.service = service
 }
@@ -252,10 +255,19 @@
 		return ClaimSuperseded
 	case !l.Informed():
 		return ClaimUninformed
+	case l.hasOtherList(claim):
+		return ClaimOtherList
 	}
 	return ClaimAccepted
 }
 
+// hasOtherList reports whether the claimant's list differs from the entry's although their
+// versions are the same: then two agents could own one run key.
+func (l *Log) hasOtherList(claim Claim) bool {
+	log := l.services[claim.Service]
+	return log != nil && claim.FleetVersion == l.fleet.Version && claim.List != log.listID
+}
+
 // keysFor returns the keys that other runs than the claimant got. Unless the claimant's
 // version is the entry's, it returns those of all owners, as the claimant's list is not known.
 func (s *serviceLog) keysFor(now time.Time, claim Claim, sameVersion bool) []DispatchedKey {
--- a/internal/attempt/log_test.go
+++ b/internal/attempt/log_test.go
@@ -32,7 +32,14 @@
 
 func claim(c *qt.C, log *attempt.Log, now time.Time, claimant ident.Instance) attempt.ClaimAnswer {
 	c.Helper()
-	actions := log.Step(now, attempt.ClaimReceived{Claim: attempt.Claim{Claimant: claimant, Service: "s", FleetVersion: 1, Round: 1}})
+	return claimWithList(c, log, now, claimant, attempt.ListID([]ident.VM{"a"}))
+}
+
+func claimWithList(c *qt.C, log *attempt.Log, now time.Time, claimant ident.Instance, list uint64) attempt.ClaimAnswer {
+	c.Helper()
+	actions := log.Step(now, attempt.ClaimReceived{Claim: attempt.Claim{
+		Claimant: claimant, Service: "s", FleetVersion: 1, Round: 1, List: list,
+	}})
 	c.Assert(actions, qt.HasLen, 1)
 	return actions[0].(attempt.SendClaimAnswer).Answer
 }
@@ -120,3 +127,13 @@
 	answer := claim(c, log, start, agentA)
 	c.Assert(answer.Removed, qt.DeepEquals, []attempt.RemovedEntry{{VM: stranger.VM}})
 }
+
+// TestClaimUnderAnotherListIsRefused shows that two lists under one version never give a run
+// key two owners.
+func TestClaimUnderAnotherListIsRefused(t *testing.T) {
+	c := qt.New(t)
+	log := newLog(c, entry, attempt.PeerAnswer{})
+	other := attempt.ListID([]ident.VM{"a", "b"})
+	c.Assert(claimWithList(c, log, start, agentA, other).Refused, qt.Equals, attempt.ClaimOtherList)
+	c.Assert(recordKey(log, agentA), qt.Equals, attempt.RecordNotClaimed)
+}
--- a/internal/attempt/messages.go
+++ b/internal/attempt/messages.go
@@ -149,6 +149,8 @@
 	FleetVersion template.Version `cbor:"3,keyasint"`
 	// Round matches answers to questions.
 	Round uint64 `cbor:"4,keyasint"`
+	// List identifies the claimant's list of the service's backend servers.
+	List uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // ClaimAnswer is an entry's answer to a Claim, in one or more parts.
@@ -209,6 +211,9 @@
 	ClaimUninformed
 	// ClaimBehind means that the entry's fleet version is older than the claim's.
 	ClaimBehind
+	// ClaimOtherList means that the entry has another list of backend servers under the
+	// claim's version, which must not be.
+	ClaimOtherList
 )
 
 // DispatchedKey is one run key of an entry's log.
--- a/internal/attempt/owner_claims.go
+++ b/internal/attempt/owner_claims.go
@@ -69,7 +69,7 @@
 	claim.askedAt = now
 	o.act(SendClaim{To: vm, Claim: Claim{
 		Claimant: o.config.Self, Service: service.published.Name,
-		FleetVersion: service.listVersion, Round: service.round,
+		FleetVersion: service.listVersion, Round: service.round, List: service.listID,
 	}})
 }
 
--- a/internal/attempt/owner_handover.go
+++ b/internal/attempt/owner_handover.go
@@ -226,7 +226,7 @@
 	}
 	latest := len(s.earlier) - 1
 	if sameVMs(s.covered, s.list) || (latest >= 0 && sameVMs(s.covered, s.earlier[latest].vms)) {
-		return listID(s.covered)
+		return ListID(s.covered)
 	}
 	return 0
 }
--- a/internal/attempt/owner_service.go
+++ b/internal/attempt/owner_service.go
@@ -124,7 +124,7 @@
 	service := o.services[published.Name]
 	if service == nil {
 		service = &ownedService{
-			published: published, list: list, listID: listID(list), listVersion: o.fleet.Version, since: now,
+			published: published, list: list, listID: ListID(list), listVersion: o.fleet.Version, since: now,
 			keys: map[ident.RunKey]*keyRecord{}, held: map[ident.RunKey]*keyRecord{},
 			released: map[ident.VM]release{},
 		}
@@ -135,7 +135,7 @@
 	before := service.list
 	service.published = published
 	service.list = list
-	service.listID = listID(list)
+	service.listID = ListID(list)
 	if sameVMs(before, list) {
 		return
 	}
@@ -178,8 +178,8 @@
 	return false
 }
 
-// listID identifies a list of VMs irrespective of its order.
-func listID(vms []ident.VM) uint64 {
+// ListID identifies a list of VMs irrespective of its order.
+func ListID(vms []ident.VM) uint64 {
 	sorted := append([]ident.VM(nil), vms...)
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
 	digest := xxhash.New()
