--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,10 +5,12 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/control"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
 	"github.com/bramleyspool/bramleyspool/internal/node"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 	"github.com/bramleyspool/bramleyspool/internal/platform"
@@ -53,8 +55,14 @@
 	// payload is the request until its run ended; nil afterwards.
 	payload   *relay.Payload
 	execution *relay.Execution
-	cancel    context.CancelFunc
-	endedAt   time.Time
+	// load is the agent's load at its last word; nil before.
+	load    atomic.Pointer[membership.Load]
+	cancel  context.CancelFunc
+	endedAt time.Time
+}
+
+func (j *job) lastLoad() *membership.Load {
+	return j.load.Load()
 }
 
 // New returns an agent that is not running yet.
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -81,6 +81,9 @@
 		call.Abort()
 		return
 	}
+	if load := job.lastLoad(); load != nil {
+		_ = sink.write(&relay.LoadNote{Agent: a.config.Self.Instance, Load: *load})
+	}
 	_ = sink.write(&reply)
 }
 
@@ -131,6 +134,7 @@
 	if reply.State == attempt.ReplyFinished && !job.execution.Ended() {
 		a.copyAnswer(job, action)
 	}
+	job.load.Store(&action.Load)
 	job.execution.End(reply)
 }
 
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -30,8 +30,10 @@
 	absent  absence
 	service ident.Service
 	running map[attempt.Attempt]ident.Instance
-	load    membership.Load
-	last    time.Time
+	// suspects are the attempts that run, or wait to run, with nothing beside them.
+	suspects map[attempt.Attempt]bool
+	load     membership.Load
+	last     time.Time
 	// group is nil outside model groups and until the engine told its expert layers.
 	group        *group
 	expertLayers int
@@ -42,15 +44,16 @@
 
 // NewAgent returns the control state of an agent that starts now.
 func NewAgent(now time.Time, self Self) (*Agent, []Action, error) {
-	base, err := newBase(self)
+	base, err := newBase(self, true)
 	if err != nil {
 		return nil, nil, err
 	}
 	a := &Agent{
-		base:    base,
-		owner:   attempt.NewOwner(now, attempt.DefaultOwnerConfig(self.Instance)),
-		running: map[attempt.Attempt]ident.Instance{},
-		last:    now,
+		base:     base,
+		owner:    attempt.NewOwner(now, attempt.DefaultOwnerConfig(self.Instance)),
+		running:  map[attempt.Attempt]ident.Instance{},
+		suspects: map[attempt.Attempt]bool{},
+		last:     now,
 	}
 	a.start(now)
 	return a, a.take(), nil
@@ -59,7 +62,7 @@
 // Step handles one event.
 func (a *Agent) Step(now time.Time, event Event) []Action {
 	if gap := GapBetween(a.last, now); gap > clockGap {
-		a.note("clock-gap", SeverityWarning, "", Field{"gap", gap.String()})
+		a.note("gap", SeverityWarning, "", Field{"gap", gap.String()})
 		a.stepOwner(now, attempt.ClockGap{})
 	}
 	a.last = now
@@ -112,6 +115,15 @@
 		a.group.tick(now)
 	}
 	a.endHandOver(now)
+	status := a.Status()
+	a.publishGauges(now, Gauge{"agent_open", float64(status.Open)}, Gauge{"agent_leaving", truth(status.Leaving)})
+}
+
+func truth(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
 }
 
 // endHandOver ends a planned stop whose run keys nobody takes over. The next owner finds
@@ -194,6 +206,10 @@
 	if !a.leaseHolds(now, dispatch) {
 		dispatch.Lease = a.leases.invalid()
 	}
+	if dispatch.Alone && !a.suspects[dispatch.ID] {
+		a.suspects[dispatch.ID] = true
+		a.stepGrantor(now, membership.SuspectQueued{})
+	}
 	a.stepOwner(now, attempt.DispatchReceived{Dispatch: dispatch})
 }
 
@@ -246,7 +262,8 @@
 	case attempt.CancelRun:
 		a.act(StopRun(action))
 	case attempt.SendReply:
-		a.act(Answer{Reply: action.Reply, Source: action.Source, Content: action.Content, Route: a.route})
+		a.endSuspect(now, action.Reply)
+		a.act(Answer{Reply: action.Reply, Source: action.Source, Content: action.Content, Load: a.loadNow(now), Route: a.route})
 	case attempt.SendClaim:
 		a.act(Send{To: action.To, Body: &action.Claim})
 	case attempt.SendRelease:
@@ -302,6 +319,24 @@
 	a.stepGrantor(now, membership.WorkEnded{Entry: entry})
 }
 
+// endSuspect lets other work in again once a suspect that ran alone has its last word.
+func (a *Agent) endSuspect(now time.Time, reply attempt.Reply) {
+	running := reply.State == attempt.ReplyQueued || reply.State == attempt.ReplyStarted
+	if running || !a.suspects[reply.ID] {
+		return
+	}
+	delete(a.suspects, reply.ID)
+	a.stepGrantor(now, membership.SuspectEnded{})
+}
+
+// loadNow returns the load to send along with an answer.
+func (a *Agent) loadNow(now time.Time) membership.Load {
+	if a.grantor == nil {
+		return membership.Load{}
+	}
+	return a.grantor.Load(now)
+}
+
 // loseBackend ends all runs: the owner decides what to tell their entries.
 func (a *Agent) loseBackend(now time.Time) {
 	a.stepOwner(now, attempt.BackendDied{})
--- a/internal/control/agent_events.go
+++ b/internal/control/agent_events.go
@@ -36,6 +36,8 @@
 	Source attempt.Attempt
 	// Content is the stored answer if it came by a hand-over; nil otherwise.
 	Content []byte
+	// Load is the agent's load at the time of the reply.
+	Load membership.Load
 	// Route is the connection of the question that is answered; nil if the reply is the
 	// answer to a dispatch.
 	Route Route
--- a/internal/control/base.go
+++ b/internal/control/base.go
@@ -50,6 +50,8 @@
 	// route is the connection that the message being handled came over.
 	route   Route
 	actions []Action
+	// gaugesAt is when the gauges are due next.
+	gaugesAt time.Time
 	// askedAt is since when the questions for a configuration have no answer.
 	askedAt time.Time
 }
@@ -58,7 +60,7 @@
 // connections are opened for them.
 const configUnanswered = 250 * time.Millisecond
 
-func newBase(self Self) (*base, error) {
+func newBase(self Self, agent bool) (*base, error) {
 	life, err := chart.Load(charts.Files, "process", ProcessVocabulary())
 	if err != nil {
 		return nil, err
@@ -67,6 +69,7 @@
 	b.config = membership.NewConfigNode(membership.ConfigSettings{
 		Self:   self.Instance.VM,
 		Zone:   self.Zone,
+		Agent:  agent,
 		Key:    published.Key,
 		Accept: published.AcceptVersion,
 		Seed:   uint64(self.Instance.Incarnation),
@@ -78,6 +81,24 @@
 	b.actions = append(b.actions, action)
 }
 
+// gaugeInterval is the time between two Gauges actions.
+const gaugeInterval = time.Second
+
+// publishGauges publishes the figures of the configuration with those of the role.
+func (b *base) publishGauges(now time.Time, role ...Gauge) {
+	if now.Before(b.gaugesAt) {
+		return
+	}
+	b.gaugesAt = now.Add(gaugeInterval)
+	status := b.config.Status()
+	gauges := []Gauge{
+		{Name: "config_version", Value: float64(status.InForce.Version)},
+		{Name: "config_service_calls", Value: float64(status.ServiceCalls)},
+		{Name: "config_service_failures", Value: float64(status.ServiceFailures)},
+	}
+	b.act(Gauges{Gauges: append(gauges, role...)})
+}
+
 // take returns the collected actions.
 func (b *base) take() []Action {
 	actions := b.actions
@@ -107,10 +128,10 @@
 		case membership.PutInForce:
 			inForce = b.putInForce(action) || inForce
 		case membership.ReportRefused:
-			b.note("configuration-refused", SeverityWarning, "", Field{"reason", action.Reason},
+			b.note("config-refused", SeverityWarning, "", Field{"reason", action.Reason},
 				Field{"digest", fmt.Sprintf("%016x", uint64(action.Digest))})
 		case membership.ReportOlder:
-			b.note("configuration-older", SeverityWarning, "", versionField("offered", action.Offered),
+			b.note("config-older", SeverityWarning, "", versionField("offered", action.Offered),
 				versionField("in-force", action.InForce))
 		case membership.ReadinessChanged:
 			if action.Ready {
@@ -160,18 +181,18 @@
 // peers returns all other processes of the published fleet.
 func (b *base) peers() []membership.Peer {
 	var peers []membership.Peer
-	add := func(vm ident.VM, zone ident.Zone) {
+	add := func(vm ident.VM, zone ident.Zone, agent bool) {
 		if vm != b.self.Instance.VM {
-			peers = append(peers, membership.Peer{VM: vm, Zone: zone})
+			peers = append(peers, membership.Peer{VM: vm, Zone: zone, Agent: agent})
 		}
 	}
 	fleet := b.configuration.Fleet
 	for i := range fleet.Entries {
-		add(fleet.Entries[i].VM, fleet.Entries[i].Zone)
+		add(fleet.Entries[i].VM, fleet.Entries[i].Zone, false)
 	}
 	for i := range fleet.Services {
 		for _, backend := range fleet.Services[i].Backends {
-			add(backend.VM, backend.Zone)
+			add(backend.VM, backend.Zone, true)
 		}
 	}
 	return peers
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -127,7 +127,17 @@
 	Fields []Field
 }
 
+// Gauge is one figure for the metrics.
+type Gauge struct {
+	Name  string
+	Value float64
+}
+
+// Gauges publishes figures, about once a second.
+type Gauges struct{ Gauges []Gauge }
+
 func (Send) isAction()       {}
+func (Gauges) isAction()     {}
 func (ReadConfig) isAction() {}
 func (InForce) isAction()    {}
 func (Readiness) isAction()  {}
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -30,8 +30,10 @@
 	backends    backendSet
 	calls       map[ident.Request]*entryCall
 	unrouted    []attempt.NeedRoute
-	last        time.Time
-	stopAt      time.Time
+	// routeRefused counts the requests that no backend server could take.
+	routeRefused uint64
+	last         time.Time
+	stopAt       time.Time
 	// logSince is when a planned stop began to hand the log over; zero before.
 	logSince time.Time
 }
@@ -48,13 +50,15 @@
 	open map[attempt.Attempt]ident.VM
 	// rank is the rank that was chosen last, or routing.NoRank.
 	rank ident.Rank
+	// alone is true if the last attempt runs with nothing beside it.
+	alone bool
 	// finished is true once the front was told the outcome.
 	finished bool
 }
 
 // NewEntry returns the control state of an entry that starts now.
 func NewEntry(now time.Time, config EntryConfig) (*Entry, []Action, error) {
-	base, err := newBase(config.Self)
+	base, err := newBase(config.Self, false)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -73,7 +77,7 @@
 		coordinator: admission.NewLimitCoordinator(limits),
 		log:         log,
 		caller:      attempt.NewCaller(attempt.DefaultCallerConfig(self), log),
-		backends:    newBackendSet(self, config.Self.Zone),
+		backends:    newBackendSet(now, self, config.Self.Zone),
 		calls:       map[ident.Request]*entryCall{},
 		last:        now,
 	}
@@ -105,6 +109,9 @@
 		e.reject(event)
 	case ReplyArrived:
 		e.hear(now, event.Reply)
+	case LoadNoted:
+		e.stepHolder(now, membership.LoadHeard{From: event.Agent.VM, Incarnation: event.Agent.Incarnation, Load: event.Load})
+		e.backends.loadReported(event.Agent.VM)
 	case DispatchFailed:
 		e.stepCaller(now, attempt.DispatchUnsent{ID: event.ID})
 		e.endAttempt(now, event.ID)
@@ -149,6 +156,7 @@
 	e.stepCoordinator(now, admission.Tick{})
 	e.retryRoutes(now)
 	e.checkDrained(now)
+	e.publishGauges(now, Gauge{"calls_open", float64(len(e.calls))}, Gauge{"route_refused", float64(e.routeRefused)})
 }
 
 // checkDrained ends a planned stop once the balancer's lag has passed, no call is open and
@@ -222,21 +230,13 @@
 	return len(e.calls)
 }
 
-// candidates returns the backend servers of a service in the order of their VMs.
-func (e *Entry) candidates(service ident.Service) []routing.Candidate {
-	var candidates []routing.Candidate
+// snapshot returns what is known of a service's backend servers.
+func (e *Entry) snapshot(service *serviceState) routing.Snapshot {
+	var views []membership.BackendView
 	for _, view := range e.holder.Views(nil) {
-		backend, ok := e.backends.backend(service, view.VM)
-		if !ok {
-			continue
+		if _, ok := service.backends[view.VM]; ok {
+			views = append(views, view)
 		}
-		candidates = append(candidates, routing.Candidate{
-			BackendView: view,
-			Zone:        backend.Zone,
-			Capacity:    backend.Capacity,
-			Group:       backend.Group,
-			Ranks:       ranksOf(backend, view),
-		})
 	}
-	return candidates
+	return service.builder.Build(views, service.prefixes)
 }
--- a/internal/control/entry_backends.go
+++ b/internal/control/entry_backends.go
@@ -23,8 +23,10 @@
 // backendSet holds the backend servers that the entry leases: its subset of each service,
 // and for a time those that run keys needed beyond it.
 type backendSet struct {
-	self     ident.Instance
-	zone     ident.Zone
+	self ident.Instance
+	zone ident.Zone
+	// start is when the process started.
+	start    time.Time
 	services map[ident.Service]*serviceState
 	order    []ident.Service
 	extra    map[ident.VM]time.Time
@@ -37,6 +39,7 @@
 	subset   []ident.VM
 	picker   *routing.Picker
 	prefixes *routing.PrefixIndex
+	builder  *routing.SnapshotBuilder
 	// serviceTime and answerTime are the mean times that a request holds a slot and until
 	// its answer starts; 0 before the first sample.
 	serviceTime time.Duration
@@ -44,10 +47,11 @@
 	slots       int
 }
 
-func newBackendSet(self ident.Instance, zone ident.Zone) backendSet {
+func newBackendSet(now time.Time, self ident.Instance, zone ident.Zone) backendSet {
 	return backendSet{
 		self:     self,
 		zone:     zone,
+		start:    now,
 		services: map[ident.Service]*serviceState{},
 		extra:    map[ident.VM]time.Time{},
 	}
@@ -79,7 +83,8 @@
 	return &serviceState{
 		name:     name,
 		picker:   routing.NewPicker(routing.DefaultPolicy(routing.DefaultEstimate()), uint64(s.self.Incarnation)),
-		prefixes: routing.NewPrefixIndex(time.Time{}, prefixBlocks, routing.DefaultDoubtLifetime),
+		prefixes: routing.NewPrefixIndex(s.start, prefixBlocks, routing.DefaultDoubtLifetime),
+		builder:  routing.NewSnapshotBuilder(nil),
 	}
 }
 
@@ -92,6 +97,16 @@
 	}
 	s.subset = membership.Subset(self, entries, backends, membership.DefaultSubsetSettings())
 	s.prefixes.Keep(s.subset)
+	s.builder.SetBackends(service.Backends)
+}
+
+// loadReported notes that a load report of the VM contains what was dispatched before.
+func (s *backendSet) loadReported(vm ident.VM) {
+	for _, service := range s.services {
+		if _, ok := service.backends[vm]; ok {
+			service.builder.LoadReported(vm)
+		}
+	}
 }
 
 // chosen returns all backend servers to lease, in the order of their VMs.
@@ -137,15 +152,6 @@
 	return changed
 }
 
-func (s *backendSet) backend(service ident.Service, vm ident.VM) (fleet.BackendServer, bool) {
-	state := s.services[service]
-	if state == nil {
-		return fleet.BackendServer{}, false
-	}
-	backend, ok := state.backends[vm]
-	return backend, ok
-}
-
 // observe takes the times of a served request into the service's means.
 func (s *serviceState) observe(answer, service time.Duration) {
 	s.answerTime = smooth(s.answerTime, answer)
@@ -159,23 +165,6 @@
 	return mean + time.Duration(timeWeight*float64(sample-mean))
 }
 
-func ranksOf(backend fleet.BackendServer, view membership.BackendView) []routing.Rank {
-	ranks := make([]routing.Rank, 0, len(backend.Ranks))
-	for _, rank := range backend.Ranks {
-		known := routing.Rank{Rank: rank}
-		for _, load := range view.Load.Ranks {
-			if load.Rank == rank {
-				known.Tokens = int(load.Tokens)
-				known.CacheUsed = float64(load.CacheUsed) / perMille
-			}
-		}
-		ranks = append(ranks, known)
-	}
-	return ranks
-}
-
-const perMille = 1000
-
 func contains[T comparable](list []T, item T) bool {
 	for _, candidate := range list {
 		if candidate == item {
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -175,11 +175,11 @@
 	if service == nil {
 		return routing.Decision{Cause: outcome.CauseNoBackend}
 	}
-	snapshot := routing.Snapshot{Candidates: e.candidates(service.name), Prefixes: service.prefixes}
+	snapshot := e.snapshot(service)
 	if len(need.Among) > 0 {
 		snapshot.Candidates = among(snapshot.Candidates, need.Among)
 	}
-	decision := service.picker.Pick(now, routing.Request{
+	request := routing.Request{
 		ID:           need.Request,
 		Service:      service.name,
 		Zone:         e.self.Zone,
@@ -190,9 +190,12 @@
 		Excluded:     need.Exclude,
 		Owner:        need.Only,
 		RunAlone:     need.Alone,
-	}, snapshot)
+	}
+	decision := service.picker.Pick(now, request, snapshot)
 	if decision.Cause == outcome.CauseNone {
 		service.prefixes.Expect(now, decision.VM, call.arrived.Blocks)
+		service.builder.Dispatched(&request, decision)
+		call.alone = need.Alone
 	}
 	return decision
 }
@@ -211,6 +214,7 @@
 func (e *Entry) noRoute(now time.Time, need attempt.NeedRoute, call *entryCall, decision routing.Decision) {
 	final := decision.Cause == outcome.CauseDeadline || !now.Before(call.arrived.Call.Deadline)
 	if need.Hedge || final {
+		e.routeRefused++
 		e.stepCaller(now, attempt.NoRoute{Request: need.Request, Cause: decision.Cause, RetryAfter: decision.RetryAfter})
 		return
 	}
@@ -252,6 +256,9 @@
 		return
 	}
 	delete(call.open, id)
+	if service := e.backends.services[call.arrived.Call.Class.Service]; service != nil {
+		service.builder.Ended(vm, call.alone)
+	}
 	e.stepHolder(now, membership.DispatchEnded{VM: vm})
 }
 
--- a/internal/control/entry_events.go
+++ b/internal/control/entry_events.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 	"github.com/bramleyspool/bramleyspool/internal/routing"
 )
@@ -32,6 +33,12 @@
 // ReplyArrived brings an agent's word that came on a call stream.
 type ReplyArrived struct{ Reply attempt.Reply }
 
+// LoadNoted brings the load that rode on an answer.
+type LoadNoted struct {
+	Agent ident.Instance
+	Load  membership.Load
+}
+
 // DispatchFailed reports that no byte of a dispatch was sent, nor ever will be.
 type DispatchFailed struct{ ID attempt.Attempt }
 
@@ -66,6 +73,7 @@
 func (CallArrived) isEvent()    {}
 func (CallRejected) isEvent()   {}
 func (ReplyArrived) isEvent()   {}
+func (LoadNoted) isEvent()      {}
 func (DispatchFailed) isEvent() {}
 func (AnswerBroken) isEvent()   {}
 func (AnswerProgress) isEvent() {}
--- a/internal/control/entry_messages.go
+++ b/internal/control/entry_messages.go
@@ -22,6 +22,7 @@
 	case *membership.LeaseGrant:
 		e.stepConfig(now, membership.VersionHeard{From: from, Version: body.Config})
 		e.stepHolder(now, membership.GrantReceived{From: from, Grant: *body, NewConnection: true})
+		e.backends.loadReported(from)
 		e.retryRoutes(now)
 	case *membership.Leaving:
 		e.stepHolder(now, membership.LeavingReceived{From: from, Leaving: *body})
@@ -71,13 +72,13 @@
 		if action.To == membership.StateSuspect || action.To == membership.StateGone {
 			severity = SeverityWarning
 		}
-		e.note("backend-"+string(action.To), severity, action.VM, Field{"from", string(action.From)})
+		e.note("backend-changed", severity, action.VM, Field{"from", string(action.From)}, Field{"to", string(action.To)})
 	case membership.BackendRestarted:
-		e.note("agent-restarted", SeverityWarning, action.VM,
+		e.note("backend-restarted", SeverityWarning, action.VM,
 			Field{"old", strconv.FormatUint(uint64(action.Old), 16)},
 			Field{"new", strconv.FormatUint(uint64(action.New), 16)})
 	case membership.GapDetected:
-		e.note("clock-gap", SeverityWarning, "", Field{"gap", action.Gap.String()})
+		e.note("gap", SeverityWarning, "", Field{"gap", action.Gap.String()})
 	}
 }
 
--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -49,6 +49,7 @@
 	kindLogHandOver
 	kindLogHandOverAck
 	kindClearedNotice
+	kindLoadNote
 )
 
 // NewCodec returns the codec that knows all messages between the system's processes.
@@ -84,6 +85,7 @@
 	wire.Register[attempt.Cancel](codec, kindCancel)
 	wire.Register[relay.AnswerHead](codec, kindAnswerHead)
 	wire.Register[relay.AnswerData](codec, kindAnswerData)
+	wire.Register[relay.LoadNote](codec, kindLoadNote)
 }
 
 func registerRunKeys(codec *wire.Codec) {
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -58,6 +58,12 @@
 	inspect func()
 }
 
+// ConfigService is the platform's configuration service over connections that can be given up.
+type ConfigService interface {
+	platform.ConfigService
+	CloseIdle()
+}
+
 // Config sets a host up.
 type Config struct {
 	Settings *settings.Settings
@@ -66,7 +72,7 @@
 	Keys     *wire.Keys
 	Log      *logrus.Entry
 	Metrics  *Metrics
-	Service  platform.ConfigService
+	Service  ConfigService
 	VMs      platform.VMList
 	// WrapSocket may put a layer over the UDP socket, to inject faults; nil puts none.
 	WrapSocket func(net.PacketConn) net.PacketConn
@@ -272,6 +278,10 @@
 			h.role.SetReady(action.Ready)
 		case control.Exit:
 			h.end(action.Reason)
+		case control.Gauges:
+			for _, gauge := range action.Gauges {
+				h.config.Metrics.Scope.Gauge(gauge.Name).Update(gauge.Value)
+			}
 		case control.Note:
 			h.Note(action)
 		default:
@@ -330,10 +340,15 @@
 }
 
 func (h *Host) callService(call membership.ServiceCall) (platform.Value, error) {
-	if call.Watch {
-		return h.config.Service.Watch(h.ctx, call.Key, call.After)
+	if call.NewConnection {
+		h.config.Service.CloseIdle()
+	}
+	if !call.Watch {
+		return h.config.Service.Read(h.ctx, call.Key)
 	}
-	return h.config.Service.Read(h.ctx, call.Key)
+	ctx, cancel := context.WithTimeout(h.ctx, call.Wait)
+	defer cancel()
+	return h.config.Service.Watch(ctx, call.Key, call.After)
 }
 
 func (h *Host) pollVMs(ctx context.Context) {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -29,7 +29,6 @@
 )
 
 const (
-	watchWait       = 30 * time.Second
 	incarnationBits = 20
 )
 
@@ -106,7 +105,7 @@
 		Keys:       options.Keys,
 		Log:        log,
 		Metrics:    metrics,
-		Service:    platform.NewConfigClient(platform.Options{BaseURL: s.Platform.Configuration}, watchWait),
+		Service:    platform.NewConfigClient(platform.Options{BaseURL: s.Platform.Configuration}, 0),
 		VMs:        platform.NewVMListClient(platform.Options{BaseURL: s.Platform.VMs}),
 		WrapSocket: options.WrapSocket,
 	})
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -9,6 +9,7 @@
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
 )
 
 // HeaderField is one HTTP header field.
@@ -65,6 +66,12 @@
 	Bytes  []byte          `cbor:"4,keyasint"`
 }
 
+// LoadNote carries the agent's load; it precedes the last message of an answer.
+type LoadNote struct {
+	Agent ident.Instance  `cbor:"1,keyasint"`
+	Load  membership.Load `cbor:"2,keyasint"`
+}
+
 // Fields returns a header's fields in order of their names.
 func Fields(header http.Header) []HeaderField {
 	var fields []HeaderField
