Post the death of a backend server before the runs that it ended

Two runs that broke off together looked at the backend server one after the other; the second could post its end before the first posted the death, so that the crash report lacked it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -154,9 +154,7 @@
 	job.cancel = cancel
 	a.mu.Unlock()
 	result := a.backend.run(ctx, dispatch, job.payload, job.execution)
-	if a.watch.diedDuring(ctx, result.Outcome) {
-		a.host.Post(control.BackendLost{})
-	}
+	a.watch.lookAfter(ctx, result.Outcome)
 	result.Content = a.stored(job)
 	a.mu.Lock()
 	job.payload = nil
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -41,9 +41,7 @@
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	for {
-		if w.check(ctx) {
-			w.host.Post(control.BackendLost{})
-		}
+		w.check(ctx)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -52,45 +50,53 @@
 	}
 }
 
-// diedDuring reports whether the backend server died during a run that ended in doubt.
-func (w *watcher) diedDuring(ctx context.Context, result outcome.Outcome) bool {
-	if result.Kind != outcome.Unknown || ctx.Err() != nil {
-		return false
+// lookAfter looks at the backend server after a run that ended in doubt, before the end
+// of the run is posted.
+func (w *watcher) lookAfter(ctx context.Context, result outcome.Outcome) {
+	if result.Kind == outcome.Unknown && ctx.Err() == nil {
+		w.check(ctx)
 	}
-	return w.check(ctx)
 }
 
-// check looks at the backend server and reports whether it died since the last look.
-func (w *watcher) check(ctx context.Context) bool {
+// check looks at the backend server.
+func (w *watcher) check(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	if w.engine == nil {
-		return w.note(w.reachable(ctx), 0)
+		w.note(w.reachable(ctx), 0)
+		return
 	}
 	load, err := w.engine.Load(ctx)
 	if err != nil {
-		return w.note(w.reachable(ctx), 0)
+		w.note(w.reachable(ctx), 0)
+		return
 	}
 	w.host.Offer(control.LoadSeen{Load: loadOf(load)})
-	return w.note(true, load.Boot)
+	w.note(true, load.Boot)
 }
 
-// note records a look and reports whether a death was seen first now. Boot 0 means that
-// the backend server does not tell its boot.
-func (w *watcher) note(reachable bool, boot uint64) bool {
+// note records a look, and posts a death that is seen first now. It is posted under the
+// lock, so that no run that the death ended is posted as ended before it. Boot 0 means
+// that the backend server does not tell its boot.
+func (w *watcher) note(reachable bool, boot uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !reachable {
 		first := !w.dead
 		w.dead = true
-		return first
+		if first {
+			w.host.Post(control.BackendLost{})
+		}
+		return
 	}
 	restarted := boot != 0 && w.boot != 0 && boot != w.boot && !w.dead
 	w.dead = false
 	if boot != 0 {
 		w.boot = boot
 	}
-	return restarted
+	if restarted {
+		w.host.Post(control.BackendLost{})
+	}
 }
 
 // reachable reports whether the backend server answers at all.
