Find the request that crashes a model group, and no other

Cause: the ranks of a group die together, each agent reports a crash of its own, and a request that was alone on its rank counted as alone, so that innocents were quarantined; and a death that followed within half a second of a restart was missed, as the watcher still held the backend server for dead. Change: reports name the group and whether a suspect ran alone; in a group only two crashes as a suspect count; suspects run on at most one backend server of each group; a run that fails while the backend server is thought dead is a death of its own. TestGroupCrashesQuarantineTheCulpritOnly holds it.

--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -41,7 +41,7 @@
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	for {
-		w.check(ctx)
+		w.check(ctx, false)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -54,42 +54,47 @@
 // of the run is posted.
 func (w *watcher) lookAfter(ctx context.Context, result outcome.Outcome) {
 	if result.Kind == outcome.Unknown && ctx.Err() == nil {
-		w.check(ctx)
+		w.check(ctx, true)
 	}
 }
 
-// check looks at the backend server.
-func (w *watcher) check(ctx context.Context) {
+// check looks at the backend server; failed is true if a run has just ended in doubt.
+func (w *watcher) check(ctx context.Context, failed bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	if w.engine == nil {
-		w.note(w.reachable(ctx), 0)
+		w.note(w.reachable(ctx), 0, failed)
 		return
 	}
 	load, err := w.engine.Load(ctx)
 	if err != nil {
-		w.note(w.reachable(ctx), 0)
+		w.note(w.reachable(ctx), 0, failed)
 		return
 	}
 	w.host.Offer(control.LoadSeen{Load: loadOf(load)})
-	w.note(true, load.Boot)
+	w.note(true, load.Boot, failed)
 }
 
 // note records a look, and posts a death that is seen first now. It is posted under the
 // lock, so that no run that the death ended is posted as ended before it. Boot 0 means
-// that the backend server does not tell its boot.
-func (w *watcher) note(reachable bool, boot uint64) {
+// that the backend server does not tell its boot. A run that failed while the backend server
+// was thought dead means that it had come back and died again.
+func (w *watcher) note(reachable bool, boot uint64, failed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !reachable {
-		first := !w.dead
+		lost := !w.dead || failed
 		w.dead = true
-		if first {
+		if lost {
 			w.host.Post(control.BackendLost{})
 		}
 		return
 	}
-	restarted := boot != 0 && w.boot != 0 && boot != w.boot && !w.dead
+	restarted := boot != 0 && w.boot != 0 && boot != w.boot
+	if w.dead {
+		// One start more follows from the death that is known.
+		restarted = restarted && boot > w.boot+1
+	}
 	w.dead = false
 	if boot != 0 {
 		w.boot = boot
--- a/internal/attempt/caller.go
+++ b/internal/attempt/caller.go
@@ -226,14 +226,33 @@
 	c.act(need)
 }
 
-// suspectHosts returns the few backend servers that run the service's suspects.
+// suspectHosts returns the few backend servers that run the service's suspects, at most one
+// of each model group, so that two suspects never run in one group.
 func (c *Caller) suspectHosts(service ident.Service) []ident.VM {
-	for _, published := range c.log.Fleet().Services {
-		if published.Name == service {
-			return topRanked(string(service)+hashSeparator+"suspects", backendVMs(published), c.config.Suspects.Hosts)
+	published := c.log.fleet.Service(service)
+	if published == nil {
+		return nil
+	}
+	groups := make(map[ident.VM]ident.Group, len(published.Backends))
+	for _, backend := range published.Backends {
+		groups[backend.VM] = backend.Group
+	}
+	vms := backendVMs(*published)
+	used := map[ident.Group]bool{}
+	var hosts []ident.VM
+	for _, vm := range topRanked(string(service)+hashSeparator+"suspects", vms, len(vms)) {
+		if group := groups[vm]; group != "" {
+			if used[group] {
+				continue
+			}
+			used[group] = true
+		}
+		hosts = append(hosts, vm)
+		if len(hosts) == c.config.Suspects.Hosts {
+			break
 		}
 	}
-	return nil
+	return hosts
 }
 
 func (c *Caller) routed(event Routed) {
--- a/internal/attempt/messages.go
+++ b/internal/attempt/messages.go
@@ -376,6 +376,11 @@
 	Crash uint64 `cbor:"2,keyasint"`
 	// Running are the requests that were running.
 	Running []Fingerprint `cbor:"3,keyasint,omitempty"`
+	// Group is the model group of the backend server, all of whose ranks die together; ""
+	// outside groups.
+	Group ident.Group `cbor:"4,keyasint,omitempty"`
+	// Alone is true if a suspect ran with nothing beside it on the backend server.
+	Alone bool `cbor:"5,keyasint,omitempty"`
 }
 
 // QuarantineNotice tells all entries and agents that a request is refused.
--- a/internal/attempt/owner_dispatch.go
+++ b/internal/attempt/owner_dispatch.go
@@ -223,7 +223,7 @@
 		held := o.attempts[id]
 		o.noteEnded(id)
 		result := outcome.InDoubt(outcome.CauseBackendCrashed, held.dispatch.RunKey)
-		if held.dispatch.Alone {
+		if held.dispatch.Alone && o.group() == "" {
 			result.Cause = outcome.CauseQuarantined
 		}
 		if held.dispatch.RunKey != "" {
@@ -237,13 +237,23 @@
 // reportCrash goes before the replies, so that entries know the suspects when they retry.
 func (o *Owner) reportCrash(runs []Attempt) {
 	o.crashes++
-	report := CrashReport{Agent: o.config.Self, Crash: o.crashes}
+	report := CrashReport{Agent: o.config.Self, Crash: o.crashes, Group: o.group()}
 	for _, id := range runs {
 		report.Running = append(report.Running, o.attempts[id].dispatch.Fingerprint())
+		report.Alone = len(runs) == 1 && o.attempts[id].dispatch.Alone
 	}
 	o.act(SendCrashReport{report})
 }
 
+// group returns the model group of the backend server; "" if it is in none.
+func (o *Owner) group() ident.Group {
+	_, backend := o.fleet.Backend(o.config.Self.VM)
+	if backend == nil {
+		return ""
+	}
+	return backend.Group
+}
+
 // runsInOrder returns the attempts that run on the backend server, in a fixed order.
 func (o *Owner) runsInOrder() []Attempt {
 	var ids []Attempt
--- a/internal/attempt/rendezvous.go
+++ b/internal/attempt/rendezvous.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"sort"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -58,18 +59,15 @@
 
 // topRanked returns the count VMs with the highest rendezvous scores for the key.
 func topRanked(key string, vms []ident.VM, count int) []ident.VM {
-	left := append([]ident.VM(nil), vms...)
-	var ranked []ident.VM
-	for len(left) > 0 && len(ranked) < count {
-		best := Highest(key, left)
-		ranked = append(ranked, best)
-		kept := left[:0]
-		for _, vm := range left {
-			if vm != best {
-				kept = append(kept, vm)
-			}
-		}
-		left = kept
+	keyHash := xxhash.Sum64String(key)
+	scores := make(map[ident.VM]uint64, len(vms))
+	for _, vm := range vms {
+		scores[vm] = mix(keyHash ^ xxhash.Sum64String(string(vm)))
 	}
-	return ranked
+	ranked := append([]ident.VM(nil), vms...)
+	sort.Slice(ranked, func(i, j int) bool {
+		a, b := scores[ranked[i]], scores[ranked[j]]
+		return a > b || (a == b && ranked[i] < ranked[j])
+	})
+	return ranked[:min(count, len(ranked))]
 }
--- a/internal/attempt/suspects.go
+++ b/internal/attempt/suspects.go
@@ -16,6 +16,9 @@
 	Hosts int
 	// CrashLimit is the number of crashes that leads to quarantine.
 	CrashLimit int
+	// GroupAloneLimit is the number of crashes as a suspect alone that leads to quarantine in
+	// a model group. Its ranks die together, so that one such crash may be another rank's.
+	GroupAloneLimit int
 	// Beside lets suspects run beside other requests, so that the crashes alone are counted.
 	// By default suspects run alone, and only a crash alone leads to quarantine.
 	Beside bool
@@ -23,7 +26,9 @@
 
 // DefaultSuspectConfig returns the configuration of an entry.
 func DefaultSuspectConfig() SuspectConfig {
-	return SuspectConfig{SuspectFor: 10 * time.Minute, QuarantineFor: time.Hour, Hosts: 2, CrashLimit: 2}
+	return SuspectConfig{
+		SuspectFor: 10 * time.Minute, QuarantineFor: time.Hour, Hosts: 2, CrashLimit: 2, GroupAloneLimit: 2,
+	}
 }
 
 // Judgement says how a request may run.
@@ -47,7 +52,9 @@
 }
 
 type suspect struct {
-	crashes          int
+	crashes int
+	// alone counts the crashes of a model group while the request ran there as a suspect.
+	alone            int
 	until            time.Time
 	quarantinedUntil time.Time
 }
@@ -93,12 +100,14 @@
 	}
 	s.seen[id] = now
 	var notices []QuarantineNotice
-	alone := len(report.Running) == 1 || s.config.Beside
 	for _, fingerprint := range report.Running {
 		known := s.suspectOf(fingerprint)
 		known.crashes++
 		known.until = now.Add(s.config.SuspectFor)
-		if alone && known.crashes >= s.config.CrashLimit {
+		if report.Alone && report.Group != "" {
+			known.alone++
+		}
+		if s.isCulprit(known, report) {
 			known.quarantinedUntil = now.Add(s.config.QuarantineFor)
 			notices = append(notices, QuarantineNotice{
 				Fingerprint: fingerprint, Crashes: known.crashes, ExpiresIn: s.config.QuarantineFor,
@@ -108,6 +117,21 @@
 	return notices
 }
 
+// isCulprit reports whether a crash is reason enough to quarantine one of the requests that
+// were running.
+func (s *Suspects) isCulprit(known *suspect, report CrashReport) bool {
+	if known.crashes < s.config.CrashLimit {
+		return false
+	}
+	if s.config.Beside {
+		return true
+	}
+	if report.Group != "" {
+		return known.alone >= s.config.GroupAloneLimit
+	}
+	return len(report.Running) == 1
+}
+
 func (s *Suspects) suspectOf(fingerprint Fingerprint) *suspect {
 	known := s.requests[fingerprint]
 	if known == nil {
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -18,6 +18,9 @@
 // handOverLimit is how long a planned stop waits for others to take run keys over.
 const handOverLimit = 10 * time.Second
 
+// sameLoss is the time in which several runs tell of one death of the backend server.
+const sameLoss = 2 * time.Second
+
 // listedGone is how long a VM must be off the platform's list to count as gone for good.
 const listedGone = 30 * time.Second
 
@@ -38,6 +41,8 @@
 	group        *group
 	expertLayers int
 	experts      int
+	// lostAt is when the backend server died last.
+	lostAt time.Time
 	// handOverSince is when a planned stop began to hand run keys over; zero before.
 	handOverSince time.Time
 }
@@ -339,6 +344,10 @@
 
 // loseBackend ends all runs: the owner decides what to tell their entries.
 func (a *Agent) loseBackend(now time.Time) {
+	if len(a.running) == 0 && now.Sub(a.lostAt) < sameLoss {
+		return
+	}
+	a.lostAt = now
 	a.stepOwner(now, attempt.BackendDied{})
 	for id := range a.running {
 		a.endRun(now, id)
