--- a/internal/cli/example.go
+++ b/internal/cli/example.go
@@ -5,10 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/bramleyspool/bramleyspool/internal/demo"
+	"github.com/bramleyspool/bramleyspool/internal/published"
 )
 
 func exampleCommand(out io.Writer) *cli.Command {
@@ -33,6 +36,42 @@
 	}
 }
 
+func splitCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "split",
+		Usage:     "split a configuration into parts for the layout \"parts\": a file for each key",
+		ArgsUsage: "CONFIGURATION",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "out", Required: true, Usage: "directory for the files"},
+		},
+		Action: func(_ context.Context, command *cli.Command) error {
+			return splitFile(out, command.Args().First(), command.String("out"))
+		},
+	}
+}
+
+// splitFile writes the parts of a configuration, and the manifest last.
+func splitFile(out io.Writer, file, directory string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	parts, err := published.Split(data)
+	if err != nil {
+		return err
+	}
+	for _, part := range append(parts.Parts, published.Part{Key: published.Key, Body: parts.Manifest}) {
+		name := filepath.Join(directory, part.Key)
+		if err := os.WriteFile(name, part.Body, partFileMode); err != nil {
+			return err
+		}
+		fmt.Fprintln(out, name)
+	}
+	return nil
+}
+
+const partFileMode = 0o644
+
 func standinsCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "standins",
--- a/internal/control/base.go
+++ b/internal/control/base.go
@@ -70,6 +70,7 @@
 		Self:   self.Instance.VM,
 		Zone:   self.Zone,
 		Agent:  agent,
+		Layout: self.Layout,
 		Key:    published.Key,
 		Accept: published.AcceptVersion,
 		Seed:   uint64(self.Instance.Incarnation),
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -58,3 +58,26 @@
 	}
 	return float64(sum)
 }
+
+// BenchmarkRunKeys gives what run keys cost in memory: the owner's table and the entry's log
+// together, with what the simulation itself keeps of a call.
+func BenchmarkRunKeys(b *testing.B) {
+	for _, keys := range []int{1000, 4000, 16000} {
+		b.Run(fmt.Sprint(keys), func(b *testing.B) {
+			for range b.N {
+				s := newSim(b, 3, 3, 1)
+				s.run(warmUp)
+				before := heapInUse()
+				started := time.Now()
+				for i := range keys {
+					s.call(s.nodes[i%3], fmt.Sprint(i))
+					s.run(2 * time.Millisecond)
+				}
+				s.run(time.Second)
+				b.ReportMetric(float64(time.Since(started).Microseconds())/float64(keys), "µs/key")
+				b.ReportMetric(float64(heapInUse()-before)/float64(keys), "B/key")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,6 +19,8 @@
 	Instance ident.Instance
 	Zone     ident.Zone
 	Region   ident.Region
+	// Layout is the form in which the configuration service holds the configuration.
+	Layout membership.Layout
 	// Seeds are peers to ask for the configuration before one is in force.
 	Seeds []membership.Peer
 	// Group sets the agent's part in a model group.
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -53,6 +53,8 @@
 	log       io.Writer
 	logLevel  string
 	platform  settings.Platform
+	// layout is the layout of the configuration in the configuration service.
+	layout string
 	// opensAt is when the services open.
 	opensAt time.Time
 	ctx     context.Context
@@ -67,6 +69,9 @@
 	if options.adjust != nil {
 		options.adjust(&c.document)
 	}
+	if options.Parts {
+		c.layout = settings.LayoutParts
+	}
 	var err error
 	if c.authority, err = wire.NewAuthority(time.Now(), keyValidity); err != nil {
 		return nil, err
@@ -116,7 +121,7 @@
 		return err
 	}
 	c.servers = append(c.servers, config, list)
-	c.platform = settings.Platform{Configuration: config.url(), VMs: list.url()}
+	c.platform = settings.Platform{ConfigurationLayout: c.layout, Configuration: config.url(), VMs: list.url()}
 	return nil
 }
 
@@ -256,14 +261,25 @@
 
 // publish publishes the document at its version.
 func (c *cluster) publish() error {
-	data, err := json.Marshal(c.document)
+	data, err := json.MarshalIndent(c.document, "", " ")
 	if err != nil {
 		return err
 	}
 	if _, faults := published.Accept(data); len(faults) > 0 {
 		return faults
 	}
-	c.config.Set(published.Key, data)
+	if c.platform.ConfigurationLayout != settings.LayoutParts {
+		c.config.Set(published.Key, data)
+		return nil
+	}
+	parts, err := published.Split(data)
+	if err != nil {
+		return err
+	}
+	for _, part := range parts.Parts {
+		c.config.Set(part.Key, part.Body)
+	}
+	c.config.Set(published.Key, parts.Manifest)
 	return nil
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -26,6 +26,8 @@
 	// Faults stops processes, silences connections, crashes a backend server, takes the
 	// configuration service away and publishes a change.
 	Faults bool
+	// Parts publishes the configuration in parts.
+	Parts bool
 	// Seed decides the requests and the faults.
 	Seed uint64
 	// Out takes the progress and the account, Log the processes' log lines.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -94,6 +94,9 @@
 	}
 	instance := ident.Instance{VM: s.VM, Incarnation: NewIncarnation(time.Now())}
 	self := control.Self{Instance: instance, Zone: s.Zone, Region: s.Region}
+	if s.Platform.ConfigurationLayout == settings.LayoutParts {
+		self.Layout = membership.ManifestOfParts
+	}
 	for _, seed := range s.Peer.Seeds {
 		self.Seeds = append(self.Seeds, membership.Peer{VM: seed.VM, Zone: seed.Zone})
 	}
--- /dev/null
+++ b/internal/published/split.go
@@ -0,0 +1,77 @@
+package published
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+)
+
+// Sizes of parts, in bytes.
+const (
+	minPartBytes = 4 << 10
+	maxPartBytes = 48 << 10
+	// boundaryMask makes a part end at one in eight lines beyond the minimum.
+	boundaryMask = 7
+)
+
+// Part is one part of a configuration under its key in the configuration service.
+type Part struct {
+	Key  string
+	Body []byte
+}
+
+// Parts is a configuration as it is published in parts: all parts first, then the manifest
+// under Key.
+type Parts struct {
+	Manifest []byte
+	Parts    []Part
+}
+
+// Split splits an accepted configuration into parts where its content says so: an edit
+// changes the parts around it, and the others keep their keys.
+func Split(value []byte) (Parts, error) {
+	configuration, faults := Accept(value)
+	if len(faults) > 0 {
+		return Parts{}, faults
+	}
+	manifest := membership.PublishedManifest{Version: configuration.Version}
+	var parts Parts
+	for _, body := range cut(value) {
+		key := fmt.Sprintf("%s-part-%016x", Key, uint64(membership.DigestOf(body)))
+		manifest.Parts = append(manifest.Parts, membership.NewPublishedPart(key, body))
+		parts.Parts = append(parts.Parts, Part{Key: key, Body: body})
+	}
+	var err error
+	parts.Manifest, err = json.Marshal(manifest)
+	return parts, err
+}
+
+// cut cuts a value behind lines whose hash says so, and where a part grows too large.
+func cut(value []byte) [][]byte {
+	var parts [][]byte
+	start, at := 0, 0
+	for at < len(value) {
+		length := bytes.IndexByte(value[at:], '\n') + 1
+		if length == 0 || length > maxPartBytes {
+			length = min(len(value)-at, maxPartBytes)
+		}
+		if at+length-start > maxPartBytes {
+			parts = append(parts, value[start:at])
+			start = at
+		}
+		line := value[at : at+length]
+		at += length
+		if at-start >= minPartBytes && xxhash.Sum64(line)&boundaryMask == 0 {
+			parts = append(parts, value[start:at])
+			start = at
+		}
+	}
+	if start < len(value) {
+		parts = append(parts, value[start:])
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/published/split_test.go
@@ -0,0 +1,63 @@
+package published_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleyspool/bramleyspool/examples"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/published"
+)
+
+func split(c *qt.C, value []byte) published.Parts {
+	parts, err := published.Split(value)
+	c.Assert(err, qt.IsNil)
+	var joined []byte
+	for _, part := range parts.Parts {
+		c.Assert(len(part.Body) <= membership.MaxPartSize, qt.IsTrue)
+		joined = append(joined, part.Body...)
+	}
+	c.Assert(bytes.Equal(joined, value), qt.IsTrue)
+	manifest, err := membership.ParseManifest(parts.Manifest)
+	c.Assert(err, qt.IsNil)
+	c.Assert(manifest.Parts, qt.HasLen, len(parts.Parts))
+	return parts
+}
+
+func TestSplitKeepsThePartsThatDidNotChange(t *testing.T) {
+	c := qt.New(t)
+	value, err := examples.Files.ReadFile("ndiaye/configuration.json")
+	c.Assert(err, qt.IsNil)
+	before := split(c, value)
+	changed := strings.Replace(string(value), `"capacity": 48`, `"capacity": 49`, 1)
+	after := split(c, []byte(changed))
+	known := map[string]bool{}
+	for _, part := range before.Parts {
+		known[part.Key] = true
+	}
+	fresh := 0
+	for _, part := range after.Parts {
+		if !known[part.Key] {
+			fresh++
+		}
+	}
+	c.Assert(len(before.Parts) > 2, qt.IsTrue)
+	c.Assert(fresh, qt.Equals, 1)
+}
+
+func TestSplitRefusesWhatIsNotAccepted(t *testing.T) {
+	c := qt.New(t)
+	_, err := published.Split([]byte(`{"version": 1}`))
+	c.Assert(err, qt.IsNotNil)
+}
+
+func TestSplitOfLongLinesKeepsPartsSmall(t *testing.T) {
+	c := qt.New(t)
+	value, err := examples.Files.ReadFile("andina/configuration.json")
+	c.Assert(err, qt.IsNil)
+	padded := append(bytes.Repeat([]byte(" "), 200<<10), value...)
+	split(c, padded)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,6 +84,9 @@
 type Platform struct {
 	// Configuration is the base URL of the configuration service.
 	Configuration string `json:"configuration"`
+	// ConfigurationLayout is "value" if the service's key bramleyspool holds the whole
+	// configuration, and "parts" if it holds a manifest of parts. Default: value.
+	ConfigurationLayout string `json:"configuration_layout,omitempty" jsonschema:"enum=value,enum=parts"`
 	// VMs is the base URL of the list of live and leaving VMs.
 	VMs string `json:"vms"`
 	// WeightStore is the base URL of the weight store; agents of model engines need it.
@@ -167,6 +170,12 @@
 	DefaultHealthPath      = "/healthz"
 )
 
+// The layouts of the configuration in the configuration service.
+const (
+	LayoutValue = "value"
+	LayoutParts = "parts"
+)
+
 // Role is the program that settings are for.
 type Role string
 
@@ -212,6 +221,7 @@
 	setDefault(&s.Peer.MaxMessageBytes, DefaultMaxMessageBytes)
 	setDefault(&s.Shutdown.BalancerLagMS, DefaultBalancerLagMS)
 	setDefault(&s.Log.Level, DefaultLogLevel)
+	setDefault(&s.Platform.ConfigurationLayout, LayoutValue)
 	if s.Callers != nil {
 		setDefault(&s.Callers.MaxHeaderBytes, DefaultMaxHeaderBytes)
 		setDefault(&s.Callers.MaxBodyBytes, DefaultMaxBodyBytes)
