Let what ran beside a crashing request wait for its turn

Cause: a suspect that found its backend server busy with another suspect, or not back yet, used up its attempts and its customer's retries and ended unknown. Such refusals are proof that it did not start: it is now routed again until its deadline, and reruns of suspects, which run one after the other, do not count against the customer's retries.

--- a/internal/attempt/caller.go
+++ b/internal/attempt/caller.go
@@ -110,7 +110,9 @@
 	lease   Number
 	open    bool
 	started bool
-	heardAt time.Time
+	// neverStarted is true once it is proven that the attempt never started.
+	neverStarted bool
+	heardAt      time.Time
 	// acknowledged is true once the agent said anything about the attempt.
 	acknowledged bool
 	probes       int
@@ -309,16 +311,23 @@
 	c.fire(open, "no-route")
 }
 
+// suspectPause is the time until a suspect that waits for its turn asks again.
+const suspectPause = 300 * time.Millisecond
+
 // rerouteLater routes the call again after a pause, or refuses it if that took too often.
 func (c *Caller) rerouteLater(open *openCall, refusal outcome.Outcome) {
 	open.refusal = refusal
 	open.refusal.RetryAfter = retryElsewhereAfter
 	open.reroutes++
-	if open.reroutes > c.config.MaxReroutes {
+	if open.reroutes > c.config.MaxReroutes && !open.alone {
 		c.fire(open, "no-route")
 		return
 	}
-	open.rerouteAt = c.now.Add(c.config.RerouteAfter)
+	pause := c.config.RerouteAfter
+	if open.alone {
+		pause = max(pause, suspectPause)
+	}
+	open.rerouteAt = c.now.Add(pause)
 }
 
 func (c *Caller) sortedCalls() []*openCall {
--- a/internal/attempt/caller_chart.go
+++ b/internal/attempt/caller_chart.go
@@ -71,7 +71,20 @@
 	case outcome.CauseKeyConflict, outcome.CauseKeysFull, outcome.CauseBadRequest, outcome.CauseQuarantined:
 		return false
 	}
-	return c.mayAttempt(open)
+	return open.waitsForItsTurn() || c.mayAttempt(open)
+}
+
+// waitsForItsTurn reports whether a suspect was refused because its backend server runs
+// another one or is not back yet. It is routed again until its deadline.
+func (open *openCall) waitsForItsTurn() bool {
+	if !open.alone || open.reply.State != ReplyNeverStarted {
+		return false
+	}
+	switch open.reply.Outcome.Cause {
+	case outcome.CauseBackendsFull, outcome.CauseBackendError, outcome.CauseNoBackend:
+		return true
+	}
+	return false
 }
 
 // mayRerun reports whether a request that may have run may run again.
@@ -80,10 +93,27 @@
 	return open.Class.Idempotent && !quarantined && open.delivered == 0 && c.now.Before(open.Deadline) && c.mayAttempt(open)
 }
 
+// mayAttempt reports whether the call has an attempt left. What ran beside a request that
+// crashed its backend server is not counted against the customer's retries: suspects run
+// one after the other, so that they make no storm.
 func (c *Caller) mayAttempt(open *openCall) bool {
+	if open.alone || open.reply.Suspect {
+		return open.startedTries() < c.config.MaxAttempts
+	}
 	return len(open.tries) < c.config.MaxAttempts && c.budget.canRetry(open.Customer)
 }
 
+// startedTries counts the attempts without proof that they never started.
+func (open *openCall) startedTries() int {
+	count := 0
+	for _, try := range open.tries {
+		if !try.neverStarted {
+			count++
+		}
+	}
+	return count
+}
+
 func (c *Caller) perform(open *openCall, event chart.Event, action chart.Action) {
 	switch action {
 	case "dispatch":
@@ -129,6 +159,10 @@
 	open.hedging = false
 	open.runUntil = time.Time{}
 	refusal := open.reply.Outcome
+	if open.waitsForItsTurn() {
+		c.rerouteLater(open, refusal)
+		return
+	}
 	switch refusal.Cause {
 	case outcome.CauseNotOwner, outcome.CauseNotReady, outcome.CauseStaleLease, outcome.CauseLeaving:
 		if open.reply.State == ReplyNeverStarted {
@@ -139,7 +173,9 @@
 	case outcome.CauseBackendCrashed:
 		open.alone = open.alone || (open.reply.Suspect && !c.config.Suspects.Beside)
 	}
-	c.budget.retry(open.Customer)
+	if !open.alone {
+		c.budget.retry(open.Customer)
+	}
 	open.excludeUnkeyed(open.current.target.VM)
 	if c.refuseQuarantined(open) {
 		return
--- a/internal/attempt/caller_replies.go
+++ b/internal/attempt/caller_replies.go
@@ -61,6 +61,7 @@
 // resolve ends an attempt whose end is proven.
 func (c *Caller) resolve(open *openCall, try *try, state ReplyState) {
 	try.open = false
+	try.neverStarted = state == ReplyNeverStarted
 	if open.RunKey != "" {
 		c.log.Resolve(open.Class.Service, open.RunKey, try.target, state)
 	}
