Send over the connection that a peer opened last, and hand nothing to a dead backend server

Cause: a request crashed 5 to 7 groups before its quarantine. The fingerprints of the crash reports showed that the reports of one agent reached no entry: its connections had been silenced, and it went on sending over those that it had dialed itself, until they timed out after 20 s, although the entries had opened new ones. Ruled out: the count of crashes, the watcher, a mixed-up fingerprint. Change: a connection that a peer opens becomes the one to send over (TestNewestConnectionIsSentOver, seen to fail without it). Besides, a run that was handed to a backend server known to be dead counted as a crash of its own and used up its attempts in 6 ms; it is now refused as not started.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -165,8 +165,11 @@
 	a.mu.Unlock()
 	if control.GapBetween(decided, time.Now()) > attempt.DefaultStartsWithin {
 		// The process was paused: another agent may own the run key by now.
-		refused := attempt.RunEnded{ID: dispatch.ID, Outcome: outcome.Refused(outcome.CauseStaleLease)}
-		a.host.Post(control.RunFinished{Result: refused})
+		a.refuseRun(dispatch, outcome.CauseStaleLease)
+		return
+	}
+	if !a.watch.alive(ctx) {
+		a.refuseRun(dispatch, outcome.CauseBackendError)
 		return
 	}
 	result := a.backend.run(ctx, dispatch, job.payload, job.execution)
@@ -178,6 +181,12 @@
 	a.host.Post(control.RunFinished{Result: result})
 }
 
+// refuseRun reports that a request was not handed to the backend server.
+func (a *Agent) refuseRun(dispatch attempt.Dispatch, cause outcome.Cause) {
+	refused := attempt.RunEnded{ID: dispatch.ID, Outcome: outcome.Refused(cause)}
+	a.host.Post(control.RunFinished{Result: refused})
+}
+
 // stopRun cuts a run that nobody waits for.
 func (a *Agent) stopRun(id attempt.Attempt) {
 	a.mu.Lock()
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -41,7 +41,7 @@
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	for {
-		w.check(ctx, false)
+		w.check(ctx)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -54,36 +54,52 @@
 // of the run is posted.
 func (w *watcher) lookAfter(ctx context.Context, result outcome.Outcome) {
 	if result.Kind == outcome.Unknown && ctx.Err() == nil {
-		w.check(ctx, true)
+		w.check(ctx)
 	}
 }
 
-// check looks at the backend server; failed is true if a run has just ended in doubt.
-func (w *watcher) check(ctx context.Context, failed bool) {
+// alive reports whether requests may be handed to the backend server. One that was found
+// dead is asked again first: a request that is not handed over is proven not to run, and a
+// death that follows is a new one.
+func (w *watcher) alive(ctx context.Context) bool {
+	if !w.isDead() {
+		return true
+	}
+	w.check(ctx)
+	return !w.isDead()
+}
+
+func (w *watcher) isDead() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dead
+}
+
+// check looks at the backend server.
+func (w *watcher) check(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	if w.engine == nil {
-		w.note(w.reachable(ctx), 0, failed)
+		w.note(w.reachable(ctx), 0)
 		return
 	}
 	load, err := w.engine.Load(ctx)
 	if err != nil {
-		w.note(w.reachable(ctx), 0, failed)
+		w.note(w.reachable(ctx), 0)
 		return
 	}
 	w.host.Offer(control.LoadSeen{Load: loadOf(load)})
-	w.note(true, load.Boot, failed)
+	w.note(true, load.Boot)
 }
 
 // note records a look, and posts a death that is seen first now. It is posted under the
 // lock, so that no run that the death ended is posted as ended before it. Boot 0 means
-// that the backend server does not tell its boot. A run that failed while the backend server
-// was thought dead means that it had come back and died again.
-func (w *watcher) note(reachable bool, boot uint64, failed bool) {
+// that the backend server does not tell its boot.
+func (w *watcher) note(reachable bool, boot uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !reachable {
-		lost := !w.dead || failed
+		lost := !w.dead
 		w.dead = true
 		if lost {
 			w.host.Post(control.BackendLost{})
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"encoding/hex"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
@@ -304,9 +306,22 @@
 	}
 }
 
+// shownFingerprintBytes is how much of a fingerprint the time line shows.
+const shownFingerprintBytes = 4
+
+// fingerprints returns the heads of the requests' fingerprints.
+func fingerprints(requests []attempt.Fingerprint) string {
+	heads := make([]string, len(requests))
+	for i, request := range requests {
+		heads[i] = hex.EncodeToString(request[:shownFingerprintBytes])
+	}
+	return strings.Join(heads, ",")
+}
+
 func (a *Agent) sendCrashReport(report attempt.CrashReport) {
 	a.note("backend-crashed", SeverityWarning, "", Field{"crash", strconv.FormatUint(report.Crash, 10)},
-		Field{"running", strconv.Itoa(len(report.Running))})
+		Field{"running", strconv.Itoa(len(report.Running))}, Field{"alone", strconv.FormatBool(report.Alone)},
+		Field{"fingerprints", fingerprints(report.Running)})
 	if a.configuration == nil {
 		return
 	}
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -64,6 +64,24 @@
 	}
 }
 
+// preferAccepted makes a new connection of a VM the one to send over. A process that opens
+// another connection may have found the one that was dialed to it silent.
+func (t *Transport) preferAccepted(vm ident.VM, conn *quic.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.accepted[vm] = conn
+	for target, pooled := range t.conns {
+		if target.VM != vm {
+			continue
+		}
+		select {
+		case <-pooled.ready:
+			delete(t.conns, target)
+		default:
+		}
+	}
+}
+
 // isOpen reports whether an accepted connection of the VM is open; the lock is held.
 func (t *Transport) isOpen(vm ident.VM) bool {
 	conn := t.accepted[vm]
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -272,9 +272,7 @@
 		t.done.Done()
 		return
 	}
-	t.mu.Lock()
-	t.accepted[peer.VM] = conn
-	t.mu.Unlock()
+	t.preferAccepted(peer.VM, conn)
 	t.serve(conn)
 }
 
--- a/internal/wire/transport_test.go
+++ b/internal/wire/transport_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -52,6 +53,8 @@
 type fixture struct {
 	c         *qt.C
 	authority *wire.Authority
+	// wrap is put over the socket of the next transport; nil puts nothing.
+	wrap func(net.PacketConn) net.PacketConn
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -69,6 +72,12 @@
 	return keys
 }
 
+func (f *fixture) listenOver(vm ident.VM, keys *wire.Keys, handler wire.Handler, wrap func(net.PacketConn) net.PacketConn) *wire.Transport {
+	f.wrap = wrap
+	defer func() { f.wrap = nil }()
+	return f.listen(vm, keys, handler, true)
+}
+
 func (f *fixture) listen(vm ident.VM, keys *wire.Keys, handler wire.Handler, sender bool) *wire.Transport {
 	codec, err := wire.NewCodec()
 	f.c.Assert(err, qt.IsNil)
@@ -84,6 +93,7 @@
 		MaxMessageBytes: messageLimit,
 		Stamp:           func() timeline.Stamp { return timeline.Stamp{} },
 		Handler:         handler,
+		WrapSocket:      f.wrap,
 	})
 	f.c.Assert(err, qt.IsNil)
 	f.c.Cleanup(transport.Close)
@@ -230,3 +240,61 @@
 	f.c.Assert(a.Send(context.Background(), target, &greeting{Text: "y"}), qt.IsNil)
 	f.c.Assert((<-receiver.messages).Body, qt.DeepEquals, &greeting{Text: "y"})
 }
+
+// silencer drops what is sent on the connections that were in use when it was switched on.
+type silencer struct {
+	net.PacketConn
+
+	mu     sync.Mutex
+	seen   map[[4]byte]bool
+	silent map[[4]byte]bool
+}
+
+func (s *silencer) WriteTo(packet []byte, to net.Addr) (int, error) {
+	const longHeader = 0x80
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(packet) > 4 && packet[0]&longHeader == 0 {
+		id := [4]byte(packet[1:5])
+		if s.silent[id] {
+			return len(packet), nil
+		}
+		s.seen[id] = true
+	}
+	return s.PacketConn.WriteTo(packet, to)
+}
+
+func (s *silencer) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent, s.seen = s.seen, map[[4]byte]bool{}
+}
+
+// TestNewestConnectionIsSentOver shows that a process sends over the connection that its peer
+// opened last, although the one that it dialed itself has gone silent unnoticed.
+func TestNewestConnectionIsSentOver(t *testing.T) {
+	f := newFixture(t)
+	atA, atB := newRecorder(), newRecorder()
+	socket := &silencer{seen: map[[4]byte]bool{}}
+	wrap := func(inner net.PacketConn) net.PacketConn {
+		socket.PacketConn = inner
+		return socket
+	}
+	a := f.listenOver("a", f.keys("a"), atA, wrap)
+	b := f.listen("b", f.keys("b"), atB, true)
+	toA := wire.Target{VM: "a", Address: a.Address()}
+	toB := wire.Target{VM: "b", Address: b.Address()}
+	f.c.Assert(a.Send(context.Background(), toB, &greeting{Text: "dialed"}), qt.IsNil)
+	<-atB.messages
+	socket.silence()
+	b.Renew(toA)
+	f.c.Assert(b.Send(context.Background(), toA, &greeting{Text: "new"}), qt.IsNil)
+	<-atA.messages
+	f.c.Assert(a.Send(context.Background(), toB, &greeting{Text: "answer"}), qt.IsNil)
+	select {
+	case envelope := <-atB.messages:
+		f.c.Assert(envelope.Body, qt.DeepEquals, &greeting{Text: "answer"})
+	case <-time.After(5 * time.Second):
+		f.c.Fatal("the answer went over the silent connection")
+	}
+}
