Judge a waiting request again before it is routed

Cause: a second copy of a request that crashes its backend servers, waiting for its turn as a suspect, was routed after the first copy had led to the quarantine, so that the mean number of crashes passed the limit of 2 in TestInnocentsAreNotQuarantined. Before: red since the suspects wait for their turn; after: green. A forced stop now tells how many calls or runs it cuts.

--- a/internal/attempt/caller_replies.go
+++ b/internal/attempt/caller_replies.go
@@ -152,6 +152,9 @@
 
 func (c *Caller) reroute(open *openCall) {
 	open.rerouteAt = time.Time{}
+	if c.refuseQuarantined(open) {
+		return
+	}
 	c.askRoute(open, false)
 }
 
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -62,6 +62,7 @@
 		suspects: map[attempt.Attempt]bool{},
 		last:     now,
 	}
+	a.openWork = func() int { return len(a.running) }
 	a.start(now)
 	return a, a.take(), nil
 }
--- a/internal/control/base.go
+++ b/internal/control/base.go
@@ -50,6 +50,8 @@
 	// route is the connection that the message being handled came over.
 	route   Route
 	actions []Action
+	// openWork returns the number of calls or runs that a forced stop cuts.
+	openWork func() int
 	// gaugesAt is when the gauges are due next.
 	gaugesAt time.Time
 	// askedAt is since when the questions for a configuration have no answer.
@@ -217,7 +219,7 @@
 		case actionAnnounceLeaving:
 			b.act(Readiness{Ready: false})
 		case actionReportCut:
-			b.note("stop-forced", SeverityWarning, "")
+			b.note("stop-forced", SeverityWarning, "", Field{"cuts", strconv.Itoa(b.openWork())})
 		case actionExit:
 			b.act(Exit{Reason: string(event)})
 		}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -134,3 +134,19 @@
 		}
 	}
 }
+
+func TestForcedStopTellsWhatItCuts(t *testing.T) {
+	s := newSim(t, 3, 4, 4)
+	s.run(warmUp)
+	entry := s.nodes[0]
+	s.call(entry, "k")
+	s.run(delay)
+	entry.entry.Step(s.now, control.StopAsked{})
+	var cuts string
+	for _, action := range entry.entry.Step(s.now, control.StopForced{}) {
+		if note, ok := action.(control.Note); ok && note.Kind == "stop-forced" {
+			cuts = note.Fields[0].Value
+		}
+	}
+	s.c.Assert(cuts, qt.Equals, "1")
+}
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -81,6 +81,7 @@
 		calls:       map[ident.Request]*entryCall{},
 		last:        now,
 	}
+	e.openWork = e.OpenCalls
 	e.start(now)
 	return e, e.take(), nil
 }
