--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -7,11 +7,13 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"sort"
 	"strings"
 	"sync"
 
 	"github.com/invopop/jsonschema"
 	validator "github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
 
@@ -131,6 +133,10 @@
 		}
 		return
 	}
+	if additional, ok := err.ErrorKind.(*kind.AdditionalProperties); ok {
+		// The validator lists them in the order of a map, which differs from call to call.
+		sort.Strings(additional.Properties)
+	}
 	path := pointer(err.InstanceLocation)
 	expected := err.ErrorKind.LocalizedString(message.NewPrinter(language.English))
 	*faults = append(*faults, fault.Fault{Path: path, Expected: expected, Found: describe(instance, err.InstanceLocation)})
--- a/internal/template/accept_test.go
+++ b/internal/template/accept_test.go
@@ -132,3 +132,14 @@
 func customerSuffix(i int) ident.Customer {
 	return ident.Customer(fmt.Sprintf("%03d", i))
 }
+
+func TestFaultsReadTheSameEachTime(t *testing.T) {
+	c := qt.New(t)
+	changed := []byte(strings.Replace(document, `"version": 3`, `"version": 3, "zeta": 1, "alpha": 2, "mu": 3, "beta": 4`, 1))
+	_, first := template.Accept(changed)
+	c.Assert(first, qt.HasLen, 1)
+	for range 50 {
+		_, again := template.Accept(changed)
+		c.Assert(again.Error(), qt.Equals, first.Error())
+	}
+}
