Read a configuration once, and let one function serve where several did the same

Cause: reading the whole change again. Each change of the configuration was parsed and checked twice, to accept it and to put it in force; the accepted one is now kept and used if version and digest are those that come into force. Four places worked out the time between two steps on both clocks: membership.Gap does. Behaviour stays as it was, and no assertion changed.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -163,7 +163,7 @@
 	a.mu.Lock()
 	job.cancel = cancel
 	a.mu.Unlock()
-	if control.GapBetween(decided, time.Now()) > attempt.DefaultStartsWithin {
+	if membership.Gap(decided, time.Now()) > attempt.DefaultStartsWithin {
 		// The process was paused: another agent may own the run key by now.
 		a.refuseRun(dispatch, outcome.CauseStaleLease)
 		return
--- a/internal/attempt/owner_handover.go
+++ b/internal/attempt/owner_handover.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -129,7 +130,7 @@
 // losers returns the VMs that may have owned keys under the earlier list that the agent owns
 // now. By rendezvous hashing a key moves only from a VM that left the list, or to one that joined it.
 func (s *ownedService) losers(earlier earlierList, self ident.VM) []ident.VM {
-	if !containsVM(earlier.vms, self) {
+	if !slices.Contains(earlier.vms, self) {
 		return earlier.vms
 	}
 	members := make(map[ident.VM]bool, len(s.list))
--- a/internal/attempt/owner_judge.go
+++ b/internal/attempt/owner_judge.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -176,21 +177,12 @@
 		}
 		for _, list := range claim.earlier {
 			recent := now.Sub(list.replacedAt) <= retentionOf(s.published)
-			sawAbsent = sawAbsent || (recent && !containsVM(list.vms, self))
+			sawAbsent = sawAbsent || (recent && !slices.Contains(list.vms, self))
 		}
 	}
 	return sawAbsent && s.fenced
 }
 
-func containsVM(vms []ident.VM, vm ident.VM) bool {
-	for _, member := range vms {
-		if member == vm {
-			return true
-		}
-	}
-	return false
-}
-
 // windowOf returns the time after a dispatch over which its run matters.
 func (o *Owner) windowOf(service *ownedService) time.Duration {
 	return retentionOf(service.published) + o.config.StartsWithin
--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"slices"
 	"time"
 )
 
@@ -156,7 +157,7 @@
 			step.Ignored = false
 			return step, nil
 		}
-		if contains(spec.Ignores, event) {
+		if slices.Contains(spec.Ignores, event) {
 			return step, nil
 		}
 		if spec.Final {
@@ -168,12 +169,3 @@
 	}
 	return step, fmt.Errorf("chart %s: state %q, event %q: %w", c.spec.Name, state, event, ErrUnhandled)
 }
-
-func contains[T comparable](list []T, item T) bool {
-	for _, candidate := range list {
-		if candidate == item {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/chart/validate.go
+++ b/internal/chart/validate.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // Parse reads a chart and refuses one with unknown fields, states, guards or actions,
@@ -64,11 +65,11 @@
 func (c *Chart) transitionFaults(vocabulary Vocabulary) []error {
 	var faults []error
 	for _, state := range c.spec.States {
-		if state.Timeout != nil && !contains(c.spec.Events, state.Timeout.Event) {
+		if state.Timeout != nil && !slices.Contains(c.spec.Events, state.Timeout.Event) {
 			faults = append(faults, fmt.Errorf("state %q has a timeout with the unknown event %q", state.Name, state.Timeout.Event))
 		}
 		for _, event := range state.Ignores {
-			if !contains(c.spec.Events, event) {
+			if !slices.Contains(c.spec.Events, event) {
 				faults = append(faults, fmt.Errorf("state %q ignores the unknown event %q", state.Name, event))
 			}
 		}
@@ -81,18 +82,18 @@
 
 func (c *Chart) oneTransitionFaults(from State, transition Transition, vocabulary Vocabulary) []error {
 	var faults []error
-	if !contains(c.spec.Events, transition.Event) {
+	if !slices.Contains(c.spec.Events, transition.Event) {
 		faults = append(faults, fmt.Errorf("state %q handles the unknown event %q", from, transition.Event))
 	}
 	target := c.states[transition.Target]
 	if target == nil || target.Abstract {
 		faults = append(faults, fmt.Errorf("state %q has a transition to %q, which cannot be entered", from, transition.Target))
 	}
-	if transition.Guard != "" && !contains(vocabulary.Guards, transition.Guard) {
+	if transition.Guard != "" && !slices.Contains(vocabulary.Guards, transition.Guard) {
 		faults = append(faults, fmt.Errorf("state %q uses the unknown guard %q", from, transition.Guard))
 	}
 	for _, action := range transition.Actions {
-		if !contains(vocabulary.Actions, action) {
+		if !slices.Contains(vocabulary.Actions, action) {
 			faults = append(faults, fmt.Errorf("state %q uses the unknown action %q", from, action))
 		}
 	}
@@ -140,7 +141,7 @@
 
 func (c *Chart) handles(state State, event Event) bool {
 	for spec := c.states[state]; spec != nil; spec = c.states[spec.Parent] {
-		if contains(spec.Ignores, event) {
+		if slices.Contains(spec.Ignores, event) {
 			return true
 		}
 		for _, transition := range spec.On {
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -69,7 +69,7 @@
 
 // Step handles one event.
 func (a *Agent) Step(now time.Time, event Event) []Action {
-	if gap := GapBetween(a.last, now); gap > clockGap {
+	if gap := membership.Gap(a.last, now); gap > clockGap {
 		a.note("gap", SeverityWarning, "", Field{"gap", gap.String()})
 		a.stepOwner(now, attempt.ClockGap{})
 	}
--- a/internal/control/base.go
+++ b/internal/control/base.go
@@ -13,6 +13,7 @@
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
 	"github.com/bramleyspool/bramleyspool/internal/published"
+	"github.com/bramleyspool/bramleyspool/internal/template"
 )
 
 // The states, events and actions of charts/process.json.
@@ -52,6 +53,9 @@
 	actions []Action
 	// openWork returns the number of calls or runs that a forced stop cuts.
 	openWork func() int
+	// accepted is the value that was accepted last, in force or not.
+	accepted       *published.Configuration
+	acceptedDigest membership.Digest
 	// gaugesAt is when the gauges are due next.
 	gaugesAt time.Time
 	// askedAt is since when the questions for a configuration have no answer.
@@ -74,7 +78,7 @@
 		Agent:  agent,
 		Layout: self.Layout,
 		Key:    published.Key,
-		Accept: published.AcceptVersion,
+		Accept: b.accept,
 		Seed:   uint64(self.Instance.Incarnation),
 	})
 	return b, nil
@@ -152,12 +156,25 @@
 	return Field{key, strconv.FormatUint(uint64(stamp.Version), 10)}
 }
 
-func (b *base) putInForce(action membership.PutInForce) bool {
-	configuration, faults := published.Accept(action.Value)
+// accept decides on a value and keeps the last one that it accepted, which is put in force
+// next as a rule, so that it is not read twice.
+func (b *base) accept(value []byte) (template.Version, error) {
+	configuration, faults := published.Accept(value)
 	if len(faults) > 0 {
-		panic("invariant: an accepted configuration is refused: " + faults.Error())
+		return 0, faults
+	}
+	b.accepted = configuration
+	b.acceptedDigest = membership.DigestOf(value)
+	return configuration.Version, nil
+}
+
+func (b *base) putInForce(action membership.PutInForce) bool {
+	if b.accepted == nil || b.accepted.Version != action.Stamp.Version || b.acceptedDigest != action.Stamp.Digest {
+		if _, err := b.accept(action.Value); err != nil {
+			panic("invariant: an accepted configuration is refused: " + err.Error())
+		}
 	}
-	configuration = b.keepFleet(configuration)
+	configuration := b.keepFleet(b.accepted)
 	b.configuration = configuration
 	b.note("configuration-in-force", SeverityInfo, "", versionField("version", action.Stamp))
 	b.act(InForce{Configuration: configuration})
@@ -315,12 +332,6 @@
 	return string(b.state)
 }
 
-// GapBetween returns the time between two events on the monotonic or on the wall clock,
-// whichever is longer: a VM that was stopped as a whole shows on the wall clock only.
-func GapBetween(last, now time.Time) time.Duration {
-	return max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
-}
-
 // claimedSender returns the process that a message says it is from, for messages that say so
 // and are never passed on by others.
 func claimedSender(body any) (ident.Instance, bool) {
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -88,7 +88,7 @@
 
 // Step handles one event.
 func (e *Entry) Step(now time.Time, event Event) []Action {
-	if GapBetween(e.last, now) > clockGap {
+	if membership.Gap(e.last, now) > clockGap {
 		e.stepLog(now, attempt.LogClockGap{})
 	}
 	e.last = now
--- a/internal/control/entry_backends.go
+++ b/internal/control/entry_backends.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -132,7 +133,7 @@
 // not leased before.
 func (s *backendSet) need(now time.Time, service ident.Service, vm ident.VM) bool {
 	state := s.services[service]
-	if state == nil || contains(state.subset, vm) {
+	if state == nil || slices.Contains(state.subset, vm) {
 		return false
 	}
 	_, known := s.extra[vm]
@@ -164,12 +165,3 @@
 	}
 	return mean + time.Duration(timeWeight*float64(sample-mean))
 }
-
-func contains[T comparable](list []T, item T) bool {
-	for _, candidate := range list {
-		if candidate == item {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -203,7 +204,7 @@
 func among(candidates []routing.Candidate, vms []ident.VM) []routing.Candidate {
 	var kept []routing.Candidate
 	for _, candidate := range candidates {
-		if contains(vms, candidate.VM) {
+		if slices.Contains(vms, candidate.VM) {
 			kept = append(kept, candidate)
 		}
 	}
--- a/internal/experiment/calls/quarantine.go
+++ b/internal/experiment/calls/quarantine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -97,7 +98,7 @@
 			continue
 		}
 		running := len(agent.running)
-		if _, known := process.view[vm]; known && !contains(need.Exclude, vm) && running < fewest {
+		if _, known := process.view[vm]; known && !slices.Contains(need.Exclude, vm) && running < fewest {
 			best, fewest = vm, running
 		}
 	}
--- a/internal/experiment/calls/world.go
+++ b/internal/experiment/calls/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
@@ -280,18 +281,9 @@
 	}
 	for i := range candidates {
 		vm := candidates[(i+w.nextID)%len(candidates)]
-		if _, known := process.view[vm]; known && !contains(need.Exclude, vm) {
+		if _, known := process.view[vm]; known && !slices.Contains(need.Exclude, vm) {
 			return vm, true
 		}
 	}
 	return "", false
 }
-
-func contains(vms []ident.VM, vm ident.VM) bool {
-	for _, member := range vms {
-		if member == vm {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/membership/backend.go
+++ b/internal/membership/backend.go
@@ -102,8 +102,7 @@
 	if last.IsZero() {
 		return
 	}
-	// A VM that was stopped as a whole shows on the wall clock only.
-	gap := max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+	gap := Gap(last, now)
 	if gap <= h.settings.MaxGap {
 		return
 	}
--- a/internal/membership/config_ask.go
+++ b/internal/membership/config_ask.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -66,7 +67,7 @@
 	targets := n.zoneReaders()
 	targets = append(targets, n.sample(n.reader.ofOtherZones, askZones)...)
 	for _, vm := range append(n.sample(n.inZone, askInZone), n.sample(n.outside, askOutside)...) {
-		if !containsVM(targets, vm) {
+		if !slices.Contains(targets, vm) {
 			targets = append(targets, vm)
 		}
 	}
--- a/internal/membership/config_fetch.go
+++ b/internal/membership/config_fetch.go
@@ -93,7 +93,7 @@
 		switch {
 		case !n.isInZone(vm):
 			return 2
-		case containsVM(readers, vm):
+		case slices.Contains(readers, vm):
 			return 1
 		}
 		return 0
@@ -110,7 +110,7 @@
 
 // addHolder remembers a holder, those of the own zone first.
 func (n *ConfigNode) addHolder(vm ident.VM) {
-	if containsVM(n.fetch.holders, vm) {
+	if slices.Contains(n.fetch.holders, vm) {
 		return
 	}
 	if n.isInZone(vm) {
--- a/internal/membership/config_node.go
+++ b/internal/membership/config_node.go
@@ -189,7 +189,7 @@
 	if last.IsZero() {
 		return
 	}
-	gap := max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+	gap := Gap(last, now)
 	if gap > n.settings.MaxGap && n.asking.phase == askDone {
 		n.reader.forget()
 		n.startAsking(now)
@@ -236,7 +236,7 @@
 		targets = append(targets, n.zoneReaders()...)
 	}
 	for i, vm := range targets {
-		if !containsVM(targets[:i], vm) {
+		if !slices.Contains(targets[:i], vm) {
 			n.send(vm, n.digest(now, vm))
 		}
 	}
@@ -258,22 +258,13 @@
 	chosen := make([]ident.VM, 0, count)
 	for len(chosen) < count {
 		vm := list[n.random.below(len(list))]
-		if !containsVM(chosen, vm) {
+		if !slices.Contains(chosen, vm) {
 			chosen = append(chosen, vm)
 		}
 	}
 	return chosen
 }
 
-func containsVM(list []ident.VM, vm ident.VM) bool {
-	for _, candidate := range list {
-		if candidate == vm {
-			return true
-		}
-	}
-	return false
-}
-
 // adopt puts a configuration in force if it is newer and accepted. The source is the peer
 // that it came from; "" for the configuration service.
 func (n *ConfigNode) adopt(now time.Time, source ident.VM, stamp Stamp, chunks []chunk) {
--- a/internal/membership/config_parts.go
+++ b/internal/membership/config_parts.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/template"
@@ -141,7 +142,7 @@
 	}
 	_, missing := n.assemble(load.digests, nil)
 	for i, digest := range missing {
-		if !containsDigest(missing[:i], digest) {
+		if !slices.Contains(missing[:i], digest) {
 			load.reads = append(load.reads, &partRead{key: keys[digest], digest: digest, next: now})
 		}
 	}
@@ -149,15 +150,6 @@
 	n.tickLoad(now)
 }
 
-func containsDigest(list []Digest, digest Digest) bool {
-	for _, candidate := range list {
-		if candidate == digest {
-			return true
-		}
-	}
-	return false
-}
-
 // tickLoad reads more parts, and ends the reading when it is complete, overtaken or futile.
 func (n *ConfigNode) tickLoad(now time.Time) {
 	load := &n.reader.load
--- a/internal/membership/grantor.go
+++ b/internal/membership/grantor.go
@@ -199,13 +199,12 @@
 	g.lastStep = now
 }
 
-// stoodStill reports whether too much time has passed since the last step. A VM that was
-// stopped as a whole shows on the wall clock only.
+// stoodStill reports whether too much time has passed since the last step.
 func (g *Grantor) stoodStill(now time.Time) bool {
 	if g.lastStep.IsZero() {
 		return false
 	}
-	return max(now.Sub(g.lastStep), now.Round(0).Sub(g.lastStep.Round(0))) > g.settings.MaxGap
+	return Gap(g.lastStep, now) > g.settings.MaxGap
 }
 
 // Open returns the number of requests that are open at the agent.
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -62,15 +62,6 @@
 	return &Configuration{Version: document.Version, Templates: templates, Fleet: fleet}, nil
 }
 
-// AcceptVersion is Accept in the form that the distribution of configurations needs.
-func AcceptVersion(data []byte) (template.Version, error) {
-	configuration, faults := Accept(data)
-	if len(faults) > 0 {
-		return 0, faults
-	}
-	return configuration.Version, nil
-}
-
 // crossFaults finds classes whose service the fleet lacks or has as another kind.
 func crossFaults(document *Document, published *fleet.Fleet) fault.List {
 	kinds := map[ident.Service]template.Kind{}
--- a/internal/routing/filters.go
+++ b/internal/routing/filters.go
@@ -1,9 +1,9 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
-	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
 )
 
@@ -37,7 +37,7 @@
 
 // Check implements Filter.
 func (NotExcluded) Check(_ time.Time, request *Request, candidate *Candidate) Rejection {
-	if containsVM(request.Excluded, candidate.VM) {
+	if slices.Contains(request.Excluded, candidate.VM) {
 		return RejectedExcluded
 	}
 	return Accepted
@@ -90,12 +90,3 @@
 func (c *Candidate) PromptBacklog() int {
 	return int(c.Load.Tokens) + c.PendingTokens
 }
-
-func containsVM(list []ident.VM, vm ident.VM) bool {
-	for _, candidate := range list {
-		if candidate == vm {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -84,7 +85,7 @@
 func (x *PrefixIndex) Keep(vms []ident.VM) {
 	kept := x.servers[:0]
 	for _, server := range x.servers {
-		if containsVM(vms, server.vm) {
+		if slices.Contains(vms, server.vm) {
 			kept = append(kept, server)
 		}
 	}
