Serve on the users' platform: entries send straight to replicas, agents lead lock-step groups

Cause: the product had no way to run where entries reach backend servers directly, the store can only be read, and engines hold and arm expert maps themselves. Weighed: dispatch through the agent (plain services have none there, and a killed agent would cut streams).

--- /dev/null
+++ b/internal/attempt/repeats.go
@@ -0,0 +1,98 @@
+package attempt
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// RepeatConfig bounds how often one entry sends requests to a further backend server. The bound of
+// the whole system is a share of the requests in a window plus a fixed number; each entry takes an
+// equal part of the fixed number, so that the sum holds in any partition.
+type RepeatConfig struct {
+	// Share is the number of repeats that one request allows.
+	Share float64
+	// Burst is this entry's part of the fixed number of repeats in a window.
+	Burst float64
+	// Window is the length of the sliding window.
+	Window time.Duration
+}
+
+// repeatSafety is the part of the system's bound that is used: the rest absorbs windows whose ends
+// cut a request from its repeat.
+const repeatSafety = 0.8
+
+// NewRepeatConfig divides the system's bound over entries.
+func NewRepeatConfig(share, fixed float64, window time.Duration, entries int) RepeatConfig {
+	return RepeatConfig{Share: repeatSafety * share, Burst: repeatSafety * fixed / float64(max(entries, 1)), Window: window}
+}
+
+// repeatBuckets is the number of parts of a window that are counted apart.
+const repeatBuckets = 20
+
+// Repeats counts the requests and repeats of each service. It is not safe for concurrent use.
+type Repeats struct {
+	config   RepeatConfig
+	services map[ident.Service]*repeatWindow
+}
+
+type repeatWindow struct {
+	requests, repeats [repeatBuckets]int
+	// newest is the number of the newest bucket since the zero time.
+	newest int64
+}
+
+// NewRepeats returns counts of zero.
+func NewRepeats(config RepeatConfig) *Repeats {
+	return &Repeats{config: config, services: map[ident.Service]*repeatWindow{}}
+}
+
+// Configure changes the bound; the counts stay.
+func (r *Repeats) Configure(config RepeatConfig) {
+	r.config = config
+}
+
+func (r *Repeats) window(now time.Time, service ident.Service) *repeatWindow {
+	window := r.services[service]
+	if window == nil {
+		window = &repeatWindow{}
+		r.services[service] = window
+	}
+	window.advance(now.UnixNano() / int64(r.config.Window/repeatBuckets))
+	return window
+}
+
+func (w *repeatWindow) advance(bucket int64) {
+	if bucket-w.newest >= repeatBuckets {
+		*w = repeatWindow{newest: bucket}
+		return
+	}
+	for w.newest < bucket {
+		w.newest++
+		w.requests[w.newest%repeatBuckets], w.repeats[w.newest%repeatBuckets] = 0, 0
+	}
+}
+
+func sum(counts *[repeatBuckets]int) float64 {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return float64(total)
+}
+
+// First counts a request that is sent for the first time.
+func (r *Repeats) First(now time.Time, service ident.Service) {
+	window := r.window(now, service)
+	window.requests[window.newest%repeatBuckets]++
+}
+
+// Take allows and counts one repeat, or refuses it.
+func (r *Repeats) Take(now time.Time, service ident.Service) bool {
+	window := r.window(now, service)
+	if sum(&window.repeats)+1 > r.config.Share*sum(&window.requests)+r.config.Burst {
+		return false
+	}
+	window.repeats[window.newest%repeatBuckets]++
+	return true
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -44,7 +44,7 @@
 		Writer:      out,
 		ErrWriter:   errOut,
 		Commands: []*cli.Command{
-			entryCommand(errOut), agentCommand(errOut), checkCommand(out), statusCommand(out),
+			entryCommand(errOut), agentCommand(errOut), platformCommand(out), checkCommand(out), statusCommand(out),
 			timelineCommand(out), demoCommand(out, errOut), experimentCommand(out, errOut), keysCommand(out),
 			exampleCommand(out), splitCommand(out), standinsCommand(), versionCommand(out),
 		},
--- /dev/null
+++ b/internal/control/dispatcher.go
@@ -0,0 +1,387 @@
+package control
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/admission"
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+	"github.com/bramleyspool/bramleyspool/internal/routing"
+)
+
+// Waits of requests for room.
+const (
+	// waitShare is the part of a route's target that a request may wait for room before it is refused.
+	// A stream takes about a tenth of its target to begin; the rest is for the way back.
+	waitShare = 0.3
+	// resumeWait is how long an interrupted stream may wait for another server: its caller leaves after
+	// a gap of two seconds, of which a lost rank's silence takes more than one.
+	resumeWait = 400 * time.Millisecond
+	// noBackendRetry is the advice when no server is listed: the listing's heartbeat.
+	noBackendRetry = time.Second
+	// maxWaiting bounds the requests that wait at one entry. At some ten requests a second for each
+	// entry and waits of a tenth of a second, more is a flood.
+	maxWaiting = 256
+	// plainOverCommit is how many requests for each slot one entry keeps open at a plain server, which
+	// queues a few.
+	plainOverCommit = 4
+)
+
+// Want asks for a backend server.
+type Want struct {
+	// Request identifies the request within the process.
+	Request uint64
+	Service ident.Service
+	Route   *routing.Route
+	// Priority is the rank of the request; 0 is the most urgent.
+	Priority int
+	// Arrived is when the request arrived; Deadline is when it is of no use any more.
+	Arrived, Deadline time.Time
+	// Tried are the servers that had the request before.
+	Tried []string
+	// Sending says how the request counts against the bound on repeats.
+	Sending Sending
+	// Resumed is true for a stream whose first events the caller has.
+	Resumed bool
+}
+
+// Sending says which sending of a request a Want is for.
+type Sending uint8
+
+// The sendings of a request.
+const (
+	// SendingFirst is the first one.
+	SendingFirst Sending = iota
+	// SendingAgain follows one that reached no server.
+	SendingAgain
+	// SendingRepeat follows one that a server rejected, or may have run.
+	SendingRepeat
+)
+
+// Assignment answers a Want: a backend server or a refusal.
+type Assignment struct {
+	Request uint64
+	// Backend is the server; its ID is "" for a refusal.
+	Backend membership.ListedBackend
+	Cause   outcome.Cause
+	// RetryAfter is the advice that goes with a refusal.
+	RetryAfter time.Duration
+	// Waited is the time from arrival to the decision.
+	Waited time.Duration
+	// Load is the load of the chosen server, Writers that of its group; Pass is the predicted pass.
+	Load, Writers int
+	Pass          time.Duration
+	// PaceAge is the age of the group's report; negative if there is none.
+	PaceAge time.Duration
+}
+
+// GroupReport is what the leader of a group tells entries.
+type GroupReport struct {
+	Group ident.Group
+	Pace  admission.GroupPace
+	// RankLoads are the requests that run or wait at each rank.
+	RankLoads []int
+}
+
+// Dispatcher is the control state of an entry that sends requests straight to backend servers: who is
+// listed, what is open where, and which requests wait for room. It is pure: times come with the calls.
+type Dispatcher struct {
+	zone     ident.Zone
+	random   *rand.Rand
+	table    *routing.Table
+	servers  map[string]*routing.Server
+	services map[ident.Service][]*routing.Server
+	groups   map[ident.Group]*groupState
+	repeats  *attempt.Repeats
+	waiting  []Want
+}
+
+type groupState struct {
+	pace admission.GroupPace
+	// openAtReport is the number of this entry's open requests at the report.
+	openAtReport int
+	pausedUntil  time.Time
+	ranks        []*routing.Server
+}
+
+func (g *groupState) open() int {
+	open := 0
+	for _, server := range g.ranks {
+		open += server.Open
+	}
+	return open
+}
+
+// NewDispatcher returns a dispatcher for an entry of the zone that knows no backend server.
+func NewDispatcher(zone ident.Zone, seed uint64, repeats attempt.RepeatConfig) *Dispatcher {
+	return &Dispatcher{
+		zone:     zone,
+		random:   rand.New(rand.NewPCG(seed, seed^0x5bd1e995)),
+		servers:  map[string]*routing.Server{},
+		services: map[ident.Service][]*routing.Server{},
+		groups:   map[ident.Group]*groupState{},
+		repeats:  attempt.NewRepeats(repeats),
+	}
+}
+
+// Configure puts a table in force.
+func (d *Dispatcher) Configure(table *routing.Table) {
+	d.table = table
+}
+
+// ConfigureRepeats changes the bound on repeats.
+func (d *Dispatcher) ConfigureRepeats(config attempt.RepeatConfig) {
+	d.repeats.Configure(config)
+}
+
+// SetBackends takes the listed servers. A server's counts stay as long as its run is listed.
+func (d *Dispatcher) SetBackends(now time.Time, backends []membership.ListedBackend) []Assignment {
+	servers := make(map[string]*routing.Server, len(backends))
+	clear(d.services)
+	for _, group := range d.groups {
+		group.ranks = nil
+	}
+	for _, backend := range backends {
+		server := d.servers[backend.ID]
+		if server == nil || server.Started != backend.Started {
+			server = &routing.Server{}
+		}
+		server.ListedBackend = backend
+		servers[backend.ID] = server
+		d.services[backend.Service] = append(d.services[backend.Service], server)
+		if backend.Group != "" {
+			d.join(server)
+		}
+	}
+	d.servers = servers
+	for name, group := range d.groups {
+		if len(group.ranks) == 0 {
+			delete(d.groups, name)
+		}
+	}
+	return d.serveWaiting(now)
+}
+
+func (d *Dispatcher) join(server *routing.Server) {
+	group := d.groups[server.Group]
+	if group == nil {
+		group = &groupState{}
+		d.groups[server.Group] = group
+	}
+	group.ranks = append(group.ranks, server)
+}
+
+// Groups returns the names of all groups with the addresses of their ranks' servers.
+func (d *Dispatcher) Groups() map[ident.Group][]string {
+	groups := make(map[ident.Group][]string, len(d.groups))
+	for name, group := range d.groups {
+		for _, server := range group.ranks {
+			groups[name] = append(groups[name], server.Address)
+		}
+	}
+	return groups
+}
+
+// Report takes a leader's report of its group.
+func (d *Dispatcher) Report(now time.Time, report GroupReport) []Assignment {
+	group := d.groups[report.Group]
+	if group == nil {
+		return nil
+	}
+	group.pace = report.Pace
+	group.pace.At = now
+	group.openAtReport = group.open()
+	for _, server := range group.ranks {
+		if rank := int(server.Rank); rank >= 0 && rank < len(report.RankLoads) {
+			server.Reported, server.OpenAtReport = report.RankLoads[rank], server.Open
+		}
+	}
+	return d.serveWaiting(now)
+}
+
+// Ask asks for a server. The answer may come later, with any other call.
+func (d *Dispatcher) Ask(now time.Time, want Want) []Assignment {
+	switch want.Sending {
+	case SendingFirst:
+		d.repeats.First(now, want.Service)
+	case SendingRepeat:
+		if !d.repeats.Take(now, want.Service) {
+			return []Assignment{{Request: want.Request, Cause: outcome.CauseRetryBudget, RetryAfter: noBackendRetry}}
+		}
+	}
+	assigned, ok := d.assign(now, &want)
+	switch {
+	case ok:
+		return []Assignment{assigned}
+	case assigned.Cause != outcome.CauseBackendsFull || len(d.waiting) >= maxWaiting || !d.mayWait(now, &want):
+		return []Assignment{assigned}
+	}
+	d.enqueue(want)
+	return nil
+}
+
+// mayWait reports whether a request has time left to wait for room.
+func (d *Dispatcher) mayWait(now time.Time, want *Want) bool {
+	return now.Before(want.WaitEnd())
+}
+
+// WaitEnd returns until when the request may wait for room.
+func (want *Want) WaitEnd() time.Time {
+	end := want.Arrived.Add(time.Duration(waitShare * float64(want.Route.Target)))
+	if want.Resumed {
+		end = want.Arrived.Add(resumeWait)
+	}
+	if end.After(want.Deadline) {
+		end = want.Deadline
+	}
+	return end
+}
+
+// enqueue keeps the queue in the order in which requests are served: streams that were interrupted,
+// then by priority, then by arrival.
+func (d *Dispatcher) enqueue(want Want) {
+	at := len(d.waiting)
+	for at > 0 && before(&want, &d.waiting[at-1]) {
+		at--
+	}
+	d.waiting = slices.Insert(d.waiting, at, want)
+}
+
+func before(a, b *Want) bool {
+	if a.Resumed != b.Resumed {
+		return a.Resumed
+	}
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return a.Arrived.Before(b.Arrived)
+}
+
+// Leave forgets a request that waits: its caller left or its time is up.
+func (d *Dispatcher) Leave(request uint64) {
+	d.waiting = slices.DeleteFunc(d.waiting, func(want Want) bool { return want.Request == request })
+}
+
+// Ended records how a request at a server ended, and serves those that wait for its room.
+func (d *Dispatcher) Ended(now time.Time, backend string, result routing.SendResult, latency time.Duration) []Assignment {
+	server := d.servers[backend]
+	if server == nil {
+		return nil
+	}
+	server.Open = max(server.Open-1, 0)
+	server.Record(now, result, latency)
+	if group := d.groups[server.Group]; group != nil && result == routing.SendGroupBroken {
+		group.pausedUntil = now.Add(routing.GroupPause())
+	}
+	return d.serveWaiting(now)
+}
+
+// Tick serves and refuses waiting requests as time goes on.
+func (d *Dispatcher) Tick(now time.Time) []Assignment {
+	return d.serveWaiting(now)
+}
+
+// Waiting returns the number of requests that wait for room.
+func (d *Dispatcher) Waiting() int {
+	return len(d.waiting)
+}
+
+func (d *Dispatcher) serveWaiting(now time.Time) []Assignment {
+	if len(d.waiting) == 0 {
+		return nil
+	}
+	var assigned []Assignment
+	kept := d.waiting[:0]
+	for i := range d.waiting {
+		want := d.waiting[i]
+		answer, ok := d.assign(now, &want)
+		if ok || answer.Cause != outcome.CauseBackendsFull || !d.mayWait(now, &want) {
+			assigned = append(assigned, answer)
+			continue
+		}
+		kept = append(kept, want)
+	}
+	d.waiting = kept
+	return assigned
+}
+
+// assign picks a server for the request, or says why there is none.
+func (d *Dispatcher) assign(now time.Time, want *Want) (Assignment, bool) {
+	answer := Assignment{Request: want.Request, Waited: now.Sub(want.Arrived), PaceAge: -1}
+	if !now.Before(want.Deadline) {
+		answer.Cause = outcome.CauseDeadline
+		return answer, false
+	}
+	candidates := d.candidates(want)
+	if len(candidates) == 0 {
+		answer.Cause, answer.RetryAfter = outcome.CauseNoBackend, noBackendRetry
+		return answer, false
+	}
+	var chosen *routing.Server
+	service := d.table.Service(want.Service)
+	if service != nil && service.Engine != nil {
+		chosen = d.pickRank(now, want, service.Engine, candidates, &answer)
+	} else {
+		chosen = d.pickPlain(now, candidates, &answer)
+	}
+	if chosen == nil {
+		answer.Cause = outcome.CauseBackendsFull
+		return answer, false
+	}
+	answer.Load = chosen.Load()
+	chosen.Open++
+	answer.Backend = chosen.ListedBackend
+	return answer, true
+}
+
+// candidates returns the listed servers that may have the request. Where only servers remain that had it
+// before, an idempotent request goes to one of them again.
+func (d *Dispatcher) candidates(want *Want) []*routing.Server {
+	var fresh, tried []*routing.Server
+	for _, server := range d.services[want.Service] {
+		switch {
+		case server.Leaving:
+		case slices.Contains(want.Tried, server.ID):
+			tried = append(tried, server)
+		default:
+			fresh = append(fresh, server)
+		}
+	}
+	if len(fresh) == 0 {
+		return tried
+	}
+	return fresh
+}
+
+// pickPlain picks the server with the least cost; paused ones only if there is no other.
+func (d *Dispatcher) pickPlain(now time.Time, candidates []*routing.Server, answer *Assignment) *routing.Server {
+	var best, paused *routing.Server
+	bestCost := 0.0
+	offset := d.random.IntN(len(candidates))
+	for i := range candidates {
+		server := candidates[(i+offset)%len(candidates)]
+		if server.Slots > 0 && server.Open >= server.Slots*plainOverCommit {
+			continue
+		}
+		if server.Paused(now) {
+			if paused == nil || server.PausedUntil().Before(paused.PausedUntil()) {
+				paused = server
+			}
+			continue
+		}
+		if cost := server.PlainCost(now, d.zone); best == nil || cost < bestCost {
+			best, bestCost = server, cost
+		}
+	}
+	if best == nil {
+		best = paused
+	}
+	if best == nil {
+		answer.RetryAfter = 100 * time.Millisecond
+	}
+	return best
+}
--- /dev/null
+++ b/internal/expert/lockstep_steps.go
@@ -0,0 +1,186 @@
+package expert
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/chart"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// holds evaluates the guards of charts/lockstep.json on the ranks' states after a claim.
+func (l *LockstepLeader) holds(guard chart.Guard) bool {
+	switch guard {
+	case "placement-unknown":
+		return l.target == nil
+	case "armed":
+		return l.any(isArmed)
+	case "armed-in-part":
+		return l.armedInPart()
+	case "armed-in-part-unheld":
+		return l.armedInPart() && !l.any(isHeld)
+	case "held":
+		return l.any(isHeld)
+	case "may-hold-again":
+		return l.holdTries < maxHoldTries
+	}
+	return false
+}
+
+func isArmed(s *RankStatus) bool { return s.Armed != 0 }
+
+func isHeld(s *RankStatus) bool { return s.Held != 0 }
+
+// armedInPart reports whether some ranks are armed and others are not, or not for the same map.
+func (l *LockstepLeader) armedInPart() bool {
+	version := uint64(0)
+	for i := range l.ranks {
+		version = max(version, l.ranks[i].status.Armed)
+	}
+	return version != 0 && !l.all(func(s *RankStatus) bool { return s.Armed == version })
+}
+
+func (l *LockstepLeader) perform(now time.Time, action chart.Action, event chart.Event) {
+	switch action {
+	case "claim":
+		l.claim(now, string(event))
+	case "step-down":
+		l.stepDown(now, string(event))
+	case "hold-armed-step":
+		l.holdArmedStep(now)
+	case "disarm":
+		l.disarm(now)
+	case "release":
+		l.release(now)
+	case "prepare":
+		l.prepare(now)
+	case "hold":
+		l.hold(now)
+	case "arm":
+		l.orderAll(now, LockstepOrder{Kind: LockstepArm, Version: l.version, Step: l.step})
+	case "report-done":
+		l.current = l.target
+		l.act(MapInForce{Version: l.version, Took: now.Sub(l.plannedAt)})
+	}
+}
+
+// claim takes a fence greater than all that are known and asks all engines to accept it. It is unique:
+// its low digits are the rank, and one rank never takes one twice.
+func (l *LockstepLeader) claim(now time.Time, reason string) {
+	unit := max(uint64(now.UnixMilli()), l.Fence()/fenceUnit+1)
+	l.fence = unit*fenceUnit + uint64(l.self)
+	l.version = max(l.version, l.fence)
+	for i := range l.ranks {
+		l.ranks[i].known = false
+	}
+	l.act(LockstepLeadership{Leading: true, Fence: l.fence, Reason: reason})
+	l.beaconAt = now
+	l.act(Beacon{Epoch: l.epoch, Fence: l.fence})
+	l.orderAll(now, LockstepOrder{Kind: LockstepClaim})
+}
+
+func (l *LockstepLeader) stepDown(now time.Time, reason string) {
+	l.heardAt = now
+	l.clearTasks()
+	l.act(LockstepLeadership{Fence: l.Fence(), Reason: reason})
+}
+
+func (l *LockstepLeader) clearTasks() {
+	for i := range l.ranks {
+		l.ranks[i].task = nil
+	}
+}
+
+// holdArmedStep holds the pass for which some ranks are armed, so that it can't begin while they are disarmed.
+func (l *LockstepLeader) holdArmedStep(now time.Time) {
+	l.clearTasks()
+	step := uint64(0)
+	for i := range l.ranks {
+		step = max(step, l.ranks[i].status.ArmedStep)
+	}
+	if step == 0 {
+		step = l.lastStep() + 1
+	}
+	l.order(now, l.self, LockstepOrder{Kind: LockstepHold, Step: step})
+}
+
+func (l *LockstepLeader) lastStep() uint64 {
+	step := uint64(0)
+	for i := range l.ranks {
+		step = max(step, l.ranks[i].status.Step)
+	}
+	return step
+}
+
+// disarm takes back all arms; all ranks that might be armed get the order.
+func (l *LockstepLeader) disarm(now time.Time) {
+	l.clearTasks()
+	for i := range l.ranks {
+		if armed := l.ranks[i].status.Armed; armed != 0 {
+			l.order(now, ident.Rank(i), LockstepOrder{Kind: LockstepDisarm, Version: armed})
+		}
+	}
+}
+
+// release ends all holds. What was armed stays armed.
+func (l *LockstepLeader) release(now time.Time) {
+	armed := uint64(0)
+	for i := range l.ranks {
+		view := &l.ranks[i]
+		if view.task != nil && view.task.order.Kind == LockstepDisarm {
+			view.status.Armed = 0
+		}
+		if view.task != nil && view.task.order.Kind == LockstepArm {
+			view.status.Armed = view.task.order.Version
+		}
+		armed = max(armed, view.status.Armed)
+	}
+	if armed != 0 && armed != l.version {
+		l.version, l.target = armed, nil
+	}
+	l.clearTasks()
+	if l.ownHold != 0 {
+		l.ranks[l.self].status.Held = l.ownHold
+		l.ownHold = 0
+	}
+	for i := range l.ranks {
+		if held := l.ranks[i].status.Held; held != 0 {
+			l.order(now, ident.Rank(i), LockstepOrder{Kind: LockstepRelease, Step: held})
+			l.ranks[i].status.Held = 0
+		}
+	}
+	l.checkTasks(now)
+}
+
+func (l *LockstepLeader) prepare(now time.Time) {
+	l.version = max(l.version, l.fence) + 1
+	l.holdTries = 0
+	l.orderAll(now, LockstepOrder{Kind: LockstepPrepare, Version: l.version, Placement: l.target})
+}
+
+// hold chooses the pass of the switch. Each further try leaves more time.
+func (l *LockstepLeader) hold(now time.Time) {
+	l.clearTasks()
+	l.holdTries++
+	l.step = l.lastStep() + stepMargin<<(l.holdTries-1)
+	l.order(now, l.self, LockstepOrder{Kind: LockstepHold, Step: l.step})
+}
+
+func (l *LockstepLeader) orderAll(now time.Time, order LockstepOrder) {
+	l.clearTasks()
+	for i := range l.ranks {
+		l.order(now, ident.Rank(i), order)
+	}
+}
+
+func (l *LockstepLeader) order(now time.Time, rank ident.Rank, order LockstepOrder) {
+	order.Epoch, order.Fence = l.epoch, l.fence
+	l.ranks[rank].task = &rankTask{order: order}
+	l.send(now, rank)
+}
+
+func (l *LockstepLeader) send(now time.Time, rank ident.Rank) {
+	view := &l.ranks[rank]
+	l.sequence++
+	view.task.sequence, view.task.sentAt = l.sequence, now
+	l.act(SendLockstepOrder{Rank: rank, Sequence: l.sequence, Direct: view.silent >= directAfter, Order: view.task.order})
+}
--- /dev/null
+++ b/internal/rankagent/agent.go
@@ -0,0 +1,342 @@
+// Package rankagent is the I/O of an agent beside a rank of a lock-step group: it reads the rank's state
+// and choices, gives the leader's orders, and leads the group when it is its turn. What a leader does is
+// decided by expert.LockstepLeader.
+package rankagent
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bramleyspool/bramleyspool/internal/datagram"
+	"github.com/bramleyspool/bramleyspool/internal/expert"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/node"
+	"github.com/bramleyspool/bramleyspool/internal/routing"
+	"github.com/bramleyspool/bramleyspool/internal/settings"
+	"github.com/bramleyspool/bramleyspool/internal/source"
+)
+
+// Engine is the engine of one rank.
+type Engine interface {
+	// Status returns the rank's state; false for an engine outside groups.
+	Status(ctx context.Context) (expert.RankStatus, bool, error)
+	// Choices returns how often the rank's requests chose each expert since it started, layer after layer.
+	Choices(ctx context.Context) (counts []uint64, epoch uint64, err error)
+	// Experts returns the experts of the map in use at the rank, by layer.
+	Experts(ctx context.Context) ([][]expert.Expert, error)
+	// Order gives an order once.
+	Order(ctx context.Context, order expert.LockstepOrder) (expert.LockstepResult, error)
+}
+
+// Times of an agent.
+const (
+	// pollInterval is how often the rank's state and choices are read: about two passes.
+	pollInterval = 100 * time.Millisecond
+	// loadingInterval is the pace while experts are loaded, which takes 150 ms each.
+	loadingInterval = 40 * time.Millisecond
+	// idleInterval is the pace beside an idle rank.
+	idleInterval = 400 * time.Millisecond
+	// leaderTick is the pace of a leader's timeouts.
+	leaderTick = 100 * time.Millisecond
+	// engineTimeout bounds a call on the engine of the same VM.
+	engineTimeout = 400 * time.Millisecond
+	// orderTimeout is how long an order may stay unanswered. Engines answer in a few milliseconds.
+	orderTimeout = 120 * time.Millisecond
+	// storeWait is how long a watch waits for changes of the list of backend servers.
+	storeWait = 10 * time.Second
+	// queueLength is the number of events that may wait for the control thread.
+	queueLength = 1024
+)
+
+// Config is what an agent is built from.
+type Config struct {
+	Settings settings.Direct
+	Store    source.Store
+	// Dial returns the engine at an address.
+	Dial    func(address string) Engine
+	Log     *logrus.Entry
+	Metrics *node.Metrics
+}
+
+// Agent is an agent process. All its state belongs to the goroutine of Run.
+type Agent struct {
+	config Config
+	log    *logrus.Entry
+	scope  tally.Scope
+	engine Engine
+	socket *datagram.Socket
+	events chan func(now time.Time)
+
+	listing *membership.Listing
+	table   *routing.Table
+	self    membership.ListedBackend
+	// ranks are the listed servers of the group, by rank.
+	ranks  map[ident.Rank]membership.ListedBackend
+	direct map[string]Engine
+
+	status  expert.RankStatus
+	known   bool
+	choices choiceCounter
+	leader  *expert.LockstepLeader
+	// leaderRank is the rank of the agent that was last heard to lead.
+	leaderRank ident.Rank
+	group      *groupView
+	storeDown  bool
+}
+
+// New returns an agent.
+func New(config Config) *Agent {
+	return &Agent{
+		config: config, log: config.Log, scope: config.Metrics.Scope,
+		engine:  config.Dial(config.Settings.BackendAddress),
+		events:  make(chan func(time.Time), queueLength),
+		listing: membership.NewListing(), ranks: map[ident.Rank]membership.ListedBackend{},
+		direct: map[string]Engine{}, leaderRank: -1,
+	}
+}
+
+// Run serves until a stop is asked for or the context ends.
+func (a *Agent) Run(ctx context.Context, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	socket, err := datagram.Listen(a.config.Settings.IP, a.config.Settings.PeerPort, a.messageFault)
+	if err != nil {
+		return oops.In("agent").Wrap(err)
+	}
+	a.socket = socket
+	go socket.Receive(ctx, func(received datagram.Received) {
+		a.post(func(now time.Time) { a.received(ctx, now, received) })
+	})
+	follower := &source.Follower{Store: a.config.Store, Handler: a, Wait: storeWait, Now: monotonicTime}
+	go follower.Run(ctx)
+	go a.poll(ctx)
+	a.log.WithFields(logrus.Fields{"backend": a.config.Settings.BackendAddress, "peers": socket.Address()}).Info("process-started")
+	ticker := time.NewTicker(leaderTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case event := <-a.events:
+			event(time.Now())
+		case now := <-ticker.C:
+			a.tick(ctx, now)
+		case <-stop:
+			a.log.Info("stop-ended")
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+var started = time.Now()
+
+func monotonicTime() time.Duration { return time.Since(started) }
+
+// post hands an event to the control thread.
+func (a *Agent) post(event func(now time.Time)) {
+	select {
+	case a.events <- event:
+	default:
+		a.scope.Counter("control_queue_full").Inc(1)
+	}
+}
+
+func (a *Agent) messageFault(err error) {
+	a.scope.Counter("message_fault").Inc(1)
+	a.log.WithError(err).Warn("message-fault")
+}
+
+// Replaced takes the whole list of backend servers.
+func (a *Agent) Replaced(_ time.Duration, state source.State) {
+	a.post(func(now time.Time) {
+		a.storeAnswered(now)
+		a.configure(state.Table)
+		if a.listing.Replace(now, state.Backends) {
+			a.listed()
+		}
+	})
+}
+
+// Changed takes changes of the list.
+func (a *Agent) Changed(_ time.Duration, changes source.Changes) {
+	a.post(func(now time.Time) {
+		a.storeAnswered(now)
+		a.configure(changes.Table)
+		changed := false
+		for _, backend := range changes.Put {
+			changed = a.listing.Put(backend) || changed
+		}
+		for _, id := range changes.Removed {
+			changed = a.listing.Remove(now, id) || changed
+		}
+		if changed {
+			a.listed()
+		}
+	})
+}
+
+// Failed takes the error of a call on the store.
+func (a *Agent) Failed(err error) {
+	a.post(func(now time.Time) {
+		a.listing.Failed(now)
+		if !a.storeDown {
+			a.storeDown = true
+			a.log.WithError(err).Warn("store-lost")
+		}
+	})
+}
+
+func (a *Agent) storeAnswered(now time.Time) {
+	a.listing.Read(now)
+	if a.storeDown {
+		a.storeDown = false
+		a.log.Info("store-regained")
+	}
+}
+
+func (a *Agent) configure(table *routing.Table) {
+	if table == nil || a.table != nil && a.table.Version >= table.Version {
+		return
+	}
+	a.table = table
+	a.log.WithField("version", table.Version).Info("configuration-in-force")
+}
+
+// listed finds the agent's own backend server and the others of its group.
+func (a *Agent) listed() {
+	clear(a.ranks)
+	backends := a.listing.Backends()
+	for _, backend := range backends {
+		if backend.Address == a.config.Settings.BackendAddress {
+			a.self = backend
+		}
+	}
+	for _, backend := range backends {
+		if a.self.Group != "" && backend.Group == a.self.Group {
+			a.ranks[backend.Rank] = backend
+		}
+	}
+	a.log.WithFields(logrus.Fields{"group": a.self.Group, "rank": a.self.Rank, "ranks": len(a.ranks)}).Info("backends-listed")
+}
+
+// agentOf returns the address of a rank's agent.
+func (a *Agent) agentOf(rank ident.Rank) (netip.AddrPort, bool) {
+	backend, ok := a.ranks[rank]
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	host, _, err := net.SplitHostPort(backend.Address)
+	if err != nil {
+		return netip.AddrPort{}, false
+	}
+	ip, err := netip.ParseAddr(host)
+	return netip.AddrPortFrom(ip, uint16(a.config.Settings.PeerPort)), err == nil
+}
+
+// poll reads the rank's state and choices at the pace that its work asks for.
+func (a *Agent) poll(ctx context.Context) {
+	step := uint64(0)
+	for {
+		pause := pollInterval
+		status, inGroup, err := a.readStatus(ctx)
+		switch {
+		case err != nil:
+			a.scope.Counter("engine_failed").Inc(1)
+			pause = idleInterval
+		case inGroup:
+			counts, epoch, err := a.readChoices(ctx)
+			if err != nil {
+				a.scope.Counter("engine_failed").Inc(1)
+			}
+			a.post(func(now time.Time) { a.polled(ctx, now, status, counts, epoch) })
+			switch {
+			case status.Loading:
+				pause = loadingInterval
+			case status.Step == step:
+				pause = idleInterval
+			}
+			step = status.Step
+		default:
+			pause = idleInterval
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) readStatus(ctx context.Context) (expert.RankStatus, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	return a.engine.Status(ctx)
+}
+
+func (a *Agent) readChoices(ctx context.Context) ([]uint64, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	return a.engine.Choices(ctx)
+}
+
+// polled takes a reading of the rank: the leader gets it, and this agent leads from it.
+func (a *Agent) polled(ctx context.Context, now time.Time, status expert.RankStatus, counts []uint64, epoch uint64) {
+	a.status, a.known = status, true
+	if a.leader == nil {
+		a.leader = expert.NewLockstepLeader(now, status.Rank, status.Size, status.Epoch)
+	}
+	report := &datagram.RankReport{Group: a.self.Group, Status: status}
+	if epoch == status.Epoch {
+		report.Counts = a.choices.since(counts, epoch, a.layers())
+	}
+	if a.leader.Leading() {
+		a.rankReported(ctx, now, report)
+		return
+	}
+	a.perform(ctx, now, a.leader.Status(now, status))
+	if address, ok := a.agentOf(a.leaderRank); ok && a.self.Group != "" {
+		a.socket.Send(address, datagram.Message{Rank: report})
+	}
+}
+
+// layers returns the size of the expert layers; false before the configuration is known.
+func (a *Agent) layers() routing.ExpertLayers {
+	if a.table == nil {
+		return routing.ExpertLayers{}
+	}
+	service := a.table.Service(a.self.Service)
+	if service == nil || service.Engine == nil {
+		return routing.ExpertLayers{}
+	}
+	return service.Engine.Experts
+}
+
+// choiceCounter turns counts since the rank's start into counts since the last reading.
+type choiceCounter struct {
+	last  []uint64
+	epoch uint64
+}
+
+func (c *choiceCounter) since(counts []uint64, epoch uint64, size routing.ExpertLayers) expert.ChoiceCounts {
+	var choices expert.ChoiceCounts
+	restarted := c.epoch != epoch || len(c.last) != len(counts)
+	if !restarted && size.Layers*size.Experts == len(counts) {
+		difference := make([]uint64, size.Experts)
+		for layer := range size.Layers {
+			for i := range difference {
+				at := layer*size.Experts + i
+				difference[i] = counts[at] - min(c.last[at], counts[at])
+			}
+			choices.Layers = append(choices.Layers, expert.ScaleCounts(difference))
+		}
+	}
+	c.last, c.epoch = counts, epoch
+	return choices
+}
--- /dev/null
+++ b/internal/source/source.go
@@ -0,0 +1,156 @@
+// Package source follows the platform's store: the configuration in force and the list of backend servers.
+package source
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/routing"
+)
+
+// ErrHistoryLost means that the store no longer has the changes after a revision: all must be read again.
+var ErrHistoryLost = errors.New("the store's history no longer reaches back to the revision")
+
+// State is all that the store holds for a process.
+type State struct {
+	// Table is the configuration in force; nil if there is none yet or the reader does not ask for it.
+	Table *routing.Table
+	// Backends are the listed backend servers.
+	Backends []membership.ListedBackend
+	// Revision is the revision up to which the state shows all changes.
+	Revision uint64
+}
+
+// Changes are the changes between two revisions.
+type Changes struct {
+	// Table is the newest configuration; nil if it did not change.
+	Table *routing.Table
+	// Put are the servers that are new or changed, Removed the IDs of those that are gone.
+	Put     []membership.ListedBackend
+	Removed []string
+	// Revision is the revision up to which the changes are complete.
+	Revision uint64
+}
+
+// Store reads the platform's store. Implementations may be used from several goroutines.
+type Store interface {
+	// Read returns the whole state, which is current as of the call.
+	Read(ctx context.Context) (State, error)
+	// Watch returns the changes after a revision as soon as there are some, or none after the wait.
+	// The error is ErrHistoryLost if the changes are no longer known.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
+}
+
+// Handler takes what a Follower learns, from one goroutine.
+type Handler interface {
+	// Replaced takes the whole state of a read that began at start.
+	Replaced(start time.Duration, state State)
+	// Changed takes changes that a watch begun at start returned.
+	Changed(start time.Duration, changes Changes)
+	// Failed takes the error of a read or watch.
+	Failed(err error)
+}
+
+// Times of the follower.
+const (
+	// readTimeout bounds a read. The store answers in 4 ms, and in some hundred when it is slow.
+	readTimeout = time.Second
+	// watchGrace is how much later than its wait a watch may return.
+	watchGrace = 700 * time.Millisecond
+	// firstPause and maxPause bound the pause after a failed call, which doubles with each.
+	firstPause = 50 * time.Millisecond
+	maxPause   = 500 * time.Millisecond
+)
+
+// Follower keeps a process up to date with the store.
+type Follower struct {
+	Store   Store
+	Handler Handler
+	// Wait is how long a watch waits for changes.
+	Wait time.Duration
+	// Now reads a clock that goes on while the machine is suspended.
+	Now func() time.Duration
+}
+
+// Run follows the store until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		start := f.Now()
+		state, err := f.read(ctx)
+		if err != nil {
+			f.fail(ctx, err, &pause)
+			continue
+		}
+		pause = firstPause
+		f.Handler.Replaced(start, state)
+		f.watch(ctx, state.Revision)
+	}
+}
+
+func (f *Follower) read(ctx context.Context) (State, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return f.Store.Read(ctx)
+}
+
+// watch follows the changes until the history is lost.
+func (f *Follower) watch(ctx context.Context, revision uint64) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		start := f.Now()
+		changes, err := f.next(ctx, revision)
+		switch {
+		case errors.Is(err, ErrHistoryLost):
+			f.Handler.Failed(err)
+			return
+		case err != nil:
+			f.fail(ctx, err, &pause)
+		default:
+			pause = firstPause
+			revision = max(revision, changes.Revision)
+			f.Handler.Changed(start, changes)
+		}
+	}
+}
+
+func (f *Follower) next(ctx context.Context, revision uint64) (Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+watchGrace)
+	defer cancel()
+	return f.Store.Watch(ctx, revision, f.Wait)
+}
+
+// fail reports an error and waits, with jitter, so that processes that failed together come back apart.
+func (f *Follower) fail(ctx context.Context, err error, pause *time.Duration) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.Handler.Failed(err)
+	wait := *pause/2 + rand.N(*pause/2+1)
+	*pause = min(2**pause, maxPause)
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+}
+
+// Set records a new or changed server; a later change goes before an earlier one.
+func (c *Changes) Set(backend membership.ListedBackend) {
+	c.forget(backend.ID)
+	c.Put = append(c.Put, backend)
+}
+
+// Drop records the end of a server; a later change goes before an earlier one.
+func (c *Changes) Drop(id string) {
+	c.forget(id)
+	c.Removed = append(c.Removed, id)
+}
+
+func (c *Changes) forget(id string) {
+	c.Put = slices.DeleteFunc(c.Put, func(b membership.ListedBackend) bool { return b.ID == id })
+	c.Removed = slices.DeleteFunc(c.Removed, func(removed string) bool { return removed == id })
+}
