Keep vanished servers only after failures of the list

Ruled out: malformed entries (none logged), a lost event (the count of backends did not change at all). Watches now pause after changes, so that changes that come together take one call.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -56,10 +56,10 @@
 }
 
 // Failed takes the error of a call on the store.
-func (g *Gateway) Failed(err error) {
+func (g *Gateway) Failed(err error, silent time.Duration) {
 	g.metrics.count("store_failed")
 	g.post(func(now time.Time) {
-		g.listing.Failed(now)
+		g.listing.Failed(now, silent)
 		if !g.storeDown {
 			g.storeDown = true
 			g.log.WithError(err).WithField("configuration_age_ms", g.configurationAge().Milliseconds()).Warn("store-lost")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,8 @@
 	// storeWait is how long a watch waits for changes. Its end proves that the configuration is current,
 	// so two of them must fit well into the bound on revoked credentials.
 	storeWait = 1500 * time.Millisecond
+	// storeSettle is the pause after changes of the store: a configuration must be in force within 2 s.
+	storeSettle = 100 * time.Millisecond
 	// assumedEntries is the number of entries that share the fixed part of the bound on repeats. The
 	// store does not list entries; deployments have up to two dozen.
 	assumedEntries = 24
@@ -134,7 +136,7 @@
 	}
 	go g.loop.Run(ctx)
 	go socket.Receive(ctx, g.received)
-	follower := &source.Follower{Store: g.config.Store, Handler: g, Wait: storeWait, Now: bootTime}
+	follower := &source.Follower{Store: g.config.Store, Handler: g, Wait: storeWait, Settle: storeSettle, Now: bootTime}
 	go follower.Run(ctx)
 	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	server := &http.Server{
--- a/internal/membership/listing.go
+++ b/internal/membership/listing.go
@@ -32,9 +32,9 @@
 
 // Times of the listing.
 const (
-	// ListOutage is the time without an answer of the list after which entries may have lapsed
-	// only because their servers could not renew them: three of the shortest heartbeats (300 ms)
-	// that the platform's pages show for its services would lapse within it.
+	// ListOutage is the time of failures after which entries may have lapsed only because their
+	// servers could not renew them. Entries lapse after three heartbeats of more than a second, of which
+	// up to two may have been due when the failures began.
 	ListOutage = 900 * time.Millisecond
 	// ListReturnGrace is how long lapsed entries of living servers take to come back after the
 	// list's return: "about two seconds", with a tenth to spare.
@@ -46,10 +46,10 @@
 // concurrent use.
 type Listing struct {
 	backends map[string]*listed
-	lastRead time.Time
+	// failingSince is the start of the failures since the last answer; zero if there are none.
+	failingSince time.Time
 	// returned is the end of the last outage.
 	returned time.Time
-	outage   bool
 }
 
 type listed struct {
@@ -63,21 +63,20 @@
 	return &Listing{backends: map[string]*listed{}}
 }
 
-// Failed records that the list could not be read.
-func (l *Listing) Failed(now time.Time) {
-	if !l.lastRead.IsZero() && now.Sub(l.lastRead) >= ListOutage {
-		l.outage = true
+// Failed records that the list could not be read. Silent is how long the failed call had been without
+// an answer if it was given up for that, else 0: a watch that waits for changes is no failure.
+func (l *Listing) Failed(now time.Time, silent time.Duration) {
+	if since := now.Add(-silent); l.failingSince.IsZero() || since.Before(l.failingSince) {
+		l.failingSince = since
 	}
 }
 
 // Read records an answer of the list's service, whatever it says.
 func (l *Listing) Read(now time.Time) {
-	l.Failed(now)
-	if l.outage {
-		l.outage = false
+	if !l.failingSince.IsZero() && now.Sub(l.failingSince) >= ListOutage {
 		l.returned = now
 	}
-	l.lastRead = now
+	l.failingSince = time.Time{}
 }
 
 // Replace takes the whole list. It returns whether anything changed.
@@ -122,7 +121,7 @@
 }
 
 func (l *Listing) inGrace(now time.Time) bool {
-	return l.outage || !l.returned.IsZero() && now.Sub(l.returned) < ListReturnGrace
+	return !l.failingSince.IsZero() || !l.returned.IsZero() && now.Sub(l.returned) < ListReturnGrace
 }
 
 // Expire removes what did not come back after an outage. It returns whether anything changed.
--- /dev/null
+++ b/internal/membership/listing_test.go
@@ -0,0 +1,91 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+)
+
+var listingStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func listingAt(ms int) time.Time { return listingStart.Add(time.Duration(ms) * time.Millisecond) }
+
+func listedServers(ids ...string) []membership.ListedBackend {
+	var servers []membership.ListedBackend
+	for _, id := range ids {
+		servers = append(servers, membership.ListedBackend{ID: id})
+	}
+	return servers
+}
+
+func idsOf(l *membership.Listing) []string {
+	ids := []string{}
+	for _, backend := range l.Backends() {
+		ids = append(ids, backend.ID)
+	}
+	return ids
+}
+
+// A watch that waits for changes is no outage, however long it waits: a server that vanishes is gone at once.
+func TestServerThatVanishesWhileTheListIsWatchedIsGone(t *testing.T) {
+	c := qt.New(t)
+	listing := membership.NewListing()
+	listing.Read(listingAt(0))
+	listing.Replace(listingAt(0), listedServers("a", "b"))
+	listing.Read(listingAt(1500))
+	listing.Read(listingAt(3000))
+	c.Assert(listing.Remove(listingAt(3000), "a"), qt.IsTrue)
+	c.Assert(idsOf(listing), qt.DeepEquals, []string{"b"})
+}
+
+// A reset connection that is back at once is no outage either.
+func TestShortFailureOfTheListKeepsNothing(t *testing.T) {
+	c := qt.New(t)
+	listing := membership.NewListing()
+	listing.Read(listingAt(0))
+	listing.Replace(listingAt(0), listedServers("a", "b"))
+	listing.Failed(listingAt(1000), 0)
+	listing.Read(listingAt(1100))
+	c.Assert(listing.Replace(listingAt(1100), listedServers("b")), qt.IsTrue)
+	c.Assert(idsOf(listing), qt.DeepEquals, []string{"b"})
+}
+
+func TestServersThatLapsedInAnOutage(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		silent time.Duration
+	}{
+		{"failures in a row", 0},
+		{"a watch that was never answered", 2200 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			listing := membership.NewListing()
+			listing.Read(listingAt(0))
+			listing.Replace(listingAt(0), listedServers("a", "b", "c"))
+			listing.Failed(listingAt(3000), test.silent)
+			listing.Failed(listingAt(3500), 0)
+			listing.Read(listingAt(4000))
+			listing.Replace(listingAt(4000), listedServers("b"))
+			c.Assert(idsOf(listing), qt.DeepEquals, []string{"a", "b", "c"})
+			listing.Put(membership.ListedBackend{ID: "a"})
+			c.Assert(listing.Expire(listingAt(4000+2199)), qt.IsFalse)
+			c.Assert(listing.Expire(listingAt(4000+2200)), qt.IsTrue)
+			c.Assert(idsOf(listing), qt.DeepEquals, []string{"a", "b"})
+		})
+	}
+}
+
+func TestLeavingServerIsNotKeptInAnOutage(t *testing.T) {
+	c := qt.New(t)
+	listing := membership.NewListing()
+	listing.Read(listingAt(0))
+	listing.Replace(listingAt(0), []membership.ListedBackend{{ID: "a", Leaving: true}, {ID: "b"}})
+	listing.Failed(listingAt(1000), 0)
+	listing.Read(listingAt(3000))
+	listing.Replace(listingAt(3000), listedServers("b"))
+	c.Assert(idsOf(listing), qt.DeepEquals, []string{"b"})
+}
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -51,6 +51,8 @@
 	orderTimeout = 120 * time.Millisecond
 	// storeWait is how long a watch waits for changes of the list of backend servers.
 	storeWait = 10 * time.Second
+	// storeSettle is the pause after changes of the list, which an agent need not know at once.
+	storeSettle = 800 * time.Millisecond
 	// queueLength is the number of events that may wait for the control thread.
 	queueLength = 1024
 )
@@ -114,7 +116,7 @@
 	go socket.Receive(ctx, func(received datagram.Received) {
 		a.post(func(now time.Time) { a.received(ctx, now, received) })
 	})
-	follower := &source.Follower{Store: a.config.Store, Handler: a, Wait: storeWait, Now: monotonicTime}
+	follower := &source.Follower{Store: a.config.Store, Handler: a, Wait: storeWait, Settle: storeSettle, Now: monotonicTime}
 	go follower.Run(ctx)
 	go a.poll(ctx)
 	a.log.WithFields(logrus.Fields{"backend": a.config.Settings.BackendAddress, "peers": socket.Address()}).Info("process-started")
@@ -183,9 +185,9 @@
 }
 
 // Failed takes the error of a call on the store.
-func (a *Agent) Failed(err error) {
+func (a *Agent) Failed(err error, silent time.Duration) {
 	a.post(func(now time.Time) {
-		a.listing.Failed(now)
+		a.listing.Failed(now, silent)
 		if !a.storeDown {
 			a.storeDown = true
 			a.log.WithError(err).Warn("store-lost")
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -51,8 +51,9 @@
 	Replaced(start time.Duration, state State)
 	// Changed takes changes that a watch begun at start returned.
 	Changed(start time.Duration, changes Changes)
-	// Failed takes the error of a read or watch.
-	Failed(err error)
+	// Failed takes the error of a read or watch. Silent is how long the call had waited if it was given up
+	// without an answer, else 0.
+	Failed(err error, silent time.Duration)
 }
 
 // Times of the follower.
@@ -72,6 +73,8 @@
 	Handler Handler
 	// Wait is how long a watch waits for changes.
 	Wait time.Duration
+	// Settle is the pause after changes, so that those that come together take one call.
+	Settle time.Duration
 	// Now reads a clock that goes on while the machine is suspended.
 	Now func() time.Duration
 }
@@ -83,7 +86,7 @@
 		start := f.Now()
 		state, err := f.read(ctx)
 		if err != nil {
-			f.fail(ctx, err, &pause)
+			f.fail(ctx, err, f.silence(err, start), &pause)
 			continue
 		}
 		pause = firstPause
@@ -106,14 +109,17 @@
 		changes, err := f.next(ctx, revision)
 		switch {
 		case errors.Is(err, ErrHistoryLost):
-			f.Handler.Failed(err)
+			f.Handler.Failed(err, 0)
 			return
 		case err != nil:
-			f.fail(ctx, err, &pause)
+			f.fail(ctx, err, f.silence(err, start), &pause)
 		default:
 			pause = firstPause
 			revision = max(revision, changes.Revision)
 			f.Handler.Changed(start, changes)
+			if changes.Some() {
+				f.pause(ctx, f.Settle)
+			}
 		}
 	}
 }
@@ -125,19 +131,36 @@
 }
 
 // fail reports an error and waits, with jitter, so that processes that failed together come back apart.
-func (f *Follower) fail(ctx context.Context, err error, pause *time.Duration) {
+func (f *Follower) fail(ctx context.Context, err error, silent time.Duration, pause *time.Duration) {
 	if ctx.Err() != nil {
 		return
 	}
-	f.Handler.Failed(err)
+	f.Handler.Failed(err, silent)
 	wait := *pause/2 + rand.N(*pause/2+1)
 	*pause = min(2**pause, maxPause)
+	f.pause(ctx, wait)
+}
+
+// silence returns how long a call waited that was given up without an answer.
+func (f *Follower) silence(err error, start time.Duration) time.Duration {
+	if !errors.Is(err, context.DeadlineExceeded) {
+		return 0
+	}
+	return f.Now() - start
+}
+
+func (f *Follower) pause(ctx context.Context, pause time.Duration) {
 	select {
-	case <-time.After(wait):
+	case <-time.After(pause):
 	case <-ctx.Done():
 	}
 }
 
+// Some reports whether anything changed.
+func (c *Changes) Some() bool {
+	return c.Table != nil || len(c.Put) > 0 || len(c.Removed) > 0
+}
+
 // Set records a new or changed server; a later change goes before an earlier one.
 func (c *Changes) Set(backend membership.ListedBackend) {
 	c.forget(backend.ID)
