Choose ranks by the prompt tokens they have yet to read

Cause: a rank reads one chunk (512 tokens) a pass, so prompts queue at a rank although it has slots; calls at ranks with three of twelve slots taken waited 0.5 to 1.5 s for the first event. Ruled out: waits in the entry (waited_ms 0), slow connections (only some ranks), full slots. Entries tell each other of each prompt they send, and predict each rank's reading from it.

--- a/internal/control/dispatch_ranks.go
+++ b/internal/control/dispatch_ranks.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/admission"
@@ -8,28 +10,33 @@
 	"github.com/bramleyspool/bramleyspool/internal/routing"
 )
 
-// groupChoice is a group with room, and its best rank.
-type groupChoice struct {
-	rank    *routing.Server
+// rankChoice is the best rank of a group with room.
+type rankChoice struct {
+	rank *routing.Server
+	// first is the predicted time to the first event.
+	first   time.Duration
 	pass    time.Duration
 	writers int
 	age     time.Duration
+	// rate is the number of prompt tokens that the rank reads in a second.
+	rate float64
 }
 
-// pickRank picks the group whose streams would be fastest with the request, and its least loaded rank.
-// It answers the load pattern of all entries looking for room at once: reports of the leaders, and the
-// entry's own changes since, keep them from choosing the same idle rank.
+// pickRank picks the rank that will send the first event soonest, among groups whose streams stay on time
+// with one more. It answers the load pattern of all entries looking for room at once: reports of the
+// leaders, the entry's own changes since, and what other entries tell of their requests keep them from
+// choosing the same idle rank.
 func (d *Dispatcher) pickRank(now time.Time, want *Want, engine *routing.EngineModel, candidates []*routing.Server, answer *Assignment) *routing.Server {
 	gate := admission.PassGate{Engine: engine, Gap: want.Route.EventGap}
 	byGroup := map[ident.Group][]*routing.Server{}
 	for _, server := range candidates {
 		byGroup[server.Group] = append(byGroup[server.Group], server)
 	}
-	var best groupChoice
+	var best rankChoice
 	retry := time.Duration(0)
-	for name, servers := range byGroup {
-		choice, wait := d.groupChoice(now, gate, name, servers, want)
-		if choice.rank != nil && (best.rank == nil || d.better(choice, best)) {
+	for _, name := range slices.Sorted(maps.Keys(byGroup)) {
+		choice, wait := d.rankChoice(now, gate, name, byGroup[name], want)
+		if choice.rank != nil && (best.rank == nil || choice.first < best.first) {
 			best = choice
 		}
 		if choice.rank == nil && (retry == 0 || wait < retry) {
@@ -40,24 +47,18 @@
 		answer.RetryAfter = retry
 		return nil
 	}
-	answer.Pass, answer.Writers, answer.PaceAge = best.pass, best.writers, best.age
+	best.rank.AddUnread(now, want.PromptTokens, best.rate)
+	answer.Pass, answer.Writers, answer.PaceAge, answer.FirstEvent = best.pass, best.writers, best.age, best.first
 	return best.rank
 }
 
-func (d *Dispatcher) better(a, b groupChoice) bool {
-	if a.pass != b.pass {
-		return a.pass < b.pass
-	}
-	return a.rank.RankCost() < b.rank.RankCost()
-}
-
-// groupChoice returns the group's best rank if the group has room, else the time to wait for some.
-func (d *Dispatcher) groupChoice(now time.Time, gate admission.PassGate, name ident.Group, servers []*routing.Server, want *Want) (groupChoice, time.Duration) {
+// rankChoice returns the group's best rank if the group has room, else the time to wait for some.
+func (d *Dispatcher) rankChoice(now time.Time, gate admission.PassGate, name ident.Group, servers []*routing.Server, want *Want) (rankChoice, time.Duration) {
 	group := d.groups[name]
 	if group != nil && now.Before(group.pausedUntil) {
-		return groupChoice{}, group.pausedUntil.Sub(now)
+		return rankChoice{}, group.pausedUntil.Sub(now)
 	}
-	choice := groupChoice{age: -1}
+	choice := rankChoice{age: -1}
 	pace := admission.GroupPace{}
 	if group != nil && group.pace.Fresh(now) {
 		pace = group.pace
@@ -65,28 +66,31 @@
 		choice.writers = gate.Estimate(pace, group.open()-group.openAtReport)
 		choice.pass = gate.Predict(pace, choice.writers+1)
 		if !want.Resumed && !gate.Admits(pace, choice.writers) {
-			return groupChoice{}, gate.RetryAfter(pace, choice.writers, len(d.waiting))
+			return rankChoice{}, gate.RetryAfter(pace, choice.writers, len(d.waiting))
 		}
 	}
-	choice.rank = d.leastLoaded(now, gate.Engine.Slots, servers)
+	choice.rate = gate.Engine.ReadsPerSecond(choice.pass)
+	choice.rank, choice.first = d.soonest(now, gate.Engine.Slots, choice.rate, servers, want.PromptTokens)
 	if choice.rank == nil {
-		return groupChoice{}, gate.RetryAfter(pace, choice.writers, len(d.waiting))
+		return rankChoice{}, gate.RetryAfter(pace, choice.writers, len(d.waiting))
 	}
 	return choice, 0
 }
 
-// leastLoaded returns the rank with the least load that has a slot, equal ones by lot.
-func (d *Dispatcher) leastLoaded(now time.Time, slots int, servers []*routing.Server) *routing.Server {
+// soonest returns the rank with a slot that will have read the prompt first, equal ones by load and then by lot.
+func (d *Dispatcher) soonest(now time.Time, slots int, rate float64, servers []*routing.Server, tokens int) (*routing.Server, time.Duration) {
 	var best *routing.Server
+	var first time.Duration
 	offset := d.random.IntN(len(servers))
 	for i := range servers {
 		server := servers[(i+offset)%len(servers)]
 		if !server.GroupOpen || server.Paused(now) || server.Load() >= slots {
 			continue
 		}
-		if best == nil || server.RankCost() < best.RankCost() {
-			best = server
+		wait := server.FirstEvent(now, tokens, rate)
+		if best == nil || wait < first || wait == first && server.Load() < best.Load() {
+			best, first = server, wait
 		}
 	}
-	return best
+	return best, first
 }
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -41,6 +41,8 @@
 	Priority int
 	// Arrived is when the request arrived; Deadline is when it is of no use any more.
 	Arrived, Deadline time.Time
+	// PromptTokens is the size of a prompt for a model engine.
+	PromptTokens int
 	// Tried are the servers that had the request before.
 	Tried []string
 	// Sending says how the request counts against the bound on repeats.
@@ -68,6 +70,8 @@
 	// Backend is the server; its ID is "" for a refusal.
 	Backend membership.ListedBackend
 	Cause   outcome.Cause
+	// PromptTokens is the size of the request's prompt.
+	PromptTokens int
 	// RetryAfter is the advice that goes with a refusal.
 	RetryAfter time.Duration
 	// Waited is the time from arrival to the decision.
@@ -75,6 +79,8 @@
 	// Load is the load of the chosen server, Writers that of its group; Pass is the predicted pass.
 	Load, Writers int
 	Pass          time.Duration
+	// FirstEvent is the predicted time until the rank has read the prompt.
+	FirstEvent time.Duration
 	// PaceAge is the age of the group's report; negative if there is none.
 	PaceAge time.Duration
 }
@@ -203,6 +209,36 @@
 	return d.serveWaiting(now)
 }
 
+// Sent is another entry's word that it sent a prompt to a rank.
+type Sent struct {
+	Group        ident.Group
+	Rank         ident.Rank
+	PromptTokens int
+}
+
+// Heard takes another entry's word that it sent a prompt to a rank.
+func (d *Dispatcher) Heard(now time.Time, sent Sent) {
+	group := d.groups[sent.Group]
+	if group == nil {
+		return
+	}
+	for _, server := range group.ranks {
+		if server.Rank != sent.Rank {
+			continue
+		}
+		if engine := d.engine(server.Service); engine != nil {
+			server.AddUnread(now, sent.PromptTokens, engine.ReadsPerSecond(group.pace.Pass))
+		}
+	}
+}
+
+func (d *Dispatcher) engine(name ident.Service) *routing.EngineModel {
+	if d.table == nil || d.table.Service(name) == nil {
+		return nil
+	}
+	return d.table.Service(name).Engine
+}
+
 // Ask asks for a server. The answer may come later, with any other call.
 func (d *Dispatcher) Ask(now time.Time, want Want) []Assignment {
 	switch want.Sending {
@@ -311,7 +347,7 @@
 
 // assign picks a server for the request, or says why there is none.
 func (d *Dispatcher) assign(now time.Time, want *Want) (Assignment, bool) {
-	answer := Assignment{Request: want.Request, Waited: now.Sub(want.Arrived), PaceAge: -1}
+	answer := Assignment{Request: want.Request, PromptTokens: want.PromptTokens, Waited: now.Sub(want.Arrived), PaceAge: -1}
 	if !now.Before(want.Deadline) {
 		answer.Cause = outcome.CauseDeadline
 		return answer, false
@@ -322,9 +358,8 @@
 		return answer, false
 	}
 	var chosen *routing.Server
-	service := d.table.Service(want.Service)
-	if service != nil && service.Engine != nil {
-		chosen = d.pickRank(now, want, service.Engine, candidates, &answer)
+	if engine := d.engine(want.Service); engine != nil {
+		chosen = d.pickRank(now, want, engine, candidates, &answer)
 	} else {
 		chosen = d.pickPlain(now, candidates, &answer)
 	}
--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -26,6 +26,7 @@
 	Beacon    *Beacon      `cbor:"4,keyasint,omitempty"`
 	Subscribe *Subscribe   `cbor:"5,keyasint,omitempty"`
 	Group     *GroupReport `cbor:"6,keyasint,omitempty"`
+	Sent      *Sent        `cbor:"7,keyasint,omitempty"`
 }
 
 // RankReport is what an agent tells its group's leader, some times a second.
@@ -78,8 +79,15 @@
 	PassMicros int64 `cbor:"3,keyasint"`
 	// Skew is the load of the most loaded rank's experts over the mean.
 	Skew float64 `cbor:"4,keyasint"`
-	// Entries is the number of entries that subscribe.
-	Entries int `cbor:"5,keyasint"`
+	// Entries are the addresses of the entries that subscribe.
+	Entries []netip.AddrPort `cbor:"5,keyasint"`
+}
+
+// Sent is what an entry tells the others of a prompt that it sent to a rank.
+type Sent struct {
+	Group        ident.Group `cbor:"1,keyasint"`
+	Rank         ident.Rank  `cbor:"2,keyasint"`
+	PromptTokens int         `cbor:"3,keyasint"`
 }
 
 // Received is a message with its sender.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -264,6 +264,7 @@
 	want := control.Want{
 		Request: c.key, Service: c.service, Route: c.route, Priority: c.priority(), Sending: sending,
 		Arrived: c.arrived, Deadline: c.deadline, Tried: c.tried, Resumed: c.started,
+		PromptTokens: g.headers.PromptTokens(c.r.Header),
 	}
 	if c.started {
 		want.Arrived = time.Now()
@@ -381,6 +382,7 @@
 		fields["backend"], fields["waited_ms"], fields["load"] = a.Backend.ID, a.Waited.Milliseconds(), a.Load
 		fields["last_result"] = c.last
 		if a.PaceAge >= 0 {
+			fields["prompt"], fields["predicted_first_ms"] = a.PromptTokens, a.FirstEvent.Milliseconds()
 			fields["writers"], fields["pass_ms"], fields["pace_age_ms"] = a.Writers, a.Pass.Milliseconds(), a.PaceAge.Milliseconds()
 		}
 		g.metrics.waitTimes.RecordDuration(a.Waited)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -156,25 +156,39 @@
 
 // received takes a message of another process.
 func (g *Gateway) received(received datagram.Received) {
-	report := received.Message.Group
-	if report == nil {
-		return
+	switch message := received.Message; {
+	case message.Group != nil:
+		g.post(func(now time.Time) { g.groupReported(now, received.From, message.Group) })
+	case message.Sent != nil:
+		sent := control.Sent(*message.Sent)
+		g.post(func(now time.Time) { g.dispatcher.Heard(now, sent) })
 	}
-	g.post(func(now time.Time) {
-		g.leaders.heard(now, report.Group, received.From)
-		writers := 0
-		for _, load := range report.Loads {
-			writers += load
+}
+
+func (g *Gateway) groupReported(now time.Time, from netip.AddrPort, report *datagram.GroupReport) {
+	g.leaders.heard(now, report.Group, from)
+	g.peers = report.Entries
+	writers := 0
+	for _, load := range report.Loads {
+		writers += load
+	}
+	g.deliver(g.dispatcher.Report(now, control.GroupReport{
+		Group: report.Group,
+		Pace: admission.GroupPace{
+			Writers: writers, Ranks: len(report.Loads), Skew: report.Skew, Entries: len(report.Entries),
+			Pass: time.Duration(report.PassMicros) * time.Microsecond,
+		},
+		RankLoads: report.Loads,
+	}))
+}
+
+// tellSent tells the other entries of a prompt that goes to a rank.
+func (g *Gateway) tellSent(sent datagram.Sent) {
+	for _, peer := range g.peers {
+		if peer != g.socket.Address() {
+			g.socket.Send(peer, datagram.Message{Sent: &sent})
 		}
-		g.deliver(g.dispatcher.Report(now, control.GroupReport{
-			Group: report.Group,
-			Pace: admission.GroupPace{
-				Writers: writers, Ranks: len(report.Loads), Skew: report.Skew, Entries: report.Entries,
-				Pass: time.Duration(report.PassMicros) * time.Microsecond,
-			},
-			RankLoads: report.Loads,
-		}))
-	})
+	}
 }
 
 func (g *Gateway) messageFault(err error) {
@@ -188,6 +202,9 @@
 		if answers := g.pending[assignment.Request]; answers != nil {
 			delete(g.pending, assignment.Request)
 			answers <- assignment
+			if backend := assignment.Backend; backend.Group != "" {
+				g.tellSent(datagram.Sent{Group: backend.Group, Rank: backend.Rank, PromptTokens: assignment.PromptTokens})
+			}
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,7 +89,9 @@
 	listing    *membership.Listing
 	pending    map[uint64]chan control.Assignment
 	leaders    *leaderDirectory
-	storeDown  bool
+	// peers are the entries that a leader knows, this one among them.
+	peers     []netip.AddrPort
+	storeDown bool
 }
 
 // New returns a gateway.
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -28,6 +28,8 @@
 	LastEventID string
 	// FaultyBackend names the backend server whose loss broke its group.
 	FaultyBackend string
+	// PromptTokens reads the size of a request's prompt; 0 if the header has none.
+	PromptTokens func(header http.Header) int
 }
 
 // connectionFields concern one connection only.
--- a/internal/rankagent/lead.go
+++ b/internal/rankagent/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -194,7 +195,7 @@
 	}
 	report := &datagram.GroupReport{
 		Group: a.self.Group, Loads: slices.Clone(view.loads), PassMicros: view.pass.Microseconds(),
-		Skew: view.skew, Entries: len(view.entries),
+		Skew: view.skew, Entries: slices.SortedFunc(maps.Keys(view.entries), netip.AddrPort.Compare),
 	}
 	for address := range view.entries {
 		a.socket.Send(address, datagram.Message{Group: report})
--- a/internal/routing/spread.go
+++ b/internal/routing/spread.go
@@ -90,6 +90,10 @@
 	// Reported is the number of requests that its group's leader reported, and OpenAtReport this entry's part.
 	Reported, OpenAtReport int
 
+	// unread are the prompt tokens sent to the rank that it has not read at unreadAt.
+	unread   float64
+	unreadAt time.Time
+
 	failures    float64
 	broken      int
 	pauses      int
@@ -173,9 +177,22 @@
 	return cost * (1 + failureCost*s.failures*s.failures)
 }
 
-// RankCost orders the ranks of a group: by their load, then by failures.
-func (s *Server) RankCost() float64 {
-	return float64(s.Load())*(1+s.failures) + s.failures
+// AddUnread records a prompt that was sent to the rank, by this entry or another one.
+func (s *Server) AddUnread(now time.Time, tokens int, rate float64) {
+	s.unread = s.Unread(now, rate) + float64(tokens)
+	s.unreadAt = now
+}
+
+// Unread returns the prompt tokens that the rank has yet to read at a rate of tokens a second.
+func (s *Server) Unread(now time.Time, rate float64) float64 {
+	return max(s.unread-rate*now.Sub(s.unreadAt).Seconds(), 0)
+}
+
+// FirstEvent predicts the time until a prompt of so many tokens is read at the rank, behind those before it. It
+// answers the load pattern of long prompts that meet at one rank while the others read nothing.
+func (s *Server) FirstEvent(now time.Time, tokens int, rate float64) time.Duration {
+	ahead := s.Unread(now, rate) + float64(tokens)
+	return time.Duration(ahead / rate * (1 + s.failures) * float64(time.Second))
 }
 
 // GroupPause returns how long a group that can't run requests is left alone.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -115,6 +115,14 @@
 	Experts ExpertLayers
 }
 
+// ReadsPerSecond returns the number of prompt tokens that a rank reads in a second while it writes too: one chunk a pass.
+func (e *EngineModel) ReadsPerSecond(pass time.Duration) float64 {
+	if idle := e.Step * time.Duration(e.StepsPerPass); pass < idle {
+		pass = idle
+	}
+	return float64(e.ReadChunk) / pass.Seconds()
+}
+
 // ExpertLayers is the size of an engine's expert layers.
 type ExpertLayers struct {
 	// Layers is the number of sets of experts with a placement of their own.
