Prove that the configuration is current by the store's revision

A small read every 1.2 s compares revisions; a watch that lags behind the revision is begun anew. Watches now wait 10 s. Calls tell their longest gap between events.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -62,6 +62,9 @@
 	assigned control.Assignment
 	last     routing.SendResult
 	firstAt  time.Time
+	// eventAt is when the last event of a stream was passed on, longestGap the longest pause between two.
+	eventAt    time.Time
+	longestGap time.Duration
 }
 
 // wholeAnswer is an answer that was read to its end.
@@ -151,7 +154,7 @@
 // refuseUnknown answers a call whose route or credential the table lacks. An entry that may not know the
 // configuration in force does not judge.
 func (c *call) refuseUnknown(status int, cause outcome.Cause) {
-	if !c.gateway.currentWithin(c.gateway.config.Settings.Bounds.Configuration + storeWait) {
+	if !c.gateway.currentWithin(c.gateway.config.Settings.Bounds.Configuration + proofInterval) {
 		c.refuse(http.StatusServiceUnavailable, outcome.CauseNotReady, notReadyRetry)
 		return
 	}
@@ -394,6 +397,9 @@
 		fields["first_ms"] = c.firstAt.Sub(c.arrived).Milliseconds()
 		g.metrics.first.RecordDuration(c.firstAt.Sub(c.arrived))
 	}
+	if c.longestGap > 0 {
+		fields["longest_gap_ms"] = c.longestGap.Milliseconds()
+	}
 	g.metrics.whole.RecordDuration(time.Since(c.arrived))
 	g.metrics.ended(c.result.Kind, c.result.Cause, kind)
 	g.log.WithFields(fields).Info("call")
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -25,8 +25,8 @@
 }
 
 // Replaced takes the whole state of the store.
-func (g *Gateway) Replaced(start time.Duration, state source.State) {
-	g.prove(start, state.Table)
+func (g *Gateway) Replaced(state source.State) {
+	g.replaceTable(state.Table)
 	g.post(func(now time.Time) {
 		g.storeAnswered(now)
 		if state.Table != nil {
@@ -37,8 +37,8 @@
 }
 
 // Changed takes changes of the store.
-func (g *Gateway) Changed(start time.Duration, changes source.Changes) {
-	g.prove(start, changes.Table)
+func (g *Gateway) Changed(changes source.Changes) {
+	g.replaceTable(changes.Table)
 	g.post(func(now time.Time) {
 		g.storeAnswered(now)
 		if changes.Table != nil {
@@ -67,21 +67,25 @@
 	})
 }
 
-// prove puts a newer table in force before it records that the configuration is current.
-func (g *Gateway) prove(start time.Duration, table *routing.Table) {
+// Proven records that the table in force was the newest at a time.
+func (g *Gateway) Proven(at time.Duration) {
+	if g.table.Load() == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.freshness.Prove(at)
+}
+
+// replaceTable puts a newer table in force.
+func (g *Gateway) replaceTable(table *routing.Table) {
 	g.metrics.count("store_answered")
 	for {
 		old := g.table.Load()
 		if table == nil || old != nil && old.Version >= table.Version || g.table.CompareAndSwap(old, table) {
-			break
+			return
 		}
 	}
-	if g.table.Load() == nil {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.freshness.Prove(start)
 }
 
 func (g *Gateway) storeAnswered(now time.Time) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,9 +35,11 @@
 	// revocationMargin is subtracted from the bound on revoked credentials: a tenth of the usual 5 s
 	// for a process that is held up between its last look at the clock and the first byte it sends.
 	revocationMargin = 500 * time.Millisecond
-	// storeWait is how long a watch waits for changes. Its end proves that the configuration is current,
-	// so two of them must fit well into the bound on revoked credentials.
-	storeWait = 1500 * time.Millisecond
+	// storeWait is how long a watch waits for changes.
+	storeWait = 10 * time.Second
+	// proofInterval is how often it is proven that no change is missing. An entry that loses the store must go on
+	// for three fifths of the bound on revoked credentials (3 of 5 s), so that its last proof may be this old.
+	proofInterval = 1200 * time.Millisecond
 	// storeSettle is the pause after changes of the store: a configuration must be in force within 2 s.
 	storeSettle = 100 * time.Millisecond
 	// assumedEntries is the number of entries that share the fixed part of the bound on repeats. The
@@ -139,7 +141,7 @@
 	}
 	go g.loop.Run(ctx)
 	go socket.Receive(ctx, g.received)
-	follower := &source.Follower{Store: g.config.Store, Handler: g, Wait: storeWait, Settle: storeSettle, Now: bootTime}
+	follower := &source.Follower{Store: g.config.Store, Handler: g, Wait: storeWait, Settle: storeSettle, ProofInterval: proofInterval, Now: bootTime}
 	go follower.Run(ctx)
 	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	server := &http.Server{
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -154,6 +154,14 @@
 	c.w.WriteHeader(response.StatusCode)
 }
 
+// noteGap keeps the longest pause between two events for the log.
+func (c *call) noteGap(now time.Time) {
+	if !c.eventAt.IsZero() {
+		c.longestGap = max(c.longestGap, now.Sub(c.eventAt))
+	}
+	c.eventAt = now
+}
+
 // passEvent writes an event to the caller unless the caller has it. It returns false if the caller is gone.
 func (c *call) passEvent(response *http.Response, event rawEvent, more bool) bool {
 	if event.numbered && c.started && c.lastID != "" {
@@ -162,6 +170,7 @@
 		}
 	}
 	c.startStream(response)
+	c.noteGap(time.Now())
 	c.allowWrite()
 	if _, err := c.w.Write(event.bytes); err != nil {
 		return false
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -156,7 +156,7 @@
 }
 
 // Replaced takes the whole list of backend servers.
-func (a *Agent) Replaced(_ time.Duration, state source.State) {
+func (a *Agent) Replaced(state source.State) {
 	a.post(func(now time.Time) {
 		a.storeAnswered(now)
 		a.configure(state.Table)
@@ -167,7 +167,7 @@
 }
 
 // Changed takes changes of the list.
-func (a *Agent) Changed(_ time.Duration, changes source.Changes) {
+func (a *Agent) Changed(changes source.Changes) {
 	a.post(func(now time.Time) {
 		a.storeAnswered(now)
 		a.configure(changes.Table)
@@ -184,6 +184,9 @@
 	})
 }
 
+// Proven is of no use to an agent: it holds no credentials.
+func (a *Agent) Proven(time.Duration) {}
+
 // Failed takes the error of a call on the store.
 func (a *Agent) Failed(err error, silent time.Duration) {
 	a.post(func(now time.Time) {
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/membership"
@@ -43,14 +44,18 @@
 	// Watch returns the changes after a revision as soon as there are some, or none after the wait.
 	// The error is ErrHistoryLost if the changes are no longer known.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
+	// Revision returns the store's revision, which is current as of the call.
+	Revision(ctx context.Context) (uint64, error)
 }
 
 // Handler takes what a Follower learns, from one goroutine.
 type Handler interface {
-	// Replaced takes the whole state of a read that began at start.
-	Replaced(start time.Duration, state State)
-	// Changed takes changes that a watch begun at start returned.
-	Changed(start time.Duration, changes Changes)
+	// Replaced takes the whole state of the store.
+	Replaced(state State)
+	// Changed takes the changes that a watch returned.
+	Changed(changes Changes)
+	// Proven tells that what was handed over shows all changes made before a time.
+	Proven(at time.Duration)
 	// Failed takes the error of a read or watch. Silent is how long the call had waited if it was given up
 	// without an answer, else 0.
 	Failed(err error, silent time.Duration)
@@ -62,11 +67,19 @@
 	readTimeout = time.Second
 	// watchGrace is how much later than its wait a watch may return.
 	watchGrace = 700 * time.Millisecond
+	// watchLag is how much later than the store's revision a watch may return what made it: many
+	// times the store's usual answer. A watch that lags longer has lost its connection.
+	watchLag = 400 * time.Millisecond
+	// proofRetry is the pause after a failed proof.
+	proofRetry = 250 * time.Millisecond
 	// firstPause and maxPause bound the pause after a failed call, which doubles with each.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 500 * time.Millisecond
 )
 
+// maxProofs bounds the proofs that wait for a watch.
+const maxProofs = 8
+
 // Follower keeps a process up to date with the store.
 type Follower struct {
 	Store   Store
@@ -75,12 +88,30 @@
 	Wait time.Duration
 	// Settle is the pause after changes, so that those that come together take one call.
 	Settle time.Duration
+	// ProofInterval is how often it is checked that no changes are missing; 0 for never.
+	ProofInterval time.Duration
 	// Now reads a clock that goes on while the machine is suspended.
 	Now func() time.Duration
+
+	mu sync.Mutex
+	// revision is the revision of what was handed over, and watching ends the watch in progress.
+	revision uint64
+	watching context.CancelFunc
+	// proofs wait for a watch to catch up.
+	proofs []proof
+}
+
+// proof is a revision that was current at a time.
+type proof struct {
+	at       time.Duration
+	revision uint64
 }
 
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	if f.ProofInterval > 0 {
+		go f.prove(ctx)
+	}
 	pause := firstPause
 	for ctx.Err() == nil {
 		start := f.Now()
@@ -90,11 +121,86 @@
 			continue
 		}
 		pause = firstPause
-		f.Handler.Replaced(start, state)
+		f.Handler.Replaced(state)
+		f.handedOver(state.Revision)
+		f.Handler.Proven(start)
 		f.watch(ctx, state.Revision)
 	}
 }
 
+// handedOver records the revision of what the handler has, and tells of the proofs that it completes.
+func (f *Follower) handedOver(revision uint64) {
+	f.mu.Lock()
+	f.revision = revision
+	var complete []proof
+	waiting := f.proofs[:0]
+	for _, p := range f.proofs {
+		if p.revision <= revision {
+			complete = append(complete, p)
+			continue
+		}
+		waiting = append(waiting, p)
+	}
+	f.proofs = waiting
+	f.mu.Unlock()
+	for _, p := range complete {
+		f.Handler.Proven(p.at)
+	}
+}
+
+// prove compares the store's revision with that of what was handed over, again and again. A watch that lags
+// behind is begun anew: its connection may be silent.
+func (f *Follower) prove(ctx context.Context) {
+	lagging := time.Duration(0)
+	for ctx.Err() == nil {
+		start := f.Now()
+		revision, err := f.currentRevision(ctx)
+		wait := f.ProofInterval
+		switch {
+		case err != nil:
+			wait = proofRetry
+		case !f.checked(proof{at: start, revision: revision}):
+			wait = watchLag / 2
+			if lagging += wait; lagging > watchLag {
+				f.restartWatch()
+				lagging = 0
+			}
+		default:
+			lagging = 0
+		}
+		f.pause(ctx, wait)
+	}
+}
+
+func (f *Follower) currentRevision(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return f.Store.Revision(ctx)
+}
+
+// checked reports whether a proof is complete. One that is not waits for the watch.
+func (f *Follower) checked(p proof) bool {
+	f.mu.Lock()
+	complete := p.revision <= f.revision && f.revision > 0
+	if !complete {
+		f.proofs = append(f.proofs, p)
+		f.proofs = f.proofs[max(len(f.proofs)-maxProofs, 0):]
+	}
+	f.mu.Unlock()
+	if complete {
+		f.Handler.Proven(p.at)
+	}
+	return complete
+}
+
+func (f *Follower) restartWatch() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.watching != nil {
+		f.watching()
+	}
+}
+
 func (f *Follower) read(ctx context.Context) (State, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -116,7 +222,9 @@
 		default:
 			pause = firstPause
 			revision = max(revision, changes.Revision)
-			f.Handler.Changed(start, changes)
+			f.Handler.Changed(changes)
+			f.handedOver(revision)
+			f.Handler.Proven(start)
 			if changes.Some() {
 				f.pause(ctx, f.Settle)
 			}
@@ -127,6 +235,9 @@
 func (f *Follower) next(ctx context.Context, revision uint64) (Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+watchGrace)
 	defer cancel()
+	f.mu.Lock()
+	f.watching = cancel
+	f.mu.Unlock()
 	return f.Store.Watch(ctx, revision, f.Wait)
 }
 
