Load fewer experts for the first map after a jump, and switch one pass ahead

Cause: the first map came 0.75 s after a jump, of which 0.45 s went into loading three experts a rank and about 0.1 s into waiting for the chosen pass.

--- a/internal/expert/lockstep.go
+++ b/internal/expert/lockstep.go
@@ -181,8 +181,8 @@
 	// statusLife is the age at which a silent agent's status is read from its engine.
 	statusLife = 400 * time.Millisecond
 	// stepMargin is how many passes ahead of the group a switch is set first. Arming all ranks takes
-	// two messages, which is less than a pass.
-	stepMargin = 2
+	// two messages, which is far less than a pass, and the hold is in place before.
+	stepMargin = 1
 	// maxHoldTries bounds how often a rollout chooses a later step.
 	maxHoldTries = 3
 	// fenceUnit separates the fences of different milliseconds; the rank fills the rest.
--- a/internal/rankagent/lead.go
+++ b/internal/rankagent/lead.go
@@ -24,8 +24,8 @@
 	passMemory = 0.5
 	// firstCopies is the number of experts that a rank loads for the first map after a jump, over all
 	// layers, and laterCopies for the maps that refine it. See docs/design/0012.
-	firstCopies = 3
-	laterCopies = 4
+	firstCopies = 2
+	laterCopies = 3
 	// leastImprovement is the part of the work of experts that a map must save: it pays for the passes that
 	// are 15 in 100 longer while a second of loading goes on in a phase of some seconds.
 	leastImprovement = 0.03
