--- a/internal/expert/lockstep.go
+++ b/internal/expert/lockstep.go
@@ -174,8 +174,8 @@
 	// maxSuccession bounds the sum of these delays in large groups.
 	maxSuccession = 1200 * time.Millisecond
 	// orderRepeat is the time without an answer after which an order is given again: an agent waits
-	// orderAnswerTime for its engine and answers then.
-	orderRepeat = 200 * time.Millisecond
+	// some 40 ms for its engine and answers then.
+	orderRepeat = 90 * time.Millisecond
 	// directAfter is the number of orders to an agent without an answer after which the engine gets them directly.
 	directAfter = 2
 	// statusLife is the age at which a silent agent's status is read from its engine.
@@ -183,6 +183,13 @@
 	// stepMargin is how many passes ahead of the group a switch is set first. Arming all ranks takes
 	// two messages, which is far less than a pass, and the hold is in place before.
 	stepMargin = 1
+	// cautiousMargin is the margin while orders go unanswered: two or three are given again before the
+	// group, whose passes take 50 ms and more, has to stand still for them.
+	cautiousMargin = 3
+	// unansweredMemory is how long an unanswered order makes the leader cautious.
+	unansweredMemory = 5 * time.Second
+	// firstPatience is how long an agent that starts waits for a leader: a beacon interval and a half.
+	firstPatience = 300 * time.Millisecond
 	// maxHoldTries bounds how often a rollout chooses a later step.
 	maxHoldTries = 3
 	// fenceUnit separates the fences of different milliseconds; the rank fills the rest.
--- a/internal/expert/lockstep_leader.go
+++ b/internal/expert/lockstep_leader.go
@@ -28,9 +28,11 @@
 	// ownHold is the pass that the leader's own rank holds; 0 for none.
 	ownHold   uint64
 	holdTries int
-	plannedAt time.Time
-	target    LayerPlacements
-	current   LayerPlacements
+	// unansweredAt is when an engine last left an order unanswered.
+	unansweredAt time.Time
+	plannedAt    time.Time
+	target       LayerPlacements
+	current      LayerPlacements
 
 	// seen is the greatest fence of another leader; heardAt is when it was last heard.
 	seen     uint64
@@ -207,6 +209,7 @@
 	case LockstepAccepted:
 		l.accepted(now, view, task, reply)
 	case LockstepUnanswered:
+		l.unansweredAt = now
 		l.send(now, reply.Rank)
 	case LockstepRefused:
 		l.refused(now, view, task, reply.HasStatus)
@@ -332,7 +335,11 @@
 
 // patience returns how long the agent bears a silent leader.
 func (l *LockstepLeader) patience() time.Duration {
-	return leaderSilence + min(time.Duration(l.self)*successionDelay, maxSuccession)
+	silence := leaderSilence
+	if l.seen == 0 && l.fence == 0 {
+		silence = firstPatience
+	}
+	return silence + min(time.Duration(l.self)*successionDelay, maxSuccession)
 }
 
 func (l *LockstepLeader) act(action LockstepAction) {
--- a/internal/expert/lockstep_steps.go
+++ b/internal/expert/lockstep_steps.go
@@ -161,7 +161,11 @@
 func (l *LockstepLeader) hold(now time.Time) {
 	l.clearTasks()
 	l.holdTries++
-	l.step = l.lastStep() + stepMargin<<(l.holdTries-1)
+	margin := uint64(stepMargin)
+	if now.Sub(l.unansweredAt) < unansweredMemory {
+		margin = cautiousMargin
+	}
+	l.step = l.lastStep() + margin<<(l.holdTries-1)
 	l.order(now, l.self, LockstepOrder{Kind: LockstepHold, Step: l.step})
 }
 
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -47,8 +47,9 @@
 	leaderTick = 100 * time.Millisecond
 	// engineTimeout bounds a call on the engine of the same VM.
 	engineTimeout = 400 * time.Millisecond
-	// orderTimeout is how long an order may stay unanswered. Engines answer in a few milliseconds.
-	orderTimeout = 120 * time.Millisecond
+	// orderTimeout is how long an order may stay unanswered before it is given again. Engines answer in a few
+	// milliseconds, and the whole group may be held meanwhile.
+	orderTimeout = 40 * time.Millisecond
 	// storeWait is how long a watch waits for changes of the list of backend servers.
 	storeWait = 10 * time.Second
 	// storeSettle is the pause after changes of the list, which an agent need not know at once.
