--- a/internal/expert/lockstep.go
+++ b/internal/expert/lockstep.go
@@ -160,6 +160,11 @@
 	lockstepReady     chart.State = "ready"
 	lockstepPreparing chart.State = "preparing"
 	lockstepSwitching chart.State = "switching"
+	lockstepHolding   chart.State = "holding"
+	lockstepArming    chart.State = "arming"
+	lockstepSecuring  chart.State = "securing"
+	lockstepDisarming chart.State = "disarming"
+	lockstepReleasing chart.State = "releasing"
 )
 
 // Times of the leader.
@@ -176,8 +181,11 @@
 	// orderRepeat is the time without an answer after which an order is given again: an agent waits
 	// some 40 ms for its engine and answers then.
 	orderRepeat = 90 * time.Millisecond
+	// urgentRepeat is the same while the group may be held: an agent answers within some 15 ms unless its
+	// engine leaves the order unanswered, and the message or its answer may be lost.
+	urgentRepeat = 25 * time.Millisecond
 	// directAfter is the number of orders to an agent without an answer after which the engine gets them directly.
-	directAfter = 2
+	directAfter = 4
 	// statusLife is the age at which a silent agent's status is read from its engine.
 	statusLife = 400 * time.Millisecond
 	// stepMargin is how many passes ahead of the group a switch is set first. Arming all ranks takes
--- a/internal/expert/lockstep_leader.go
+++ b/internal/expert/lockstep_leader.go
@@ -57,10 +57,11 @@
 
 // rankTask is an order that a rank has not accepted yet.
 type rankTask struct {
-	order    LockstepOrder
-	sequence uint64
-	sentAt   time.Time
-	done     bool
+	order LockstepOrder
+	// first and last number the copies of the order.
+	first, last uint64
+	sentAt      time.Time
+	done        bool
 }
 
 // NewLockstepLeader returns the part of the agent of a rank in the group's epoch.
@@ -77,6 +78,15 @@
 // Leading reports whether the agent leads or tries to.
 func (l *LockstepLeader) Leading() bool { return l.state != lockstepFollowing }
 
+// Urgent reports whether the group may be held, so that Tick should be called every few milliseconds.
+func (l *LockstepLeader) Urgent() bool {
+	switch l.state {
+	case lockstepHolding, lockstepArming, lockstepReleasing, lockstepSecuring, lockstepDisarming:
+		return true
+	}
+	return false
+}
+
 // Ready reports whether a new map may be proposed.
 func (l *LockstepLeader) Ready() bool { return l.state == lockstepReady }
 
@@ -201,7 +211,7 @@
 	view := &l.ranks[reply.Rank]
 	view.silent = 0
 	task := view.task
-	if task == nil || task.done || task.sequence != reply.Sequence {
+	if task == nil || task.done || reply.Sequence < task.first {
 		l.observe(now)
 		return l.actions
 	}
@@ -210,6 +220,9 @@
 		l.accepted(now, view, task, reply)
 	case LockstepUnanswered:
 		l.unansweredAt = now
+		if reply.Sequence < task.last {
+			break
+		}
 		l.send(now, reply.Rank)
 	case LockstepRefused:
 		l.refused(now, view, task, reply.HasStatus)
@@ -291,9 +304,13 @@
 		timeout, _ := lockstepChart.TimeoutOf(l.state)
 		l.fire(now, timeout.Event)
 	}
+	repeat := orderRepeat
+	if l.Urgent() {
+		repeat = urgentRepeat
+	}
 	for i := range l.ranks {
 		task := l.ranks[i].task
-		if task != nil && !task.done && now.Sub(task.sentAt) >= orderRepeat {
+		if task != nil && !task.done && now.Sub(task.sentAt) >= repeat {
 			l.ranks[i].silent++
 			l.send(now, ident.Rank(i))
 		}
--- a/internal/expert/lockstep_steps.go
+++ b/internal/expert/lockstep_steps.go
@@ -178,13 +178,13 @@
 
 func (l *LockstepLeader) order(now time.Time, rank ident.Rank, order LockstepOrder) {
 	order.Epoch, order.Fence = l.epoch, l.fence
-	l.ranks[rank].task = &rankTask{order: order}
+	l.ranks[rank].task = &rankTask{order: order, first: l.sequence + 1}
 	l.send(now, rank)
 }
 
 func (l *LockstepLeader) send(now time.Time, rank ident.Rank) {
 	view := &l.ranks[rank]
 	l.sequence++
-	view.task.sequence, view.task.sentAt = l.sequence, now
+	view.task.last, view.task.sentAt = l.sequence, now
 	l.act(SendLockstepOrder{Rank: rank, Sequence: l.sequence, Direct: view.silent >= directAfter, Order: view.task.order})
 }
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -45,6 +45,8 @@
 	idleInterval = 400 * time.Millisecond
 	// leaderTick is the pace of a leader's timeouts.
 	leaderTick = 100 * time.Millisecond
+	// urgentTick is the pace while the group may be held.
+	urgentTick = 12 * time.Millisecond
 	// engineTimeout bounds a call on the engine of the same VM.
 	engineTimeout = 400 * time.Millisecond
 	// orderTimeout is how long an order may stay unanswered before it is given again. Engines answer in a few
@@ -121,21 +123,34 @@
 	go follower.Run(ctx)
 	go a.poll(ctx)
 	a.log.WithFields(logrus.Fields{"backend": a.config.Settings.BackendAddress, "peers": socket.Address()}).Info("process-started")
-	ticker := time.NewTicker(leaderTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(leaderTick)
+	defer timer.Stop()
+	urgent := false
 	for {
 		select {
 		case event := <-a.events:
 			event(time.Now())
-		case now := <-ticker.C:
+		case now := <-timer.C:
 			a.tick(ctx, now)
+			timer.Reset(a.tickPause())
 		case <-stop:
 			a.log.Info("stop-ended")
 			return nil
 		case <-ctx.Done():
 			return nil
 		}
+		was := urgent
+		if urgent = a.tickPause() == urgentTick; urgent && !was {
+			timer.Reset(urgentTick)
+		}
+	}
+}
+
+func (a *Agent) tickPause() time.Duration {
+	if a.leader != nil && a.leader.Urgent() {
+		return urgentTick
 	}
+	return leaderTick
 }
 
 var started = time.Now()
