Let a jump in demand replace a rollout in preparation

Cause: a refinement planned just before a jump kept the map for the new demand waiting for up to half a second.

--- a/internal/expert/lockstep_leader.go
+++ b/internal/expert/lockstep_leader.go
@@ -188,10 +188,14 @@
 	return false
 }
 
-// Propose asks for a rollout of a placement. It is ignored unless the leader is ready.
+// MayReplace reports whether a rollout is at a stage at which another map may take its place.
+func (l *LockstepLeader) MayReplace() bool { return l.state == lockstepPreparing }
+
+// Propose asks for a rollout of a placement. It is ignored unless the leader is ready, or may replace the
+// rollout in progress.
 func (l *LockstepLeader) Propose(now time.Time, target LayerPlacements) []LockstepAction {
 	l.actions = nil
-	if !l.Ready() {
+	if !l.Ready() && !l.MayReplace() {
 		return nil
 	}
 	l.target, l.plannedAt = target, now
--- a/internal/rankagent/lead.go
+++ b/internal/rankagent/lead.go
@@ -165,7 +165,8 @@
 	if jumps != view.jumps || buckets <= 1 {
 		limits.PerRank = firstCopies
 	}
-	if !a.leader.Ready() {
+	jumped := jumps != view.jumps
+	if !a.leader.Ready() && !(jumped && a.leader.MayReplace()) {
 		return
 	}
 	plan := expert.PlanCopies(placement, load, limits)
