--- a/internal/expert/lockstep_test.go
+++ b/internal/expert/lockstep_test.go
@@ -44,6 +44,32 @@
 	})
 }
 
+// Worlds that failed once.
+func TestLockstepRegressions(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		seed  uint64
+		ranks int
+		late  float64
+	}{
+		{"a leader waits for ever for a switch that an aborted rollout left behind", 6, 3, 0.35},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			faults := allLockstepFaults
+			faults.late = test.late
+			w := newLockstepWorld(test.seed, test.ranks, faults)
+			w.run(faultTime)
+			w.faults = lockstepFaults{}
+			w.run(14 * time.Second)
+			before := w.inForce
+			w.run(5 * time.Second)
+			c.Assert(w.broken, qt.Equals, "")
+			c.Assert(w.inForce-before >= 2, qt.IsTrue)
+		})
+	}
+}
+
 // The check above can fail: without holds, ranks switch apart.
 func TestWorldWithoutHoldsBreaks(t *testing.T) {
 	c := qt.New(t)
