End two data races of the transport

Cause: a connection was dropped while it was being dialed (drop read what dial wrote), and a send could begin a dial beside the end of the transport. Both are seen by TestSendsBesideRenewalAndClose under -race without the mend, not with it.

--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -36,6 +36,10 @@
 
 func (t *Transport) connect(ctx context.Context, target Target) (*quic.Conn, error) {
 	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return nil, fmt.Errorf("connect to %s: %w", target.VM, net.ErrClosed)
+	}
 	pooled := t.conns[target]
 	if pooled != nil && pooled.ended() {
 		pooled = nil
@@ -95,6 +99,16 @@
 	return true
 }
 
+// holds reports whether the connection was dialed and is conn. One that is still being dialed is none yet.
+func (p *pooledConn) holds(conn *quic.Conn) bool {
+	select {
+	case <-p.ready:
+		return p.conn == conn
+	default:
+		return false
+	}
+}
+
 func (p *pooledConn) ended() bool {
 	select {
 	case <-p.ready:
@@ -154,8 +168,7 @@
 func (t *Transport) drop(target Target, conn *quic.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	pooled := t.conns[target]
-	if pooled != nil && pooled.conn == conn {
+	if pooled := t.conns[target]; pooled != nil && pooled.holds(conn) {
 		delete(t.conns, target)
 	}
 	if t.accepted[target.VM] == conn {
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -96,6 +96,8 @@
 	listener *quic.Listener
 	stop     context.CancelFunc
 	done     sync.WaitGroup
+	// closed is true once Close was called; no connection is opened after that.
+	closed   bool
 	sent     atomic.Int64
 	received atomic.Int64
 
@@ -193,6 +195,7 @@
 		default:
 		}
 	}
+	t.closed = true
 	t.conns = map[Target]*pooledConn{}
 	t.mu.Unlock()
 	_ = t.quic.Close()
--- a/internal/wire/transport_test.go
+++ b/internal/wire/transport_test.go
@@ -298,3 +298,33 @@
 		f.c.Fatal("the answer went over the silent connection")
 	}
 }
+
+// TestSendsBesideRenewalAndClose shows that sends, renewals and the end of a transport may overlap: connections are
+// dropped while they are still being dialed, and none is dialed after the end. It is of use under -race.
+func TestSendsBesideRenewalAndClose(t *testing.T) {
+	f := newFixture(t)
+	receiver := newRecorder()
+	receiver.messages = make(chan wire.Envelope, 4096)
+	b := f.listen("b", f.keys("b"), receiver, false)
+	target := wire.Target{VM: "b", Address: b.Address()}
+	const transports, senders, sends = 4, 8, 20
+	for range transports {
+		a := f.listen("a", f.keys("a"), newRecorder(), true)
+		var done sync.WaitGroup
+		for range senders {
+			done.Go(func() {
+				for range sends {
+					ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+					// Sends may fail: their time is short, and the transport closes meanwhile.
+					_ = a.Send(ctx, target, &greeting{Text: "x"})
+					cancel()
+					a.Renew(target)
+				}
+			})
+		}
+		time.Sleep(5 * time.Millisecond)
+		a.Close()
+		f.c.Assert(errors.Is(a.Send(context.Background(), target, &greeting{Text: "late"}), net.ErrClosed), qt.IsTrue)
+		done.Wait()
+	}
+}
