Leave stalled groups alone and let silent streams go on elsewhere

A group whose streams sent nothing for 400 ms gets no new requests while they do not; a stream that may be resumed looks for another group after 800 ms, and ends its connection only once that has room.

--- a/internal/control/dispatch_ranks.go
+++ b/internal/control/dispatch_ranks.go
@@ -58,6 +58,9 @@
 	if group != nil && now.Before(group.pausedUntil) {
 		return rankChoice{}, group.pausedUntil.Sub(now)
 	}
+	if group != nil && (group.stalled(now) || want.Instead && d.triedGroup(want, group)) {
+		return rankChoice{}, stallAfter
+	}
 	choice := rankChoice{age: -1}
 	pace := admission.GroupPace{}
 	if group != nil && group.pace.Fresh(now) {
@@ -94,3 +97,8 @@
 	}
 	return best, first
 }
+
+// triedGroup reports whether one of the group's ranks had the request.
+func (d *Dispatcher) triedGroup(want *Want, group *groupState) bool {
+	return slices.ContainsFunc(group.ranks, func(server *routing.Server) bool { return slices.Contains(want.Tried, server.ID) })
+}
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -21,6 +21,9 @@
 	// resumeWait is how long an interrupted stream may wait for another server: its caller leaves after
 	// a gap of two seconds, of which a lost rank's silence takes more than one.
 	resumeWait = 400 * time.Millisecond
+	// stallAfter is the silence of a group's streams after which new requests go elsewhere: some three passes of a
+	// group that is at its limit. A group that lost a rank or is held stands still for longer.
+	stallAfter = 400 * time.Millisecond
 	// noBackendRetry is the advice when no server is listed: the listing's heartbeat.
 	noBackendRetry = time.Second
 	// maxWaiting bounds the requests that wait at one entry. At some ten requests a second for each
@@ -47,6 +50,8 @@
 	Tried []string
 	// Sending says how the request counts against the bound on repeats.
 	Sending Sending
+	// Instead is true for a stream whose server is silent: only another group is of use.
+	Instead bool
 	// Resumed is true for a stream whose first events the caller has.
 	Resumed bool
 }
@@ -112,6 +117,13 @@
 	openAtReport int
 	pausedUntil  time.Time
 	ranks        []*routing.Server
+	// progressAt is when the group last sent an event, or got a request while it had none.
+	progressAt time.Time
+}
+
+// stalled reports whether a group with open requests sends nothing.
+func (g *groupState) stalled(now time.Time) bool {
+	return g.open() > 0 && now.Sub(g.progressAt) > stallAfter
 }
 
 func (g *groupState) open() int {
@@ -239,6 +251,13 @@
 	return d.table.Service(name).Engine
 }
 
+// Progressed records when a group last sent an event to this entry.
+func (d *Dispatcher) Progressed(name ident.Group, at time.Time) {
+	if group := d.groups[name]; group != nil && at.After(group.progressAt) {
+		group.progressAt = at
+	}
+}
+
 // Ask asks for a server. The answer may come later, with any other call.
 func (d *Dispatcher) Ask(now time.Time, want Want) []Assignment {
 	switch want.Sending {
@@ -368,6 +387,9 @@
 		return answer, false
 	}
 	answer.Load = chosen.Load()
+	if group := d.groups[chosen.Group]; group != nil && group.open() == 0 {
+		group.progressAt = now
+	}
 	chosen.Open++
 	answer.Backend = chosen.ListedBackend
 	return answer, true
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -47,6 +48,8 @@
 	body       []byte
 
 	tried []string
+	// next is the server that takes over a silent stream.
+	next *control.Assignment
 	// runs is the number of servers that may have run the request.
 	runs int
 	// sends is the number of servers that got at least a part of the request.
@@ -222,7 +225,7 @@
 	defer cancel()
 	sending := control.SendingFirst
 	for {
-		assigned, ok := c.ask(ctx, sending)
+		assigned, ok := c.nextServer(ctx, sending)
 		if !ok || assigned.Cause != outcome.CauseNone {
 			c.endUnassigned(ctx, assigned)
 			return
@@ -250,6 +253,38 @@
 	}
 }
 
+// nextServer returns the server that takes over a silent stream, or asks for one.
+func (c *call) nextServer(ctx context.Context, sending control.Sending) (control.Assignment, bool) {
+	if c.next != nil {
+		assigned := *c.next
+		c.next = nil
+		return assigned, true
+	}
+	return c.ask(ctx, c.want(sending))
+}
+
+// askInstead asks for a server in place of one that is silent.
+func (c *call) askInstead(ctx context.Context) (control.Assignment, bool) {
+	want := c.want(control.SendingRepeat)
+	want.Tried = append(slices.Clone(c.tried), c.assigned.Backend.ID)
+	want.Arrived = time.Now()
+	want.Resumed, want.Instead = true, true
+	return c.ask(ctx, want)
+}
+
+// want returns what the call asks the control thread for.
+func (c *call) want(sending control.Sending) control.Want {
+	want := control.Want{
+		Request: c.key, Service: c.service, Route: c.route, Priority: c.priority(), Sending: sending,
+		Arrived: c.arrived, Deadline: c.deadline, Tried: c.tried, Resumed: c.started,
+		PromptTokens: c.gateway.headers.PromptTokens(c.r.Header),
+	}
+	if c.started {
+		want.Arrived = time.Now()
+	}
+	return want
+}
+
 // extraSends is how many servers may turn a request down before it is given up, beside those that may run it.
 const extraSends = 2
 
@@ -262,19 +297,12 @@
 }
 
 // ask asks the control thread for a server. It returns false if the call ended first.
-func (c *call) ask(ctx context.Context, sending control.Sending) (control.Assignment, bool) {
+func (c *call) ask(ctx context.Context, want control.Want) (control.Assignment, bool) {
 	g := c.gateway
-	want := control.Want{
-		Request: c.key, Service: c.service, Route: c.route, Priority: c.priority(), Sending: sending,
-		Arrived: c.arrived, Deadline: c.deadline, Tried: c.tried, Resumed: c.started,
-		PromptTokens: g.headers.PromptTokens(c.r.Header),
-	}
-	if c.started {
-		want.Arrived = time.Now()
-	}
 	answers := make(chan control.Assignment, 1)
 	g.post(func(now time.Time) {
 		g.pending[c.key] = answers
+		g.noteProgress()
 		g.deliver(g.dispatcher.Ask(now, want))
 	})
 	timer := time.NewTimer(time.Until(want.WaitEnd()))
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -144,11 +145,34 @@
 	return netip.AddrPortFrom(ip, uint16(port)), err == nil
 }
 
+// progressed records that a group sent an event.
+func (g *Gateway) progressed(group ident.Group, now time.Time) {
+	if group == "" {
+		return
+	}
+	last, ok := g.progress.Load(group)
+	if !ok {
+		last, _ = g.progress.LoadOrStore(group, &atomic.Pointer[time.Time]{})
+	}
+	last.(*atomic.Pointer[time.Time]).Store(&now)
+}
+
+// noteProgress hands the groups' progress to the dispatcher.
+func (g *Gateway) noteProgress() {
+	g.progress.Range(func(group, last any) bool {
+		if at := last.(*atomic.Pointer[time.Time]).Load(); at != nil {
+			g.dispatcher.Progressed(group.(ident.Group), *at)
+		}
+		return true
+	})
+}
+
 // tick lets time pass on the control thread.
 func (g *Gateway) tick(now time.Time) {
 	if g.listing.Expire(now) {
 		g.applyListing(now)
 	}
+	g.noteProgress()
 	g.deliver(g.dispatcher.Tick(now))
 	g.upstreams.sweep(now)
 	for _, wanted := range g.leaders.due(now) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,8 @@
 	nextCall  atomic.Uint64
 	openCalls atomic.Int64
 	listed    atomic.Bool
+	// progress holds when each group last sent an event to one of this entry's streams.
+	progress sync.Map
 
 	// What follows belongs to the control thread.
 	dispatcher *control.Dispatcher
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -35,6 +35,10 @@
 		verdict.result = routing.SendAbandoned
 	}
 	c.gateway.ended(assigned.Backend.ID, verdict.result, latency)
+	if c.next != nil && (verdict.done || ctx.Err() != nil) {
+		c.gateway.ended(c.next.Backend.ID, routing.SendAbandoned, 0)
+		c.next = nil
+	}
 	return verdict
 }
 
@@ -48,6 +52,8 @@
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
+	watchdog := c.watchSilence(ctx, conn)
+	defer func() { c.next = watchdog.stop() }()
 	response, foreign, err := c.receive(conn)
 	if err != nil {
 		conn.Close()
@@ -57,7 +63,7 @@
 		// Bytes that belong to no request came by this connection: it is not used again.
 		response.Close = true
 	}
-	return c.judge(ctx, conn, response)
+	return c.judge(ctx, conn, response, watchdog)
 }
 
 // transmit opens a connection and sends the request. Requests that must not run twice go over new connections, as
@@ -144,7 +150,7 @@
 }
 
 // judge passes an answer on or decides that another server is to be asked.
-func (c *call) judge(ctx context.Context, conn *upstreamConn, response *http.Response) verdict {
+func (c *call) judge(ctx context.Context, conn *upstreamConn, response *http.Response, watchdog *silenceWatchdog) verdict {
 	if c.notExecuted(response) {
 		return c.judgeRejection(conn, response)
 	}
@@ -155,7 +161,7 @@
 		conn.Close()
 		return verdict{result: routing.SendBroken}
 	case success && c.route.Kind == routing.EventStream:
-		return c.relay(ctx, conn, response)
+		return c.relay(ctx, conn, response, watchdog)
 	}
 	whole, err := c.readWhole(conn, response)
 	if err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,9 +17,9 @@
 const (
 	// maxEvent bounds one event of a stream.
 	maxEvent = 1 << 20
-	// streamSilence is the silence in a stream after which its connection counts as lost: callers give up
-	// after a gap of two seconds, and a group that lost a rank stands still for 1.5 s.
-	streamSilence = 1700 * time.Millisecond
+	// streamSilence is the silence of a stream after which another server is looked for. Groups that lost a rank or
+	// are held stand still for 1.5 s and more, and callers give up after a gap of two seconds.
+	streamSilence = 800 * time.Millisecond
 )
 
 // Faults of event streams.
@@ -89,13 +89,9 @@
 
 // relay passes the events of a stream on as they come. An interrupted stream that may be resumed goes on at
 // another server after the last whole event.
-func (c *call) relay(ctx context.Context, conn *upstreamConn, response *http.Response) verdict {
+func (c *call) relay(ctx context.Context, conn *upstreamConn, response *http.Response, watchdog *silenceWatchdog) verdict {
 	events := newEventSplitter(response.Body)
 	for {
-		if err := conn.SetReadDeadline(time.Now().Add(streamSilence)); err != nil {
-			conn.Close()
-			return c.interrupted(ctx)
-		}
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return c.endStream(conn, response)
@@ -104,6 +100,7 @@
 			conn.Close()
 			return c.interrupted(ctx)
 		}
+		watchdog.event()
 		if !c.passEvent(response, event, events.more()) {
 			conn.Close()
 			c.result = outcome.InDoubt(outcome.CauseCallerGone, "")
@@ -125,9 +122,6 @@
 }
 
 func (c *call) endStream(conn *upstreamConn, response *http.Response) verdict {
-	if err := conn.SetReadDeadline(time.Time{}); err != nil {
-		response.Close = true
-	}
 	c.startStream(response)
 	c.result = outcome.Outcome{Kind: outcome.Served}
 	c.gateway.upstreams.put(conn, response)
@@ -170,7 +164,9 @@
 		}
 	}
 	c.startStream(response)
-	c.noteGap(time.Now())
+	now := time.Now()
+	c.noteGap(now)
+	c.gateway.progressed(c.assigned.Backend.Group, now)
 	c.allowWrite()
 	if _, err := c.w.Write(event.bytes); err != nil {
 		return false
