Let requests wait out an outage of all groups, and advise later returns

Cause: callers come back once only; sent away for 0.25 s while groups formed again (power loss, lost rank), they met the same outage. While no listed group runs requests a request may wait an eighth of its time, and the advice is 1.5 s.

--- a/internal/admission/passgate.go
+++ b/internal/admission/passgate.go
@@ -14,10 +14,10 @@
 	// reportLife is the age at which a group's report says nothing about its load any more: five
 	// report intervals of 200 ms.
 	reportLife = time.Second
-	// leastRetryAfter and mostRetryAfter bound the advice to refused callers. Below 100 ms the caller
-	// comes back before a stream of 1 to 2 s has ended; above 2 s it has lost interest (a quarter of
-	// the usual deadline of 8 s).
-	leastRetryAfter = 100 * time.Millisecond
+	// leastRetryAfter and mostRetryAfter bound the advice to refused callers, who come back once. Below 0.7 s
+	// they come before the map fits a new demand (0.5 to 0.7 s after a jump) or streams of 1 to 2 s have ended;
+	// above 2 s they have lost interest (a quarter of the usual deadline of 8 s).
+	leastRetryAfter = 700 * time.Millisecond
 	mostRetryAfter  = 2 * time.Second
 )
 
--- a/internal/control/dispatch_ranks.go
+++ b/internal/control/dispatch_ranks.go
@@ -34,7 +34,12 @@
 	}
 	var best rankChoice
 	retry := time.Duration(0)
+	answer.Outage = true
 	for _, name := range slices.Sorted(maps.Keys(byGroup)) {
+		if d.out(now, name, byGroup[name], want) {
+			continue
+		}
+		answer.Outage = false
 		choice, wait := d.rankChoice(now, gate, name, byGroup[name], want)
 		if choice.rank != nil && (best.rank == nil || choice.first < best.first) {
 			best = choice
@@ -52,15 +57,19 @@
 	return best.rank
 }
 
+// out reports whether a group does not run requests at the moment.
+func (d *Dispatcher) out(now time.Time, name ident.Group, servers []*routing.Server, want *Want) bool {
+	group := d.groups[name]
+	if group == nil {
+		return false
+	}
+	open := slices.ContainsFunc(servers, func(server *routing.Server) bool { return server.GroupOpen })
+	return !open || now.Before(group.pausedUntil) || group.stalled(now) || want.Instead && d.triedGroup(want, group)
+}
+
 // rankChoice returns the group's best rank if the group has room, else the time to wait for some.
 func (d *Dispatcher) rankChoice(now time.Time, gate admission.PassGate, name ident.Group, servers []*routing.Server, want *Want) (rankChoice, time.Duration) {
 	group := d.groups[name]
-	if group != nil && now.Before(group.pausedUntil) {
-		return rankChoice{}, group.pausedUntil.Sub(now)
-	}
-	if group != nil && (group.stalled(now) || want.Instead && d.triedGroup(want, group)) {
-		return rankChoice{}, stallAfter
-	}
 	choice := rankChoice{age: -1}
 	pace := admission.GroupPace{}
 	if group != nil && group.pace.Fresh(now) {
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -18,9 +18,17 @@
 	// waitShare is the part of a route's target that a request may wait for room before it is refused.
 	// A stream takes about a tenth of its target to begin; the rest is for the way back.
 	waitShare = 0.3
+	// outageShare is the part of its time that a request may wait while no group runs requests: 1 s of 8.
+	outageShare = 0.125
+	// outageRetry is the advice in such a time: a group needs its lost rank back, and 0.6 s to form.
+	outageRetry = 1500 * time.Millisecond
 	// resumeWait is how long an interrupted stream may wait for another server: its caller leaves after
 	// a gap of two seconds, of which a lost rank's silence takes more than one.
 	resumeWait = 400 * time.Millisecond
+	// groupPause is how long a group that can't run requests is first left alone, maxGroupPause at most: groups form
+	// again 0.6 s after a lost rank is back.
+	groupPause    = 250 * time.Millisecond
+	maxGroupPause = time.Second
 	// stallAfter is the silence of a group's streams after which new requests go elsewhere: some three passes of a
 	// group that is at its limit. A group that lost a rank or is held stands still for longer.
 	stallAfter = 400 * time.Millisecond
@@ -79,6 +87,8 @@
 	PromptTokens int
 	// RetryAfter is the advice that goes with a refusal.
 	RetryAfter time.Duration
+	// Outage is true for a refusal because no server runs requests at the moment, though some are listed.
+	Outage bool
 	// Waited is the time from arrival to the decision.
 	Waited time.Duration
 	// Load is the load of the chosen server, Writers that of its group; Pass is the predicted pass.
@@ -116,6 +126,7 @@
 	// openAtReport is the number of this entry's open requests at the report.
 	openAtReport int
 	pausedUntil  time.Time
+	pauses       int
 	ranks        []*routing.Server
 	// progressAt is when the group last sent an event, or got a request while it had none.
 	progressAt time.Time
@@ -258,6 +269,17 @@
 	}
 }
 
+// record leaves a group alone that says that it can't run requests, longer with each time.
+func (g *groupState) record(now time.Time, result routing.SendResult) {
+	switch {
+	case result == routing.SendServed:
+		g.pauses = 0
+	case result == routing.SendGroupBroken && !now.Before(g.pausedUntil):
+		g.pausedUntil = now.Add(min(groupPause<<min(g.pauses, 4), maxGroupPause))
+		g.pauses++
+	}
+}
+
 // Ask asks for a server. The answer may come later, with any other call.
 func (d *Dispatcher) Ask(now time.Time, want Want) []Assignment {
 	switch want.Sending {
@@ -272,28 +294,49 @@
 	switch {
 	case ok:
 		return []Assignment{assigned}
-	case assigned.Cause != outcome.CauseBackendsFull || len(d.waiting) >= maxWaiting || !d.mayWait(now, &want):
+	case want.Instead || len(d.waiting) >= maxWaiting || !d.mayWait(now, &want, &assigned):
 		return []Assignment{assigned}
 	}
 	d.enqueue(want)
 	return nil
 }
 
-// mayWait reports whether a request has time left to wait for room.
-func (d *Dispatcher) mayWait(now time.Time, want *Want) bool {
-	return now.Before(want.WaitEnd())
+// mayWait reports whether a request that got no server may wait for one.
+func (d *Dispatcher) mayWait(now time.Time, want *Want, answer *Assignment) bool {
+	switch {
+	case answer.Outage:
+		return now.Before(want.OutageEnd())
+	case answer.Cause == outcome.CauseBackendsFull:
+		return now.Before(want.WaitEnd())
+	}
+	return false
 }
 
-// WaitEnd returns until when the request may wait for room.
+// WaitEnd returns until when the request may wait for room. The wait is short: under overload a long
+// queue would make all streams late that a short one serves in time.
 func (want *Want) WaitEnd() time.Time {
 	end := want.Arrived.Add(time.Duration(waitShare * float64(want.Route.Target)))
 	if want.Resumed {
 		end = want.Arrived.Add(resumeWait)
 	}
-	if end.After(want.Deadline) {
-		end = want.Deadline
+	return earlier(end, want.Deadline)
+}
+
+// OutageEnd returns until when the request may wait while no server runs requests. Groups form again within a
+// second or two, and callers that are sent away come back once only.
+func (want *Want) OutageEnd() time.Time {
+	end := want.Arrived.Add(time.Duration(outageShare * float64(want.Deadline.Sub(want.Arrived))))
+	if short := want.WaitEnd(); end.Before(short) {
+		return short
+	}
+	return earlier(end, want.Deadline)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
-	return end
+	return a
 }
 
 // enqueue keeps the queue in the order in which requests are served: streams that were interrupted,
@@ -329,8 +372,8 @@
 	}
 	server.Open = max(server.Open-1, 0)
 	server.Record(now, result, latency)
-	if group := d.groups[server.Group]; group != nil && result == routing.SendGroupBroken {
-		group.pausedUntil = now.Add(routing.GroupPause())
+	if group := d.groups[server.Group]; group != nil {
+		group.record(now, result)
 	}
 	return d.serveWaiting(now)
 }
@@ -354,7 +397,7 @@
 	for i := range d.waiting {
 		want := d.waiting[i]
 		answer, ok := d.assign(now, &want)
-		if ok || answer.Cause != outcome.CauseBackendsFull || !d.mayWait(now, &want) {
+		if ok || !d.mayWait(now, &want, &answer) {
 			assigned = append(assigned, answer)
 			continue
 		}
@@ -382,7 +425,11 @@
 	} else {
 		chosen = d.pickPlain(now, candidates, &answer)
 	}
-	if chosen == nil {
+	switch {
+	case chosen == nil && answer.Outage:
+		answer.Cause, answer.RetryAfter = outcome.CauseNoBackend, outageRetry
+		return answer, false
+	case chosen == nil:
 		answer.Cause = outcome.CauseBackendsFull
 		return answer, false
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -305,13 +305,18 @@
 		g.noteProgress()
 		g.deliver(g.dispatcher.Ask(now, want))
 	})
-	timer := time.NewTimer(time.Until(want.WaitEnd()))
-	defer timer.Stop()
-	select {
-	case assigned := <-answers:
-		return assigned, true
-	case <-ctx.Done():
-	case <-timer.C:
+	for _, end := range []time.Time{want.WaitEnd(), want.OutageEnd()} {
+		timer := time.NewTimer(time.Until(end))
+		select {
+		case assigned := <-answers:
+			timer.Stop()
+			return assigned, true
+		case <-ctx.Done():
+			timer.Stop()
+			return c.leaveQueue(ctx, answers)
+		case <-timer.C:
+			g.post(func(now time.Time) { g.deliver(g.dispatcher.Tick(now)) })
+		}
 	}
 	return c.leaveQueue(ctx, answers)
 }
--- a/internal/routing/spread.go
+++ b/internal/routing/spread.go
@@ -68,9 +68,6 @@
 	brokenPause = 500 * time.Millisecond
 	// rejectPause is about the time in which one of a dozen streams of 1 to 2 s ends.
 	rejectPause = 80 * time.Millisecond
-	// groupPause is how long a group that can't run requests is left alone: groups form again in
-	// some hundred milliseconds after a lost rank is back.
-	groupPause = 250 * time.Millisecond
 	// latencyWeight is the weight of the newest answer in a server's mean latency.
 	latencyWeight = 0.3
 	// latencyLife is the age at which a server's latency is forgotten, so that one that was slow gets
@@ -194,6 +191,3 @@
 	ahead := s.Unread(now, rate) + float64(tokens)
 	return time.Duration(ahead / rate * (1 + s.failures) * float64(time.Second))
 }
-
-// GroupPause returns how long a group that can't run requests is left alone.
-func GroupPause() time.Duration { return groupPause }
