--- /dev/null
+++ b/internal/expert/copyplan_test.go
@@ -0,0 +1,160 @@
+package expert
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// startPlacement assigns experts in turn, as groups start.
+func startPlacement(layers, ranks, experts int) LayerPlacements {
+	placement := make(LayerPlacements, layers)
+	for layer := range placement {
+		placement[layer] = make([][]Expert, ranks)
+		for expert := range experts {
+			placement[layer][expert%ranks] = append(placement[layer][expert%ranks], Expert(expert))
+		}
+	}
+	return placement
+}
+
+// peakedLoad draws a demand in which the top two experts of a layer have about a third of the choices, as counted on
+// the users' deployments.
+func peakedLoad(random *rand.Rand, layers, experts int) Load {
+	load := NewLoad(layers, experts)
+	for layer := range load {
+		for place, expert := range random.Perm(experts) {
+			load[layer][expert] = 1000 / math.Pow(float64(place+1), 1.1) * (0.8 + 0.4*random.Float64())
+		}
+	}
+	return load
+}
+
+// A plan is a valid map within its limits that is no worse than what it replaces.
+func TestCopyPlansKeepToTheirLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		shape := rapid.SampledFrom([][4]int{{6, 8, 64, 11}, {12, 32, 128, 5}, {2, 4, 8, 2}, {3, 2, 4, 4}}).Draw(t, "shape")
+		layers, ranks, experts, slots := shape[0], shape[1], shape[2], shape[3]
+		limits := CopyLimits{Slots: slots, PerRank: rapid.IntRange(0, 6).Draw(t, "per rank"), PerLayer: rapid.IntRange(1, 4).Draw(t, "per layer")}
+		current := startPlacement(layers, ranks, experts)
+		for range 4 {
+			load := peakedLoad(random, layers, experts)
+			plan := PlanCopies(current, load, limits)
+			if plan.After > plan.Before+1e-9 {
+				t.Fatalf("skew %f became %f", plan.Before, plan.After)
+			}
+			checkCopyPlan(t, current, plan, limits, experts)
+			current = plan.Placement
+		}
+	})
+}
+
+func checkCopyPlan(t *rapid.T, current LayerPlacements, plan CopyPlan, limits CopyLimits, experts int) {
+	loaded := make([]int, len(current[0]))
+	for layer, ranks := range plan.Placement {
+		hosted := make([]bool, experts)
+		for rank, held := range ranks {
+			if len(held) > limits.Slots || !slices.IsSorted(held) || len(slices.Compact(slices.Clone(held))) != len(held) {
+				t.Fatalf("layer %d, rank %d holds %v", layer, rank, held)
+			}
+			added := 0
+			for _, expert := range held {
+				hosted[expert] = true
+				if !slices.Contains(current[layer][rank], expert) {
+					added++
+				}
+			}
+			if added > limits.PerLayer {
+				t.Fatalf("layer %d, rank %d loads %d experts", layer, rank, added)
+			}
+			loaded[rank] += added
+		}
+		if slices.Contains(hosted, false) {
+			t.Fatalf("layer %d lacks an expert", layer)
+		}
+	}
+	if most := slices.Max(loaded); most > limits.PerRank {
+		t.Fatalf("a rank loads %d experts, %d allowed", most, limits.PerRank)
+	}
+}
+
+// Replays jumps in demand: two copies a rank bring the most loaded rank near the mean, and three more refine that.
+func TestReplayJumpsInDemand(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(3, 4))
+	current := startPlacement(6, 8, 64)
+	first, second, before := 0.0, 0.0, 0.0
+	const jumps = 20
+	for range jumps {
+		load := peakedLoad(random, 6, 64)
+		rough := PlanCopies(current, load, CopyLimits{Slots: 11, PerRank: 2, PerLayer: 4})
+		refined := PlanCopies(rough.Placement, load, CopyLimits{Slots: 11, PerRank: 3, PerLayer: 4})
+		before += rough.Before / jumps
+		first += rough.After / jumps
+		second += refined.After / jumps
+		current = refined.Placement
+	}
+	c.Logf("mean skew after a jump %.2f, with the first map %.2f, refined %.2f", before, first, second)
+	c.Assert(before > 1.8, qt.IsTrue)
+	c.Assert(first < 1.5, qt.IsTrue)
+	c.Assert(second < 1.25, qt.IsTrue)
+}
+
+func choices(load Load, scale float64) ChoiceCounts {
+	var counts ChoiceCounts
+	for _, layer := range load {
+		tokens := make([]uint64, len(layer))
+		for expert, n := range layer {
+			tokens[expert] = uint64(n * scale)
+		}
+		counts.Layers = append(counts.Layers, ScaleCounts(tokens))
+	}
+	return counts
+}
+
+// Demand that stays is averaged; a jump is seen with the first bucket that shows it, and nothing before it counts.
+func TestDemandForgetsOnAJump(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(5, 6))
+	before, after := peakedLoad(random, 6, 64), peakedLoad(random, 6, 64)
+	demand := NewDemand(6, 64)
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for i := range 10 {
+		demand.Add(at.Add(time.Duration(i)*60*time.Millisecond), choices(before, 1))
+	}
+	jumps, _ := demand.Jumps()
+	c.Assert(jumps, qt.Equals, 0)
+	_, buckets := demand.Estimate()
+	c.Assert(buckets >= 4, qt.IsTrue)
+	for i := 10; i < 14; i++ {
+		demand.Add(at.Add(time.Duration(i)*60*time.Millisecond), choices(after, 1))
+	}
+	// The bucket that holds counts of before and after may look like a jump of its own.
+	jumps, _ = demand.Jumps()
+	c.Assert(jumps == 1 || jumps == 2, qt.IsTrue, qt.Commentf("%d jumps", jumps))
+	estimate, _ := demand.Estimate()
+	for layer := range estimate {
+		c.Assert(cosine(estimate[layer], after[layer]) > 0.98, qt.IsTrue, qt.Commentf("layer %d", layer))
+	}
+	c.Assert(demand.Add(at, ChoiceCounts{}), qt.IsFalse, qt.Commentf("counts of another shape are ignored"))
+}
+
+func BenchmarkPlanCopies(b *testing.B) {
+	for _, shape := range [][4]int{{6, 8, 64, 11}, {12, 32, 128, 5}} {
+		b.Run(fmt.Sprint(shape), func(b *testing.B) {
+			random := rand.New(rand.NewPCG(7, 8))
+			current := startPlacement(shape[0], shape[1], shape[2])
+			load := peakedLoad(random, shape[0], shape[2])
+			for b.Loop() {
+				PlanCopies(current, load, CopyLimits{Slots: shape[3], PerRank: 2, PerLayer: 4})
+			}
+		})
+	}
+}
