--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -414,7 +414,8 @@
 		fields["route"], fields["service"], fields["customer"] = c.route.Name, c.service, c.access.Customer
 	}
 	if a := c.assigned; a.Request != 0 {
-		fields["backend"], fields["waited_ms"], fields["load"] = a.Backend.ID, a.Waited.Milliseconds(), a.Load
+		fields["backend"], fields["address"] = a.Backend.ID, a.Backend.Address
+		fields["waited_ms"], fields["load"] = a.Waited.Milliseconds(), a.Load
 		fields["last_result"] = c.last
 		if a.PaceAge >= 0 {
 			fields["prompt"], fields["predicted_first_ms"] = a.PromptTokens, a.FirstEvent.Milliseconds()
