--- a/internal/expert/lockstep_world_test.go
+++ b/internal/expert/lockstep_world_test.go
@@ -160,6 +160,8 @@
 	w.after(time.Duration(w.random.Int64N(int64(3*time.Second))), func() { w.start(rank) })
 }
 
+// freezeOne lets a VM stand still: its agent does nothing, and what is sent to its engine is carried out when it wakes.
+// The engine goes on with passes.
 func (w *lockstepWorld) freezeOne() {
 	w.agents[w.random.IntN(len(w.agents))].asleepUntil = w.now.Add(time.Duration(w.random.Int64N(int64(4 * time.Second))))
 }
@@ -299,6 +301,9 @@
 func (w *lockstepWorld) lost() bool { return w.random.Float64() < w.faults.loss }
 
 func (w *lockstepWorld) poll(rank int) {
+	if w.now.Before(w.agents[rank].asleepUntil) || w.agents[rank].leader == nil {
+		return
+	}
 	status := w.status(rank)
 	for other := range w.agents {
 		if other != rank && w.lost() {
@@ -340,6 +345,9 @@
 				}
 			}
 		case ReadRank:
+			if w.now.Before(w.agents[action.Rank].asleepUntil) {
+				continue
+			}
 			status := w.status(int(action.Rank))
 			w.deliver(rank, func(agent *lockstepAgent) { w.perform(rank, agent.leader.Status(w.now, status)) })
 		case MapInForce:
@@ -372,6 +380,14 @@
 // give carries an order out, or leaves it unanswered and carries it out 2 to 12 s later.
 func (w *lockstepWorld) give(rank int, action SendLockstepOrder, answer func(LockstepReply)) {
 	reply := LockstepReply{Rank: action.Rank, Sequence: action.Sequence, HasStatus: true}
+	if until := w.agents[rank].asleepUntil; w.now.Before(until) {
+		w.after(until.Sub(w.now), func() { w.engines[rank].accept(w, rank, action.Order) })
+		w.after(40*time.Millisecond, func() {
+			reply.Result, reply.HasStatus = LockstepUnanswered, false
+			answer(reply)
+		})
+		return
+	}
 	if w.random.Float64() < w.faults.late {
 		late := 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
 		w.after(late, func() { w.engines[rank].accept(w, rank, action.Order) })
