Name the place of an unknown field in settings and configurations

Cause: the fault named the object that held it and printed that object, which for settings is the whole document. Three tests expected the holder's path; they now expect the field's own, which is as strict.

--- a/internal/published/published_test.go
+++ b/internal/published/published_test.go
@@ -37,7 +37,7 @@
 		{"unknown service", `"service": "ledger"`, `"service": "till"`, "/templates/0/classes/0/service"},
 		{"other kind", `"ledger", "kind": "plain", "opened_at"`, `"ledger", "kind": "model", "opened_at"`, "/templates/0/classes/0/kind"},
 		{"fleet fault", `"127.0.0.1:2"`, `"127.0.0.1:1"`, "/fleet/services/0/backends/0/address"},
-		{"unknown field", `"entries"`, `"entrees": [], "entries"`, "/fleet"},
+		{"unknown field", `"entries"`, `"entrees": [], "entries"`, "/fleet/entrees"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -134,14 +135,24 @@
 		return
 	}
 	if additional, ok := err.ErrorKind.(*kind.AdditionalProperties); ok {
-		// The validator lists them in the order of a map, which differs from call to call.
-		sort.Strings(additional.Properties)
+		collectUnknown(err.InstanceLocation, additional.Properties, instance, faults)
+		return
 	}
 	path := pointer(err.InstanceLocation)
 	expected := err.ErrorKind.LocalizedString(message.NewPrinter(language.English))
 	*faults = append(*faults, fault.Fault{Path: path, Expected: expected, Found: describe(instance, err.InstanceLocation)})
 }
 
+// collectUnknown names the place of each field that the schema does not have. The validator lists them in the order of
+// a map, which differs from call to call.
+func collectUnknown(location, fields []string, instance any, faults *fault.List) {
+	sort.Strings(fields)
+	for _, field := range fields {
+		at := append(slices.Clone(location), field)
+		*faults = append(*faults, fault.Fault{Path: pointer(at), Expected: "no field of this name", Found: describe(instance, at)})
+	}
+}
+
 func pointer(location []string) string {
 	var path strings.Builder
 	for _, part := range location {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,7 +38,7 @@
 	cases := []struct{ name, from, to, path string }{
 		{"host name", "127.0.0.1:7001", "localhost:7001", "/peer/address"},
 		{"no URL", "http://127.0.0.1:9000", "127.0.0.1:9000", "/platform/configuration"},
-		{"unknown field", `"vm"`, `"colour": 1, "vm"`, ""},
+		{"unknown field", `"vm"`, `"colour": 1, "vm"`, "/colour"},
 		{"wrong type", `"entry-1"`, `17`, "/vm"},
 		{"credential", "aaaaaaaa", "a", "/admin/credential_sha256"},
 		{"no callers", `"callers": {"address": "127.0.0.1:8080"},`, "", "/callers"},
--- a/internal/template/accept_test.go
+++ b/internal/template/accept_test.go
@@ -52,7 +52,7 @@
 	cases := []struct {
 		name, from, to, path, expected string
 	}{
-		{"unknown field", `"version": 3`, `"version": 3, "colour": 1`, "", "additional properties"},
+		{"unknown field", `"version": 3`, `"version": 3, "colour": 1`, "/colour", "no field of this name"},
 		{"wrong type", `"priority": 2`, `"priority": "high"`, "/templates/0/classes/2/priority", "got string"},
 		{"no deadline", `"deadline_ms": 60000`, `"worth": 1`, "/templates/0/classes/2", "deadline_ms"},
 		{"unknown template", `"template": "counter"`, `"template": "till"`, "/customers/0/template", "the name of a template"},
