--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net"
 	"slices"
 	"strings"
 	"time"
@@ -206,8 +205,8 @@
 // Route returns the route of the host, which may carry a port, with the longest prefix
 // that begins the path; nil if there is none.
 func (t *Table) Route(host, path string) *Route {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
 	}
 	for _, route := range t.routes[strings.ToLower(host)] {
 		if strings.HasPrefix(path, route.Prefix) {
