Let agents poll lists that may be old

Cause: each change of the store woke every agent's watch, though agents only need their group's addresses.

--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -52,10 +53,11 @@
 	// orderTimeout is how long an order may stay unanswered before it is given again. Engines answer in a few
 	// milliseconds, and the whole group may be held meanwhile.
 	orderTimeout = 40 * time.Millisecond
-	// storeWait is how long a watch waits for changes of the list of backend servers.
-	storeWait = 10 * time.Second
-	// storeSettle is the pause after changes of the list, which an agent need not know at once.
-	storeSettle = 800 * time.Millisecond
+	// listInterval is how often the list of backend servers is read: an agent needs it for the addresses of its group,
+	// which change when a VM is replaced.
+	listInterval = 4 * time.Second
+	// firstListInterval is the pace until all ranks of the group are listed.
+	firstListInterval = 500 * time.Millisecond
 	// queueLength is the number of events that may wait for the control thread.
 	queueLength = 1024
 )
@@ -94,6 +96,8 @@
 	leaderRank ident.Rank
 	group      *groupView
 	storeDown  bool
+	// groupListed is true once all ranks of the group are listed.
+	groupListed atomic.Bool
 }
 
 // New returns an agent.
@@ -119,8 +123,8 @@
 	go socket.Receive(ctx, func(received datagram.Received) {
 		a.post(func(now time.Time) { a.received(ctx, now, received) })
 	})
-	follower := &source.Follower{Store: a.config.Store, Handler: a, Wait: storeWait, Settle: storeSettle, Now: monotonicTime}
-	go follower.Run(ctx)
+	follower := &source.Follower{Store: a.config.Store, Handler: a, Now: monotonicTime}
+	go follower.Poll(ctx, a.listPause)
 	go a.poll(ctx)
 	a.log.WithFields(logrus.Fields{"backend": a.config.Settings.BackendAddress, "peers": socket.Address()}).Info("process-started")
 	timer := time.NewTimer(leaderTick)
@@ -182,22 +186,15 @@
 	})
 }
 
-// Changed takes changes of the list.
-func (a *Agent) Changed(changes source.Changes) {
-	a.post(func(now time.Time) {
-		a.storeAnswered(now)
-		a.configure(changes.Table)
-		changed := false
-		for _, backend := range changes.Put {
-			changed = a.listing.Put(backend) || changed
-		}
-		for _, id := range changes.Removed {
-			changed = a.listing.Remove(now, id) || changed
-		}
-		if changed {
-			a.listed()
-		}
-	})
+// Changed is never called: an agent polls.
+func (a *Agent) Changed(source.Changes) {}
+
+// listPause returns the pause until the list is read again.
+func (a *Agent) listPause() time.Duration {
+	if a.groupListed.Load() {
+		return listInterval
+	}
+	return firstListInterval
 }
 
 // Proven is of no use to an agent: it holds no credentials.
@@ -244,6 +241,7 @@
 			a.ranks[backend.Rank] = backend
 		}
 	}
+	a.groupListed.Store(a.self.GroupSize > 0 && len(a.ranks) == a.self.GroupSize)
 	a.log.WithFields(logrus.Fields{"group": a.self.Group, "rank": a.self.Rank, "ranks": len(a.ranks)}).Info("backends-listed")
 }
 
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -41,6 +41,8 @@
 type Store interface {
 	// Read returns the whole state, which is current as of the call.
 	Read(ctx context.Context) (State, error)
+	// List returns the backend servers only, without a table. The state may be some seconds old.
+	List(ctx context.Context) (State, error)
 	// Watch returns the changes after a revision as soon as there are some, or none after the wait.
 	// The error is ErrHistoryLost if the changes are no longer known.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
@@ -201,6 +203,34 @@
 	}
 }
 
+// Poll reads the configuration once and then the list of backend servers again and again, with a pause that the
+// function gives. It is for processes that need not know changes at once: a list that may be old costs the store little.
+func (f *Follower) Poll(ctx context.Context, pauseOf func() time.Duration) {
+	pause := firstPause
+	configured := false
+	for ctx.Err() == nil {
+		start := f.Now()
+		state, err := f.readOrList(ctx, configured)
+		if err != nil {
+			f.fail(ctx, err, f.silence(err, start), &pause)
+			continue
+		}
+		pause = firstPause
+		configured = configured || state.Table != nil
+		f.Handler.Replaced(state)
+		f.pause(ctx, pauseOf())
+	}
+}
+
+func (f *Follower) readOrList(ctx context.Context, list bool) (State, error) {
+	if !list {
+		return f.read(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return f.Store.List(ctx)
+}
+
 func (f *Follower) read(ctx context.Context) (State, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/routing"
 	"github.com/bramleyspool/bramleyspool/internal/source"
 )
 
@@ -40,7 +41,7 @@
 
 func (s *script) Read(context.Context) (source.State, error) {
 	call := s.next()
-	return source.State{Revision: call.changes.Revision}, call.err
+	return source.State{Revision: call.changes.Revision, Table: call.changes.Table}, call.err
 }
 
 func (s *script) Watch(context.Context, uint64, time.Duration) (source.Changes, error) {
@@ -53,13 +54,23 @@
 	proven   []time.Duration
 	silences []time.Duration
 	reads    int
+	// listed is the number of servers of each state.
+	listed []int
 }
 
-func (r *record) Replaced(source.State)                { r.reads++ }
+func (r *record) Replaced(state source.State) {
+	r.reads++
+	r.listed = append(r.listed, len(state.Backends))
+}
 func (r *record) Changed(source.Changes)               {}
 func (r *record) Proven(at time.Duration)              { r.proven = append(r.proven, at) }
 func (r *record) Failed(_ error, silent time.Duration) { r.silences = append(r.silences, silent) }
 
+func (s *script) List(context.Context) (source.State, error) {
+	call := s.next()
+	return source.State{Backends: call.changes.Put}, call.err
+}
+
 func (s *script) Revision(context.Context) (uint64, error) { return 0, errors.New("not asked") }
 
 func follow(calls ...scriptedCall) *record {
@@ -101,6 +112,8 @@
 	return source.State{Revision: 3}, nil
 }
 
+func (s *deafStore) List(context.Context) (source.State, error) { return source.State{}, nil }
+
 func (s *deafStore) Revision(context.Context) (uint64, error) { return 9, nil }
 
 func (s *deafStore) Watch(ctx context.Context, _ uint64, _ time.Duration) (source.Changes, error) {
@@ -195,3 +208,20 @@
 	c.Assert(got.silences, qt.DeepEquals, []time.Duration{2200 * ms, 0})
 	c.Assert(got.reads, qt.Equals, 1)
 }
+
+// A process that polls reads the configuration until there is one, and then lists servers only.
+func TestPollListsOnceTheConfigurationIsKnown(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	table := routing.NewTable(1, routing.CallerLimits{}, nil, nil, nil)
+	two := source.Changes{Put: []membership.ListedBackend{{ID: "a"}, {ID: "b"}}}
+	store := &script{done: cancel, calls: []scriptedCall{
+		{changes: source.Changes{Put: two.Put}}, {changes: source.Changes{Table: table}}, {err: errors.New("busy")}, {changes: two},
+	}}
+	handler := &record{}
+	follower := &source.Follower{Store: store, Handler: handler, Now: func() time.Duration { return store.now }}
+	follower.Poll(ctx, func() time.Duration { return 0 })
+	c.Assert(handler.listed, qt.DeepEquals, []int{0, 0, 2})
+	c.Assert(handler.silences, qt.DeepEquals, []time.Duration{0})
+}
