--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -204,17 +204,6 @@
 	group.ranks = append(group.ranks, server)
 }
 
-// Groups returns the names of all groups with the addresses of their ranks' servers.
-func (d *Dispatcher) Groups() map[ident.Group][]string {
-	groups := make(map[ident.Group][]string, len(d.groups))
-	for name, group := range d.groups {
-		for _, server := range group.ranks {
-			groups[name] = append(groups[name], server.Address)
-		}
-	}
-	return groups
-}
-
 // Report takes a leader's report of its group.
 func (d *Dispatcher) Report(now time.Time, report GroupReport) []Assignment {
 	group := d.groups[report.Group]
--- a/internal/expert/copyplan_test.go
+++ b/internal/expert/copyplan_test.go
@@ -129,7 +129,7 @@
 	for i := range 10 {
 		demand.Add(at.Add(time.Duration(i)*60*time.Millisecond), choices(before, 1))
 	}
-	jumps, _ := demand.Jumps()
+	jumps := demand.Jumps()
 	c.Assert(jumps, qt.Equals, 0)
 	_, buckets := demand.Estimate()
 	c.Assert(buckets >= 4, qt.IsTrue)
@@ -137,7 +137,7 @@
 		demand.Add(at.Add(time.Duration(i)*60*time.Millisecond), choices(after, 1))
 	}
 	// The bucket that holds counts of before and after may look like a jump of its own.
-	jumps, _ = demand.Jumps()
+	jumps = demand.Jumps()
 	c.Assert(jumps == 1 || jumps == 2, qt.IsTrue, qt.Commentf("%d jumps", jumps))
 	estimate, _ := demand.Estimate()
 	for layer := range estimate {
--- a/internal/expert/demand.go
+++ b/internal/expert/demand.go
@@ -35,7 +35,6 @@
 	// buckets is the number of buckets in the estimate since the last jump.
 	buckets int
 	jumps   int
-	jumpAt  time.Time
 }
 
 // NewDemand returns an estimate without counts.
@@ -72,7 +71,6 @@
 		keep = 0
 		d.buckets = 0
 		d.jumps++
-		d.jumpAt = now
 	}
 	for layer := range d.estimate {
 		for expert := range d.estimate[layer] {
@@ -119,7 +117,7 @@
 	return d.estimate, d.buckets
 }
 
-// Jumps returns how often demand has jumped and when it last did.
-func (d *Demand) Jumps() (int, time.Time) {
-	return d.jumps, d.jumpAt
+// Jumps returns how often demand has jumped.
+func (d *Demand) Jumps() int {
+	return d.jumps
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -52,8 +52,6 @@
 	next *control.Assignment
 	// runs is the number of servers that may have run the request.
 	runs int
-	// sends is the number of servers that got at least a part of the request.
-	sends int
 	// started is true once the answer's head was written.
 	started bool
 	lastID  string
@@ -299,7 +297,7 @@
 func (c *call) ask(ctx context.Context, want control.Want) (control.Assignment, bool) {
 	g := c.gateway
 	answers := make(chan control.Assignment, 1)
-	g.post(func(now time.Time) {
+	g.must(func(now time.Time) {
 		g.pending[c.key] = answers
 		g.noteProgress()
 		g.deliver(g.dispatcher.Ask(now, want))
@@ -324,7 +322,7 @@
 func (c *call) leaveQueue(ctx context.Context, answers chan control.Assignment) (control.Assignment, bool) {
 	g := c.gateway
 	left := make(chan struct{})
-	g.post(func(now time.Time) {
+	g.must(func(now time.Time) {
 		g.deliver(g.dispatcher.Tick(now))
 		g.dispatcher.Leave(c.key)
 		delete(g.pending, c.key)
@@ -352,7 +350,7 @@
 
 // ended tells the control thread how a request at a server ended.
 func (g *Gateway) ended(backend string, result routing.SendResult, latency time.Duration) {
-	g.post(func(now time.Time) {
+	g.must(func(now time.Time) {
 		g.deliver(g.dispatcher.Ended(now, backend, result, latency))
 	})
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -17,7 +18,12 @@
 	"github.com/bramleyspool/bramleyspool/internal/source"
 )
 
-// post hands an event to the control thread.
+// must hands an event to the control thread and waits for room: what it tells must not be lost.
+func (g *Gateway) must(event func(now time.Time)) {
+	g.loop.Post(context.Background(), event)
+}
+
+// post hands an event to the control thread, or leaves it out if the queue is full.
 func (g *Gateway) post(event func(now time.Time)) {
 	if !g.loop.Offer(event) {
 		g.metrics.count("control_queue_full")
@@ -28,7 +34,7 @@
 // Replaced takes the whole state of the store.
 func (g *Gateway) Replaced(state source.State) {
 	g.replaceTable(state.Table)
-	g.post(func(now time.Time) {
+	g.must(func(now time.Time) {
 		g.storeAnswered(now)
 		if state.Table != nil {
 			g.configure(state.Table)
@@ -40,7 +46,7 @@
 // Changed takes changes of the store.
 func (g *Gateway) Changed(changes source.Changes) {
 	g.replaceTable(changes.Table)
-	g.post(func(now time.Time) {
+	g.must(func(now time.Time) {
 		g.storeAnswered(now)
 		if changes.Table != nil {
 			g.configure(changes.Table)
@@ -59,7 +65,7 @@
 // Failed takes the error of a call on the store.
 func (g *Gateway) Failed(err error, silent time.Duration) {
 	g.metrics.count("store_failed")
-	g.post(func(now time.Time) {
+	g.must(func(now time.Time) {
 		g.listing.Failed(now, silent)
 		if !g.storeDown {
 			g.storeDown = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,7 +108,7 @@
 		dispatcher: control.NewDispatcher(config.Settings.Zone, rand.Uint64(), repeats),
 		listing:    membership.NewListing(),
 		pending:    map[uint64]chan control.Assignment{},
-		leaders:    newLeaderDirectory(config.Settings.PeerPort),
+		leaders:    newLeaderDirectory(),
 	}
 	g.upstreams = newUpstreams(g.metrics.connectionOpened)
 	g.loop = node.NewLoop(tickInterval, func(now time.Time, event func(time.Time)) { event(now) }, g.tick)
--- a/internal/gateway/leaders.go
+++ b/internal/gateway/leaders.go
@@ -18,7 +18,6 @@
 
 // leaderDirectory knows which agents to ask for the reports of which group.
 type leaderDirectory struct {
-	port   int
 	groups map[ident.Group]*groupLeader
 }
 
@@ -38,8 +37,8 @@
 	agent netip.AddrPort
 }
 
-func newLeaderDirectory(port int) *leaderDirectory {
-	return &leaderDirectory{port: port, groups: map[ident.Group]*groupLeader{}}
+func newLeaderDirectory() *leaderDirectory {
+	return &leaderDirectory{groups: map[ident.Group]*groupLeader{}}
 }
 
 func (d *leaderDirectory) setGroups(agents map[ident.Group][]netip.AddrPort) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -84,12 +84,10 @@
 		stop()
 		switch {
 		case err == nil:
-			c.sends++
 			c.runs++
 			return conn, 0
 		case !errors.Is(err, errNothingSent):
 			conn.end()
-			c.sends++
 			c.runs++
 			return nil, routing.SendBroken
 		}
--- a/internal/rankagent/lead.go
+++ b/internal/rankagent/lead.go
@@ -160,7 +160,7 @@
 		return
 	}
 	size := a.layers()
-	jumps, _ := view.demand.Jumps()
+	jumps := view.demand.Jumps()
 	limits := expert.CopyLimits{Slots: size.Slots, PerRank: laterCopies, PerLayer: size.NewPerLayer}
 	if jumps != view.jumps || buckets <= 1 {
 		limits.PerRank = firstCopies
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -22,9 +22,7 @@
 	BackendAddress string
 	// MemoryLimit is the size at which the process is killed, in bytes; 0 if none is known.
 	MemoryLimit int64
-	// MaxFiles is the number of descriptors that the process may have.
-	MaxFiles int
-	Bounds   DirectBounds
+	Bounds      DirectBounds
 }
 
 // DirectBounds are the bounds that the deployment's operators set.
