--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -200,6 +202,27 @@
 	w.c.Assert(backend.requests(), qt.HasLen, 1)
 }
 
+// A connection with a request that is given up is reset: bytes that a cut link or a frozen VM holds up are dropped with it, and
+// do not reach the server after the caller has left.
+func TestConnectionOfAnAbandonedRequestIsReset(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	ended := make(chan error, 1)
+	backend := newTestBackend(t, "a", func(conn net.Conn, _ sentRequest) bool {
+		begun <- struct{}{}
+		_, err := conn.Read(make([]byte, 1))
+		ended <- err
+		return false
+	})
+	w := newWorld(t, backend)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-begun
+		cancel()
+	}()
+	w.request(ctx, http.MethodGet, "/lookup/x", "")
+	w.c.Assert(errors.Is(<-ended, syscall.ECONNRESET), qt.IsTrue)
+}
+
 func eventsText(from, to int) string {
 	var text strings.Builder
 	for id := from; id <= to; id++ {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -50,13 +50,13 @@
 	if conn == nil {
 		return verdict{result: sent}
 	}
-	stop := context.AfterFunc(ctx, func() { conn.end() })
+	stop := context.AfterFunc(ctx, func() { conn.abandon() })
 	defer stop()
 	watchdog := c.watchSilence(ctx, conn)
 	defer func() { c.next = watchdog.stop() }()
 	response, foreign, err := c.receive(conn)
 	if err != nil {
-		conn.end()
+		conn.abandon()
 		return verdict{result: routing.SendBroken}
 	}
 	if foreign {
@@ -76,10 +76,10 @@
 			return nil, routing.SendNotConnected
 		}
 		if ctx.Err() != nil {
-			conn.end()
+			conn.abandon()
 			return nil, routing.SendAbandoned
 		}
-		stop := context.AfterFunc(ctx, func() { conn.end() })
+		stop := context.AfterFunc(ctx, func() { conn.abandon() })
 		err = conn.send(c.upstreamRequest(assigned))
 		stop()
 		switch {
@@ -87,11 +87,11 @@
 			c.runs++
 			return conn, 0
 		case !errors.Is(err, errNothingSent):
-			conn.end()
+			conn.abandon()
 			c.runs++
 			return nil, routing.SendBroken
 		}
-		conn.end()
+		conn.abandon()
 		if !conn.reused {
 			return nil, routing.SendNotConnected
 		}
@@ -156,7 +156,7 @@
 	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
 	switch {
 	case success && !signed:
-		conn.end()
+		conn.abandon()
 		return verdict{result: routing.SendBroken}
 	case success && c.route.Kind == routing.EventStream:
 		return c.relay(ctx, conn, response, watchdog)
@@ -204,7 +204,7 @@
 		err = errors.New("answer too large")
 	}
 	if err != nil {
-		conn.end()
+		conn.abandon()
 		return nil, err
 	}
 	c.gateway.upstreams.put(conn, response)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -97,12 +97,12 @@
 			return c.endStream(conn, response)
 		}
 		if err != nil {
-			conn.end()
+			conn.abandon()
 			return c.interrupted(ctx)
 		}
 		watchdog.event()
 		if !c.passEvent(response, event, events.more()) {
-			conn.end()
+			conn.abandon()
 			c.result = outcome.InDoubt(outcome.CauseCallerGone, "")
 			return verdict{result: routing.SendAbandoned, done: true}
 		}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -53,6 +53,16 @@
 // end closes the connection. An error of that is of no use: nothing more is expected of the connection.
 func (c *upstreamConn) end() { _ = c.Conn.Close() }
 
+// abandon resets the connection, which has a request in progress. Bytes that are held up on the way are dropped with it: a
+// request must not reach a server after its caller has left.
+func (c *upstreamConn) abandon() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// Without effect on a connection that has ended already.
+		_ = tcp.SetLinger(0)
+	}
+	c.end()
+}
+
 // upstreams are the idle connections to all backend servers.
 type upstreams struct {
 	mu   sync.Mutex
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -63,7 +63,7 @@
 	}
 	w.next = &assigned
 	w.ended = true
-	w.conn.end()
+	w.conn.abandon()
 }
 
 // stop ends the watchdog and returns the server that takes over; nil if none does.
