Let answers to a claim go before reports under way, and disarm all ranks

Cause: a report of a rank's state that arrived after the rank's answer to a claim, but was older, hid its arm from the new leader, who then released the group: the rank would switch alone. Before: TestStaleReportDoesNotHideAnArm failed.

--- a/internal/expert/lockstep_leader.go
+++ b/internal/expert/lockstep_leader.go
@@ -126,11 +126,23 @@
 // Status takes the state of a rank as its agent reports it, and the group's epoch with it.
 func (l *LockstepLeader) Status(now time.Time, status RankStatus) []LockstepAction {
 	l.actions = nil
-	l.take(now, status)
+	if !l.claimed(status.Rank) || status.Epoch > l.epoch {
+		l.take(now, status)
+	}
 	l.observe(now)
 	return l.actions
 }
 
+// claimed reports whether a rank has answered the claim in progress. What it answered was read after its engine had
+// accepted the claim; a report may have been under way since before, and be wrong about what is armed and held.
+func (l *LockstepLeader) claimed(rank ident.Rank) bool {
+	if l.state != lockstepClaiming || int(rank) < 0 || int(rank) >= l.size {
+		return false
+	}
+	task := l.ranks[rank].task
+	return task != nil && task.done
+}
+
 func (l *LockstepLeader) take(now time.Time, status RankStatus) {
 	if status.Epoch > l.epoch {
 		l.reform(now, status)
--- a/internal/expert/lockstep_steps.go
+++ b/internal/expert/lockstep_steps.go
@@ -111,13 +111,19 @@
 	return step
 }
 
-// disarm takes back all arms; all ranks that might be armed get the order.
+// disarm takes back all arms. All ranks get the order, as one that is armed unnoticed would switch alone.
 func (l *LockstepLeader) disarm(now time.Time) {
 	l.clearTasks()
+	newest := uint64(0)
 	for i := range l.ranks {
+		newest = max(newest, l.ranks[i].status.Armed)
+	}
+	for i := range l.ranks {
+		version := newest
 		if armed := l.ranks[i].status.Armed; armed != 0 {
-			l.order(now, ident.Rank(i), LockstepOrder{Kind: LockstepDisarm, Version: armed})
+			version = armed
 		}
+		l.order(now, ident.Rank(i), LockstepOrder{Kind: LockstepDisarm, Version: version})
 	}
 }
 
--- a/internal/expert/lockstep_test.go
+++ b/internal/expert/lockstep_test.go
@@ -6,12 +6,14 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
 )
 
 // allLockstepFaults are all faults together: lost messages, orders that are carried out late, agents that are
 // killed or stand still, and groups that form anew.
 var allLockstepFaults = lockstepFaults{
-	loss: 0.05, late: 0.3, kill: 2 * time.Second, sleep: 1500 * time.Millisecond, reform: 15 * time.Second,
+	loss: 0.05, late: 0.3, stale: 0.2, kill: 2 * time.Second, sleep: 1500 * time.Millisecond, reform: 15 * time.Second,
 }
 
 const faultTime = 30 * time.Second
@@ -70,6 +72,42 @@
 	}
 }
 
+// A report of a rank that was under way while the rank was armed does not hide the arm from a leader that claims: found on
+// andina-spool trouble-2, where the agent of a frozen VM sent, when it woke, what it had read before.
+func TestStaleReportDoesNotHideAnArm(t *testing.T) {
+	c := qt.New(t)
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	leader := NewLockstepLeader(at, 1, 3, 1)
+	orders := func(actions []LockstepAction) map[int]LockstepOrder {
+		found := map[int]LockstepOrder{}
+		for _, action := range actions {
+			if send, ok := action.(SendLockstepOrder); ok {
+				found[int(send.Rank)] = send.Order
+			}
+		}
+		return found
+	}
+	at = at.Add(2 * time.Second)
+	claims := orders(leader.Tick(at))
+	c.Assert(claims, qt.HasLen, 3)
+	status := func(rank int, armed uint64) RankStatus {
+		return RankStatus{Epoch: 1, Rank: ident.Rank(rank), Size: 3, Open: true, Step: 7, Map: 3, Prepared: 4, Armed: armed, ArmedStep: 8, Held: 8 * uint64(1-min(rank, 1))}
+	}
+	reply := func(rank int, armed uint64) []LockstepAction {
+		return leader.Reply(at, LockstepReply{
+			Rank: ident.Rank(rank), Sequence: 99, Result: LockstepAccepted, Status: status(rank, armed), HasStatus: true, Experts: [][]Expert{{0}},
+		})
+	}
+	reply(0, 4)
+	reply(1, 4)
+	leader.Status(at, status(0, 0))
+	disarms := orders(reply(2, 0))
+	c.Assert(disarms, qt.HasLen, 3)
+	for rank, order := range disarms {
+		c.Assert([]any{order.Kind, order.Version}, qt.DeepEquals, []any{LockstepDisarm, uint64(4)}, qt.Commentf("rank %d", rank))
+	}
+}
+
 // The check above can fail: without holds, ranks switch apart.
 func TestWorldWithoutHoldsBreaks(t *testing.T) {
 	c := qt.New(t)
--- a/internal/expert/lockstep_world_test.go
+++ b/internal/expert/lockstep_world_test.go
@@ -31,7 +31,9 @@
 
 // lockstepFaults are the faults of a world and the shares of messages and orders that they meet.
 type lockstepFaults struct {
-	loss, late  float64
+	loss, late float64
+	// stale is the share of reports of a rank's state that arrive up to three seconds late.
+	stale       float64
 	kill, sleep time.Duration
 	reform      time.Duration
 	// holdsIgnored makes engines accept holds without keeping them.
@@ -309,7 +311,13 @@
 		if other != rank && w.lost() {
 			continue
 		}
-		w.deliver(other, func(agent *lockstepAgent) { w.perform(other, agent.leader.Status(w.now, status)) })
+		delay := time.Duration(0)
+		if w.random.Float64() < w.faults.stale {
+			delay = time.Duration(w.random.Int64N(int64(3 * time.Second)))
+		}
+		w.after(delay, func() {
+			w.deliver(other, func(agent *lockstepAgent) { w.perform(other, agent.leader.Status(w.now, status)) })
+		})
 	}
 }
 
