Ignore late answers to earlier orders while a claim is in progress

Cause: like a late report, the late answer to an order given before the claim brought a state read before it. The extended TestStaleReportDoesNotHideAnArm failed before.

--- a/internal/expert/lockstep_leader.go
+++ b/internal/expert/lockstep_leader.go
@@ -218,7 +218,7 @@
 // Reply takes the answer to an order.
 func (l *LockstepLeader) Reply(now time.Time, reply LockstepReply) []LockstepAction {
 	l.actions = nil
-	if reply.HasStatus {
+	if reply.HasStatus && !l.claimed(reply.Rank) {
 		l.take(now, reply.Status)
 	}
 	if int(reply.Rank) < 0 || int(reply.Rank) >= l.size {
--- a/internal/expert/lockstep_test.go
+++ b/internal/expert/lockstep_test.go
@@ -101,6 +101,9 @@
 	reply(0, 4)
 	reply(1, 4)
 	leader.Status(at, status(0, 0))
+	// So does the answer to an order that was given before the claim.
+	leader.Reply(at, LockstepReply{Rank: 1, Sequence: 0, Result: LockstepUnanswered, Status: status(1, 0), HasStatus: true})
+	c.Assert(leader.ranks[1].status.Armed, qt.Equals, uint64(4))
 	disarms := orders(reply(2, 0))
 	c.Assert(disarms, qt.HasLen, 3)
 	for rank, order := range disarms {
