--- a/internal/expert/copyplan.go
+++ b/internal/expert/copyplan.go
@@ -15,7 +15,7 @@
 	copySources = 5
 	copyTargets = 5
 	// leastCopyGain is the part of all layers' mean load that a copy must take off the worst ranks.
-	leastCopyGain = 0.004
+	leastCopyGain = 0.001
 )
 
 // CopyLimits bound what one map may load.
@@ -68,6 +68,8 @@
 	// evicted is dropped at target to make room if evict is true.
 	evicted Expert
 	evict   bool
+	// swap is true if the evicted expert is added at from, which drops expert: the two change places.
+	swap bool
 }
 
 // PlanCopies returns the few copies that take most load off the worst ranks. It answers a jump in
@@ -199,15 +201,44 @@
 			change.from = worst
 			consider(change)
 		}
+		for _, target := range order[:min(copyTargets, len(order))] {
+			if change, ok := s.exchange(layer, expert, worst, target); ok {
+				consider(change)
+			}
+		}
 	}
 	return best
 }
 
+// exchange returns the change in which the worst rank's expert and the lightest expert of another rank change places. It
+// serves groups whose slots are nearly all taken by experts with one copy.
+func (s *copySearch) exchange(layer *copyLayer, expert Expert, worst, target int) (copyChange, bool) {
+	change := copyChange{expert: expert, target: target, from: worst, swap: true}
+	if target == worst || slices.Contains(layer.held[target], expert) || !s.mayLoad(layer, target) || !s.mayLoad(layer, worst) ||
+		slices.Contains(layer.added[worst], expert) {
+		return change, false
+	}
+	lightest := math.Inf(1)
+	for _, held := range layer.held[target] {
+		if slices.Contains(layer.held[worst], held) || slices.Contains(layer.added[target], held) {
+			continue
+		}
+		if part := layer.load[held] / float64(len(layer.hosts[held])); part < lightest {
+			lightest, change.evicted, change.evict = part, held, true
+		}
+	}
+	return change, change.evict
+}
+
+// mayLoad reports whether the limits allow a rank to load one more expert.
+func (s *copySearch) mayLoad(layer *copyLayer, rank int) bool {
+	return s.loaded[rank] < s.limits.PerRank && len(layer.added[rank]) < s.limits.PerLayer
+}
+
 // place returns the change that adds an expert at a rank, if the limits allow it.
 func (s *copySearch) place(layer *copyLayer, expert Expert, target int) (copyChange, bool) {
 	change := copyChange{expert: expert, target: target, from: -1}
-	if slices.Contains(layer.held[target], expert) || s.loaded[target] >= s.limits.PerRank ||
-		len(layer.added[target]) >= s.limits.PerLayer {
+	if slices.Contains(layer.held[target], expert) || !s.mayLoad(layer, target) {
 		return change, false
 	}
 	if len(layer.held[target]) < s.limits.Slots {
@@ -235,7 +266,10 @@
 
 // shift changes the ranks' loads as a change would.
 func (c *copyLayer) shift(ranks []float64, change copyChange) {
-	if change.evict {
+	switch {
+	case change.swap:
+		c.respread(ranks, change.evicted, change.from, change.target)
+	case change.evict:
 		c.respread(ranks, change.evicted, -1, change.target)
 	}
 	c.respread(ranks, change.expert, change.target, change.from)
@@ -283,14 +317,11 @@
 	if change.evict {
 		layer.drop(change.evicted, change.target)
 	}
+	if change.swap {
+		s.load(layer, change.evicted, change.from)
+	}
 	if change.target >= 0 {
-		layer.held[change.target] = append(layer.held[change.target], change.expert)
-		layer.hosts[change.expert] = append(layer.hosts[change.expert], change.target)
-		layer.added[change.target] = append(layer.added[change.target], change.expert)
-		s.loaded[change.target]++
-		if s.loaded[change.target] >= s.limits.PerRank {
-			s.refresh()
-		}
+		s.load(layer, change.expert, change.target)
 	}
 	if change.from >= 0 {
 		layer.drop(change.expert, change.from)
@@ -298,10 +329,23 @@
 	layer.sum()
 }
 
-// refresh makes all layers search again, as a rank can load no more.
-func (s *copySearch) refresh() {
+// load adds an expert at a rank.
+func (s *copySearch) load(layer *copyLayer, expert Expert, rank int) {
+	layer.held[rank] = append(layer.held[rank], expert)
+	layer.hosts[expert] = append(layer.hosts[expert], rank)
+	layer.added[rank] = append(layer.added[rank], expert)
+	s.loaded[rank]++
+	if s.loaded[rank] >= s.limits.PerRank {
+		s.forget(rank)
+	}
+}
+
+// forget makes the layers search again whose best change loads an expert at a rank that can load no more.
+func (s *copySearch) forget(rank int) {
 	for _, layer := range s.layers {
-		layer.fresh = false
+		if layer.best.target == rank || layer.best.swap && layer.best.from == rank {
+			layer.fresh = false
+		}
 	}
 }
 
--- a/internal/rankagent/lead.go
+++ b/internal/rankagent/lead.go
@@ -22,10 +22,10 @@
 	subscriptionLife = 3 * time.Second
 	// passMemory is the weight of earlier passes in the mean pass time.
 	passMemory = 0.5
-	// firstCopies is the number of experts that a rank loads for the first map after a jump, over all
-	// layers, and laterCopies for the maps that refine it. See docs/design/0012.
-	firstCopies = 2
-	laterCopies = 3
+	// firstLoading is how long a rank may load experts for the first map after a jump, and laterLoading for the maps
+	// that refine it: two and three experts of 1.7 GB, eight and twelve of 0.42 GB. See docs/design/0012.
+	firstLoading = 300 * time.Millisecond
+	laterLoading = 450 * time.Millisecond
 	// leastImprovement is the part of the work of experts that a map must save: it pays for the passes that
 	// are 15 in 100 longer while a second of loading goes on in a phase of some seconds.
 	leastImprovement = 0.06
@@ -71,6 +71,7 @@
 	case message.Order != nil && message.Order.Group == a.self.Group && message.Order.Rank == a.status.Rank:
 		order := message.Order
 		go a.carryOut(ctx, a.engine, order, func(reply *datagram.Reply) {
+			a.orderGiven()
 			a.socket.Send(received.From, datagram.Message{Reply: reply})
 		})
 	case message.Reply != nil && message.Reply.Group == a.self.Group:
@@ -161,11 +162,12 @@
 	}
 	size := a.layers()
 	jumps := view.demand.Jumps()
-	limits := expert.CopyLimits{Slots: size.Slots, PerRank: laterCopies, PerLayer: size.NewPerLayer}
-	if jumps != view.jumps || buckets <= 1 {
-		limits.PerRank = firstCopies
-	}
 	jumped := jumps != view.jumps
+	loading := laterLoading
+	if jumped || buckets <= 1 {
+		loading = firstLoading
+	}
+	limits := expert.CopyLimits{Slots: size.Slots, PerRank: size.LoadsWithin(loading), PerLayer: size.NewPerLayer}
 	if !a.leader.Ready() && (!jumped || !a.leader.MayReplace()) {
 		return
 	}
@@ -221,7 +223,10 @@
 		case expert.Beacon:
 			a.tellGroup(action)
 		case expert.MapInForce:
-			a.log.WithFields(logrus.Fields{"group": a.self.Group, "version": action.Version, "took_ms": action.Took.Milliseconds()}).Info("map-in-force")
+			a.log.WithFields(logrus.Fields{
+				"group": a.self.Group, "version": action.Version, "took_ms": action.Took.Milliseconds(),
+				"loaded_ms": action.Loaded.Milliseconds(), "released_ms": action.Released.Milliseconds(),
+			}).Info("map-in-force")
 			a.scope.Counter("maps_in_force").Inc(1)
 		case expert.LockstepLeadership:
 			a.log.WithFields(logrus.Fields{
@@ -248,6 +253,7 @@
 func (a *Agent) sendOrder(ctx context.Context, action expert.SendLockstepOrder) {
 	order := &datagram.Order{Group: a.self.Group, Rank: action.Rank, Sequence: action.Sequence, Order: action.Order}
 	take := func(reply *datagram.Reply) {
+		a.orderGiven()
 		a.post(func(now time.Time) { a.replied(ctx, now, reply) })
 	}
 	switch address, ok := a.agentOf(action.Rank); {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -138,6 +138,14 @@
 	LoadTime time.Duration
 }
 
+// LoadsWithin returns the number of experts that a rank loads in a time, one at least.
+func (l ExpertLayers) LoadsWithin(limit time.Duration) int {
+	if l.LoadTime <= 0 {
+		return l.Layers * l.NewPerLayer
+	}
+	return max(int(limit/l.LoadTime), 1)
+}
+
 // DirectService is a service that entries send requests to without an agent between.
 type DirectService struct {
 	Name ident.Service
