--- a/internal/expert/lockstep_leader.go
+++ b/internal/expert/lockstep_leader.go
@@ -31,8 +31,10 @@
 	// unansweredAt is when an engine last left an order unanswered.
 	unansweredAt time.Time
 	plannedAt    time.Time
-	target       LayerPlacements
-	current      LayerPlacements
+	// loadedAt and releasedAt are when the rollout had loaded all experts, and when it released the group.
+	loadedAt, releasedAt time.Time
+	target               LayerPlacements
+	current              LayerPlacements
 
 	// seen is the greatest fence of another leader; heardAt is when it was last heard.
 	seen     uint64
@@ -173,6 +175,7 @@
 	switch l.state {
 	case lockstepPreparing:
 		if l.all(func(s *RankStatus) bool { return s.Prepared == l.version }) {
+			l.loadedAt = now
 			l.fire(now, "all-prepared")
 		}
 	case lockstepSwitching:
--- a/internal/expert/lockstep_steps.go
+++ b/internal/expert/lockstep_steps.go
@@ -59,7 +59,10 @@
 		l.orderAll(now, LockstepOrder{Kind: LockstepArm, Version: l.version, Step: l.step})
 	case "report-done":
 		l.current = l.target
-		l.act(MapInForce{Version: l.version, Took: now.Sub(l.plannedAt)})
+		l.act(MapInForce{
+			Version: l.version, Took: now.Sub(l.plannedAt),
+			Loaded: l.loadedAt.Sub(l.plannedAt), Released: l.releasedAt.Sub(l.plannedAt),
+		})
 	}
 }
 
@@ -129,6 +132,7 @@
 
 // release ends all holds. What was armed stays armed.
 func (l *LockstepLeader) release(now time.Time) {
+	l.releasedAt = now
 	armed := uint64(0)
 	for i := range l.ranks {
 		view := &l.ranks[i]
--- /dev/null
+++ b/internal/expert/placement_codec_test.go
@@ -0,0 +1,46 @@
+package expert
+
+import (
+	"reflect"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+)
+
+func TestPlacementsAreReadAsWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		placement := LayerPlacements(rapid.SliceOfN(rapid.SliceOfN(
+			rapid.SliceOfN(rapid.Map(rapid.Uint16(), func(n uint16) Expert { return Expert(n) }), 0, 6), 3, 3), 1, 4).Draw(t, "placement"))
+		order := LockstepOrder{Kind: LockstepPrepare, Epoch: 1, Placement: placement}
+		data, err := cbor.Marshal(order)
+		var got LockstepOrder
+		if err == nil {
+			err = cbor.Unmarshal(data, &got)
+		}
+		if err != nil || !reflect.DeepEqual(got, order) {
+			t.Fatalf("wrote %+v, read %+v, %v", order, got, err)
+		}
+	})
+}
+
+// What comes from the network may be cut or wrong at any place; it must neither panic nor take memory.
+func TestPlacementsThatAreCutAreRefused(t *testing.T) {
+	c := qt.New(t)
+	data, err := startPlacement(3, 4, 16).MarshalBinary()
+	c.Assert(err, qt.IsNil)
+	for end := 1; end < len(data); end++ {
+		var got LayerPlacements
+		c.Assert(got.UnmarshalBinary(data[:end]), qt.ErrorIs, errPlacementCut, qt.Commentf("cut at %d", end))
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		var got LayerPlacements
+		_ = got.UnmarshalBinary(rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "data"))
+	})
+	c.Assert(new(LayerPlacements).UnmarshalBinary([]byte{1, 0xff, 0xff, 0xff, 0xff, 0x0f}), qt.ErrorIs, errPlacementCut)
+	orders := LockstepOrder{Kind: LockstepHold}
+	encoded, err := cbor.Marshal(orders)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(encoded) < 20, qt.IsTrue)
+}
