Count the requests that other entries tell of as load

Cause: with one of two groups held by a frozen leader, 20 entries filled the other to 430 requests for 320 slots: each saw the same few free slots until the next report. What entries tell each other of prompts now counts as load for 200 ms, and a report is not taken to hold an entry's own last requests. Ruled out: resumed streams alone (a third of what was sent).

--- a/internal/control/dispatch_ranks.go
+++ b/internal/control/dispatch_ranks.go
@@ -114,11 +114,11 @@
 	offset := d.random.IntN(len(servers))
 	for i := range servers {
 		server := servers[(i+offset)%len(servers)]
-		if !server.GroupOpen || server.Paused(now) || server.Load() >= slots {
+		if !server.GroupOpen || server.Paused(now) || server.Load(now) >= slots {
 			continue
 		}
 		wait := server.FirstEvent(now, tokens, rate)
-		if best == nil || wait < first || wait == first && server.Load() < best.Load() {
+		if best == nil || wait < first || wait == first && server.Load(now) < best.Load(now) {
 			best, first = server, wait
 		}
 	}
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -215,7 +215,7 @@
 	group.openAtReport = group.open()
 	for _, server := range group.ranks {
 		if rank := int(server.Rank); rank >= 0 && rank < len(report.RankLoads) {
-			server.Reported, server.OpenAtReport = report.RankLoads[rank], server.Open
+			server.Report(now, report.RankLoads[rank])
 		}
 	}
 	return d.serveWaiting(now)
@@ -238,6 +238,7 @@
 		if server.Rank != sent.Rank {
 			continue
 		}
+		server.Tell(now)
 		if engine := d.engine(server.Service); engine != nil {
 			server.AddUnread(now, sent.PromptTokens, engine.ReadsPerSecond(group.pace.Pass))
 		}
@@ -425,11 +426,11 @@
 		answer.Cause = outcome.CauseBackendsFull
 		return answer, false
 	}
-	answer.Load = chosen.Load()
+	answer.Load = chosen.Load(now)
 	if group := d.groups[chosen.Group]; group != nil && group.open() == 0 {
 		group.progressAt = now
 	}
-	chosen.Open++
+	chosen.Send(now)
 	answer.Backend = chosen.ListedBackend
 	return answer, true
 }
--- a/internal/control/dispatcher_test.go
+++ b/internal/control/dispatcher_test.go
@@ -255,6 +255,85 @@
 	}
 }
 
+// Replays the loss of one of two groups: ten entries look for room at the other one, which they learn of from reports that
+// are up to 250 ms old. What they tell each other keeps them from filling the same slots.
+func TestReplayLostGroupDoesNotOverfillTheOther(t *testing.T) {
+	c := qt.New(t)
+	const entries, life = 10, 1500 * time.Millisecond
+	random := rand.New(rand.NewPCG(11, 12))
+	dispatchers := make([]*control.Dispatcher, entries)
+	for i := range dispatchers {
+		dispatchers[i] = newDirect(1, 0)
+	}
+	type run struct {
+		entry int
+		id    string
+		end   time.Time
+	}
+	var runs []run
+	var loads []int
+	sent, overfilled := 0, 0
+	for ms := range 4000 {
+		now := directAt(ms)
+		runs = slices.DeleteFunc(runs, func(r run) bool {
+			if !now.Before(r.end) {
+				dispatchers[r.entry].Ended(now, r.id, routing.SendServed, 0)
+				return true
+			}
+			return false
+		})
+		if ms%100 == 0 {
+			loads = make([]int, 8)
+			for _, r := range runs {
+				loads[slices.IndexFunc(directBackends(1, 0), func(b membership.ListedBackend) bool { return b.ID == r.id })]++
+			}
+		}
+		for i, d := range dispatchers {
+			if ms%150 == 15*i {
+				writers := 0
+				for _, load := range loads {
+					writers += load
+				}
+				d.Report(now, control.GroupReport{Group: "g0", RankLoads: loads, Pace: admission.GroupPace{
+					Writers: writers, Ranks: 8, Pass: 60 * time.Millisecond, Skew: 1.2, Entries: entries,
+				}})
+			}
+			d.Progressed("g0", now)
+		}
+		// 100 requests a second for a group that serves 64 with its slots.
+		if random.IntN(10) != 0 {
+			continue
+		}
+		entry := random.IntN(entries)
+		for _, answer := range dispatchers[entry].Ask(now, directWant(uint64(ms), now, 700)) {
+			if answer.Cause != outcome.CauseNone {
+				continue
+			}
+			at := 0
+			for _, r := range runs {
+				if r.id == answer.Backend.ID {
+					at++
+				}
+			}
+			if sent++; at >= directEngine.Slots {
+				overfilled++
+			}
+			runs = append(runs, run{entry: entry, id: answer.Backend.ID, end: now.Add(life)})
+			for i, d := range dispatchers {
+				if i != entry {
+					d.Heard(now, control.Sent{Group: "g0", Rank: answer.Backend.Rank, PromptTokens: 700})
+				}
+			}
+		}
+		for _, d := range dispatchers {
+			d.Leave(uint64(ms - 120))
+		}
+	}
+	c.Logf("%d of %d requests came to a rank without a free slot", overfilled, sent)
+	c.Assert(sent > 200, qt.IsTrue)
+	c.Assert(overfilled*50 < sent, qt.IsTrue, qt.Commentf("%d of %d overfilled", overfilled, sent))
+}
+
 // Replays a jump in demand at a usual load: measured passes are short still, but the skew says that they will be too long
 // while experts are loaded. Who comes meanwhile waits, and is served with the next map.
 func TestReplayJumpIsSeenBeforePassesGrow(t *testing.T) {
--- a/internal/routing/spread.go
+++ b/internal/routing/spread.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -73,6 +74,11 @@
 	// latencyLife is the age at which a server's latency is forgotten, so that one that was slow gets
 	// requests again.
 	latencyLife = 3 * time.Second
+	// toldLife is the age at which a request that another entry told of is in the reported number: a rank is read every
+	// 100 ms, its leader reports every 150 ms.
+	toldLife = 200 * time.Millisecond
+	// readingAge is about the age of what a report says: half of the 100 ms between readings and the way.
+	readingAge = 60 * time.Millisecond
 	// otherZoneCost is the price of another availability zone: a round trip between zones.
 	otherZoneCost = 2 * time.Millisecond
 	// usualLatency is assumed of a server without recent answers: the plain services' mean work.
@@ -87,6 +93,10 @@
 	// Reported is the number of requests that its group's leader reported, and OpenAtReport this entry's part.
 	Reported, OpenAtReport int
 
+	// told are the times at which other entries told of requests that the reported number may not hold yet, and sent
+	// those of this entry's own.
+	told, sent recentTimes
+
 	// unread are the prompt tokens sent to the rank that it has not read at unreadAt.
 	unread   float64
 	unreadAt time.Time
@@ -99,9 +109,44 @@
 	latencyAt   time.Time
 }
 
+// recentTimes are times in ascending order, of which the old ones are forgotten.
+type recentTimes []time.Time
+
+func (r *recentTimes) add(now time.Time) {
+	*r = append(slices.DeleteFunc(*r, func(at time.Time) bool { return now.Sub(at) >= toldLife }), now)
+}
+
+// since returns how many of the times are younger than the age.
+func (r recentTimes) since(now time.Time, age time.Duration) int {
+	n := 0
+	for n < len(r) && now.Sub(r[len(r)-1-n]) < age {
+		n++
+	}
+	return n
+}
+
 // Load returns the number of requests that run or wait at the server, as far as known.
-func (s *Server) Load() int {
-	return max(s.Reported-s.OpenAtReport, 0) + s.Open
+func (s *Server) Load(now time.Time) int {
+	return max(s.Reported-s.OpenAtReport, 0) + s.Open + s.told.since(now, toldLife)
+}
+
+// Report takes the number of requests that the server's group reports. Those that this entry sent in the last moment are
+// not in it.
+func (s *Server) Report(now time.Time, load int) {
+	s.Reported = load
+	s.OpenAtReport = max(s.Open-s.sent.since(now, readingAge), 0)
+}
+
+// Send records a request of this entry.
+func (s *Server) Send(now time.Time) {
+	s.Open++
+	s.sent.add(now)
+}
+
+// Tell records a request that another entry sent. It answers the load pattern of few free slots that many entries see at
+// once, as when one of two groups is lost: with reports alone each of them fills the same slot.
+func (s *Server) Tell(now time.Time) {
+	s.told.add(now)
 }
 
 // Paused reports whether new requests should go elsewhere for now.
