Send nothing to runs that a later one at their address replaced

Cause: after a power loss the list holds the runs from before until they lapse, 3.6 s, beside the new ones at the same addresses.

--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -167,14 +167,14 @@
 	d.repeats.Configure(config)
 }
 
-// SetBackends takes the listed servers. A server's counts stay as long as its run is listed.
+// SetBackends takes the listed servers. A server's counts stay as long as its run is listed and not replaced.
 func (d *Dispatcher) SetBackends(now time.Time, backends []membership.ListedBackend) []Assignment {
 	servers := make(map[string]*routing.Server, len(backends))
 	clear(d.services)
 	for _, group := range d.groups {
 		group.ranks = nil
 	}
-	for _, backend := range backends {
+	for _, backend := range membership.CurrentRuns(backends, d.named) {
 		server := d.servers[backend.ID]
 		if server == nil || server.Started != backend.Started {
 			server = &routing.Server{}
@@ -195,6 +195,11 @@
 	return d.serveWaiting(now)
 }
 
+// named reports whether the configuration names a service.
+func (d *Dispatcher) named(service ident.Service) bool {
+	return d.table != nil && d.table.Service(service) != nil
+}
+
 func (d *Dispatcher) join(server *routing.Server) {
 	group := d.groups[server.Group]
 	if group == nil {
--- a/internal/control/dispatcher_test.go
+++ b/internal/control/dispatcher_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -334,6 +335,26 @@
 	c.Assert(overfilled*50 < sent, qt.IsTrue, qt.Commentf("%d of %d overfilled", overfilled, sent))
 }
 
+// Replays the return of power: the list holds the runs from before beside the new ones at the same addresses. No request
+// is spent on the old ones, which would turn all of them away and use up the bound on repeats.
+func TestReplayPowerIsBackBeforeTheListForgets(t *testing.T) {
+	c := qt.New(t)
+	d := newDirect(1, 3)
+	var listed []membership.ListedBackend
+	for i, backend := range directBackends(1, 3) {
+		backend.Address = fmt.Sprintf("10.0.0.%d:80", i)
+		backend.Started = 1000
+		listed = append(listed, backend)
+		backend.ID, backend.Started = "new-"+backend.ID, 9000
+		listed = append(listed, backend)
+	}
+	d.SetBackends(directAt(0), listed)
+	for i := range uint64(40) {
+		answer := only(c, d.Ask(directAt(int(i)), directWant(i, directAt(int(i)), 500)))
+		c.Assert(strings.HasPrefix(answer.Backend.ID, "new-"), qt.IsTrue, qt.Commentf("sent to %s", answer.Backend.ID))
+	}
+}
+
 // Replays a jump in demand at a usual load: measured passes are short still, but the skew says that they will be too long
 // while experts are loaded. Who comes meanwhile waits, and is served with the next map.
 func TestReplayJumpIsSeenBeforePassesGrow(t *testing.T) {
--- a/internal/membership/listing.go
+++ b/internal/membership/listing.go
@@ -148,3 +148,18 @@
 	slices.SortFunc(all, func(a, b ListedBackend) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
+
+// CurrentRuns leaves out runs that a later run at the same address replaced: after a power loss the list holds both until
+// the earlier ones lapse, and requests for these would all be turned away. Entries whose service is not named by the
+// configuration replace nothing, as other programs write to the list too.
+func CurrentRuns(backends []ListedBackend, named func(ident.Service) bool) []ListedBackend {
+	latest := make(map[string]int64, len(backends))
+	for i := range backends {
+		if backend := &backends[i]; named(backend.Service) {
+			latest[backend.Address] = max(latest[backend.Address], backend.Started)
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(backends), func(backend ListedBackend) bool {
+		return backend.Started > 0 && backend.Started < latest[backend.Address]
+	})
+}
--- a/internal/membership/listing_test.go
+++ b/internal/membership/listing_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
 )
 
@@ -89,3 +90,29 @@
 	listing.Replace(listingAt(3000), listedServers("b"))
 	c.Assert(idsOf(listing), qt.DeepEquals, []string{"b"})
 }
+
+func TestLaterRunAtTheSameAddressReplacesTheEarlier(t *testing.T) {
+	c := qt.New(t)
+	named := func(service ident.Service) bool { return service == "model" || service == "plain" }
+	ids := func(backends ...membership.ListedBackend) []string {
+		var left []string
+		for _, backend := range membership.CurrentRuns(backends, named) {
+			left = append(left, backend.ID)
+		}
+		return left
+	}
+	before := membership.ListedBackend{ID: "before", Service: "model", Address: "10.0.0.1:80", Started: 1000}
+	after := membership.ListedBackend{ID: "after", Service: "model", Address: "10.0.0.1:80", Started: 5000}
+	c.Assert(ids(before), qt.DeepEquals, []string{"before"})
+	c.Assert(ids(before, after), qt.DeepEquals, []string{"after"})
+	c.Assert(ids(after, before), qt.DeepEquals, []string{"after"})
+	reused := after
+	reused.Service = "plain"
+	c.Assert(ids(before, reused), qt.DeepEquals, []string{"after"}, qt.Commentf("the address has gone to another service"))
+	elsewhere := after
+	elsewhere.Address = "10.0.0.2:80"
+	c.Assert(ids(before, elsewhere), qt.DeepEquals, []string{"before", "after"})
+	foreign := after
+	foreign.Service = "unknown"
+	c.Assert(ids(before, foreign), qt.DeepEquals, []string{"before", "after"}, qt.Commentf("another program's entry replaces nothing"))
+}
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -229,7 +229,9 @@
 // listed finds the agent's own backend server and the others of its group.
 func (a *Agent) listed() {
 	clear(a.ranks)
-	backends := a.listing.Backends()
+	backends := membership.CurrentRuns(a.listing.Backends(), func(service ident.Service) bool {
+		return a.table != nil && a.table.Service(service) != nil
+	})
 	for _, backend := range backends {
 		if backend.Address == a.config.Settings.BackendAddress {
 			a.self = backend
