Ask the store less often

While changes come one after the other the pause between calls doubles up to 400 ms, an entry without callers proves its configuration every 3 s and at once when the first one comes, and agents read old state first.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -79,6 +79,9 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.openCalls.Add(1)
 	defer g.openCalls.Add(-1)
+	if g.lastCall.Swap(int64(bootTime())) < int64(bootTime()-idleAfter) {
+		g.follower.Wake()
+	}
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,8 +40,15 @@
 	// proofInterval is how often it is proven that no change is missing. An entry that loses the store must go on
 	// for three fifths of the bound on revoked credentials (3 of 5 s), so that its last proof may be this old.
 	proofInterval = 1200 * time.Millisecond
-	// storeSettle is the pause after changes of the store: a configuration must be in force within 2 s.
-	storeSettle = 100 * time.Millisecond
+	// storeSettle is the pause after changes of the store, and mostStoreSettle while they come one after the other: a
+	// configuration must be in force within 2 s.
+	storeSettle     = 100 * time.Millisecond
+	mostStoreSettle = 400 * time.Millisecond
+	// idleProofInterval is the pace of proofs while no caller asks for anything: under the 4.5 s for which a proof holds,
+	// so that the first call is served.
+	idleProofInterval = 3 * time.Second
+	// idleAfter is the time without calls after which an entry is idle.
+	idleAfter = 3 * time.Second
 	// assumedEntries is the number of entries that share the fixed part of the bound on repeats. The
 	// store does not list entries; deployments have up to two dozen.
 	assumedEntries = 24
@@ -74,6 +81,7 @@
 	metrics   metrics
 	log       *logrus.Entry
 	loop      *node.Loop[func(now time.Time)]
+	follower  *source.Follower
 	upstreams *upstreams
 	socket    *datagram.Socket
 	headers   Headers
@@ -84,7 +92,9 @@
 	stopping  atomic.Bool
 	nextCall  atomic.Uint64
 	openCalls atomic.Int64
-	listed    atomic.Bool
+	// lastCall is when the last call came, on the clock of bootTime.
+	lastCall atomic.Int64
+	listed   atomic.Bool
 	// progress holds when each group last sent an event to one of this entry's streams.
 	progress sync.Map
 
@@ -111,6 +121,7 @@
 		leaders:    newLeaderDirectory(),
 	}
 	g.upstreams = newUpstreams(g.metrics.connectionOpened)
+	g.follower = source.NewFollower(config.Store, g, bootTime)
 	g.loop = node.NewLoop(tickInterval, func(now time.Time, event func(time.Time)) { event(now) }, g.tick)
 	return g
 }
@@ -143,7 +154,9 @@
 	}
 	go g.loop.Run(ctx)
 	go socket.Receive(ctx, g.received)
-	follower := &source.Follower{Store: g.config.Store, Handler: g, Wait: storeWait, Settle: storeSettle, ProofInterval: proofInterval, Now: bootTime}
+	follower := g.follower
+	follower.Wait, follower.Settle, follower.MaxSettle = storeWait, storeSettle, mostStoreSettle
+	follower.ProofInterval, follower.IdleProofInterval, follower.Idle = proofInterval, idleProofInterval, g.idle
 	go follower.Run(ctx)
 	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	server := &http.Server{
@@ -199,6 +212,11 @@
 	return !g.stopping.Load() && g.table.Load() != nil && g.listed.Load() && g.credentialsCurrent()
 }
 
+// idle reports whether no caller has asked for anything lately.
+func (g *Gateway) idle() bool {
+	return g.openCalls.Load() == 0 && bootTime()-time.Duration(g.lastCall.Load()) > idleAfter
+}
+
 // credentialsCurrent reports whether no credential of the table in force can have been taken away
 // longer ago than the bound allows.
 func (g *Gateway) credentialsCurrent() bool {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -49,6 +49,8 @@
 	return s.state, nil
 }
 
+func (s *testStore) ReadOld(ctx context.Context) (source.State, error) { return s.Read(ctx) }
+
 func (s *testStore) List(ctx context.Context) (source.State, error) { return s.Read(ctx) }
 
 func (s *testStore) Watch(ctx context.Context, after uint64, wait time.Duration) (source.Changes, error) {
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -122,7 +122,7 @@
 	go socket.Receive(ctx, func(received datagram.Received) {
 		a.post(func(now time.Time) { a.received(ctx, now, received) })
 	})
-	follower := &source.Follower{Store: a.config.Store, Handler: a, Now: monotonicTime}
+	follower := source.NewFollower(a.config.Store, a, monotonicTime)
 	go follower.Poll(ctx, a.listPause)
 	go a.poll(ctx)
 	a.log.WithFields(logrus.Fields{"backend": a.config.Settings.BackendAddress, "peers": socket.Address()}).Info("process-started")
--- a/internal/rankagent/agent_test.go
+++ b/internal/rankagent/agent_test.go
@@ -190,6 +190,8 @@
 
 func (s *listStore) Read(context.Context) (source.State, error) { return s.state, nil }
 
+func (s *listStore) ReadOld(ctx context.Context) (source.State, error) { return s.Read(ctx) }
+
 func (s *listStore) List(context.Context) (source.State, error) { return s.state, nil }
 
 func (s *listStore) Watch(ctx context.Context, _ uint64, wait time.Duration) (source.Changes, error) {
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -41,6 +41,8 @@
 type Store interface {
 	// Read returns the whole state, which is current as of the call.
 	Read(ctx context.Context) (State, error)
+	// ReadOld returns the whole state, which may be some seconds old.
+	ReadOld(ctx context.Context) (State, error)
 	// List returns the backend servers only, without a table. The state may be some seconds old.
 	List(ctx context.Context) (State, error)
 	// Watch returns the changes after a revision as soon as there are some, or none after the wait.
@@ -88,13 +90,19 @@
 	Handler Handler
 	// Wait is how long a watch waits for changes.
 	Wait time.Duration
-	// Settle is the pause after changes, so that those that come together take one call.
-	Settle time.Duration
+	// Settle is the pause after changes, so that those that come together take one call. It doubles up to MaxSettle
+	// while changes come one after the other, as when all servers start.
+	Settle, MaxSettle time.Duration
 	// ProofInterval is how often it is checked that no changes are missing; 0 for never.
 	ProofInterval time.Duration
+	// IdleProofInterval replaces it while Idle returns true; Idle may be nil.
+	IdleProofInterval time.Duration
+	Idle              func() bool
 	// Now reads a clock that goes on while the machine is suspended.
 	Now func() time.Duration
 
+	awake chan struct{}
+
 	mu sync.Mutex
 	// revision is the revision of what was handed over, and watching ends the watch in progress.
 	revision uint64
@@ -157,7 +165,7 @@
 	for ctx.Err() == nil {
 		start := f.Now()
 		revision, err := f.currentRevision(ctx)
-		wait := f.ProofInterval
+		wait := f.proofPause()
 		switch {
 		case err != nil:
 			wait = proofRetry
@@ -170,8 +178,36 @@
 		default:
 			lagging = 0
 		}
-		f.pause(ctx, wait)
+		f.pauseProofs(ctx, wait)
+	}
+}
+
+// NewFollower returns a follower, whose other fields the caller sets before Run.
+func NewFollower(store Store, handler Handler, now func() time.Duration) *Follower {
+	return &Follower{Store: store, Handler: handler, Now: now, awake: make(chan struct{}, 1)}
+}
+
+// Wake ends the pause before the next proof: the process is idle no more.
+func (f *Follower) Wake() {
+	select {
+	case f.awake <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Follower) pauseProofs(ctx context.Context, pause time.Duration) {
+	select {
+	case <-time.After(pause):
+	case <-f.awake:
+	case <-ctx.Done():
+	}
+}
+
+func (f *Follower) proofPause() time.Duration {
+	if f.Idle != nil && f.Idle() {
+		return f.IdleProofInterval
 	}
+	return f.ProofInterval
 }
 
 func (f *Follower) currentRevision(ctx context.Context) (uint64, error) {
@@ -203,7 +239,7 @@
 	}
 }
 
-// Poll reads the configuration once and then the list of backend servers again and again, with a pause that the
+// Poll reads configuration and list once and then the list of backend servers again and again, with a pause that the
 // function gives. It is for processes that need not know changes at once: a list that may be old costs the store little.
 func (f *Follower) Poll(ctx context.Context, pauseOf func() time.Duration) {
 	pause := firstPause
@@ -223,11 +259,11 @@
 }
 
 func (f *Follower) readOrList(ctx context.Context, list bool) (State, error) {
-	if !list {
-		return f.read(ctx)
-	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	if !list {
+		return f.Store.ReadOld(ctx)
+	}
 	return f.Store.List(ctx)
 }
 
@@ -239,7 +275,7 @@
 
 // watch follows the changes until the history is lost.
 func (f *Follower) watch(ctx context.Context, revision uint64) {
-	pause := firstPause
+	pause, settle := firstPause, f.Settle
 	for ctx.Err() == nil {
 		start := f.Now()
 		changes, err := f.next(ctx, revision)
@@ -255,8 +291,12 @@
 			f.Handler.Changed(changes)
 			f.handedOver(revision)
 			f.Handler.Proven(start)
+			if f.Now()-start > f.MaxSettle {
+				settle = f.Settle
+			}
 			if changes.Some() {
-				f.pause(ctx, f.Settle)
+				f.pause(ctx, settle)
+				settle = min(2*settle, max(f.MaxSettle, f.Settle))
 			}
 		}
 	}
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -44,6 +45,8 @@
 	return source.State{Revision: call.changes.Revision, Table: call.changes.Table}, call.err
 }
 
+func (s *script) ReadOld(ctx context.Context) (source.State, error) { return s.Read(ctx) }
+
 func (s *script) Watch(context.Context, uint64, time.Duration) (source.Changes, error) {
 	call := s.next()
 	return call.changes, call.err
@@ -78,10 +81,8 @@
 	defer cancel()
 	store := &script{calls: calls, done: cancel}
 	handler := &record{}
-	follower := &source.Follower{
-		Store: store, Handler: handler, Wait: 1500 * time.Millisecond,
-		Now: func() time.Duration { return store.now },
-	}
+	follower := source.NewFollower(store, handler, func() time.Duration { return store.now })
+	follower.Wait = 1500 * time.Millisecond
 	follower.Run(ctx)
 	return handler
 }
@@ -112,6 +113,8 @@
 	return source.State{Revision: 3}, nil
 }
 
+func (s *deafStore) ReadOld(ctx context.Context) (source.State, error) { return s.Read(ctx) }
+
 func (s *deafStore) List(context.Context) (source.State, error) { return source.State{}, nil }
 
 func (s *deafStore) Revision(context.Context) (uint64, error) { return 9, nil }
@@ -169,15 +172,13 @@
 	handler := &proofs{late: make(chan struct{}, 1)}
 	begun := time.Now()
 	var asked atomic.Bool
-	follower := &source.Follower{
-		Store: &deafStore{}, Handler: handler, Wait: time.Hour, ProofInterval: time.Millisecond,
-		Now: func() time.Duration {
-			if !asked.Swap(true) {
-				return 0
-			}
-			return time.Since(begun)
-		},
-	}
+	follower := source.NewFollower(&deafStore{}, handler, func() time.Duration {
+		if !asked.Swap(true) {
+			return 0
+		}
+		return time.Since(begun)
+	})
+	follower.Wait, follower.ProofInterval = time.Hour, time.Millisecond
 	go follower.Run(ctx)
 	<-handler.late
 	handler.mu.Lock()
@@ -220,8 +221,73 @@
 		{changes: source.Changes{Put: two.Put}}, {changes: source.Changes{Table: table}}, {err: errors.New("busy")}, {changes: two},
 	}}
 	handler := &record{}
-	follower := &source.Follower{Store: store, Handler: handler, Now: func() time.Duration { return store.now }}
+	follower := source.NewFollower(store, handler, func() time.Duration { return store.now })
 	follower.Poll(ctx, func() time.Duration { return 0 })
 	c.Assert(handler.listed, qt.DeepEquals, []int{0, 0, 2})
 	c.Assert(handler.silences, qt.DeepEquals, []time.Duration{0})
 }
+
+// busyStore has changes for as long as it is told, and counts calls.
+type busyStore struct {
+	deafStore
+	changesUntil time.Time
+	watched      int
+	proofs       int
+}
+
+func (s *busyStore) Watch(ctx context.Context, after uint64, wait time.Duration) (source.Changes, error) {
+	if !time.Now().Before(s.changesUntil) {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+		return source.Changes{Revision: after}, ctx.Err()
+	}
+	s.watched++
+	return source.Changes{Revision: after, Put: []membership.ListedBackend{{ID: "a"}}}, nil
+}
+
+func (s *busyStore) Revision(context.Context) (uint64, error) {
+	s.proofs++
+	return 3, nil
+}
+
+// While all servers start, changes come one after the other: they are fetched a few times a second, not ten times.
+func TestChangesInSuccessionTakeFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		begun := time.Now()
+		store := &busyStore{changesUntil: begun.Add(4 * time.Second)}
+		follower := source.NewFollower(store, &record{}, func() time.Duration { return time.Since(begun) })
+		follower.Wait, follower.Settle, follower.MaxSettle = 10*time.Second, 100*ms, 400*ms
+		go follower.Run(ctx)
+		time.Sleep(5 * time.Second)
+		cancel()
+		synctest.Wait()
+		qt.Assert(t, store.watched, qt.Equals, 12)
+	})
+}
+
+// An idle process proves its configuration less often, and at once when it is idle no more.
+func TestProofsOfAnIdleProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		begun := time.Now()
+		store := &busyStore{}
+		idle := true
+		follower := source.NewFollower(store, &record{}, func() time.Duration { return time.Since(begun) })
+		follower.Wait, follower.ProofInterval, follower.IdleProofInterval = time.Hour, time.Second, 3*time.Second
+		follower.Idle = func() bool { return idle }
+		go follower.Run(ctx)
+		time.Sleep(10 * time.Second)
+		qt.Assert(t, store.proofs, qt.Equals, 4)
+		idle = false
+		follower.Wake()
+		synctest.Wait()
+		qt.Assert(t, store.proofs, qt.Equals, 5)
+		time.Sleep(10*time.Second + 500*ms)
+		qt.Assert(t, store.proofs, qt.Equals, 15)
+		cancel()
+		synctest.Wait()
+	})
+}
