Apply the configuration's limit on header size

Up to 64 KiB are read, and the limit in force decides; a header may take 10 s. Ruled out: changing the server's own limit, which holds for its life. The test failed first: a header of 30 KiB that the configuration allows got 431.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -143,6 +143,10 @@
 		c.refuse(http.StatusServiceUnavailable, outcome.CauseNotReady, notReadyRetry)
 		return false
 	}
+	if limit := c.table.Limits.HeaderBytes; limit > 0 && headerBytes(c.r) > limit {
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge, outcome.CauseTooLarge, 0)
+		return false
+	}
 	c.route = c.table.Route(c.r.Host, c.r.URL.EscapedPath())
 	if c.route == nil {
 		c.refuseUnknown(http.StatusNotFound, outcome.CauseNoRoute)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,13 +52,12 @@
 	// assumedEntries is the number of entries that share the fixed part of the bound on repeats. The
 	// store does not list entries; deployments have up to two dozen.
 	assumedEntries = 24
-	// headerSlack is what net/http adds to the limit of a request's header.
-	headerSlack = 4096
-	// defaultHeaderTimeout is what the deployments' configurations set.
-	defaultHeaderTimeout = 3 * time.Second
-	// defaultIdleTimeout is over the idle times that configurations set (some 15 s), which callers keep to.
-	defaultIdleTimeout = 60 * time.Second
-	defaultHeaderBytes = 16 << 10
+	// headerTimeout is over the header times that configurations set (some 3 s), which callers keep to.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is over the idle times that configurations set (some 15 s), which callers keep to.
+	idleTimeout = 60 * time.Second
+	// mostHeaderBytes bounds what is read of a header before the configuration's own limit is applied; deployments set 16 KiB.
+	mostHeaderBytes = 64 << 10
 	// balancerLag is how long the balancer sends new connections after readiness turned false: two
 	// checks that are a second apart, and one more for the connection.
 	balancerLag = 2500 * time.Millisecond
@@ -158,10 +157,10 @@
 	follower.Wait, follower.Settle, follower.MaxSettle = storeWait, storeSettle, mostStoreSettle
 	follower.ProofInterval, follower.IdleProofInterval, follower.Idle = proofInterval, idleProofInterval, g.idle
 	go follower.Run(ctx)
-	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	server := &http.Server{
-		Handler: g, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		MaxHeaderBytes: defaultHeaderBytes - headerSlack,
+		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: mostHeaderBytes,
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- readiness.Serve(checks) }()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -55,11 +55,22 @@
 		{"no credential", w.get("/lookup/x", "X-Credential", ""), 401},
 		{"unknown credential", w.get("/lookup/x", "X-Credential", "other"), 401},
 		{"body too large", w.post("/post/x", strings.Repeat("x", 5000)), 413},
+		{"header too large", w.get("/lookup/x", "X-Other", strings.Repeat("x", 16384)), 431},
 	} {
 		w.c.Check(test.got.status, qt.Equals, test.status, qt.Commentf(test.name))
 	}
 	w.c.Assert(backend.requests(), qt.HasLen, 0)
 	w.c.Assert(w.get("/lookup/public/x", "X-Credential", "").status, qt.Equals, 200)
+	w.c.Assert(w.get("/lookup/x", "X-Other", strings.Repeat("x", 15500)).status, qt.Equals, 200, qt.Commentf("within the configuration's limit"))
+	w.store.set(func(state *source.State) {
+		table := testTable(2, "key")
+		table.Limits.HeaderBytes = 40 << 10
+		state.Table = table
+	})
+	for w.gateway.table.Load().Version != 2 {
+		time.Sleep(time.Millisecond)
+	}
+	w.c.Assert(w.get("/lookup/x", "X-Other", strings.Repeat("x", 30<<10)).status, qt.Equals, 200, qt.Commentf("a configuration may allow more"))
 }
 
 // What the caller gets of each bad end of a request, by what may be repeated of it, and how often servers got it.
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -51,3 +51,15 @@
 	}
 	return passed
 }
+
+// headerBytes returns the size of a request's head as callers commonly write it, in bytes.
+func headerBytes(r *http.Request) int {
+	const separators = len(": ") + len("\r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
