--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"github.com/bramleyspool/bramleyspool/internal/network"
 	"net/http"
 	"strings"
 	"sync"
@@ -12,6 +11,7 @@
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/network"
 	"github.com/bramleyspool/bramleyspool/internal/node"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 	"github.com/bramleyspool/bramleyspool/internal/platform"
--- a/internal/demo/balancer.go
+++ b/internal/demo/balancer.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"github.com/bramleyspool/bramleyspool/internal/network"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/network"
 )
 
 const balancerInterval = 100 * time.Millisecond
--- a/internal/demo/bench_test.go
+++ b/internal/demo/bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"github.com/bramleyspool/bramleyspool/internal/network"
 	"io"
 	"net/http"
 	"runtime"
@@ -15,6 +14,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bramleyspool/bramleyspool/internal/network"
 	"github.com/bramleyspool/bramleyspool/internal/published"
 	"github.com/bramleyspool/bramleyspool/internal/template"
 )
--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"github.com/bramleyspool/bramleyspool/internal/network"
 	"io"
 	"net/http"
 	"strings"
@@ -14,6 +13,7 @@
 
 	"github.com/bramleyspool/bramleyspool/internal/entry"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/network"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 	"github.com/bramleyspool/bramleyspool/internal/standin"
 )
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -6,13 +6,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"github.com/bramleyspool/bramleyspool/internal/network"
 	"io"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/network"
 	"github.com/bramleyspool/bramleyspool/internal/published"
 )
 
--- a/internal/demo/vm.go
+++ b/internal/demo/vm.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"github.com/bramleyspool/bramleyspool/internal/network"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +10,7 @@
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/network"
 	"github.com/bramleyspool/bramleyspool/internal/program"
 	"github.com/bramleyspool/bramleyspool/internal/settings"
 	"github.com/bramleyspool/bramleyspool/internal/standin"
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"github.com/bramleyspool/bramleyspool/internal/network"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +14,7 @@
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/network"
 	"github.com/bramleyspool/bramleyspool/internal/node"
 	"github.com/bramleyspool/bramleyspool/internal/published"
 	"github.com/bramleyspool/bramleyspool/internal/settings"
