Add a fault soak of the separate processes

bramleyspool soak starts entries and agents as the users' platform does, each VM with a loopback address of its own, before a stand-in of that platform (platform/standin: store, plain replicas, lock-step groups). Faults come from outside: proxies that delay, reset, cut one way or go silent; signals that stop, pause, kill and let settings be read again; a store that refuses or is silent; replicas that crash, leave or lose answers; late orders. Two injectors make them overlap. Checked are what callers and replicas see: whole answers to the own request only, at most once, true 'not run', revoked credentials, replicas that left, planned stops, versions that never go back, one map a pass, processes that end by themselves.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -46,7 +46,7 @@
 		Commands: []*cli.Command{
 			entryCommand(errOut), agentCommand(errOut), platformCommand(out), checkCommand(out), statusCommand(out),
 			timelineCommand(out), demoCommand(out, errOut), experimentCommand(out, errOut), keysCommand(out),
-			exampleCommand(out), splitCommand(out), standinsCommand(), versionCommand(out),
+			exampleCommand(out), splitCommand(out), standinsCommand(), soakCommand(out), versionCommand(out),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError:   reportUsage,
