--- a/internal/rankagent/lead.go
+++ b/internal/rankagent/lead.go
@@ -212,7 +212,7 @@
 	}).Info("map-planned")
 	a.perform(ctx, now, a.leader.Propose(now, plan.Placement))
 	if jumped {
-		a.group.sentAt = time.Time{}
+		view.sentAt = time.Time{} // entries must hear of a jump before its passes get long
 		a.tellEntries(now)
 	}
 }
