--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -148,7 +148,7 @@
 		return
 	}
 	passedOn := len(c.soak.deployment.Ledger.Runs(a.id)) > 0
-	if a.sentAt.After(stoppedAt) && !passedOn || c.soak.faults.disturbed(a.sentAt.Add(-machineMargin), time.Now()) {
+	if a.sentAt.After(stoppedAt) && !passedOn || c.soak.faults.disturbed(a.sentAt.Add(-machineMargin), time.Now(), aboutReplica, a.entry.place.Name) {
 		return
 	}
 	c.soak.breach(fmt.Sprintf("request %s was cut by the planned stop of %s: %v", a.id, a.entry.place.Name, a.err))
@@ -207,7 +207,7 @@
 	}
 	left, leaves := c.soak.deployment.LeftAt(run.Replica)
 	late := left.Add(standin.LeavingBound + machineMargin)
-	if leaves && run.At.After(late) && !c.soak.faults.disturbed(left.Add(-machineMargin), run.At) {
+	if leaves && run.At.After(late) && !c.soak.faults.disturbed(left.Add(-machineMargin), run.At, aboutStore, aboutReplica, a.entry.place.Name) {
 		c.soak.breach(fmt.Sprintf("request %s came to %s %s after its leaving was told", a.id, run.Replica, run.At.Sub(left)))
 	}
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -16,8 +17,8 @@
 	shortestFault = 300 * time.Millisecond
 	longestFault  = 3 * time.Second
 	restartPause  = 400 * time.Millisecond
-	// leavingTime is how long a replica serves on after it said that it leaves.
-	leavingTime = standin.LeavingBound + time.Second
+	// leavingTime is how long a replica serves on after it said that it leaves: long enough to see what comes too late.
+	leavingTime = standin.LeavingBound + 3*time.Second
 	lostAnswers = 0.05
 	lateOrders  = 0.3
 	proxyDelay  = 60 * time.Millisecond
@@ -31,7 +32,17 @@
 	spans []*faultSpan
 }
 
-type faultSpan struct{ from, to time.Time }
+type faultSpan struct {
+	from, to time.Time
+	// about is the name of the process that is harmed, or one of the constants below; "" until it is chosen.
+	about string
+}
+
+// What faults that harm no process are about.
+const (
+	aboutStore   = "store"
+	aboutReplica = "replica"
+)
 
 func (l *faultLog) begin() *faultSpan {
 	l.mu.Lock()
@@ -47,12 +58,19 @@
 	span.to = time.Now()
 }
 
-// disturbed reports whether a fault was in force between two moments.
-func (l *faultLog) disturbed(from, to time.Time) bool {
+// concern says what a fault is about.
+func (l *faultLog) concern(span *faultSpan, about string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	span.about = about
+}
+
+// disturbed reports whether a fault about one of the things was in force between two moments.
+func (l *faultLog) disturbed(from, to time.Time, about ...string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, span := range l.spans {
-		if span.from.Before(to) && (span.to.IsZero() || span.to.After(from)) {
+		if span.from.Before(to) && (span.to.IsZero() || span.to.After(from)) && (span.about == "" || slices.Contains(about, span.about)) {
 			return true
 		}
 	}
@@ -64,9 +82,14 @@
 	name string
 	// planned is true for work after which nothing may be lost.
 	planned bool
-	do      func(ctx context.Context, random *rand.Rand) error
+	// about is what the fault harms; "" if it chooses a process, which it tells.
+	about string
+	do    func(ctx context.Context, random *rand.Rand, harm harm) error
 }
 
+// harm is told which process a fault has chosen.
+type harm func(about *process)
+
 // inject begins one fault after the other until the context ends. Several injectors make faults overlap.
 func (s *soak) inject(ctx context.Context, random *rand.Rand) {
 	faults := s.kinds()
@@ -74,10 +97,13 @@
 		chosen := faults[random.IntN(len(faults))]
 		s.note("begins: " + chosen.name)
 		var span *faultSpan
+		chose := func(*process) {}
 		if !chosen.planned {
 			span = s.faults.begin()
+			s.faults.concern(span, chosen.about)
+			chose = func(about *process) { s.faults.concern(span, about.place.Name) }
 		}
-		if err := chosen.do(ctx, random); err != nil && ctx.Err() == nil {
+		if err := chosen.do(ctx, random, chose); err != nil && ctx.Err() == nil {
 			s.breach("invariant: " + chosen.name + ": " + err.Error())
 		}
 		if span != nil {
@@ -107,9 +133,10 @@
 }
 
 func (s *soak) processFaults() []fault {
-	frozen := func(from []*process) func(context.Context, *rand.Rand) error {
-		return func(ctx context.Context, random *rand.Rand) error {
+	frozen := func(from []*process) func(context.Context, *rand.Rand, harm) error {
+		return func(ctx context.Context, random *rand.Rand, chose harm) error {
 			chosen := pick(random, from)
+			chose(chosen)
 			if !chosen.busy.TryLock() {
 				return nil
 			}
@@ -120,9 +147,10 @@
 			return nil
 		}
 	}
-	killed := func(from []*process) func(context.Context, *rand.Rand) error {
-		return func(_ context.Context, random *rand.Rand) error {
+	killed := func(from []*process) func(context.Context, *rand.Rand, harm) error {
+		return func(_ context.Context, random *rand.Rand, chose harm) error {
 			chosen := pick(random, from)
+			chose(chosen)
 			if !chosen.busy.TryLock() {
 				return nil
 			}
@@ -135,7 +163,7 @@
 		{name: "an agent stands still", do: frozen(s.agents)},
 		{name: "an entry is killed", do: killed(s.entries)},
 		{name: "an agent is killed", do: killed(s.agents)},
-		{name: "an entry is stopped", planned: true, do: func(_ context.Context, random *rand.Rand) error {
+		{name: "an entry is stopped", planned: true, do: func(_ context.Context, random *rand.Rand, _ harm) error {
 			chosen := pick(random, s.entries)
 			if !chosen.busy.TryLock() {
 				return nil
@@ -143,7 +171,7 @@
 			defer chosen.busy.Unlock()
 			return chosen.stop(stopGrace)
 		}},
-		{name: "settings are read again", planned: true, do: func(_ context.Context, random *rand.Rand) error {
+		{name: "settings are read again", planned: true, do: func(_ context.Context, random *rand.Rand, _ harm) error {
 			chosen := pick(random, append(append([]*process(nil), s.entries...), s.agents...))
 			if !chosen.busy.TryLock() {
 				return nil
@@ -156,8 +184,8 @@
 }
 
 func (s *soak) networkFaults() []fault {
-	harmed := func(from []*proxy, state proxyState) func(context.Context, *rand.Rand) error {
-		return func(ctx context.Context, random *rand.Rand) error {
+	harmed := func(from []*proxy, state proxyState) func(context.Context, *rand.Rand, harm) error {
+		return func(ctx context.Context, random *rand.Rand, _ harm) error {
 			chosen := pick(random, from)
 			chosen.set(state)
 			pause(ctx, faultLength(random))
@@ -168,16 +196,16 @@
 	cut := proxyState{dropTo: true, dropFrom: true}
 	all := append(append([]*proxy(nil), s.storeProxies...), s.replicaProxies...)
 	return []fault{
-		{name: "a process loses the store", do: harmed(s.storeProxies, cut)},
-		{name: "a replica is cut off", do: harmed(s.replicaProxies, cut)},
-		{name: "a connection loses one way", do: harmed(all, proxyState{dropFrom: true})},
-		{name: "a connection loses the other way", do: harmed(all, proxyState{dropTo: true})},
-		{name: "a connection is slow", do: harmed(all, proxyState{delay: proxyDelay})},
-		{name: "connections go silent", do: func(_ context.Context, random *rand.Rand) error {
+		{name: "a process loses the store", about: aboutStore, do: harmed(s.storeProxies, cut)},
+		{name: "a replica is cut off", about: aboutReplica, do: harmed(s.replicaProxies, cut)},
+		{name: "a connection loses one way", about: aboutReplica, do: harmed(all, proxyState{dropFrom: true})},
+		{name: "a connection loses the other way", about: aboutReplica, do: harmed(all, proxyState{dropTo: true})},
+		{name: "a connection is slow", about: aboutReplica, do: harmed(all, proxyState{delay: proxyDelay})},
+		{name: "connections go silent", about: aboutReplica, do: func(_ context.Context, random *rand.Rand, _ harm) error {
 			pick(random, all).silence()
 			return nil
 		}},
-		{name: "connections are reset", do: func(_ context.Context, random *rand.Rand) error {
+		{name: "connections are reset", about: aboutReplica, do: func(_ context.Context, random *rand.Rand, _ harm) error {
 			pick(random, all).reset()
 			return nil
 		}},
@@ -186,8 +214,8 @@
 
 func (s *soak) platformFaults() []fault {
 	d := s.deployment
-	store := func(state standin.StoreState) func(context.Context, *rand.Rand) error {
-		return func(ctx context.Context, random *rand.Rand) error {
+	store := func(state standin.StoreState) func(context.Context, *rand.Rand, harm) error {
+		return func(ctx context.Context, random *rand.Rand, _ harm) error {
 			d.Store.SetState(state)
 			pause(ctx, faultLength(random))
 			d.Store.SetState(standin.StoreUp)
@@ -195,17 +223,17 @@
 		}
 	}
 	return []fault{
-		{name: "the store refuses", do: store(standin.StoreBusy)},
-		{name: "the store is silent", do: store(standin.StoreSilent)},
-		{name: "a new configuration", planned: true, do: func(context.Context, *rand.Rand) error {
+		{name: "the store refuses", about: aboutStore, do: store(standin.StoreBusy)},
+		{name: "the store is silent", about: aboutStore, do: store(standin.StoreSilent)},
+		{name: "a new configuration", planned: true, do: func(context.Context, *rand.Rand, harm) error {
 			d.Publish()
 			return nil
 		}},
-		{name: "a credential is taken away", planned: true, do: func(context.Context, *rand.Rand) error {
+		{name: "a credential is taken away", planned: true, do: func(context.Context, *rand.Rand, harm) error {
 			d.ReplaceCredential()
 			return nil
 		}},
-		{name: "a replica crashes", do: func(ctx context.Context, random *rand.Rand) error {
+		{name: "a replica crashes", about: aboutReplica, do: func(ctx context.Context, random *rand.Rand, _ harm) error {
 			chosen := pick(random, s.replicas())
 			if !s.claim(chosen) {
 				return nil
@@ -215,7 +243,7 @@
 			pause(ctx, faultLength(random))
 			return chosen.Restart()
 		}},
-		{name: "a plain replica leaves", planned: true, do: func(_ context.Context, random *rand.Rand) error {
+		{name: "a plain replica leaves", planned: true, do: func(_ context.Context, random *rand.Rand, _ harm) error {
 			chosen := pick(random, d.Plain)
 			if !s.claim(chosen) {
 				return nil
@@ -224,14 +252,14 @@
 			chosen.Leave(leavingTime)
 			return chosen.Restart()
 		}},
-		{name: "a replica loses answers", do: func(ctx context.Context, random *rand.Rand) error {
+		{name: "a replica loses answers", about: aboutReplica, do: func(ctx context.Context, random *rand.Rand, _ harm) error {
 			chosen := pick(random, s.replicas())
 			chosen.SetFaults(lostAnswers)
 			pause(ctx, faultLength(random))
 			chosen.SetFaults(0)
 			return nil
 		}},
-		{name: "orders are carried out late", do: func(ctx context.Context, random *rand.Rand) error {
+		{name: "orders are carried out late", about: aboutReplica, do: func(ctx context.Context, random *rand.Rand, _ harm) error {
 			chosen := pick(random, d.Groups)
 			chosen.SetLateOrders(lateOrders)
 			pause(ctx, faultLength(random))
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -79,11 +79,14 @@
 	c := qt.New(t)
 	log := faultLog{}
 	before := time.Now()
-	c.Assert(log.disturbed(before.Add(-time.Hour), before), qt.IsFalse)
+	c.Assert(log.disturbed(before.Add(-time.Hour), before, aboutStore), qt.IsFalse)
 	span := log.begin()
-	c.Assert(log.disturbed(before, time.Now().Add(time.Millisecond)), qt.IsTrue, qt.Commentf("a fault that goes on"))
+	c.Assert(log.disturbed(before, time.Now().Add(time.Millisecond), aboutStore), qt.IsTrue, qt.Commentf("a fault that has not chosen yet"))
+	log.concern(span, aboutReplica)
+	c.Assert(log.disturbed(before, time.Now().Add(time.Millisecond), aboutReplica), qt.IsTrue, qt.Commentf("a fault that goes on"))
+	c.Assert(log.disturbed(before, time.Now().Add(time.Millisecond), aboutStore, "entry-1"), qt.IsFalse, qt.Commentf("a fault of something else"))
 	log.end(span)
 	after := time.Now().Add(time.Millisecond)
-	c.Assert(log.disturbed(after, after.Add(time.Hour)), qt.IsFalse)
-	c.Assert(log.disturbed(before, after), qt.IsTrue)
+	c.Assert(log.disturbed(after, after.Add(time.Hour), aboutReplica), qt.IsFalse)
+	c.Assert(log.disturbed(before, after, aboutReplica), qt.IsTrue)
 }
