--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -20,6 +20,8 @@
 	readinessInterval = 100 * time.Millisecond
 	probeInterval     = 150 * time.Millisecond
 	thinkTime         = 15 * time.Millisecond
+	// requestsPerConnection is about how many requests a caller sends to one entry, also while it stops.
+	requestsPerConnection = 20
 	// machineMargin is the time that a request may take on its way on a busy machine.
 	machineMargin = 1500 * time.Millisecond
 )
@@ -53,18 +55,25 @@
 func (c *callers) run(ctx context.Context, number int, random *rand.Rand) {
 	client := newClient()
 	defer client.CloseIdleConnections()
+	var entry *process
 	for ctx.Err() == nil {
-		entry := c.pick(random)
+		if entry == nil || random.IntN(requestsPerConnection) == 0 {
+			entry = c.pick(random)
+		}
 		if entry == nil {
 			time.Sleep(readinessInterval)
 			continue
 		}
 		kind := standin.RequestKind(random.IntN(int(standin.Probe)))
 		valid := random.IntN(20) > 0
-		c.call(ctx, client, &attempt{
+		a := &attempt{
 			id: fmt.Sprintf("r%d-%d", number, c.serial.Add(1)), kind: kind, entry: entry,
 			credential: c.soak.deployment.Credential(random, valid),
-		})
+		}
+		c.call(ctx, client, a)
+		if a.err != nil {
+			entry = nil
+		}
 		time.Sleep(time.Duration(random.Int64N(int64(2 * thinkTime))))
 	}
 }
@@ -147,13 +156,29 @@
 	if a.err == nil || timedOut || !planned || errors.Is(a.err, syscall.ECONNREFUSED) {
 		return
 	}
-	passedOn := len(c.soak.deployment.Ledger.Runs(a.id)) > 0
-	if a.sentAt.After(stoppedAt) && !passedOn || c.soak.faults.disturbed(a.sentAt.Add(-machineMargin), time.Now(), aboutReplica, a.entry.place.Name) {
+	runs := c.soak.deployment.Ledger.Runs(a.id)
+	excuses := append(c.replicasOf(runs), a.entry.place.Name)
+	if a.sentAt.After(stoppedAt) && len(runs) == 0 || c.soak.faults.disturbed(a.sentAt.Add(-machineMargin), time.Now(), excuses...) {
 		return
 	}
 	c.soak.breach(fmt.Sprintf("request %s was cut by the planned stop of %s: %v", a.id, a.entry.place.Name, a.err))
 }
 
+// replicasOf returns the names of the replicas that ran a request, or of all if it may have waited for any of them.
+func (c *callers) replicasOf(runs []standin.Run) []string {
+	var names []string
+	for _, run := range runs {
+		names = append(names, run.Name())
+	}
+	if len(runs) > 0 {
+		return names
+	}
+	for _, replica := range c.soak.replicas() {
+		names = append(names, replica.Name())
+	}
+	return names
+}
+
 // keep keeps what must hold until the end of the soak.
 func (c *callers) keep(a *attempt) {
 	c.mu.Lock()
@@ -207,7 +232,7 @@
 	}
 	left, leaves := c.soak.deployment.LeftAt(run.Replica)
 	late := left.Add(standin.LeavingBound + machineMargin)
-	if leaves && run.At.After(late) && !c.soak.faults.disturbed(left.Add(-machineMargin), run.At, aboutStore, aboutReplica, a.entry.place.Name) {
+	if leaves && run.At.After(late) && !c.soak.faults.disturbed(left.Add(-machineMargin), run.At, aboutStore, run.Name(), a.entry.place.Name) {
 		c.soak.breach(fmt.Sprintf("request %s came to %s %s after its leaving was told", a.id, run.Replica, run.At.Sub(left)))
 	}
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -34,15 +34,12 @@
 
 type faultSpan struct {
 	from, to time.Time
-	// about is the name of the process that is harmed, or one of the constants below; "" until it is chosen.
+	// about is the name of the process or replica that is harmed, or the store; "" until it is chosen.
 	about string
 }
 
-// What faults that harm no process are about.
-const (
-	aboutStore   = "store"
-	aboutReplica = "replica"
-)
+// aboutStore is what faults of the store for all processes are about.
+const aboutStore = "store"
 
 func (l *faultLog) begin() *faultSpan {
 	l.mu.Lock()
@@ -82,13 +79,11 @@
 	name string
 	// planned is true for work after which nothing may be lost.
 	planned bool
-	// about is what the fault harms; "" if it chooses a process, which it tells.
-	about string
-	do    func(ctx context.Context, random *rand.Rand, harm harm) error
+	do      func(ctx context.Context, random *rand.Rand, harm harm) error
 }
 
-// harm is told which process a fault has chosen.
-type harm func(about *process)
+// harm is told what a fault has chosen.
+type harm func(about string)
 
 // inject begins one fault after the other until the context ends. Several injectors make faults overlap.
 func (s *soak) inject(ctx context.Context, random *rand.Rand) {
@@ -97,11 +92,10 @@
 		chosen := faults[random.IntN(len(faults))]
 		s.note("begins: " + chosen.name)
 		var span *faultSpan
-		chose := func(*process) {}
+		chose := func(string) {}
 		if !chosen.planned {
 			span = s.faults.begin()
-			s.faults.concern(span, chosen.about)
-			chose = func(about *process) { s.faults.concern(span, about.place.Name) }
+			chose = func(about string) { s.faults.concern(span, about) }
 		}
 		if err := chosen.do(ctx, random, chose); err != nil && ctx.Err() == nil {
 			s.breach("invariant: " + chosen.name + ": " + err.Error())
@@ -136,7 +130,7 @@
 	frozen := func(from []*process) func(context.Context, *rand.Rand, harm) error {
 		return func(ctx context.Context, random *rand.Rand, chose harm) error {
 			chosen := pick(random, from)
-			chose(chosen)
+			chose(chosen.place.Name)
 			if !chosen.busy.TryLock() {
 				return nil
 			}
@@ -150,7 +144,7 @@
 	killed := func(from []*process) func(context.Context, *rand.Rand, harm) error {
 		return func(_ context.Context, random *rand.Rand, chose harm) error {
 			chosen := pick(random, from)
-			chose(chosen)
+			chose(chosen.place.Name)
 			if !chosen.busy.TryLock() {
 				return nil
 			}
@@ -185,8 +179,9 @@
 
 func (s *soak) networkFaults() []fault {
 	harmed := func(from []*proxy, state proxyState) func(context.Context, *rand.Rand, harm) error {
-		return func(ctx context.Context, random *rand.Rand, _ harm) error {
+		return func(ctx context.Context, random *rand.Rand, chose harm) error {
 			chosen := pick(random, from)
+			chose(chosen.about)
 			chosen.set(state)
 			pause(ctx, faultLength(random))
 			chosen.set(proxyState{})
@@ -196,17 +191,21 @@
 	cut := proxyState{dropTo: true, dropFrom: true}
 	all := append(append([]*proxy(nil), s.storeProxies...), s.replicaProxies...)
 	return []fault{
-		{name: "a process loses the store", about: aboutStore, do: harmed(s.storeProxies, cut)},
-		{name: "a replica is cut off", about: aboutReplica, do: harmed(s.replicaProxies, cut)},
-		{name: "a connection loses one way", about: aboutReplica, do: harmed(all, proxyState{dropFrom: true})},
-		{name: "a connection loses the other way", about: aboutReplica, do: harmed(all, proxyState{dropTo: true})},
-		{name: "a connection is slow", about: aboutReplica, do: harmed(all, proxyState{delay: proxyDelay})},
-		{name: "connections go silent", about: aboutReplica, do: func(_ context.Context, random *rand.Rand, _ harm) error {
-			pick(random, all).silence()
+		{name: "a process loses the store", do: harmed(s.storeProxies, cut)},
+		{name: "a replica is cut off", do: harmed(s.replicaProxies, cut)},
+		{name: "a connection loses one way", do: harmed(all, proxyState{dropFrom: true})},
+		{name: "a connection loses the other way", do: harmed(all, proxyState{dropTo: true})},
+		{name: "a connection is slow", do: harmed(all, proxyState{delay: proxyDelay})},
+		{name: "connections go silent", do: func(_ context.Context, random *rand.Rand, chose harm) error {
+			chosen := pick(random, all)
+			chose(chosen.about)
+			chosen.silence()
 			return nil
 		}},
-		{name: "connections are reset", about: aboutReplica, do: func(_ context.Context, random *rand.Rand, _ harm) error {
-			pick(random, all).reset()
+		{name: "connections are reset", do: func(_ context.Context, random *rand.Rand, chose harm) error {
+			chosen := pick(random, all)
+			chose(chosen.about)
+			chosen.reset()
 			return nil
 		}},
 	}
@@ -215,7 +214,8 @@
 func (s *soak) platformFaults() []fault {
 	d := s.deployment
 	store := func(state standin.StoreState) func(context.Context, *rand.Rand, harm) error {
-		return func(ctx context.Context, random *rand.Rand, _ harm) error {
+		return func(ctx context.Context, random *rand.Rand, chose harm) error {
+			chose(aboutStore)
 			d.Store.SetState(state)
 			pause(ctx, faultLength(random))
 			d.Store.SetState(standin.StoreUp)
@@ -223,8 +223,8 @@
 		}
 	}
 	return []fault{
-		{name: "the store refuses", about: aboutStore, do: store(standin.StoreBusy)},
-		{name: "the store is silent", about: aboutStore, do: store(standin.StoreSilent)},
+		{name: "the store refuses", do: store(standin.StoreBusy)},
+		{name: "the store is silent", do: store(standin.StoreSilent)},
 		{name: "a new configuration", planned: true, do: func(context.Context, *rand.Rand, harm) error {
 			d.Publish()
 			return nil
@@ -233,8 +233,9 @@
 			d.ReplaceCredential()
 			return nil
 		}},
-		{name: "a replica crashes", about: aboutReplica, do: func(ctx context.Context, random *rand.Rand, _ harm) error {
+		{name: "a replica crashes", do: func(ctx context.Context, random *rand.Rand, chose harm) error {
 			chosen := pick(random, s.replicas())
+			chose(chosen.Name())
 			if !s.claim(chosen) {
 				return nil
 			}
@@ -252,14 +253,15 @@
 			chosen.Leave(leavingTime)
 			return chosen.Restart()
 		}},
-		{name: "a replica loses answers", about: aboutReplica, do: func(ctx context.Context, random *rand.Rand, _ harm) error {
+		{name: "a replica loses answers", do: func(ctx context.Context, random *rand.Rand, chose harm) error {
 			chosen := pick(random, s.replicas())
+			chose(chosen.Name())
 			chosen.SetFaults(lostAnswers)
 			pause(ctx, faultLength(random))
 			chosen.SetFaults(0)
 			return nil
 		}},
-		{name: "orders are carried out late", about: aboutReplica, do: func(ctx context.Context, random *rand.Rand, _ harm) error {
+		{name: "orders are carried out late", do: func(ctx context.Context, random *rand.Rand, _ harm) error {
 			chosen := pick(random, d.Groups)
 			chosen.SetLateOrders(lateOrders)
 			pause(ctx, faultLength(random))
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -20,7 +20,9 @@
 // proxy passes TCP connections on and does harm to them.
 type proxy struct {
 	listener net.Listener
-	target   func() string
+	// about is the name of the process or replica whose connections these are.
+	about  string
+	target func() string
 
 	mu    sync.Mutex
 	state proxyState
@@ -30,12 +32,12 @@
 }
 
 // newProxy listens at an address. Target returns where connections lead.
-func newProxy(address string, target func() string) (*proxy, error) {
+func newProxy(about, address string, target func() string) (*proxy, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, conns: map[net.Conn]struct{}{}}
+	p := &proxy{listener: listener, about: about, target: target, conns: map[net.Conn]struct{}{}}
 	go p.accept()
 	return p, nil
 }
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -33,7 +33,7 @@
 
 func newTestProxy(c *qt.C) (*proxy, func() net.Conn) {
 	target := echo(c)
-	p, err := newProxy("127.0.0.1:0", func() string { return target })
+	p, err := newProxy("replica", "127.0.0.1:0", func() string { return target })
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(p.close)
 	return p, func() net.Conn {
@@ -82,11 +82,11 @@
 	c.Assert(log.disturbed(before.Add(-time.Hour), before, aboutStore), qt.IsFalse)
 	span := log.begin()
 	c.Assert(log.disturbed(before, time.Now().Add(time.Millisecond), aboutStore), qt.IsTrue, qt.Commentf("a fault that has not chosen yet"))
-	log.concern(span, aboutReplica)
-	c.Assert(log.disturbed(before, time.Now().Add(time.Millisecond), aboutReplica), qt.IsTrue, qt.Commentf("a fault that goes on"))
+	log.concern(span, "replica")
+	c.Assert(log.disturbed(before, time.Now().Add(time.Millisecond), "replica"), qt.IsTrue, qt.Commentf("a fault that goes on"))
 	c.Assert(log.disturbed(before, time.Now().Add(time.Millisecond), aboutStore, "entry-1"), qt.IsFalse, qt.Commentf("a fault of something else"))
 	log.end(span)
 	after := time.Now().Add(time.Millisecond)
-	c.Assert(log.disturbed(after, after.Add(time.Hour), aboutReplica), qt.IsFalse)
-	c.Assert(log.disturbed(before, after, aboutReplica), qt.IsTrue)
+	c.Assert(log.disturbed(after, after.Add(time.Hour), "replica"), qt.IsFalse)
+	c.Assert(log.disturbed(before, after, "replica"), qt.IsTrue)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -200,7 +200,7 @@
 }
 
 func (s *soak) addReplicaProxy(address string, replica *standin.Replica) error {
-	added, err := newProxy(address, replica.Address)
+	added, err := newProxy(replica.Name(), address, replica.Address)
 	if err != nil {
 		return err
 	}
@@ -211,7 +211,7 @@
 // addProcess starts a process with a proxy of its own to the store.
 func (s *soak) addProcess(role string, place standin.Place, store string) error {
 	place.Store = fmt.Sprintf("%s:%d", place.IP, storePort)
-	added, err := newProxy(place.Store, func() string { return store })
+	added, err := newProxy(place.Name, place.Store, func() string { return store })
 	if err != nil {
 		return err
 	}
