--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -261,8 +261,9 @@
 			chosen.SetFaults(0)
 			return nil
 		}},
-		{name: "orders are carried out late", do: func(ctx context.Context, random *rand.Rand, _ harm) error {
+		{name: "orders are carried out late", do: func(ctx context.Context, random *rand.Rand, chose harm) error {
 			chosen := pick(random, d.Groups)
+			chose(chosen.Name())
 			chosen.SetLateOrders(lateOrders)
 			pause(ctx, faultLength(random))
 			chosen.SetLateOrders(0)
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -231,8 +231,8 @@
 type busyStore struct {
 	deafStore
 	changesUntil time.Time
-	watched      int
-	proofs       int
+	watched      atomic.Int64
+	proofs       atomic.Int64
 }
 
 func (s *busyStore) Watch(ctx context.Context, after uint64, wait time.Duration) (source.Changes, error) {
@@ -243,12 +243,12 @@
 		}
 		return source.Changes{Revision: after}, ctx.Err()
 	}
-	s.watched++
+	s.watched.Add(1)
 	return source.Changes{Revision: after, Put: []membership.ListedBackend{{ID: "a"}}}, nil
 }
 
 func (s *busyStore) Revision(context.Context) (uint64, error) {
-	s.proofs++
+	s.proofs.Add(1)
 	return 3, nil
 }
 
@@ -264,7 +264,7 @@
 		time.Sleep(5 * time.Second)
 		cancel()
 		synctest.Wait()
-		qt.Assert(t, store.watched, qt.Equals, 12)
+		qt.Assert(t, store.watched.Load(), qt.Equals, int64(12))
 	})
 }
 
@@ -274,19 +274,20 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		begun := time.Now()
 		store := &busyStore{}
-		idle := true
+		var idle atomic.Bool
+		idle.Store(true)
 		follower := source.NewFollower(store, &record{}, func() time.Duration { return time.Since(begun) })
 		follower.Wait, follower.ProofInterval, follower.IdleProofInterval = time.Hour, time.Second, 3*time.Second
-		follower.Idle = func() bool { return idle }
+		follower.Idle = idle.Load
 		go follower.Run(ctx)
 		time.Sleep(10 * time.Second)
-		qt.Assert(t, store.proofs, qt.Equals, 4)
-		idle = false
+		qt.Assert(t, store.proofs.Load(), qt.Equals, int64(4))
+		idle.Store(false)
 		follower.Wake()
 		synctest.Wait()
-		qt.Assert(t, store.proofs, qt.Equals, 5)
+		qt.Assert(t, store.proofs.Load(), qt.Equals, int64(5))
 		time.Sleep(10*time.Second + 500*ms)
-		qt.Assert(t, store.proofs, qt.Equals, 15)
+		qt.Assert(t, store.proofs.Load(), qt.Equals, int64(15))
 		cancel()
 		synctest.Wait()
 	})
