--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,11 +27,16 @@
 	requestsPerEntry = 20
 	// schedulingMargin is the additional latency that the checks tolerate, since the machine runs dozens of processes.
 	schedulingMargin = 1500 * time.Millisecond
+	// sharedRequestInterval is the mean number of requests of a caller per shared request, which has the same path and
+	// body as those of other callers.
+	sharedRequestInterval = 8
 )
 
 // callRecord is a caller's request and its response.
 type callRecord struct {
 	id, credential string
+	// shared is true for a request with the same path and body as those of other callers.
+	shared bool
 	// kind determines the checks: a Posting may run at most once, and the response to a Draft is an event stream.
 	kind   standin.RequestKind
 	entry  *process
@@ -75,7 +81,7 @@
 		valid := random.IntN(20) > 0
 		call := &callRecord{
 			id: fmt.Sprintf("r%d-%d", number, c.idCounter.Add(1)), kind: kind, entry: entry,
-			credential: c.soak.deployment.Credential(random, valid),
+			credential: c.soak.deployment.Credential(random, valid), shared: random.IntN(sharedRequestInterval) == 0,
 		}
 		c.call(ctx, client, call)
 		if call.err != nil {
@@ -94,7 +100,7 @@
 func (c *callers) call(ctx context.Context, client *http.Client, call *callRecord) {
 	ctx, cancel := context.WithTimeout(ctx, standin.RequestTimeout)
 	defer cancel()
-	request, err := standin.Request(ctx, call.entry.settings.Callers, call.kind, call.id, call.credential, 0)
+	request, err := call.request(ctx)
 	if err != nil {
 		c.soak.reportViolation("failed to create a request: " + err.Error())
 		return
@@ -116,6 +122,14 @@
 	c.record(call)
 }
 
+// request returns the HTTP request of the call.
+func (call *callRecord) request(ctx context.Context) (*http.Request, error) {
+	if call.shared {
+		return standin.SharedRequest(ctx, call.entry.settings.Callers, call.kind, call.id, call.credential)
+	}
+	return standin.Request(ctx, call.entry.settings.Callers, call.kind, call.id, call.credential, 0)
+}
+
 func (c *callers) countOutcome(call *callRecord) {
 	switch {
 	case call.err == nil && call.status == http.StatusOK:
@@ -136,8 +150,12 @@
 	return false
 }
 
-// checkAnswer checks that a success status comes with a replica's complete answer to this request.
+// checkAnswer checks that a success status comes with a replica's complete answer to this request, and that the request
+// is not refused as if it had crashed replicas.
 func (c *callers) checkAnswer(call *callRecord, response *http.Response) {
+	if strings.Contains(call.body, quarantineCause) && !standin.Signed(response) {
+		c.soak.reportViolation(fmt.Sprintf("request %s at %s: refused as one that crashes replicas: %s", call.id, call.entry.settings.Name, call.body))
+	}
 	if call.status < 200 || call.status > 299 || call.err != nil {
 		return
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -31,6 +31,7 @@
 	// incarnation counts the starts. exitExpected is true once the soak has sent SIGTERM or SIGKILL to the current
 	// incarnation.
 	incarnation  int
+	startedAt    time.Time
 	exitExpected bool
 	// plannedStops holds when planned stops began, by incarnation.
 	plannedStops map[int]time.Time
@@ -58,6 +59,7 @@
 	}
 	p.command, p.exited, p.exitExpected = command, make(chan struct{}), false
 	p.incarnation++
+	p.startedAt = time.Now()
 	go p.wait(command, p.exited, log)
 	return nil
 }
@@ -125,6 +127,13 @@
 	return p.incarnation
 }
 
+// currentStart returns when the current incarnation was started.
+func (p *process) currentStart() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.startedAt
+}
+
 // plannedStopOf returns when the planned stop of an incarnation began, and false if there was none.
 func (p *process) plannedStopOf(incarnation int) (time.Time, bool) {
 	p.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -31,6 +31,8 @@
 	// recoveryTime is the time without faults at the end, in which late violations show.
 	recoveryTime = 3 * time.Second
 	startTimeout = 20 * time.Second
+	// crashRequestStream is the random stream of crash requests. The injectors of faults use streams from 0.
+	crashRequestStream = 50
 	// minProcesses is enough for two entries and the agents of one group.
 	minProcesses = 2 + ranksPerGroup
 )
@@ -45,6 +47,8 @@
 	Duration time.Duration
 	// Processes is the total number of entries and agents.
 	Processes int
+	// CrashRequestsOnly omits all faults other than requests that crash replicas.
+	CrashRequestsOnly bool
 	// Out receives one summary line per soak.
 	Out io.Writer
 }
@@ -70,8 +74,10 @@
 	directory  string
 	deployment *standin.Deployment
 	callers    *callers
-	faults     faultLog
-	cancel     context.CancelFunc
+	// crashRequests sends the requests that crash replicas.
+	crashRequests *crashRequests
+	faults        faultLog
+	cancel        context.CancelFunc
 
 	entries, agents              []*process
 	storeProxies, replicaProxies []*proxy
@@ -115,10 +121,11 @@
 	}
 	s.run(ctx)
 	s.callers.checkRuns()
+	s.crashRequests.check()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	fmt.Fprintf(options.Out, "seed %d: %d served, %d refused, %d failed\n",
-		seed, s.callers.served.Load(), s.callers.refused.Load(), s.callers.failed.Load())
+	fmt.Fprintf(options.Out, "seed %d: %d served, %d refused, %d failed, %d crashes by requests\n",
+		seed, s.callers.served.Load(), s.callers.refused.Load(), s.callers.failed.Load(), s.crashRequests.total())
 	if s.violation != nil {
 		return s.violation
 	}
@@ -192,6 +199,7 @@
 		}
 	}
 	s.callers = &callers{soak: s, entries: s.entries, ready: map[*process]bool{}}
+	s.crashRequests = newCrashRequests(s)
 	return nil
 }
 
@@ -258,9 +266,12 @@
 	faultCtx, cancelFaults := context.WithTimeout(ctx, s.options.Duration)
 	defer cancelFaults()
 	var injectors sync.WaitGroup
-	for i := range concurrentFaults {
-		injectors.Go(func() { s.injectFaults(faultCtx, newRandom(uint64(i))) })
+	if !s.options.CrashRequestsOnly {
+		for i := range concurrentFaults {
+			injectors.Go(func() { s.injectFaults(faultCtx, newRandom(uint64(i))) })
+		}
 	}
+	injectors.Go(func() { s.crashRequests.run(faultCtx, newRandom(crashRequestStream)) })
 	injectors.Wait()
 	sleep(ctx, recoveryTime)
 	cancel()
