--- a/internal/attempt/messages.go
+++ b/internal/attempt/messages.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"encoding/hex"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -14,6 +15,9 @@
 // Fingerprint identifies a request over resends by customer, class and body digest.
 type Fingerprint [16]byte
 
+// String returns the fingerprint in hexadecimal, as in logs.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
 // Number is the number of a lease under which an agent lets an entry dispatch requests to it. Later
 // leases have greater numbers, and the agent refuses dispatches with a number below its minimum.
 type Number uint64
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -189,6 +189,7 @@
 	g.forwardProgress()
 	g.deliver(g.dispatcher.Tick(now))
 	g.pool.closeExpired(now)
+	g.prober.removeExpired(now)
 	for _, subscription := range g.leaders.due(now) {
 		message := datagram.Message{Subscribe: &datagram.Subscribe{Group: subscription.group, Entry: g.socket.Address().String()}}
 		g.socket.Send(subscription.agent, message)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,7 @@
 	loop     *node.Loop[func(now time.Time)]
 	follower *source.Follower
 	pool     *connPool
+	prober   *prober
 	socket   *datagram.Socket
 	headers  Headers
 
@@ -130,6 +131,7 @@
 		leaders:    newLeaderDirectory(),
 	}
 	g.pool = newConnPool(g.metrics.connectionOpened)
+	g.prober = newProber()
 	g.follower = source.NewFollower(config.Store, g, bootTime)
 	g.loop = node.NewLoop(tickInterval, func(now time.Time, event func(time.Time)) { event(now) }, g.tick)
 	return g
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -52,6 +52,11 @@
 	m.scope.Tagged(map[string]string{"result": result}).Counter("sent").Inc(1)
 }
 
+// countProbe counts the result of a probe of a backend server.
+func (m *metrics) countProbe(state serverState) {
+	m.scope.Tagged(map[string]string{"state": string(state)}).Counter("probes").Inc(1)
+}
+
 // countCall counts the outcome of a call. requestKind is the kind of its route's requests; "" for a call without a
 // route.
 func (m *metrics) countCall(result outcome.Kind, cause outcome.Cause, requestKind string) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -36,6 +36,9 @@
 		result.sendResult = routing.SendAbandoned
 	}
 	c.gateway.recordSendEnd(assigned.Backend.ID, result.sendResult, latency)
+	if result.sendResult == routing.SendBroken && c.replacement == nil {
+		c.reportBroken(assigned.Backend)
+	}
 	if c.replacement != nil && (result.done || ctx.Err() != nil) {
 		c.gateway.recordSendEnd(c.replacement.Backend.ID, routing.SendAbandoned, 0)
 		c.replacement = nil
