Add a failing test: a repeated request crashes one backend server after the other

What callers saw: a request that crashes each server which runs it is sent on for as long as its caller repeats it; other callers' requests are not served meanwhile.

--- /dev/null
+++ b/internal/gateway/crash_requests_test.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/source"
+)
+
+// The platform's bound on requests that crash backend servers: at most maxLateRuns runs later than stableWindow after the
+// third crash.
+const (
+	toleratedCrashes = 3
+	maxLateRuns      = 3
+	stableWindow     = 3 * time.Second
+)
+
+// crashDowntime is the time after which a crashed server runs again.
+const crashDowntime = 300 * time.Millisecond
+
+// crashingServers are backend servers that end when they begin to run a request whose body contains "crash". They start
+// again at the same address as new incarnations.
+type crashingServers struct {
+	t     *testing.T
+	store *testStore
+
+	mu sync.Mutex
+	// crashes has the times of all crashes, runs the identifiers of all requests that were run.
+	crashes []time.Time
+	runs    map[string]int
+}
+
+// newCrashingServers starts servers of both test services and lists them in the store.
+func newCrashingServers(t *testing.T, store *testStore, count int) *crashingServers {
+	s := &crashingServers{t: t, store: store, runs: map[string]int{}}
+	for i := range count {
+		s.start(fmt.Sprintf("server-%d", i), "127.0.0.1:0", 0)
+	}
+	return s
+}
+
+// start starts an incarnation of a server.
+func (s *crashingServers) start(name, address string, incarnation int) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		s.t.Errorf("listen: %v", err)
+		return
+	}
+	server := &http.Server{}
+	crashed := sync.OnceFunc(func() {
+		s.mu.Lock()
+		s.crashes = append(s.crashes, time.Now())
+		s.mu.Unlock()
+		_ = server.Close()
+		time.AfterFunc(crashDowntime, func() { s.start(name, listener.Addr().String(), incarnation+1) })
+	})
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, crashed) })
+	s.t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	s.store.set(func(state *source.State) {
+		var backends []membership.ListedBackend
+		for _, backend := range state.Backends {
+			if backend.Address != listener.Addr().String() {
+				backends = append(backends, backend)
+			}
+		}
+		for _, service := range []ident.Service{plainService, streamService} {
+			backends = append(backends, membership.ListedBackend{
+				ID: fmt.Sprintf("%s-%s-%d", name, service, incarnation), Service: service, Address: listener.Addr().String(), Slots: 6,
+				Started: int64(incarnation + 1),
+			})
+		}
+		state.Backends = backends
+	})
+}
+
+func (s *crashingServers) serve(w http.ResponseWriter, r *http.Request, crash func()) {
+	id := r.Header.Get("X-Request")
+	s.mu.Lock()
+	s.runs[id]++
+	s.mu.Unlock()
+	body := make([]byte, 64)
+	n, _ := r.Body.Read(body)
+	crashes := strings.Contains(string(body[:n]), "crash")
+	w.Header().Set("X-Request", id)
+	w.Header().Set("X-Signature", "s")
+	if strings.HasPrefix(r.URL.Path, "/stream/") {
+		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for event := first + 1; event <= first+3; event++ {
+			fmt.Fprintf(w, "id: %d\ndata: x\n\n", event)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+	if crashes {
+		crash()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// times returns the times of all crashes.
+func (s *crashingServers) times() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.crashes...)
+}
+
+// late returns the number of crashes later than stableWindow after the third.
+func (s *crashingServers) late() int {
+	crashes := s.times()
+	if len(crashes) < toleratedCrashes {
+		return 0
+	}
+	late := 0
+	for _, at := range crashes {
+		if at.Sub(crashes[toleratedCrashes-1]) > stableWindow {
+			late++
+		}
+	}
+	return late
+}
+
+// ran reports whether a server ran the request with the identifier.
+func (s *crashingServers) ran(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id] > 0
+}
+
+// repeat sends a crash request every 100 ms for the given time. A response that states that the request has not run must
+// be true and must say when to return.
+func (s *crashingServers) repeat(g *testGateway, path string, duration time.Duration) (refused int) {
+	for end, i := time.Now().Add(duration), 0; time.Now().Before(end); i++ {
+		id := fmt.Sprintf("%s-%d-%d", path, end.UnixNano(), i)
+		got := g.request(context.Background(), http.MethodPost, path, "crash", "X-Request", id)
+		if got.status == http.StatusServiceUnavailable {
+			g.c.Check(s.ran(id), qt.IsFalse, qt.Commentf("a request that was refused as not run has run"))
+			g.c.Check(got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			if strings.Contains(got.body, "quarantined") {
+				refused++
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return refused
+}
+
+// A request that crashes each backend server which runs it is repeated by its caller. Without a record of requests that
+// outlasts a call, every repeat ends one more server, and in the meantime other callers' requests are not served.
+func TestRepeatedCrashRequestIsRefused(t *testing.T) {
+	for _, path := range []string{"/lookup/x", "/post/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			g := newTestGateway(t)
+			servers := newCrashingServers(t, g.store, 5)
+			for g.get("/lookup/sound").status != http.StatusOK {
+				time.Sleep(10 * time.Millisecond)
+			}
+			refused := servers.repeat(g, path, stableWindow+2*time.Second)
+			g.c.Check(servers.late() <= maxLateRuns, qt.IsTrue, qt.Commentf("%d late crashes", servers.late()))
+			g.c.Check(len(servers.times()) <= toleratedCrashes+maxLateRuns, qt.IsTrue, qt.Commentf("%d crashes", len(servers.times())))
+			g.c.Check(refused > 0, qt.IsTrue)
+			g.c.Check(g.get("/lookup/sound").status, qt.Equals, http.StatusOK)
+		})
+	}
+}
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -274,7 +274,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { g.runError <- g.gateway.Run(ctx, g.stop) }()
 	t.Cleanup(cancel)
-	for !g.gateway.ready() {
+	for len(backends) > 0 && !g.gateway.ready() {
 		time.Sleep(time.Millisecond)
 	}
 	return g
