Refuse requests that crash backend servers, at each entry

What callers saw: a request that crashes each server which runs it was sent on as long as its caller repeated it; 502 for it, and failures for all others while servers were down.

Cause: the path of the users' platform (internal/gateway) kept no knowledge of a request beyond its call.

Change: attempt.CrashRegister collects broken sends whose server has ended without announcing it (connection refused, or gone from the list). An end counts fully if the request is the only one that ran there and that no server has survived since, and if the server did not end together with others that no request explains. Three such ends, or nine of any kind, quarantine the request for an hour: 503, not run, Retry-After. A suspect runs apart from others where servers allow it. The set of refused requests (attempt.Quarantine) is one copy for both paths.

Ruled out: counting unconfirmed broken sends (in a soak it quarantined a shared lookup after resets); sends that began after the first broken one on the same server (they reached a proxy of a dead server and quarantined a shared stream). A server also counts as survived if it answered the same request within the last 10 s.

Open: entries do not yet share this.

--- /dev/null
+++ b/internal/attempt/crash_reports.go
@@ -0,0 +1,180 @@
+package attempt
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// EndReport reports an end of a backend server to other entries. A receiver merges it with what it knows of the end.
+type EndReport struct {
+	Server  ServerInstance `cbor:"1,keyasint"`
+	Service ident.Service  `cbor:"2,keyasint"`
+	// Age is the time since the end.
+	Age time.Duration `cbor:"3,keyasint"`
+	// Suspected are the requests that were running and that no server has survived since. Survived are the others.
+	Suspected []Fingerprint `cbor:"4,keyasint,omitempty"`
+	Survived  []Fingerprint `cbor:"5,keyasint,omitempty"`
+}
+
+// CrashUpdate is a part of one entry's register for another entry.
+type CrashUpdate struct {
+	Ends        []EndReport        `cbor:"1,keyasint,omitempty"`
+	Quarantined []QuarantineNotice `cbor:"2,keyasint,omitempty"`
+}
+
+// maxUpdateFingerprints is the number of fingerprints in one update, which then fits into a packet of 1,400 bytes. An end
+// counts as endFingerprints more, for the name of the server.
+const (
+	maxUpdateFingerprints = 48
+	endFingerprints       = 4
+)
+
+// TakeChanges returns what has changed since the previous call, in parts of the size of a packet. What exceeds maxUpdates
+// parts is returned by the next call.
+func (r *CrashRegister) TakeChanges(now time.Time, maxUpdates int) []CrashUpdate {
+	updates := updateWriter{limit: maxUpdates}
+	for server := range r.changedEnds {
+		if !updates.addEnd(r.report(now, server)) {
+			return updates.parts
+		}
+		delete(r.changedEnds, server)
+	}
+	for fingerprint := range r.changedQuarantine {
+		if !updates.addNotice(r.quarantine.notice(now, fingerprint)) {
+			return updates.parts
+		}
+		delete(r.changedQuarantine, fingerprint)
+	}
+	return updates.parts
+}
+
+// HasChanges reports whether TakeChanges would return anything.
+func (r *CrashRegister) HasChanges() bool {
+	return len(r.changedEnds)+len(r.changedQuarantine) > 0
+}
+
+// Sample returns at most maxUpdates parts of the register, for an entry whose digest differs. The iteration order of maps
+// makes each sample of a large register another one.
+func (r *CrashRegister) Sample(now time.Time, maxUpdates int) []CrashUpdate {
+	updates := updateWriter{limit: maxUpdates}
+	for fingerprint := range r.quarantine.until {
+		if !updates.addNotice(r.quarantine.notice(now, fingerprint)) {
+			break
+		}
+	}
+	updates.limit += maxUpdates
+	for server := range r.ends {
+		if !updates.addEnd(r.report(now, server)) {
+			break
+		}
+	}
+	return updates.parts
+}
+
+// updateWriter divides reports into updates.
+type updateWriter struct {
+	limit int
+	parts []CrashUpdate
+	// size is the number of fingerprints in the last part.
+	size int
+}
+
+// reserve returns the part to which fingerprints are added; nil if the limit is reached.
+func (w *updateWriter) reserve(fingerprints int) *CrashUpdate {
+	if len(w.parts) == 0 || w.size+fingerprints > maxUpdateFingerprints && w.size > 0 {
+		if len(w.parts) >= w.limit {
+			return nil
+		}
+		w.parts, w.size = append(w.parts, CrashUpdate{}), 0
+	}
+	w.size += fingerprints
+	return &w.parts[len(w.parts)-1]
+}
+
+func (w *updateWriter) addEnd(report EndReport) bool {
+	part := w.reserve(endFingerprints + len(report.Suspected) + len(report.Survived))
+	if part != nil {
+		part.Ends = append(part.Ends, report)
+	}
+	return part != nil
+}
+
+func (w *updateWriter) addNotice(notice QuarantineNotice) bool {
+	part := w.reserve(1)
+	if part != nil {
+		part.Quarantined = append(part.Quarantined, notice)
+	}
+	return part != nil
+}
+
+// report returns the report of an end.
+func (r *CrashRegister) report(now time.Time, server ServerInstance) EndReport {
+	end := r.ends[server]
+	report := EndReport{Server: server, Service: end.service, Age: now.Sub(end.at)}
+	for fingerprint, survived := range end.survived {
+		if survived {
+			report.Survived = append(report.Survived, fingerprint)
+		} else {
+			report.Suspected = append(report.Suspected, fingerprint)
+		}
+	}
+	return report
+}
+
+// Merge adds what another entry reports. Only what is new here is reported further.
+func (r *CrashRegister) Merge(now time.Time, update CrashUpdate) {
+	for _, report := range update.Ends {
+		r.mergeEnd(now, report)
+	}
+	for _, notice := range update.Quarantined {
+		left := min(notice.ExpiresIn, r.config.QuarantineFor)
+		if left > 0 && r.quarantine.Add(notice.Fingerprint, now.Add(left)) {
+			r.changedQuarantine[notice.Fingerprint] = true
+		}
+	}
+}
+
+func (r *CrashRegister) mergeEnd(now time.Time, report EndReport) {
+	if report.Age < 0 || report.Age > r.config.SuspectFor {
+		return
+	}
+	end := r.ends[report.Server]
+	if end == nil {
+		r.RecordEnd(now, report.Server, report.Service)
+		end = r.ends[report.Server]
+		end.at = now.Add(-report.Age)
+	}
+	for _, fingerprint := range report.Survived {
+		r.markSurvived(now, report.Server, end, fingerprint)
+	}
+	for _, fingerprint := range report.Suspected {
+		r.addRunning(now, report.Server, end, fingerprint)
+	}
+}
+
+// Digest returns a value that is the same for registers with the same content.
+func (r *CrashRegister) Digest() uint64 {
+	digest := r.quarantine.digest
+	for server, end := range r.ends {
+		key := xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(server.ID), uint64(server.Started)))
+		digest ^= key
+		for fingerprint, survived := range end.survived {
+			mixed := mix(key ^ binary.BigEndian.Uint64(fingerprint[:]))
+			if survived {
+				mixed = mix(mixed)
+			}
+			digest ^= mixed
+		}
+	}
+	return digest
+}
+
+// Suspected returns the servers that ended while the request was running, if no server has survived it since.
+func (r *CrashRegister) Suspected(fingerprint Fingerprint) []ServerInstance {
+	return slices.Clone(r.suspects[fingerprint])
+}
--- a/internal/attempt/suspects.go
+++ b/internal/attempt/suspects.go
@@ -50,6 +50,7 @@
 type Suspects struct {
 	config      SuspectConfig
 	requests    map[Fingerprint]*suspect
+	quarantine  *Quarantine
 	seenCrashes map[crashID]time.Time
 }
 
@@ -58,9 +59,8 @@
 type suspect struct {
 	crashes int
 	// aloneCrashes counts the crashes of a model group while the request ran there alone.
-	aloneCrashes     int
-	suspectUntil     time.Time
-	quarantinedUntil time.Time
+	aloneCrashes int
+	suspectUntil time.Time
 }
 
 // crashID identifies a reported crash, so that a repeated report is counted once.
@@ -71,17 +71,17 @@
 
 // NewSuspects returns an empty register.
 func NewSuspects(config SuspectConfig) *Suspects {
-	return &Suspects{config: config, requests: map[Fingerprint]*suspect{}, seenCrashes: map[crashID]time.Time{}}
+	return &Suspects{config: config, requests: map[Fingerprint]*suspect{}, quarantine: NewQuarantine(), seenCrashes: map[crashID]time.Time{}}
 }
 
 // Status returns how the request may run.
 func (s *Suspects) Status(now time.Time, fingerprint Fingerprint) RequestStatus {
 	record := s.requests[fingerprint]
 	switch {
+	case s.quarantine.Left(now, fingerprint) > 0:
+		return RequestQuarantined
 	case record == nil:
 		return RequestNormal
-	case now.Before(record.quarantinedUntil):
-		return RequestQuarantined
 	case now.Before(record.suspectUntil) && !s.config.AllowConcurrent:
 		return RequestSuspect
 	}
@@ -90,11 +90,7 @@
 
 // QuarantineLeft returns the time until the request may run again.
 func (s *Suspects) QuarantineLeft(now time.Time, fingerprint Fingerprint) time.Duration {
-	record := s.requests[fingerprint]
-	if record == nil {
-		return 0
-	}
-	return max(0, record.quarantinedUntil.Sub(now))
+	return s.quarantine.Left(now, fingerprint)
 }
 
 // RecordCrash records a crash once, and returns notices for the requests that it puts in quarantine.
@@ -113,7 +109,7 @@
 			record.aloneCrashes++
 		}
 		if s.mustQuarantine(record, report) {
-			record.quarantinedUntil = now.Add(s.config.QuarantineFor)
+			s.quarantine.Add(fingerprint, now.Add(s.config.QuarantineFor))
 			notices = append(notices, QuarantineNotice{
 				Fingerprint: fingerprint, Crashes: record.crashes, ExpiresIn: s.config.QuarantineFor,
 			})
@@ -150,18 +146,20 @@
 	record := s.findOrAdd(notice.Fingerprint)
 	record.crashes = max(record.crashes, notice.Crashes)
 	record.suspectUntil = later(record.suspectUntil, now.Add(notice.ExpiresIn))
-	record.quarantinedUntil = later(record.quarantinedUntil, now.Add(notice.ExpiresIn))
+	s.quarantine.Add(notice.Fingerprint, now.Add(notice.ExpiresIn))
 }
 
 // Clear removes a request from the register after it ran alone without a crash.
 func (s *Suspects) Clear(fingerprint Fingerprint) {
 	delete(s.requests, fingerprint)
+	s.quarantine.Remove(fingerprint)
 }
 
 // Expire drops expired suspects, quarantines and crash reports.
 func (s *Suspects) Expire(now time.Time) {
+	s.quarantine.Expire(now)
 	for fingerprint, record := range s.requests {
-		if !now.Before(record.suspectUntil) && !now.Before(record.quarantinedUntil) {
+		if !now.Before(record.suspectUntil) && s.quarantine.Left(now, fingerprint) == 0 {
 			delete(s.requests, fingerprint)
 		}
 	}
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -73,6 +73,9 @@
 	OtherGroupOnly bool
 	// Resumed is true for a stream whose first events the caller has received.
 	Resumed bool
+	// Fingerprint identifies the request over repeats by its caller. It is zero if the entry's CrashRegister was empty at
+	// its arrival.
+	Fingerprint attempt.Fingerprint
 }
 
 // SendReason says why a request is sent.
@@ -103,6 +106,8 @@
 	// Outage is true if the request is refused because servers are listed but none runs
 	// requests at the moment.
 	Outage bool
+	// Suspect is true if the request may have crashed a server. Its end is reported with RecordSuspectEnd.
+	Suspect bool
 	// Waited is the time from arrival to the decision.
 	Waited time.Duration
 	// Load is the number of requests at the chosen server. Writers is the estimated number of
@@ -136,6 +141,7 @@
 	services map[ident.Service][]*routing.Server
 	groups   map[ident.Group]*groupState
 	repeats  *attempt.Repeats
+	crashes  *attempt.CrashRegister
 	waiting  []BackendRequest
 }
 
@@ -176,6 +182,7 @@
 		services: map[ident.Service][]*routing.Server{},
 		groups:   map[ident.Group]*groupState{},
 		repeats:  attempt.NewRepeats(repeats),
+		crashes:  attempt.NewCrashRegister(attempt.DefaultCrashConfig()),
 	}
 }
 
@@ -210,6 +217,7 @@
 			d.addToGroup(server)
 		}
 	}
+	d.recordRemoved(now, servers)
 	d.servers = servers
 	for name, group := range d.groups {
 		if len(group.ranks) == 0 {
@@ -407,8 +415,10 @@
 	return d.assignWaiting(now)
 }
 
-// Tick assigns servers to waiting requests and refuses those that may wait no longer.
+// Tick assigns servers to waiting requests and refuses those that may wait no longer. It also does the periodic work of
+// the CrashRegister.
 func (d *Dispatcher) Tick(now time.Time) []Assignment {
+	d.crashes.Tick(now)
 	return d.assignWaiting(now)
 }
 
@@ -443,17 +453,15 @@
 		assignment.Cause = outcome.CauseDeadline
 		return assignment, false
 	}
+	if d.refuseQuarantined(now, request, &assignment) {
+		return assignment, false
+	}
 	candidates := d.candidates(request)
 	if len(candidates) == 0 {
 		assignment.Cause, assignment.RetryAfter = outcome.CauseNoBackend, noBackendRetryAfter
 		return assignment, false
 	}
-	var chosen *routing.Server
-	if engine := d.engineModel(request.Service); engine != nil {
-		chosen = d.pickRank(now, request, engine, candidates, &assignment)
-	} else {
-		chosen = d.pickPlain(now, candidates, &assignment)
-	}
+	chosen := d.pick(now, request, candidates, &assignment)
 	switch {
 	case chosen == nil && assignment.Outage:
 		assignment.Cause, assignment.RetryAfter = outcome.CauseNoBackend, outageRetryAfter
@@ -467,6 +475,9 @@
 		group.progressAt = now
 	}
 	chosen.RecordSend(now)
+	if assignment.Suspect {
+		chosen.OpenSuspects++
+	}
 	assignment.Backend = chosen.ListedBackend
 	return assignment, true
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
@@ -47,6 +48,8 @@
 	// credential is "" for public routes.
 	credential string
 	body       []byte
+	// cachedFingerprint is zero until fingerprint is called.
+	cachedFingerprint attempt.Fingerprint
 
 	// tried has the IDs of the backend servers at which a send ended without an outcome of the call, including those to
 	// which no connection could be opened.
@@ -289,7 +292,7 @@
 	request := control.BackendRequest{
 		ID: c.key, Service: c.service, Route: c.route, Priority: c.priority(), Reason: reason,
 		Arrived: c.arrived, Deadline: c.deadline, Tried: c.tried, Resumed: c.started,
-		PromptTokens: c.gateway.headers.PromptTokens(c.r.Header),
+		PromptTokens: c.gateway.headers.PromptTokens(c.r.Header), Fingerprint: c.knownFingerprint(),
 	}
 	if c.started {
 		// The wait for a server to resume the stream starts now, not at the call's arrival.
@@ -353,7 +356,7 @@
 	select {
 	case assigned := <-assignments:
 		if ctx.Err() != nil && assigned.Cause == outcome.CauseNone {
-			g.recordSendEnd(assigned.Backend.ID, routing.SendAbandoned, 0)
+			g.recordSendEnd(&assigned, routing.SendAbandoned, 0)
 			return assigned, false
 		}
 		return assigned, ctx.Err() == nil
@@ -371,8 +374,12 @@
 }
 
 // recordSendEnd reports the result of a send to the control thread.
-func (g *Gateway) recordSendEnd(backend string, result routing.SendResult, latency time.Duration) {
+func (g *Gateway) recordSendEnd(assigned *control.Assignment, result routing.SendResult, latency time.Duration) {
+	backend, suspect := assigned.Backend.ID, assigned.Suspect
 	g.enqueue(func(now time.Time) {
+		if suspect {
+			g.dispatcher.RecordSuspectEnd(backend)
+		}
 		g.deliver(g.dispatcher.RecordEnd(now, backend, result, latency))
 	})
 }
@@ -437,12 +444,18 @@
 		fields["backend"], fields["address"] = a.Backend.ID, a.Backend.Address
 		fields["waited_ms"], fields["load"] = a.Waited.Milliseconds(), a.Load
 		fields["last_result"] = c.lastResult
+		if a.Suspect {
+			fields["suspect"] = true
+		}
 		if a.ReportAge >= 0 {
 			fields["prompt"], fields["predicted_first_ms"] = a.PromptTokens, a.FirstEvent.Milliseconds()
 			fields["writers"], fields["pass_ms"], fields["pace_age_ms"] = a.Writers, a.Pass.Milliseconds(), a.ReportAge.Milliseconds()
 		}
 		g.metrics.waitTimes.RecordDuration(a.Waited)
 	}
+	if c.cachedFingerprint != (attempt.Fingerprint{}) {
+		fields["fingerprint"] = c.cachedFingerprint
+	}
 	if c.result.RetryAfter > 0 {
 		fields["retry_after_ms"] = c.result.RetryAfter.Milliseconds()
 	}
--- a/internal/gateway/crash_requests_test.go
+++ b/internal/gateway/crash_requests_test.go
@@ -167,6 +167,7 @@
 				time.Sleep(10 * time.Millisecond)
 			}
 			refused := servers.repeat(g, path, stableWindow+2*time.Second)
+			t.Logf("%d crashes, %d refusals", len(servers.times()), refused)
 			g.c.Check(servers.late() <= maxLateRuns, qt.IsTrue, qt.Commentf("%d late crashes", servers.late()))
 			g.c.Check(len(servers.times()) <= toleratedCrashes+maxLateRuns, qt.IsTrue, qt.Commentf("%d crashes", len(servers.times())))
 			g.c.Check(refused > 0, qt.IsTrue)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -188,6 +188,7 @@
 	}
 	g.forwardProgress()
 	g.deliver(g.dispatcher.Tick(now))
+	g.crashRegisterChanged()
 	g.pool.closeExpired(now)
 	g.prober.removeExpired(now)
 	for _, subscription := range g.leaders.due(now) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,8 +90,10 @@
 	follower *source.Follower
 	pool     *connPool
 	prober   *prober
-	socket   *datagram.Socket
-	headers  Headers
+	// survivors has the requests that were served recently.
+	survivors *survivorTable
+	socket    *datagram.Socket
+	headers   Headers
 
 	table       atomic.Pointer[routing.Table]
 	mu          sync.Mutex
@@ -103,6 +105,8 @@
 	lastCallAt atomic.Int64
 	// hasBackends is true if at least one listed backend server is not leaving.
 	hasBackends atomic.Bool
+	// crashesKnown is true while the control thread knows of requests that may have crashed a backend server.
+	crashesKnown atomic.Bool
 	// lastProgress maps each group to the time at which it last sent an event on one of this entry's streams.
 	lastProgress sync.Map
 
@@ -131,7 +135,7 @@
 		leaders:    newLeaderDirectory(),
 	}
 	g.pool = newConnPool(g.metrics.connectionOpened)
-	g.prober = newProber()
+	g.prober, g.survivors = newProber(), newSurvivorTable()
 	g.follower = source.NewFollower(config.Store, g, bootTime)
 	g.loop = node.NewLoop(tickInterval, func(now time.Time, event func(time.Time)) { event(now) }, g.tick)
 	return g
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,8 +20,10 @@
 	scope             tally.Scope
 	connectionsOpened tally.Counter
 	callsWaiting      tally.Gauge
-	firstByteTimes    tally.Histogram
-	callTimes         tally.Histogram
+	// suspects, quarantined and crashesDropped are those of attempt.CrashRegister.Counts.
+	suspects, quarantined, crashesDropped tally.Gauge
+	firstByteTimes                        tally.Histogram
+	callTimes                             tally.Histogram
 	// waitTimes are the times from the arrival of a call to the assignment of a backend server.
 	waitTimes tally.Histogram
 }
@@ -32,6 +34,9 @@
 		scope:             scope,
 		connectionsOpened: scope.Counter("backend_connections_opened"),
 		callsWaiting:      scope.Gauge("calls_waiting"),
+		suspects:          scope.Gauge("crash_suspects"),
+		quarantined:       scope.Gauge("crash_quarantined"),
+		crashesDropped:    scope.Gauge("crash_sends_dropped"),
 		firstByteTimes:    scope.Histogram("time_to_first_byte", durations),
 		callTimes:         scope.Histogram("call_time", durations),
 		waitTimes:         scope.Histogram("wait_for_room", durations),
@@ -44,6 +49,13 @@
 // setCallsWaiting sets the number of calls that wait for a backend server.
 func (m *metrics) setCallsWaiting(calls int) { m.callsWaiting.Update(float64(calls)) }
 
+// setCrashRequests sets the numbers of suspected and quarantined requests, and of sends that were not recorded.
+func (m *metrics) setCrashRequests(suspects, quarantined, dropped int) {
+	m.suspects.Update(float64(suspects))
+	m.quarantined.Update(float64(quarantined))
+	m.crashesDropped.Update(float64(dropped))
+}
+
 // count increments a counter without labels.
 func (m *metrics) count(name string) { m.scope.Counter(name).Inc(1) }
 
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"errors"
 	"io"
 	"net"
@@ -10,12 +9,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/sirupsen/logrus"
-
-	"github.com/bramleyspool/bramleyspool/internal/attempt"
-	"github.com/bramleyspool/bramleyspool/internal/ident"
-	"github.com/bramleyspool/bramleyspool/internal/membership"
 )
 
 const (
@@ -96,27 +89,3 @@
 	_, err := io.ReadFull(conn, make([]byte, 1))
 	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
-
-// fingerprint identifies the request over repeats by its caller: customer, method, host, URI and body.
-func (c *call) fingerprint() attempt.Fingerprint {
-	class := ident.Class(c.r.Method + " " + c.r.Host + c.r.RequestURI)
-	return attempt.NewFingerprint(c.access.Customer, class, sha256.Sum256(c.body))
-}
-
-// reportBroken logs a send whose connection the backend server broke off, and probes the server.
-func (c *call) reportBroken(backend membership.ListedBackend) {
-	g := c.gateway
-	log := g.log.WithFields(logrus.Fields{
-		"request": c.id, "fingerprint": c.fingerprint(), "route": c.route.Name, "customer": c.access.Customer,
-		"backend": backend.ID, "address": backend.Address,
-	})
-	log.Info("send-broken")
-	if !g.prober.due(time.Now(), backend.Address) {
-		return
-	}
-	go func() {
-		state := probeServer(context.Background(), backend.Address)
-		g.metrics.countProbe(state)
-		log.WithField("state", state).Info("backend-probed")
-	}()
-}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -35,12 +35,10 @@
 	if !result.done && ctx.Err() != nil {
 		result.sendResult = routing.SendAbandoned
 	}
-	c.gateway.recordSendEnd(assigned.Backend.ID, result.sendResult, latency)
-	if result.sendResult == routing.SendBroken && c.replacement == nil {
-		c.reportBroken(assigned.Backend)
-	}
+	c.gateway.recordSendEnd(&assigned, result.sendResult, latency)
+	c.recordCrashEvidence(ctx, assigned.Backend, start, result.sendResult, c.replacement == nil)
 	if c.replacement != nil && (result.done || ctx.Err() != nil) {
-		c.gateway.recordSendEnd(c.replacement.Backend.ID, routing.SendAbandoned, 0)
+		c.gateway.recordSendEnd(c.replacement, routing.SendAbandoned, 0)
 		c.replacement = nil
 	}
 	return result
--- /dev/null
+++ b/internal/gateway/survivors.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"hash/maphash"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// survivorSlots is the number of requests that a survivorTable remembers at most. It is several times the number of
+	// requests that an entry serves within survivorAge.
+	survivorSlots = 8192
+	// survivorAge is the time for which a complete response shows that the request does not crash servers.
+	survivorAge = 10 * time.Second
+)
+
+// survivorTable remembers which requests this entry's backend servers have run to the end within survivorAge. It is a
+// hash table of fixed size in which a newer request replaces an older one, and is safe for concurrent use.
+type survivorTable struct {
+	seed  maphash.Seed
+	start time.Time
+	slots [survivorSlots]survivorSlot
+}
+
+// survivorSlot holds one request. A torn read of its fields, which is possible during a write, costs at most the
+// knowledge of one request.
+type survivorSlot struct {
+	hash atomic.Uint64
+	// at is the time of the response, as the duration from survivorTable.start.
+	at atomic.Int64
+}
+
+func newSurvivorTable() *survivorTable {
+	return &survivorTable{seed: maphash.MakeSeed(), start: time.Now()}
+}
+
+// add records a response to the request with the hash.
+func (t *survivorTable) add(hash uint64, now time.Time) {
+	slot := &t.slots[hash%survivorSlots]
+	slot.at.Store(int64(now.Sub(t.start)))
+	slot.hash.Store(hash)
+}
+
+// contains reports whether there was a response to the request within survivorAge.
+func (t *survivorTable) contains(hash uint64, now time.Time) bool {
+	slot := &t.slots[hash%survivorSlots]
+	return slot.hash.Load() == hash && now.Sub(t.start)-time.Duration(slot.at.Load()) <= survivorAge
+}
+
+// survivorHash identifies the request in the survivor table. It covers the same parts as the fingerprint, but is cheap
+// enough to be computed for each served request.
+func (c *call) survivorHash() uint64 {
+	var hash maphash.Hash
+	hash.SetSeed(c.gateway.survivors.seed)
+	for _, part := range []string{string(c.access.Customer), c.r.Method, c.r.Host, c.r.RequestURI} {
+		_, _ = hash.WriteString(part)
+		_ = hash.WriteByte(0)
+	}
+	_, _ = hash.Write(c.body)
+	return hash.Sum64()
+}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -94,6 +94,8 @@
 	membership.ListedBackend
 	// Open is the number of this entry's open requests.
 	Open int
+	// OpenSuspects is the number of those that may have crashed a server before.
+	OpenSuspects int
 	// Reported is the number of requests in the latest report of the group's leader; OpenAtReport is this entry's
 	// part of it.
 	Reported, OpenAtReport int
--- a/internal/soak/crash_requests.go
+++ b/internal/soak/crash_requests.go
@@ -69,8 +69,12 @@
 		c.mu.Lock()
 		c.crashes[name] = append(c.crashes[name], time.Now())
 		c.mu.Unlock()
+		s.replicaProxy(replica).close()
 		return true
 	}, func(replica *standin.Replica) {
+		if err := s.replicaProxy(replica).listen(); err != nil {
+			s.reportViolation("proxy of " + replica.Name() + " did not listen again: " + err.Error())
+		}
 		mu.Lock()
 		s.faults.end(spans[replica])
 		mu.Unlock()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -19,14 +19,15 @@
 
 // proxy forwards TCP connections and applies network faults to them.
 type proxy struct {
-	listener net.Listener
+	address string
 	// name is the name of the process or replica whose connections are forwarded.
 	name string
 	// target returns the address that new connections are forwarded to.
 	target func() string
 
-	mu    sync.Mutex
-	state proxyState
+	mu       sync.Mutex
+	listener net.Listener
+	state    proxyState
 	// Connections are numbered from 0. All data of those below blackholedBelow is discarded.
 	blackholedBelow, nextNumber int
 	// conns are both sides of the open connections.
@@ -35,20 +36,36 @@
 
 // newProxy returns a proxy that listens on an address.
 func newProxy(name, address string, target func() string) (*proxy, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
+	p := &proxy{address: address, name: name, target: target, conns: map[net.Conn]struct{}{}}
+	if err := p.listen(); err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, name: name, target: target, conns: map[net.Conn]struct{}{}}
-	go p.accept()
 	return p, nil
 }
 
-func (p *proxy) close() { _ = p.listener.Close() }
+// listen opens the listener.
+func (p *proxy) listen() error {
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener = listener
+	p.mu.Unlock()
+	go p.accept(listener)
+	return nil
+}
+
+// close closes the listener, so that new connections are refused.
+func (p *proxy) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+}
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -218,6 +219,12 @@
 	return fmt.Sprintf("%s:%d", replicaIP(kind, index), replicaPort)
 }
 
+// replicaProxy returns the proxy of a replica.
+func (s *soak) replicaProxy(replica *standin.Replica) *proxy {
+	index := slices.IndexFunc(s.replicaProxies, func(p *proxy) bool { return p.name == replica.Name() })
+	return s.replicaProxies[index]
+}
+
 func (s *soak) addReplicaProxy(address string, replica *standin.Replica) error {
 	added, err := newProxy(replica.Name(), address, replica.Address)
 	if err != nil {
