Add a failing test: entries that did not send a crash request do not refuse it

The settings now hold the platform's seeds, by which entries without a model group near can find each other.

--- a/internal/gateway/crash_requests_test.go
+++ b/internal/gateway/crash_requests_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/settings"
 	"github.com/bramleyspool/bramleyspool/internal/source"
 )
 
@@ -155,6 +157,60 @@
 	return refused
 }
 
+// awaitService waits until the gateway serves a request that does not crash servers.
+func (g *testGateway) awaitService() {
+	for g.get("/lookup/sound").status != http.StatusOK {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// startEntries starts gateways that share a store. Each has a loopback address of its own, and the first two are the
+// seeds.
+func startEntries(t *testing.T, store *testStore, network, count int) (entries []*testGateway, start func(i int) *testGateway) {
+	c := qt.New(t)
+	address := func(i int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, byte(network), byte(i + 1)}) }
+	port, err := net.ListenUDP("udp4", &net.UDPAddr{IP: address(0).AsSlice()})
+	c.Assert(err, qt.IsNil)
+	peerPort := port.LocalAddr().(*net.UDPAddr).Port
+	c.Assert(port.Close(), qt.IsNil)
+	start = func(i int) *testGateway {
+		return startTestGateway(t, store, func(direct *settings.Direct) {
+			direct.IP, direct.PeerPort, direct.Seeds = address(i).String(), peerPort, []netip.Addr{address(0), address(1)}
+		})
+	}
+	for i := range count {
+		entries = append(entries, start(i))
+	}
+	for _, entry := range entries {
+		entry.awaitService()
+	}
+	return entries, start
+}
+
+// A crash request reaches one entry first, and the others after the stable window. If an entry learns only from its own
+// sends, each further entry ends more servers. The same holds for an entry that restarts. There is no model group, from
+// whose leader entries could learn of each other.
+func TestCrashRequestIsRefusedByAllEntries(t *testing.T) {
+	t.Parallel()
+	store := newTestStore()
+	servers := newCrashingServers(t, store, 5)
+	entries, start := startEntries(t, store, 21, 6)
+	servers.repeat(entries[3], "/lookup/x", stableWindow+time.Second)
+	t.Logf("%d crashes by the first entry", len(servers.times()))
+	entries[0].kill()
+	entries[5].kill()
+	<-entries[0].runError
+	<-entries[5].runError
+	entries[0], entries[5] = start(0), start(5)
+	for _, entry := range entries {
+		entry.awaitService()
+	}
+	for _, entry := range entries {
+		servers.repeat(entry, "/lookup/x", 500*time.Millisecond)
+	}
+	qt.Check(t, servers.late() <= maxLateRuns, qt.IsTrue, qt.Commentf("%d late crashes", servers.late()))
+}
+
 // A request that crashes each backend server which runs it is repeated by its caller. Without a record of requests that
 // outlasts a call, every repeat ends one more server, and in the meantime other callers' requests are not served.
 func TestRepeatedCrashRequestIsRefused(t *testing.T) {
@@ -163,9 +219,7 @@
 			t.Parallel()
 			g := newTestGateway(t)
 			servers := newCrashingServers(t, g.store, 5)
-			for g.get("/lookup/sound").status != http.StatusOK {
-				time.Sleep(10 * time.Millisecond)
-			}
+			g.awaitService()
 			refused := servers.repeat(g, path, stableWindow+2*time.Second)
 			t.Logf("%d crashes, %d refusals", len(servers.times()), refused)
 			g.c.Check(servers.late() <= maxLateRuns, qt.IsTrue, qt.Commentf("%d late crashes", servers.late()))
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -208,7 +208,9 @@
 	stop    chan struct{}
 	// runError receives the result of Run.
 	runError chan error
-	client   *http.Client
+	// kill ends the gateway without a planned stop.
+	kill   context.CancelFunc
+	client *http.Client
 }
 
 // Names of the test services. plainService answers with complete responses, streamService with event streams.
@@ -243,40 +245,50 @@
 // newTestGateway starts a gateway. Each test backend is listed once for each of the two services, with the ID
 // <backend>-<service>.
 func newTestGateway(t *testing.T, backends ...*testBackend) *testGateway {
-	g := &testGateway{
-		c: qt.New(t), t: t, stop: make(chan struct{}), runError: make(chan error, 1),
-		store:  &testStore{changed: make(chan struct{})},
-		client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
+	g := startTestGateway(t, newTestStore(backends...), func(*settings.Direct) {})
+	for len(backends) > 0 && !g.gateway.ready() {
+		time.Sleep(time.Millisecond)
 	}
-	g.store.state = source.State{Table: testTable(1, "key"), Revision: 1}
+	return g
+}
+
+// newTestStore returns a store that lists the backends.
+func newTestStore(backends ...*testBackend) *testStore {
+	store := &testStore{changed: make(chan struct{}), state: source.State{Table: testTable(1, "key"), Revision: 1}}
 	for _, backend := range backends {
 		for _, service := range []ident.Service{plainService, streamService} {
-			g.store.state.Backends = append(g.store.state.Backends, membership.ListedBackend{
+			store.state.Backends = append(store.state.Backends, membership.ListedBackend{
 				ID: backend.id + "-" + string(service), Service: service, Address: backend.listener.Addr().String(), Slots: 6,
 			})
 		}
 	}
+	return store
+}
+
+// startTestGateway starts a gateway with a store and changed settings.
+func startTestGateway(t *testing.T, store *testStore, change func(*settings.Direct)) *testGateway {
+	g := &testGateway{
+		c: qt.New(t), t: t, stop: make(chan struct{}), runError: make(chan error, 1), store: store,
+		client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
+	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	metrics := node.NewMetrics("entry")
 	t.Cleanup(metrics.Close)
 	g.address = freeAddress(g.c)
-	g.gateway = New(Config{
-		Settings: settings.Direct{
-			VM: "vm", IP: "127.0.0.1", CallersAddress: g.address, ReadyAddress: freeAddress(g.c),
-			Bounds: settings.DirectBounds{
-				Revocation: 2 * time.Second, Configuration: 500 * time.Millisecond, Stop: 5 * time.Second,
-				RepeatShare: 0.2, RepeatFixed: 240, RepeatWindow: 10 * time.Second,
-			},
+	direct := settings.Direct{
+		VM: "vm", IP: "127.0.0.1", CallersAddress: g.address, ReadyAddress: freeAddress(g.c),
+		Bounds: settings.DirectBounds{
+			Revocation: 2 * time.Second, Configuration: 500 * time.Millisecond, Stop: 5 * time.Second,
+			RepeatShare: 0.2, RepeatFixed: 240, RepeatWindow: 10 * time.Second,
 		},
-		Headers: testHeaders, Store: g.store, Log: logrus.NewEntry(log), Metrics: metrics,
-	})
+	}
+	change(&direct)
+	g.gateway = New(Config{Settings: direct, Headers: testHeaders, Store: g.store, Log: logrus.NewEntry(log), Metrics: metrics})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { g.runError <- g.gateway.Run(ctx, g.stop) }()
+	g.kill = cancel
 	t.Cleanup(cancel)
-	for len(backends) > 0 && !g.gateway.ready() {
-		time.Sleep(time.Millisecond)
-	}
 	return g
 }
 
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -15,6 +16,8 @@
 	// IP is the address of the VM. PeerPort is the UDP port on which all processes of the system listen.
 	IP       string
 	PeerPort int
+	// Seeds are the addresses of some VMs with entries. They may be outdated.
+	Seeds []netip.Addr
 	// CallersAddress and ReadyAddress are the IP address and TCP port on which an entry listens for callers and for the
 	// readiness checks of the platform's balancer.
 	CallersAddress, ReadyAddress string
