Share what entries know of crash requests

What callers saw: a request that one entry refused crashed servers through the others, each of which had to learn it from its own sends; a caller whose stream had run beside such a request of another entry was refused, since its own entry saw nobody else there.

Cause: the register was local. Entries knew each other only from reports of model groups.

The exchanged sets only grow, so that any order of messages gives the same result.

Ruled out: a count of each entry alone (the failing test); sending to all entries (messages grow with their square).

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -161,7 +162,7 @@
 	case err != nil:
 		log.WithError(err).Warn("settings-refused")
 		return loaded
-	case next != loaded:
+	case !reflect.DeepEqual(next, loaded):
 		log.Info("settings-changed")
 	}
 	return next
--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -1,6 +1,7 @@
 // Package datagram sends and receives small CBOR messages between entries and agents over UDP. Messages may be lost,
 // duplicated, reordered or delayed. Each message therefore states the sender's current state or is resent until it is
-// answered. The exception is PromptSent: it is sent once, and the group's next report corrects a loss.
+// answered. The exceptions are PromptSent, which is sent once (the group's next report corrects a loss), and CrashUpdate
+// (a loss shows in the digests of the next hellos).
 package datagram
 
 import (
@@ -9,9 +10,11 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/expert"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 )
@@ -28,6 +31,9 @@
 	Subscribe   *Subscribe   `cbor:"5,keyasint,omitempty"`
 	GroupReport *GroupReport `cbor:"6,keyasint,omitempty"`
 	PromptSent  *PromptSent  `cbor:"7,keyasint,omitempty"`
+	Hello       *Hello       `cbor:"8,keyasint,omitempty"`
+	// CrashUpdate is sent by an entry to others when its register of crash requests changes, or differs from theirs.
+	CrashUpdate *attempt.CrashUpdate `cbor:"9,keyasint,omitempty"`
 }
 
 // RankReport carries the status of an agent's rank and its counts of expert choices. The agent sends it to its group's
@@ -98,6 +104,22 @@
 	PromptTokens int         `cbor:"3,keyasint"`
 }
 
+// Hello is sent by an entry to some other entries every few seconds.
+type Hello struct {
+	// Peers are some of the entries that the sender knows.
+	Peers []PeerAge `cbor:"1,keyasint,omitempty"`
+	// CrashDigest is the digest of the sender's register of crash requests.
+	CrashDigest uint64 `cbor:"2,keyasint"`
+	// Answer is true if the message answers a hello.
+	Answer bool `cbor:"3,keyasint,omitempty"`
+}
+
+// PeerAge is the address of an entry and the time since it was last heard.
+type PeerAge struct {
+	Address netip.AddrPort `cbor:"1,keyasint"`
+	Age     time.Duration  `cbor:"2,keyasint"`
+}
+
 // Received is a message with the address of its sender.
 type Received struct {
 	From    netip.AddrPort
--- /dev/null
+++ b/internal/gateway/crash_exchange.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/datagram"
+)
+
+const (
+	// updateDelay is the time for which news of crashes is collected before it is sent.
+	updateDelay = 20 * time.Millisecond
+	// maxUpdates is the number of packets of crash news that are sent to one entry at a time.
+	maxUpdates = 4
+)
+
+// sendHellos sends the hellos that are due.
+func (g *Gateway) sendHellos(now time.Time) {
+	for _, target := range g.peerDirectory.helloTargets(now) {
+		g.sendHello(now, target, false)
+	}
+}
+
+func (g *Gateway) sendHello(now time.Time, to netip.AddrPort, answer bool) {
+	g.socket.Send(to, datagram.Message{Hello: &datagram.Hello{
+		Peers: g.peerDirectory.known(now), CrashDigest: g.dispatcher.Crashes().Digest(), Answer: answer,
+	}})
+}
+
+// handleHello records the sender and the entries that it knows. If the sender's knowledge of crashes differs, it gets
+// this entry's, and a hello from which it sees that this entry lacks something.
+func (g *Gateway) handleHello(now time.Time, from netip.AddrPort, hello *datagram.Hello) {
+	joined := g.peerDirectory.recordHeard(now, from, now)
+	g.peerDirectory.merge(now, hello.Peers)
+	differs := hello.CrashDigest != g.dispatcher.Crashes().Digest()
+	if differs {
+		g.sendCrashUpdates(g.dispatcher.Crashes().Sample(now, maxUpdates), []netip.AddrPort{from})
+	}
+	if (differs || joined) && !hello.Answer {
+		g.sendHello(now, from, true)
+	}
+}
+
+// handleCrashUpdate merges another entry's knowledge of crashes.
+func (g *Gateway) handleCrashUpdate(now time.Time, update *attempt.CrashUpdate) {
+	g.dispatcher.Crashes().Merge(now, *update)
+	g.crashRegisterChanged()
+}
+
+func (g *Gateway) sendCrashUpdates(updates []attempt.CrashUpdate, targets []netip.AddrPort) {
+	for i := range updates {
+		for _, target := range targets {
+			g.socket.Send(target, datagram.Message{CrashUpdate: &updates[i]})
+		}
+	}
+}
+
+// planCrashNews plans to send what has changed in the register to other entries.
+func (g *Gateway) planCrashNews() {
+	if g.crashNewsPlanned || !g.dispatcher.Crashes().HasChanges() {
+		return
+	}
+	g.crashNewsPlanned = true
+	time.AfterFunc(updateDelay, func() { g.loop.Post(context.Background(), g.sendCrashNews) })
+}
+
+func (g *Gateway) sendCrashNews(now time.Time) {
+	g.crashNewsPlanned = false
+	g.sendCrashUpdates(g.dispatcher.Crashes().TakeChanges(now, maxUpdates), g.peerDirectory.sample(updateFanout))
+	g.planCrashNews()
+}
--- a/internal/gateway/crash_requests.go
+++ b/internal/gateway/crash_requests.go
@@ -106,9 +106,11 @@
 	}
 }
 
-// crashRegisterChanged publishes the state of the register to calls and metrics. It runs on the control thread.
+// crashRegisterChanged publishes the state of the register to calls, metrics and other entries. It runs on the control
+// thread.
 func (g *Gateway) crashRegisterChanged() {
 	register := g.dispatcher.Crashes()
 	g.crashesKnown.Store(!register.Empty())
 	g.metrics.setCrashRequests(register.Counts())
+	g.planCrashNews()
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -189,6 +189,7 @@
 	g.forwardProgress()
 	g.deliver(g.dispatcher.Tick(now))
 	g.crashRegisterChanged()
+	g.sendHellos(now)
 	g.pool.closeExpired(now)
 	g.prober.removeExpired(now)
 	for _, subscription := range g.leaders.due(now) {
@@ -198,12 +199,15 @@
 	g.metrics.setCallsWaiting(g.dispatcher.Waiting())
 }
 
-// handleMessage handles a message of another process. Messages of other types than group reports and prompt notices are
-// ignored.
+// handleMessage handles a message of another process. Messages that are meant for agents are ignored.
 func (g *Gateway) handleMessage(received datagram.Received) {
 	switch message := received.Message; {
 	case message.GroupReport != nil:
 		g.tryEnqueue(func(now time.Time) { g.handleGroupReport(now, received.From, message.GroupReport) })
+	case message.Hello != nil:
+		g.tryEnqueue(func(now time.Time) { g.handleHello(now, received.From, message.Hello) })
+	case message.CrashUpdate != nil:
+		g.tryEnqueue(func(now time.Time) { g.handleCrashUpdate(now, message.CrashUpdate) })
 	case message.PromptSent != nil:
 		sent := control.RemoteSend(*message.PromptSent)
 		g.tryEnqueue(func(now time.Time) { g.dispatcher.RecordRemoteSend(now, sent) })
@@ -214,6 +218,9 @@
 func (g *Gateway) handleGroupReport(now time.Time, from netip.AddrPort, report *datagram.GroupReport) {
 	g.leaders.recordReport(now, report.Group, from)
 	g.peers = report.Entries
+	for _, entry := range report.Entries {
+		g.peerDirectory.recordHeard(now, entry, now)
+	}
 	requests := 0
 	for _, load := range report.Loads {
 		requests += load
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,8 +118,11 @@
 	leaders *leaderDirectory
 	// peers are the entries subscribed to the group that reported last, including this one. An entry subscribes to all
 	// listed groups, so the subscribers of any group are the entries to notify of prompts.
-	peers     []netip.AddrPort
-	storeDown bool
+	peers         []netip.AddrPort
+	peerDirectory *peerDirectory
+	// crashNewsPlanned is true while a call of sendCrashNews is planned.
+	crashNewsPlanned bool
+	storeDown        bool
 }
 
 // New returns a gateway that Run starts.
@@ -159,6 +162,7 @@
 		return oops.In("gateway").Wrap(err)
 	}
 	g.socket = socket
+	g.peerDirectory = newPeerDirectory(time.Now(), socket.Address(), g.config.Settings.Seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	callers, err := net.Listen("tcp", g.config.Settings.CallersAddress)
 	if err != nil {
 		return oops.In("gateway").Wrapf(err, "listen for callers")
@@ -169,6 +173,8 @@
 	}
 	go g.loop.Run(ctx)
 	go socket.Receive(ctx, g.handleMessage)
+	// Other entries answer before the first calls, so that a restarted entry refuses what they refuse.
+	g.enqueue(g.sendHellos)
 	follower := g.follower
 	follower.Wait, follower.BatchDelay, follower.MaxBatchDelay = storeWatchWait, storeBatchDelay, maxStoreBatchDelay
 	follower.RevisionCheckInterval, follower.IdleRevisionCheckInterval, follower.Idle = revisionCheckInterval, idleRevisionCheckInterval, g.idle
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -191,10 +191,11 @@
 		}
 	}
 	for i := range entries {
-		ip := fmt.Sprintf("127.4.%d.%d", i/200, i%200+1)
+		ip := entryIP(i)
 		if err := s.addProcess("entry", standin.ProcessSettings{
 			Name: fmt.Sprintf("entry-%d", i), IP: ip, PeerPort: peerPort,
 			Callers: fmt.Sprintf("%s:%d", ip, callersPort), Ready: fmt.Sprintf("%s:%d", ip, readyPort),
+			Seeds: []string{fmt.Sprintf("%s:%d", entryIP(0), callersPort), fmt.Sprintf("%s:%d", entryIP(1), callersPort)},
 		}, store); err != nil {
 			return err
 		}
@@ -204,6 +205,9 @@
 	return nil
 }
 
+// entryIP returns the loopback address of an entry, without a port.
+func entryIP(index int) string { return fmt.Sprintf("127.4.%d.%d", index/200, index%200+1) }
+
 // replicaIP returns the loopback address of a replica, without a port; kind is "plain" or "rank".
 func replicaIP(kind string, index int) string {
 	network := 2
