Bound what is read of a backend server's response

What callers saw: a server in trouble that sends bytes without end kept a call waiting until its deadline, and the entry read 65 MB (endless fields) or 475 MB (an endless line) of a response head in 1.5 s, more than the memory of its VM. Bodies had a limit of 16 MiB each, none for all calls.

Cause: http.ReadResponse has no limit on the head.

Change: a head may have 64 KiB; all buffered bodies together a quarter of the memory limit, each 16 MiB as before. Beyond that the connection is reset, and the request goes to another server if it may.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -27,8 +27,6 @@
 	bodyTimeout = 10 * time.Second
 	// writeTimeout bounds one write to a caller. Callers give up after gaps of two seconds.
 	writeTimeout = 5 * time.Second
-	// maxBufferedBody bounds the body of a response that is buffered before it is passed on, or discarded, in bytes.
-	maxBufferedBody = 16 << 20
 )
 
 // call is one request of a caller and the state of serving it.
@@ -50,6 +48,8 @@
 	body       []byte
 	// cachedFingerprint is zero until fingerprint is called.
 	cachedFingerprint attempt.Fingerprint
+	// bufferedBytes is the size of the bodies of backend servers' responses that the call has buffered.
+	bufferedBytes int64
 
 	// tried has the IDs of the backend servers at which a send ended without an outcome of the call, including those to
 	// which no connection could be opened.
@@ -97,6 +97,7 @@
 		arrived: time.Now(), table: g.table.Load(), lastEventID: r.Header.Get(g.headers.LastEventID),
 	}
 	defer func() {
+		g.bufferedBytes.Add(-c.bufferedBytes)
 		c.logOutcome()
 		if c.started && c.result.Kind != outcome.Served {
 			// net/http has no other way to end a response so that the caller sees that it is truncated.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,8 @@
 	stopping    atomic.Bool
 	callCounter atomic.Uint64
 	openCalls   atomic.Int64
+	// bufferedBytes is the size of all buffered bodies of backend servers' responses.
+	bufferedBytes atomic.Int64
 	// lastCallAt is the arrival time of the last call, as read from bootTime.
 	lastCallAt atomic.Int64
 	// hasBackends is true if at least one listed backend server is not leaving.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -202,21 +202,6 @@
 	return exchangeResult{sendResult: routing.SendRejected}
 }
 
-// bufferResponse reads a response completely. A response without a length that ends with its connection is complete
-// unless the connection was reset.
-func (c *call) bufferResponse(conn *backendConn, response *http.Response) (*bufferedResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody+1))
-	if err == nil && len(body) > maxBufferedBody {
-		err = errors.New("response body exceeds the limit for buffering")
-	}
-	if err != nil {
-		conn.reset()
-		return nil, err
-	}
-	c.gateway.pool.put(conn, response)
-	return &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}, nil
-}
-
 // writeBuffered writes a backend server's complete response to the caller.
 func (c *call) writeBuffered(buffered *bufferedResponse) {
 	c.status = buffered.status
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -43,6 +43,7 @@
 type backendConn struct {
 	net.Conn
 	address   string
+	limiter   *headLimiter
 	reader    *bufio.Reader
 	reused    bool
 	idleSince time.Time
@@ -93,7 +94,10 @@
 		return nil, err
 	}
 	p.onOpen()
-	return &backendConn{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, connBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	limiter := &headLimiter{reader: conn}
+	return &backendConn{
+		Conn: conn, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, connBufferBytes), idleTimeout: defaultIdleTimeout,
+	}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket to unackedTimeout.
@@ -232,6 +236,8 @@
 
 // receive reads the head of the final response.
 func (c *backendConn) receive(method string) (*http.Response, error) {
+	c.limiter.beginHead()
+	defer c.limiter.endHead()
 	for range maxInformational {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
