--- /dev/null
+++ b/internal/attempt/crash_register_test.go
@@ -0,0 +1,107 @@
+package attempt_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+)
+
+// crash records an end of a server during one run of a request.
+func crash(register *attempt.CrashRegister, now time.Time, server string, fingerprint attempt.Fingerprint) {
+	instance := attempt.ServerInstance{ID: server}
+	register.RecordBroken(now, instance, attempt.BrokenSend{Fingerprint: fingerprint, StartedAt: now.Add(-crashRunTime)})
+	register.RecordEnd(now, instance, "service")
+}
+
+// A register that keeps all requests that ever ran at a crash grows without a bound if many different requests crash
+// servers.
+func TestManyCrashRequestsTakeBoundedMemory(t *testing.T) {
+	const requests, limitBytes = 10_000, 12 << 20
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register.SetServers("service", 10)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	now, number := start, 0
+	for i := range requests {
+		var fingerprint attempt.Fingerprint
+		binary.BigEndian.PutUint64(fingerprint[:], uint64(i)<<40)
+		for range 3 {
+			number++
+			now = now.Add(500 * time.Millisecond)
+			crash(register, now, fmt.Sprint("server-", number), fingerprint)
+			register.Tick(now)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	used := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	suspects, quarantined, _ := register.Counts()
+	t.Logf("%d suspects, %d quarantined, %d bytes", suspects, quarantined, used)
+	qt.Check(t, used < limitBytes, qt.IsTrue, qt.Commentf("%d bytes", used))
+}
+
+// Entries receive each other's updates in different orders, some of them twice. If the result depended on the order, they
+// would disagree on which requests to refuse, and send each other updates for ever.
+func TestUpdatesInAnyOrderGiveTheSameRegister(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sources := []*attempt.CrashRegister{}
+		for range 3 {
+			sources = append(sources, attempt.NewCrashRegister(attempt.DefaultCrashConfig()))
+		}
+		now := start
+		var updates []attempt.CrashUpdate
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			register := sources[rapid.IntRange(0, 2).Draw(t, "register")]
+			fingerprint := attempt.Fingerprint{byte(rapid.IntRange(1, 4).Draw(t, "request"))}
+			if rapid.Bool().Draw(t, "served") {
+				register.RecordServed(now, fingerprint)
+			} else {
+				crash(register, now, fmt.Sprint("server-", rapid.IntRange(1, 6).Draw(t, "server")), fingerprint)
+			}
+			updates = append(updates, register.TakeChanges(now, 4)...)
+		}
+		first, second := attempt.NewCrashRegister(attempt.DefaultCrashConfig()), attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+		for i := range updates {
+			first.Merge(now, updates[i])
+		}
+		order := rapid.Permutation(append(updates, updates...)).Draw(t, "order")
+		for i := range order {
+			second.Merge(now, order[i])
+		}
+		if first.Digest() != second.Digest() {
+			t.Fatalf("digests differ: %x and %x", first.Digest(), second.Digest())
+		}
+	})
+}
+
+// A reset or a frozen server breaks sends without the server's end; the server answers again, or stays listed. Requests
+// that were broken so are not suspects.
+func TestBrokenSendsToLivingServersAreNoEvidence(t *testing.T) {
+	c := qt.New(t)
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register.SetServers("service", 3)
+	fingerprint, now := attempt.Fingerprint{1}, start
+	for i := range 20 {
+		server := attempt.ServerInstance{ID: fmt.Sprint("server-", i%3)}
+		now = now.Add(time.Second)
+		register.RecordBroken(now, server, attempt.BrokenSend{Fingerprint: fingerprint, StartedAt: now.Add(-crashRunTime)})
+		register.RecordReached(server, now.Add(time.Millisecond))
+		register.Tick(now)
+	}
+	c.Assert(register.Status(now, fingerprint), qt.Equals, attempt.RequestNormal)
+	// The servers end later, for another reason.
+	for i := range 3 {
+		register.RecordEnd(now, attempt.ServerInstance{ID: fmt.Sprint("server-", i)}, "service")
+	}
+	register.Tick(now.Add(time.Second))
+	c.Assert(register.Status(now.Add(time.Second), fingerprint), qt.Equals, attempt.RequestNormal)
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -357,7 +357,7 @@
 	select {
 	case assigned := <-assignments:
 		if ctx.Err() != nil && assigned.Cause == outcome.CauseNone {
-			g.recordSendEnd(&assigned, routing.SendAbandoned, 0)
+			g.recordSendEnd(&assigned, routing.SendAbandoned, 0, nil)
 			return assigned, false
 		}
 		return assigned, ctx.Err() == nil
@@ -374,13 +374,16 @@
 	return c.route.Priority
 }
 
-// recordSendEnd reports the result of a send to the control thread.
-func (g *Gateway) recordSendEnd(assigned *control.Assignment, result routing.SendResult, latency time.Duration) {
+// recordSendEnd reports the result of a send to the control thread. evidence is what crashEvidence returned; it may be nil.
+func (g *Gateway) recordSendEnd(assigned *control.Assignment, result routing.SendResult, latency time.Duration, evidence func(now time.Time)) {
 	backend, suspect := assigned.Backend.ID, assigned.Suspect
 	g.enqueue(func(now time.Time) {
 		if suspect {
 			g.dispatcher.RecordSuspectEnd(backend)
 		}
+		if evidence != nil {
+			evidence(now)
+		}
 		g.deliver(g.dispatcher.RecordEnd(now, backend, result, latency))
 	})
 }
--- a/internal/gateway/crash_requests.go
+++ b/internal/gateway/crash_requests.go
@@ -32,72 +32,77 @@
 	return c.fingerprint()
 }
 
-// recordCrashEvidence reports to the control thread whether the server survived a send that began at startedAt.
-// closedByServer is true if the server, and not the entry, ended the connection.
-func (c *call) recordCrashEvidence(ctx context.Context, backend membership.ListedBackend, startedAt time.Time, result routing.SendResult, closedByServer bool) {
+// crashEvidence returns what the end of a send that began at startedAt shows about the request and the server, for the
+// control thread; nil if it shows nothing. closedByServer is true if the server, and not the entry, ended the connection.
+func (c *call) crashEvidence(ctx context.Context, backend membership.ListedBackend, startedAt time.Time, result routing.SendResult, closedByServer bool) func(now time.Time) {
 	switch result {
 	case routing.SendServed, routing.SendFailed:
-		c.recordServed(backend, startedAt)
+		return c.servedEvidence(backend, startedAt)
 	case routing.SendRejected, routing.SendGroupBroken:
-		c.recordReached(backend, startedAt)
+		return c.reachedEvidence(backend, startedAt)
 	case routing.SendBroken:
-		c.recordBroken(backend, startedAt, closedByServer)
+		return c.brokenEvidence(backend, startedAt, closedByServer)
 	case routing.SendAbandoned:
 		if c.runs > 0 && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			c.recordBroken(backend, startedAt, false)
+			return c.brokenEvidence(backend, startedAt, false)
 		}
 	case routing.SendNotConnected, routing.SendMisdirected:
 	}
+	return nil
 }
 
-// recordServed records a complete response to a request that the server ran, unless runs is 0 since it was rejected.
-func (c *call) recordServed(backend membership.ListedBackend, startedAt time.Time) {
+// servedEvidence is that of a complete response to a request that the server ran, unless runs is 0 since it was rejected.
+func (c *call) servedEvidence(backend membership.ListedBackend, startedAt time.Time) func(now time.Time) {
 	if c.runs == 0 {
-		c.recordReached(backend, startedAt)
-		return
+		return c.reachedEvidence(backend, startedAt)
 	}
-	g, fingerprint := c.gateway, c.knownFingerprint()
+	g := c.gateway
 	g.survivors.add(c.survivorHash(), time.Now())
-	g.enqueue(func(now time.Time) {
-		g.dispatcher.RecordServed(now, backend, fingerprint, startedAt)
-	})
+	if !g.crashesKnown.Load() {
+		return nil
+	}
+	fingerprint := c.fingerprint()
+	return func(now time.Time) { g.dispatcher.RecordServed(now, backend, fingerprint, startedAt) }
 }
 
-// recordReached records a complete response by which the server rejected the request.
-func (c *call) recordReached(backend membership.ListedBackend, startedAt time.Time) {
+// reachedEvidence is that of a complete response by which the server rejected the request.
+func (c *call) reachedEvidence(backend membership.ListedBackend, startedAt time.Time) func(now time.Time) {
 	g := c.gateway
-	if g.crashesKnown.Load() {
-		g.enqueue(func(time.Time) { g.dispatcher.RecordServerReached(backend, startedAt) })
+	if !g.crashesKnown.Load() {
+		return nil
 	}
+	return func(time.Time) { g.dispatcher.RecordServerReached(backend, startedAt) }
 }
 
-// recordBroken records a send without a complete response. If the server closed the connection, it is probed: a server
-// that has ended may have been crashed by the request. Other ends show in the list of servers.
-func (c *call) recordBroken(backend membership.ListedBackend, startedAt time.Time, closedByServer bool) {
+// brokenEvidence is that of a send without a complete response. If the server closed the connection, it is probed: a
+// server that has ended may have been crashed by the request. Other ends show in the list of servers.
+func (c *call) brokenEvidence(backend membership.ListedBackend, startedAt time.Time, closedByServer bool) func(now time.Time) {
 	g, fingerprint := c.gateway, c.fingerprint()
+	send := attempt.BrokenSend{Fingerprint: fingerprint, StartedAt: startedAt, Survived: g.survivors.contains(c.survivorHash(), time.Now())}
 	log := g.log.WithFields(logrus.Fields{
 		"request": c.id, "fingerprint": fingerprint, "route": c.route.Name, "customer": c.access.Customer,
 		"backend": backend.ID, "address": backend.Address, "closed_by_server": closedByServer,
 	})
-	send := attempt.BrokenSend{Fingerprint: fingerprint, StartedAt: startedAt, Survived: g.survivors.contains(c.survivorHash(), time.Now())}
 	log.WithField("survived_before", send.Survived).Info("send-broken")
-	g.enqueue(func(now time.Time) {
+	if closedByServer && g.prober.due(time.Now(), backend.Address) {
+		go g.probe(backend, log)
+	}
+	return func(now time.Time) {
 		g.dispatcher.RecordBroken(now, backend, send)
 		g.crashRegisterChanged()
-	})
-	if !closedByServer || !g.prober.due(time.Now(), backend.Address) {
-		return
 	}
+}
+
+// probe probes a server and records the result.
+func (g *Gateway) probe(backend membership.ListedBackend, log *logrus.Entry) {
 	probedAt := time.Now()
-	go func() {
-		state := probeServer(context.Background(), backend.Address)
-		g.metrics.countProbe(state)
-		log.WithField("state", state).Info("backend-probed")
-		g.enqueue(func(now time.Time) {
-			g.recordProbe(now, backend, probedAt, state)
-			g.crashRegisterChanged()
-		})
-	}()
+	state := probeServer(context.Background(), backend.Address)
+	g.metrics.countProbe(state)
+	log.WithField("state", state).Info("backend-probed")
+	g.enqueue(func(now time.Time) {
+		g.recordProbe(now, backend, probedAt, state)
+		g.crashRegisterChanged()
+	})
 }
 
 // recordProbe records what a probe that began at probedAt shows.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -35,10 +35,10 @@
 	if !result.done && ctx.Err() != nil {
 		result.sendResult = routing.SendAbandoned
 	}
-	c.gateway.recordSendEnd(&assigned, result.sendResult, latency)
-	c.recordCrashEvidence(ctx, assigned.Backend, start, result.sendResult, c.replacement == nil)
+	evidence := c.crashEvidence(ctx, assigned.Backend, start, result.sendResult, c.replacement == nil)
+	c.gateway.recordSendEnd(&assigned, result.sendResult, latency, evidence)
 	if c.replacement != nil && (result.done || ctx.Err() != nil) {
-		c.gateway.recordSendEnd(c.replacement, routing.SendAbandoned, 0)
+		c.gateway.recordSendEnd(c.replacement, routing.SendAbandoned, 0, nil)
 		c.replacement = nil
 	}
 	return result
