--- a/internal/attempt/crash_evidence.go
+++ b/internal/attempt/crash_evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -135,4 +136,5 @@
 			r.removeEnd(server)
 		}
 	}
+	r.order = slices.DeleteFunc(r.order, func(server ServerInstance) bool { return r.ends[server] == nil })
 }
--- a/internal/attempt/crash_register.go
+++ b/internal/attempt/crash_register.go
@@ -68,6 +68,8 @@
 	config  CrashConfig
 	pending map[ServerInstance]*pendingSends
 	ends    map[ServerInstance]*serverEnd
+	// order has the ends in the order in which they were added, and may have ends that were removed.
+	order []ServerInstance
 	// suspects has the ends at which a request was running, for each request that no server has survived since.
 	suspects   map[Fingerprint][]ServerInstance
 	quarantine *Quarantine
@@ -240,18 +242,20 @@
 	}
 	end := &serverEnd{service: service, at: at, runs: map[Fingerprint]endedRun{}}
 	r.ends[server] = end
+	r.order = append(r.order, server)
 	return end
 }
 
+// dropOldestEnd removes the end that was added first.
 func (r *CrashRegister) dropOldestEnd() {
-	var oldest ServerInstance
-	var at time.Time
-	for server, end := range r.ends {
-		if at.IsZero() || end.at.Before(at) {
-			oldest, at = server, end.at
+	for len(r.order) > 0 {
+		oldest := r.order[0]
+		r.order = r.order[1:]
+		if r.ends[oldest] != nil {
+			r.removeEnd(oldest)
+			return
 		}
 	}
-	r.removeEnd(oldest)
 }
 
 // removeEnd removes an end and what it says of its requests.
--- a/internal/attempt/crash_register_test.go
+++ b/internal/attempt/crash_register_test.go
@@ -21,30 +21,36 @@
 }
 
 // A register that keeps all requests that ever ran at a crash grows without a bound if many different requests crash
-// servers.
+// servers, at this entry or at others.
 func TestManyCrashRequestsTakeBoundedMemory(t *testing.T) {
-	const requests, limitBytes = 10_000, 12 << 20
+	const ownRequests, otherRequests, limitBytes = 1_000, 20_000, 12 << 20
 	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
 	register.SetServers("service", 10)
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	now, number := start, 0
-	for i := range requests {
-		var fingerprint attempt.Fingerprint
-		binary.BigEndian.PutUint64(fingerprint[:], uint64(i)<<40)
-		for range 3 {
-			number++
-			now = now.Add(500 * time.Millisecond)
-			crash(register, now, fmt.Sprint("server-", number), fingerprint)
-			register.Tick(now)
+	now := start
+	numbered := func(i int) (fingerprint attempt.Fingerprint) {
+		binary.BigEndian.PutUint64(fingerprint[:], uint64(i+1)<<40)
+		return fingerprint
+	}
+	for i := range ownRequests {
+		for end := range 3 {
+			now = now.Add(100 * time.Millisecond)
+			crash(register, now, fmt.Sprintf("server-%d-%d", i, end), numbered(i))
 		}
+		register.Tick(now)
+	}
+	for i := range otherRequests {
+		notice := attempt.QuarantineNotice{Fingerprint: numbered(ownRequests + i), ExpiresIn: time.Hour}
+		register.Merge(now, attempt.CrashUpdate{Quarantined: []attempt.QuarantineNotice{notice}})
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	used := int64(after.HeapAlloc) - int64(before.HeapAlloc)
 	suspects, quarantined, _ := register.Counts()
 	t.Logf("%d suspects, %d quarantined, %d bytes", suspects, quarantined, used)
+	qt.Check(t, quarantined > 10_000, qt.IsTrue)
 	qt.Check(t, used < limitBytes, qt.IsTrue, qt.Commentf("%d bytes", used))
 }
 
