--- a/internal/attempt/crash_register.go
+++ b/internal/attempt/crash_register.go
@@ -96,9 +96,8 @@
 type serverEnd struct {
 	service ident.Service
 	at      time.Time
-	// runs are the requests that were running. suspected is the number of those that no server has survived since.
-	runs      map[Fingerprint]endedRun
-	suspected int
+	// runs are the requests that were running.
+	runs map[Fingerprint]endedRun
 }
 
 // endedRun is a run of a request at a server that ended.
@@ -298,10 +297,8 @@
 	end.runs[fingerprint] = merged
 	switch {
 	case !known && !merged.survived:
-		end.suspected++
 		r.suspects[fingerprint] = append(r.suspects[fingerprint], server)
 	case known && merged.survived && !old.survived:
-		end.suspected--
 		r.removeSuspicion(fingerprint, server)
 	}
 	r.changedEnds[server] = true
