--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,7 +120,9 @@
 	leaders *leaderDirectory
 	// peers are the entries subscribed to the group that reported last, including this one. An entry subscribes to all
 	// listed groups, so the subscribers of any group are the entries to notify of prompts.
-	peers         []netip.AddrPort
+	peers []netip.AddrPort
+	// peerDirectory has the entries with which knowledge of crash requests is exchanged. Unlike peers, it does not depend on
+	// model groups.
 	peerDirectory *peerDirectory
 	// crashNewsPlanned is true while a call of sendCrashNews is planned.
 	crashNewsPlanned bool
