Give each gateway of the tests a loopback address of its own

Free ports were found by opening and closing a listener on 127.0.0.1, where other tests take the same port before the gateway opens it; its error was not looked at. Addresses are now unique to a test, and the wait ends with the gateway's error.

--- a/internal/gateway/crash_requests_test.go
+++ b/internal/gateway/crash_requests_test.go
@@ -47,7 +47,7 @@
 func newCrashingServers(t *testing.T, store *testStore, count int) *crashingServers {
 	s := &crashingServers{t: t, store: store, runs: map[string]int{}}
 	for i := range count {
-		s.start(fmt.Sprintf("server-%d", i), "127.0.0.1:0", 0)
+		s.start(fmt.Sprintf("server-%d", i), net.JoinHostPort(nextLoopback(), "0"), 0)
 	}
 	return s
 }
@@ -160,7 +160,11 @@
 // awaitService waits until the gateway serves a request that does not crash servers.
 func (g *testGateway) awaitService() {
 	for g.get("/lookup/sound").status != http.StatusOK {
-		time.Sleep(10 * time.Millisecond)
+		select {
+		case err := <-g.runError:
+			g.c.Fatalf("the gateway has ended: %v", err)
+		case <-time.After(10 * time.Millisecond):
+		}
 	}
 }
 
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -275,15 +276,16 @@
 	log.SetOutput(io.Discard)
 	metrics := node.NewMetrics("entry")
 	t.Cleanup(metrics.Close)
-	g.address = freeAddress(g.c)
 	direct := settings.Direct{
-		VM: "vm", IP: "127.0.0.1", CallersAddress: g.address, ReadyAddress: freeAddress(g.c),
+		VM: "vm", IP: nextLoopback(),
 		Bounds: settings.DirectBounds{
 			Revocation: 2 * time.Second, Configuration: 500 * time.Millisecond, Stop: 5 * time.Second,
 			RepeatShare: 0.2, RepeatFixed: 240, RepeatWindow: 10 * time.Second,
 		},
 	}
 	change(&direct)
+	direct.CallersAddress, direct.ReadyAddress = freeAddress(g.c, direct.IP), freeAddress(g.c, direct.IP)
+	g.address = direct.CallersAddress
 	g.gateway = New(Config{Settings: direct, Headers: testHeaders, Store: g.store, Log: logrus.NewEntry(log), Metrics: metrics})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { g.runError <- g.gateway.Run(ctx, g.stop) }()
@@ -292,8 +294,18 @@
 	return g
 }
 
-func freeAddress(c *qt.C) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+var loopbackCounter atomic.Uint32
+
+// nextLoopback returns a loopback address that no other test uses. A port that is free there cannot be taken by the
+// connections and listeners of tests that run at the same time, before or between its uses.
+func nextLoopback() string {
+	n := loopbackCounter.Add(1)
+	return fmt.Sprintf("127.30.%d.%d", n/200, n%200+1)
+}
+
+// freeAddress returns an address with a TCP port that is free at the IP address.
+func freeAddress(c *qt.C, ip string) string {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	c.Assert(err, qt.IsNil)
 	defer listener.Close()
 	return listener.Addr().String()
