Log the prompt parts of broken sends

The logs could not tell whether requests that end servers share a prompt part: send-broken lines name a fingerprint of the whole request only. No decision depends on them yet.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -48,6 +48,9 @@
 	body       []byte
 	// cachedFingerprint is zero until fingerprint is called.
 	cachedFingerprint attempt.Fingerprint
+	// cachedParts is the result of sharedParts; it is valid if partsRead is true.
+	cachedParts []ident.PromptPart
+	partsRead   bool
 	// bufferedBytes is the size of the bodies of backend servers' responses that the call has buffered.
 	bufferedBytes int64
 
--- a/internal/gateway/crash_requests.go
+++ b/internal/gateway/crash_requests.go
@@ -81,7 +81,7 @@
 	send := attempt.BrokenSend{Fingerprint: fingerprint, StartedAt: startedAt, Survived: g.survivors.contains(c.survivorHash(), time.Now())}
 	log := g.log.WithFields(logrus.Fields{
 		"request": c.id, "fingerprint": fingerprint, "route": c.route.Name, "customer": c.access.Customer,
-		"backend": backend.ID, "address": backend.Address, "closed_by_server": closedByServer,
+		"backend": backend.ID, "address": backend.Address, "closed_by_server": closedByServer, "prompt_parts": c.sharedParts(),
 	})
 	log.WithField("survived_before", send.Survived).Info("send-broken")
 	if closedByServer && g.prober.due(time.Now(), backend.Address) {
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
 )
 
 // Headers has the names of the header fields that a deployment uses, in canonical form.
@@ -31,6 +33,9 @@
 	FaultyBackend string
 	// PromptTokens returns the size of a request's prompt in tokens; 0 if the header does not state it.
 	PromptTokens func(header http.Header) int
+	// PromptParts returns the parts of a request's prompt in their order; the last one belongs to the request itself. An
+	// error names entries that cannot be read; the others are returned.
+	PromptParts func(header http.Header) ([]ident.PromptPart, error)
 }
 
 // hopByHopFields apply to a single connection and are not forwarded.
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -31,6 +31,15 @@
 	BackendID: "X-Backend", Signature: "X-Signature", NotExecuted: "X-Not-Executed", Priority: "X-Priority",
 	LastEventID: "Last-Event-Id", FaultyBackend: "X-Faulty",
 	PromptTokens: func(http.Header) int { return 100 },
+	PromptParts:  testPromptParts,
+}
+
+// testPromptParts returns the space-separated words of the field X-Parts.
+func testPromptParts(header http.Header) (parts []ident.PromptPart, err error) {
+	for word := range strings.FieldsSeq(header.Get("X-Parts")) {
+		parts = append(parts, ident.PromptPart(word))
+	}
+	return parts, nil
 }
 
 // testStore is a source.Store whose state the test sets.
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -22,6 +22,9 @@
 // service.
 type Service string
 
+// PromptPart identifies a part of a prompt for a model. Requests for the model whose prompts share the part have the same.
+type PromptPart string
+
 // Class is the name of a request class of a customer template.
 type Class string
 
