--- a/internal/attempt/crash_world_test.go
+++ b/internal/attempt/crash_world_test.go
@@ -137,7 +137,8 @@
 	}
 	caller.busy = true
 	server.sends = append(server.sends, &crashSend{
-		caller: caller, entry: entry, traits: traits, runTime: w.jittered(caller.runTime, caller.jitterPercent), started: w.now, suspect: status == attempt.RequestSuspect})
+		caller: caller, entry: entry, traits: traits, runTime: w.jittered(caller.runTime, caller.jitterPercent), started: w.now, suspect: status == attempt.RequestSuspect,
+	})
 }
 
 // jittered varies a duration by up to the given percentage.
