Play prompt parts that crash servers in the soak

Prompts of the stand-in's requests have a common part, one of four second parts and a part of their own. Half of the crash requests differ from each other but for a second part that crashes each replica which answers it; the bound is that of the platform: at most three runs later than 3 s after the fifth crash.

--- a/internal/soak/crash_requests.go
+++ b/internal/soak/crash_requests.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -21,11 +22,14 @@
 	// A crash request is repeated for minCrashRepeats to maxCrashRepeats: past the stable window after the third crash.
 	minCrashRepeats = 5 * time.Second
 	maxCrashRepeats = 12 * time.Second
-	// toleratedCrashes is the number of crashes after which the platform allows only toleratedLateRuns further runs
-	// later than stableWindow.
-	toleratedCrashes  = 3
-	toleratedLateRuns = 3
-	stableWindow      = 3 * time.Second
+	// toleratedCrashes is the number of crashes by one request, and toleratedPartCrashes by requests that share a prompt
+	// part, after which the platform allows only toleratedLateRuns further runs later than stableWindow.
+	toleratedCrashes     = 3
+	toleratedPartCrashes = 5
+	toleratedLateRuns    = 3
+	stableWindow         = 3 * time.Second
+	// crashPartShare is the share of crash requests that differ from each other but for a prompt part.
+	crashPartShare = 0.5
 )
 
 // crashRequests sends requests that crash each replica that runs them, and checks that entries stop running them.
@@ -43,8 +47,10 @@
 // crashSend is one send of a crash request.
 type crashSend struct {
 	name, id string
-	entry    *process
-	sentAt   time.Time
+	// tolerated is toleratedCrashes or toleratedPartCrashes.
+	tolerated int
+	entry     *process
+	sentAt    time.Time
 	// entryStartedAt is when the entry's incarnation at the time of sending was started.
 	entryStartedAt time.Time
 	// status is the HTTP status; 0 without a response.
@@ -83,32 +89,47 @@
 	return c
 }
 
-// run sends one crash request after the other until the context ends, each repeatedly and to any entry.
+// requestBuilder returns a crash request with an identifier.
+type requestBuilder func(ctx context.Context, entry, id, credential string) (*http.Request, error)
+
+// run sends one crash request after the other until the context ends, each repeatedly and to any entry. Some are different
+// requests that share a prompt part.
 func (c *crashRequests) run(ctx context.Context, random *rand.Rand) {
 	defer c.tasks.Wait()
 	for number := 0; ctx.Err() == nil; number++ {
 		kind := standin.RequestKind(random.IntN(int(standin.Probe)))
-		name := fmt.Sprintf("%d-%d", kind, number)
+		name, tolerated := fmt.Sprintf("%d-%d", kind, number), toleratedCrashes
+		build := func(ctx context.Context, entry, id, credential string) (*http.Request, error) {
+			return standin.CrashRequest(ctx, entry, kind, name, id, credential)
+		}
+		if random.Float64() < crashPartShare {
+			name, tolerated = standin.CrashPartName(number), toleratedPartCrashes
+			build = func(ctx context.Context, entry, id, credential string) (*http.Request, error) {
+				return standin.CrashPartRequest(ctx, entry, kind, number, id, credential)
+			}
+		}
 		end := time.Now().Add(minCrashRepeats + time.Duration(random.Int64N(int64(maxCrashRepeats-minCrashRepeats))))
 		for repeat := 0; time.Now().Before(end) && ctx.Err() == nil; repeat++ {
 			if entry := c.soak.callers.pickReadyEntry(random); entry != nil {
 				credential := c.soak.deployment.Credential(random, true)
-				c.tasks.Go(func() { c.send(ctx, entry, kind, name, fmt.Sprintf("crash-%s-%d", name, repeat), credential) })
+				c.tasks.Go(func() {
+					c.send(ctx, build, crashSend{name: name, id: fmt.Sprintf("crash-%s-%d", name, repeat), tolerated: tolerated, entry: entry}, credential)
+				})
 			}
 			sleep(ctx, crashRepeatInterval)
 		}
 	}
 }
 
-func (c *crashRequests) send(ctx context.Context, entry *process, kind standin.RequestKind, name, id, credential string) {
+func (c *crashRequests) send(ctx context.Context, build requestBuilder, send crashSend, credential string) {
 	ctx, cancel := context.WithTimeout(ctx, standin.RequestTimeout)
 	defer cancel()
-	request, err := standin.CrashRequest(ctx, entry.settings.Callers, kind, name, id, credential)
+	request, err := build(ctx, send.entry.settings.Callers, send.id, credential)
 	if err != nil {
 		c.soak.reportViolation("failed to create a request: " + err.Error())
 		return
 	}
-	send := crashSend{name: name, id: id, entry: entry, sentAt: time.Now(), entryStartedAt: entry.currentStart()}
+	send.sentAt, send.entryStartedAt = time.Now(), send.entry.currentStart()
 	client := newClient()
 	defer client.CloseIdleConnections()
 	// An error means that the entry or the caller ended the connection. The checks use the replicas' runs.
@@ -124,7 +145,7 @@
 }
 
 // check checks that no request that was refused as not run has run, and that entries with a working connection to the
-// store and without a fault of their own stop running a request after its third crash.
+// store and without a fault of their own stop running a request after its last tolerated crash.
 func (c *crashRequests) check() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -135,10 +156,10 @@
 			c.soak.reportViolation(fmt.Sprintf("crash request %s at %s got status %d, which means not run, but ran at %s", send.id, send.entry.settings.Name, send.status, runs[0].InstanceID))
 		}
 		crashes := c.crashes[send.name]
-		if len(crashes) < toleratedCrashes {
+		if len(crashes) < send.tolerated {
 			continue
 		}
-		bound := crashes[toleratedCrashes-1].Add(stableWindow)
+		bound := crashes[send.tolerated-1].Add(stableWindow)
 		late[send.name] += len(slices.DeleteFunc(runs, func(run standin.Run) bool {
 			return run.StartedAt.Before(bound) || c.excused(&send, run.StartedAt)
 		}))
@@ -146,7 +167,7 @@
 	for name, crashes := range c.crashes {
 		c.soak.log(fmt.Sprintf("crash request %s: %d crashes, %d late runs", name, len(crashes), late[name]))
 		if late[name] > toleratedLateRuns {
-			c.soak.reportViolation(fmt.Sprintf("crash request %s ran %d times later than %s after its third crash, and crashed %d replicas", name, late[name], stableWindow, len(crashes)))
+			c.soak.reportViolation(fmt.Sprintf("crash request %s ran %d times later than %s after the last tolerated crash, and crashed %d replicas", name, late[name], stableWindow, len(crashes)))
 		}
 	}
 }
