Log the limits that backend servers name

Nothing showed what an answer's limit of requests was, so that the hypotheses on LIMIT could not be told apart. The adapter decodes what a server says of itself in a response; a change is logged (backend-statement), an unreadable field too (backend-statement-invalid). No decision depends on it yet.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -132,6 +132,7 @@
 		}
 	}
 	g.hasBackends.Store(len(backends) > leaving)
+	g.statements.retain(backends)
 	g.log.WithFields(logrus.Fields{"backends": len(backends), "leaving": leaving}).Info("backends-listed")
 	g.deliver(g.dispatcher.SetBackends(now, backends))
 	g.leaders.setGroups(groupAgents(backends, g.config.Settings.PeerPort))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,8 @@
 	follower *source.Follower
 	pool     *connPool
 	prober   *prober
+	// statements has what backend servers say about themselves in their responses.
+	statements *statementTable
 	// survivors has the requests that were served recently. survivingTraits has their prompt parts that others may share, and
 	// while crashesKnown is true the fingerprints of the requests.
 	survivors, survivingTraits *survivorTable
@@ -143,6 +145,7 @@
 		leaders:    newLeaderDirectory(),
 	}
 	g.pool = newConnPool(g.metrics.connectionOpened)
+	g.statements = newStatementTable()
 	g.prober, g.survivors, g.survivingTraits = newProber(), newSurvivorTable(), newSurvivorTable()
 	g.follower = source.NewFollower(config.Store, g, bootTime)
 	g.loop = node.NewLoop(tickInterval, func(now time.Time, event func(time.Time)) { event(now) }, g.tick)
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
 )
 
 // Headers has the names of the header fields that a deployment uses, in canonical form.
@@ -33,6 +34,8 @@
 	FaultyBackend string
 	// PromptTokens returns the size of a request's prompt in tokens; 0 if the header does not state it.
 	PromptTokens func(header http.Header) int
+	// Statement returns what a response says about its server. An error means that a field cannot be read.
+	Statement func(header http.Header) (membership.Statement, error)
 	// PromptParts returns the parts of a request's prompt in their order; the last one belongs to the request itself. An
 	// error names entries that cannot be read; the others are returned.
 	PromptParts func(header http.Header) ([]ident.PromptPart, error)
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -33,6 +33,16 @@
 	LastEventID: "Last-Event-Id", FaultyBackend: "X-Faulty",
 	PromptTokens: func(http.Header) int { return 100 },
 	PromptParts:  testPromptParts,
+	Statement:    testStatement,
+}
+
+// testStatement reads a limit from the field X-Limit.
+func testStatement(header http.Header) (membership.Statement, error) {
+	if header.Get("X-Limit") == "" {
+		return membership.Statement{}, nil
+	}
+	rate, err := strconv.ParseFloat(header.Get("X-Limit"), 64)
+	return membership.Statement{Limited: err == nil, RequestRate: rate}, err
 }
 
 // testPromptParts returns the space-separated words of the field X-Parts, and an error if one is "unreadable".
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -66,6 +66,7 @@
 		// The server sent a response that belongs to no request of this connection: the connection is not reused.
 		response.Close = true
 	}
+	c.gateway.recordStatement(assigned.Backend, response)
 	return c.handleResponse(ctx, conn, response, watchdog)
 }
 
--- /dev/null
+++ b/internal/membership/statement.go
@@ -0,0 +1,9 @@
+package membership
+
+// Statement is what a backend server says about itself in a response. It holds until the next response without it.
+type Statement struct {
+	// Limited is true if the server limits the requests that it takes. RequestRate is then their number per second, from
+	// all entries together.
+	Limited     bool
+	RequestRate float64
+}
