Keep the limits of requests that backend servers name, over all entries

A server that named a limit of 2.4 to 2.8 requests a second got 20 to 22 in 4 s (allowed 19 to 22).

Cause: no code read the limit; servers are chosen by load and predicted times only. Class of fault: a statement of the platform that the adapter does not decode is invisible to the decisions. Ruled out by logs: a limit that is kept per entry, or late (nothing read it).

Change: what a server says of itself in an answer is decoded in one place (membership.Statement) and passed to the other entries. A limited server has one account at each entry (admission.ServerLimit), from which each entry takes its own sends and those that the others tell it of. Entries send at different random levels of the account, so that they do not all take the same free request. An entry that hears of no other keeps to its equal share. Requests that no server may take are refused at once, with the time until one may; those that fit within the usual wait are queued. After the end of a limit the rate doubles every half second. A limit of zero still lets a request through every 5 s, since only an answer shows that it has changed. Weighed: equal shares only (40 entries at 1 a second: bursts of full buckets exceed the bound, and uneven load leaves most of it unused); an owner entry that leases parts (a message before each send, and a second election).

--- a/internal/control/crash_requests.go
+++ b/internal/control/crash_requests.go
@@ -12,14 +12,14 @@
 // Crashes returns the entry's register of requests that crash backend servers.
 func (d *Dispatcher) Crashes() *attempt.CrashRegister { return d.crashes }
 
-// serverInstance returns the identity of one start of a listed server.
-func serverInstance(backend *membership.ListedBackend) attempt.ServerInstance {
+// InstanceOf returns the identity of one start of a listed server.
+func InstanceOf(backend *membership.ListedBackend) attempt.ServerInstance {
 	return attempt.ServerInstance{ID: backend.ID, Started: backend.Started}
 }
 
 // RecordBroken records a send to a server that ended without a complete response.
 func (d *Dispatcher) RecordBroken(now time.Time, backend membership.ListedBackend, send attempt.BrokenSend) {
-	d.crashes.RecordBroken(now, serverInstance(&backend), send)
+	d.crashes.RecordBroken(now, InstanceOf(&backend), send)
 }
 
 // RecordServed records that a server gave a complete response to a request with the traits that was sent at startedAt.
@@ -30,7 +30,7 @@
 
 // RecordServerReached records that a server was reached by a connection or request that began at startedAt.
 func (d *Dispatcher) RecordServerReached(backend membership.ListedBackend, startedAt time.Time) {
-	d.crashes.RecordReached(serverInstance(&backend), startedAt)
+	d.crashes.RecordReached(InstanceOf(&backend), startedAt)
 }
 
 // RecordServerEnded records that nothing listens at the address of a server any more. A server that has announced that
@@ -39,7 +39,7 @@
 	if listed := d.servers[backend.ID]; backend.Leaving || listed != nil && listed.Leaving {
 		return
 	}
-	d.crashes.RecordEnd(now, serverInstance(&backend), backend.Service)
+	d.crashes.RecordEnd(now, InstanceOf(&backend), backend.Service)
 }
 
 // recordRemoved records the ends of the servers that are no longer listed, or are listed as started again.
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -108,6 +108,10 @@
 	// Outage is true if the request is refused because servers are listed but none runs
 	// requests at the moment.
 	Outage bool
+	// Limited is true if the chosen server states a limit of requests: other entries are told of the send. LimitedFor is the
+	// time until this entry may send to the first server, if a request is refused since all servers state limits.
+	Limited    bool
+	LimitedFor time.Duration
 	// Suspect is true if the request may have crashed a server. Its end is reported with RecordSuspectEnd.
 	Suspect bool
 	// Waited is the time from arrival to the decision.
@@ -144,6 +148,11 @@
 	groups   map[ident.Group]*groupState
 	repeats  *attempt.Repeats
 	crashes  *attempt.CrashRegister
+	// limits has the servers that state a limit of requests, by ID. entries is the number of entries that keep it, and
+	// isolated is true if this one hears of no other.
+	limits   map[string]*admission.ServerLimit
+	entries  int
+	isolated bool
 	waiting  []BackendRequest
 }
 
@@ -185,6 +194,8 @@
 		groups:   map[ident.Group]*groupState{},
 		repeats:  attempt.NewRepeats(repeats),
 		crashes:  attempt.NewCrashRegister(attempt.DefaultCrashConfig()),
+		limits:   map[string]*admission.ServerLimit{},
+		entries:  1,
 	}
 }
 
@@ -220,6 +231,7 @@
 		}
 	}
 	d.recordRemoved(now, servers)
+	d.removeLimits(now, servers)
 	d.countServers()
 	d.servers = servers
 	for name, group := range d.groups {
@@ -341,6 +353,8 @@
 // mayWait reports whether a request that got no server may wait for one.
 func (d *Dispatcher) mayWait(now time.Time, request *BackendRequest, assignment *Assignment) bool {
 	switch {
+	case assignment.LimitedFor > 0:
+		return now.Add(assignment.LimitedFor).Before(request.WaitEnd())
 	case assignment.Outage:
 		return now.Before(request.OutageEnd())
 	case assignment.Cause == outcome.CauseBackendsFull:
@@ -422,6 +436,7 @@
 // the CrashRegister.
 func (d *Dispatcher) Tick(now time.Time) []Assignment {
 	d.crashes.Tick(now)
+	d.removeLimits(now, d.servers)
 	return d.assignWaiting(now)
 }
 
@@ -464,6 +479,12 @@
 		assignment.Cause, assignment.RetryAfter = outcome.CauseNoBackend, noBackendRetryAfter
 		return assignment, false
 	}
+	candidates, assignment.LimitedFor = d.withinLimits(now, candidates)
+	if len(candidates) == 0 {
+		assignment.Cause = outcome.CauseBackendsFull
+		assignment.RetryAfter = assignment.LimitedFor + time.Duration(d.random.Int64N(int64(limitRetrySpread)))
+		return assignment, false
+	}
 	chosen := d.pick(now, request, candidates, &assignment)
 	switch {
 	case chosen == nil && assignment.Outage:
@@ -481,6 +502,7 @@
 	if assignment.Suspect {
 		chosen.OpenSuspects++
 	}
+	assignment.Limited = d.recordLimitedSend(now, chosen)
 	assignment.Backend = chosen.ListedBackend
 	return assignment, true
 }
--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -1,7 +1,8 @@
 // Package datagram sends and receives small CBOR messages between entries and agents over UDP. Messages may be lost,
 // duplicated, reordered or delayed. Each message therefore states the sender's current state or is resent until it is
-// answered. The exceptions are PromptSent, which is sent once (the group's next report corrects a loss), and CrashUpdate
-// (a loss shows in the digests of the next hellos).
+// answered. The exceptions are PromptSent, which is sent once (the group's next report corrects a loss), CrashUpdate (a loss
+// shows in the digests of the next hellos), Statements (each server's next answer states the same) and LimitedSend (a loss
+// lets the entries exceed a limit by one request).
 package datagram
 
 import (
@@ -17,6 +18,7 @@
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/expert"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
 )
 
 // maxMessageBytes is the largest payload of a UDP datagram over IPv4.
@@ -34,6 +36,8 @@
 	Hello       *Hello       `cbor:"8,keyasint,omitempty"`
 	// CrashUpdate is sent by an entry to others when its register of crash requests changes, or differs from theirs.
 	CrashUpdate *attempt.CrashUpdate `cbor:"9,keyasint,omitempty"`
+	Statements  *Statements          `cbor:"10,keyasint,omitempty"`
+	LimitedSend *LimitedSend         `cbor:"11,keyasint,omitempty"`
 }
 
 // RankReport carries the status of an agent's rank and its counts of expert choices. The agent sends it to its group's
@@ -114,6 +118,24 @@
 	Answer bool `cbor:"3,keyasint,omitempty"`
 }
 
+// Statements is sent by an entry to others when what a backend server says of itself changes, and to an entry that is new.
+// Entries pass on what is new to them.
+type Statements struct {
+	Statements []Statement `cbor:"1,keyasint"`
+}
+
+// Statement is what a backend server said of itself Age before the message was sent.
+type Statement struct {
+	Server    attempt.ServerInstance `cbor:"1,keyasint"`
+	Statement membership.Statement   `cbor:"2,keyasint"`
+	Age       time.Duration          `cbor:"3,keyasint"`
+}
+
+// LimitedSend is sent by an entry to all others when it sends a request to a backend server that states a limit of requests.
+type LimitedSend struct {
+	Server attempt.ServerInstance `cbor:"1,keyasint"`
+}
+
 // PeerAge is the address of an entry and the time since it was last heard.
 type PeerAge struct {
 	Address netip.AddrPort `cbor:"1,keyasint"`
--- a/internal/gateway/crash_exchange.go
+++ b/internal/gateway/crash_exchange.go
@@ -33,6 +33,10 @@
 // this entry's, and a hello from which it sees that this entry lacks something.
 func (g *Gateway) handleHello(now time.Time, from netip.AddrPort, hello *datagram.Hello) {
 	joined := g.peerDirectory.recordHeard(now, from, now)
+	g.peerDirectory.recordMessage(now)
+	if joined {
+		g.sendStatements(g.statements.reports(now), from)
+	}
 	g.peerDirectory.merge(now, hello.Peers)
 	differs := hello.CrashDigest != g.dispatcher.Crashes().Digest()
 	if differs {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -191,6 +191,7 @@
 	g.deliver(g.dispatcher.Tick(now))
 	g.crashRegisterChanged()
 	g.sendHellos(now)
+	g.dispatcher.SetEntries(now, g.peerDirectory.entries(), g.peerDirectory.isolated(now))
 	g.pool.closeExpired(now)
 	g.prober.removeExpired(now)
 	for _, subscription := range g.leaders.due(now) {
@@ -203,6 +204,13 @@
 // handleMessage handles a message of another process. Messages that are meant for agents are ignored.
 func (g *Gateway) handleMessage(received datagram.Received) {
 	switch message := received.Message; {
+	case message.Statements != nil:
+		g.tryEnqueue(func(now time.Time) { g.handleStatements(now, message.Statements.Statements) })
+	case message.LimitedSend != nil:
+		g.tryEnqueue(func(now time.Time) {
+			g.peerDirectory.recordMessage(now)
+			g.dispatcher.RecordRemoteLimitedSend(now, message.LimitedSend.Server)
+		})
 	case message.GroupReport != nil:
 		g.tryEnqueue(func(now time.Time) { g.handleGroupReport(now, received.From, message.GroupReport) })
 	case message.Hello != nil:
@@ -258,6 +266,9 @@
 		if waiting := g.pending[assignment.Request]; waiting != nil {
 			delete(g.pending, assignment.Request)
 			waiting <- assignment
+			if assignment.Limited {
+				g.notifyLimitedSend(&assignment.Backend)
+			}
 			if backend := assignment.Backend; backend.Group != "" {
 				g.notifyPeers(datagram.PromptSent{Group: backend.Group, Rank: backend.Rank, PromptTokens: assignment.PromptTokens})
 			}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -19,6 +19,9 @@
 	joinTime     = 5 * time.Second
 	// peerTimeout is the time after which an entry that nobody has heard of is forgotten.
 	peerTimeout = 30 * time.Second
+	// isolationTime is the time without a message of another entry after which an entry keeps to its share of servers'
+	// limits. It is several intervals of hellos, some of which may be lost or go elsewhere.
+	isolationTime = 5 * time.Second
 	// maxPeers bounds the known entries, maxHelloPeers those in one hello.
 	maxPeers      = 512
 	maxHelloPeers = 24
@@ -36,7 +39,10 @@
 	started time.Time
 	// heardAt is when each entry was last heard by this or another entry.
 	heardAt map[netip.AddrPort]time.Time
-	helloAt time.Time
+	// messageAt is when the last message of any entry arrived, and most the number of entries known before that.
+	messageAt time.Time
+	most      int
+	helloAt   time.Time
 }
 
 func newPeerDirectory(now time.Time, self netip.AddrPort, seeds []netip.Addr, random *rand.Rand) *peerDirectory {
@@ -61,6 +67,19 @@
 	return !known
 }
 
+// recordMessage records that a message of another entry has arrived.
+func (d *peerDirectory) recordMessage(now time.Time) {
+	d.messageAt, d.most = now, len(d.heardAt)
+}
+
+// isolated reports whether this entry hears of no other, although it did before.
+func (d *peerDirectory) isolated(now time.Time) bool {
+	return !d.messageAt.IsZero() && now.Sub(d.messageAt) > isolationTime
+}
+
+// entries returns the number of entries, including this one: while it is isolated, those that it knew before.
+func (d *peerDirectory) entries() int { return 1 + max(len(d.heardAt), d.most) }
+
 // merge records the entries that another entry knows.
 func (d *peerDirectory) merge(now time.Time, peers []datagram.PeerAge) {
 	for _, peer := range peers {
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -2,35 +2,48 @@
 
 import (
 	"net/http"
+	"net/netip"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/control"
+	"github.com/bramleyspool/bramleyspool/internal/datagram"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
 )
 
-// statementTable has the last statement of each backend server that has made one. It is safe for concurrent use.
+// maxStatements is the number of statements in one message, which then fits into a packet of 1,400 bytes.
+const maxStatements = 16
+
+// statementTable has the newest statement of each backend server. It is safe for concurrent use.
 type statementTable struct {
 	mu         sync.Mutex
-	statements map[string]membership.Statement
+	statements map[attempt.ServerInstance]timedStatement
+}
+
+// timedStatement is a statement and when an entry received it.
+type timedStatement struct {
+	statement membership.Statement
+	at        time.Time
 }
 
 func newStatementTable() *statementTable {
-	return &statementTable{statements: map[string]membership.Statement{}}
+	return &statementTable{statements: map[attempt.ServerInstance]timedStatement{}}
 }
 
-// replace sets the statement of a server and reports whether it differs from the previous one.
-func (t *statementTable) replace(backend string, statement membership.Statement) bool {
+// record records a statement unless a newer one is known, and reports whether it differs from the one known before.
+func (t *statementTable) record(server attempt.ServerInstance, statement membership.Statement, at time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.statements[backend] == statement {
+	last, known := t.statements[server]
+	if known && !at.After(last.at) || !known && statement == (membership.Statement{}) {
 		return false
 	}
-	t.statements[backend] = statement
-	if statement == (membership.Statement{}) {
-		delete(t.statements, backend)
-	}
-	return true
+	t.statements[server] = timedStatement{statement: statement, at: at}
+	return last.statement != statement
 }
 
 // retain removes the statements of servers that are not listed.
@@ -40,15 +53,29 @@
 	if len(t.statements) == 0 {
 		return
 	}
-	kept := map[string]membership.Statement{}
+	kept := map[attempt.ServerInstance]timedStatement{}
 	for i := range listed {
-		if statement, known := t.statements[listed[i].ID]; known {
-			kept[listed[i].ID] = statement
+		server := control.InstanceOf(&listed[i])
+		if last, known := t.statements[server]; known {
+			kept[server] = last
 		}
 	}
 	t.statements = kept
 }
 
+// reports returns the statements that limit servers, for another entry.
+func (t *statementTable) reports(now time.Time) []datagram.Statement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var reports []datagram.Statement
+	for server, last := range t.statements {
+		if last.statement.Limited {
+			reports = append(reports, datagram.Statement{Server: server, Statement: last.statement, Age: now.Sub(last.at)})
+		}
+	}
+	return reports
+}
+
 // recordStatement records what a response says about its server. A field that cannot be read changes nothing.
 func (g *Gateway) recordStatement(backend membership.ListedBackend, response *http.Response) {
 	if response.StatusCode == http.StatusMisdirectedRequest {
@@ -61,9 +88,45 @@
 		log.WithError(err).Warn("backend-statement-invalid")
 		return
 	}
-	if !g.statements.replace(backend.ID, statement) {
+	server, at := control.InstanceOf(&backend), time.Now()
+	if !g.statements.record(server, statement, at) {
 		return
 	}
 	g.metrics.count("statements_changed")
 	log.WithFields(logrus.Fields{"limited": statement.Limited, "request_rate": statement.RequestRate}).Info("backend-statement")
+	g.enqueue(func(now time.Time) { g.statementChanged(now, server, statement, at) })
+}
+
+// statementChanged applies a changed statement and passes it on to other entries.
+func (g *Gateway) statementChanged(now time.Time, server attempt.ServerInstance, statement membership.Statement, at time.Time) {
+	g.dispatcher.RecordStatement(now, server, statement)
+	report := datagram.Statement{Server: server, Statement: statement, Age: now.Sub(at)}
+	g.sendStatements([]datagram.Statement{report}, g.peerDirectory.sample(updateFanout)...)
+}
+
+// sendStatements sends statements to entries, in messages of the size of a packet.
+func (g *Gateway) sendStatements(reports []datagram.Statement, to ...netip.AddrPort) {
+	for part := range slices.Chunk(reports, maxStatements) {
+		for _, peer := range to {
+			g.socket.Send(peer, datagram.Message{Statements: &datagram.Statements{Statements: part}})
+		}
+	}
+}
+
+// handleStatements records what other entries have received.
+func (g *Gateway) handleStatements(now time.Time, reports []datagram.Statement) {
+	for _, report := range reports {
+		at := now.Add(-max(report.Age, 0))
+		if g.statements.record(report.Server, report.Statement, at) {
+			g.statementChanged(now, report.Server, report.Statement, at)
+		}
+	}
+}
+
+// notifyLimitedSend tells all other entries of a send to a server that states a limit.
+func (g *Gateway) notifyLimitedSend(backend *membership.ListedBackend) {
+	message := datagram.Message{LimitedSend: &datagram.LimitedSend{Server: control.InstanceOf(backend)}}
+	for peer := range g.peerDirectory.heardAt {
+		g.socket.Send(peer, message)
+	}
 }
--- a/internal/membership/statement.go
+++ b/internal/membership/statement.go
@@ -4,6 +4,6 @@
 type Statement struct {
 	// Limited is true if the server limits the requests that it takes. RequestRate is then their number per second, from
 	// all entries together.
-	Limited     bool
-	RequestRate float64
+	Limited     bool    `cbor:"1,keyasint,omitempty"`
+	RequestRate float64 `cbor:"2,keyasint,omitempty"`
 }
