Let replicas name limits of requests in the soak

One replica after the other, plain or a rank, names a limit of 1 to 8 requests a second for 8 to 14 s; the check is the platform's bound, without an excuse for entries that are killed, frozen or cut off.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -34,6 +34,8 @@
 	startTimeout = 20 * time.Second
 	// crashRequestStream is the random stream of crash requests. The injectors of faults use streams from 0.
 	crashRequestStream = 50
+	// limitStream is the random stream of limits.
+	limitStream = 51
 	// minProcesses is enough for two entries and the agents of one group.
 	minProcesses = 2 + ranksPerGroup
 )
@@ -77,8 +79,10 @@
 	callers    *callers
 	// crashRequests sends the requests that crash replicas.
 	crashRequests *crashRequests
-	faults        faultLog
-	cancel        context.CancelFunc
+	// limits lets replicas name limits of requests.
+	limits *limits
+	faults faultLog
+	cancel context.CancelFunc
 
 	entries, agents              []*process
 	storeProxies, replicaProxies []*proxy
@@ -123,6 +127,7 @@
 	s.run(ctx)
 	s.callers.checkRuns()
 	s.crashRequests.check()
+	s.limits.check()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fmt.Fprintf(options.Out, "seed %d: %d served, %d refused, %d failed, %d crashes by requests\n",
@@ -202,6 +207,7 @@
 	}
 	s.callers = &callers{soak: s, entries: s.entries, ready: map[*process]bool{}}
 	s.crashRequests = newCrashRequests(s)
+	s.limits = &limits{soak: s}
 	return nil
 }
 
@@ -278,6 +284,7 @@
 	defer cancelFaults()
 	var injectors sync.WaitGroup
 	if !s.options.CrashRequestsOnly {
+		injectors.Go(func() { s.limits.run(faultCtx, newRandom(limitStream)) })
 		for i := range concurrentFaults {
 			injectors.Go(func() { s.injectFaults(faultCtx, newRandom(uint64(i))) })
 		}
