Weigh a crash request against all other requests that were running

A sound request that is cut off beside several crash requests was quarantined while each of these had ended two servers only, since only suspects with enough evidence were compared with it. Two requests never share a run, so that a request with two ends is a possible cause of its own.

--- a/internal/attempt/crash_evidence.go
+++ b/internal/attempt/crash_evidence.go
@@ -91,7 +91,12 @@
 // its end tells which. Until ReturnFor after the first event there may soon be more evidence against traits that have
 // little: up to youngCauses of them may turn out to be the cause.
 func (r *CrashRegister) decide(now time.Time, suspect *suspectCase, strong, all []*suspectCase) {
-	unexplained := suspect.unexplainedBy(strong)
+	others := strong
+	if !suspect.trait.IsPart() {
+		// Two requests never share a run, so that another one with little evidence is a cause of its own.
+		others = slices.DeleteFunc(slices.Clone(all), func(other *suspectCase) bool { return other.trait.IsPart() && !slices.Contains(strong, other) })
+	}
+	unexplained := suspect.unexplainedBy(others)
 	margin := totalNats(unexplained)
 	decidable := suspect.events[0].ends[0].at.Add(r.config.ReturnFor)
 	if margin >= r.config.Margin && now.Before(decidable) {
