Split the decision on crash evidence and the types of assignments into files of their own

Moves only, and the removal of a map that nothing read. crash_decision.go decides, crash_evidence.go weighs; assignment.go has what calls ask the dispatcher and what it answers.

--- a/internal/attempt/crash_evidence.go
+++ b/internal/attempt/crash_evidence.go
@@ -1,7 +1,6 @@
 package attempt
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"sort"
@@ -10,30 +9,21 @@
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 )
 
-// SetServers sets the number of listed servers of a service.
-func (r *CrashRegister) SetServers(service ident.Service, servers int) { r.servers[service] = servers }
-
 // shortestRun is the duration below which runs are not distinguished: it is mostly that of the messages.
 const shortestRun = time.Millisecond
 
 // maxSuspectsWithSingles is the number of suspects up to which prompt parts that were running at one end are compared.
 const maxSuspectsWithSingles = 1024
 
-// youngCauses is the number of traits with little evidence that are assumed to be causes at a time.
-const youngCauses = 2
-
-// maxCases bounds the traits that are compared in one assessment; those with the most evidence are.
-const maxCases = 128
-
 // suspectCase is the evidence against one trait.
 type suspectCase struct {
 	trait Fingerprint
 	// ends are the ends at which the trait was running and that no other quarantined trait explains, in the order of time.
 	ends []*serverEnd
-	// nats has the evidence of each end, or that of comparisons with other traits, which is not limited to MaxEvidence.
-	// Ends at the same moment may have one cause: events has the strongest of each.
-	nats, compared map[*serverEnd]float64
-	events         []crashEvent
+	// compared has the evidence of each end for comparisons with other traits, which is not limited to MaxEvidence.
+	compared map[*serverEnd]float64
+	// events are the ends, those at the same moment as one since they may have one cause.
+	events []crashEvent
 	// strength is the evidence of all events.
 	strength float64
 }
@@ -41,6 +31,7 @@
 // crashEvent is one or several ends of servers at the same moment.
 type crashEvent struct {
 	ends []*serverEnd
+	// nats is the evidence of the end with the most.
 	nats float64
 }
 
@@ -53,132 +44,6 @@
 	return most
 }
 
-// planAssessment plans an assessment at the given time.
-func (r *CrashRegister) planAssessment(at time.Time) {
-	if r.assessAt.IsZero() || at.Before(r.assessAt) {
-		r.assessAt = at
-	}
-}
-
-// assess quarantines the traits, and combinations of traits, against which there is enough evidence. It does nothing until
-// an end has changed and settled.
-func (r *CrashRegister) assess(now time.Time) {
-	if r.assessAt.IsZero() || now.Before(r.assessAt) {
-		return
-	}
-	r.assessAt = time.Time{}
-	assessment := r.newAssessment(now)
-	assessment.findOwners()
-	var all, strong []*suspectCase
-	for _, suspect := range assessment.cases {
-		assessment.weigh(suspect)
-		all = append(all, suspect)
-	}
-	slices.SortFunc(all, func(a, b *suspectCase) int { return cmp.Compare(b.strength, a.strength) })
-	all = all[:min(len(all), maxCases)]
-	for _, suspect := range all {
-		if len(suspect.events) >= r.config.MinEnds && suspect.strength >= r.config.EvidenceLimit {
-			strong = append(strong, suspect)
-		}
-	}
-	for _, suspect := range strong {
-		r.decide(now, suspect, strong, all)
-	}
-}
-
-// decide quarantines a trait if it explains its events better than the other traits. If some explain them nearly as well,
-// only requests that have all of these are refused: one of them is the cause. A request with some of them still runs, and
-// its end tells which. Until ReturnFor after the first event there may soon be more evidence against traits that have
-// little: up to youngCauses of them may turn out to be the cause.
-func (r *CrashRegister) decide(now time.Time, suspect *suspectCase, strong, all []*suspectCase) {
-	others := strong
-	if !suspect.trait.IsPart() {
-		// Two requests never share a run, so that another one with little evidence is a cause of its own.
-		others = slices.DeleteFunc(slices.Clone(all), func(other *suspectCase) bool { return other.trait.IsPart() && !slices.Contains(strong, other) })
-	}
-	unexplained := suspect.unexplainedBy(others)
-	margin := totalNats(unexplained)
-	decidable := suspect.events[0].ends[0].at.Add(r.config.ReturnFor)
-	if margin >= r.config.Margin && now.Before(decidable) {
-		for range youngCauses {
-			unexplained = suspect.withoutBest(unexplained, all)
-		}
-		margin = totalNats(unexplained)
-	}
-	if margin >= r.config.Margin {
-		r.quarantineAll(now, []Fingerprint{suspect.trait})
-		return
-	}
-	if now.Before(decidable) {
-		r.planAssessment(decidable)
-	}
-	members := []Fingerprint{suspect.trait}
-	for _, other := range strong {
-		if other != suspect && suspect.marginOver(other) < r.config.Margin {
-			members = append(members, other.trait)
-		}
-	}
-	if len(members) > 1 && len(members) <= maxCombined {
-		r.quarantineAll(now, members)
-	}
-}
-
-// unexplainedBy returns by how many nats the trait explains each of its events better than the best of the others.
-func (c *suspectCase) unexplainedBy(others []*suspectCase) []float64 {
-	unexplained := make([]float64, len(c.events))
-	for i := range c.events {
-		best := 0.0
-		for _, other := range others {
-			if other != c {
-				best = max(best, other.comparedAt(&c.events[i]))
-			}
-		}
-		unexplained[i] = max(c.comparedAt(&c.events[i])-best, 0)
-	}
-	return unexplained
-}
-
-// withoutBest returns what remains unexplained after the other trait that explains most of it.
-func (c *suspectCase) withoutBest(unexplained []float64, others []*suspectCase) []float64 {
-	least := unexplained
-	for _, other := range others {
-		if other == c {
-			continue
-		}
-		rest := make([]float64, len(unexplained))
-		for i := range rest {
-			rest[i] = min(unexplained[i], max(c.comparedAt(&c.events[i])-other.comparedAt(&c.events[i]), 0))
-		}
-		if totalNats(rest) < totalNats(least) {
-			least = rest
-		}
-	}
-	return least
-}
-
-func totalNats(values []float64) float64 {
-	total := 0.0
-	for _, value := range values {
-		total += value
-	}
-	return total
-}
-
-// marginOver returns by how many nats the trait explains its events better than the other one.
-func (c *suspectCase) marginOver(other *suspectCase) float64 {
-	margin := 0.0
-	for i := range c.events {
-		margin += c.comparedAt(&c.events[i]) - other.comparedAt(&c.events[i])
-	}
-	return margin
-}
-
-func (r *CrashRegister) quarantineAll(now time.Time, traits []Fingerprint) {
-	if key, added := r.quarantine.AddAll(traits, now.Add(r.config.QuarantineFor)); added {
-		r.changedQuarantine[key] = reportsPerChange
-	}
-}
-
 // suspected reports whether the trait was running at the end and no server has survived it since.
 func (e *serverEnd) suspected(trait Fingerprint) bool {
 	run, known := e.runs[trait]
@@ -313,7 +178,7 @@
 // end by chance.
 func (a *assessment) weigh(suspect *suspectCase) {
 	config := &a.register.config
-	suspect.nats, suspect.compared = map[*serverEnd]float64{}, map[*serverEnd]float64{}
+	suspect.compared = map[*serverEnd]float64{}
 	var owned []*serverEnd
 	for _, end := range suspect.ends {
 		if slices.Contains(a.owners[end], suspect.trait) {
@@ -323,7 +188,7 @@
 	for _, end := range suspect.ends {
 		chance, together := a.chanceNats(end, suspect.trait, owned), a.togetherNats(end, suspect)
 		nats := min(chance, together, config.MaxEvidence)
-		suspect.nats[end], suspect.compared[end] = nats, min(chance, together)
+		suspect.compared[end] = min(chance, together)
 		last := len(suspect.events) - 1
 		if last >= 0 && config.sameMoment(suspect.events[last].ends[0], end, suspect.trait) {
 			event := &suspect.events[last]
@@ -394,25 +259,3 @@
 	to := sort.Search(len(times), func(i int) bool { return times[i].After(last) })
 	return max(to-from, 0)
 }
-
-// Tick assesses the evidence that has changed, and drops what has expired.
-func (r *CrashRegister) Tick(now time.Time) {
-	r.assess(now)
-	for server, pending := range r.pending {
-		if now.Sub(pending.lastAt) > r.config.BrokenFor {
-			delete(r.pending, server)
-		}
-	}
-	if now.Sub(r.expiredAt) < r.config.BrokenFor {
-		return
-	}
-	r.expiredAt = now
-	r.quarantine.Expire(now)
-	for server, end := range r.ends {
-		age := now.Sub(end.at)
-		if age > r.config.SuspectFor || len(end.runs) == 0 && age > 2*r.config.ObserveFor {
-			r.removeEnd(server)
-		}
-	}
-	r.order = slices.DeleteFunc(r.order, func(server ServerInstance) bool { return r.ends[server] == nil })
-}
--- a/internal/attempt/crash_register.go
+++ b/internal/attempt/crash_register.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -412,3 +413,28 @@
 func (r *CrashRegister) Counts() (suspects, quarantined, dropped int) {
 	return len(r.suspects), r.quarantine.Len(), r.dropped
 }
+
+// SetServers sets the number of listed servers of a service.
+func (r *CrashRegister) SetServers(service ident.Service, servers int) { r.servers[service] = servers }
+
+// Tick assesses the evidence that has changed, and drops what has expired.
+func (r *CrashRegister) Tick(now time.Time) {
+	r.assess(now)
+	for server, pending := range r.pending {
+		if now.Sub(pending.lastAt) > r.config.BrokenFor {
+			delete(r.pending, server)
+		}
+	}
+	if now.Sub(r.expiredAt) < r.config.BrokenFor {
+		return
+	}
+	r.expiredAt = now
+	r.quarantine.Expire(now)
+	for server, end := range r.ends {
+		age := now.Sub(end.at)
+		if age > r.config.SuspectFor || len(end.runs) == 0 && age > 2*r.config.ObserveFor {
+			r.removeEnd(server)
+		}
+	}
+	r.order = slices.DeleteFunc(r.order, func(server ServerInstance) bool { return r.ends[server] == nil })
+}
--- /dev/null
+++ b/internal/control/assignment.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+	"github.com/bramleyspool/bramleyspool/internal/routing"
+)
+
+// BackendRequest requests a backend server to send a request to. An Assignment answers it.
+type BackendRequest struct {
+	// ID identifies the request within the process.
+	ID      uint64
+	Service ident.Service
+	Route   *routing.Route
+	// Priority is the priority of the request; 0 is the most urgent.
+	Priority int
+	// Arrived is when the request arrived. After Deadline its answer is of no use.
+	Arrived, Deadline time.Time
+	// PromptTokens is the number of prompt tokens of a request to a model engine.
+	PromptTokens int
+	// Tried are the IDs of the servers that the request was sent to before.
+	Tried []string
+	// Reason says how the request counts against the limit on repeats.
+	Reason SendReason
+	// OtherGroupOnly is true if the stream's server sends no more events: only a server of
+	// another group is assigned.
+	OtherGroupOnly bool
+	// Resumed is true for a stream whose first events the caller has received.
+	Resumed bool
+	// Traits are the fingerprints by which the entry's CrashRegister knows the request and the parts of its prompt. They
+	// are not set if the register was empty at its arrival.
+	Traits []attempt.Fingerprint
+}
+
+// SendReason says why a request is sent.
+type SendReason uint8
+
+// The reasons to send a request.
+const (
+	// SendReasonFirst is the first send of a request.
+	SendReasonFirst SendReason = iota
+	// SendReasonNotConnected follows a send that reached no server.
+	SendReasonNotConnected
+	// SendReasonRepeat follows a send that a server rejected or may have run.
+	SendReasonRepeat
+)
+
+// Assignment answers a BackendRequest with a backend server or a refusal.
+type Assignment struct {
+	// Request is the ID of the request within the process.
+	Request uint64
+	// Backend is the assigned server; its ID is "" for a refusal.
+	Backend membership.ListedBackend
+	// Cause is the reason of a refusal.
+	Cause outcome.Cause
+	// PromptTokens is the number of prompt tokens of the request.
+	PromptTokens int
+	// RetryAfter is the time after which the caller of a refused request should retry.
+	RetryAfter time.Duration
+	// Quarantined is the fingerprint because of which a request is refused with outcome.CauseQuarantined.
+	Quarantined attempt.Fingerprint
+	// Outage is true if the request is refused because servers are listed but none runs
+	// requests at the moment.
+	Outage bool
+	// Limited is true if the chosen server states a limit of requests: other entries are told of the send. LimitedFor is the
+	// time until this entry may send to the first server, if a request is refused since all servers state limits.
+	Limited    bool
+	LimitedFor time.Duration
+	// Suspect is true if the request may have crashed a server. Its end is reported with RecordSuspectEnd.
+	Suspect bool
+	// Waited is the time from arrival to the decision.
+	Waited time.Duration
+	// Load is the number of requests at the chosen server. Writers is the estimated number of
+	// requests at all ranks of its group, as in admission.GroupPace. Pass is the predicted
+	// duration of a pass.
+	Load, Writers int
+	Pass          time.Duration
+	// FirstEvent is the predicted time until the rank has processed the prompt.
+	FirstEvent time.Duration
+	// ReportAge is the age of the group's last GroupReport; negative if there is no recent one.
+	ReportAge time.Duration
+}
