Do not let a proxy of an ended soak listen again

A replica that a request has crashed restarts 1.5 s later, also after the end of its soak; its proxy then took the address while that of the next soak was closed for a crash. A fault of the soak, not of the product.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -30,6 +30,8 @@
 	state    proxyState
 	// Connections are numbered from 0. All data of those below blackholedBelow is discarded.
 	blackholedBelow, nextNumber int
+	// ended is true after end.
+	ended bool
 	// conns are both sides of the open connections.
 	conns map[net.Conn]struct{}
 }
@@ -43,19 +45,31 @@
 	return p, nil
 }
 
-// listen opens the listener.
+// listen opens the listener, unless the proxy has ended.
 func (p *proxy) listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return nil
+	}
 	listener, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return err
 	}
-	p.mu.Lock()
 	p.listener = listener
-	p.mu.Unlock()
 	go p.accept(listener)
 	return nil
 }
 
+// end closes the listener for good. A replica that restarts after the end of its soak would otherwise take an address that
+// the next soak uses.
+func (p *proxy) end() {
+	p.mu.Lock()
+	p.ended = true
+	p.mu.Unlock()
+	p.close()
+}
+
 // close closes the listener, so that new connections are refused.
 func (p *proxy) close() {
 	p.mu.Lock()
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -110,3 +110,17 @@
 		c.Assert(echoes(c, dial()), qt.IsTrue)
 	}
 }
+
+// A replica that a request has crashed restarts 1.5 s later, also after the end of its soak. If its proxy then listened again,
+// the next soak's proxy of the same replica could not (seed 4006 after 4005: address already in use).
+func TestEndedProxyDoesNotListenAgain(t *testing.T) {
+	c := qt.New(t)
+	const address = "127.2.7.7:8000"
+	ended, err := newProxy("replica", address, func() string { return "" })
+	c.Assert(err, qt.IsNil)
+	ended.end()
+	c.Assert(ended.listen(), qt.IsNil)
+	next, err := newProxy("replica", address, func() string { return "" })
+	c.Assert(err, qt.IsNil)
+	next.end()
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -336,6 +336,6 @@
 		p.terminate()
 	}
 	for _, p := range append(append([]*proxy(nil), s.storeProxies...), s.replicaProxies...) {
-		p.close()
+		p.end()
 	}
 }
