Keep a limit that another entry reported before the server was listed

The report was recorded as known and its application dropped, so that the server's own answers, which state the same, never applied it: the entry would have sent without a limit. Found by reading; TestLimitOfAServerThatIsListedLaterIsKept fails without the change. Adds the gauge backends_limited.

--- a/internal/control/server_limits.go
+++ b/internal/control/server_limits.go
@@ -31,6 +31,9 @@
 	}
 }
 
+// LimitedServers returns the number of servers that state a limit of requests, or did so until a moment ago.
+func (d *Dispatcher) LimitedServers() int { return len(d.limits) }
+
 // SetEntries sets the number of entries, including this one, and whether this one hears of no other.
 func (d *Dispatcher) SetEntries(now time.Time, entries int, isolated bool) {
 	if d.entries == entries && d.isolated == isolated {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -135,6 +135,10 @@
 	g.statements.retain(backends)
 	g.log.WithFields(logrus.Fields{"backends": len(backends), "leaving": leaving}).Info("backends-listed")
 	g.deliver(g.dispatcher.SetBackends(now, backends))
+	// Another entry may have reported a server's limit before this one had it in its list.
+	for _, report := range g.statements.reports(now) {
+		g.dispatcher.RecordStatement(now, report.Server, report.Statement)
+	}
 	g.leaders.setGroups(groupAgents(backends, g.config.Settings.PeerPort))
 }
 
@@ -198,6 +202,7 @@
 		message := datagram.Message{Subscribe: &datagram.Subscribe{Group: subscription.group, Entry: g.socket.Address().String()}}
 		g.socket.Send(subscription.agent, message)
 	}
+	g.metrics.backendsLimited.Update(float64(g.dispatcher.LimitedServers()))
 	g.metrics.setCallsWaiting(g.dispatcher.Waiting())
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,8 @@
 	scope             tally.Scope
 	connectionsOpened tally.Counter
 	callsWaiting      tally.Gauge
+	// backendsLimited is the number of backend servers that state a limit of requests.
+	backendsLimited tally.Gauge
 	// suspects, quarantined and crashesDropped are those of attempt.CrashRegister.Counts.
 	suspects, quarantined, crashesDropped tally.Gauge
 	firstByteTimes                        tally.Histogram
@@ -34,6 +36,7 @@
 		scope:             scope,
 		connectionsOpened: scope.Counter("backend_connections_opened"),
 		callsWaiting:      scope.Gauge("calls_waiting"),
+		backendsLimited:   scope.Gauge("backends_limited"),
 		suspects:          scope.Gauge("crash_suspects"),
 		quarantined:       scope.Gauge("crash_quarantined"),
 		crashesDropped:    scope.Gauge("crash_sends_dropped"),
--- a/internal/gateway/server_limit_test.go
+++ b/internal/gateway/server_limit_test.go
@@ -10,6 +10,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/datagram"
+	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/settings"
+	"github.com/bramleyspool/bramleyspool/internal/source"
 )
 
 // The platform's bound on requests to a server that names a limit: in any limitSpan at most limitFactor times what the
@@ -185,3 +191,30 @@
 		}
 	}
 }
+
+// Another entry reports the limit of a server that is not yet in this entry's list. If the report were dropped, the entry would
+// not keep the limit: the server's answers state what it knows already.
+func TestLimitOfAServerThatIsListedLaterIsKept(t *testing.T) {
+	t.Parallel()
+	_, backends := startLimitedServers(t, "", "")
+	store := newTestStore(backends[:1]...)
+	g := startTestGateway(t, store, func(*settings.Direct) {})
+	g.awaitService()
+	late := newTestStore(backends[1]).state.Backends
+	report := datagram.Statement{
+		Server:    attempt.ServerInstance{ID: late[0].ID},
+		Statement: membership.Statement{Limited: true, RequestRate: 2},
+	}
+	limited := make(chan int)
+	g.gateway.enqueue(func(now time.Time) { g.gateway.handleStatements(now, []datagram.Statement{report}) })
+	store.set(func(state *source.State) { state.Backends = append(state.Backends, late...) })
+	for deadline := time.Now().Add(2 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		g.gateway.enqueue(func(time.Time) { limited <- g.gateway.dispatcher.LimitedServers() })
+		if <-limited == 1 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the limit is not kept")
+		}
+	}
+}
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -67,7 +67,7 @@
 func (t *statementTable) reports(now time.Time) []datagram.Statement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var reports []datagram.Statement
+	reports := make([]datagram.Statement, 0, len(t.statements))
 	for server, last := range t.statements {
 		if last.statement.Limited {
 			reports = append(reports, datagram.Statement{Server: server, Statement: last.statement, Age: now.Sub(last.at)})
