Name the prompt parts of requests that arrive before a crash is known

Waiting requests and replacements of stalled streams keep the traits with which they were first requested. If no crash was known then, they had none, and a replacement was sent with a part that had been quarantined since. The parts are read for each request anyway; only the hash of the body is still left out. Found by reading.

--- a/internal/control/assignment.go
+++ b/internal/control/assignment.go
@@ -31,8 +31,8 @@
 	OtherGroupOnly bool
 	// Resumed is true for a stream whose first events the caller has received.
 	Resumed bool
-	// Traits are the fingerprints by which the entry's CrashRegister knows the request and the parts of its prompt. They
-	// are not set if the register was empty at its arrival.
+	// Traits are the fingerprints by which the entry's CrashRegister knows the request and the parts of its prompt; only
+	// those of the parts if the register was empty at its arrival.
 	Traits []attempt.Fingerprint
 }
 
--- a/internal/gateway/crash_requests.go
+++ b/internal/gateway/crash_requests.go
@@ -29,10 +29,10 @@
 }
 
 // knownTraits returns the traits. If the entry knows of none that may have crashed a server, it does not hash the body and
-// returns nil, unless an earlier send of the call was broken.
+// returns only the prompt's parts, unless an earlier send of the call was broken.
 func (c *call) knownTraits() []attempt.Fingerprint {
 	if !c.gateway.crashesKnown.Load() && c.cachedFingerprint == (attempt.Fingerprint{}) {
-		return nil
+		return c.partTraits()
 	}
 	return c.traits()
 }
--- a/internal/gateway/prompt_parts_test.go
+++ b/internal/gateway/prompt_parts_test.go
@@ -204,3 +204,13 @@
 		})
 	}
 }
+
+// A stream begins before any crash is known, stalls, and its replacement is requested when its part is quarantined. If the
+// request for the replacement did not name the parts, it would be sent to another server.
+func TestRequestsNameTheirPartsBeforeACrashIsKnown(t *testing.T) {
+	request, err := http.NewRequest(http.MethodPost, "http://h.example/stream/x", nil)
+	qt.Assert(t, err, qt.IsNil)
+	request.Header.Set("X-Parts", "a b last")
+	c := &call{gateway: &Gateway{headers: testHeaders}, r: request}
+	qt.Check(t, c.knownTraits(), qt.DeepEquals, []attempt.Fingerprint{attempt.NewPartFingerprint("a"), attempt.NewPartFingerprint("b")})
+}
