Log limits that other entries report

Only limits from an entry's own responses were logged, so that the log of an entry that learns of one by another entry did not show why it refuses. The lines have the source and the age.

--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -81,24 +81,27 @@
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		return // from another server
 	}
-	log := g.log.WithFields(logrus.Fields{"backend": backend.ID, "address": backend.Address, "service": backend.Service})
 	statement, err := g.headers.Statement(response.Header)
 	if err != nil {
 		g.metrics.count("statements_invalid")
-		log.WithError(err).Warn("backend-statement-invalid")
+		g.log.WithError(err).WithFields(logrus.Fields{"backend": backend.ID, "address": backend.Address}).Warn("backend-statement-invalid")
 		return
 	}
 	server, at := control.InstanceOf(&backend), time.Now()
 	if !g.statements.record(server, statement, at) {
 		return
 	}
-	g.metrics.count("statements_changed")
-	log.WithFields(logrus.Fields{"limited": statement.Limited, "request_rate": statement.RequestRate}).Info("backend-statement")
-	g.enqueue(func(now time.Time) { g.statementChanged(now, server, statement, at) })
+	g.enqueue(func(now time.Time) { g.statementChanged(now, server, statement, at, "response") })
 }
 
-// statementChanged applies a changed statement and passes it on to other entries.
-func (g *Gateway) statementChanged(now time.Time, server attempt.ServerInstance, statement membership.Statement, at time.Time) {
+// statementChanged applies a changed statement and passes it on to other entries. source says where this entry has it from,
+// for the log.
+func (g *Gateway) statementChanged(now time.Time, server attempt.ServerInstance, statement membership.Statement, at time.Time, source string) {
+	g.metrics.count("statements_changed")
+	g.log.WithFields(logrus.Fields{
+		"backend": server.ID, "limited": statement.Limited, "request_rate": statement.RequestRate, "source": source,
+		"age_ms": now.Sub(at).Milliseconds(),
+	}).Info("backend-statement")
 	g.dispatcher.RecordStatement(now, server, statement)
 	report := datagram.Statement{Server: server, Statement: statement, Age: now.Sub(at)}
 	g.sendStatements([]datagram.Statement{report}, g.peerDirectory.sample(updateFanout)...)
@@ -118,7 +121,7 @@
 	for _, report := range reports {
 		at := now.Add(-max(report.Age, 0))
 		if g.statements.record(report.Server, report.Statement, at) {
-			g.statementChanged(now, report.Server, report.Statement, at)
+			g.statementChanged(now, report.Server, report.Statement, at, "entry")
 		}
 	}
 }
