--- a/internal/attempt/crash_decision.go
+++ b/internal/attempt/crash_decision.go
@@ -115,6 +115,7 @@
 	return least
 }
 
+// totalNats returns the sum of the values.
 func totalNats(values []float64) float64 {
 	total := 0.0
 	for _, value := range values {
@@ -132,6 +133,7 @@
 	return margin
 }
 
+// quarantineAll refuses requests that have all given traits, and plans to report it.
 func (r *CrashRegister) quarantineAll(now time.Time, traits []Fingerprint) {
 	if key, added := r.quarantine.AddAll(traits, now.Add(r.config.QuarantineFor)); added {
 		r.changedQuarantine[key] = reportsPerChange
--- a/internal/attempt/crash_evidence.go
+++ b/internal/attempt/crash_evidence.go
@@ -74,7 +74,8 @@
 	return false
 }
 
-// assessment is the evidence against all suspects at one time.
+// assessment is the evidence against all suspects at one time. First, each end gets owners: the traits that explain it best
+// if all ends raise the rate of ends by chance. Then each trait is weighed without the ends that it owns in that rate.
 type assessment struct {
 	register *CrashRegister
 	cases    []*suspectCase
--- a/internal/attempt/crash_reports.go
+++ b/internal/attempt/crash_reports.go
@@ -178,6 +178,7 @@
 	}
 }
 
+// mergeNotice adds a quarantine that another entry reports, unless servers have survived one of its traits.
 func (r *CrashRegister) mergeNotice(now time.Time, notice QuarantineNotice) {
 	left := min(notice.ExpiresIn, r.config.QuarantineFor)
 	members := notice.Members
