--- a/internal/attempt/crash_world_test.go
+++ b/internal/attempt/crash_world_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -278,8 +277,8 @@
 	for _, entry := range w.entries {
 		entry.register.Tick(w.now)
 		for _, update := range entry.register.TakeChanges(w.now, 4) {
-			for _, to := range w.otherEntries(entry) {
-				w.post(entry, to, update)
+			for range min(5, len(w.entries)-1) {
+				w.post(entry, w.entries[w.draw("target", 0, len(w.entries)-1)], update)
 			}
 		}
 		peer := w.entries[w.draw("peer", 0, len(w.entries)-1)]
@@ -305,16 +304,6 @@
 	w.messages = waiting
 }
 
-// otherEntries returns up to five random entries other than the given one.
-func (w *crashWorld) otherEntries(entry *crashEntry) []*crashEntry {
-	others := slices.DeleteFunc(slices.Clone(w.entries), func(other *crashEntry) bool { return other == entry })
-	for i := range others {
-		j := w.draw("target", i, len(others)-1)
-		others[i], others[j] = others[j], others[i]
-	}
-	return others[:min(5, len(others))]
-}
-
 func (w *crashWorld) post(from, to *crashEntry, update attempt.CrashUpdate) {
 	if to == from || w.draw("loss", 0, 99) < w.lossPercent {
 		return
