Relay expert maps along a tree of agents and pace the ranks' reports

Cause, from a play with logs and from counts: a map is 6.5 KB as encoded, so an order to prepare it fills the leader's link for 0.8 s (95 copies). In the other direction 95 agents each report 3,072 counts of choices ten times a second, 2.9 MB/s on a link of 0.75 MB/s. Replies, reports and beacons are lost, orders are repeated and given to the engines directly, and no map comes into force.

Change: (1) An order too large to be sent to all ranks within 80 ms goes to four ranks, each of which passes it on to four others (expert.Relay). Ranks that do not answer get it from the leader, four at a time, those first that missed the fewest messages; ranks that were silent before are put last in the tree. Only prepare orders are relayed: engines refuse them by fence and version, and a relayed one can't make a rank switch. (2) Times for replies follow from the number of ranks. (3) The ranks of a large group report their counts in turn, each those of its last 100 ms; a status is reported at once if a rollout may wait for it, otherwise so rarely that all reports fill an eighth of the link. (4) A group report names at most 16 entries.

Groups of up to 32 ranks with links of 8 Mbit/s send as before (TestOnlyLargeOrdersAreRelayed).

Changes relative to the map in force would weigh 1.5 KB of 6.5 KB; not built, since the tree alone needs 26 KB of the leader's link per map and 0.2 s.

Tests: TestNoPassUnderTwoMapsWithRelays (interleavings with lost, killed, frozen and replaced relays), TestLostRelaysDelayAMapOnly, TestLeaderSendsFewCopiesOfARelayedMap, TestRelayFilter, TestRelayReachesAllRanks.

--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -48,12 +48,14 @@
 	Counts expert.ChoiceCounts `cbor:"3,keyasint"`
 }
 
-// Order is sent by a group's leader to an agent, which passes the lock-step order to its engine and sends a Reply.
+// Order is sent by a group's leader to an agent, which passes the lock-step order to its engine and sends a Reply to the
+// leader. An order with a Relay is also passed on to the agents of other ranks.
 type Order struct {
 	Group    ident.Group          `cbor:"1,keyasint"`
 	Rank     ident.Rank           `cbor:"2,keyasint"`
 	Sequence uint64               `cbor:"3,keyasint"`
 	Order    expert.LockstepOrder `cbor:"4,keyasint"`
+	Relay    *expert.Relay        `cbor:"5,keyasint,omitempty"`
 }
 
 // Reply is an agent's answer to an Order, with the same group, rank and sequence number.
@@ -94,10 +96,12 @@
 	PassMicros int64 `cbor:"3,keyasint"`
 	// Skew is the expert load of the most loaded rank divided by the mean over all ranks.
 	Skew float64 `cbor:"4,keyasint"`
-	// Entries has the addresses of the subscribed entries.
+	// Entries has the addresses of some of the subscribed entries, others in each report.
 	Entries []netip.AddrPort `cbor:"5,keyasint"`
 	// Loading is true while ranks load expert weights.
 	Loading bool `cbor:"6,keyasint,omitempty"`
+	// EntryCount is the number of subscribed entries; 0 if Entries has all of them.
+	EntryCount int `cbor:"7,keyasint,omitempty"`
 }
 
 // PromptSent is sent by an entry to the other entries when it sends a prompt to a rank, so that they count it before the
--- a/internal/expert/lockstep.go
+++ b/internal/expert/lockstep.go
@@ -128,6 +128,8 @@
 	// Direct is true if the order is sent to the engine itself because its agent does not answer.
 	Direct bool
 	Order  LockstepOrder
+	// Relay is the tree along which the rank's agent passes the order on; nil for none.
+	Relay *Relay
 }
 
 // ReadRank is the action that reads the state of a rank from its engine because its agent does not answer.
@@ -198,6 +200,9 @@
 	// urgentRetryInterval replaces orderRetryInterval while the group may be held. An agent whose engine
 	// answers replies within about 15 ms, and the order or the reply may be lost.
 	urgentRetryInterval = 25 * time.Millisecond
+	// replyTimePerRank times the number of ranks is the time in which the orders to all ranks are sent and their replies
+	// received, over a slow link and with a fifth of a core. It matters in groups of 40 ranks and more.
+	replyTimePerRank = 700 * time.Microsecond
 	// directOrderThreshold is the number of consecutive orders without a reply from the agent after which
 	// orders are sent directly to the engine.
 	directOrderThreshold = 4
--- a/internal/expert/lockstep_leader.go
+++ b/internal/expert/lockstep_leader.go
@@ -1,6 +1,8 @@
 package expert
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/chart"
@@ -22,6 +24,8 @@
 	self  ident.Rank
 	epoch uint64
 	size  int
+	// linkRate is the rate of the VM's network link in bytes a second; 0 if unknown.
+	linkRate float64
 
 	state chart.State
 	// stateDeadline is the time at which the timeout of the current state fires; zero for none.
@@ -40,6 +44,10 @@
 	loadedAt, releasedAt time.Time
 	targetPlacement      LayerPlacements
 	currentPlacement     LayerPlacements
+	// relay is the tree of the last order to all ranks, or nil if it was sent to each of them. relaySpread is the time
+	// in which an order reaches all ranks along the tree.
+	relay       *Relay
+	relaySpread time.Duration
 
 	// otherFence is the greatest known fence of another leader.
 	otherFence uint64
@@ -75,10 +83,11 @@
 	done        bool
 }
 
-// NewLockstepLeader returns a follower for the agent of the rank self. size is the number of ranks of the group.
-func NewLockstepLeader(now time.Time, self ident.Rank, size int, epoch uint64) *LockstepLeader {
+// NewLockstepLeader returns a follower for the agent of the rank self. size is the number of ranks of the group, linkRate
+// the rate of the VM's network link in bytes a second (0: unknown, taken as unlimited).
+func NewLockstepLeader(now time.Time, self ident.Rank, size int, epoch uint64, linkRate float64) *LockstepLeader {
 	return &LockstepLeader{
-		self: self, epoch: epoch, size: size, state: lockstepChart.Initial(),
+		self: self, epoch: epoch, size: size, linkRate: linkRate, state: lockstepChart.Initial(),
 		takeoverFrom: now, ranks: make([]rankView, size),
 	}
 }
@@ -252,10 +261,13 @@
 		l.handleAccepted(now, view, task, reply)
 	case LockstepUnanswered:
 		l.unansweredAt = now
-		if reply.Sequence < task.last {
-			break
+		switch {
+		case reply.Sequence < task.last:
+		case l.relay != nil:
+			task.sentAt = time.Time{} // is sent again by Tick, a few copies at a time
+		default:
+			l.send(now, reply.Rank)
 		}
-		l.send(now, reply.Rank)
 	case LockstepRefused:
 		l.handleRefused(now, view, task, reply.HasStatus)
 	case LockstepStale:
@@ -339,19 +351,49 @@
 		timeout, _ := lockstepChart.TimeoutOf(l.state)
 		l.fire(now, timeout.Event)
 	}
-	interval := orderRetryInterval
+	l.resendOverdue(now)
+	for i := range l.ranks {
+		l.readUnresponsive(now, ident.Rank(i))
+	}
+	return l.actions
+}
+
+// retryInterval returns the time without a reply after which an order is sent again.
+func (l *LockstepLeader) retryInterval() time.Duration {
+	allReplies := time.Duration(l.size) * replyTimePerRank
 	if l.Urgent() {
-		interval = urgentRetryInterval
+		return max(urgentRetryInterval, allReplies)
 	}
+	interval := max(orderRetryInterval, 2*allReplies)
+	if l.relay != nil {
+		interval += l.relaySpread
+	}
+	return interval
+}
+
+// resendOverdue sends orders without a reply again. Of a relayed order it sends a few copies at a time, first to the ranks
+// that have missed the fewest: a rank whose relay failed passes the order on to the ranks below it.
+func (l *LockstepLeader) resendOverdue(now time.Time) {
+	interval := l.retryInterval()
+	var overdue []ident.Rank
 	for i := range l.ranks {
-		task := l.ranks[i].task
-		if task != nil && !task.done && now.Sub(task.sentAt) >= interval {
-			l.ranks[i].missedReplies++
-			l.send(now, ident.Rank(i))
+		if task := l.ranks[i].task; task != nil && !task.done && now.Sub(task.sentAt) >= interval {
+			overdue = append(overdue, ident.Rank(i))
 		}
-		l.readUnresponsive(now, ident.Rank(i))
 	}
-	return l.actions
+	if l.relay != nil {
+		slices.SortStableFunc(overdue, func(a, b ident.Rank) int {
+			return cmp.Or(
+				cmp.Compare(l.ranks[a].missedReplies, l.ranks[b].missedReplies),
+				cmp.Compare(slices.Index(l.relay.Ranks, a), slices.Index(l.relay.Ranks, b)),
+			)
+		})
+		overdue = overdue[:min(len(overdue), l.relay.FanOut)]
+	}
+	for _, rank := range overdue {
+		l.ranks[rank].missedReplies++
+		l.send(now, rank)
+	}
 }
 
 // readUnresponsive reads the state of a rank from its engine if a rollout waits for it and the last status is too old.
--- a/internal/expert/lockstep_steps.go
+++ b/internal/expert/lockstep_steps.go
@@ -91,6 +91,7 @@
 }
 
 func (l *LockstepLeader) clearTasks() {
+	l.relay = nil
 	for i := range l.ranks {
 		l.ranks[i].task = nil
 	}
@@ -187,10 +188,36 @@
 	l.order(now, l.self, LockstepOrder{Kind: LockstepHold, Step: l.step})
 }
 
+// orderAll orders all ranks. An order too large to be sent to each of them within directSendTime is relayed.
 func (l *LockstepLeader) orderAll(now time.Time, order LockstepOrder) {
 	l.clearTasks()
+	l.relayOrder(&order)
+	if l.relay == nil {
+		for i := range l.ranks {
+			l.order(now, ident.Rank(i), order)
+		}
+		return
+	}
+	order.Epoch, order.Fence = l.epoch, l.fence
 	for i := range l.ranks {
-		l.order(now, ident.Rank(i), order)
+		l.ranks[i].task = &rankTask{order: order, first: l.sequence + 1, sentAt: now}
+	}
+	l.send(now, l.self)
+	for _, rank := range l.relay.Children(l.self) {
+		l.send(now, rank)
+	}
+}
+
+// relayOrder sets relay and relaySpread for an order to all ranks.
+func (l *LockstepLeader) relayOrder(order *LockstepOrder) {
+	l.relay = nil
+	if order.Kind != LockstepPrepare {
+		return
+	}
+	size := order.Placement.encodedBytes()
+	l.relay = newRelay(l.self, l.size, size, l.linkRate, func(rank ident.Rank) bool { return l.ranks[rank].missedReplies > 0 })
+	if l.relay != nil {
+		l.relaySpread = l.relay.spreadTime(size, l.linkRate)
 	}
 }
 
@@ -205,5 +232,7 @@
 	view := &l.ranks[rank]
 	l.sequence++
 	view.task.last, view.task.sentAt = l.sequence, now
-	l.emit(SendLockstepOrder{Rank: rank, Sequence: l.sequence, Direct: view.missedReplies >= directOrderThreshold, Order: view.task.order})
+	l.emit(SendLockstepOrder{
+		Rank: rank, Sequence: l.sequence, Direct: view.missedReplies >= directOrderThreshold, Order: view.task.order, Relay: l.relay,
+	})
 }
--- a/internal/expert/lockstep_test.go
+++ b/internal/expert/lockstep_test.go
@@ -79,7 +79,7 @@
 func TestStaleReportDoesNotHideAnArm(t *testing.T) {
 	c := qt.New(t)
 	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	leader := NewLockstepLeader(at, 1, 3, 1)
+	leader := NewLockstepLeader(at, 1, 3, 1, 0)
 	orders := func(actions []LockstepAction) map[int]LockstepOrder {
 		found := map[int]LockstepOrder{}
 		for _, action := range actions {
--- a/internal/expert/lockstep_world_test.go
+++ b/internal/expert/lockstep_world_test.go
@@ -40,11 +40,14 @@
 	restartInterval              time.Duration
 	// holdsIgnored makes engines accept holds without applying them.
 	holdsIgnored bool
+	// relayLoss is the share of orders that an agent does not pass on.
+	relayLoss float64
 }
 
 // lockstepAgent simulates one agent. leader is nil while the process is not running.
 type lockstepAgent struct {
 	leader      *LockstepLeader
+	filter      RelayFilter
 	incarnation int
 	frozenUntil time.Time
 }
@@ -80,6 +83,11 @@
 	agents  []*lockstepAgent
 	step    uint64
 	faults  lockstepFaults
+	// linkRate is the rate of the agents' links in bytes a second. It only decides whether orders are relayed; messages
+	// take a random time.
+	linkRate float64
+	// relayed counts the orders that agents passed on.
+	relayed int
 	// heldSince is the time since which a hold has delayed the next pass; zero if none does.
 	heldSince     time.Time
 	longestHold   time.Duration
@@ -91,8 +99,14 @@
 const worldPass = 50 * time.Millisecond
 
 func newLockstepWorld(seed uint64, ranks int, faults lockstepFaults) *lockstepWorld {
+	return newLockstepWorldWithLinks(seed, ranks, faults, 0)
+}
+
+// newLockstepWorldWithLinks returns a simulation in which links have a rate in bytes a second; 0 for no limit.
+func newLockstepWorldWithLinks(seed uint64, ranks int, faults lockstepFaults, linkRate float64) *lockstepWorld {
 	w := &lockstepWorld{
-		random: rand.New(rand.NewPCG(seed, 1)), faults: faults,
+		linkRate: linkRate,
+		random:   rand.New(rand.NewPCG(seed, 1)), faults: faults,
 		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 	}
 	for rank := range ranks {
@@ -154,7 +168,8 @@
 func (w *lockstepWorld) start(rank int) {
 	agent := w.agents[rank]
 	agent.incarnation++
-	agent.leader = NewLockstepLeader(w.now, ident.Rank(rank), len(w.engines), w.engines[rank].epoch)
+	agent.filter = RelayFilter{}
+	agent.leader = NewLockstepLeader(w.now, ident.Rank(rank), len(w.engines), w.engines[rank].epoch, w.linkRate)
 }
 
 func (w *lockstepWorld) killOne() {
@@ -387,7 +402,26 @@
 	case to == from || action.Direct:
 		w.after(w.delay(), give)
 	case !w.lost():
-		w.deliver(to, func(*lockstepAgent) { give() })
+		w.deliver(to, func(agent *lockstepAgent) {
+			w.passOn(to, agent, action, answer)
+			give()
+		})
+	}
+}
+
+// passOn passes a relayed order on to the ranks below a rank. Their replies go to the leader.
+func (w *lockstepWorld) passOn(rank int, agent *lockstepAgent, action SendLockstepOrder, answer func(LockstepReply)) {
+	for _, target := range agent.filter.Targets(ident.Rank(rank), agent.leader.Fence(), &action.Order, action.Relay) {
+		w.relayed++
+		if w.lost() || w.random.Float64() < w.faults.relayLoss {
+			continue
+		}
+		next := action
+		next.Rank = target
+		w.deliver(int(target), func(agent *lockstepAgent) {
+			w.passOn(int(target), agent, next, answer)
+			w.giveOrder(int(target), next, answer)
+		})
 	}
 }
 
--- a/internal/expert/placement_codec.go
+++ b/internal/expert/placement_codec.go
@@ -9,8 +9,7 @@
 
 // MarshalBinary encodes the placement as unsigned varints: the number of layers, the number of ranks, and for each rank
 // of each layer the number of experts and the experts. The encoding is compact because the leader sends the placement to
-// all other ranks, 31 in a group of 32, and the network link of its VM may be slow but must carry these orders within a
-// few passes. It returns an error if the layers have different numbers of ranks.
+// up to 31 ranks, and the network link of its VM may be slow but must carry these orders within a few passes. It returns an error if the layers have different numbers of ranks.
 func (p LayerPlacements) MarshalBinary() ([]byte, error) {
 	if len(p) == 0 {
 		return nil, nil
@@ -31,6 +30,21 @@
 	return data, nil
 }
 
+// encodedBytes returns the length of the encoded placement, for placements that MarshalBinary encodes.
+func (p LayerPlacements) encodedBytes() int {
+	var number [binary.MaxVarintLen64]byte
+	size := 0
+	for _, ranks := range p {
+		for _, experts := range ranks {
+			size += binary.PutUvarint(number[:], uint64(len(experts)))
+			for _, expert := range experts {
+				size += binary.PutUvarint(number[:], uint64(expert))
+			}
+		}
+	}
+	return size
+}
+
 // UnmarshalBinary decodes a placement encoded by MarshalBinary. It returns errInvalidPlacement for data that is truncated
 // or has a number out of range.
 func (p *LayerPlacements) UnmarshalBinary(data []byte) error {
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -56,6 +56,9 @@
 	initialListInterval = 500 * time.Millisecond
 	// eventQueueLength is the number of events that the control thread's queue holds; further events are dropped.
 	eventQueueLength = 1024
+	// relayedOrderAttempts is the number of times that an agent gives a relayed order to its engine before it replies that
+	// the engine does not answer. The leader would have to send the whole map again.
+	relayedOrderAttempts = 3
 )
 
 // Config holds the settings and dependencies of an agent.
@@ -91,6 +94,8 @@
 	status    expert.RankStatus
 	hasStatus bool
 	choices   choiceCounter
+	reports   reportSchedule
+	relays    expert.RelayFilter
 	leader    *expert.LockstepLeader
 	// leaderRank is the rank of the group's leader as announced by beacons; -1 before the first beacon.
 	leaderRank ident.Rank
@@ -273,6 +278,15 @@
 	return a.engine.Status(ctx)
 }
 
+// choiceReading is a reading of a rank's expert counts since its start, and the epoch in which they were counted.
+type choiceReading struct {
+	// counts is nil if they were not read.
+	counts []uint64
+	epoch  uint64
+	// endsWindow is true if the counts since the previous reading are to be reported.
+	endsWindow bool
+}
+
 // readChoices returns the rank's expert counts and their epoch. The epoch is 0 if they could not be read.
 func (a *Agent) readChoices(ctx context.Context) ([]uint64, uint64) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
@@ -287,21 +301,24 @@
 
 // handleStatus handles the polled status and expert counts of the agent's own rank. The first status starts the
 // leader election. Later ones are processed here if this agent leads, and are sent to the leader's agent otherwise.
-func (a *Agent) handleStatus(ctx context.Context, now time.Time, status expert.RankStatus, counts []uint64, epoch uint64) {
+func (a *Agent) handleStatus(ctx context.Context, now time.Time, status expert.RankStatus, reading choiceReading) {
 	a.status, a.hasStatus = status, true
 	if a.leader == nil {
-		a.leader = expert.NewLockstepLeader(now, status.Rank, status.Size, status.Epoch)
+		a.leader = expert.NewLockstepLeader(now, status.Rank, status.Size, status.Epoch, a.config.Settings.LinkRate)
 	}
 	report := &datagram.RankReport{Group: a.self.Group, Status: status}
-	if counts != nil && epoch == status.Epoch {
-		report.Counts = a.choices.delta(counts, epoch, a.expertLayers())
+	if reading.counts != nil && reading.epoch == status.Epoch {
+		if counts := a.choices.delta(reading.counts, reading.epoch, a.expertLayers()); reading.endsWindow {
+			report.Counts = counts
+		}
 	}
 	if a.leader.Leading() {
 		a.handleRankReport(ctx, now, report)
 		return
 	}
 	a.perform(ctx, now, a.leader.ReceiveStatus(now, status))
-	if address, ok := a.agentAddress(a.leaderRank); ok && a.self.Group != "" {
+	address, ok := a.agentAddress(a.leaderRank)
+	if ok && a.self.Group != "" && a.reports.due(now, report, a.config.Settings.LinkRate) {
 		a.socket.Send(address, datagram.Message{Rank: report})
 	}
 }
--- a/internal/rankagent/lead.go
+++ b/internal/rankagent/lead.go
@@ -21,6 +21,9 @@
 	reportInterval = 150 * time.Millisecond
 	// subscriptionTimeout is the time after which a subscription that is not renewed expires: three renewal intervals.
 	subscriptionTimeout = 3 * time.Second
+	// maxReportedEntries limits the entries that a report names, so that reports grow with the entries rather than with
+	// their square.
+	maxReportedEntries = 16
 	// passTimeSmoothing is the weight of earlier passes in the moving average of the pass time (0 to 1).
 	passTimeSmoothing = 0.5
 	// firstMapLoadTime limits the time that a rank loads experts for the first map after a jump in demand, and
@@ -54,6 +57,8 @@
 	// skew is the ratio of the highest rank load to the mean rank load at the last plan; 1 before the first.
 	skew       float64
 	reportedAt time.Time
+	// firstReported is the index of the first subscribed entry that the next report names.
+	firstReported int
 	// plannedJumps is the number of jumps in demand when the last map was proposed.
 	plannedJumps int
 }
@@ -89,8 +94,24 @@
 	}
 }
 
-// handleOrder executes a leader's order at the agent's own engine and sends the reply.
+// handleOrder executes a leader's order at the agent's own engine and sends the reply to the leader. It passes a relayed
+// order on first.
 func (a *Agent) handleOrder(ctx context.Context, from netip.AddrPort, order *datagram.Order) {
+	if order.Relay != nil && len(order.Relay.Ranks) > 0 {
+		for _, rank := range a.relays.Targets(a.status.Rank, a.leader.Fence(), &order.Order, order.Relay) {
+			if address, ok := a.agentAddress(rank); ok {
+				next := *order
+				next.Rank = rank
+				a.socket.Send(address, datagram.Message{Order: &next})
+			}
+		}
+		leader, ok := a.agentAddress(order.Relay.Ranks[0])
+		if !ok {
+			a.log.WithFields(logrus.Fields{"leader": order.Relay.Ranks[0], "order": order.Order.Kind}).Warn("leader-not-listed")
+			return
+		}
+		from = leader
+	}
 	answer := func(reply *datagram.Reply) {
 		a.requestPoll(reply)
 		a.socket.Send(from, datagram.Message{Reply: reply})
@@ -230,13 +251,25 @@
 	// MayReplace is true exactly while ranks load the experts of a map.
 	report := &datagram.GroupReport{
 		Group: a.self.Group, Loads: slices.Clone(state.loads), PassMicros: state.passTime.Microseconds(),
-		Skew: state.skew, Loading: a.leader.MayReplace(), Entries: slices.SortedFunc(maps.Keys(state.subscriptions), netip.AddrPort.Compare),
+		Skew: state.skew, Loading: a.leader.MayReplace(), Entries: state.someEntries(),
+		EntryCount: len(state.subscriptions),
 	}
 	for address := range state.subscriptions {
 		a.socket.Send(address, datagram.Message{GroupReport: report})
 	}
 }
 
+// someEntries returns up to maxReportedEntries of the subscribed entries, the next ones at each call.
+func (s *groupState) someEntries() []netip.AddrPort {
+	entries := slices.SortedFunc(maps.Keys(s.subscriptions), netip.AddrPort.Compare)
+	if len(entries) <= maxReportedEntries {
+		return entries
+	}
+	first := s.firstReported % len(entries)
+	s.firstReported = first + maxReportedEntries
+	return slices.Concat(entries[first:], entries[:first])[:maxReportedEntries]
+}
+
 func (a *Agent) handleReply(ctx context.Context, now time.Time, reply *datagram.Reply) {
 	a.perform(ctx, now, a.leader.ReceiveReply(now, expert.LockstepReply{
 		Rank: reply.Rank, Sequence: reply.Sequence, Result: reply.Result,
@@ -285,7 +318,7 @@
 // sendOrder sends an order to the agent's own engine, to another rank's agent, or directly to another rank's engine.
 // An order to a rank that is not listed is dropped; the leader retries it.
 func (a *Agent) sendOrder(ctx context.Context, action expert.SendLockstepOrder) {
-	order := &datagram.Order{Group: a.self.Group, Rank: action.Rank, Sequence: action.Sequence, Order: action.Order}
+	order := &datagram.Order{Group: a.self.Group, Rank: action.Rank, Sequence: action.Sequence, Order: action.Order, Relay: action.Relay}
 	onReply := func(reply *datagram.Reply) {
 		a.requestPoll(reply)
 		a.post(func(now time.Time) { a.handleReply(ctx, now, reply) })
@@ -317,19 +350,22 @@
 	if order.Order.Kind == expert.LockstepPrepare {
 		reply.Version = order.Order.Version
 	}
-	orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	var err error
-	if reply.Result, err = engine.Order(orderCtx, order.Order); err != nil {
-		a.log.WithError(err).WithFields(logrus.Fields{"order": order.Order.Kind, "rank": order.Rank, "result": reply.Result}).Warn("order-unanswered")
+	attempts := 1
+	if order.Relay != nil {
+		attempts = relayedOrderAttempts
+	}
+	for range attempts {
+		if reply.Result = a.giveOrder(ctx, engine, order); reply.Result != expert.LockstepUnanswered {
+			break
+		}
 	}
-	a.scope.Tagged(map[string]string{"order": string(order.Order.Kind), "result": string(reply.Result)}).Counter("orders").Inc(1)
 	statusCtx, cancelStatus := context.WithTimeout(ctx, engineTimeout)
 	defer cancelStatus()
 	if status, ok, err := engine.Status(statusCtx); err == nil && ok {
 		reply.Status, reply.HasStatus = status, true
 	}
 	if order.Order.Kind == expert.LockstepClaim && reply.HasStatus {
+		var err error
 		if reply.Experts, err = engine.Experts(statusCtx); err != nil {
 			a.log.WithError(err).Warn("experts-unread")
 		}
@@ -337,6 +373,18 @@
 	answer(reply)
 }
 
+// giveOrder sends an order to an engine once and returns its result.
+func (a *Agent) giveOrder(ctx context.Context, engine Engine, order *datagram.Order) expert.LockstepResult {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	result, err := engine.Order(ctx, order.Order)
+	if err != nil {
+		a.log.WithError(err).WithFields(logrus.Fields{"order": order.Order.Kind, "rank": order.Rank, "result": result}).Warn("order-unanswered")
+	}
+	a.scope.Tagged(map[string]string{"order": string(order.Order.Kind), "result": string(result)}).Counter("orders").Inc(1)
+	return result
+}
+
 // readRank reads the status of a rank from its engine because no message arrives from its agent.
 func (a *Agent) readRank(ctx context.Context, rank ident.Rank) {
 	if _, ok := a.ranks[rank]; !ok {
--- a/internal/rankagent/poll.go
+++ b/internal/rankagent/poll.go
@@ -33,12 +33,13 @@
 			a.scope.Counter("engine_failed").Inc(1)
 		}
 		if err == nil && inGroup {
-			var counts []uint64
-			epoch := uint64(0)
-			if schedule.choicesDue(time.Now(), &status) {
-				counts, epoch = a.readChoices(ctx)
+			var reading choiceReading
+			if due, endsWindow := schedule.choicesDue(time.Now(), &status); due {
+				reading.endsWindow = endsWindow
+				reading.counts, reading.epoch = a.readChoices(ctx)
+				schedule.limitChoices(time.Now(), &status, len(reading.counts), a.config.Settings.LinkRate)
 			}
-			a.post(func(now time.Time) { a.handleStatus(ctx, now, status, counts, epoch) })
+			a.post(func(now time.Time) { a.handleStatus(ctx, now, status, reading) })
 		}
 		select {
 		case <-time.After(schedule.nextInterval(time.Now(), &status, err == nil && inGroup)):
@@ -55,7 +56,11 @@
 	// choicesStep and choicesAt are the pass and the time of the last reading of the expert counts.
 	choicesStep uint64
 	choicesAt   time.Time
-	fastUntil   time.Time
+	// windowInterval is the time between the windows in which choices are counted for reports; 0 if each window begins
+	// with the end of the former. inWindow is true if the last reading began a window.
+	windowInterval time.Duration
+	inWindow       bool
+	fastUntil      time.Time
 	// preparing is the version of the map that is being prepared; 0 for none.
 	preparing uint64
 }
@@ -70,15 +75,37 @@
 	}
 }
 
-// choicesDue reports whether the expert counts must be read with this status, and records the reading. They are read
-// at most about once per pollInterval, and only if a pass has begun since the last reading: fast polling only needs
-// the status.
-func (p *pollSchedule) choicesDue(now time.Time, status *expert.RankStatus) bool {
-	if status.Step == p.choicesStep || now.Sub(p.choicesAt) < pollInterval-fastPollInterval {
-		return false
+// choicesDue reports whether the expert counts must be read with this status, and whether the reading ends a window whose
+// choices are reported. It records the reading. The counts are read at most about once per pollInterval, and only if a
+// pass has begun since the last reading: fast polling only needs the status.
+func (p *pollSchedule) choicesDue(now time.Time, status *expert.RankStatus) (due, endsWindow bool) {
+	wait := pollInterval
+	if p.windowInterval > 0 && !p.inWindow {
+		wait = p.windowInterval - pollInterval
+	}
+	if status.Step == p.choicesStep || now.Sub(p.choicesAt) < wait-fastPollInterval {
+		return false, false
 	}
 	p.choicesStep, p.choicesAt = status.Step, now
-	return true
+	endsWindow = p.windowInterval == 0 || p.inWindow
+	p.inWindow = p.windowInterval > 0 && !p.inWindow
+	return true, endsWindow
+}
+
+// limitChoices sets windowInterval after a reading, from the number of counts and the rate of the link in bytes a second.
+// The ranks of a large group count in turn: each reports what it counted in one pollInterval of the windowInterval, so
+// that the leader gets as many recent counts as it can receive, and none that are old.
+func (p *pollSchedule) limitChoices(now time.Time, status *expert.RankStatus, counts int, linkRate float64) {
+	interval := reportingInterval(status.Size, counts+statusReportBytes, countsLinkShare*linkRate)
+	if counts == 0 || status.Size == 0 || interval <= 2*pollInterval {
+		p.windowInterval, p.inWindow = 0, false
+		return
+	}
+	if p.windowInterval == 0 {
+		turn := interval * time.Duration(status.Rank) / time.Duration(status.Size)
+		p.choicesAt, p.inWindow = now.Add(turn-interval), false
+	}
+	p.windowInterval = interval
 }
 
 // nextInterval returns the time until the next reading. valid is false if the last reading failed or the rank belongs
--- a/internal/rankagent/poll_test.go
+++ b/internal/rankagent/poll_test.go
@@ -16,12 +16,17 @@
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	schedule := pollSchedule{}
 	busy := expert.RankStatus{Step: 7, Running: 3}
-	c.Assert(schedule.choicesDue(now, &busy), qt.IsTrue)
+	choicesDue := func(now time.Time, status *expert.RankStatus) bool {
+		due, endsWindow := schedule.choicesDue(now, status)
+		c.Assert(endsWindow, qt.Equals, due, qt.Commentf("in a small group all choices are reported"))
+		return due
+	}
+	c.Assert(choicesDue(now, &busy), qt.IsTrue)
 	c.Assert(schedule.nextInterval(now, &busy, true), qt.Equals, pollInterval)
-	c.Assert(schedule.choicesDue(now.Add(pollInterval), &busy), qt.IsFalse, qt.Commentf("no pass has begun since the last reading"))
+	c.Assert(choicesDue(now.Add(pollInterval), &busy), qt.IsFalse, qt.Commentf("no pass has begun since the last reading"))
 	next := expert.RankStatus{Step: 8, Running: 3}
-	c.Assert(schedule.choicesDue(now.Add(fastPollInterval), &next), qt.IsFalse, qt.Commentf("the last reading is too recent"))
-	c.Assert(schedule.choicesDue(now.Add(pollInterval), &next), qt.IsTrue)
+	c.Assert(choicesDue(now.Add(fastPollInterval), &next), qt.IsFalse, qt.Commentf("the last reading is too recent"))
+	c.Assert(choicesDue(now.Add(pollInterval), &next), qt.IsTrue)
 	c.Assert(schedule.nextInterval(now, &busy, true), qt.Equals, pollInterval)
 	idle := expert.RankStatus{Step: 7}
 	c.Assert(schedule.nextInterval(now, &idle, true), qt.Equals, idlePollInterval)
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -27,7 +27,9 @@
 	BackendAddress string
 	// MemoryLimit is the memory size at which the platform kills the process, in bytes; 0 if unknown.
 	MemoryLimit int64
-	Bounds      DirectBounds
+	// LinkRate is the rate of the VM's network link in bytes a second; 0 if unknown.
+	LinkRate float64
+	Bounds   DirectBounds
 }
 
 // DirectBounds holds the time limits and the retry budget that the deployment's operators set.
