Compare a few random ranks where an entry does not hear of all sends

Cause: of 2,666 streams 353 were not begun within 0.8 s and then sent to another rank, although their ranks looked idle (load 0 or 1 of 6): entries took the idlest rank that they knew, and since a report names 16 entries each hears of the sends of few others. Bursts of up to 15 streams met at one rank.

Change: an entry notifies 15 random others, and compares only as many random ranks that at most about one unknown send meets another there; at least three. Where all sends are known all ranks are compared, as before.

--- a/internal/admission/passgate.go
+++ b/internal/admission/passgate.go
@@ -78,6 +78,17 @@
 	return pass
 }
 
+// ArrivalRate returns the estimated number of streams that the group gets per second, which in steady state is the number
+// that end.
+func (g PassGate) ArrivalRate(pace GroupPace) float64 {
+	pass := max(pace.Pass, g.Engine.Step*time.Duration(g.Engine.StepsPerPass))
+	passes := float64(g.Engine.MeanAnswerTokens) / float64(max(g.Engine.StepsPerPass, 1))
+	if pass <= 0 || passes <= 0 {
+		return 0
+	}
+	return float64(pace.Writers) / (passes * pass.Seconds())
+}
+
 // PredictPass returns the duration of a pass with the given number of writers instead of the reported one.
 func (g PassGate) PredictPass(pace GroupPace, writers int) time.Duration {
 	idle := g.Engine.Step * time.Duration(g.Engine.StepsPerPass)
--- a/internal/control/dispatch_ranks.go
+++ b/internal/control/dispatch_ranks.go
@@ -33,6 +33,8 @@
 	// costPerOpenRequest is added for each of the entry's open requests. It prevents an entry
 	// without reports from sending all requests to one of two groups with equal costs.
 	costPerOpenRequest = time.Millisecond
+	// minComparedRanks is the least number of random ranks that are compared. Three avoid nearly all full ranks.
+	minComparedRanks = 3
 )
 
 // cost is what the groups are compared by; the group with the lowest cost is picked.
@@ -41,9 +43,10 @@
 }
 
 // pickRank picks the rank with the earliest predicted first event, among groups whose streams
-// stay on time with one more request. If all entries look for a slot at once, three things keep
+// stay on time with one more request. If all entries look for a slot at once, four things keep
 // them from choosing the same idle rank: the leaders' reports, the requests that this entry
-// sent or ended since the last report, and the sends reported by other entries.
+// sent or ended since the last report, the sends reported by other entries, and random samples
+// where not all sends are reported (comparedRanks).
 func (d *Dispatcher) pickRank(now time.Time, request *BackendRequest, engine *routing.EngineModel, candidates []*routing.Server, assignment *Assignment) *routing.Server {
 	gate := admission.PassGate{Engine: engine, MaxEventGap: request.Route.EventGap}
 	byGroup := map[ident.Group][]*routing.Server{}
@@ -104,21 +107,36 @@
 		}
 	}
 	choice.promptRate = gate.Engine.PromptRateFor(choice.pass)
-	choice.server, choice.firstEvent = d.earliestRank(now, gate.Engine.Slots, choice.promptRate, servers, request.PromptTokens)
+	compared := d.comparedRanks(gate, group, pace, len(servers))
+	choice.server, choice.firstEvent = d.earliestRank(now, gate.Engine.Slots, choice.promptRate, servers, compared, request.PromptTokens)
 	if choice.server == nil {
 		return rankChoice{}, gate.RetryAfter(pace, choice.writers, len(d.waiting))
 	}
 	return choice, 0
 }
 
-// earliestRank returns the rank with a free slot that is predicted to finish the prompt first.
-// Ties go to the lower load, then to a random rank.
-func (d *Dispatcher) earliestRank(now time.Time, slots int, rate float64, servers []*routing.Server, tokens int) (*routing.Server, time.Duration) {
+// comparedRanks returns how many ranks of a group a request is compared at. An entry that knows of all sends compares all
+// ranks. Where many entries send without hearing of each other, each compares a few random ranks, so that about one of the
+// unknown sends goes to a rank that looks idle to all of them.
+func (d *Dispatcher) comparedRanks(gate admission.PassGate, group *groupState, pace admission.GroupPace, ranks int) int {
+	if group == nil || group.silent == 0 {
+		return ranks
+	}
+	unknownShare := float64(group.silent) / float64(max(pace.Entries, group.silent+1))
+	unknown := unknownShare * gate.ArrivalRate(pace) * routing.LoadAge.Seconds()
+	if unknown < 1 {
+		return ranks
+	}
+	return max(int(float64(ranks)/unknown), minComparedRanks)
+}
+
+// earliestRank returns the rank with a free slot that is predicted to finish the prompt first, among a number of random
+// ranks with free slots. Ties go to the lower load, then to a random rank.
+func (d *Dispatcher) earliestRank(now time.Time, slots int, rate float64, servers []*routing.Server, compared, tokens int) (*routing.Server, time.Duration) {
 	var best *routing.Server
 	var firstEvent time.Duration
-	offset := d.random.IntN(len(servers))
-	for i := range servers {
-		server := servers[(i+offset)%len(servers)]
+	for _, i := range d.random.Perm(len(servers)) {
+		server := servers[i]
 		if !server.GroupOpen || server.Paused(now) || server.Load(now) >= slots {
 			continue
 		}
@@ -126,6 +144,9 @@
 		if best == nil || wait < firstEvent || wait == firstEvent && server.Load(now) < best.Load(now) {
 			best, firstEvent = server, wait
 		}
+		if compared--; compared <= 0 {
+			break
+		}
 	}
 	return best, firstEvent
 }
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -58,6 +58,8 @@
 	Pace  admission.GroupPace
 	// RankLoads are the numbers of running and queued requests by rank.
 	RankLoads []int
+	// SilentEntries is the number of other entries that do not notify this one of their sends.
+	SilentEntries int
 }
 
 // Dispatcher is the control state of an entry that sends requests directly to backend servers:
@@ -83,6 +85,8 @@
 
 type groupState struct {
 	pace admission.GroupPace
+	// silent is the number of other entries whose sends are unknown.
+	silent int
 	// openAtReport is the number of this entry's open requests at the group when the last
 	// report was received.
 	openAtReport int
@@ -189,6 +193,7 @@
 	}
 	group.pace = report.Pace
 	group.pace.ReceivedAt = now
+	group.silent = report.SilentEntries
 	group.openAtReport = group.openRequests()
 	for _, server := range group.ranks {
 		if rank := int(server.Rank); rank >= 0 && rank < len(report.RankLoads) {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -231,10 +231,14 @@
 // handleGroupReport passes the report of a group's leader to the dispatcher.
 func (g *Gateway) handleGroupReport(now time.Time, from netip.AddrPort, report *datagram.GroupReport) {
 	g.leaders.recordReport(now, report.Group, from)
-	g.peers = report.Entries
+	entries := max(report.EntryCount, len(report.Entries))
 	for _, entry := range report.Entries {
 		g.peerDirectory.recordHeard(now, entry, now)
 	}
+	// Of many entries, each notifies a few others of its sends, so that messages do not grow with the square of the entries.
+	if g.peers = report.Entries; entries > len(report.Entries) {
+		g.peers = g.peerDirectory.sample(len(report.Entries))
+	}
 	requests := 0
 	for _, load := range report.Loads {
 		requests += load
@@ -242,10 +246,10 @@
 	g.deliver(g.dispatcher.RecordGroupReport(now, control.GroupReport{
 		Group: report.Group,
 		Pace: admission.GroupPace{
-			Writers: requests, Ranks: len(report.Loads), Skew: report.Skew, Loading: report.Loading, Entries: len(report.Entries),
+			Writers: requests, Ranks: len(report.Loads), Skew: report.Skew, Loading: report.Loading, Entries: entries,
 			Pass: time.Duration(report.PassMicros) * time.Microsecond,
 		},
-		RankLoads: report.Loads,
+		RankLoads: report.Loads, SilentEntries: entries - len(report.Entries),
 	}))
 }
 
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -80,6 +80,9 @@
 	// number by up to 250 ms, and by 125 ms on average. At a greater age more requests would be counted twice, at a
 	// smaller one more would not be counted at all.
 	remoteSendMaxAge = 200 * time.Millisecond
+	// LoadAge is the mean time for which entries act on a reported load: half of the interval between reports, and the
+	// time from a rank's reading to the report.
+	LoadAge = 250 * time.Millisecond
 	// reportAge is the approximate age of a rank's load at the arrival of the report: half of the 100 ms between polls
 	// plus 10 ms for the delivery. The time between two reports does not count, because the age is that at the arrival.
 	reportAge = 60 * time.Millisecond
