--- a/internal/expert/lockstep.go
+++ b/internal/expert/lockstep.go
@@ -220,6 +220,8 @@
 	// initialLeaderTimeout replaces leaderTimeout in an agent that has just started: one and a half beacon
 	// intervals.
 	initialLeaderTimeout = 300 * time.Millisecond
+	// unformedEpoch is the epoch of a group that has not formed yet. Engines refuse all orders in it.
+	unformedEpoch = 0
 	// maxHoldAttempts limits the attempts of a rollout to hold a pass; each one chooses a later pass.
 	maxHoldAttempts = 3
 	// fencesPerMillisecond is the number of fences for each millisecond of the clock, one for each rank:
--- a/internal/expert/lockstep_leader.go
+++ b/internal/expert/lockstep_leader.go
@@ -338,7 +338,7 @@
 func (l *LockstepLeader) Tick(now time.Time) []LockstepAction {
 	l.actions = nil
 	if !l.Leading() {
-		if now.Sub(l.takeoverFrom) > l.takeoverTimeout() {
+		if l.epoch > unformedEpoch && now.Sub(l.takeoverFrom) > l.takeoverTimeout() {
 			l.fire(now, "leader-silent")
 		}
 		return l.actions
--- a/internal/expert/lockstep_test.go
+++ b/internal/expert/lockstep_test.go
@@ -184,3 +184,20 @@
 	}
 	c.Assert(longHolds <= worlds/3, qt.IsTrue, qt.Commentf("the group was held for over 70 ms in %d of %d simulations", longHolds, worlds))
 }
+
+// TestNoClaimBeforeTheGroupForms guards against leaders that are refused within milliseconds, again and again, while the
+// engines of a new group start: engines refuse all orders before the first epoch.
+func TestNoClaimBeforeTheGroupForms(t *testing.T) {
+	c := qt.New(t)
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	leader := NewLockstepLeader(at, 0, 3, 0, 0)
+	for range 50 {
+		at = at.Add(100 * time.Millisecond)
+		leader.ReceiveStatus(at, RankStatus{Rank: 0, Size: 3})
+		c.Assert(leader.Tick(at), qt.HasLen, 0)
+	}
+	leader.ReceiveStatus(at, RankStatus{Epoch: 1, Rank: 0, Size: 3, Open: true})
+	at = at.Add(time.Second)
+	leader.Tick(at)
+	c.Assert(leader.Leading(), qt.IsTrue)
+}
