Share reads of the store's revision among entries

During traffic each of 53 entries reads the revision every 1.2 s to prove that its credentials are current: 44 calls a second, growing with the entries, of about 54 in all.

Change: from 16 entries on, two of them (one for each 32) read the revision for the others. An entry asks its reader, which collects queries for up to 0.5 s and answers them with one read. A query is answered only by a read that begins after it arrived, and the proof holds from the time at which the asking entry sent its query, by its own clock: it is as strict as a read of its own. An entry whose reader does not answer within 0.8 s reads the store itself and asks another one for 5 s. What an entry must have received from its own watch to use the proof is unchanged.

Tests: TestSharedReadProvesTheRevision (interleavings of changes, queries, reads, copies); TestSharedReadInProgressProvesNothing shows that it fails if a read in progress answers queries; TestFewEntriesReadTheRevision.

--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -38,6 +38,9 @@
 	CrashUpdate *attempt.CrashUpdate `cbor:"9,keyasint,omitempty"`
 	Statements  *Statements          `cbor:"10,keyasint,omitempty"`
 	LimitedSend *LimitedSend         `cbor:"11,keyasint,omitempty"`
+
+	RevisionQuery  *RevisionQuery  `cbor:"12,keyasint,omitempty"`
+	RevisionAnswer *RevisionAnswer `cbor:"13,keyasint,omitempty"`
 }
 
 // RankReport carries the status of an agent's rank and its counts of expert choices. The agent sends it to its group's
@@ -140,6 +143,20 @@
 	Server attempt.ServerInstance `cbor:"1,keyasint"`
 }
 
+// RevisionQuery is sent by an entry to one that reads the store's revision for others. Without an answer the sender reads it
+// itself.
+type RevisionQuery struct {
+	// Sequence is a number that the sender does not use again.
+	Sequence uint64 `cbor:"1,keyasint"`
+}
+
+// RevisionAnswer answers the query with the same sequence number.
+type RevisionAnswer struct {
+	Sequence uint64 `cbor:"1,keyasint"`
+	// Revision is the store's newest revision according to a read that began after the query arrived.
+	Revision uint64 `cbor:"2,keyasint"`
+}
+
 // PeerAge is the address of an entry and the time since it was last heard.
 type PeerAge struct {
 	Address netip.AddrPort `cbor:"1,keyasint"`
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -193,6 +193,7 @@
 	}
 	g.forwardProgress()
 	g.deliver(g.dispatcher.Tick(now))
+	g.readRevisionIfDue(context.Background(), now)
 	g.crashRegisterChanged()
 	g.sendHellos(now)
 	g.dispatcher.SetEntries(now, g.peerDirectory.entries(), g.peerDirectory.isolated(now))
@@ -218,6 +219,11 @@
 		})
 	case message.GroupReport != nil:
 		g.tryEnqueue(func(now time.Time) { g.handleGroupReport(now, received.From, message.GroupReport) })
+	case message.RevisionQuery != nil:
+		query := revisionQuery{from: received.From, sequence: message.RevisionQuery.Sequence}
+		g.tryEnqueue(func(now time.Time) { g.revisionBatch.Add(now, query) })
+	case message.RevisionAnswer != nil:
+		g.tryEnqueue(func(time.Time) { g.handleRevisionAnswer(received.From, message.RevisionAnswer) })
 	case message.Hello != nil:
 		g.tryEnqueue(func(now time.Time) { g.handleHello(now, received.From, message.Hello) })
 	case message.CrashUpdate != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,6 +127,12 @@
 	// peerDirectory has the entries with which knowledge of crash requests is exchanged. Unlike peers, it does not depend on
 	// model groups.
 	peerDirectory *peerDirectory
+	// revisionBatch has other entries' queries for the store's revision, revisionReaders the choice of the entry that reads
+	// it for this one, and pendingRevision the query to it; nil for none.
+	revisionBatch    membership.RevisionBatch[revisionQuery]
+	revisionReaders  *membership.RevisionReaders
+	pendingRevision  *pendingRevision
+	revisionSequence uint64
 	// crashNewsPlanned is true while a call of sendCrashNews is planned.
 	crashNewsPlanned bool
 	storeDown        bool
@@ -147,7 +153,8 @@
 	g.pool = newConnPool(g.metrics.connectionOpened)
 	g.statements = newStatementTable()
 	g.prober, g.survivors, g.survivingTraits = newProber(), newSurvivorTable(), newSurvivorTable()
-	g.follower = source.NewFollower(config.Store, g, bootTime)
+	g.follower = source.NewFollower(sharingStore{Store: config.Store, gateway: g}, g, bootTime)
+	g.follower.SharedRevision = g.sharedRevision
 	g.loop = node.NewLoop(tickInterval, func(now time.Time, event func(time.Time)) { event(now) }, g.tick)
 	return g
 }
@@ -170,6 +177,7 @@
 		return oops.In("gateway").Wrap(err)
 	}
 	g.socket = socket
+	g.revisionReaders = membership.NewRevisionReaders(socket.Address())
 	g.peerDirectory = newPeerDirectory(time.Now(), socket.Address(), g.config.Settings.Seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	callers, err := net.Listen("tcp", g.config.Settings.CallersAddress)
 	if err != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -80,6 +81,11 @@
 // entries returns the number of entries, including this one: while it is isolated, those that it knew before.
 func (d *peerDirectory) entries() int { return 1 + max(len(d.heardAt), d.most) }
 
+// others returns the other known entries.
+func (d *peerDirectory) others() []netip.AddrPort {
+	return slices.Collect(maps.Keys(d.heardAt))
+}
+
 // merge records the entries that another entry knows.
 func (d *peerDirectory) merge(now time.Time, peers []datagram.PeerAge) {
 	for _, peer := range peers {
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -101,9 +101,12 @@
 	// RevisionCheckInterval is the interval at which the store's revision is compared with the delivered one; 0 disables
 	// the check.
 	RevisionCheckInterval time.Duration
-	// IdleRevisionCheckInterval replaces RevisionCheckInterval while Idle returns true; Idle may be nil.
+	// IdleRevisionCheckInterval replaces RevisionCheckInterval while Idle returns true. Idle may be nil.
 	IdleRevisionCheckInterval time.Duration
 	Idle                      func() bool
+	// SharedRevision returns the newest revision according to a read that another process began during the call, with which
+	// it answers several. It may be nil; after an error the store itself is read.
+	SharedRevision func(ctx context.Context) (uint64, error)
 	// Now reads a clock that keeps running while the machine is suspended.
 	Now func() time.Duration
 
@@ -169,13 +172,12 @@
 func (f *Follower) checkRevisions(ctx context.Context) {
 	lagging := time.Duration(0)
 	for ctx.Err() == nil {
-		start := f.Now()
-		revision, err := f.currentRevision(ctx)
-		wait := f.checkInterval()
+		check, err := f.readRevision(ctx)
+		wait := max(f.checkInterval()-(f.Now()-check.at), 0)
 		switch {
 		case err != nil:
 			wait = checkRetryPause
-		case !f.completeCheck(revisionCheck{at: start, revision: revision}):
+		case !f.completeCheck(check):
 			wait = maxWatchLag / 2
 			if lagging += wait; lagging > maxWatchLag {
 				f.restartWatch()
@@ -184,7 +186,7 @@
 		default:
 			lagging = 0
 		}
-		f.waitForNextCheck(ctx, wait)
+		f.waitOrWake(ctx, wait)
 	}
 }
 
@@ -193,7 +195,8 @@
 	return &Follower{Store: store, Handler: handler, Now: now, wake: make(chan struct{}, 1)}
 }
 
-// Wake ends the pause before the next revision check. The process calls it when it is no longer idle.
+// Wake ends the pause before the next revision check or, of a process that polls, the next read. The process calls it when
+// it is no longer idle, or expects changes.
 func (f *Follower) Wake() {
 	select {
 	case f.wake <- struct{}{}:
@@ -201,7 +204,7 @@
 	}
 }
 
-func (f *Follower) waitForNextCheck(ctx context.Context, pause time.Duration) {
+func (f *Follower) waitOrWake(ctx context.Context, pause time.Duration) {
 	select {
 	case <-time.After(pause):
 	case <-f.wake:
@@ -216,10 +219,20 @@
 	return f.RevisionCheckInterval
 }
 
-func (f *Follower) currentRevision(ctx context.Context) (uint64, error) {
+// readRevision reads the store's revision, through another process if possible.
+func (f *Follower) readRevision(ctx context.Context) (revisionCheck, error) {
+	check := revisionCheck{at: f.Now()}
+	var err error
+	if f.SharedRevision != nil {
+		if check.revision, err = f.SharedRevision(ctx); err == nil {
+			return check, nil
+		}
+		check.at = f.Now()
+	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return f.Store.Revision(ctx)
+	check.revision, err = f.Store.Revision(ctx)
+	return check, err
 }
 
 // completeCheck reports whether the handler already has the revision of the check. If not, the check waits for the
