Read the store less often where nothing depends on it

Cause: 192 agents each listed the backend servers every 4 s (four pages), and 53 entries fetched the changes of the servers' start 11 times each before there were any calls.

Change: an agent reads the list when its group's epoch changes and for 10 s after that, otherwise every 20 s: a rank that is replaced starts a new epoch, which the agent sees at its own engine. An entry without calls fetches changes once a second; with calls 0.4 s as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,8 @@
 	// coming. Both are short because a configuration must be in force within 2 s.
 	storeBatchDelay    = 100 * time.Millisecond
 	maxStoreBatchDelay = 400 * time.Millisecond
+	// idleStoreBatchDelay replaces maxStoreBatchDelay while there are no calls, for example while all backend servers start.
+	idleStoreBatchDelay = time.Second
 	// idleRevisionCheckInterval replaces revisionCheckInterval while there are no calls. It is below the 4.5 s for
 	// which a check is valid, so that the first call is served.
 	idleRevisionCheckInterval = 3 * time.Second
@@ -193,6 +195,7 @@
 	g.enqueue(g.sendHellos)
 	follower := g.follower
 	follower.Wait, follower.BatchDelay, follower.MaxBatchDelay = storeWatchWait, storeBatchDelay, maxStoreBatchDelay
+	follower.IdleMaxBatchDelay = idleStoreBatchDelay
 	follower.RevisionCheckInterval, follower.IdleRevisionCheckInterval, follower.Idle = revisionCheckInterval, idleRevisionCheckInterval, g.idle
 	go follower.Run(ctx)
 	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -49,9 +49,12 @@
 	// orderTimeout is the timeout of an order to an engine. Engines answer in a few milliseconds, and the whole group
 	// may wait at a hold until the order has been retried.
 	orderTimeout = 40 * time.Millisecond
-	// listInterval is the interval at which the list of backend servers is read. It contains the addresses of the
-	// group's ranks, which change when a VM is replaced.
-	listInterval = 4 * time.Second
+	// listInterval is the interval at which the list of backend servers is read for newEpochTime after the start of the
+	// process and after each change of the group's epoch. The list contains the addresses of the group's ranks. A rank that
+	// is replaced starts a new epoch; settledListInterval is for changes without one, of which none are known.
+	listInterval        = 4 * time.Second
+	newEpochTime        = 10 * time.Second
+	settledListInterval = 20 * time.Second
 	// initialListInterval replaces listInterval until all ranks of the group are listed.
 	initialListInterval = 500 * time.Millisecond
 	// eventQueueLength is the number of events that the control thread's queue holds; further events are dropped.
@@ -72,7 +75,7 @@
 }
 
 // Agent is an agent process. Its state is accessed only from the goroutine of Run (the control thread), except for
-// groupListed; other goroutines send it events.
+// groupListed and epochAt; other goroutines send it events.
 type Agent struct {
 	config Config
 	log    *logrus.Entry
@@ -84,9 +87,10 @@
 	// order prepares; 0 for other orders.
 	pollRequests chan uint64
 
-	listing *membership.Listing
-	table   *routing.Table
-	self    membership.ListedBackend
+	follower *source.Follower
+	listing  *membership.Listing
+	table    *routing.Table
+	self     membership.ListedBackend
 	// ranks are the listed backend servers of the group.
 	ranks         map[ident.Rank]membership.ListedBackend
 	engineClients map[string]Engine
@@ -103,6 +107,8 @@
 	storeDown  bool
 	// groupListed is true while all ranks of the group are listed.
 	groupListed atomic.Bool
+	// epochAt is the time at which the group's epoch last changed, in nanoseconds of monotonicTime.
+	epochAt atomic.Int64
 }
 
 // New returns an agent that starts when Run is called.
@@ -130,8 +136,8 @@
 	go socket.Receive(ctx, func(received datagram.Received) {
 		a.post(func(now time.Time) { a.handleMessage(ctx, now, received) })
 	})
-	follower := source.NewFollower(a.config.Store, a, monotonicTime)
-	go follower.Poll(ctx, a.nextListInterval)
+	a.follower = source.NewFollower(a.config.Store, a, monotonicTime)
+	go a.follower.Poll(ctx, a.nextListInterval)
 	go a.poll(ctx)
 	a.log.WithFields(logrus.Fields{"backend": a.config.Settings.BackendAddress, "peers": socket.Address()}).Info("process-started")
 	timer := time.NewTimer(leaderTickInterval)
@@ -200,10 +206,13 @@
 
 // nextListInterval returns the time until the list is read again. The goroutine that polls the store calls it.
 func (a *Agent) nextListInterval() time.Duration {
-	if a.groupListed.Load() {
+	switch {
+	case !a.groupListed.Load():
+		return initialListInterval
+	case monotonicTime()-time.Duration(a.epochAt.Load()) < newEpochTime:
 		return listInterval
 	}
-	return initialListInterval
+	return settledListInterval
 }
 
 // CurrentAsOf does nothing. It reports how recent the configuration is, which matters only for credentials, and an agent
@@ -302,6 +311,10 @@
 // handleStatus handles the polled status and expert counts of the agent's own rank. The first status starts the
 // leader election. Later ones are processed here if this agent leads, and are sent to the leader's agent otherwise.
 func (a *Agent) handleStatus(ctx context.Context, now time.Time, status expert.RankStatus, reading choiceReading) {
+	if !a.hasStatus || a.status.Epoch != status.Epoch {
+		a.epochAt.Store(int64(monotonicTime()))
+		a.follower.Wake()
+	}
 	a.status, a.hasStatus = status, true
 	if a.leader == nil {
 		a.leader = expert.NewLockstepLeader(now, status.Rank, status.Size, status.Epoch, a.config.Settings.LinkRate)
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -98,6 +98,8 @@
 	// BatchDelay is the pause after changes, so that one call returns several that come together. It doubles up to
 	// MaxBatchDelay while changes keep coming, for example while all backend servers start.
 	BatchDelay, MaxBatchDelay time.Duration
+	// IdleMaxBatchDelay replaces MaxBatchDelay while Idle returns true, if it is greater.
+	IdleMaxBatchDelay time.Duration
 	// RevisionCheckInterval is the interval at which the store's revision is compared with the delivered one; 0 disables
 	// the check.
 	RevisionCheckInterval time.Duration
@@ -275,7 +277,7 @@
 		pause = minRetryPause
 		configured = configured || state.Table != nil
 		f.Handler.Replaced(state)
-		f.pause(ctx, pauseOf())
+		f.waitOrWake(ctx, pauseOf())
 	}
 }
 
@@ -317,12 +319,20 @@
 			}
 			if changes.Any() {
 				f.pause(ctx, batchDelay)
-				batchDelay = min(2*batchDelay, max(f.MaxBatchDelay, f.BatchDelay))
+				batchDelay = min(2*batchDelay, f.maxBatchDelay())
 			}
 		}
 	}
 }
 
+func (f *Follower) maxBatchDelay() time.Duration {
+	longest := max(f.MaxBatchDelay, f.BatchDelay)
+	if f.Idle != nil && f.Idle() {
+		longest = max(longest, f.IdleMaxBatchDelay)
+	}
+	return longest
+}
+
 func (f *Follower) watchOnce(ctx context.Context, revision uint64) (Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+watchGrace)
 	defer cancel()
