Keep to what servers say in their answers: that they leave, and that they want rest

The entries went by the list only: a server that says in an answer that it is leaving got requests until the list said so, and again when the list was restored or had lost it for a while. A server that turned a request away with Retry-After was asked again after 80 ms.

Change: (1) Leaving is part of a server's statement, which entries tell each other. It holds for the incarnation, whatever the list says later; it is kept for 10 min while the server is not listed. The listing does the same for servers that were draining. (2) A 503 with Retry-After keeps this entry from the server for that time, 30 s at most, and up to 0.5 s longer, so that entries return at different times; then the open requests may double every 0.25 s. Callers are refused at once, with the time, if all servers rest for longer than a request may wait. Unreadable values change nothing and are logged.

Tests: TestServerThatSaysItIsLeavingGetsNoRequests and TestLeavingHoldsOverInterleavings fail without the check of candidates, the latter also without the memory of unlisted servers; TestRestingServersGetNoRequests, TestLeavingAndRest.

--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -81,6 +81,8 @@
 	entries  int
 	isolated bool
 	waiting  []BackendRequest
+	// resting has the end of the rest of each server that asked for one. It is kept while a server is not listed.
+	resting map[attempt.ServerInstance]time.Time
 }
 
 type groupState struct {
@@ -124,6 +126,7 @@
 		repeats:  attempt.NewRepeats(repeats),
 		crashes:  attempt.NewCrashRegister(attempt.DefaultCrashConfig()),
 		limits:   map[string]*admission.ServerLimit{},
+		resting:  map[attempt.ServerInstance]time.Time{},
 		entries:  1,
 	}
 }
@@ -151,6 +154,7 @@
 		server := d.servers[backend.ID]
 		if server == nil || server.Started != backend.Started {
 			server = &routing.Server{}
+			server.RecordRest(d.resting[InstanceOf(&backend)])
 		}
 		server.ListedBackend = backend
 		servers[backend.ID] = server
@@ -444,7 +448,7 @@
 	var fresh, tried []*routing.Server
 	for _, server := range d.services[request.Service] {
 		switch {
-		case server.Leaving:
+		case server.Leaving || server.StatedLeaving:
 		case slices.Contains(request.Tried, server.ID):
 			tried = append(tried, server)
 		default:
--- a/internal/control/server_limits.go
+++ b/internal/control/server_limits.go
@@ -12,12 +12,20 @@
 // limitRetrySpread is the range over which the returns of callers that are refused because of servers' limits are spread.
 const limitRetrySpread = time.Second
 
+const (
+	// maxRest bounds a rest: a server must not be left out for good because of a wrong value.
+	maxRest = 30 * time.Second
+	// restSpread is the range over which entries return to a server after its rest.
+	restSpread = 500 * time.Millisecond
+)
+
 // RecordStatement records what a server says of itself, to this or another entry.
 func (d *Dispatcher) RecordStatement(now time.Time, instance attempt.ServerInstance, statement membership.Statement) {
 	server := d.servers[instance.ID]
 	if server == nil || server.Started != instance.Started {
 		return
 	}
+	server.StatedLeaving = server.StatedLeaving || statement.Leaving
 	limit := d.limits[instance.ID]
 	switch {
 	case statement.Limited && admission.BindingServerRate(statement.RequestRate) && limit == nil:
@@ -55,17 +63,46 @@
 	}
 }
 
-// withinLimits returns the candidates that may get a request now. If there is none, it returns the time until the first may.
+// RecordRest records that a server wants no requests for a time, which is bounded. It returns the time for which this entry
+// sends it none: entries that the server turned away together return at different times.
+func (d *Dispatcher) RecordRest(now time.Time, instance attempt.ServerInstance, rest time.Duration) time.Duration {
+	if rest <= 0 {
+		return 0
+	}
+	rest = min(rest, maxRest) + time.Duration(d.random.Int64N(int64(restSpread)))
+	until := now.Add(rest)
+	if until.After(d.resting[instance]) {
+		d.resting[instance] = until
+	}
+	if server := d.servers[instance.ID]; server != nil && server.Started == instance.Started {
+		server.RecordRest(until)
+	}
+	return rest
+}
+
+// EndedRests returns the IDs of the servers whose rest has ended since the last call.
+func (d *Dispatcher) EndedRests(now time.Time) []string {
+	var ended []string
+	for instance, until := range d.resting {
+		if now.Sub(until) >= routing.RestRamp {
+			delete(d.resting, instance)
+			ended = append(ended, instance.ID)
+		}
+	}
+	return ended
+}
+
+// withinLimits returns the candidates that may get a request now, by their limits and rests. If there is none, it returns the time until the first may.
 func (d *Dispatcher) withinLimits(now time.Time, candidates []*routing.Server) ([]*routing.Server, time.Duration) {
-	if len(d.limits) == 0 {
+	if len(d.limits)+len(d.resting) == 0 {
 		return candidates, 0
 	}
 	var within []*routing.Server
 	var shortest time.Duration
 	for _, server := range candidates {
-		wait := time.Duration(0)
+		wait := server.RestLeft(now)
 		if limit := d.limits[server.ID]; limit != nil {
-			wait = limit.Wait(now)
+			wait = max(wait, limit.Wait(now))
 		}
 		if wait == 0 {
 			within = append(within, server)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -132,7 +132,7 @@
 		}
 	}
 	g.hasBackends.Store(len(backends) > leaving)
-	g.statements.retain(backends)
+	g.statements.retain(now, backends)
 	g.log.WithFields(logrus.Fields{"backends": len(backends), "leaving": leaving}).Info("backends-listed")
 	g.deliver(g.dispatcher.SetBackends(now, backends))
 	// Another entry may have reported a server's limit before this one had it in its list.
@@ -193,6 +193,9 @@
 	}
 	g.forwardProgress()
 	g.deliver(g.dispatcher.Tick(now))
+	for _, backend := range g.dispatcher.EndedRests(now) {
+		g.log.WithField("backend", backend).Info("backend-rest-ended")
+	}
 	g.readRevisionIfDue(context.Background(), now)
 	g.crashRegisterChanged()
 	g.sendHellos(now)
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
@@ -36,6 +37,9 @@
 	PromptTokens func(header http.Header) int
 	// Statement returns what a response says about its server. An error means that a field cannot be read.
 	Statement func(header http.Header) (membership.Statement, error)
+	// Rest returns the time for which the server of a response wants no requests, or 0. An error means that the field cannot
+	// be read.
+	Rest func(status int, header http.Header) (time.Duration, error)
 	// PromptParts returns the parts of a request's prompt in their order; the last one belongs to the request itself. An
 	// error names entries that cannot be read; the others are returned.
 	PromptParts func(header http.Header) ([]ident.PromptPart, error)
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -34,15 +34,25 @@
 	PromptTokens: func(http.Header) int { return 100 },
 	PromptParts:  testPromptParts,
 	Statement:    testStatement,
+	Rest:         testRest,
 }
 
-// testStatement reads a limit from the field X-Limit.
+// testStatement reads a limit from the field X-Limit, and whether the server is leaving from X-Leaving.
 func testStatement(header http.Header) (membership.Statement, error) {
+	leaving := header.Get("X-Leaving") != ""
 	if header.Get("X-Limit") == "" {
-		return membership.Statement{}, nil
+		return membership.Statement{Leaving: leaving}, nil
 	}
 	rate, err := strconv.ParseFloat(header.Get("X-Limit"), 64)
-	return membership.Statement{Limited: err == nil, RequestRate: rate}, err
+	return membership.Statement{Limited: err == nil, RequestRate: rate, Leaving: leaving}, err
+}
+
+// testRest reads the time to rest from the field X-Rest.
+func testRest(_ int, header http.Header) (time.Duration, error) {
+	if header.Get("X-Rest") == "" {
+		return 0, nil
+	}
+	return time.ParseDuration(header.Get("X-Rest"))
 }
 
 // testPromptParts returns the space-separated words of the field X-Parts, and an error if one is "unreadable".
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -18,6 +18,10 @@
 // maxStatements is the number of statements in one message, which then fits into a packet of 1,400 bytes.
 const maxStatements = 16
 
+// leavingMemory is how long the statement of a leaving server that is not listed is kept: much longer than a server takes to
+// end, and than the store is away.
+const leavingMemory = 10 * time.Minute
+
 // statementTable has the newest statement of each backend server. It is safe for concurrent use.
 type statementTable struct {
 	mu         sync.Mutex
@@ -39,21 +43,28 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	last, known := t.statements[server]
-	if known && !at.After(last.at) || !known && statement == (membership.Statement{}) {
+	if known && !at.After(last.at) && (last.statement.Leaving || !statement.Leaving) || !known && statement == (membership.Statement{}) {
 		return false
 	}
+	statement.Leaving = statement.Leaving || last.statement.Leaving
 	t.statements[server] = timedStatement{statement: statement, at: at}
 	return last.statement != statement
 }
 
-// retain removes the statements of servers that are not listed.
-func (t *statementTable) retain(listed []membership.ListedBackend) {
+// retain removes the statements of servers that are not listed. Those of leaving servers are kept for leavingMemory, since
+// the list may contain them again after an outage or from an older copy.
+func (t *statementTable) retain(now time.Time, listed []membership.ListedBackend) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.statements) == 0 {
 		return
 	}
 	kept := map[attempt.ServerInstance]timedStatement{}
+	for server, last := range t.statements {
+		if last.statement.Leaving && now.Sub(last.at) < leavingMemory {
+			kept[server] = last
+		}
+	}
 	for i := range listed {
 		server := control.InstanceOf(&listed[i])
 		if last, known := t.statements[server]; known {
@@ -63,13 +74,13 @@
 	t.statements = kept
 }
 
-// reports returns the statements that limit servers, for another entry.
+// reports returns the statements that restrict what servers get, for another entry.
 func (t *statementTable) reports(now time.Time) []datagram.Statement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	reports := make([]datagram.Statement, 0, len(t.statements))
 	for server, last := range t.statements {
-		if last.statement.Limited {
+		if last.statement.Limited || last.statement.Leaving {
 			reports = append(reports, datagram.Statement{Server: server, Statement: last.statement, Age: now.Sub(last.at)})
 		}
 	}
@@ -82,24 +93,47 @@
 		return // from another server
 	}
 	statement, err := g.headers.Statement(response.Header)
+	server, at := control.InstanceOf(&backend), time.Now()
+	g.recordRest(&backend, response)
 	if err != nil {
 		g.metrics.count("statements_invalid")
 		g.log.WithError(err).WithFields(logrus.Fields{"backend": backend.ID, "address": backend.Address}).Warn("backend-statement-invalid")
-		return
+		if !statement.Leaving {
+			return
+		}
 	}
-	server, at := control.InstanceOf(&backend), time.Now()
 	if !g.statements.record(server, statement, at) {
 		return
 	}
 	g.enqueue(func(now time.Time) { g.statementChanged(now, server, statement, at, "response") })
 }
 
+// recordRest records that a server wants no requests for a time. A field that cannot be read changes nothing.
+func (g *Gateway) recordRest(backend *membership.ListedBackend, response *http.Response) {
+	rest, err := g.headers.Rest(response.StatusCode, response.Header)
+	fields := logrus.Fields{"backend": backend.ID, "address": backend.Address}
+	if err != nil {
+		g.metrics.count("statements_invalid")
+		g.log.WithError(err).WithFields(fields).Warn("backend-rest-invalid")
+		return
+	}
+	if rest <= 0 {
+		return
+	}
+	server := control.InstanceOf(backend)
+	g.enqueue(func(now time.Time) {
+		g.metrics.count("backend_rests")
+		fields["stated_ms"], fields["rest_ms"] = rest.Milliseconds(), g.dispatcher.RecordRest(now, server, rest).Milliseconds()
+		g.log.WithFields(fields).Info("backend-rests")
+	})
+}
+
 // statementChanged applies a changed statement and passes it on to other entries. source says where this entry has it from,
 // for the log.
 func (g *Gateway) statementChanged(now time.Time, server attempt.ServerInstance, statement membership.Statement, at time.Time, source string) {
 	g.metrics.count("statements_changed")
 	g.log.WithFields(logrus.Fields{
-		"backend": server.ID, "limited": statement.Limited, "request_rate": statement.RequestRate, "source": source,
+		"backend": server.ID, "limited": statement.Limited, "request_rate": statement.RequestRate, "leaving": statement.Leaving, "source": source,
 		"age_ms": now.Sub(at).Milliseconds(),
 	}).Info("backend-statement")
 	g.dispatcher.RecordStatement(now, server, statement)
--- a/internal/membership/listing.go
+++ b/internal/membership/listing.go
@@ -45,6 +45,8 @@
 	// ListRecoveryGrace is how long running servers may take to renew their expired records after an
 	// outage. The platform says "about two seconds"; 10 % is added.
 	ListRecoveryGrace = 2200 * time.Millisecond
+	// maxLeft is the number of removed servers that a Listing remembers.
+	maxLeft = 1024
 )
 
 // Listing is one process's copy of the platform's list of backend servers. Servers whose records
@@ -56,6 +58,15 @@
 	failingSince time.Time
 	// recoveredAt is the end of the last outage.
 	recoveredAt time.Time
+	// left has the incarnations that were removed while they were leaving. The list may contain them again after it was
+	// restored from an older copy.
+	left map[incarnation]time.Time
+}
+
+// incarnation identifies one start of a backend server.
+type incarnation struct {
+	id      string
+	started int64
 }
 
 type listed struct {
@@ -66,7 +77,7 @@
 
 // NewListing returns an empty listing.
 func NewListing() *Listing {
-	return &Listing{backends: map[string]*listed{}}
+	return &Listing{backends: map[string]*listed{}, left: map[incarnation]time.Time{}}
 }
 
 // Failed records that the list could not be read. If the call timed out, unansweredFor is how long it had no
@@ -101,9 +112,14 @@
 	return changed
 }
 
-// Put adds or changes one server. It returns whether anything changed.
+// Put adds or changes one server. It returns whether anything changed. A server that was leaving stays so until it starts
+// again, whatever the list says.
 func (l *Listing) Put(backend ListedBackend) bool {
 	known := l.backends[backend.ID]
+	_, left := l.left[incarnation{backend.ID, backend.Started}]
+	if left || known != nil && known.backend.Started == backend.Started && known.backend.Leaving {
+		backend.Leaving = true
+	}
 	if known != nil && !known.missing && known.backend == backend {
 		return false
 	}
@@ -124,9 +140,27 @@
 		return false
 	}
 	delete(l.backends, id)
+	if known.backend.Leaving {
+		l.remember(now, incarnation{id, known.backend.Started})
+	}
 	return true
 }
 
+// remember records that a leaving server was removed. It forgets the one removed first if there are too many.
+func (l *Listing) remember(now time.Time, gone incarnation) {
+	if len(l.left) >= maxLeft {
+		oldest := gone
+		oldestAt := now
+		for other, at := range l.left {
+			if at.Before(oldestAt) {
+				oldest, oldestAt = other, at
+			}
+		}
+		delete(l.left, oldest)
+	}
+	l.left[gone] = now
+}
+
 // inGrace reports whether the list can't be read, or an outage ended less than ListRecoveryGrace ago.
 func (l *Listing) inGrace(now time.Time) bool {
 	return !l.failingSince.IsZero() || !l.recoveredAt.IsZero() && now.Sub(l.recoveredAt) < ListRecoveryGrace
--- a/internal/membership/statement.go
+++ b/internal/membership/statement.go
@@ -6,4 +6,7 @@
 	// all entries together.
 	Limited     bool    `cbor:"1,keyasint,omitempty"`
 	RequestRate float64 `cbor:"2,keyasint,omitempty"`
+	// Leaving is true if the server will end and must get no new requests. It holds until the server ends, also if a later
+	// response does not say so.
+	Leaving bool `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -70,6 +70,9 @@
 	// rejectPause is the pause after a server has rejected a request. A full server with a dozen streams of 1 to 2 s
 	// has a free slot after about this time.
 	rejectPause = 80 * time.Millisecond
+	// RestRamp is the time after a rest in which load returns step by step, restRampStep the time of a step.
+	RestRamp     = time.Second
+	restRampStep = RestRamp / 4
 	// latencyWeight is the weight of the newest answer in a server's mean latency.
 	latencyWeight = 0.3
 	// latencyMaxAge is the age from which a server's mean latency is ignored, so that a server that was slow gets
@@ -111,6 +114,11 @@
 	promptBacklog   float64
 	promptBacklogAt time.Time
 
+	// StatedLeaving is true once a response of the server has said that it is leaving.
+	StatedLeaving bool
+	// restUntil is the end of the time for which the server wants no requests; zero if it never asked for that.
+	restUntil time.Time
+
 	failureShare      float64
 	brokenSinceServed int
 	failedConnects    int
@@ -164,6 +172,29 @@
 	return now.Before(s.pausedUntil)
 }
 
+// RecordRest records that the server wants no requests until a time.
+func (s *Server) RecordRest(until time.Time) {
+	if until.After(s.restUntil) {
+		s.restUntil = until
+	}
+}
+
+// RestLeft returns the time until the server may get a request of this entry, or 0. After a rest the number of open
+// requests may double every restRampStep, so that load does not return at once.
+func (s *Server) RestLeft(now time.Time) time.Duration {
+	if s.restUntil.IsZero() {
+		return 0
+	}
+	if left := s.restUntil.Sub(now); left > 0 {
+		return left
+	}
+	step := int(now.Sub(s.restUntil) / restRampStep)
+	if now.Sub(s.restUntil) < RestRamp && s.Open >= 1<<step {
+		return restRampStep
+	}
+	return 0
+}
+
 // PausedUntil returns the end of the pause.
 func (s *Server) PausedUntil() time.Time {
 	return s.pausedUntil
