Take nothing back when the store is restored from an older copy

Revisions were compared as if the store had one history: after a restore a revision of the copy, lower than the one delivered, counted as delivered and proved that credentials were current; a watch could wait in the new era for changes after a revision of the old one; a server that was leaving or had left was ready again; an entry that started while the store held the copy accepted credentials that were revoked. The last holds also without a restore for what entries learn from answers: a restarted entry was known to the others, so that none told it of leaving servers.

Change: positions are (era, revision). A check that shows a later era makes the follower read everything again; states of an earlier era are ignored; in a new era nothing is proved for 2.2 s, nor while the store holds an older version of the configuration than this or another entry has in force. Entries tell each other their version in hellos; one that has just started waits up to 150 ms for word of another, accepts no credentials for 10 s while another has a newer version, and is told all that others know. The listing keeps servers missing in the copy for 2.2 s, leaving and left ones stay so, and earlier incarnations out of the copy are ignored.

Not covered: a restore during a cut of half of the entries, and with a frozen leader's VM, are not played; the stand-in and the soak do not restore the store yet.

--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -121,6 +121,10 @@
 	Peers []PeerAge `cbor:"1,keyasint,omitempty"`
 	// CrashDigest is the digest of the sender's register of crash requests.
 	CrashDigest uint64 `cbor:"2,keyasint"`
+	// ConfigurationVersion is the version of the configuration that the sender has in force; 0 for none.
+	ConfigurationVersion uint64 `cbor:"4,keyasint,omitempty"`
+	// Joining is true if the sender has just started and knows nothing of what others learned.
+	Joining bool `cbor:"5,keyasint,omitempty"`
 	// Answer is true if the message answers a hello.
 	Answer bool `cbor:"3,keyasint,omitempty"`
 }
@@ -155,6 +159,8 @@
 	Sequence uint64 `cbor:"1,keyasint"`
 	// Revision is the store's newest revision according to a read that began after the query arrived.
 	Revision uint64 `cbor:"2,keyasint"`
+	// Era is the store's era in which it was read.
+	Era uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // PeerAge is the address of an entry and the time since it was last heard.
--- a/internal/gateway/crash_exchange.go
+++ b/internal/gateway/crash_exchange.go
@@ -24,15 +24,19 @@
 }
 
 func (g *Gateway) sendHello(now time.Time, to netip.AddrPort, answer bool) {
-	g.socket.Send(to, datagram.Message{Hello: &datagram.Hello{
-		Peers: g.peerDirectory.known(now), CrashDigest: g.dispatcher.Crashes().Digest(), Answer: answer,
-	}})
+	hello := &datagram.Hello{Peers: g.peerDirectory.known(now), CrashDigest: g.dispatcher.Crashes().Digest(), Answer: answer}
+	hello.Joining = g.peerDirectory.joining(now)
+	if table := g.table.Load(); table != nil {
+		hello.ConfigurationVersion = table.Version
+	}
+	g.socket.Send(to, datagram.Message{Hello: hello})
 }
 
 // handleHello records the sender and the entries that it knows. If the sender's knowledge of crashes differs, it gets
 // this entry's, and a hello from which it sees that this entry lacks something.
 func (g *Gateway) handleHello(now time.Time, from netip.AddrPort, hello *datagram.Hello) {
-	joined := g.peerDirectory.recordHeard(now, from, now)
+	g.recordHeardVersion(hello.ConfigurationVersion)
+	joined := g.peerDirectory.recordHeard(now, from, now) || hello.Joining
 	g.peerDirectory.recordMessage(now)
 	if joined {
 		g.sendStatements(g.statements.reports(now), from)
@@ -47,6 +51,14 @@
 	}
 }
 
+// recordHeardVersion records the version of the configuration that another entry has in force. A process that starts after
+// the store was restored from an older copy learns in this way that the copy is outdated.
+func (g *Gateway) recordHeardVersion(version uint64) {
+	if version > g.heardVersion.Load() {
+		g.heardVersion.Store(version)
+	}
+}
+
 // handleCrashUpdate merges another entry's knowledge of crashes. Traits that it suspects and that servers of this entry have
 // survived are cleared.
 func (g *Gateway) handleCrashUpdate(now time.Time, update *attempt.CrashUpdate) {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -34,8 +34,18 @@
 // Replaced implements source.Handler.
 func (g *Gateway) Replaced(state source.State) {
 	g.replaceTable(state.Table)
+	restored := g.storeEraKnown && state.Era > g.storeEra
+	if restored {
+		g.storeVersion.Store(0)
+		g.log.WithFields(logrus.Fields{"era": state.Era, "earlier_era": g.storeEra, "revision": state.Revision}).Warn("store-restored")
+	}
+	g.storeEra, g.storeEraKnown = state.Era, true
+	g.recordStoreVersion(state.Table)
 	g.enqueue(func(now time.Time) {
 		g.recordStoreResponse(now)
+		if restored {
+			g.listing.Restored(now)
+		}
 		if state.Table != nil {
 			g.applyConfiguration(state.Table)
 		}
@@ -46,6 +56,7 @@
 // Changed implements source.Handler.
 func (g *Gateway) Changed(changes source.Changes) {
 	g.replaceTable(changes.Table)
+	g.recordStoreVersion(changes.Table)
 	g.enqueue(func(now time.Time) {
 		g.recordStoreResponse(now)
 		if changes.Table != nil {
@@ -74,9 +85,19 @@
 	})
 }
 
-// CurrentAsOf implements source.Handler. It records that the table in force was current at the given time.
+// recordStoreVersion records the version of the configuration that the store holds. A table of nil changes nothing: the store
+// returned none, or one that cannot be read.
+func (g *Gateway) recordStoreVersion(table *routing.Table) {
+	if table != nil {
+		g.storeVersion.Store(table.Version)
+	}
+}
+
+// CurrentAsOf implements source.Handler. It records that the table in force was current at the given time. A store that holds
+// an older version than is known proves nothing: it was restored from a copy, and changes are missing in it.
 func (g *Gateway) CurrentAsOf(at time.Duration) {
-	if g.table.Load() == nil {
+	table := g.table.Load()
+	if table == nil || g.storeVersion.Load() < max(table.Version, g.heardVersion.Load()) {
 		return
 	}
 	g.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,11 @@
 	idleRevisionCheckInterval = 3 * time.Second
 	// idleAfter is the time without calls after which an entry counts as idle.
 	idleAfter = 3 * time.Second
+	// startDoubt is the time after the start in which credentials are not accepted while another entry has a newer
+	// configuration in force. Later, an entry may have heard of a change before it gets the change itself.
+	startDoubt = 10 * time.Second
+	// joinWait is how long an entry that has just started waits for word of another one before it accepts credentials.
+	joinWait = 150 * time.Millisecond
 	// assumedEntries is the number of entries among which the fixed part of the limit on repeats is divided. The store
 	// does not list entries; deployments have up to 24.
 	assumedEntries = 24
@@ -100,7 +105,16 @@
 	socket                     *datagram.Socket
 	headers                    Headers
 
-	table       atomic.Pointer[routing.Table]
+	table atomic.Pointer[routing.Table]
+	// storeVersion is the version of the configuration that the store holds, heardVersion the greatest that another entry
+	// has in force; 0 for none.
+	storeVersion, heardVersion atomic.Uint64
+	// startedAt is the start of the process, as read from bootTime.
+	startedAt time.Duration
+	// storeEra is the store's era at the last read of the whole state. Only the follower's goroutine uses it.
+	storeEra      uint64
+	storeEraKnown bool
+
 	mu          sync.Mutex
 	freshness   membership.Freshness
 	stopping    atomic.Bool
@@ -155,6 +169,7 @@
 	g.pool = newConnPool(g.metrics.connectionOpened)
 	g.statements = newStatementTable()
 	g.prober, g.survivors, g.survivingTraits = newProber(), newSurvivorTable(), newSurvivorTable()
+	g.startedAt = bootTime()
 	g.follower = source.NewFollower(sharingStore{Store: config.Store, gateway: g}, g, bootTime)
 	g.follower.SharedRevision = g.sharedRevision
 	g.loop = node.NewLoop(tickInterval, func(now time.Time, event func(time.Time)) { event(now) }, g.tick)
@@ -259,8 +274,16 @@
 }
 
 // credentialsCurrent reports whether the table in force is recent enough for its credentials to be accepted: none of
-// them can have been revoked for longer than the bound.
+// them can have been revoked for longer than the bound. An entry that has just started may have read a copy of the store
+// that is older than what other entries have in force.
 func (g *Gateway) credentialsCurrent() bool {
+	running := bootTime() - g.startedAt
+	if g.heardVersion.Load() == 0 && len(g.config.Settings.Seeds) > 0 && running < joinWait {
+		return false
+	}
+	if table := g.table.Load(); table != nil && table.Version < g.heardVersion.Load() && running < startDoubt {
+		return false
+	}
 	return g.currentWithin(g.config.Settings.Bounds.Revocation - revocationMargin)
 }
 
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -87,7 +87,7 @@
 
 func (s *testStore) List(ctx context.Context) (source.State, error) { return s.Read(ctx) }
 
-func (s *testStore) Watch(ctx context.Context, after uint64, wait time.Duration) (source.Changes, error) {
+func (s *testStore) Watch(ctx context.Context, after source.Position, wait time.Duration) (source.Changes, error) {
 	for {
 		s.mu.Lock()
 		state, changed, down := s.state, s.changed, s.down
@@ -95,26 +95,29 @@
 		if down {
 			return source.Changes{}, io.ErrUnexpectedEOF
 		}
-		if state.Revision > after {
+		if state.Era != after.Era {
+			return source.Changes{}, source.ErrHistoryLost
+		}
+		if state.Revision > after.Revision {
 			return source.Changes{Table: state.Table, Put: state.Backends, Revision: state.Revision}, nil
 		}
 		select {
 		case <-changed:
 		case <-time.After(wait):
-			return source.Changes{Revision: after}, nil
+			return source.Changes{Revision: after.Revision}, nil
 		case <-ctx.Done():
 			return source.Changes{}, ctx.Err()
 		}
 	}
 }
 
-func (s *testStore) Revision(context.Context) (uint64, error) {
+func (s *testStore) Revision(context.Context) (source.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, io.ErrUnexpectedEOF
+		return source.Position{}, io.ErrUnexpectedEOF
 	}
-	return s.state.Revision, nil
+	return s.state.Position(), nil
 }
 
 // set changes the state and ends all waiting watches.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -81,6 +81,10 @@
 // entries returns the number of entries, including this one: while it is isolated, those that it knew before.
 func (d *peerDirectory) entries() int { return 1 + max(len(d.heardAt), d.most) }
 
+// joining reports whether this entry has just started. It may be known to others from before, but has forgotten all that
+// they told it.
+func (d *peerDirectory) joining(now time.Time) bool { return now.Sub(d.started) < joinTime }
+
 // others returns the other known entries.
 func (d *peerDirectory) others() []netip.AddrPort {
 	return slices.Collect(maps.Keys(d.heardAt))
--- a/internal/gateway/revisions.go
+++ b/internal/gateway/revisions.go
@@ -29,33 +29,33 @@
 type pendingRevision struct {
 	sequence uint64
 	reader   netip.AddrPort
-	answer   chan uint64
+	answer   chan source.Position
 }
 
 // sharedRevision asks another entry for the store's newest revision. The answer comes from a read that began after the
 // query arrived there. It implements source.Follower.SharedRevision.
-func (g *Gateway) sharedRevision(ctx context.Context) (uint64, error) {
+func (g *Gateway) sharedRevision(ctx context.Context) (source.Position, error) {
 	asked := make(chan *pendingRevision, 1)
 	g.enqueue(func(now time.Time) { asked <- g.askReader(now) })
 	var pending *pendingRevision
 	select {
 	case pending = <-asked:
 	case <-ctx.Done():
-		return 0, ctx.Err()
+		return source.Position{}, ctx.Err()
 	}
 	if pending == nil {
-		return 0, errNoReader
+		return source.Position{}, errNoReader
 	}
 	select {
-	case revision := <-pending.answer:
+	case position := <-pending.answer:
 		g.metrics.count("revision_shared")
-		return revision, nil
+		return position, nil
 	case <-time.After(sharedRevisionTimeout):
 		g.log.WithField("reader", pending.reader).Info("revision-reader-silent")
 		g.enqueue(func(now time.Time) { g.revisionReaders.RecordSilent(now, pending.reader) })
-		return 0, errSilentReader
+		return source.Position{}, errSilentReader
 	case <-ctx.Done():
-		return 0, ctx.Err()
+		return source.Position{}, ctx.Err()
 	}
 }
 
@@ -66,7 +66,7 @@
 		return nil
 	}
 	g.revisionSequence++
-	g.pendingRevision = &pendingRevision{sequence: g.revisionSequence, reader: reader, answer: make(chan uint64, 1)}
+	g.pendingRevision = &pendingRevision{sequence: g.revisionSequence, reader: reader, answer: make(chan source.Position, 1)}
 	g.socket.Send(reader, datagram.Message{RevisionQuery: &datagram.RevisionQuery{Sequence: g.revisionSequence}})
 	return g.pendingRevision
 }
@@ -78,7 +78,7 @@
 		return
 	}
 	g.pendingRevision = nil
-	pending.answer <- answer.Revision
+	pending.answer <- source.Position{Era: answer.Era, Revision: answer.Revision}
 }
 
 // readRevisionIfDue reads the revision for other entries unless a read of this entry's own has answered them.
@@ -90,20 +90,21 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, sharedRevisionTimeout)
 		defer cancel()
-		revision, err := g.config.Store.Revision(ctx)
-		g.enqueue(func(time.Time) { g.answerRevisionQueries(read, revision, err) })
+		position, err := g.config.Store.Revision(ctx)
+		g.enqueue(func(time.Time) { g.answerRevisionQueries(read, position, err) })
 	}()
 }
 
 // answerRevisionQueries answers the queries that a read is for. After an error their senders read the store themselves.
-func (g *Gateway) answerRevisionQueries(read, revision uint64, err error) {
+func (g *Gateway) answerRevisionQueries(read uint64, position source.Position, err error) {
 	queries := g.revisionBatch.End(read)
 	if err != nil && len(queries) > 0 {
 		g.log.WithError(err).WithField("queries", len(queries)).Info("shared-revision-unread")
 		return
 	}
 	for _, query := range queries {
-		g.socket.Send(query.from, datagram.Message{RevisionAnswer: &datagram.RevisionAnswer{Sequence: query.sequence, Revision: revision}})
+		answer := &datagram.RevisionAnswer{Sequence: query.sequence, Revision: position.Revision, Era: position.Era}
+		g.socket.Send(query.from, datagram.Message{RevisionAnswer: answer})
 	}
 }
 
@@ -115,7 +116,7 @@
 }
 
 // Revision implements source.Store.
-func (s sharingStore) Revision(ctx context.Context) (uint64, error) {
+func (s sharingStore) Revision(ctx context.Context) (source.Position, error) {
 	g := s.gateway
 	begun := make(chan uint64, 1)
 	g.enqueue(func(time.Time) { begun <- g.revisionBatch.Begin() })
@@ -123,9 +124,9 @@
 	select {
 	case read = <-begun:
 	case <-ctx.Done():
-		return 0, ctx.Err()
+		return source.Position{}, ctx.Err()
 	}
-	revision, err := s.Store.Revision(ctx)
-	g.enqueue(func(time.Time) { g.answerRevisionQueries(read, revision, err) })
-	return revision, err
+	position, err := s.Store.Revision(ctx)
+	g.enqueue(func(time.Time) { g.answerRevisionQueries(read, position, err) })
+	return position, err
 }
--- a/internal/membership/listing.go
+++ b/internal/membership/listing.go
@@ -58,6 +58,8 @@
 	failingSince time.Time
 	// recoveredAt is the end of the last outage.
 	recoveredAt time.Time
+	// restoring is true from a restore of the list until Expire runs after the grace.
+	restoring bool
 	// left has the incarnations that were removed while they were leaving. The list may contain them again after it was
 	// restored from an older copy.
 	left map[incarnation]time.Time
@@ -96,6 +98,12 @@
 	l.failingSince = time.Time{}
 }
 
+// Restored records that the list was restored from an older copy. Servers that are missing in it are kept until they had time
+// to write their records again.
+func (l *Listing) Restored(now time.Time) {
+	l.recoveredAt, l.restoring = now, true
+}
+
 // Replace sets the whole list. It returns whether anything changed.
 func (l *Listing) Replace(now time.Time, backends []ListedBackend) bool {
 	seen := make(map[string]struct{}, len(backends))
@@ -117,6 +125,9 @@
 func (l *Listing) Put(backend ListedBackend) bool {
 	known := l.backends[backend.ID]
 	_, left := l.left[incarnation{backend.ID, backend.Started}]
+	if known != nil && backend.Started < known.backend.Started && backend.Started > 0 && l.restoring {
+		return false // an earlier incarnation, out of the copy
+	}
 	if left || known != nil && known.backend.Started == backend.Started && known.backend.Leaving {
 		backend.Leaving = true
 	}
@@ -172,6 +183,7 @@
 	if l.inGrace(now) {
 		return false
 	}
+	l.restoring = false
 	changed := false
 	for id, known := range l.backends {
 		if known.missing {
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -105,6 +105,8 @@
 	leaderRank ident.Rank
 	group      *groupState
 	storeDown  bool
+	// storeEra is the store's era at the last reading; 0 before the first.
+	storeEra uint64
 	// groupListed is true while all ranks of the group are listed.
 	groupListed atomic.Bool
 	// epochAt is the time at which the group's epoch last changed, in nanoseconds of monotonicTime.
@@ -194,6 +196,14 @@
 func (a *Agent) Replaced(state source.State) {
 	a.post(func(now time.Time) {
 		a.markStoreAvailable(now)
+		if state.Era < a.storeEra {
+			return // a late answer of an earlier era
+		}
+		if a.storeEra > 0 && state.Era > a.storeEra {
+			a.listing.Restored(now)
+			a.log.WithFields(logrus.Fields{"era": state.Era, "earlier_era": a.storeEra}).Warn("store-restored")
+		}
+		a.storeEra = state.Era
 		a.updateTable(state.Table)
 		if a.listing.Replace(now, state.Backends) {
 			a.updateGroup()
--- a/internal/rankagent/agent_test.go
+++ b/internal/rankagent/agent_test.go
@@ -196,7 +196,7 @@
 
 func (s *listStore) List(context.Context) (source.State, error) { return s.state, nil }
 
-func (s *listStore) Watch(ctx context.Context, _ uint64, wait time.Duration) (source.Changes, error) {
+func (s *listStore) Watch(ctx context.Context, _ source.Position, wait time.Duration) (source.Changes, error) {
 	select {
 	case <-time.After(wait):
 		return source.Changes{}, nil
@@ -205,7 +205,9 @@
 	}
 }
 
-func (s *listStore) Revision(context.Context) (uint64, error) { return 1, nil }
+func (s *listStore) Revision(context.Context) (source.Position, error) {
+	return source.Position{Revision: 1}, nil
+}
 
 func rankIP(rank int) string { return fmt.Sprintf("127.0.7.%d", rank+1) }
 
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -18,6 +18,17 @@
 // whole state must be read again.
 var ErrHistoryLost = errors.New("the store has discarded changes after the requested revision")
 
+// Position is a point in the history of the store. After a restore from an older copy the store starts a new era, in which
+// revisions are given out again; revisions of different eras can't be compared.
+type Position struct {
+	Era, Revision uint64
+}
+
+// includes reports whether a state as of p has all changes up to the other position.
+func (p Position) includes(other Position) bool {
+	return p.Era == other.Era && p.Revision >= other.Revision
+}
+
 // State is the whole state that the store holds for a process.
 type State struct {
 	// Table is the configuration in force; nil if the store has none yet or the call does not
@@ -25,10 +36,14 @@
 	Table *routing.Table
 	// Backends is the list of backend servers.
 	Backends []membership.ListedBackend
-	// Revision is the newest revision whose changes the state includes.
+	// Revision is the newest revision whose changes the state includes, Era the era of the store in which it was read.
 	Revision uint64
+	Era      uint64
 }
 
+// Position returns the position of the state.
+func (s *State) Position() Position { return Position{Era: s.Era, Revision: s.Revision} }
+
 // Changes are the changes between two revisions.
 type Changes struct {
 	// Table is the new configuration; nil if it did not change.
@@ -48,11 +63,11 @@
 	ReadStale(ctx context.Context) (State, error)
 	// List returns the backend servers without a table. The list may be a few seconds stale.
 	List(ctx context.Context) (State, error)
-	// Watch returns the changes after a revision as soon as there are any, or empty changes after the wait.
-	// The error is ErrHistoryLost if the store has discarded some of them.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
-	// Revision returns the store's newest revision as of the call.
-	Revision(ctx context.Context) (uint64, error)
+	// Watch returns the changes after a position as soon as there are any, or empty changes after the wait.
+	// The error is ErrHistoryLost if the store has discarded some of them or is in another era.
+	Watch(ctx context.Context, after Position, wait time.Duration) (Changes, error)
+	// Revision returns the store's newest position as of the call.
+	Revision(ctx context.Context) (Position, error)
 }
 
 // Handler receives what a Follower reads from the store. CurrentAsOf may be called concurrently with the other methods,
@@ -63,7 +78,7 @@
 	// Changed receives the changes that a watch returned.
 	Changed(changes Changes)
 	// CurrentAsOf reports that the delivered state includes all changes made before `at`, which is a reading of
-	// Follower.Now.
+	// Follower.Now. After a restore of the store it is not called for RestoreGrace, as acknowledged changes may be missing.
 	CurrentAsOf(at time.Duration)
 	// Failed receives the error of a read or watch. If the call timed out without a response, waited is how long it
 	// took, otherwise 0.
@@ -81,6 +96,9 @@
 	maxWatchLag = 400 * time.Millisecond
 	// checkRetryPause is the pause after a failed read of the revision.
 	checkRetryPause = 250 * time.Millisecond
+	// RestoreGrace is how long those who write to the store may take, after it was restored from an older copy, to write
+	// again what it has lost.
+	RestoreGrace = 2200 * time.Millisecond
 	// minRetryPause and maxRetryPause bound the pause after a failed call, which doubles with each failure.
 	minRetryPause = 50 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
@@ -108,16 +126,21 @@
 	Idle                      func() bool
 	// SharedRevision returns the newest revision according to a read that another process began during the call, with which
 	// it answers several. It may be nil; after an error the store itself is read.
-	SharedRevision func(ctx context.Context) (uint64, error)
+	SharedRevision func(ctx context.Context) (Position, error)
 	// Now reads a clock that keeps running while the machine is suspended.
 	Now func() time.Duration
 
 	wake chan struct{}
 
 	mu sync.Mutex
-	// deliveredRevision is the newest revision passed to the handler; cancelWatch cancels the watch in progress.
-	deliveredRevision uint64
-	cancelWatch       context.CancelFunc
+	// delivered is the newest position passed to the handler; cancelWatch cancels the watch in progress.
+	delivered   Position
+	cancelWatch context.CancelFunc
+	// outdated is true if the store is known to be in a later era than the state delivered, so that it must be read again.
+	outdated bool
+	// restored is true if the era has changed since the first read, restoredAt when the change was seen.
+	restored   bool
+	restoredAt time.Duration
 	// pendingChecks wait for the watch to deliver their revisions.
 	pendingChecks []revisionCheck
 }
@@ -125,7 +148,7 @@
 // revisionCheck is a read of the store's revision that began at the given time.
 type revisionCheck struct {
 	at       time.Duration
-	revision uint64
+	position Position
 }
 
 // Run follows the store until the context ends.
@@ -141,22 +164,51 @@
 			f.handleFailure(ctx, err, f.unansweredFor(err, start), &pause)
 			continue
 		}
+		if !f.enterEra(state.Era) {
+			f.pause(ctx, minRetryPause)
+			continue
+		}
 		pause = minRetryPause
 		f.Handler.Replaced(state)
-		f.recordDelivered(state.Revision)
-		f.Handler.CurrentAsOf(start)
-		f.watch(ctx, state.Revision)
+		f.recordDelivered(state.Position())
+		f.reportCurrent(start)
+		f.watch(ctx, state.Position())
+	}
+}
+
+// enterEra records the era of a state that was read. It returns false for a late answer of an earlier era, which must not be
+// used.
+func (f *Follower) enterEra(era uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if era < f.delivered.Era {
+		return false
+	}
+	if f.delivered != (Position{}) && era > f.delivered.Era {
+		f.restored, f.restoredAt = true, f.Now()
+		f.pendingChecks = nil
+	}
+	return true
+}
+
+// reportCurrent reports that the delivered state is current as of a time, unless the store was restored shortly before.
+func (f *Follower) reportCurrent(at time.Duration) {
+	f.mu.Lock()
+	unproved := f.restored && at-f.restoredAt < RestoreGrace
+	f.mu.Unlock()
+	if !unproved {
+		f.Handler.CurrentAsOf(at)
 	}
 }
 
-// recordDelivered records the revision that the handler now has and reports the pending checks that it completes.
-func (f *Follower) recordDelivered(revision uint64) {
+// recordDelivered records the position that the handler now has and reports the pending checks that it completes.
+func (f *Follower) recordDelivered(position Position) {
 	f.mu.Lock()
-	f.deliveredRevision = revision
+	f.delivered, f.outdated = position, f.outdated && position.Era == f.delivered.Era
 	var complete []revisionCheck
 	pending := f.pendingChecks[:0]
 	for _, check := range f.pendingChecks {
-		if check.revision <= revision {
+		if position.includes(check.position) {
 			complete = append(complete, check)
 			continue
 		}
@@ -165,7 +217,7 @@
 	f.pendingChecks = pending
 	f.mu.Unlock()
 	for _, check := range complete {
-		f.Handler.CurrentAsOf(check.at)
+		f.reportCurrent(check.at)
 	}
 }
 
@@ -226,14 +278,14 @@
 	check := revisionCheck{at: f.Now()}
 	var err error
 	if f.SharedRevision != nil {
-		if check.revision, err = f.SharedRevision(ctx); err == nil {
+		if check.position, err = f.SharedRevision(ctx); err == nil {
 			return check, nil
 		}
 		check.at = f.Now()
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	check.revision, err = f.Store.Revision(ctx)
+	check.position, err = f.Store.Revision(ctx)
 	return check, err
 }
 
@@ -241,14 +293,18 @@
 // watch.
 func (f *Follower) completeCheck(check revisionCheck) bool {
 	f.mu.Lock()
-	complete := check.revision <= f.deliveredRevision && f.deliveredRevision > 0
+	complete := f.delivered != (Position{}) && f.delivered.includes(check.position)
+	if f.delivered != (Position{}) && check.position.Era > f.delivered.Era {
+		// A watch may wait in the new era for changes after a revision of the old one.
+		f.outdated = true
+	}
 	if !complete {
 		f.pendingChecks = append(f.pendingChecks, check)
 		f.pendingChecks = f.pendingChecks[max(len(f.pendingChecks)-maxPendingChecks, 0):]
 	}
 	f.mu.Unlock()
 	if complete {
-		f.Handler.CurrentAsOf(check.at)
+		f.reportCurrent(check.at)
 	}
 	return complete
 }
@@ -297,12 +353,14 @@
 }
 
 // watch delivers changes until the context ends or the store has discarded some of them.
-func (f *Follower) watch(ctx context.Context, revision uint64) {
+func (f *Follower) watch(ctx context.Context, after Position) {
 	pause, batchDelay := minRetryPause, f.BatchDelay
 	for ctx.Err() == nil {
 		start := f.Now()
-		changes, err := f.watchOnce(ctx, revision)
+		changes, err := f.watchOnce(ctx, after)
 		switch {
+		case f.mustReread():
+			return
 		case errors.Is(err, ErrHistoryLost):
 			f.Handler.Failed(err, 0)
 			return
@@ -310,10 +368,10 @@
 			f.handleFailure(ctx, err, f.unansweredFor(err, start), &pause)
 		default:
 			pause = minRetryPause
-			revision = max(revision, changes.Revision)
+			after.Revision = max(after.Revision, changes.Revision)
 			f.Handler.Changed(changes)
-			f.recordDelivered(revision)
-			f.Handler.CurrentAsOf(start)
+			f.recordDelivered(after)
+			f.reportCurrent(start)
 			if f.Now()-start > f.MaxBatchDelay {
 				batchDelay = f.BatchDelay
 			}
@@ -325,6 +383,12 @@
 	}
 }
 
+func (f *Follower) mustReread() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.outdated
+}
+
 func (f *Follower) maxBatchDelay() time.Duration {
 	longest := max(f.MaxBatchDelay, f.BatchDelay)
 	if f.Idle != nil && f.Idle() {
@@ -333,13 +397,13 @@
 	return longest
 }
 
-func (f *Follower) watchOnce(ctx context.Context, revision uint64) (Changes, error) {
+func (f *Follower) watchOnce(ctx context.Context, after Position) (Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+watchGrace)
 	defer cancel()
 	f.mu.Lock()
 	f.cancelWatch = cancel
 	f.mu.Unlock()
-	return f.Store.Watch(ctx, revision, f.Wait)
+	return f.Store.Watch(ctx, after, f.Wait)
 }
 
 // handleFailure reports an error and waits with jitter, so that processes that failed together do not retry together.
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -47,7 +47,7 @@
 
 func (s *scriptedStore) ReadStale(ctx context.Context) (source.State, error) { return s.Read(ctx) }
 
-func (s *scriptedStore) Watch(context.Context, uint64, time.Duration) (source.Changes, error) {
+func (s *scriptedStore) Watch(context.Context, source.Position, time.Duration) (source.Changes, error) {
 	call := s.next()
 	return call.changes, call.err
 }
@@ -75,7 +75,9 @@
 	return source.State{Backends: call.changes.Put}, call.err
 }
 
-func (s *scriptedStore) Revision(context.Context) (uint64, error) { return 0, errors.New("unscripted") }
+func (s *scriptedStore) Revision(context.Context) (source.Position, error) {
+	return source.Position{}, errors.New("unscripted")
+}
 
 func runFollower(calls ...scriptedCall) *recorder {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -120,9 +122,11 @@
 
 func (s *staleWatchStore) List(context.Context) (source.State, error) { return source.State{}, nil }
 
-func (s *staleWatchStore) Revision(context.Context) (uint64, error) { return 9, nil }
+func (s *staleWatchStore) Revision(context.Context) (source.Position, error) {
+	return source.Position{Revision: 9}, nil
+}
 
-func (s *staleWatchStore) Watch(ctx context.Context, _ uint64, _ time.Duration) (source.Changes, error) {
+func (s *staleWatchStore) Watch(ctx context.Context, _ source.Position, _ time.Duration) (source.Changes, error) {
 	s.mu.Lock()
 	s.watches++
 	first := s.watches == 1
@@ -242,21 +246,21 @@
 	revisionReads atomic.Int64
 }
 
-func (s *changingStore) Watch(ctx context.Context, after uint64, wait time.Duration) (source.Changes, error) {
+func (s *changingStore) Watch(ctx context.Context, after source.Position, wait time.Duration) (source.Changes, error) {
 	if !time.Now().Before(s.changesUntil) {
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
 		}
-		return source.Changes{Revision: after}, ctx.Err()
+		return source.Changes{Revision: after.Revision}, ctx.Err()
 	}
 	s.watchCalls.Add(1)
-	return source.Changes{Revision: after, Put: []membership.ListedBackend{{ID: "a"}}}, nil
+	return source.Changes{Revision: after.Revision, Put: []membership.ListedBackend{{ID: "a"}}}, nil
 }
 
-func (s *changingStore) Revision(context.Context) (uint64, error) {
+func (s *changingStore) Revision(context.Context) (source.Position, error) {
 	s.revisionReads.Add(1)
-	return 3, nil
+	return source.Position{Revision: 3}, nil
 }
 
 // While all backend servers start, changes come in quick succession. The pause between watches must grow, so that the
