--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -36,6 +36,8 @@
 	// id is the event's numeric ID; it is valid if numbered is true.
 	id       uint64
 	numbered bool
+	// comment is true for a block without fields, which a server may send to keep the connection open.
+	comment bool
 }
 
 // eventReader splits a stream into its events.
@@ -51,7 +53,7 @@
 // next returns the next complete event, whose bytes are valid until the next call. It returns io.EOF only if the stream
 // ends between events.
 func (r *eventReader) next() (rawEvent, error) {
-	event := rawEvent{}
+	event := rawEvent{comment: true}
 	r.buffer = r.buffer[:0]
 	for {
 		start := len(r.buffer)
@@ -66,6 +68,9 @@
 			event.bytes = r.buffer
 			return event, nil
 		}
+		if line[0] != ':' {
+			event.comment = false
+		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
 			event.id, event.numbered = id, err == nil
@@ -107,7 +112,9 @@
 			conn.reset()
 			return c.handleInterruption(ctx)
 		}
-		watchdog.eventReceived()
+		if !event.comment {
+			watchdog.eventReceived()
+		}
 		if !c.writeEvent(response, event, events.hasBuffered()) {
 			conn.reset()
 			c.result = outcome.InDoubt(outcome.CauseCallerGone, "")
@@ -174,9 +181,10 @@
 		}
 	}
 	c.startStream(response)
-	now := time.Now()
-	c.recordGap(now)
-	c.gateway.recordProgress(c.assigned.Backend.Group, now)
+	if now := time.Now(); !event.comment {
+		c.recordGap(now)
+		c.gateway.recordProgress(c.assigned.Backend.Group, now)
+	}
 	c.extendWriteDeadline()
 	if _, err := c.w.Write(event.bytes); err != nil {
 		return false
