Play leaving and resting replicas and restores of the store in the soak

The soak plays them beside all other faults, in a random stream of its own, so that seeds choose the same other faults as before. Its checks on replicas that left, revoked credentials and configurations hold meanwhile; a new one counts requests to resting replicas.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -36,6 +36,8 @@
 	crashRequestStream = 50
 	// limitStream is the random stream of limits.
 	limitStream = 51
+	// statementStream is the random stream of statements.
+	statementStream = 52
 	// minProcesses is enough for two entries and the agents of one group.
 	minProcesses = 2 + ranksPerGroup
 )
@@ -81,8 +83,10 @@
 	crashRequests *crashRequests
 	// limits lets replicas name limits of requests.
 	limits *limits
-	faults faultLog
-	cancel context.CancelFunc
+	// statements lets replicas say that they leave or want rest, and restores the store from copies.
+	statements *statements
+	faults     faultLog
+	cancel     context.CancelFunc
 
 	entries, agents              []*process
 	storeProxies, replicaProxies []*proxy
@@ -128,6 +132,7 @@
 	s.callers.checkRuns()
 	s.crashRequests.check()
 	s.limits.check()
+	s.statements.check()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fmt.Fprintf(options.Out, "seed %d: %d served, %d refused, %d failed, %d crashes by requests\n",
@@ -208,6 +213,7 @@
 	s.callers = &callers{soak: s, entries: s.entries, ready: map[*process]bool{}}
 	s.crashRequests = newCrashRequests(s)
 	s.limits = &limits{soak: s}
+	s.statements = &statements{soak: s}
 	return nil
 }
 
@@ -285,6 +291,7 @@
 	var injectors sync.WaitGroup
 	if !s.options.CrashRequestsOnly {
 		injectors.Go(func() { s.limits.run(faultCtx, newRandom(limitStream)) })
+		injectors.Go(func() { s.statements.run(faultCtx, newRandom(statementStream)) })
 		for i := range concurrentFaults {
 			injectors.Go(func() { s.injectFaults(faultCtx, newRandom(uint64(i))) })
 		}
--- /dev/null
+++ b/internal/soak/statements.go
@@ -0,0 +1,98 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// A replica turns requests away for minRest to maxRest.
+	minRest = time.Second
+	maxRest = 4 * time.Second
+	// restKnown is the time after the first answer from which a resting replica should get no requests.
+	restKnown = 500 * time.Millisecond
+	// restSlack is the number of requests that each entry may send to a resting replica after restKnown: it may meet the
+	// replica late, with some requests under way, and forgets the rest if it restarts.
+	restSlack = 6
+	// A copy of the store lacks up to maxLostChanges changes. They are written again after up to maxRewriteTime.
+	maxLostChanges = 12
+	maxRewriteTime = 1500 * time.Millisecond
+	// maxStatementPause is the longest pause between two statements.
+	maxStatementPause = time.Second
+)
+
+// statements lets replicas say in their answers that they leave or want rest, restores the store from older copies, and counts
+// how often. The other checks of the soak hold meanwhile: no request to a replica that left, none with a revoked credential, and
+// no configuration that reverts.
+type statements struct {
+	soak *soak
+	// leaves, rests and restores count what was played.
+	leaves, rests, restores int
+}
+
+// run plays one statement or restore after the other until the context ends.
+func (s *statements) run(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		switch random.IntN(3) {
+		case 0:
+			s.leave(random)
+		case 1:
+			s.rest(random)
+		case 2:
+			s.restore(random)
+		}
+		sleep(ctx, time.Duration(random.Int64N(int64(maxStatementPause))))
+	}
+}
+
+func (s *statements) leave(random *rand.Rand) {
+	replica := pickRandom(random, s.soak.deployment.Plain)
+	if !s.soak.reserve(replica) {
+		return
+	}
+	defer s.soak.release(replica)
+	s.leaves++
+	s.soak.log(replica.Name() + " says that it is leaving")
+	replica.SayLeaving(leavingTime)
+	if err := replica.Restart(); err != nil {
+		s.soak.reportViolation("a replica did not restart: " + err.Error())
+	}
+}
+
+// rest lets a replica turn requests away and checks that entries leave it alone.
+func (s *statements) rest(random *rand.Rand) {
+	replica := pickRandom(random, s.soak.replicas())
+	if !s.soak.reserve(replica) {
+		return
+	}
+	defer s.soak.release(replica)
+	s.rests++
+	turnedAway := replica.Rest(minRest + time.Duration(random.Int64N(int64(maxRest-minRest))))
+	late := 0
+	for _, at := range turnedAway {
+		if at.Sub(turnedAway[0]) > restKnown {
+			late++
+		}
+	}
+	s.soak.log(fmt.Sprintf("%s wanted rest: it turned %d requests away, %d of them late", replica.Name(), len(turnedAway), late))
+	if allowed := restSlack * len(s.soak.entries); late > allowed {
+		s.soak.reportViolation(fmt.Sprintf("%s turned %d requests away later than %s after its first answer; allowed %d", replica.Name(), late, restKnown, allowed))
+	}
+}
+
+func (s *statements) restore(random *rand.Rand) {
+	span := s.soak.faults.begin()
+	s.soak.faults.setTarget(span, storeTarget)
+	defer s.soak.faults.end(span)
+	s.restores++
+	changes := 1 + random.IntN(maxLostChanges)
+	s.soak.log(fmt.Sprintf("the store is restored from a copy that lacks %d changes", changes))
+	s.soak.deployment.RestoreStore(changes, time.Duration(random.Int64N(int64(maxRewriteTime))))
+}
+
+// check logs the counts.
+func (s *statements) check() {
+	s.soak.log(fmt.Sprintf("replicas said %d times that they leave and %d times that they want rest; the store was restored %d times", s.leaves, s.rests, s.restores))
+}
