--- a/internal/expert/copyplan_test.go
+++ b/internal/expert/copyplan_test.go
@@ -40,7 +40,7 @@
 func TestCopyPlansStayWithinLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		shape := rapid.SampledFrom([][4]int{{6, 8, 64, 11}, {12, 32, 128, 5}, {2, 4, 8, 2}, {3, 2, 4, 4}}).Draw(t, "shape")
+		shape := rapid.SampledFrom([][4]int{{6, 8, 64, 11}, {12, 32, 128, 5}, {16, 96, 192, 3}, {2, 4, 8, 2}, {3, 2, 4, 4}}).Draw(t, "shape")
 		layers, ranks, experts, slots := shape[0], shape[1], shape[2], shape[3]
 		limits := CopyLimits{Slots: slots, PerRank: rapid.IntRange(0, 6).Draw(t, "per rank"), PerLayer: rapid.IntRange(1, 4).Draw(t, "per layer"), MinGain: rapid.SampledFrom([]float64{0, 0.001, 0.004}).Draw(t, "least gain")}
 		current := startPlacement(layers, ranks, experts)
@@ -154,7 +154,7 @@
 }
 
 func BenchmarkPlanCopies(b *testing.B) {
-	for _, shape := range [][4]int{{6, 8, 64, 11}, {12, 32, 128, 5}} {
+	for _, shape := range [][4]int{{6, 8, 64, 11}, {12, 32, 128, 5}, {16, 96, 192, 3}} {
 		b.Run(fmt.Sprint(shape), func(b *testing.B) {
 			random := rand.New(rand.NewPCG(7, 8))
 			current := startPlacement(shape[0], shape[1], shape[2])
