Play second answers, trickling streams and withdrawn credentials in the soak

Replicas send a share of their answers a second time, late, on the connection of the first; streams stall while a comment comes now and then; a credential is revoked while an entry restarts. The checks are the soak's own: no answer of another request, no stream that is not whole but looks so, no revoked credential served past its bound.

--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -19,29 +19,35 @@
 	// A copy of the store lacks up to maxLostChanges changes. They are written again after up to maxRewriteTime.
 	maxLostChanges = 12
 	maxRewriteTime = 1500 * time.Millisecond
+	// oddAnswerShare is the share of answers that are sent twice, or of streams that stall with comments.
+	oddAnswerShare = 0.1
 	// maxStatementPause is the longest pause between two statements.
 	maxStatementPause = time.Second
 )
 
-// statements lets replicas say in their answers that they leave or want rest, restores the store from older copies, and counts
-// how often. The other checks of the soak hold meanwhile: no request to a replica that left, none with a revoked credential, and
+// statements lets replicas say in their answers that they leave or want rest and send odd answers, restores the store from older
+// copies, revokes credentials while entries restart, and counts how often. The other checks of the soak hold meanwhile: no request to a replica that left, none with a revoked credential, and
 // no configuration that reverts.
 type statements struct {
 	soak *soak
-	// leaves, rests and restores count what was played.
-	leaves, rests, restores int
+	// The counts are those of what was played.
+	leaves, rests, restores, oddAnswers, withdrawals int
 }
 
 // run plays one statement or restore after the other until the context ends.
 func (s *statements) run(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
-		switch random.IntN(3) {
+		switch random.IntN(5) {
 		case 0:
 			s.leave(random)
 		case 1:
 			s.rest(random)
 		case 2:
 			s.restore(random)
+		case 3:
+			s.oddAnswer(ctx, random)
+		case 4:
+			s.withdraw(random)
 		}
 		sleep(ctx, time.Duration(random.Int64N(int64(maxStatementPause))))
 	}
@@ -92,7 +98,47 @@
 	s.soak.deployment.RestoreStore(changes, time.Duration(random.Int64N(int64(maxRewriteTime))))
 }
 
+// oddAnswer lets a replica send answers twice, or stall streams with a comment now and then. No caller may get an answer of another
+// request, and each stream must be whole or end as not whole.
+func (s *statements) oddAnswer(ctx context.Context, random *rand.Rand) {
+	replica := pickRandom(random, s.soak.replicas())
+	span := s.soak.faults.begin()
+	s.soak.faults.setTarget(span, replica.Name())
+	defer s.soak.faults.end(span)
+	s.oddAnswers++
+	s.soak.log(replica.Name() + " sends answers twice and stalls streams with comments")
+	replica.SetSecondAnswerShare(oddAnswerShare)
+	replica.SetTrickleShare(oddAnswerShare)
+	sleep(ctx, faultDuration(random))
+	replica.SetSecondAnswerShare(0)
+	replica.SetTrickleShare(0)
+}
+
+// withdraw revokes a credential while an entry restarts.
+func (s *statements) withdraw(random *rand.Rand) {
+	entry := pickRandom(random, s.soak.entries)
+	if !entry.faultLock.TryLock() {
+		return
+	}
+	defer entry.faultLock.Unlock()
+	span := s.soak.faults.begin()
+	s.soak.faults.setTarget(span, entry.settings.Name)
+	defer s.soak.faults.end(span)
+	s.withdrawals++
+	s.soak.log("a credential is revoked while " + entry.settings.Name + " restarts")
+	revoked := make(chan struct{})
+	time.AfterFunc(time.Duration(random.Int64N(int64(2*maxRestartPause))), func() {
+		s.soak.deployment.RotateCredential()
+		close(revoked)
+	})
+	if err := entry.killAndRestart(time.Duration(random.Int64N(int64(maxRestartPause)))); err != nil {
+		s.soak.reportViolation("an entry did not restart: " + err.Error())
+	}
+	<-revoked
+}
+
 // check logs the counts.
 func (s *statements) check() {
-	s.soak.log(fmt.Sprintf("replicas said %d times that they leave and %d times that they want rest; the store was restored %d times", s.leaves, s.rests, s.restores))
+	s.soak.log(fmt.Sprintf("replicas said %d times that they leave and %d times that they want rest; the store was restored %d times, answers were odd %d times, and "+
+		"a credential was revoked %d times while an entry restarted", s.leaves, s.rests, s.restores, s.oddAnswers, s.withdrawals))
 }
