Share reads of the revision only where the bound on revoked credentials allows it

A check through another entry takes up to 0.8 s more than a read of one's own; with a short bound it expires before the next one.

Change: reads are shared only if a check is valid for 4 s and more, twice the interval with the longest wait (bounds of 4.5 s; the users' deployments have 5 s, where nothing changes).

--- a/internal/expert/placement_codec.go
+++ b/internal/expert/placement_codec.go
@@ -9,7 +9,8 @@
 
 // MarshalBinary encodes the placement as unsigned varints: the number of layers, the number of ranks, and for each rank
 // of each layer the number of experts and the experts. The encoding is compact because the leader sends the placement to
-// up to 31 ranks, and the network link of its VM may be slow but must carry these orders within a few passes. It returns an error if the layers have different numbers of ranks.
+// up to 31 ranks, and the network link of its VM may be slow but must carry these orders within a few passes. It returns an
+// error if the layers have different numbers of ranks.
 func (p LayerPlacements) MarshalBinary() ([]byte, error) {
 	if len(p) == 0 {
 		return nil, nil
--- a/internal/gateway/crash_requests_test.go
+++ b/internal/gateway/crash_requests_test.go
@@ -194,7 +194,7 @@
 
 // startEntries starts gateways that share a store. Each has a loopback address of its own, and the first two are the
 // seeds.
-func startEntries(t *testing.T, store *testStore, network, count int) (entries []*testGateway, start func(i int) *testGateway) {
+func startEntries(t *testing.T, store *testStore, network, count int, changes ...func(*settings.Direct)) (entries []*testGateway, start func(i int) *testGateway) {
 	c := qt.New(t)
 	address := func(i int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, byte(network), byte(i + 1)}) }
 	port, err := net.ListenUDP("udp4", &net.UDPAddr{IP: address(0).AsSlice()})
@@ -204,6 +204,9 @@
 	start = func(i int) *testGateway {
 		return startTestGateway(t, store, func(direct *settings.Direct) {
 			direct.IP, direct.PeerPort, direct.Seeds = address(i).String(), peerPort, []netip.Addr{address(0), address(1)}
+			for _, change := range changes {
+				change(direct)
+			}
 		})
 	}
 	for i := range count {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,9 @@
 	// the store must keep serving for three fifths of the bound on revoked credentials (3 of 5 s). A check is valid for
 	// 4.5 s, so the last one must be at most 1.5 s old when the store is lost.
 	revisionCheckInterval = 1200 * time.Millisecond
+	// minSharedValidity is the shortest time for which a check may be valid if another entry reads the revision: two intervals
+	// with the longest wait for its answer.
+	minSharedValidity = 2 * (revisionCheckInterval + sharedRevisionTimeout)
 	// storeBatchDelay is the pause after changes of the store, which grows to maxStoreBatchDelay while changes keep
 	// coming. Both are short because a configuration must be in force within 2 s.
 	storeBatchDelay    = 100 * time.Millisecond
@@ -171,7 +174,9 @@
 	g.prober, g.survivors, g.survivingTraits = newProber(), newSurvivorTable(), newSurvivorTable()
 	g.startedAt = bootTime()
 	g.follower = source.NewFollower(sharingStore{Store: config.Store, gateway: g}, g, bootTime)
-	g.follower.SharedRevision = g.sharedRevision
+	if bounds.Revocation-revocationMargin >= minSharedValidity {
+		g.follower.SharedRevision = g.sharedRevision
+	}
 	g.loop = node.NewLoop(tickInterval, func(now time.Time, event func(time.Time)) { event(now) }, g.tick)
 	return g
 }
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -72,6 +72,8 @@
 	state   source.State
 	down    bool
 	changed chan struct{}
+	// revisionReads counts the reads of the revision.
+	revisionReads int
 }
 
 func (s *testStore) Read(context.Context) (source.State, error) {
@@ -114,6 +116,7 @@
 func (s *testStore) Revision(context.Context) (source.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.revisionReads++
 	if s.down {
 		return source.Position{}, io.ErrUnexpectedEOF
 	}
