Keep the newer limit when older news says that a server is leaving

Found by reading: news that a server is leaving, older than its last statement, replaced that statement's limit. It has had no effect, since a leaving server gets no requests.

--- a/internal/control/server_limits.go
+++ b/internal/control/server_limits.go
@@ -92,7 +92,8 @@
 	return ended
 }
 
-// withinLimits returns the candidates that may get a request now, by their limits and rests. If there is none, it returns the time until the first may.
+// withinLimits returns the candidates that may get a request now, by their limits and rests. If there is none, it returns the
+// time until the first may.
 func (d *Dispatcher) withinLimits(now time.Time, candidates []*routing.Server) ([]*routing.Server, time.Duration) {
 	if len(d.limits)+len(d.resting) == 0 {
 		return candidates, 0
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -38,15 +38,20 @@
 	return &statementTable{statements: map[attempt.ServerInstance]timedStatement{}}
 }
 
-// record records a statement unless a newer one is known, and reports whether it differs from the one known before.
+// record records a statement and reports whether what is known of the server has changed. Of an older statement than the one
+// known, only that the server is leaving counts.
 func (t *statementTable) record(server attempt.ServerInstance, statement membership.Statement, at time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	last, known := t.statements[server]
-	if known && !at.After(last.at) && (last.statement.Leaving || !statement.Leaving) || !known && statement == (membership.Statement{}) {
+	leaving := statement.Leaving || last.statement.Leaving
+	if known && !at.After(last.at) {
+		statement, at = last.statement, last.at
+	}
+	statement.Leaving = leaving
+	if !known && statement == (membership.Statement{}) {
 		return false
 	}
-	statement.Leaving = statement.Leaving || last.statement.Leaving
 	t.statements[server] = timedStatement{statement: statement, at: at}
 	return last.statement != statement
 }
