Let restored copies lack old revocations while an entry restarts, in the soak

Half of the copies now lack a revocation that is longer ago than the bound, and an entry restarts while the store holds them.

--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"github.com/bramleyspool/bramleyspool/platform/standin"
 )
 
 const (
@@ -21,6 +23,8 @@
 	maxRewriteTime = 1500 * time.Millisecond
 	// oddAnswerShare is the share of answers that are sent twice, or of streams that stall with comments.
 	oddAnswerShare = 0.1
+	// restoreMargin is the time beyond the bound after which a copy lacks a revocation.
+	restoreMargin = 300 * time.Millisecond
 	// maxStatementPause is the longest pause between two statements.
 	maxStatementPause = time.Second
 )
@@ -43,7 +47,7 @@
 		case 1:
 			s.rest(random)
 		case 2:
-			s.restore(random)
+			s.restore(ctx, random)
 		case 3:
 			s.oddAnswer(ctx, random)
 		case 4:
@@ -88,14 +92,46 @@
 	}
 }
 
-func (s *statements) restore(random *rand.Rand) {
+// restore restores the store. Half of the copies lack a revocation that is longer ago than the bound, and an entry restarts while
+// the store holds them.
+func (s *statements) restore(ctx context.Context, random *rand.Rand) {
+	changes := 1 + random.IntN(maxLostChanges)
+	restarts := random.IntN(2) == 0
+	if restarts {
+		before := s.soak.deployment.Store.Changes()
+		s.soak.deployment.RotateCredential()
+		sleep(ctx, standin.RevocationBound+restoreMargin)
+		changes = s.soak.deployment.Store.Changes() - before
+	}
 	span := s.soak.faults.begin()
 	s.soak.faults.setTarget(span, storeTarget)
 	defer s.soak.faults.end(span)
 	s.restores++
-	changes := 1 + random.IntN(maxLostChanges)
 	s.soak.log(fmt.Sprintf("the store is restored from a copy that lacks %d changes", changes))
+	restarted := make(chan struct{})
+	go func() {
+		defer close(restarted)
+		if restarts {
+			s.restart(random.Uint64())
+		}
+	}()
 	s.soak.deployment.RestoreStore(changes, time.Duration(random.Int64N(int64(maxRewriteTime))))
+	<-restarted
+}
+
+// restart kills an entry and starts it again, unless another fault affects it.
+func (s *statements) restart(choice uint64) {
+	entry := s.soak.entries[choice%uint64(len(s.soak.entries))]
+	if !entry.faultLock.TryLock() {
+		return
+	}
+	defer entry.faultLock.Unlock()
+	span := s.soak.faults.begin()
+	s.soak.faults.setTarget(span, entry.settings.Name)
+	defer s.soak.faults.end(span)
+	if err := entry.killAndRestart(0); err != nil {
+		s.soak.reportViolation("an entry did not restart: " + err.Error())
+	}
 }
 
 // oddAnswer lets a replica send answers twice, or stall streams with a comment now and then. No caller may get an answer of another
