Log what assessments of crash suspects decide

The register now returns its findings (ends, events, evidence, margin, decision), and the gateway logs each as crash-suspect, also quarantines that begin, are reported by another entry, or are lifted. No decision changes.

--- a/internal/attempt/crash_decision.go
+++ b/internal/attempt/crash_decision.go
@@ -36,8 +36,11 @@
 	slices.SortFunc(all, func(a, b *suspectCase) int { return cmp.Compare(b.strength, a.strength) })
 	all = all[:min(len(all), maxCases)]
 	for _, suspect := range all {
-		if len(suspect.events) >= r.config.MinEnds && suspect.strength >= r.config.EvidenceLimit {
+		switch {
+		case len(suspect.events) >= r.config.MinEnds && suspect.strength >= r.config.EvidenceLimit:
 			strong = append(strong, suspect)
+		case len(suspect.ends) >= r.config.MinEnds:
+			r.addFinding(suspect.finding(CrashEvidenceShort, 0))
 		}
 	}
 	for _, suspect := range strong {
@@ -65,7 +68,7 @@
 		margin = totalNats(unexplained)
 	}
 	if margin >= r.config.Margin {
-		r.quarantineAll(now, []Fingerprint{suspect.trait})
+		r.quarantineAll(now, suspect, []Fingerprint{suspect.trait}, margin)
 		return
 	}
 	if now.Before(decidable) {
@@ -78,8 +81,10 @@
 		}
 	}
 	if len(members) > 1 && len(members) <= maxCombined {
-		r.quarantineAll(now, members)
+		r.quarantineAll(now, suspect, members, margin)
+		return
 	}
+	r.addFinding(suspect.finding(CrashNotDistinguished, margin))
 }
 
 // unexplainedBy returns by how many nats the trait explains each of its events better than the best of the others.
@@ -133,9 +138,12 @@
 	return margin
 }
 
-// quarantineAll refuses requests that have all given traits, and plans to report it.
-func (r *CrashRegister) quarantineAll(now time.Time, traits []Fingerprint) {
+// quarantineAll refuses requests that have all given traits, the suspect's among them, and plans to report it.
+func (r *CrashRegister) quarantineAll(now time.Time, suspect *suspectCase, traits []Fingerprint, margin float64) {
 	if key, added := r.quarantine.AddAll(traits, now.Add(r.config.QuarantineFor)); added {
 		r.changedQuarantine[key] = reportsPerChange
+		finding := suspect.finding(CrashQuarantined, margin)
+		finding.Trait = key
+		r.addFinding(finding)
 	}
 }
--- a/internal/attempt/crash_register.go
+++ b/internal/attempt/crash_register.go
@@ -101,6 +101,9 @@
 	expiredAt         time.Time
 	// dropped is the number of broken sends and runs that a limit kept from being recorded.
 	dropped int
+	// findings are the results of assessments that wait for TakeFindings, lastFindings the last of each trait.
+	findings     []CrashFinding
+	lastFindings map[Fingerprint]CrashFinding
 }
 
 // pendingSends are the broken sends to a server that may have ended.
@@ -146,7 +149,7 @@
 		config: config, pending: map[ServerInstance]*pendingSends{}, ends: map[ServerInstance]*serverEnd{},
 		suspects: map[Fingerprint][]ServerInstance{}, quarantine: NewQuarantine(),
 		servers: map[ident.Service]int{}, cleared: map[Fingerprint]int{}, changedEnds: map[ServerInstance]int{},
-		changedQuarantine: map[Fingerprint]int{},
+		changedQuarantine: map[Fingerprint]int{}, lastFindings: map[Fingerprint]CrashFinding{},
 	}
 }
 
@@ -404,8 +407,8 @@
 // liftQuarantine lets requests with a trait run again if another entry has reported that a server survived it: the entry
 // that quarantined it lacked evidence against another trait.
 func (r *CrashRegister) liftQuarantine(trait Fingerprint) {
-	if r.isCleared(trait) {
-		r.quarantine.RemoveAllWith(trait)
+	if r.isCleared(trait) && r.quarantine.RemoveAllWith(trait) {
+		r.addFinding(CrashFinding{Trait: trait, Decision: CrashLifted})
 	}
 }
 
@@ -430,6 +433,7 @@
 	}
 	r.expiredAt = now
 	r.quarantine.Expire(now)
+	r.expireFindings(now)
 	for server, end := range r.ends {
 		age := now.Sub(end.at)
 		if age > r.config.SuspectFor || len(end.runs) == 0 && age > 2*r.config.ObserveFor {
--- a/internal/attempt/crash_register_test.go
+++ b/internal/attempt/crash_register_test.go
@@ -17,8 +17,13 @@
 
 // crash records an end of a server during one run of a request.
 func crash(register *attempt.CrashRegister, now time.Time, server string, fingerprint attempt.Fingerprint) {
+	endRun(register, now, server, fingerprint, crashRunTime)
+}
+
+// endRun records an end of a server that cut off one run of a request after the given time.
+func endRun(register *attempt.CrashRegister, now time.Time, server string, fingerprint attempt.Fingerprint, duration time.Duration) {
 	instance := attempt.ServerInstance{ID: server}
-	register.RecordBroken(now, instance, attempt.BrokenSend{Suspected: []attempt.Fingerprint{fingerprint}, StartedAt: now.Add(-crashRunTime)})
+	register.RecordBroken(now, instance, attempt.BrokenSend{Suspected: []attempt.Fingerprint{fingerprint}, StartedAt: now.Add(-duration)})
 	register.RecordEnd(now, instance, "service")
 }
 
--- a/internal/attempt/crash_reports.go
+++ b/internal/attempt/crash_reports.go
@@ -190,6 +190,7 @@
 	}
 	if key, added := r.quarantine.AddAll(members, now.Add(left)); added {
 		r.changedQuarantine[key] = reportsPerChange
+		r.addFinding(CrashFinding{Trait: key, Decision: CrashReported})
 	}
 }
 
--- a/internal/attempt/quarantine.go
+++ b/internal/attempt/quarantine.go
@@ -97,14 +97,17 @@
 	}
 }
 
-// RemoveAllWith lets requests with the fingerprint run again, also those that a combination with it refuses.
-func (q *Quarantine) RemoveAllWith(fingerprint Fingerprint) {
+// RemoveAllWith lets requests with the fingerprint run again, also those that a combination with it refuses. It returns
+// true if there were any.
+func (q *Quarantine) RemoveAllWith(fingerprint Fingerprint) bool {
+	before := len(q.until)
 	q.Remove(fingerprint)
 	for key, members := range q.combined {
 		if slices.Contains(members, fingerprint) {
 			q.Remove(key)
 		}
 	}
+	return len(q.until) < before
 }
 
 // Left returns the time until the fingerprint may run again; 0 if it may run now.
--- a/internal/gateway/crash_requests.go
+++ b/internal/gateway/crash_requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -187,11 +188,24 @@
 	}
 }
 
+// logFindings logs what the register has decided about suspects.
+func (g *Gateway) logFindings(findings []attempt.CrashFinding) {
+	for i := range findings {
+		finding := &findings[i]
+		g.log.WithFields(logrus.Fields{
+			"fingerprint": finding.Trait, "decision": finding.Decision, "ends": finding.Ends, "events": finding.Events,
+			"nats": math.Round(10*finding.Nats) / 10, "margin_nats": math.Round(10*finding.Margin) / 10,
+			"longest_ms": finding.Longest.Milliseconds(),
+		}).Info("crash-suspect")
+	}
+}
+
 // crashRegisterChanged publishes the state of the register to calls, metrics and other entries. It runs on the control
 // thread.
 func (g *Gateway) crashRegisterChanged() {
 	register := g.dispatcher.Crashes()
 	g.crashesKnown.Store(!register.Empty())
+	g.logFindings(register.TakeFindings())
 	g.metrics.setCrashRequests(register.Counts())
 	g.planCrashNews()
 }
