--- a/internal/attempt/crash_world_test.go
+++ b/internal/attempt/crash_world_test.go
@@ -39,6 +39,8 @@
 	entries []*crashEntry
 	servers []*crashServer
 	callers []*crashCaller
+	// serverDown is how long a server that has ended is down.
+	serverDown time.Duration
 	// lossPercent is the share of lost messages between entries.
 	lossPercent int
 	messages    []crashMessage
@@ -46,8 +48,10 @@
 	unlisted []unlistedServer
 	// ends has the times at which each crash request, or the requests with a crash part, ended a server.
 	ends map[attempt.Fingerprint][]time.Time
-	// requests is the number of requests that have a fingerprint of their own.
-	requests uint64
+	// lateRequests has the numbers of the crash requests that were sent later than crashStable after the last tolerated end.
+	lateRequests map[attempt.Fingerprint]map[uint64]bool
+	// requests is the number of requests that have a fingerprint of their own, sentRequests of all that reached a server.
+	requests, sentRequests uint64
 }
 
 // unlistedServer is a server that entries see removed from the list at the given time.
@@ -93,11 +97,17 @@
 	pause     time.Duration
 	// jitterPercent is by how much pauses and run times vary.
 	jitterPercent int
-	nextAt        time.Time
-	busy          bool
-	refused       int
-	refusedBy     attempt.Fingerprint
-	refusedAt     time.Time
+	// sends is the number of servers to which a request is sent if each ends; 0 means one. sent counts those of the current
+	// request, which has the given number.
+	sends, sent int
+	number      uint64
+	nextAt      time.Time
+	busy        bool
+	// entry is the one that sends the request again; nil if the caller sends another one.
+	entry     *crashEntry
+	refused   int
+	refusedBy attempt.Fingerprint
+	refusedAt time.Time
 }
 
 type crashMessage struct {
@@ -113,7 +123,12 @@
 
 // send lets a caller send its request to a random entry, which sends it to a server if it may.
 func (w *crashWorld) send(caller *crashCaller) {
-	entry := w.entries[w.draw("entry", 0, len(w.entries)-1)]
+	entry := caller.entry
+	if entry == nil {
+		entry = w.entries[w.draw("entry", 0, len(w.entries)-1)]
+		caller.sent = 0
+	}
+	caller.entry = nil
 	caller.nextAt = w.now.Add(w.jittered(caller.pause, caller.jitterPercent))
 	traits := append([]attempt.Fingerprint{caller.fingerprint}, caller.parts...)
 	if caller.different {
@@ -134,12 +149,30 @@
 	if server == nil {
 		return
 	}
+	w.countSend(caller)
 	caller.busy = true
 	server.sends = append(server.sends, &crashSend{
 		caller: caller, entry: entry, traits: traits, runTime: w.jittered(caller.runTime, caller.jitterPercent), started: w.now, suspect: status == attempt.RequestSuspect,
 	})
 }
 
+// countSend counts a send of the caller's request, and whether it is late if it crashes servers.
+func (w *crashWorld) countSend(caller *crashCaller) {
+	if caller.sent == 0 {
+		w.sentRequests++
+		caller.number = w.sentRequests
+	}
+	caller.sent++
+	ends, tolerated := w.ends[caller.cause()], caller.tolerated()
+	if !caller.crashes || len(ends) < tolerated || w.now.Sub(ends[tolerated-1]) <= crashStable {
+		return
+	}
+	if w.lateRequests[caller.cause()] == nil {
+		w.lateRequests[caller.cause()] = map[uint64]bool{}
+	}
+	w.lateRequests[caller.cause()][caller.number] = true
+}
+
 // jittered varies a duration by up to the given percentage.
 func (w *crashWorld) jittered(duration time.Duration, percent int) time.Duration {
 	if percent == 0 {
@@ -214,6 +247,7 @@
 func (w *crashWorld) end(server *crashServer) {
 	for _, send := range server.sends {
 		send.caller.busy = false
+		w.planRepeat(send)
 		broken := attempt.BrokenSend{StartedAt: send.started}
 		for i, trait := range send.traits {
 			switch {
@@ -230,10 +264,26 @@
 	}
 	w.unlisted = append(w.unlisted, unlistedServer{server.instance, w.now.Add(crashListDelay)})
 	server.sends = nil
-	server.downUntil = w.now.Add(crashServerDown)
+	server.downUntil = w.now.Add(w.serverDown)
 	server.instance.Started++
 }
 
+// planRepeat lets the entry send a request that was cut off to another server, if it may.
+func (w *crashWorld) planRepeat(send *crashSend) {
+	caller := send.caller
+	if caller.sent < caller.sends {
+		caller.nextAt, caller.entry = w.now.Add(crashWorldStep), send.entry
+	}
+}
+
+// tolerated returns after how many ends the caller's requests must be refused in time.
+func (c *crashCaller) tolerated() int {
+	if c.cause().IsPart() {
+		return toleratedPartEnds
+	}
+	return toleratedEnds
+}
+
 // cause returns the fingerprint under which the servers that the caller's requests ended are counted.
 func (c *crashCaller) cause() attempt.Fingerprint {
 	if c.crashPart != (attempt.Fingerprint{}) {
@@ -355,7 +405,10 @@
 
 // newCrashWorld draws a deployment with callers of sound requests. Several callers share one request.
 func newCrashWorld(t *rapid.T, service crashService) *crashWorld {
-	w := &crashWorld{t: t, now: start, ends: map[attempt.Fingerprint][]time.Time{}}
+	w := &crashWorld{
+		t: t, now: start, serverDown: crashServerDown, ends: map[attempt.Fingerprint][]time.Time{},
+		lateRequests: map[attempt.Fingerprint]map[uint64]bool{},
+	}
 	w.lossPercent = w.draw("loss", 0, 20)
 	for range w.draw("entries", 1, 8) {
 		w.entries = append(w.entries, &crashEntry{
--- a/internal/gateway/crash_requests_test.go
+++ b/internal/gateway/crash_requests_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -29,7 +30,7 @@
 	stableWindow         = 3 * time.Second
 )
 
-// crashDowntime is the time after which a crashed server runs again.
+// crashDowntime is the time after which a crashed server runs again, unless a test sets another.
 const crashDowntime = 300 * time.Millisecond
 
 // crashingServers are backend servers that end when they begin to answer a request whose body contains "crash", or a
@@ -38,17 +39,22 @@
 	t     *testing.T
 	store *testStore
 
+	// downtime is the time after which a crashed server runs again, runTime how long it works on a request before it crashes.
+	downtime, runTime time.Duration
+
 	mu sync.Mutex
 	// unframed lets responses end with their connection, also those that a crash cuts off.
 	unframed bool
 	// crashes has the times of all crashes, runs the identifiers of all requests that were run.
 	crashes []time.Time
 	runs    map[string]int
+	// crashRunAt has the times of the runs of crash requests, by identifier the first one.
+	crashRunAt map[string]time.Time
 }
 
 // newCrashingServers starts servers of both test services and lists them in the store.
 func newCrashingServers(t *testing.T, store *testStore, count int) *crashingServers {
-	s := &crashingServers{t: t, store: store, runs: map[string]int{}}
+	s := &crashingServers{t: t, store: store, downtime: crashDowntime, runs: map[string]int{}, crashRunAt: map[string]time.Time{}}
 	for i := range count {
 		s.start(fmt.Sprintf("server-%d", i), net.JoinHostPort(nextLoopback(), "0"), 0)
 	}
@@ -68,7 +74,7 @@
 		s.crashes = append(s.crashes, time.Now())
 		s.mu.Unlock()
 		_ = server.Close()
-		time.AfterFunc(crashDowntime, func() { s.start(name, listener.Addr().String(), incarnation+1) })
+		time.AfterFunc(s.downtime, func() { s.start(name, listener.Addr().String(), incarnation+1) })
 	})
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, crashed) })
 	s.t.Cleanup(func() { _ = server.Close() })
@@ -98,6 +104,14 @@
 	body := make([]byte, 64)
 	n, _ := r.Body.Read(body)
 	crashes := strings.Contains(string(body[:n]), "crash") || strings.Contains(r.Header.Get("X-Parts"), "bad")
+	if crashes {
+		s.mu.Lock()
+		if _, known := s.crashRunAt[id]; !known {
+			s.crashRunAt[id] = time.Now()
+		}
+		s.mu.Unlock()
+		time.Sleep(s.runTime)
+	}
 	w.Header().Set("X-Request", id)
 	w.Header().Set("X-Signature", "s")
 	if s.unframed {
@@ -156,6 +170,24 @@
 	return late
 }
 
+// lateRequests returns the number of crash requests that were first run later than stableWindow after the last tolerated
+// crash.
+func (s *crashingServers) lateRequests(tolerated int) int {
+	crashes := s.times()
+	if len(crashes) < tolerated {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late := 0
+	for _, at := range s.crashRunAt {
+		if at.Sub(crashes[tolerated-1]) > stableWindow {
+			late++
+		}
+	}
+	return late
+}
+
 // ran reports whether a server ran the request with the identifier.
 func (s *crashingServers) ran(id string) bool {
 	s.mu.Lock()
@@ -260,3 +292,36 @@
 		})
 	}
 }
+
+// A crash request ends the three servers of a service one after the other. They return together after the stable window,
+// when several callers repeat it at several entries at once. If each entry sends a suspect without regard to the others,
+// more requests than tolerated run before the first end is known.
+func TestCrashRequestRunsOnceWhenAllServersReturn(t *testing.T) {
+	t.Parallel()
+	const repeaters = 16
+	store := newTestStore()
+	servers := newCrashingServers(t, store, 3)
+	servers.downtime, servers.runTime = stableWindow+300*time.Millisecond, 100*time.Millisecond
+	entries, _ := startEntries(t, store, 23, 6)
+	end := time.Now().Add(2*servers.downtime + time.Second)
+	var repeating sync.WaitGroup
+	for i := range repeaters {
+		repeating.Go(func() {
+			random := rand.New(rand.NewPCG(27, uint64(i)))
+			time.Sleep(time.Duration(random.IntN(600)) * time.Millisecond)
+			for n := 0; time.Now().Before(end); n++ {
+				id := fmt.Sprintf("crash-%d-%d", i, n)
+				got := entries[random.IntN(len(entries))].request(context.Background(), http.MethodPost, "/lookup/x", "crash", "X-Request", id)
+				if got.status == http.StatusServiceUnavailable {
+					qt.Check(t, servers.ran(id), qt.IsFalse, qt.Commentf("a request that was refused as not run has run"))
+				}
+				time.Sleep(time.Duration(400+random.IntN(400)) * time.Millisecond)
+			}
+		})
+	}
+	repeating.Wait()
+	late := servers.lateRequests(toleratedCrashes)
+	t.Logf("%d crashes, %d late requests", len(servers.times()), late)
+	qt.Check(t, late <= maxLateRuns, qt.IsTrue, qt.Commentf("%d late requests", late))
+	entries[0].awaitService()
+}
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -313,6 +313,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	log.AddHook(findingsHook{t})
 	metrics := node.NewMetrics("entry")
 	t.Cleanup(metrics.Close)
 	direct := settings.Direct{
@@ -333,6 +334,18 @@
 	return g
 }
 
+// findingsHook passes the findings about crash suspects on to the test's log.
+type findingsHook struct{ t *testing.T }
+
+func (findingsHook) Levels() []logrus.Level { return []logrus.Level{logrus.InfoLevel} }
+
+func (h findingsHook) Fire(entry *logrus.Entry) error {
+	if entry.Message == "crash-suspect" && h.t.Context().Err() == nil {
+		h.t.Log(entry.Message, entry.Data)
+	}
+	return nil
+}
+
 var loopbackCounter atomic.Uint32
 
 // nextLoopback returns a loopback address that no other test uses. A port that is free there cannot be taken by the
