Run requests that have ended several servers one at a time

Cause: a suspect is sent by each entry without regard to the others, and an end counts only 0.15 s later. Where three ends are not enough for a quarantine (three servers, runs of 70 to 110 ms, or runs that overlap), the number of further ends depends on how many repeats arrive in that time, not on the evidence. That less evidence is no answer is shown by TestRequestsBesideServersThatEndOneAfterTheOtherAreNotRefused: sound lookups are refused already.

Now a request with three ends that no server has survived runs only with a permit. The entry with the highest rendezvous score for the service gives one at a time, and after a run that was cut off the next one 0.3 s later, when its end is known to all. Other requests of the kind ask again until their target time and are then refused as not run (on-trial). Two deputies are asked if the owner is silent, and then the entry decides by itself. Parts of prompts need no permit, since sound requests share them.

Permits are given by service and not by request, so that the trial run of a crash request does not cut off that of a sound one beside it; this was reasoned, not measured.

The simulation now sends news to different entries, as the gateway does; it sent half of it to the sender where there are two. - TestTrialRunsOfAServiceExcludeEachOther fails with each of three protections taken out.

--- a/internal/attempt/caller.go
+++ b/internal/attempt/caller.go
@@ -257,7 +257,7 @@
 	vms := backendVMs(*published)
 	used := map[ident.Group]bool{}
 	var hosts []ident.VM
-	for _, vm := range topRanked(string(service)+hashSeparator+"suspects", vms, len(vms)) {
+	for _, vm := range topRanked(string(service)+hashSeparator+"suspects", vms, func(vm ident.VM) string { return string(vm) }, len(vms)) {
 		if group := groups[vm]; group != "" {
 			if used[group] {
 				continue
--- a/internal/attempt/crash_few_servers_test.go
+++ b/internal/attempt/crash_few_servers_test.go
@@ -35,6 +35,7 @@
 func TestCrashRequestIsRefusedWhenAllServersOfASmallServiceReturn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newCrashWorld(t, smallCrashService)
+		w.distinctTargets = true
 		w.serverDown = time.Duration(w.draw("down", 3100, 3800)) * time.Millisecond
 		crash := crashCaller{
 			fingerprint: attempt.Fingerprint{2}, crashes: true, jitterPercent: 30,
--- a/internal/attempt/crash_world_test.go
+++ b/internal/attempt/crash_world_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,6 +23,12 @@
 	crashStable      = 3 * time.Second
 	crashListDelay   = 3600 * time.Millisecond
 	survivedFor      = 10 * time.Second
+	// Times and limits of trial runs, as in package gateway.
+	crashTrialSettleTime = 300 * time.Millisecond
+	crashTrialInterval   = 25 * time.Millisecond
+	crashTrialWait       = 200 * time.Millisecond
+	crashTrialRetry      = 750 * time.Millisecond
+	crashTrialOwners     = 3
 )
 
 // The platform's bounds: at most toleratedLateRuns runs later than crashStable after the third end by one request, or
@@ -43,7 +50,9 @@
 	serverDown time.Duration
 	// lossPercent is the share of lost messages between entries.
 	lossPercent int
-	messages    []crashMessage
+	// distinctTargets is true if news goes to different entries and never to its sender.
+	distinctTargets bool
+	messages        []crashMessage
 	// unlisted has the servers that are removed from the list.
 	unlisted []unlistedServer
 	// ends has the times at which each crash request, or the requests with a crash part, ended a server.
@@ -52,6 +61,8 @@
 	lateRequests map[attempt.Fingerprint]map[uint64]bool
 	// requests is the number of requests that have a fingerprint of their own, sentRequests of all that reached a server.
 	requests, sentRequests uint64
+	// trials is the number of requests for a permit.
+	trials uint64
 }
 
 // unlistedServer is a server that entries see removed from the list at the given time.
@@ -62,6 +73,8 @@
 
 type crashEntry struct {
 	register *attempt.CrashRegister
+	// trials has the runs that the entry permits as the owner of the service.
+	trials   *attempt.TrialRuns
 	servedAt map[attempt.Fingerprint]time.Time
 	// known has the traits whose fingerprint was known when they were served.
 	known map[attempt.Fingerprint]bool
@@ -82,6 +95,14 @@
 	runTime time.Duration
 	started time.Time
 	suspect bool
+	// trial is the permit of the run; nil if it needs none.
+	trial *crashTrial
+}
+
+// crashTrial is a permit of an owner for a run of a suspect.
+type crashTrial struct {
+	owner *crashEntry
+	run   attempt.TrialRun
 }
 
 // crashCaller repeats one request, or sends different requests with the same prompt parts.
@@ -104,7 +125,11 @@
 	nextAt      time.Time
 	busy        bool
 	// entry is the one that sends the request again; nil if the caller sends another one.
-	entry     *crashEntry
+	entry *crashEntry
+	// trialAskedAt is when the caller's request first asked for a permit; zero if it does not wait for one.
+	trialAskedAt time.Time
+	// deferred is the number of requests that got none.
+	deferred  int
 	refused   int
 	refusedBy attempt.Fingerprint
 	refusedAt time.Time
@@ -145,17 +170,69 @@
 		}
 		return
 	}
+	trial, permitted := w.requestTrial(caller, entry, traits)
+	if !permitted {
+		return
+	}
 	server := w.choose(entry, status == attempt.RequestSuspect)
 	if server == nil {
+		w.releaseTrial(trial, false)
 		return
 	}
 	w.countSend(caller)
 	caller.busy = true
 	server.sends = append(server.sends, &crashSend{
 		caller: caller, entry: entry, traits: traits, runTime: w.jittered(caller.runTime, caller.jitterPercent), started: w.now, suspect: status == attempt.RequestSuspect,
+		trial: trial,
 	})
 }
 
+// requestTrial asks the owner of the service for a permit for a suspect. Like the gateway, a request asks again for a short time, and
+// an entry that reaches no owner permits its own runs. permitted is true if the request may run; trial is nil if it needs no
+// permit.
+func (w *crashWorld) requestTrial(caller *crashCaller, entry *crashEntry, traits []attempt.Fingerprint) (trial *crashTrial, permitted bool) {
+	_, lasts, onTrial := entry.register.OnTrial(traits)
+	if !onTrial {
+		caller.trialAskedAt = time.Time{}
+		return nil, true
+	}
+	w.trials++
+	trial = &crashTrial{owner: entry, run: attempt.TrialRun{Entry: w.name(entry), Number: w.trials}}
+	for _, owner := range attempt.TrialOwners("service", w.entries, w.name, crashTrialOwners) {
+		if owner == entry || !w.now.Before(entry.cutUntil) && !w.now.Before(owner.cutUntil) {
+			trial.owner = owner
+			break
+		}
+	}
+	if trial.owner.trials.Request(w.now, "service", trial.run, lasts) {
+		caller.trialAskedAt = time.Time{}
+		return trial, true
+	}
+	if caller.trialAskedAt.IsZero() {
+		caller.trialAskedAt = w.now
+	}
+	if w.now.Sub(caller.trialAskedAt) < crashTrialWait {
+		caller.entry, caller.nextAt = entry, w.now.Add(crashTrialInterval)
+		return nil, false
+	}
+	caller.trialAskedAt = time.Time{}
+	caller.deferred++
+	caller.nextAt = w.now.Add(crashTrialRetry)
+	return nil, false
+}
+
+// releaseTrial releases a permit, unless the message is lost.
+func (w *crashWorld) releaseTrial(trial *crashTrial, broken bool) {
+	if trial != nil && w.draw("loss", 0, 99) >= w.lossPercent {
+		trial.owner.trials.Release(w.now, "service", trial.run, broken)
+	}
+}
+
+// name returns the name of an entry.
+func (w *crashWorld) name(entry *crashEntry) string {
+	return fmt.Sprint("entry-", slices.Index(w.entries, entry))
+}
+
 // countSend counts a send of the caller's request, and whether it is late if it crashes servers.
 func (w *crashWorld) countSend(caller *crashCaller) {
 	if caller.sent == 0 {
@@ -230,6 +307,7 @@
 				continue
 			}
 			send.caller.busy = false
+			w.releaseTrial(send.trial, false)
 			send.entry.recordServed(w.now, send.traits)
 			send.entry.register.RecordReached(w.now, server.instance, send.started)
 			send.entry.register.RecordServed(w.now, send.traits)
@@ -247,6 +325,7 @@
 func (w *crashWorld) end(server *crashServer) {
 	for _, send := range server.sends {
 		send.caller.busy = false
+		w.releaseTrial(send.trial, true)
 		w.planRepeat(send)
 		broken := attempt.BrokenSend{StartedAt: send.started}
 		for i, trait := range send.traits {
@@ -327,8 +406,8 @@
 	for _, entry := range w.entries {
 		entry.register.Tick(w.now)
 		for _, update := range entry.register.TakeChanges(w.now, 4) {
-			for range min(5, len(w.entries)-1) {
-				w.post(entry, w.entries[w.draw("target", 0, len(w.entries)-1)], update)
+			for _, target := range w.targets(entry) {
+				w.post(entry, target, update)
 			}
 		}
 		peer := w.entries[w.draw("peer", 0, len(w.entries)-1)]
@@ -354,6 +433,21 @@
 	w.messages = waiting
 }
 
+// targets returns the entries that get an entry's news: five random ones as in the gateway, or five draws that may repeat one
+// or be the entry itself.
+func (w *crashWorld) targets(entry *crashEntry) []*crashEntry {
+	count := min(5, len(w.entries)-1)
+	if w.distinctTargets {
+		others := slices.DeleteFunc(slices.Clone(w.entries), func(other *crashEntry) bool { return other == entry })
+		return rapid.Permutation(others).Draw(w.t, "targets")[:count]
+	}
+	var targets []*crashEntry
+	for range count {
+		targets = append(targets, w.entries[w.draw("target", 0, len(w.entries)-1)])
+	}
+	return targets
+}
+
 func (w *crashWorld) post(from, to *crashEntry, update attempt.CrashUpdate) {
 	if to == from || w.draw("loss", 0, 99) < w.lossPercent {
 		return
@@ -412,7 +506,7 @@
 	w.lossPercent = w.draw("loss", 0, 20)
 	for range w.draw("entries", 1, 8) {
 		w.entries = append(w.entries, &crashEntry{
-			register: attempt.NewCrashRegister(attempt.DefaultCrashConfig()), servedAt: map[attempt.Fingerprint]time.Time{}, known: map[attempt.Fingerprint]bool{},
+			register: attempt.NewCrashRegister(attempt.DefaultCrashConfig()), trials: attempt.NewTrialRuns(crashTrialSettleTime), servedAt: map[attempt.Fingerprint]time.Time{}, known: map[attempt.Fingerprint]bool{},
 		})
 	}
 	for i := range w.draw("servers", service.minServers, service.maxServers) {
--- a/internal/attempt/rendezvous.go
+++ b/internal/attempt/rendezvous.go
@@ -1,8 +1,9 @@
 package attempt
 
 import (
+	"cmp"
 	"crypto/sha256"
-	"sort"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -73,17 +74,14 @@
 	return fingerprint
 }
 
-// topRanked returns the count VMs with the highest rendezvous scores for the key.
-func topRanked(key string, vms []ident.VM, count int) []ident.VM {
+// topRanked returns the count members with the highest rendezvous scores for the key.
+func topRanked[M any](key string, members []M, name func(M) string, count int) []M {
 	keyHash := xxhash.Sum64String(key)
-	scores := make(map[ident.VM]uint64, len(vms))
-	for _, vm := range vms {
-		scores[vm] = mix(keyHash ^ xxhash.Sum64String(string(vm)))
-	}
-	ranked := append([]ident.VM(nil), vms...)
-	sort.Slice(ranked, func(i, j int) bool {
-		a, b := scores[ranked[i]], scores[ranked[j]]
-		return a > b || (a == b && ranked[i] < ranked[j])
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b M) int {
+		nameA, nameB := name(a), name(b)
+		scoreA, scoreB := mix(keyHash^xxhash.Sum64String(nameA)), mix(keyHash^xxhash.Sum64String(nameB))
+		return cmp.Or(cmp.Compare(scoreB, scoreA), cmp.Compare(nameA, nameB))
 	})
 	return ranked[:min(count, len(ranked))]
 }
--- a/internal/control/assignment.go
+++ b/internal/control/assignment.go
@@ -34,6 +34,8 @@
 	// Traits are the fingerprints by which the entry's CrashRegister knows the request and the parts of its prompt; only
 	// those of the parts if the register was empty at its arrival.
 	Traits []attempt.Fingerprint
+	// Trial is the trait for which the request has a permit to run, see attempt.TrialRuns; zero for none.
+	Trial attempt.Fingerprint
 }
 
 // SendReason says why a request is sent.
@@ -63,6 +65,10 @@
 	RetryAfter time.Duration
 	// Quarantined is the fingerprint because of which a request is refused with outcome.CauseQuarantined.
 	Quarantined attempt.Fingerprint
+	// Trial is the trait for which a request refused with outcome.CauseOnTrial needs a permit to run, TrialLasts the time for
+	// which its run excludes others.
+	Trial      attempt.Fingerprint
+	TrialLasts time.Duration
 	// Outage is true if the request is refused because servers are listed but none runs
 	// requests at the moment.
 	Outage bool
--- a/internal/control/crash_requests.go
+++ b/internal/control/crash_requests.go
@@ -9,6 +9,10 @@
 	"github.com/bramleyspool/bramleyspool/internal/routing"
 )
 
+// trialRetryAfter is the shortest Retry-After time of a suspect that another entry runs at present; the longest is twice as
+// long. The result of a run is known to all entries within it.
+const trialRetryAfter = 500 * time.Millisecond
+
 // Crashes returns the entry's register of requests that crash backend servers.
 func (d *Dispatcher) Crashes() *attempt.CrashRegister { return d.crashes }
 
@@ -61,8 +65,9 @@
 	}
 }
 
-// refuseQuarantined returns the refusal of a request that is quarantined; false for any other request.
-func (d *Dispatcher) refuseQuarantined(now time.Time, request *BackendRequest, assignment *Assignment) bool {
+// refuseSuspect returns the refusal of a request that is quarantined, or needs a permit to run and has none; false for any
+// other request.
+func (d *Dispatcher) refuseSuspect(now time.Time, request *BackendRequest, assignment *Assignment) bool {
 	switch d.crashes.Status(now, request.Traits) {
 	case attempt.RequestQuarantined:
 		assignment.Cause = outcome.CauseQuarantined
@@ -70,6 +75,12 @@
 		return true
 	case attempt.RequestSuspect:
 		assignment.Suspect = true
+		trait, lasts, onTrial := d.crashes.OnTrial(request.Traits)
+		if onTrial && request.Trial != trait {
+			assignment.Cause, assignment.Trial, assignment.TrialLasts = outcome.CauseOnTrial, trait, lasts
+			assignment.RetryAfter = trialRetryAfter + time.Duration(d.random.Int64N(int64(trialRetryAfter)))
+			return true
+		}
 	case attempt.RequestNormal:
 	}
 	return false
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -307,6 +307,16 @@
 	return earlier(end, request.Deadline)
 }
 
+// TrialWaitEnd returns until when the request may wait for a permit to run. Other runs of a sound suspect end soon, and an
+// answer within the target is still of full use.
+func (request *BackendRequest) TrialWaitEnd() time.Time {
+	end := request.Arrived.Add(request.Route.TargetLatency)
+	if short := request.WaitEnd(); request.Resumed || end.Before(short) {
+		return short
+	}
+	return earlier(end, request.Deadline)
+}
+
 // OutageEnd returns until when the request may wait while no server runs requests. It is longer
 // than WaitEnd, because groups form again within a second or two and a refused caller retries
 // only once.
@@ -405,7 +415,7 @@
 		assignment.Cause = outcome.CauseDeadline
 		return assignment, false
 	}
-	if d.refuseQuarantined(now, request, &assignment) {
+	if d.refuseSuspect(now, request, &assignment) {
 		return assignment, false
 	}
 	candidates := d.candidates(request)
--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -41,6 +41,9 @@
 
 	RevisionQuery  *RevisionQuery  `cbor:"12,keyasint,omitempty"`
 	RevisionAnswer *RevisionAnswer `cbor:"13,keyasint,omitempty"`
+
+	TrialRequest *TrialRequest `cbor:"14,keyasint,omitempty"`
+	TrialAnswer  *TrialAnswer  `cbor:"15,keyasint,omitempty"`
 }
 
 // RankReport carries the status of an agent's rank and its counts of expert choices. The agent sends it to its group's
@@ -163,6 +166,26 @@
 	Era uint64 `cbor:"3,keyasint,omitempty"`
 }
 
+// TrialRequest is sent by an entry to the owner of a service before it runs a request that has ended several backend servers.
+// It is resent until it is answered. One with Ended is not: without it the run excludes others for Lasts.
+type TrialRequest struct {
+	Service ident.Service `cbor:"1,keyasint"`
+	// Number is one that the sender does not use for another run.
+	Number uint64 `cbor:"2,keyasint"`
+	// Lasts is the time for which the run excludes others.
+	Lasts time.Duration `cbor:"3,keyasint,omitempty"`
+	// Ended is true if the run is over, Broken if its server did not complete a response.
+	Ended  bool `cbor:"4,keyasint,omitempty"`
+	Broken bool `cbor:"5,keyasint,omitempty"`
+}
+
+// TrialAnswer answers the request with the same number.
+type TrialAnswer struct {
+	Number uint64 `cbor:"1,keyasint"`
+	// Permitted is false while another run is permitted.
+	Permitted bool `cbor:"2,keyasint,omitempty"`
+}
+
 // PeerAge is the address of an entry and the time since it was last heard.
 type PeerAge struct {
 	Address netip.AddrPort `cbor:"1,keyasint"`
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -60,6 +60,8 @@
 	tried []string
 	// replacement is the backend server that continues a stalled stream.
 	replacement *control.Assignment
+	// trial is the permit of the present send of a suspect; nil for other sends.
+	trial *trialPermit
 	// runs is the number of backend servers that may have run the request.
 	runs int
 	// endedByClose is true if only the end of the connection marked the end of the last response.
@@ -250,12 +252,14 @@
 	for {
 		assigned, ok := c.nextAssignment(ctx, reason)
 		if !ok || assigned.Cause != outcome.CauseNone {
+			c.endTrial(false)
 			c.endUnassigned(ctx, assigned)
 			return
 		}
 		c.assigned = assigned
 		result := c.send(ctx, assigned)
 		c.lastResult = result.sendResult
+		c.endTrial(result.sendResult == routing.SendBroken || result.sendResult == routing.SendAbandoned)
 		c.gateway.metrics.countSend(result.sendResult.String())
 		if result.done {
 			return
@@ -283,7 +287,20 @@
 		c.replacement = nil
 		return assigned, true
 	}
-	return c.requestAssignment(ctx, c.assignmentRequest(reason))
+	request := c.assignmentRequest(reason)
+	assigned, ok := c.requestAssignment(ctx, request)
+	if !ok || assigned.Cause != outcome.CauseOnTrial {
+		return assigned, ok
+	}
+	if c.trial = c.awaitTrial(ctx, assigned, request.TrialWaitEnd()); c.trial == nil {
+		return assigned, ctx.Err() == nil
+	}
+	request.Trial = assigned.Trial
+	if reason == control.SendReasonFirst {
+		// The request has been counted already.
+		request.Reason = control.SendReasonNotConnected
+	}
+	return c.requestAssignment(ctx, request)
 }
 
 // replacementRequest returns the request for a backend server that continues the stream if the assigned one stalls. The
@@ -459,6 +476,9 @@
 		if a.Suspect {
 			fields["suspect"] = true
 		}
+		if a.Cause == outcome.CauseOnTrial {
+			fields["on_trial"] = a.Trial
+		}
 		if a.ReportAge >= 0 {
 			fields["prompt"], fields["predicted_first_ms"] = a.PromptTokens, a.FirstEvent.Milliseconds()
 			fields["writers"], fields["pass_ms"], fields["pace_age_ms"] = a.Writers, a.Pass.Milliseconds(), a.ReportAge.Milliseconds()
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -223,6 +223,7 @@
 	g.dispatcher.SetEntries(now, g.peerDirectory.entries(), g.peerDirectory.isolated(now))
 	g.pool.closeExpired(now)
 	g.prober.removeExpired(now)
+	g.trials.Expire(now)
 	for _, subscription := range g.leaders.due(now) {
 		message := datagram.Message{Subscribe: &datagram.Subscribe{Group: subscription.group, Entry: g.socket.Address().String()}}
 		g.socket.Send(subscription.agent, message)
@@ -250,6 +251,10 @@
 		g.tryEnqueue(func(time.Time) { g.handleRevisionAnswer(received.From, message.RevisionAnswer) })
 	case message.Hello != nil:
 		g.tryEnqueue(func(now time.Time) { g.handleHello(now, received.From, message.Hello) })
+	case message.TrialRequest != nil:
+		g.tryEnqueue(func(now time.Time) { g.handleTrialRequest(now, received.From, message.TrialRequest) })
+	case message.TrialAnswer != nil:
+		g.tryEnqueue(func(now time.Time) { g.handleTrialAnswer(now, received.From, message.TrialAnswer) })
 	case message.CrashUpdate != nil:
 		g.tryEnqueue(func(now time.Time) { g.handleCrashUpdate(now, message.CrashUpdate) })
 	case message.PromptSent != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,6 +152,11 @@
 	revisionReaders  *membership.RevisionReaders
 	pendingRevision  *pendingRevision
 	revisionSequence uint64
+	// trials has the trial runs that this entry permits as the owner of their services, pendingTrials the runs of this entry for
+	// which it has asked an owner, by number.
+	trials        *attempt.TrialRuns
+	pendingTrials map[uint64]pendingTrial
+	trialNumber   uint64
 	// crashNewsPlanned is true while a call of sendCrashNews is planned.
 	crashNewsPlanned bool
 	storeDown        bool
@@ -168,6 +173,8 @@
 		listing:    membership.NewListing(),
 		pending:    map[uint64]chan control.Assignment{},
 		leaders:    newLeaderDirectory(),
+		trials:     attempt.NewTrialRuns(trialSettleTime), pendingTrials: map[uint64]pendingTrial{},
+		trialNumber: rand.Uint64(),
 	}
 	g.pool = newConnPool(g.metrics.connectionOpened)
 	g.statements = newStatementTable()
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -62,6 +62,8 @@
 	// CauseQuarantined: the request is quarantined, since backend servers crashed while they ran it. All requests of
 	// the same customer, class and body are quarantined together.
 	CauseQuarantined Cause = "quarantined"
+	// CauseOnTrial: the request has ended several backend servers, but may be sound, and another entry runs it at present.
+	CauseOnTrial     Cause = "on-trial"
 	CauseKeyConflict Cause = "key-conflict"
 	// CauseKeyInDoubt: an earlier dispatch with the same run key may have run, so the key must not run again.
 	CauseKeyInDoubt Cause = "key-in-doubt"
