Let the sound servers of a test answer after 10 ms

The sound servers answer within 0.1 ms, less than what is assumed of a server that was not tried, so that 20 requests beside each other may all go to them. What the test checks is unchanged.

--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -26,9 +26,11 @@
 const knowledgeTime = 300 * time.Millisecond
 
 // startLeavingServer starts a server that says in each answer that it is leaving, and two that do not. status is that of the
-// leaving server's answers.
+// leaving server's answers. The others answer late enough that requests beside each other also go to a server that an entry
+// has not tried.
 func startLeavingServer(t *testing.T, status int) []*testBackend {
 	plain := func(conn net.Conn, request receivedRequest) bool {
+		time.Sleep(10 * time.Millisecond)
 		return writeResponse(conn, request, http.StatusOK, "ok")
 	}
 	leaving := func(conn net.Conn, request receivedRequest) bool {
