Let a trial run decide whether an outage or a request ended the servers

Callers of a small service could have a sound lookup refused for an hour: its servers end one after the other for another reason, or for a crash request beside it, and the lookup is cut off at each, since an entry sends it to the next server at once. Three such ends were enough evidence.

Cause: the ends of one outage are weighed as if they were independent. Where at least half of a service's servers end, each less than 0.5 s after the one before, there is no server left to compare with. A request whose ends lie in such outages is quarantined only after it has ended one more server in a run that began when three of its ends were known, that is in a trial run; if it is served, it is cleared. The late runs of a crash request stay bounded, since trial runs exclude each other. Parts of prompts are judged as before.

--- a/internal/attempt/crash_decision.go
+++ b/internal/attempt/crash_decision.go
@@ -44,6 +44,10 @@
 		}
 	}
 	for _, suspect := range strong {
+		if assessment.awaitsTrial(suspect) {
+			r.addFinding(suspect.finding(CrashAwaitsTrial, 0))
+			continue
+		}
 		r.decide(now, suspect, strong, all)
 	}
 }
--- a/internal/attempt/crash_evidence.go
+++ b/internal/attempt/crash_evidence.go
@@ -86,9 +86,10 @@
 	owners map[*serverEnd][]Fingerprint
 }
 
-// endTimes are the times of a service's unexplained ends in ascending order.
+// endTimes are the times of a service's ends in ascending order.
 type endTimes struct {
-	all []time.Time
+	// every has those of all ends, all those of the unexplained ones.
+	every, all []time.Time
 	// idle are those of the servers that no entry had sent anything; they may have ended up to ListDelay before.
 	idle []time.Time
 	// unowned are those of the ends that no trait explains with enough evidence for a quarantine.
@@ -105,17 +106,19 @@
 		if a.services[end.service] == nil {
 			a.services[end.service] = &endTimes{}
 		}
+		times := a.services[end.service]
+		times.every = append(times.every, end.at)
 		if r.explained(now, end, Fingerprint{}) {
 			continue
 		}
 		a.unexplained[end] = true
-		times := a.services[end.service]
 		times.all = append(times.all, end.at)
 		if len(end.runs) == 0 {
 			times.idle = append(times.idle, end.at)
 		}
 	}
 	for _, times := range a.services {
+		slices.SortFunc(times.every, time.Time.Compare)
 		slices.SortFunc(times.all, time.Time.Compare)
 		slices.SortFunc(times.idle, time.Time.Compare)
 	}
@@ -203,6 +206,42 @@
 	}
 }
 
+// awaitsTrial reports whether only a trial run can tell whether the suspect is the cause of its ends: fewer than MinEnds of them
+// lie outside of outages, and none cut off a run that began after MinEnds earlier ones had settled. Parts of prompts have
+// no trial runs.
+func (a *assessment) awaitsTrial(suspect *suspectCase) bool {
+	config := &a.register.config
+	if suspect.trait.IsPart() {
+		return false
+	}
+	outside := 0
+	for i, end := range suspect.ends {
+		began := end.at.Add(-end.runs[suspect.trait].duration - config.SettleTime)
+		if i >= config.MinEnds && !began.Before(suspect.ends[config.MinEnds-1].at) {
+			return false
+		}
+		if !a.inOutage(end) {
+			outside++
+		}
+	}
+	return outside < config.MinEnds
+}
+
+// inOutage reports whether an end belongs to a sequence of ends, each soon after the one before, that took at least half of
+// the service's servers.
+func (a *assessment) inOutage(end *serverEnd) bool {
+	gap, times := a.register.config.SequenceGap, a.services[end.service].every
+	first, _ := slices.BinarySearchFunc(times, end.at, time.Time.Compare)
+	last := first
+	for first > 0 && times[first].Sub(times[first-1]) <= gap {
+		first--
+	}
+	for last+1 < len(times) && times[last+1].Sub(times[last]) <= gap {
+		last++
+	}
+	return 2*float64(last-first+1) >= a.serversOf(end)
+}
+
 // sameMoment reports whether two ends may have one cause. A run that began after the first end was not cut off by it.
 func (c *CrashConfig) sameMoment(first, second *serverEnd, trait Fingerprint) bool {
 	return second.at.Sub(first.at) <= c.SameMoment && second.at.Add(-second.runs[trait].duration).Before(first.at)
--- a/internal/attempt/crash_findings.go
+++ b/internal/attempt/crash_findings.go
@@ -14,6 +14,8 @@
 	CrashLifted CrashDecision = "quarantine-lifted"
 	// CrashEvidenceShort means that the evidence is below CrashConfig.EvidenceLimit or has too few events.
 	CrashEvidenceShort CrashDecision = "evidence-short"
+	// CrashAwaitsTrial means that an outage of the service may explain the ends, and a trial run decides, see TrialRuns.
+	CrashAwaitsTrial CrashDecision = "awaits-trial"
 	// CrashNotDistinguished means that other traits explain the ends nearly as well.
 	CrashNotDistinguished CrashDecision = "not-distinguished"
 )
--- a/internal/attempt/crash_register.go
+++ b/internal/attempt/crash_register.go
@@ -19,6 +19,8 @@
 	SettleTime time.Duration
 	// SameMoment is the time between two ends below which they may have one cause, such as the failure of a rack.
 	SameMoment time.Duration
+	// SequenceGap is the time between two ends of servers of a service below which both may belong to one outage.
+	SequenceGap time.Duration
 	// ListDelay is how long after its end a server may still be listed.
 	ListDelay time.Duration
 	// ObserveFor is the time before and after an end in which other ends of the service count for the rate of ends.
@@ -41,7 +43,7 @@
 	suspects := DefaultSuspectConfig()
 	return CrashConfig{
 		EvidenceLimit: 12, MaxEvidence: 5, MinEnds: 3, Margin: 5,
-		SettleTime: 150 * time.Millisecond, SameMoment: 60 * time.Millisecond, ListDelay: 5 * time.Second,
+		SettleTime: 150 * time.Millisecond, SameMoment: 60 * time.Millisecond, SequenceGap: 500 * time.Millisecond, ListDelay: 5 * time.Second,
 		ObserveFor: 10 * time.Second, PriorEnds: 4, ReturnFor: 2500 * time.Millisecond,
 		BrokenFor: 8 * time.Second, SuspectFor: suspects.SuspectFor, QuarantineFor: suspects.QuarantineFor,
 	}
