Count the servers that were listed before for ends by chance

The servers that a request has ended leave the list about three seconds later, before others replace them. The evidence was then weighed among the few that had returned: with one of three, four ends with runs of 100 ms give 10.1 nats instead of 14.5, of 12 that are needed, so that the request could run once more on each server that returns.

The greatest number of the last 10 s counts, the time over which ends are counted. TestEndsCountAmongTheServersListedBefore fails without it.

--- a/internal/attempt/crash_evidence.go
+++ b/internal/attempt/crash_evidence.go
@@ -78,6 +78,7 @@
 // if all ends raise the rate of ends by chance. Then each trait is weighed without the ends that it owns in that rate.
 type assessment struct {
 	register *CrashRegister
+	now      time.Time
 	cases    []*suspectCase
 	// unexplained has the ends that nothing quarantined explains, services their times.
 	unexplained map[*serverEnd]bool
@@ -100,7 +101,7 @@
 // at one end are included unless there are very many suspects.
 func (r *CrashRegister) newAssessment(now time.Time) *assessment {
 	a := &assessment{
-		register: r, unexplained: map[*serverEnd]bool{}, services: map[ident.Service]*endTimes{}, owners: map[*serverEnd][]Fingerprint{},
+		register: r, now: now, unexplained: map[*serverEnd]bool{}, services: map[ident.Service]*endTimes{}, owners: map[*serverEnd][]Fingerprint{},
 	}
 	for _, end := range r.ends {
 		if a.services[end.service] == nil {
@@ -274,7 +275,7 @@
 
 // serversOf returns the number of servers of the service of a server that ended.
 func (a *assessment) serversOf(end *serverEnd) float64 {
-	return float64(max(a.register.servers[end.service], 1))
+	return float64(a.register.servers[end.service].at(a.now))
 }
 
 // countOwn returns how many of the given ends count for the rate of the end's service around it.
--- a/internal/attempt/crash_findings_test.go
+++ b/internal/attempt/crash_findings_test.go
@@ -14,7 +14,7 @@
 func TestAssessmentsOfSuspectsAreReported(t *testing.T) {
 	c := qt.New(t)
 	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
-	register.SetServers("service", 3)
+	register.SetServers(start, "service", 3)
 	fingerprint, now := attempt.Fingerprint{1}, start
 	settled := func() []attempt.CrashFinding {
 		now = now.Add(time.Second)
--- a/internal/attempt/crash_register.go
+++ b/internal/attempt/crash_register.go
@@ -89,8 +89,8 @@
 	// suspects has the ends at which a trait was running, for each trait that no server has survived since.
 	suspects   map[Fingerprint][]ServerInstance
 	quarantine *Quarantine
-	// servers has the number of listed servers of each service.
-	servers map[ident.Service]int
+	// servers has the number of servers of each service.
+	servers map[ident.Service]*serverCount
 	// endedRuns is the number of runs at all ends.
 	endedRuns int
 	// assessAt is when the evidence is assessed next; zero if nothing has changed.
@@ -124,6 +124,25 @@
 	runs map[Fingerprint]endedRun
 }
 
+// serverCount is the number of servers of a service. Servers that have ended leave the list before others replace them.
+type serverCount struct {
+	listed int
+	// earlier is the greatest number before servers left the list; it counts until earlierUntil.
+	earlier      int
+	earlierUntil time.Time
+}
+
+// at returns the number of servers among which ends have happened lately, 1 or more.
+func (c *serverCount) at(now time.Time) int {
+	if c == nil {
+		return 1
+	}
+	if now.Before(c.earlierUntil) {
+		return max(c.listed, c.earlier, 1)
+	}
+	return max(c.listed, 1)
+}
+
 // endedRun is a run of a request with a trait at a server that ended.
 type endedRun struct {
 	// duration is the time from the send to its end; the longest if several requests with the trait were running.
@@ -150,7 +169,7 @@
 	return &CrashRegister{
 		config: config, pending: map[ServerInstance]*pendingSends{}, ends: map[ServerInstance]*serverEnd{},
 		suspects: map[Fingerprint][]ServerInstance{}, quarantine: NewQuarantine(),
-		servers: map[ident.Service]int{}, cleared: map[Fingerprint]int{}, changedEnds: map[ServerInstance]int{},
+		servers: map[ident.Service]*serverCount{}, cleared: map[Fingerprint]int{}, changedEnds: map[ServerInstance]int{},
 		changedQuarantine: map[Fingerprint]int{}, lastFindings: map[Fingerprint]CrashFinding{},
 	}
 }
@@ -420,7 +439,17 @@
 }
 
 // SetServers sets the number of listed servers of a service.
-func (r *CrashRegister) SetServers(service ident.Service, servers int) { r.servers[service] = servers }
+func (r *CrashRegister) SetServers(now time.Time, service ident.Service, listed int) {
+	count := r.servers[service]
+	if count == nil {
+		count = &serverCount{}
+		r.servers[service] = count
+	}
+	if listed < count.listed {
+		count.earlier, count.earlierUntil = count.at(now), now.Add(r.config.ObserveFor)
+	}
+	count.listed = listed
+}
 
 // Tick assesses the evidence that has changed, and drops what has expired.
 func (r *CrashRegister) Tick(now time.Time) {
--- a/internal/attempt/crash_register_test.go
+++ b/internal/attempt/crash_register_test.go
@@ -35,7 +35,7 @@
 func TestManyCrashRequestsTakeBoundedMemory(t *testing.T) {
 	const ownRequests, otherRequests, limitBytes = 1_000, 20_000, 12 << 20
 	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
-	register.SetServers("service", 10)
+	register.SetServers(start, "service", 10)
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
@@ -69,7 +69,7 @@
 func TestManyDifferentPartsTakeBoundedMemoryAndTime(t *testing.T) {
 	const requests, partsPerRequest, limitBytes = 5_000, 32, 24 << 20
 	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
-	register.SetServers("service", 100)
+	register.SetServers(start, "service", 100)
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
@@ -143,7 +143,7 @@
 func TestBrokenSendsToLivingServersAreNoEvidence(t *testing.T) {
 	c := qt.New(t)
 	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
-	register.SetServers("service", 3)
+	register.SetServers(start, "service", 3)
 	fingerprint, now := attempt.Fingerprint{1}, start
 	for i := range 20 {
 		server := attempt.ServerInstance{ID: fmt.Sprint("server-", i%3)}
@@ -160,3 +160,24 @@
 	register.Tick(now.Add(time.Second))
 	c.Assert(register.Status(now.Add(time.Second), []attempt.Fingerprint{fingerprint}), qt.Equals, attempt.RequestNormal)
 }
+
+// The servers that a request has ended leave the list seconds before others replace them. If only the listed ones counted, each
+// earlier end would look likelier by chance, and the request could run once more on each server that returns.
+func TestEndsCountAmongTheServersListedBefore(t *testing.T) {
+	c := qt.New(t)
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register.SetServers(start, "service", 3)
+	fingerprint, now := attempt.Fingerprint{1}, start
+	for i := range 3 {
+		now = now.Add(200 * time.Millisecond)
+		endRun(register, now, fmt.Sprint("server-", i), fingerprint, 100*time.Millisecond)
+	}
+	now = now.Add(3 * time.Second)
+	register.SetServers(now, "service", 0)
+	now = now.Add(500 * time.Millisecond)
+	register.SetServers(now, "service", 1)
+	now = now.Add(200 * time.Millisecond)
+	endRun(register, now, "server-3", fingerprint, 100*time.Millisecond)
+	now = now.Add(200 * time.Millisecond)
+	c.Assert(register.Status(now, []attempt.Fingerprint{fingerprint}), qt.Equals, attempt.RequestQuarantined)
+}
--- a/internal/attempt/crash_world_test.go
+++ b/internal/attempt/crash_world_test.go
@@ -513,7 +513,7 @@
 		w.servers = append(w.servers, &crashServer{instance: attempt.ServerInstance{ID: fmt.Sprint("s", i)}})
 	}
 	for _, entry := range w.entries {
-		entry.register.SetServers("service", len(w.servers))
+		entry.register.SetServers(start, "service", len(w.servers))
 	}
 	for i := range 12 {
 		w.callers = append(w.callers, &crashCaller{
--- a/internal/control/crash_requests.go
+++ b/internal/control/crash_requests.go
@@ -59,9 +59,9 @@
 }
 
 // countServers tells the register how many servers each service has.
-func (d *Dispatcher) countServers() {
+func (d *Dispatcher) countServers(now time.Time) {
 	for service, servers := range d.services {
-		d.crashes.SetServers(service, len(servers))
+		d.crashes.SetServers(now, service, len(servers))
 	}
 }
 
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -165,7 +165,7 @@
 	}
 	d.recordRemoved(now, servers)
 	d.removeLimits(now, servers)
-	d.countServers()
+	d.countServers(now)
 	d.servers = servers
 	for name, group := range d.groups {
 		if len(group.ranks) == 0 {
