--- a/internal/soak/crash_requests.go
+++ b/internal/soak/crash_requests.go
@@ -28,6 +28,8 @@
 	toleratedPartCrashes = 5
 	toleratedLateRuns    = 3
 	stableWindow         = 3 * time.Second
+	// maxCrashCallers is the maximum number of callers that send a crash request at the same time.
+	maxCrashCallers = 4
 	// crashPartShare is the share of crash requests that differ from each other but for a prompt part.
 	crashPartShare = 0.5
 )
@@ -109,6 +111,7 @@
 			}
 		}
 		end := time.Now().Add(minCrashRepeats + time.Duration(random.Int64N(int64(maxCrashRepeats-minCrashRepeats))))
+		callers := 1 + random.IntN(maxCrashCallers)
 		for repeat := 0; time.Now().Before(end) && ctx.Err() == nil; repeat++ {
 			if entry := c.soak.callers.pickReadyEntry(random); entry != nil {
 				credential := c.soak.deployment.Credential(random, true)
@@ -116,7 +119,9 @@
 					c.send(ctx, build, crashSend{name: name, id: fmt.Sprintf("crash-%s-%d", name, repeat), tolerated: tolerated, entry: entry}, credential)
 				})
 			}
-			sleep(ctx, crashRepeatInterval)
+			if repeat%callers == callers-1 {
+				sleep(ctx, time.Duration(callers)*crashRepeatInterval)
+			}
 		}
 	}
 }
