Keep to the whole time for which a server asks for rest

A server that asks for more than 30 s of rest got the usual load again after 30 s, in the time that it had asked for: the entry cut each time to 30 s, so that a wrong value does not leave a server out for good. The platform lets two requests reach the server until the stated time is over, which is room for no traffic at all. The rests that are kept for servers that are not listed are bounded.

TestServerGetsNoRequestsDuringALongRest failed before: with both servers resting, the first one got a request 10 s before its minute was over.

--- a/internal/control/rest_test.go
+++ b/internal/control/rest_test.go
@@ -143,3 +143,38 @@
 		}
 	}
 }
+
+// A server asks for a rest of a minute. If the entry keeps to a shorter time only, it sends its usual load before the minute is
+// over, though the platform lets at most two requests reach the server.
+func TestServerGetsNoRequestsDuringALongRest(t *testing.T) {
+	c := qt.New(t)
+	const rest = time.Minute
+	d := control.NewDispatcher("z", 1, attempt.NewRepeatConfig(0.2, 176, 10*time.Second, 1))
+	d.Configure(testTable())
+	d.SetBackends(clockStart, testBackends(0, 2))
+	d.RecordRest(clockStart, attempt.ServerInstance{ID: "p0"}, rest)
+	id := uint64(0)
+	send := func(now time.Time) control.Assignment {
+		id++
+		route := testRoute
+		route.Kind, route.Resumable = routing.Idempotent, false
+		answers := d.RequestBackend(now, control.BackendRequest{ID: id, Service: "plain", Route: &route, Arrived: now, Deadline: now.Add(time.Second)})
+		c.Assert(answers, qt.HasLen, 1)
+		if answers[0].Cause == outcome.CauseNone {
+			d.RecordEnd(now, answers[0].Backend.ID, routing.SendServed, 10*time.Millisecond)
+		}
+		return answers[0]
+	}
+	for now := clockStart; now.Before(clockStart.Add(rest)); now = now.Add(100 * time.Millisecond) {
+		d.EndedRests(now)
+		c.Assert(send(now).Backend.ID, qt.Equals, "p1", qt.Commentf("after %s", now.Sub(clockStart)))
+	}
+	// If all servers rest, a request is refused at once and may return when the first rest ends.
+	now := clockStart.Add(rest - 10*time.Second)
+	d.RecordRest(now, attempt.ServerInstance{ID: "p1"}, rest)
+	refused := send(now)
+	c.Assert(refused.Cause, qt.Equals, outcome.CauseBackendsFull)
+	c.Assert(refused.RetryAfter >= 10*time.Second && refused.RetryAfter < 12*time.Second, qt.IsTrue, qt.Commentf("%s", refused.RetryAfter))
+	after := clockStart.Add(rest + 2*time.Second)
+	c.Assert(send(after).Backend.ID, qt.Equals, "p0")
+}
--- a/internal/control/server_limits.go
+++ b/internal/control/server_limits.go
@@ -13,8 +13,8 @@
 const limitRetrySpread = time.Second
 
 const (
-	// maxRest bounds a rest: a server must not be left out for good because of a wrong value.
-	maxRest = 30 * time.Second
+	// maxRests bounds the rests that are kept while their servers are not listed.
+	maxRests = 4096
 	// restSpread is the range over which entries return to a server after its rest.
 	restSpread = 500 * time.Millisecond
 )
@@ -63,15 +63,15 @@
 	}
 }
 
-// RecordRest records that a server wants no requests for a time, which is bounded. It returns the time for which this entry
-// sends it none: entries that the server turned away together return at different times.
+// RecordRest records that a server wants no requests for a time. It returns the time for which this entry sends it none: entries
+// that the server turned away together return at different times.
 func (d *Dispatcher) RecordRest(now time.Time, instance attempt.ServerInstance, rest time.Duration) time.Duration {
 	if rest <= 0 {
 		return 0
 	}
-	rest = min(rest, maxRest) + time.Duration(d.random.Int64N(int64(restSpread)))
+	rest += time.Duration(d.random.Int64N(int64(restSpread)))
 	until := now.Add(rest)
-	if until.After(d.resting[instance]) {
+	if earlier, known := d.resting[instance]; until.After(earlier) && (known || len(d.resting) < maxRests) {
 		d.resting[instance] = until
 	}
 	if server := d.servers[instance.ID]; server != nil && server.Started == instance.Started {
