--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -15,9 +15,9 @@
 	maxRest = 4 * time.Second
 	// restKnown is the time after the first answer from which a resting replica should get no requests.
 	restKnown = 500 * time.Millisecond
-	// restSlack is the number of requests that each entry may send to a resting replica after restKnown: it may meet the
-	// replica late, with some requests under way, and forgets the rest if it restarts.
-	restSlack = 6
+	// restSlack is the number of requests that each entry may send to a resting replica after restKnown, as the platform's rule
+	// allows.
+	restSlack = 2
 	// A copy of the store lacks up to maxLostChanges changes. They are written again after up to maxRewriteTime.
 	maxLostChanges = 12
 	maxRewriteTime = 1500 * time.Millisecond
