--- a/internal/control/crash_requests.go
+++ b/internal/control/crash_requests.go
@@ -86,6 +86,16 @@
 	return false
 }
 
+// TrialWaitEnd returns until when the request may wait for a permit to run. Other runs of a sound suspect end soon, and an
+// answer within the target is still of full use.
+func (request *BackendRequest) TrialWaitEnd() time.Time {
+	end := request.Arrived.Add(request.Route.TargetLatency)
+	if short := request.WaitEnd(); request.Resumed || end.Before(short) {
+		return short
+	}
+	return earlier(end, request.Deadline)
+}
+
 // withoutSuspects returns the candidates at which this entry has no open suspect and, if idle is set, no open request.
 func withoutSuspects(candidates []*routing.Server, idle bool) []*routing.Server {
 	var kept []*routing.Server
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -307,16 +307,6 @@
 	return earlier(end, request.Deadline)
 }
 
-// TrialWaitEnd returns until when the request may wait for a permit to run. Other runs of a sound suspect end soon, and an
-// answer within the target is still of full use.
-func (request *BackendRequest) TrialWaitEnd() time.Time {
-	end := request.Arrived.Add(request.Route.TargetLatency)
-	if short := request.WaitEnd(); request.Resumed || end.Before(short) {
-		return short
-	}
-	return earlier(end, request.Deadline)
-}
-
 // OutageEnd returns until when the request may wait while no server runs requests. It is longer
 // than WaitEnd, because groups form again within a second or two and a refused caller retries
 // only once.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -289,18 +289,10 @@
 	}
 	request := c.assignmentRequest(reason)
 	assigned, ok := c.requestAssignment(ctx, request)
-	if !ok || assigned.Cause != outcome.CauseOnTrial {
-		return assigned, ok
+	if ok && assigned.Cause == outcome.CauseOnTrial {
+		return c.requestOnTrial(ctx, request, assigned)
 	}
-	if c.trial = c.awaitTrial(ctx, assigned, request.TrialWaitEnd()); c.trial == nil {
-		return assigned, ctx.Err() == nil
-	}
-	request.Trial = assigned.Trial
-	if reason == control.SendReasonFirst {
-		// The request has been counted already.
-		request.Reason = control.SendReasonNotConnected
-	}
-	return c.requestAssignment(ctx, request)
+	return assigned, ok
 }
 
 // replacementRequest returns the request for a backend server that continues the stream if the assigned one stalls. The
--- a/internal/gateway/trials.go
+++ b/internal/gateway/trials.go
@@ -37,8 +37,22 @@
 	answered chan bool
 }
 
-// awaitTrial asks the owner of the service for a permit to run the call's request, which was refused without one. It returns nil if another run
-// is permitted until the given time, or the call ends.
+// requestOnTrial requests an assignment again once the call has a permit to run its request. Without a permit it returns the
+// refusal.
+func (c *call) requestOnTrial(ctx context.Context, request control.BackendRequest, refused control.Assignment) (control.Assignment, bool) {
+	if c.trial = c.awaitTrial(ctx, refused, request.TrialWaitEnd()); c.trial == nil {
+		return refused, ctx.Err() == nil
+	}
+	request.Trial = refused.Trial
+	if request.Reason == control.SendReasonFirst {
+		// The request has been counted already.
+		request.Reason = control.SendReasonNotConnected
+	}
+	return c.requestAssignment(ctx, request)
+}
+
+// awaitTrial asks the owner of the service for a permit to run the call's request, which was refused without one. It returns
+// nil if another run is permitted until the given time, or the call ends.
 func (c *call) awaitTrial(ctx context.Context, refused control.Assignment, waitEnd time.Time) *trialPermit {
 	g := c.gateway
 	owners := make(chan []netip.AddrPort, 1)
@@ -52,7 +66,7 @@
 	defer g.enqueue(func(time.Time) { delete(g.pendingTrials, permit.number) })
 	for _, permit.owner = range <-owners {
 		for unanswered := 0; unanswered < trialRequestsPerOwner; {
-			permitted, answered := c.requestTrial(ctx, permit, refused.TrialLasts)
+			permitted, answered := c.askOwner(ctx, permit, refused.TrialLasts)
 			switch {
 			case permitted:
 				return &permit
@@ -69,14 +83,14 @@
 		g.log.WithField("owner", permit.owner).WithField("request", c.id).Info("trial-owner-silent")
 	}
 	permit.owner = g.socket.Address()
-	if permitted, _ := c.requestTrial(ctx, permit, refused.TrialLasts); permitted {
+	if permitted, _ := c.askOwner(ctx, permit, refused.TrialLasts); permitted {
 		return &permit
 	}
 	return nil
 }
 
-// requestTrial asks the permit's owner once and waits for trialInterval. answered is true if the owner answered meanwhile.
-func (c *call) requestTrial(ctx context.Context, permit trialPermit, lasts time.Duration) (permitted, answered bool) {
+// askOwner asks the permit's owner once and waits for trialInterval. answered is true if the owner answered meanwhile.
+func (c *call) askOwner(ctx context.Context, permit trialPermit, lasts time.Duration) (permitted, answered bool) {
 	g := c.gateway
 	answers := make(chan bool, 1)
 	g.enqueue(func(now time.Time) {
--- a/internal/gateway/trials_test.go
+++ b/internal/gateway/trials_test.go
@@ -41,16 +41,20 @@
 // servers could make a sound one look like the cause, and each would end a server before the first end is known.
 func TestSuspectsOfAServiceRunOneAtATime(t *testing.T) {
 	t.Parallel()
-	var open, most atomic.Int32
+	var mu sync.Mutex
+	var open, most int
 	var ran sync.Map
 	backend := newTestBackend(t, "slow", func(conn net.Conn, request receivedRequest) bool {
 		if request.body != "" {
 			ran.Store(request.header.Get("X-Request"), true)
-			now := open.Add(1)
-			for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
-			}
+			mu.Lock()
+			open++
+			most = max(most, open)
+			mu.Unlock()
 			time.Sleep(50 * time.Millisecond)
-			defer open.Add(-1)
+			mu.Lock()
+			open--
+			mu.Unlock()
 		}
 		return writeResponse(conn, request, http.StatusOK, "done")
 	})
@@ -85,8 +89,8 @@
 		})
 	}
 	requests.Wait()
-	t.Logf("%d served, %d refused, %d at a time", served.Load(), refused.Load(), most.Load())
-	qt.Check(t, most.Load(), qt.Equals, int32(1))
+	t.Logf("%d served, %d refused, %d at a time", served.Load(), refused.Load(), most)
+	qt.Check(t, most, qt.Equals, 1)
 	qt.Check(t, served.Load() > 0, qt.IsTrue)
 }
 
