--- a/internal/attempt/crash_world_test.go
+++ b/internal/attempt/crash_world_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -23,12 +22,6 @@
 	crashStable      = 3 * time.Second
 	crashListDelay   = 3600 * time.Millisecond
 	survivedFor      = 10 * time.Second
-	// Times and limits of trial runs, as in package gateway.
-	crashTrialSettleTime = 300 * time.Millisecond
-	crashTrialInterval   = 25 * time.Millisecond
-	crashTrialWait       = 200 * time.Millisecond
-	crashTrialRetry      = 750 * time.Millisecond
-	crashTrialOwners     = 3
 )
 
 // The platform's bounds: at most toleratedLateRuns runs later than crashStable after the third end by one request, or
@@ -99,12 +92,6 @@
 	trial *crashTrial
 }
 
-// crashTrial is a permit of an owner for a run of a suspect.
-type crashTrial struct {
-	owner *crashEntry
-	run   attempt.TrialRun
-}
-
 // crashCaller repeats one request, or sends different requests with the same prompt parts.
 type crashCaller struct {
 	// fingerprint is that of the request, or the name of the caller if all are different.
@@ -128,18 +115,9 @@
 	entry *crashEntry
 	// trialAskedAt is when the caller's request first asked for a permit; zero if it does not wait for one.
 	trialAskedAt time.Time
-	// deferred is the number of requests that got none.
-	deferred  int
-	refused   int
-	refusedBy attempt.Fingerprint
-	refusedAt time.Time
-}
-
-type crashMessage struct {
-	at     time.Time
-	from   *crashEntry
-	to     *crashEntry
-	update attempt.CrashUpdate
+	refused      int
+	refusedBy    attempt.Fingerprint
+	refusedAt    time.Time
 }
 
 func (w *crashWorld) draw(name string, from, to int) int {
@@ -187,52 +165,6 @@
 	})
 }
 
-// requestTrial asks the owner of the service for a permit for a suspect. Like the gateway, a request asks again for a short time, and
-// an entry that reaches no owner permits its own runs. permitted is true if the request may run; trial is nil if it needs no
-// permit.
-func (w *crashWorld) requestTrial(caller *crashCaller, entry *crashEntry, traits []attempt.Fingerprint) (trial *crashTrial, permitted bool) {
-	_, lasts, onTrial := entry.register.OnTrial(traits)
-	if !onTrial {
-		caller.trialAskedAt = time.Time{}
-		return nil, true
-	}
-	w.trials++
-	trial = &crashTrial{owner: entry, run: attempt.TrialRun{Entry: w.name(entry), Number: w.trials}}
-	for _, owner := range attempt.TrialOwners("service", w.entries, w.name, crashTrialOwners) {
-		if owner == entry || !w.now.Before(entry.cutUntil) && !w.now.Before(owner.cutUntil) {
-			trial.owner = owner
-			break
-		}
-	}
-	if trial.owner.trials.Request(w.now, "service", trial.run, lasts) {
-		caller.trialAskedAt = time.Time{}
-		return trial, true
-	}
-	if caller.trialAskedAt.IsZero() {
-		caller.trialAskedAt = w.now
-	}
-	if w.now.Sub(caller.trialAskedAt) < crashTrialWait {
-		caller.entry, caller.nextAt = entry, w.now.Add(crashTrialInterval)
-		return nil, false
-	}
-	caller.trialAskedAt = time.Time{}
-	caller.deferred++
-	caller.nextAt = w.now.Add(crashTrialRetry)
-	return nil, false
-}
-
-// releaseTrial releases a permit, unless the message is lost.
-func (w *crashWorld) releaseTrial(trial *crashTrial, broken bool) {
-	if trial != nil && w.draw("loss", 0, 99) >= w.lossPercent {
-		trial.owner.trials.Release(w.now, "service", trial.run, broken)
-	}
-}
-
-// name returns the name of an entry.
-func (w *crashWorld) name(entry *crashEntry) string {
-	return fmt.Sprint("entry-", slices.Index(w.entries, entry))
-}
-
 // countSend counts a send of the caller's request, and whether it is late if it crashes servers.
 func (w *crashWorld) countSend(caller *crashCaller) {
 	if caller.sent == 0 {
@@ -386,13 +318,6 @@
 	}
 }
 
-// merge merges another entry's update. As in gateway, traits that servers of this entry have survived are cleared.
-func (e *crashEntry) merge(now time.Time, update attempt.CrashUpdate) {
-	e.register.Merge(now, update, func(trait attempt.Fingerprint) bool {
-		return e.known[trait] && e.survived(now, trait)
-	})
-}
-
 // part returns the fingerprint of a prompt part.
 func part(number ...byte) (fingerprint attempt.Fingerprint) {
 	fingerprint[0] = 7
@@ -401,61 +326,6 @@
 	return fingerprint
 }
 
-// exchange delivers messages between entries, and lets each entry send its changes and, at times, compare digests.
-func (w *crashWorld) exchange(hello bool) {
-	for _, entry := range w.entries {
-		entry.register.Tick(w.now)
-		for _, update := range entry.register.TakeChanges(w.now, 4) {
-			for _, target := range w.targets(entry) {
-				w.post(entry, target, update)
-			}
-		}
-		peer := w.entries[w.draw("peer", 0, len(w.entries)-1)]
-		if hello && peer.register.Digest() != entry.register.Digest() {
-			for _, update := range entry.register.Sample(w.now, 4) {
-				w.post(entry, peer, update)
-			}
-			for _, update := range peer.register.Sample(w.now, 4) {
-				w.post(peer, entry, update)
-			}
-		}
-	}
-	var waiting []crashMessage
-	for _, message := range w.messages {
-		switch {
-		case w.now.Before(message.at):
-			waiting = append(waiting, message)
-		case w.now.Before(message.to.cutUntil) || w.now.Before(message.from.cutUntil):
-		default:
-			message.to.merge(w.now, message.update)
-		}
-	}
-	w.messages = waiting
-}
-
-// targets returns the entries that get an entry's news: five random ones as in the gateway, or five draws that may repeat one
-// or be the entry itself.
-func (w *crashWorld) targets(entry *crashEntry) []*crashEntry {
-	count := min(5, len(w.entries)-1)
-	if w.distinctTargets {
-		others := slices.DeleteFunc(slices.Clone(w.entries), func(other *crashEntry) bool { return other == entry })
-		return rapid.Permutation(others).Draw(w.t, "targets")[:count]
-	}
-	var targets []*crashEntry
-	for range count {
-		targets = append(targets, w.entries[w.draw("target", 0, len(w.entries)-1)])
-	}
-	return targets
-}
-
-func (w *crashWorld) post(from, to *crashEntry, update attempt.CrashUpdate) {
-	if to == from || w.draw("loss", 0, 99) < w.lossPercent {
-		return
-	}
-	delay := time.Duration(w.draw("delay", 1, 40)) * time.Millisecond
-	w.messages = append(w.messages, crashMessage{at: w.now.Add(delay), from: from, to: to, update: update})
-}
-
 // updateLists shows removals from the list to all entries.
 func (w *crashWorld) updateLists() {
 	for len(w.unlisted) > 0 && !w.now.Before(w.unlisted[0].at) {
