Bound the time for which a trial run excludes others

A trial run excludes others for twice the longest run that an end has cut off, which the asking entry states. With long streams, or a wrong value in a message, one lost release would hold up all suspects of the service as long. Now 10 s at most.

TestLostReleaseOfALongRunHoldsOthersUpForABoundedTime failed before.

--- a/internal/attempt/trials.go
+++ b/internal/attempt/trials.go
@@ -9,6 +9,9 @@
 // minTrialTime is the shortest time for which a trial run excludes others: it covers the messages about it.
 const minTrialTime = 200 * time.Millisecond
 
+// maxTrialTime is the longest time for which it does, so that a lost release of a long run does not hold up others for long.
+const maxTrialTime = 10 * time.Second
+
 // maxTrials bounds the services with a trial run.
 const maxTrials = 1024
 
@@ -41,8 +44,8 @@
 	return &TrialRuns{settleTime: settleTime, permits: map[ident.Service]trialPermit{}}
 }
 
-// Request permits a run at the service for the given time, unless another one is permitted. A request that is repeated is
-// permitted again.
+// Request permits a run at the service for the given time, at most maxTrialTime, unless another one is permitted. A request
+// that is repeated is permitted again.
 func (t *TrialRuns) Request(now time.Time, service ident.Service, run TrialRun, lasts time.Duration) bool {
 	permit, known := t.permits[service]
 	switch {
@@ -56,11 +59,12 @@
 			return false
 		}
 	}
-	t.permits[service] = trialPermit{run: run, until: now.Add(lasts + t.settleTime)}
+	t.permits[service] = trialPermit{run: run, until: now.Add(min(lasts, maxTrialTime) + t.settleTime)}
 	return true
 }
 
-// Release records that a run has ended, unless its permit has expired. If its server broke it off, the next one waits until the end is known to all.
+// Release records that a run has ended, unless its permit has expired. If its server broke it off, the next one waits until
+// the end is known to all.
 func (t *TrialRuns) Release(now time.Time, service ident.Service, run TrialRun, broken bool) {
 	permit, known := t.permits[service]
 	if !known || permit.run != run || permit.ended || !now.Before(permit.until) {
--- a/internal/attempt/trials_test.go
+++ b/internal/attempt/trials_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
@@ -54,3 +55,14 @@
 		}
 	})
 }
+
+// The release of a run that may last very long is lost. If its permit lasted as long, all other suspects of the service would be
+// refused meanwhile.
+func TestLostReleaseOfALongRunHoldsOthersUpForABoundedTime(t *testing.T) {
+	const longestHold = 11 * time.Second
+	c := qt.New(t)
+	trials := attempt.NewTrialRuns(300 * time.Millisecond)
+	c.Assert(trials.Request(start, "service", attempt.TrialRun{Entry: "a", Number: 1}, time.Hour), qt.IsTrue)
+	c.Assert(trials.Request(start.Add(time.Second), "service", attempt.TrialRun{Entry: "b", Number: 1}, time.Second), qt.IsFalse)
+	c.Assert(trials.Request(start.Add(longestHold), "service", attempt.TrialRun{Entry: "b", Number: 1}, time.Second), qt.IsTrue)
+}
