Quarantine a request after two trial runs that end servers

Where several callers' runs overlap, the ends of all three servers count as one event.

The limit of 12 nats allows for the many requests that are running at any end, of which one stands out by chance. A request on trial was known before the run, so that this allowance does not apply: after two trial runs that were cut off 8 nats are enough.

--- a/internal/attempt/crash_decision.go
+++ b/internal/attempt/crash_decision.go
@@ -37,7 +37,7 @@
 	all = all[:min(len(all), maxCases)]
 	for _, suspect := range all {
 		switch {
-		case len(suspect.events) >= r.config.MinEnds && suspect.strength >= r.config.EvidenceLimit:
+		case r.config.enough(suspect):
 			strong = append(strong, suspect)
 		case len(suspect.ends) >= r.config.MinEnds:
 			r.addFinding(suspect.finding(CrashEvidenceShort, 0))
--- a/internal/attempt/crash_evidence.go
+++ b/internal/attempt/crash_evidence.go
@@ -207,20 +207,40 @@
 	}
 }
 
-// awaitsTrial reports whether only a trial run can tell whether the suspect is the cause of its ends: fewer than MinEnds of them
-// lie outside of outages, and none cut off a run that began after MinEnds earlier ones had settled. Parts of prompts have
-// no trial runs.
+// enough reports whether the evidence against the suspect suffices for a quarantine. The limit is lower after confirming
+// trial runs: the suspect was known before them, and not found among all requests by its ends.
+func (c *CrashConfig) enough(suspect *suspectCase) bool {
+	limit := c.EvidenceLimit
+	if c.trialEnds(suspect) >= c.ConfirmingTrials {
+		limit = c.TrialEvidenceLimit
+	}
+	return len(suspect.events) >= c.MinEnds && suspect.strength >= limit
+}
+
+// trialEnds returns the number of the suspect's ends that cut off a run which began after MinEnds earlier ones had settled: a
+// trial run, see TrialRuns. Parts of prompts have none.
+func (c *CrashConfig) trialEnds(suspect *suspectCase) int {
+	if suspect.trait.IsPart() || len(suspect.ends) <= c.MinEnds {
+		return 0
+	}
+	settled, ends := suspect.ends[c.MinEnds-1].at.Add(c.SettleTime), 0
+	for _, end := range suspect.ends[c.MinEnds:] {
+		if began := end.at.Add(-end.runs[suspect.trait].duration); !began.Before(settled) {
+			ends++
+		}
+	}
+	return ends
+}
+
+// awaitsTrial reports whether only a trial run can tell whether the suspect is the cause of its ends: it has ended none in a
+// trial run, and fewer than MinEnds of them lie outside of outages.
 func (a *assessment) awaitsTrial(suspect *suspectCase) bool {
 	config := &a.register.config
-	if suspect.trait.IsPart() {
+	if suspect.trait.IsPart() || config.trialEnds(suspect) > 0 {
 		return false
 	}
 	outside := 0
-	for i, end := range suspect.ends {
-		began := end.at.Add(-end.runs[suspect.trait].duration - config.SettleTime)
-		if i >= config.MinEnds && !began.Before(suspect.ends[config.MinEnds-1].at) {
-			return false
-		}
+	for _, end := range suspect.ends {
 		if !a.inOutage(end) {
 			outside++
 		}
--- a/internal/attempt/crash_register.go
+++ b/internal/attempt/crash_register.go
@@ -13,6 +13,9 @@
 	// it never is. MaxEvidence bounds the evidence of one end.
 	EvidenceLimit, MaxEvidence float64
 	MinEnds                    int
+	// TrialEvidenceLimit is the evidence at which a request is quarantined that has ended ConfirmingTrials servers in trial runs.
+	TrialEvidenceLimit float64
+	ConfirmingTrials   int
 	// Margin is by how many nats a trait must explain its ends better than the others to be quarantined by itself.
 	Margin float64
 	// SettleTime is the age below which an end is no evidence: other entries may yet report what they ran there.
@@ -42,7 +45,7 @@
 func DefaultCrashConfig() CrashConfig {
 	suspects := DefaultSuspectConfig()
 	return CrashConfig{
-		EvidenceLimit: 12, MaxEvidence: 5, MinEnds: 3, Margin: 5,
+		EvidenceLimit: 12, MaxEvidence: 5, MinEnds: 3, TrialEvidenceLimit: 8, ConfirmingTrials: 2, Margin: 5,
 		SettleTime: 150 * time.Millisecond, SameMoment: 60 * time.Millisecond, SequenceGap: 500 * time.Millisecond, ListDelay: 5 * time.Second,
 		ObserveFor: 10 * time.Second, PriorEnds: 4, ReturnFor: 2500 * time.Millisecond,
 		BrokenFor: 8 * time.Second, SuspectFor: suspects.SuspectFor, QuarantineFor: suspects.QuarantineFor,
--- a/internal/attempt/crash_register_test.go
+++ b/internal/attempt/crash_register_test.go
@@ -181,3 +181,22 @@
 	now = now.Add(200 * time.Millisecond)
 	c.Assert(register.Status(now, []attempt.Fingerprint{fingerprint}), qt.Equals, attempt.RequestQuarantined)
 }
+
+// Several callers send a request that ends all servers of a small service at the same moment, which counts as one event. If
+// each trial run added no more than a chance end does, three of them would end servers, as many as the platform tolerates.
+func TestTwoTrialRunsThatEndServersAreEnough(t *testing.T) {
+	c := qt.New(t)
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register.SetServers(start, "service", 3)
+	fingerprint, now := attempt.Fingerprint{1}, start
+	for i := range 3 {
+		endRun(register, now.Add(time.Duration(i)*time.Millisecond), fmt.Sprint("server-", i), fingerprint, 100*time.Millisecond)
+	}
+	for i := range 2 {
+		now = now.Add(4 * time.Second)
+		c.Assert(register.Status(now, []attempt.Fingerprint{fingerprint}), qt.Equals, attempt.RequestSuspect)
+		endRun(register, now, fmt.Sprint("server-", 3+i), fingerprint, 100*time.Millisecond)
+	}
+	now = now.Add(200 * time.Millisecond)
+	c.Assert(register.Status(now, []attempt.Fingerprint{fingerprint}), qt.Equals, attempt.RequestQuarantined)
+}
