Add the messages and types shared by the parts for hard load

Cause: stragglers, demand shares and evacuated zones need fields in reports, subscriptions and hellos; parts that are built side by side need them first. Change: datagram types and fields, GroupPace.Slowness, PassGate.Capacity. Nothing sends or reads them yet; the tests of internal/admission pass.

--- a/internal/admission/passgate.go
+++ b/internal/admission/passgate.go
@@ -38,6 +38,9 @@
 	Pass time.Duration
 	// Skew is the expert load of the most loaded rank divided by the mean over the ranks.
 	Skew float64
+	// Slowness is the factor by which the work of each rank takes longer than usual, by rank; nil if all ranks are as fast
+	// as usual. Skew includes it.
+	Slowness []float64
 	// Loading is true while ranks load experts for the next map.
 	Loading bool
 	// Entries is the number of entries that send requests to the group.
@@ -89,6 +92,19 @@
 	return float64(pace.Writers) / (passes * pass.Seconds())
 }
 
+// Capacity returns the number of streams per second that the group completes while all are on time.
+func (g PassGate) Capacity(pace GroupPace) float64 {
+	passes := float64(g.Engine.MeanAnswerTokens) / float64(max(g.Engine.StepsPerPass, 1))
+	longest := time.Duration(maxPassFraction * float64(g.MaxEventGap))
+	perWriter := g.passTimePerWriter(pace)
+	if passes <= 0 || longest <= 0 || perWriter <= 0 {
+		return 0
+	}
+	idle := g.PredictPass(pace, 0)
+	writers := min(float64(max(longest-idle, 0))/float64(perWriter), float64(g.Engine.Slots*max(pace.Ranks, 1)))
+	return writers / (passes * g.PredictPass(pace, int(writers)).Seconds())
+}
+
 // PredictPass returns the duration of a pass with the given number of writers instead of the reported one.
 func (g PassGate) PredictPass(pace GroupPace, writers int) time.Duration {
 	idle := g.Engine.Step * time.Duration(g.Engine.StepsPerPass)
--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -91,6 +91,8 @@
 	Group ident.Group `cbor:"1,keyasint"`
 	// Entry is the address, as host:port, to which the reports are sent.
 	Entry string `cbor:"2,keyasint"`
+	// Demand is what callers offer for the group's service at this entry, the greatest rates first.
+	Demand []DemandShare `cbor:"3,keyasint,omitempty"`
 }
 
 // GroupReport is sent by a group's leader to the subscribed entries a few times a second.
@@ -108,6 +110,30 @@
 	Loading bool `cbor:"6,keyasint,omitempty"`
 	// EntryCount is the number of subscribed entries; 0 if Entries has all of them.
 	EntryCount int `cbor:"7,keyasint,omitempty"`
+	// Slow has the ranks that are slower than usual.
+	Slow []RankSlowness `cbor:"8,keyasint,omitempty"`
+	// Epoch, Fence and Sequence order the reports of a group. A report that is lower than one received before is outdated.
+	Epoch    uint64 `cbor:"9,keyasint,omitempty"`
+	Fence    uint64 `cbor:"10,keyasint,omitempty"`
+	Sequence uint64 `cbor:"11,keyasint,omitempty"`
+	// Demand is the sum of what the subscribed entries state in Subscribe.
+	Demand []DemandShare `cbor:"12,keyasint,omitempty"`
+}
+
+// RankSlowness is the factor, in percent, by which a rank's work takes longer than usual.
+type RankSlowness struct {
+	Rank    uint16 `cbor:"1,keyasint"`
+	Percent uint16 `cbor:"2,keyasint"`
+}
+
+// DemandShare is the demand of one customer at one priority.
+type DemandShare struct {
+	// Customer is "*" for the sum over customers that are not listed by themselves.
+	Customer ident.Customer `cbor:"1,keyasint"`
+	Priority int            `cbor:"2,keyasint"`
+	// Rate is the number of offered requests per second, Retries that of the offered requests that repeat a refused one.
+	Rate    float32 `cbor:"3,keyasint"`
+	Retries float32 `cbor:"4,keyasint,omitempty"`
 }
 
 // PromptSent is sent by an entry to the other entries when it sends a prompt to a rank, so that they count it before the
@@ -130,6 +156,16 @@
 	Joining bool `cbor:"5,keyasint,omitempty"`
 	// Answer is true if the message answers a hello.
 	Answer bool `cbor:"3,keyasint,omitempty"`
+	// Evacuation is the newest state of evacuations that the sender knows; nil if it knows of none.
+	Evacuation *Evacuation `cbor:"6,keyasint,omitempty"`
+}
+
+// Evacuation lists the evacuated availability zones as of a position of the store. The state with the greater position
+// (era, then revision) is newer.
+type Evacuation struct {
+	Era      uint64       `cbor:"1,keyasint,omitempty"`
+	Revision uint64       `cbor:"2,keyasint"`
+	Zones    []ident.Zone `cbor:"3,keyasint,omitempty"`
 }
 
 // Statements is sent by an entry to others when what a backend server says of itself changes, and to an entry that is new.
