Decide outcomes of unserved calls by their runs alone

A server's own 503 without a statement that it did not run the request was passed on, too. An accepted call is checked again only until a server may have run it. Test gateways get open listeners, since a free port could be taken before its use. Ruled out: checking before each send and reporting 'unknown' (cuts sound streams at each revocation).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -62,8 +62,8 @@
 	replacement *control.Assignment
 	// trial is the permit of the present send of a suspect; nil for other sends.
 	trial *trialPermit
-	// runs is the number of backend servers that may have run the request.
-	runs int
+	// runs records the backend servers that may have run the request.
+	runs attempt.Runs
 	// endedByClose is true if only the end of the connection marked the end of the last response.
 	endedByClose bool
 	// connectionRefused is true if the last backend server refused the connection.
@@ -120,50 +120,14 @@
 	c.serve()
 }
 
-// refuse responds to a call that did not run.
-func (c *call) refuse(status int, cause outcome.Cause, retryAfter time.Duration) {
-	c.result = outcome.Refused(cause)
-	c.result.RetryAfter = retryAfter
-	c.respond(status)
-}
-
-// fail responds to a call that may have run.
-func (c *call) fail(status int, cause outcome.Cause) {
-	c.result = outcome.InDoubt(cause, "")
-	c.respond(status)
-}
-
-// respond writes a response of the gateway itself. If a streamed response has begun, it only records the status and
-// ServeHTTP cuts the response off.
-func (c *call) respond(status int) {
-	c.status = status
-	if c.started || c.r.Context().Err() != nil {
-		return
-	}
-	header := c.w.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	if c.id != "" {
-		header.Set(c.gateway.headers.RequestID, c.id)
-	}
-	if c.result.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(c.result.RetryAfter.Seconds(), 'f', 3, 64))
-	}
-	text := c.result.Kind.String() + ": " + string(c.result.Cause) + "\n"
-	header.Set("Content-Length", strconv.Itoa(len(text)))
-	c.w.WriteHeader(status)
-	if _, err := io.WriteString(c.w, text); err != nil {
-		c.gateway.log.WithError(err).WithField("request", c.id).Debug("caller-gone")
-	}
-}
-
 // identify determines the route and the customer, or refuses the call.
 func (c *call) identify() bool {
 	if c.table == nil {
-		c.refuse(http.StatusServiceUnavailable, outcome.CauseNotReady, defaultRetryAfter)
+		c.endUnserved(unserved{status: http.StatusServiceUnavailable, cause: outcome.CauseNotReady, retryAfter: defaultRetryAfter})
 		return false
 	}
 	if limit := c.table.Limits.HeaderBytes; limit > 0 && headerBytes(c.r) > limit {
-		c.refuse(http.StatusRequestHeaderFieldsTooLarge, outcome.CauseTooLarge, 0)
+		c.endUnserved(unserved{status: http.StatusRequestHeaderFieldsTooLarge, cause: outcome.CauseTooLarge})
 		return false
 	}
 	c.route = c.table.Route(c.r.Host, c.r.URL.EscapedPath())
@@ -183,14 +147,15 @@
 // as current within the bound on new configurations plus revisionCheckInterval, since it is confirmed only that often.
 func (c *call) refuseUnknown(status int, cause outcome.Cause) {
 	if !c.gateway.currentWithin(c.gateway.config.Settings.Bounds.Configuration + revisionCheckInterval) {
-		c.refuse(http.StatusServiceUnavailable, outcome.CauseNotReady, defaultRetryAfter)
+		c.endUnserved(unserved{status: http.StatusServiceUnavailable, cause: outcome.CauseNotReady, retryAfter: defaultRetryAfter})
 		return
 	}
-	c.refuse(status, cause, 0)
+	c.endUnserved(unserved{status: status, cause: cause})
 }
 
-// authorize checks the credential against the newest table, or refuses the call. It is called again before each send,
-// since the credential may have been revoked in the meantime.
+// authorize checks the credential against the newest table, or refuses the call. It is called on arrival, and again before
+// each send until a server may have run the request: it may have been revoked in the meantime. What counts for a revocation
+// is when the caller sent the request, so that a request which was accepted may be repeated or resumed after it.
 func (c *call) authorize() bool {
 	if c.route.Public || !c.table.CredentialsRequired {
 		return true
@@ -201,7 +166,7 @@
 		return false
 	}
 	if !c.gateway.credentialsCurrent() {
-		c.refuse(http.StatusServiceUnavailable, outcome.CauseNotReady, defaultRetryAfter)
+		c.endUnserved(unserved{status: http.StatusServiceUnavailable, cause: outcome.CauseNotReady, retryAfter: defaultRetryAfter})
 		return false
 	}
 	c.access = access
@@ -218,10 +183,10 @@
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
-			c.refuse(http.StatusRequestEntityTooLarge, outcome.CauseTooLarge, 0)
+			c.endUnserved(unserved{status: http.StatusRequestEntityTooLarge, cause: outcome.CauseTooLarge})
 			return false
 		}
-		c.refuse(http.StatusBadRequest, outcome.CauseBadRequest, 0)
+		c.endUnserved(unserved{status: http.StatusBadRequest, cause: outcome.CauseBadRequest})
 		return false
 	}
 	if err := controller.SetReadDeadline(time.Time{}); err != nil {
@@ -325,7 +290,7 @@
 
 // maySendAgain reports whether the request may be sent to another backend server.
 func (c *call) maySendAgain() bool {
-	if c.runs > 0 && (!c.route.Repeatable() || c.runs >= c.route.MaxServers) {
+	if runs := c.runs.Possible(); runs > 0 && (!c.route.Repeatable() || runs >= c.route.MaxServers) {
 		return false
 	}
 	return len(c.tried) < c.route.MaxServers+extraSends
@@ -405,53 +370,13 @@
 	})
 }
 
-// endUnassigned ends a call that was not assigned a backend server.
-func (c *call) endUnassigned(ctx context.Context, refused control.Assignment) {
-	switch {
-	case ctx.Err() != nil:
-		c.endExpired()
-	case c.runs > 0 || c.started:
-		c.endFailed(refused.Cause)
-	default:
-		c.assigned = refused
-		c.refuse(http.StatusServiceUnavailable, refused.Cause, refused.RetryAfter)
-	}
-}
-
-// endExpired ends a call whose caller disconnected or whose deadline passed.
-func (c *call) endExpired() {
-	switch {
-	case c.r.Context().Err() != nil:
-		c.result = outcome.InDoubt(outcome.CauseCallerGone, "")
-		if c.runs == 0 {
-			c.result = outcome.Refused(outcome.CauseCallerGone)
-		}
-	case c.runs == 0:
-		c.refuse(http.StatusServiceUnavailable, outcome.CauseDeadline, defaultRetryAfter)
-	default:
-		c.fail(http.StatusGatewayTimeout, outcome.CauseTimeout)
-	}
-}
-
-// endFailed ends a call that may not be sent to another backend server.
-func (c *call) endFailed(cause outcome.Cause) {
-	switch {
-	case c.failureResponse != nil && !c.started:
-		c.writeBuffered(c.failureResponse)
-	case c.runs == 0 && !c.started:
-		c.refuse(http.StatusServiceUnavailable, cause, defaultRetryAfter)
-	default:
-		c.fail(http.StatusBadGateway, cause)
-	}
-}
-
 // logOutcome writes the log line and the metrics of a completed call.
 func (c *call) logOutcome() {
 	g := c.gateway
 	requestKind := ""
 	fields := logrus.Fields{
 		"request": c.id, "outcome": c.result.Kind, "cause": c.result.Cause, "status": c.status,
-		"total_ms": time.Since(c.arrived).Milliseconds(), "tries": len(c.tried), "runs": c.runs,
+		"total_ms": time.Since(c.arrived).Milliseconds(), "tries": len(c.tried), "runs": c.runs.Possible(),
 		"config_age_ms": g.configurationAge().Milliseconds(),
 	}
 	if c.table != nil {
--- a/internal/gateway/crash_requests.go
+++ b/internal/gateway/crash_requests.go
@@ -52,7 +52,7 @@
 	case routing.SendBroken:
 		return c.brokenEvidence(backend, startedAt, closedByServer)
 	case routing.SendAbandoned:
-		if c.runs > 0 && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if c.runs.Possible() > 0 && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return c.brokenEvidence(backend, startedAt, false)
 		}
 	case routing.SendNotConnected:
@@ -64,7 +64,7 @@
 
 // servedEvidence is that of a complete response to a request that the server ran, unless runs is 0 since it was rejected.
 func (c *call) servedEvidence(backend membership.ListedBackend, startedAt time.Time) func(now time.Time) {
-	if c.runs == 0 {
+	if c.runs.Possible() == 0 {
 		return c.reachedEvidence(backend, startedAt)
 	}
 	g := c.gateway
--- /dev/null
+++ b/internal/gateway/end.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/control"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
+)
+
+// unserved says why a call is not served, and how its caller is told if no server can have run the request.
+type unserved struct {
+	status     int
+	cause      outcome.Cause
+	retryAfter time.Duration
+}
+
+// endUnserved ends a call that is not served. All such ends go through it, since only the runs of the call decide whether
+// the caller is told that the request did not run. If a server may have run it, the caller gets that server's error
+// response if there is one, and otherwise status 502 or 504, whatever status the reason has.
+func (c *call) endUnserved(reason unserved) {
+	c.result = c.runs.Unserved(reason.cause)
+	switch {
+	case c.started:
+		// ServeHTTP cuts the response off. Its status is that of its head.
+	case c.runs.Possible() == 0:
+		c.result.RetryAfter = reason.retryAfter
+		c.respond(reason.status)
+	case c.failureResponse != nil && !promisesNotRun(c.failureResponse.status):
+		c.writeBuffered(c.failureResponse)
+	case reason.cause == outcome.CauseTimeout:
+		c.respond(http.StatusGatewayTimeout)
+	default:
+		c.respond(http.StatusBadGateway)
+	}
+}
+
+// promisesNotRun reports whether callers take a response with the status as a promise that the request did not run. A server
+// that may have run it can answer with such a status too; the response is then not passed on.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// respond writes a response of the gateway itself, unless the caller has disconnected.
+func (c *call) respond(status int) {
+	c.status = status
+	if c.r.Context().Err() != nil {
+		return
+	}
+	header := c.w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if c.id != "" {
+		header.Set(c.gateway.headers.RequestID, c.id)
+	}
+	if c.result.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(c.result.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	text := c.result.Kind.String() + ": " + string(c.result.Cause) + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	c.w.WriteHeader(status)
+	if _, err := io.WriteString(c.w, text); err != nil {
+		c.gateway.log.WithError(err).WithField("request", c.id).Debug("caller-gone")
+	}
+}
+
+// endUnassigned ends a call that was not assigned a backend server.
+func (c *call) endUnassigned(ctx context.Context, refused control.Assignment) {
+	if ctx.Err() != nil {
+		c.endExpired()
+		return
+	}
+	if c.runs.Possible() == 0 {
+		c.assigned = refused
+	}
+	c.endUnserved(unserved{status: http.StatusServiceUnavailable, cause: refused.Cause, retryAfter: refused.RetryAfter})
+}
+
+// endExpired ends a call whose caller disconnected or whose deadline passed.
+func (c *call) endExpired() {
+	switch {
+	case c.r.Context().Err() != nil:
+		c.result = c.runs.Unserved(outcome.CauseCallerGone)
+	case c.runs.Possible() == 0:
+		c.endUnserved(unserved{status: http.StatusServiceUnavailable, cause: outcome.CauseDeadline, retryAfter: defaultRetryAfter})
+	default:
+		c.endUnserved(unserved{cause: outcome.CauseTimeout})
+	}
+}
+
+// endFailed ends a call that may not be sent to another backend server.
+func (c *call) endFailed(cause outcome.Cause) {
+	c.endUnserved(unserved{status: http.StatusServiceUnavailable, cause: cause, retryAfter: defaultRetryAfter})
+}
+
+// endBadRequest ends a call whose request a server rejected as invalid without running it. The caller gets that response
+// unless another server may have run the request before.
+func (c *call) endBadRequest(rejection *bufferedResponse) {
+	if c.started || c.runs.Possible() > 0 {
+		c.endFailed(outcome.CauseBadRequest)
+		return
+	}
+	c.result = c.runs.Unserved(outcome.CauseBadRequest)
+	c.writeBuffered(rejection)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,9 @@
 	Store    source.Store
 	Log      *logrus.Entry
 	Metrics  *node.Metrics
+	// Callers and Checks are open listeners for callers and for readiness checks; nil to listen at the addresses of the
+	// settings. Processes that are started together need them, since a free port may be taken before its use.
+	Callers, Checks net.Listener
 }
 
 // Gateway is an entry process that sends requests directly to backend servers.
@@ -208,11 +211,11 @@
 	g.socket = socket
 	g.revisionReaders = membership.NewRevisionReaders(socket.Address())
 	g.peerDirectory = newPeerDirectory(time.Now(), socket.Address(), g.config.Settings.Seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	callers, err := net.Listen("tcp", g.config.Settings.CallersAddress)
+	callers, err := listenUnlessOpen(g.config.Callers, g.config.Settings.CallersAddress)
 	if err != nil {
 		return oops.In("gateway").Wrapf(err, "listen for callers")
 	}
-	checks, err := net.Listen("tcp", g.config.Settings.ReadyAddress)
+	checks, err := listenUnlessOpen(g.config.Checks, g.config.Settings.ReadyAddress)
 	if err != nil {
 		return oops.In("gateway").Wrapf(err, "listen for readiness checks")
 	}
@@ -244,6 +247,14 @@
 	return errors.Join(server.Close(), readiness.Close())
 }
 
+// listenUnlessOpen returns the open listener, or a new one at the address if there is none.
+func listenUnlessOpen(open net.Listener, address string) (net.Listener, error) {
+	if open != nil {
+		return open, nil
+	}
+	return net.Listen("tcp", address)
+}
+
 // drain performs a planned stop. Readiness turns false first. The listener closes after balancerLag, when the load
 // balancer no longer sends new connections. Calls in progress are completed.
 func (g *Gateway) drain(ctx context.Context, server *http.Server) {
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -324,9 +324,11 @@
 		},
 	}
 	change(&direct)
-	direct.CallersAddress, direct.ReadyAddress = freeAddress(g.c, direct.IP), freeAddress(g.c, direct.IP)
-	g.address = direct.CallersAddress
-	g.gateway = New(Config{Settings: direct, Headers: testHeaders, Store: g.store, Log: logrus.NewEntry(log), Metrics: metrics})
+	callers, checks := listen(g.c, direct.IP), listen(g.c, direct.IP)
+	g.address = callers.Addr().String()
+	g.gateway = New(Config{
+		Settings: direct, Headers: testHeaders, Store: g.store, Log: logrus.NewEntry(log), Metrics: metrics, Callers: callers, Checks: checks,
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { g.runError <- g.gateway.Run(ctx, g.stop) }()
 	g.kill = cancel
@@ -348,19 +350,17 @@
 
 var loopbackCounter atomic.Uint32
 
-// nextLoopback returns a loopback address that no other test uses. A port that is free there cannot be taken by the
-// connections and listeners of tests that run at the same time, before or between its uses.
+// nextLoopback returns a loopback address that no other test of this package uses.
 func nextLoopback() string {
 	n := loopbackCounter.Add(1)
 	return fmt.Sprintf("127.30.%d.%d", n/200, n%200+1)
 }
 
-// freeAddress returns an address with a TCP port that is free at the IP address.
-func freeAddress(c *qt.C, ip string) string {
+// listen opens a listener at a free TCP port of the IP address, which no other process can take until the gateway uses it.
+func listen(c *qt.C, ip string) net.Listener {
 	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	c.Assert(err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().String()
+	return listener
 }
 
 // callerResponse is a response as received by a caller.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -45,9 +45,9 @@
 	return result
 }
 
-// exchange checks the credential again, sends the request and handles the response.
+// exchange checks the credential again if the request cannot have run, sends the request and handles the response.
 func (c *call) exchange(ctx context.Context, assigned control.Assignment) exchangeResult {
-	if !c.authorize() {
+	if c.runs.Possible() == 0 && !c.authorize() {
 		return exchangeResult{sendResult: routing.SendAbandoned, done: true}
 	}
 	conn, sent := c.transmit(ctx, assigned)
@@ -91,11 +91,11 @@
 		stop()
 		switch {
 		case err == nil:
-			c.runs++
+			c.runs.RecordSent()
 			return conn, 0
 		case !errors.Is(err, errNothingSent):
 			conn.reset()
-			c.runs++
+			c.runs.RecordSent()
 			return nil, routing.SendBroken
 		}
 		conn.reset()
@@ -182,7 +182,7 @@
 		return exchangeResult{sendResult: routing.SendServed, done: true}
 	}
 	c.failureResponse = buffered
-	if buffered.status >= http.StatusInternalServerError && c.maySendAgain() && c.runs < c.route.MaxServers && c.route.Repeatable() {
+	if buffered.status >= http.StatusInternalServerError && c.maySendAgain() && c.runs.Possible() < c.route.MaxServers && c.route.Repeatable() {
 		return exchangeResult{sendResult: routing.SendFailed}
 	}
 	c.endFailed(outcome.CauseBackendError)
@@ -196,14 +196,13 @@
 
 // handleRejection handles a response which states that the server did not run the request.
 func (c *call) handleRejection(conn *backendConn, response *http.Response) exchangeResult {
-	c.runs--
+	c.runs.RecordNotExecuted()
 	buffered, err := c.bufferResponse(conn, response)
 	switch {
 	case response.StatusCode == http.StatusMisdirectedRequest:
 		return exchangeResult{sendResult: routing.SendMisdirected}
 	case response.StatusCode == http.StatusBadRequest && err == nil:
-		c.result = outcome.Refused(outcome.CauseBadRequest)
-		c.writeBuffered(buffered)
+		c.endBadRequest(buffered)
 		return exchangeResult{sendResult: routing.SendServed, done: true}
 	case response.Header.Get(c.gateway.headers.FaultyBackend) != "":
 		return exchangeResult{sendResult: routing.SendGroupBroken}
@@ -214,9 +213,6 @@
 // writeBuffered writes a backend server's complete response to the caller.
 func (c *call) writeBuffered(buffered *bufferedResponse) {
 	c.status = buffered.status
-	if c.result.Kind == outcome.Open {
-		c.result = outcome.InDoubt(outcome.CauseBackendError, "")
-	}
 	header := c.w.Header()
 	connection := header.Get("Connection")
 	for name, values := range endToEndHeader(buffered.header) {
@@ -235,7 +231,7 @@
 		return
 	}
 	if _, err := c.w.Write(buffered.body); err != nil {
-		c.result = outcome.InDoubt(outcome.CauseCallerGone, "")
+		c.result = c.runs.Unserved(outcome.CauseCallerGone)
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -117,7 +117,7 @@
 		}
 		if !c.writeEvent(response, event, events.hasBuffered()) {
 			conn.reset()
-			c.result = outcome.InDoubt(outcome.CauseCallerGone, "")
+			c.result = c.runs.Unserved(outcome.CauseCallerGone)
 			return exchangeResult{sendResult: routing.SendAbandoned, done: true}
 		}
 	}
@@ -130,7 +130,7 @@
 		return exchangeResult{sendResult: routing.SendAbandoned}
 	}
 	if c.started && !c.route.Repeatable() {
-		c.fail(http.StatusBadGateway, outcome.CauseBrokenStream)
+		c.endFailed(outcome.CauseBrokenStream)
 		return exchangeResult{sendResult: routing.SendBroken, done: true}
 	}
 	return exchangeResult{sendResult: routing.SendBroken}
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -28,7 +28,7 @@
 
 // startWatchdog starts a watchdog for a stream; nil if another backend server may not continue it.
 func (c *call) startWatchdog(ctx context.Context, conn *backendConn) *stallWatchdog {
-	if c.route.Kind != routing.EventStream || !c.route.Repeatable() || c.runs >= c.route.MaxServers {
+	if c.route.Kind != routing.EventStream || !c.route.Repeatable() || c.runs.Possible() >= c.route.MaxServers {
 		return nil
 	}
 	w := &stallWatchdog{call: c, ctx: ctx, conn: conn, request: c.replacementRequest()}
