--- /dev/null
+++ b/internal/admission/slow_ranks.go
@@ -0,0 +1,74 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// minPassReduction is the least share of a pass that must be saved for ranks to be avoided if the pass stays too long
+	// without them. A stream that moves to another rank is late by itself, since its prompt is processed again.
+	minPassReduction = 0.25
+	// usableSlots is the share of the slots of the other ranks that may be taken when a rank is avoided. The rest is for
+	// arrivals until the next report.
+	usableSlots = 0.95
+)
+
+// SlowRanks returns the ranks of a lock-step group that should run no streams, by rank; nil if there are none. A straggler
+// delays each pass of all ranks, but only while it has work of its own: without streams it takes part in passes without
+// delaying them. So its streams are better off at other ranks, as long as these have room for them.
+//
+// Load pattern: one or more ranks turn slow for seconds while the group is busy. loads are the numbers of running and queued
+// streams by rank.
+func (g PassGate) SlowRanks(pace GroupPace, loads []int) []bool {
+	longest := time.Duration(maxPassFraction * float64(g.MaxEventGap))
+	if longest <= 0 || len(pace.Slowness) != len(loads) || len(loads) == 0 {
+		return nil
+	}
+	order := make([]int, 0, len(loads))
+	total := 0
+	for rank, load := range loads {
+		total += load
+		if pace.Slowness[rank] > 1 {
+			order = append(order, rank)
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(pace.Slowness[b], pace.Slowness[a]), cmp.Compare(a, b))
+	})
+	shared := g.expertPass(pace, total)
+	usual := g.ownPass(1, total/len(loads)) + shared
+	slow := make([]bool, len(loads))
+	avoided := 0
+	for _, rank := range order {
+		pass := g.ownPass(pace.Slowness[rank], max(loads[rank], 1)) + shared
+		saves := usual <= longest || float64(pass-usual) >= minPassReduction*float64(pass)
+		room := usableSlots * float64(g.Engine.Slots*(len(loads)-avoided-1))
+		if pass <= longest || !saves || float64(total) > room {
+			break
+		}
+		slow[rank] = true
+		avoided++
+	}
+	if avoided == 0 {
+		return nil
+	}
+	return slow
+}
+
+// ownPass returns the part of a pass that a rank with the slowness spends on its own streams and on a chunk of a prompt.
+func (g PassGate) ownPass(slowness float64, streams int) time.Duration {
+	steps := float64(g.Engine.StepsPerPass)
+	own := steps * (float64(g.Engine.Step) + (1-g.Engine.Experts.Share)*float64(g.Engine.PerWriter)*float64(streams))
+	if g.Engine.PromptRate > 0 {
+		own += float64(g.Engine.PromptChunk) / g.Engine.PromptRate * float64(time.Second)
+	}
+	return time.Duration(slowness * own)
+}
+
+// expertPass returns the part of a pass that the most loaded rank spends on experts for the streams of the group.
+func (g PassGate) expertPass(pace GroupPace, streams int) time.Duration {
+	mean := float64(streams) / float64(max(pace.Ranks, 1))
+	return time.Duration(g.Engine.Experts.Share * float64(g.Engine.PerWriter) * float64(g.Engine.StepsPerPass) * mean * max(pace.Skew, 1))
+}
--- a/internal/control/assignment.go
+++ b/internal/control/assignment.go
@@ -29,6 +29,8 @@
 	// OtherGroupOnly is true if the stream's server sends no more events: only a server of
 	// another group is assigned.
 	OtherGroupOnly bool
+	// Moved is true if the stream runs at a rank that is slow: only a server that is not slow is assigned, and at once.
+	Moved bool
 	// Resumed is true for a stream whose first events the caller has received.
 	Resumed bool
 	// Traits are the fingerprints by which the entry's CrashRegister knows the request and the parts of its prompt; only
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -204,6 +204,7 @@
 			server.RecordReport(now, report.RankLoads[rank])
 		}
 	}
+	d.updateSlowRanks(now, group)
 	return d.assignWaiting(now)
 }
 
@@ -274,7 +275,7 @@
 	switch {
 	case ok:
 		return []Assignment{assigned}
-	case request.OtherGroupOnly || len(d.waiting) >= maxWaiting || !d.mayWait(now, &request, &assigned):
+	case request.OtherGroupOnly || request.Moved || len(d.waiting) >= maxWaiting || !d.mayWait(now, &request, &assigned):
 		if request.Reason == SendReasonRepeat {
 			d.repeats.Release(now, request.Service)
 		}
@@ -408,7 +409,7 @@
 	if d.refuseSuspect(now, request, &assignment) {
 		return assignment, false
 	}
-	candidates := d.candidates(request)
+	candidates := d.candidates(now, request)
 	if len(candidates) == 0 {
 		assignment.Cause, assignment.RetryAfter = outcome.CauseNoBackend, noBackendRetryAfter
 		return assignment, false
@@ -441,24 +442,29 @@
 	return assignment, true
 }
 
-// candidates returns the listed servers that may get the request. If it was sent to all of them
-// before, it may go to one of them again, unless OtherGroupOnly is set. The gateway requests no
-// further server for a request that must not run again.
-func (d *Dispatcher) candidates(request *BackendRequest) []*routing.Server {
-	var fresh, tried []*routing.Server
+// candidates returns the listed servers that may get the request. If there is no other, it may go to a slow rank, or to a
+// server that it was sent to before, unless OtherGroupOnly or Moved is set. The gateway requests no further server for a
+// request that must not run again.
+func (d *Dispatcher) candidates(now time.Time, request *BackendRequest) []*routing.Server {
+	var fresh, slow, tried []*routing.Server
 	for _, server := range d.services[request.Service] {
 		switch {
 		case server.Leaving || server.StatedLeaving:
 		case slices.Contains(request.Tried, server.ID):
 			tried = append(tried, server)
+		case d.avoided(now, server):
+			slow = append(slow, server)
 		default:
 			fresh = append(fresh, server)
 		}
 	}
-	if len(fresh) == 0 && !request.OtherGroupOnly {
-		return tried
+	switch {
+	case len(fresh) > 0 || request.Moved:
+		return fresh
+	case len(slow) > 0 || request.OtherGroupOnly:
+		return slow
 	}
-	return fresh
+	return tried
 }
 
 // pickPlain picks the server with the lowest cost, and a paused one only if there is no other.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -60,6 +60,8 @@
 	tried []string
 	// replacement is the backend server that continues a stalled stream.
 	replacement *control.Assignment
+	// moved is true if the last send ended because its stream moved away from a slow rank.
+	moved bool
 	// trial is the permit of the present send of a suspect; nil for other sends.
 	trial *trialPermit
 	// runs records the backend servers that may have run the request.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -286,6 +286,7 @@
 		},
 		RankLoads: report.Loads, SilentEntries: entries - len(report.Entries),
 	}))
+	g.moveStreams(g.dispatcher.SlowRanks(now, report.Group))
 }
 
 // notifyPeers notifies the other entries of a prompt that is sent to a rank.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,6 +132,8 @@
 	lastCallAt atomic.Int64
 	// hasBackends is true if at least one listed backend server is not leaving.
 	hasBackends atomic.Bool
+	// runningStreams has the streams that another backend server may continue.
+	runningStreams streamTable
 	// crashesKnown is true while the control thread knows of requests that may have crashed a backend server.
 	crashesKnown atomic.Bool
 	// lastProgress maps each group to the time at which it last sent an event on one of this entry's streams.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -33,7 +33,7 @@
 	if result.sendResult == routing.SendServed && !c.firstByteAt.IsZero() {
 		latency = c.firstByteAt.Sub(start)
 	}
-	if !result.done && ctx.Err() != nil {
+	if !result.done && (ctx.Err() != nil || c.moved) {
 		result.sendResult = routing.SendAbandoned
 	}
 	evidence := c.crashEvidence(ctx, assigned.Backend, start, result.sendResult, c.replacement == nil)
@@ -57,7 +57,7 @@
 	stop := context.AfterFunc(ctx, func() { conn.reset() })
 	defer stop()
 	watchdog := c.startWatchdog(ctx, conn)
-	defer func() { c.replacement = watchdog.stop() }()
+	defer func() { c.replacement, c.moved = watchdog.stop() }()
 	response, mismatched, err := c.receive(conn)
 	if err != nil {
 		conn.reset()
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -16,14 +16,16 @@
 	call *call
 	ctx  context.Context
 	conn *backendConn
-	// request is the request for a backend server in place of the stalled one.
+	// request is the request for a backend server in place of the stalled one, which has the ID server.
 	request control.BackendRequest
+	server  string
 
 	mu    sync.Mutex
 	timer *time.Timer
 	ended bool
-	// replacement is the backend server that continues the stream.
+	// replacement is the backend server that continues the stream; moved is true if the stream's own one has not failed.
 	replacement *control.Assignment
+	moved       bool
 }
 
 // startWatchdog starts a watchdog for a stream; nil if another backend server may not continue it.
@@ -31,8 +33,9 @@
 	if c.route.Kind != routing.EventStream || !c.route.Repeatable() || c.runs.Possible() >= c.route.MaxServers {
 		return nil
 	}
-	w := &stallWatchdog{call: c, ctx: ctx, conn: conn, request: c.replacementRequest()}
+	w := &stallWatchdog{call: c, ctx: ctx, conn: conn, request: c.replacementRequest(), server: c.assigned.Backend.ID}
 	w.timer = time.AfterFunc(streamStallTimeout, w.requestReplacement)
+	c.gateway.runningStreams.add(w)
 	return w
 }
 
@@ -62,19 +65,26 @@
 		w.timer.Reset(streamStallTimeout)
 		return
 	}
+	w.replaceBy(assigned)
+}
+
+// replaceBy lets another backend server continue the stream.
+func (w *stallWatchdog) replaceBy(assigned control.Assignment) {
 	w.replacement = &assigned
 	w.ended = true
 	w.conn.reset()
 }
 
-// stop ends the watchdog and returns the backend server that continues the stream; nil if there is none.
-func (w *stallWatchdog) stop() *control.Assignment {
+// stop ends the watchdog and returns the backend server that continues the stream; nil if there is none. moved is true if it
+// continues there although its own one has not failed.
+func (w *stallWatchdog) stop() (replacement *control.Assignment, moved bool) {
 	if w == nil {
-		return nil
+		return nil, false
 	}
+	w.call.gateway.runningStreams.remove(w)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ended = true
 	w.timer.Stop()
-	return w.replacement
+	return w.replacement, w.moved
 }
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -114,6 +114,8 @@
 	promptBacklog   float64
 	promptBacklogAt time.Time
 
+	// Avoided is true for a rank that is so slow that its streams are better off at others, by the last report of its group.
+	Avoided bool
 	// StatedLeaving is true once a response of the server has said that it is leaving.
 	StatedLeaving bool
 	// restUntil is the end of the time for which the server wants no requests; zero if it never asked for that.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -185,6 +185,8 @@
 	services           map[ident.Service]*DirectService
 	accessByCredential map[string]CustomerAccess
 	customerN          int
+	// eventGaps has the shortest EventGap of the routes to each service that has one.
+	eventGaps map[ident.Service]time.Duration
 }
 
 // NewTable returns a table of the routes, services and credentials. With nil credentials none is required.
@@ -194,10 +196,12 @@
 		routes:             map[string][]*Route{},
 		services:           make(map[ident.Service]*DirectService, len(services)),
 		accessByCredential: credentials,
+		eventGaps:          map[ident.Service]time.Duration{},
 	}
 	for i := range routes {
 		route := &routes[i]
 		table.routes[route.Host] = append(table.routes[route.Host], route)
+		table.addEventGap(route)
 	}
 	for _, list := range table.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -232,6 +236,19 @@
 	return t.services[name]
 }
 
+func (t *Table) addEventGap(route *Route) {
+	for _, share := range route.Shares {
+		if gap := t.eventGaps[share.Service]; route.EventGap > 0 && (gap == 0 || route.EventGap < gap) {
+			t.eventGaps[share.Service] = route.EventGap
+		}
+	}
+}
+
+// EventGap returns the shortest pause between events that a route to the service allows for streams on time; 0 if none is set.
+func (t *Table) EventGap(service ident.Service) time.Duration {
+	return t.eventGaps[service]
+}
+
 // Access returns the rights of the credential; false if it is unknown.
 func (t *Table) Access(credential string) (CustomerAccess, bool) {
 	access, ok := t.accessByCredential[credential]
