Estimate the speed of ranks and weight expert maps by it

Cause: all ranks execute each pass together, so that one rank whose work takes longer delays its whole group. Maps gave it as many experts as any other rank. The pace that ranks report was decoded and used nowhere.

Change: expert.RankSpeeds estimates the slowness of each rank from the reported pace, bounded by the median of the last three passes over the duration of a pass without requests. CopyLimits.Slowness multiplies the load of a rank, CopyLimits.Leaving keeps copies off ranks that are leaving, and PlacementSkew returns the weighted skew without a plan. Nothing uses them yet.

Ruled out: measured passes alone (they do not tell which rank is slow); the mean of passes as the bound (one long pass raises it); the smaller of two passes (a leader that reads late sees a long pass beside a short one).

--- a/internal/expert/copyplan.go
+++ b/internal/expert/copyplan.go
@@ -29,6 +29,16 @@
 	// MinGain is the gain that a change must exceed. The gain is the reduction of the approximate maximum
 	// of its layer's rank loads, as a fraction of the mean rank load summed over all layers.
 	MinGain float64
+	// Slowness is the factor by which the work of each rank takes longer than usual, by rank; nil if all are 1. The load
+	// of a rank is multiplied by it.
+	Slowness []float64
+	// Leaving is true for the ranks that load no experts because they are leaving, by rank; nil if none is.
+	Leaving []bool
+}
+
+// mayHost reports whether a rank that does not hold an expert may load it.
+func (l *CopyLimits) mayHost(rank int) bool {
+	return rank >= len(l.Leaving) || !l.Leaving[rank]
 }
 
 // CopyPlan is a changed placement with the numbers of experts to load for it and its skews.
@@ -38,7 +48,7 @@
 	// Copies is the number of experts to load over all ranks, and MaxPerRank the maximum of one rank.
 	Copies, MaxPerRank int
 	// SkewBefore and SkewAfter are the skews of the current and the new placement: the maximum rank load of each
-	// layer, summed over layers, divided by the sum of the mean rank loads.
+	// layer, weighted by slowness and summed over layers, divided by the sum of the mean rank loads without weights.
 	SkewBefore, SkewAfter float64
 }
 
@@ -58,7 +68,9 @@
 	// rankExperts holds the experts of each rank, and hosts the ranks of each expert.
 	rankExperts [][]Expert
 	hosts       [][]int
-	rankLoads   []float64
+	// rankLoads holds the load of each rank, multiplied by its weight. A weight is the rank's slowness.
+	rankLoads []float64
+	weights   []float64
 	// added holds the experts to load, by rank.
 	added      [][]Expert
 	bestChange copyChange
@@ -90,8 +102,9 @@
 func PlanCopies(current LayerPlacements, load Load, limits CopyLimits) CopyPlan {
 	search := &copySearch{limits: limits, loaded: make([]int, len(current[0]))}
 	sum := 0.0
+	weights := rankWeights(limits.Slowness, len(current[0]))
 	for layer, ranks := range current {
-		search.layers = append(search.layers, newCopyLayer(ranks, load[layer]))
+		search.layers = append(search.layers, newCopyLayer(ranks, load[layer], weights))
 		sum += total(load[layer])
 	}
 	plan := CopyPlan{SkewBefore: search.skew()}
@@ -120,10 +133,33 @@
 	return plan
 }
 
-func newCopyLayer(ranks [][]Expert, load []float64) *copyLayer {
+// rankWeights returns the slowness of each rank: 1 for ranks that slowness lacks.
+func rankWeights(slowness []float64, ranks int) []float64 {
+	weights := make([]float64, ranks)
+	for rank := range weights {
+		weights[rank] = 1
+		if rank < len(slowness) && slowness[rank] > 1 {
+			weights[rank] = slowness[rank]
+		}
+	}
+	return weights
+}
+
+// PlacementSkew returns the skew of a placement as in CopyPlan.SkewBefore. slowness is as in CopyLimits. placement must
+// have at least one layer, and load must have the same layers and all experts.
+func PlacementSkew(placement LayerPlacements, load Load, slowness []float64) float64 {
+	search := &copySearch{}
+	weights := rankWeights(slowness, len(placement[0]))
+	for layer, ranks := range placement {
+		search.layers = append(search.layers, newCopyLayer(ranks, load[layer], weights))
+	}
+	return search.skew()
+}
+
+func newCopyLayer(ranks [][]Expert, load, weights []float64) *copyLayer {
 	layer := &copyLayer{
 		expertLoads: load, rankExperts: make([][]Expert, len(ranks)), hosts: make([][]int, len(load)),
-		rankLoads: make([]float64, len(ranks)), added: make([][]Expert, len(ranks)),
+		rankLoads: make([]float64, len(ranks)), weights: weights, added: make([][]Expert, len(ranks)),
 	}
 	for rank, experts := range ranks {
 		layer.rankExperts[rank] = slices.Clone(experts)
@@ -140,18 +176,23 @@
 	clear(c.rankLoads)
 	for expert, hosts := range c.hosts {
 		for _, rank := range hosts {
-			c.rankLoads[rank] += c.expertLoads[expert] / float64(len(hosts))
+			c.rankLoads[rank] += c.weights[rank] * (c.expertLoads[expert] / float64(len(hosts)))
 		}
 	}
 	c.bestValid = false
 }
 
-// skew returns the maximum rank load of each layer, summed over layers, divided by the sum of the means.
+// skew returns the maximum weighted rank load of each layer, summed over layers, divided by the sum of the means
+// without weights.
 func (s *copySearch) skew() float64 {
 	worst, mean := 0.0, 0.0
 	for _, layer := range s.layers {
 		worst += slices.Max(layer.rankLoads)
-		mean += total(layer.rankLoads) / float64(len(layer.rankLoads))
+		sum := 0.0
+		for rank, load := range layer.rankLoads {
+			sum += load / layer.weights[rank]
+		}
+		mean += sum / float64(len(layer.rankLoads))
 	}
 	if mean == 0 {
 		return 1
@@ -251,7 +292,7 @@
 
 // mayLoad reports whether the limits allow a rank to load another expert of the layer.
 func (s *copySearch) mayLoad(layer *copyLayer, rank int) bool {
-	return s.loaded[rank] < s.limits.PerRank && len(layer.added[rank]) < s.limits.PerLayer
+	return s.limits.mayHost(rank) && s.loaded[rank] < s.limits.PerRank && len(layer.added[rank]) < s.limits.PerLayer
 }
 
 // addChange returns the change that adds an expert on a rank. If the rank has no free slot, it evicts the least loaded
@@ -307,13 +348,13 @@
 	}
 	old, part := c.expertLoads[expert]/float64(len(hosts)), c.expertLoads[expert]/float64(after)
 	for _, rank := range hosts {
-		rankLoads[rank] -= old
+		rankLoads[rank] -= c.weights[rank] * old
 		if rank != drop {
-			rankLoads[rank] += part
+			rankLoads[rank] += c.weights[rank] * part
 		}
 	}
 	if add >= 0 {
-		rankLoads[add] += part
+		rankLoads[add] += c.weights[add] * part
 	}
 }
 
--- a/internal/expert/copyplan_test.go
+++ b/internal/expert/copyplan_test.go
@@ -43,6 +43,12 @@
 		shape := rapid.SampledFrom([][4]int{{6, 8, 64, 11}, {12, 32, 128, 5}, {16, 96, 192, 3}, {2, 4, 8, 2}, {3, 2, 4, 4}}).Draw(t, "shape")
 		layers, ranks, experts, slots := shape[0], shape[1], shape[2], shape[3]
 		limits := CopyLimits{Slots: slots, PerRank: rapid.IntRange(0, 6).Draw(t, "per rank"), PerLayer: rapid.IntRange(1, 4).Draw(t, "per layer"), MinGain: rapid.SampledFrom([]float64{0, 0.001, 0.004}).Draw(t, "least gain")}
+		if rapid.Bool().Draw(t, "slow ranks") {
+			limits.Slowness = make([]float64, ranks)
+			for rank := range limits.Slowness {
+				limits.Slowness[rank] = rapid.SampledFrom([]float64{1, 1, 1, 1.3, 4}).Draw(t, "slowness")
+			}
+		}
 		current := startPlacement(layers, ranks, experts)
 		for range 4 {
 			load := peakedLoad(random, layers, experts)
--- /dev/null
+++ b/internal/expert/rankspeeds.go
@@ -0,0 +1,187 @@
+package expert
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// Parameters of the estimate of rank speeds.
+const (
+	// maxPaceAge is the age from which a reported pace counts as 1. A busy rank reports about every 100 ms and an idle one
+	// every 400 ms, so that two lost reports of an idle rank do not change the estimate.
+	maxPaceAge = time.Second
+	// minSlowness is the slowness from which a rank counts as slow. A smaller one lengthens passes by less than their
+	// usual scatter.
+	minSlowness = 1.1
+	// paceConfirmations is the number of consecutive reports of a greater pace that the estimate needs to rise.
+	paceConfirmations = 2
+	// maxPassTime is the longest time that counts as the duration of a pass. A longer time without the beginning of a pass
+	// means that the group was idle.
+	maxPassTime = 2 * time.Second
+	// speedChangeFactor is the relative change of a slow rank's estimate that is reported as a change of its speed. It is
+	// more than the scatter of the measured passes, which bound the estimate. Maps for estimates that differ by less are
+	// nearly the same: at twice the work a rank already loses most of its experts.
+	speedChangeFactor = 1.5
+	// restartReportGap is the time since the last report from which a report with an earlier pass comes from a rank that
+	// restarted. After a shorter time it is a delayed datagram.
+	restartReportGap = 300 * time.Millisecond
+	// recentPasses is the number of measured passes that bound the estimate.
+	recentPasses = 3
+)
+
+// RankSpeeds estimates the slowness of each rank of a group: the factor by which its work takes longer than usual. The
+// estimate is the pace that the rank reports, bounded by the measured passes: all ranks execute each pass together, so
+// that a pass takes at least the slowness of the slowest rank times the duration of a pass without requests. A healthy
+// rank that reports itself as slow is therefore taken to be at most as slow as the passes allow.
+//
+// The bound is the median of the last three passes, so that a single long pass does not change the estimate. RankSpeeds is
+// pure and not safe for concurrent use.
+type RankSpeeds struct {
+	epoch uint64
+	ranks []rankSpeed
+	// slowness is the estimate by rank, as of the last Update; nil if no rank is slow.
+	slowness []float64
+
+	// step is the last pass known to have begun, and stepAt the time at which that became known.
+	step   uint64
+	stepAt time.Time
+	// passes are the durations of the latest passes, the last one first.
+	passes []time.Duration
+}
+
+// rankSpeed is what is known about the speed of one rank.
+type rankSpeed struct {
+	// step and reportedAt are the pass and the time of the last report.
+	step       uint64
+	reportedAt time.Time
+	// pace is the last reported pace, recent the paces of the reports since the rank's start, the last one first.
+	pace   float64
+	recent []float64
+	// reported is the estimate in the last SpeedChange.
+	reported float64
+}
+
+// SpeedChange reports that the estimated slowness of a rank changed.
+type SpeedChange struct {
+	Rank ident.Rank
+	// Pace is the pace that the rank reported last, Age the time since that report, and Pass the measured duration of a
+	// pass; 0 if unknown.
+	Pace      float64
+	Age, Pass time.Duration
+	// Before and Slowness are the former and the present estimate.
+	Before, Slowness float64
+}
+
+// Slow reports whether the rank is slow now.
+func (c SpeedChange) Slow() bool { return c.Slowness > 1 }
+
+// NewRankSpeeds returns an estimate without reports, by which no rank is slow.
+func NewRankSpeeds() *RankSpeeds { return &RankSpeeds{} }
+
+// Observe records a rank's status, received at now. A status of a later epoch starts the estimate over; one of an earlier
+// epoch is ignored, as are delayed ones.
+func (s *RankSpeeds) Observe(now time.Time, status *RankStatus) {
+	if status.Epoch < s.epoch {
+		return
+	}
+	if status.Epoch > s.epoch || len(s.ranks) != status.Size {
+		*s = RankSpeeds{epoch: status.Epoch, ranks: make([]rankSpeed, status.Size)}
+	}
+	rank := int(status.Rank)
+	if rank < 0 || rank >= len(s.ranks) {
+		return
+	}
+	view := &s.ranks[rank]
+	if status.Step < view.step {
+		if now.Sub(view.reportedAt) < restartReportGap {
+			return
+		}
+		view.recent = nil // the rank restarted
+	}
+	view.step, view.reportedAt, view.pace = status.Step, now, max(status.Pace, 1)
+	view.recent = slices.Insert(view.recent, 0, view.pace)
+	view.recent = view.recent[:min(len(view.recent), paceConfirmations)]
+	s.observePass(now, status.Step)
+}
+
+// observePass measures the duration of passes from the first report of each pass.
+func (s *RankSpeeds) observePass(now time.Time, step uint64) {
+	if step <= s.step && !s.stepAt.IsZero() {
+		return
+	}
+	passes, elapsed := step-s.step, now.Sub(s.stepAt)
+	if !s.stepAt.IsZero() && elapsed <= maxPassTime {
+		for range min(passes, recentPasses) {
+			s.passes = slices.Insert(s.passes, 0, elapsed/time.Duration(passes))
+		}
+		s.passes = s.passes[:min(len(s.passes), recentPasses)]
+	}
+	s.step, s.stepAt = step, now
+}
+
+// Update computes the estimate at now. idlePass is the duration of a pass without requests; 0 if unknown, then the passes
+// bound nothing. It returns the ranks whose speed changed since the last time that it returned them.
+func (s *RankSpeeds) Update(now time.Time, idlePass time.Duration) []SpeedChange {
+	var changes []SpeedChange
+	slow := false
+	pass := s.Pass(now)
+	estimates := make([]float64, len(s.ranks))
+	for rank := range s.ranks {
+		view := &s.ranks[rank]
+		estimate := view.estimate(now)
+		if idlePass > 0 {
+			estimate = min(estimate, float64(pass)/float64(idlePass))
+		}
+		if estimate < minSlowness {
+			estimate = 1
+		}
+		estimates[rank] = estimate
+		slow = slow || estimate > 1
+		before := max(view.reported, 1)
+		if estimate == before || estimate > 1 && before > 1 && estimate < before*speedChangeFactor && before < estimate*speedChangeFactor {
+			continue
+		}
+		view.reported = estimate
+		changes = append(changes, SpeedChange{
+			Rank: ident.Rank(rank), Pace: view.pace, Age: now.Sub(view.reportedAt), Pass: pass, Before: before, Slowness: estimate,
+		})
+	}
+	s.slowness = nil
+	if slow {
+		s.slowness = estimates
+	}
+	return changes
+}
+
+// estimate returns the pace of a rank without the bound by the passes: the smallest of its latest reports, so that it
+// rises with the second report of a greater pace and falls with the first of a smaller one. A rank that is taken to be
+// slow after it recovered only holds fewer experts than it could, but it costs nothing to let it recover at once.
+func (r *rankSpeed) estimate(now time.Time) float64 {
+	if len(r.recent) < paceConfirmations || now.Sub(r.reportedAt) >= maxPaceAge {
+		return 1
+	}
+	return slices.Min(r.recent)
+}
+
+// Pass returns the median duration of the latest passes; 0 if too few are known. The pass in progress counts with the time
+// since its beginning in place of the oldest one if that increases the median.
+func (s *RankSpeeds) Pass(now time.Time) time.Duration {
+	if len(s.passes) < recentPasses {
+		return 0
+	}
+	latest := median(s.passes)
+	if elapsed := now.Sub(s.stepAt); elapsed <= maxPassTime {
+		latest = max(latest, median([]time.Duration{elapsed, s.passes[0], s.passes[1]}))
+	}
+	return latest
+}
+
+func median(durations []time.Duration) time.Duration {
+	sorted := slices.Sorted(slices.Values(durations))
+	return sorted[len(sorted)/2]
+}
+
+// Slowness returns the estimate of the last Update by rank; nil if no rank is slow. Callers must not change it.
+func (s *RankSpeeds) Slowness() []float64 { return s.slowness }
