Plan expert maps by the speed of ranks and report it to the entries

Cause: a group leader decoded the pace of its ranks and used it nowhere, so that a slow rank kept its share of the experts and entries did not know of it. The reported skew stayed that of the last plan during a rollout.

Change: the leader keeps expert.RankSpeeds and passes them to its plans. The decision when to propose a map moves from the agent to expert.MapTrigger, with the rule for demand unchanged; a change of speed starts a map that saves more pass time in 6 s than its loading costs. The skew is weighted and is updated with each change of demand, speeds or the map. Reports contain slow ranks and a position (epoch, fence, sequence); entries ignore reports that are not after the last one, until they have received none for 1 s. An agent reads and reports a changed pace twice at once, since the leader needs two reports.

Ruled out: the rule of 6 % less skew for changes of speed (at 1.3 times it would be met with idle ranks too, and says nothing about pass time); a map for each change of the estimate (it rises with the pass in progress).

TestDecisionsWithoutSlowRanksAreUnchanged compares each decision with the former rule while all ranks report a pace of 1 or none.

--- a/internal/expert/lockstep.go
+++ b/internal/expert/lockstep.go
@@ -104,7 +104,7 @@
 	Running int `cbor:"12,keyasint,omitempty" json:"running,omitempty"`
 	Waiting int `cbor:"13,keyasint,omitempty" json:"waiting,omitempty"`
 	// Pace is a factor reported by the engine: greater than 1 for a rank that is slower than other ranks of its kind.
-	// No decision depends on it.
+	// RankSpeeds estimates speeds from it.
 	Pace float64 `cbor:"14,keyasint,omitempty" json:"pace,omitempty"`
 }
 
--- /dev/null
+++ b/internal/expert/maptrigger.go
@@ -0,0 +1,115 @@
+package expert
+
+import "time"
+
+// Limits and thresholds of a MapTrigger.
+const (
+	// firstMapLoadTime limits the time that a rank loads experts for the first map after a jump in demand or a change of
+	// speed, and refinedMapLoadTime the time for the maps that refine it. The limits allow four and eight experts of
+	// 0.42 GB, or one and two of 1.7 GB. Passes are slow until a map is active, so a rough map that is active soon is worth
+	// more than a better one that takes longer to load. See docs/measurements/platform.md.
+	firstMapLoadTime   = 160 * time.Millisecond
+	refinedMapLoadTime = 300 * time.Millisecond
+	// minGainPerSecond times the seconds for loading an expert is the smallest gain for which a copy of it is loaded. The
+	// gain is the reduction of the highest rank load, as a fraction of the mean rank load (see CopyLimits.MinGain): at
+	// least 0.004 for an expert of 1.7 GB, 0.001 for one of 0.42 GB. Loading a copy with a smaller gain costs more than the
+	// copy saves.
+	minGainPerSecond = 0.027
+	// minImprovement is the smallest relative reduction of the skew for which a map is proposed. Passes take 15 % longer
+	// while experts are loaded, for about one second of the few seconds between two changes of demand. The map must save
+	// more time than that.
+	minImprovement = 0.06
+	// stragglerDuration is the usual time for which a rank is slow. A map for a change of speed must save more time in it
+	// than its loading costs.
+	stragglerDuration = 6 * time.Second
+	// loadingSlowdown is the fraction by which passes take longer while experts are loaded, as stated by the platform, and
+	// rolloutTime the time of a rollout without the loading itself, in which it may apply too.
+	loadingSlowdown = 0.15
+	rolloutTime     = 300 * time.Millisecond
+)
+
+// MapInput is what a MapTrigger decides by.
+type MapInput struct {
+	// Placement is the map in use, Demand the estimated demand.
+	Placement LayerPlacements
+	Demand    *Demand
+	// Slowness is as in RankSpeeds, SpeedChanges the number of times that it changed. Leaving is as in CopyLimits.
+	Slowness     []float64
+	SpeedChanges int
+	Leaving      []bool
+	// Slots and NewPerLayer are the limits of a rank in a layer. LoadsWithin returns the number of experts that a rank loads
+	// within a time, and LoadTime is that of one expert.
+	Slots, NewPerLayer int
+	LoadsWithin        func(time.Duration) int
+	LoadTime           time.Duration
+	// Ready is true if no rollout is in progress, MayReplace if the map of the one in progress can be replaced.
+	Ready, MayReplace bool
+	// Pass is the duration of a pass, and ExpertPart the part of it that is spent in experts with a skew of 1; 0 if unknown.
+	Pass, ExpertPart time.Duration
+}
+
+// MapTrigger decides when a leader proposes a map: after a jump in demand or a change of speed at once, and otherwise when
+// it reduces the skew enough. It is pure and not safe for concurrent use.
+type MapTrigger struct {
+	// plannedJumps and plannedSpeeds are the numbers of jumps and of changes of speed at the last decision on them.
+	plannedJumps, plannedSpeeds int
+}
+
+// MapProposal is a map to propose, and its causes.
+type MapProposal struct {
+	Plan CopyPlan
+	// Jumped and SpeedChanged are true if demand jumped or speeds changed since the last decision on them.
+	Jumped, SpeedChanged bool
+}
+
+// Cause returns the cause of the map as it is logged.
+func (p *MapProposal) Cause() string {
+	switch {
+	case p.Jumped && p.SpeedChanged:
+		return "jump-and-speed"
+	case p.Jumped:
+		return "jump"
+	case p.SpeedChanged:
+		return "speed"
+	}
+	return "refinement"
+}
+
+// Decide returns the map to propose now, and false if none is worth its cost.
+func (t *MapTrigger) Decide(input *MapInput) (MapProposal, bool) {
+	load, buckets := input.Demand.Estimate()
+	jumps := input.Demand.Jumps()
+	proposal := MapProposal{Jumped: jumps != t.plannedJumps, SpeedChanged: input.SpeedChanges != t.plannedSpeeds}
+	urgent := proposal.Jumped || proposal.SpeedChanged
+	if !input.Ready && (!urgent || !input.MayReplace) {
+		return proposal, false
+	}
+	loadTimeLimit := refinedMapLoadTime
+	if urgent || buckets <= 1 {
+		loadTimeLimit = firstMapLoadTime
+	}
+	proposal.Plan = PlanCopies(input.Placement, load, CopyLimits{
+		Slots: input.Slots, PerRank: input.LoadsWithin(loadTimeLimit), PerLayer: input.NewPerLayer,
+		MinGain: minGainPerSecond * input.LoadTime.Seconds(), Slowness: input.Slowness, Leaving: input.Leaving,
+	})
+	plan := &proposal.Plan
+	t.plannedSpeeds = input.SpeedChanges
+	improves := plan.Copies > 0 && (plan.SkewBefore-plan.SkewAfter)/plan.SkewBefore >= minImprovement
+	if proposal.SpeedChanged && !proposal.Jumped {
+		improves = input.savesTime(plan)
+	}
+	if improves {
+		t.plannedJumps = jumps
+	}
+	return proposal, improves
+}
+
+// savesTime reports whether a map saves more pass time while a rank is slow than its loading costs.
+func (i *MapInput) savesTime(plan *CopyPlan) bool {
+	if i.Pass <= 0 {
+		return false
+	}
+	saved := (plan.SkewBefore - plan.SkewAfter) * i.ExpertPart.Seconds() / i.Pass.Seconds() * stragglerDuration.Seconds()
+	loading := time.Duration(plan.MaxPerRank)*i.LoadTime + rolloutTime
+	return saved > loadingSlowdown*loading.Seconds()
+}
--- /dev/null
+++ b/internal/expert/maptrigger_test.go
@@ -0,0 +1,144 @@
+package expert
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// triggerWorld feeds a MapTrigger with the demand of a group of 72 ranks, 0.1 s at a time. Maps come into force at once.
+type triggerWorld struct {
+	trigger MapTrigger
+	input   MapInput
+	now     time.Time
+}
+
+func newTriggerWorld(random *rand.Rand) *triggerWorld {
+	w := &triggerWorld{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	w.input = MapInput{
+		Placement: startPlacement(12, 72, 144), Demand: NewDemand(12, 144), Slots: 3, NewPerLayer: 2, LoadTime: 16 * time.Millisecond, Ready: true,
+		LoadsWithin: func(limit time.Duration) int { return int(limit / (16 * time.Millisecond)) },
+		Pass:        65 * time.Millisecond, ExpertPart: 13 * time.Millisecond,
+	}
+	w.settle(peakedLoad(random, 12, 144))
+	return w
+}
+
+// settle runs the demand for 1 s and adopts all maps.
+func (w *triggerWorld) settle(load Load) {
+	for range 10 {
+		w.add(load)
+		w.decide()
+	}
+}
+
+func (w *triggerWorld) add(load Load) {
+	w.now = w.now.Add(demandBucketTime)
+	w.input.Demand.Add(w.now, choices(load, 1))
+}
+
+// decide adopts the map that is proposed and returns whether there is one.
+func (w *triggerWorld) decide() (MapProposal, bool) {
+	proposal, found := w.trigger.Decide(&w.input)
+	if found {
+		w.input.Placement = proposal.Plan.Placement
+	}
+	return proposal, found
+}
+
+// setSpeed changes the slowness of a rank.
+func (w *triggerWorld) setSpeed(rank int, slowness float64) {
+	w.input.Slowness = rankWeights(w.input.Slowness, 72)
+	w.input.Slowness[rank] = slowness
+	w.input.SpeedChanges++
+}
+
+// Guards against changes of speed that start no map, and against maps that cost more than they save: for a rank that
+// recovered, for a small slowness of a group without requests, and again for a speed that did not change.
+func TestChangeOfSpeedStartsAMap(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(17, 18))
+	for _, factor := range []float64{1.3, 2, 4, 8} {
+		w := newTriggerWorld(random)
+		w.setSpeed(40, factor)
+		proposal, found := w.decide()
+		c.Check(found, qt.IsTrue, qt.Commentf("factor %v", factor))
+		c.Check(proposal.Cause(), qt.Equals, "speed")
+		_, found = w.decide()
+		c.Check(found, qt.IsFalse, qt.Commentf("factor %v, after the map", factor))
+		w.setSpeed(40, 1)
+		proposal, found = w.decide()
+		c.Check(found, qt.IsFalse, qt.Commentf("recovery from factor %v: skew %v to %v", factor, proposal.Plan.SkewBefore, proposal.Plan.SkewAfter))
+	}
+	w := newTriggerWorld(random)
+	w.input.ExpertPart = 0
+	w.setSpeed(40, 1.3)
+	_, found := w.decide()
+	c.Check(found, qt.IsFalse, qt.Commentf("a group without requests"))
+	w = newTriggerWorld(random)
+	w.setSpeed(40, 4)
+	w.input.Ready = false
+	_, found = w.decide()
+	c.Check(found, qt.IsFalse, qt.Commentf("a rollout is in progress"))
+	w.input.MayReplace = true
+	_, found = w.decide()
+	c.Check(found, qt.IsTrue, qt.Commentf("the map of the rollout can be replaced"))
+}
+
+// Guards against decisions that differ from those without speeds in groups whose ranks all report a pace of 1 or none. The
+// rule in the test is the one by which leaders decided before they knew speeds.
+func TestDecisionsWithoutSlowRanksAreUnchanged(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(19, 20))
+	w := newTriggerWorld(random)
+	speeds := NewRankSpeeds()
+	plannedJumps := w.input.Demand.Jumps()
+	proposals := 0
+	for round := range 8 {
+		load := peakedLoad(random, 12, 144)
+		for bucket := range 12 {
+			w.add(load)
+			w.input.Ready = bucket%4 != 3
+			w.input.MayReplace = !w.input.Ready && round%2 == 0
+			for rank := range 72 {
+				speeds.Observe(w.now, &RankStatus{Epoch: 1, Rank: ident.Rank(rank), Size: 72, Step: uint64(round*12 + bucket), Pace: float64(rank % 2)})
+			}
+			w.input.SpeedChanges += len(speeds.Update(w.now, idleTestPass))
+			w.input.Slowness = speeds.Slowness()
+			expected, expectedFound := decideWithoutSpeeds(&w.input, &plannedJumps)
+			proposal, found := w.decide()
+			c.Assert(found, qt.Equals, expectedFound)
+			if found {
+				proposals++
+				c.Assert(proposal.Plan, qt.DeepEquals, expected)
+			}
+		}
+	}
+	c.Assert(proposals >= 8, qt.IsTrue, qt.Commentf("each of eight jumps needs a map; %d were proposed", proposals))
+}
+
+// decideWithoutSpeeds is the decision of leaders before they knew the speeds of ranks.
+func decideWithoutSpeeds(input *MapInput, plannedJumps *int) (CopyPlan, bool) {
+	load, buckets := input.Demand.Estimate()
+	jumps := input.Demand.Jumps()
+	jumped := jumps != *plannedJumps
+	limit := 300 * time.Millisecond
+	if jumped || buckets <= 1 {
+		limit = 160 * time.Millisecond
+	}
+	if !input.Ready && (!jumped || !input.MayReplace) {
+		return CopyPlan{}, false
+	}
+	plan := PlanCopies(input.Placement, load, CopyLimits{
+		Slots: input.Slots, PerRank: input.LoadsWithin(limit), PerLayer: input.NewPerLayer, MinGain: 0.027 * input.LoadTime.Seconds(),
+	})
+	if plan.Copies == 0 || (plan.SkewBefore-plan.SkewAfter)/plan.SkewBefore < 0.06 {
+		return plan, false
+	}
+	*plannedJumps = jumps
+	return plan, true
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -263,8 +263,11 @@
 	}
 }
 
-// handleGroupReport passes the report of a group's leader to the dispatcher.
+// handleGroupReport passes the report of a group's leader to the dispatcher. It ignores outdated reports.
 func (g *Gateway) handleGroupReport(now time.Time, from netip.AddrPort, report *datagram.GroupReport) {
+	if g.isOutdatedReport(now, report, from.String()) {
+		return
+	}
 	g.leaders.recordReport(now, report.Group, from)
 	entries := max(report.EntryCount, len(report.Entries))
 	for _, entry := range report.Entries {
@@ -282,7 +285,7 @@
 		Group: report.Group,
 		Pace: admission.GroupPace{
 			Writers: requests, Ranks: len(report.Loads), Skew: report.Skew, Loading: report.Loading, Entries: entries,
-			Pass: time.Duration(report.PassMicros) * time.Microsecond,
+			Pass: time.Duration(report.PassMicros) * time.Microsecond, Slowness: rankSlowness(report),
 		},
 		RankLoads: report.Loads, SilentEntries: entries - len(report.Entries),
 	}))
--- a/internal/gateway/leaders.go
+++ b/internal/gateway/leaders.go
@@ -31,6 +31,10 @@
 	subscribedAt time.Time
 	// nextAgent is the index of the agent to subscribe at when the leader does not report.
 	nextAgent int
+	// lastReport is the position of the last report that was accepted, at acceptedAt.
+	lastReport       reportPosition
+	acceptedAt       time.Time
+	outdatedLoggedAt time.Time
 }
 
 // subscription is a group and the agent to send the subscription to.
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -349,14 +349,22 @@
 // expertLayers returns the dimensions of the service's expert layers. They are zero before a configuration with the
 // service has been received.
 func (a *Agent) expertLayers() routing.ExpertLayers {
+	if engine := a.engineModel(); engine != nil {
+		return engine.Experts
+	}
+	return routing.ExpertLayers{}
+}
+
+// engineModel returns the model of the service's engine; nil before a configuration with the service has been received.
+func (a *Agent) engineModel() *routing.EngineModel {
 	if a.table == nil {
-		return routing.ExpertLayers{}
+		return nil
 	}
 	service := a.table.Service(a.self.Service)
-	if service == nil || service.Engine == nil {
-		return routing.ExpertLayers{}
+	if service == nil {
+		return nil
 	}
-	return service.Engine.Experts
+	return service.Engine
 }
 
 // choiceCounter converts expert counts since the rank's start into counts since the previous reading.
--- a/internal/rankagent/agent_test.go
+++ b/internal/rankagent/agent_test.go
@@ -48,6 +48,7 @@
 	armStep, held                 uint64
 	experts, next                 [][]expert.Expert
 	counts                        []uint64
+	pace                          float64
 }
 
 func newTestGroup() *testGroup {
@@ -128,7 +129,7 @@
 	defer r.group.mu.Unlock()
 	return expert.RankStatus{
 		Epoch: 1, Rank: ident.Rank(r.rank), Size: testRanks, Open: true, Step: r.group.step, Map: r.inUse,
-		Prepared: r.prepared, Armed: r.armed, ArmedStep: r.armStep, Held: r.held, Running: r.rank + 1,
+		Prepared: r.prepared, Armed: r.armed, ArmedStep: r.armStep, Held: r.held, Running: r.rank + 1, Pace: r.pace,
 	}, true, nil
 }
 
@@ -213,7 +214,7 @@
 
 // startAgents starts an agent for each rank and returns the functions that stop them, by rank.
 func startAgents(t *testing.T, group *testGroup, port int) []context.CancelFunc {
-	engine := &routing.EngineModel{Experts: routing.ExpertLayers{
+	engine := &routing.EngineModel{Slots: 10, Step: time.Millisecond, PerWriter: time.Millisecond, StepsPerPass: 5, Experts: routing.ExpertLayers{
 		Layers: testLayers, Experts: testExperts, Slots: testSlots, NewPerLayer: 2, Share: 0.85,
 	}}
 	store := &listStore{}
--- a/internal/rankagent/lead.go
+++ b/internal/rankagent/lead.go
@@ -26,21 +26,6 @@
 	maxReportedEntries = 16
 	// passTimeSmoothing is the weight of earlier passes in the moving average of the pass time (0 to 1).
 	passTimeSmoothing = 0.5
-	// firstMapLoadTime limits the time that a rank loads experts for the first map after a jump in demand, and
-	// refinedMapLoadTime the time for the maps that refine it. The limits allow four and eight experts of 0.42 GB, or
-	// one and two of 1.7 GB. Passes are slow until a map is active, so a rough map that is active soon is worth more
-	// than a better one that takes longer to load. See docs/measurements/platform.md.
-	firstMapLoadTime   = 160 * time.Millisecond
-	refinedMapLoadTime = 300 * time.Millisecond
-	// minGainPerSecond times the seconds for loading an expert is the smallest gain for which a copy of it is loaded. The
-	// gain is the reduction of the highest rank load, as a fraction of the mean rank load (see
-	// expert.CopyLimits.MinGain): at least 0.004 for an expert of 1.7 GB, 0.001 for one of 0.42 GB. Loading a copy with a
-	// smaller gain costs more than the copy saves.
-	minGainPerSecond = 0.027
-	// minImprovement is the smallest relative reduction of the skew for which a map is proposed. Passes take 15 % longer
-	// while experts are loaded, for about one second of the few seconds between two changes of demand. The map must save
-	// more time than that.
-	minImprovement = 0.06
 )
 
 // groupState is the state that a leader keeps about its group, apart from the rollout.
@@ -54,13 +39,15 @@
 	// step and stepAt are the pass and the time from which the next mean pass time is computed.
 	step   uint64
 	stepAt time.Time
-	// skew is the ratio of the highest rank load to the mean rank load at the last plan; 1 before the first.
+	speeds rankSpeeds
+	// skew is the ratio of the highest rank load, weighted by slowness, to the mean rank load; 1 before demand is known.
 	skew       float64
 	reportedAt time.Time
+	// reportSequence is the number of reports sent.
+	reportSequence uint64
 	// firstReported is the index of the first subscribed entry that the next report names.
 	firstReported int
-	// plannedJumps is the number of jumps in demand when the last map was proposed.
-	plannedJumps int
+	maps          expert.MapTrigger
 }
 
 // tick removes expired backend servers from the list, checks the leader's timeouts, and sends reports that are due.
@@ -72,6 +59,7 @@
 		return
 	}
 	a.perform(ctx, now, a.leader.Tick(now))
+	a.updateSpeeds(ctx, now)
 	a.reportToEntries(now)
 }
 
@@ -151,7 +139,9 @@
 // leader.
 func (a *Agent) ensureGroupState() *groupState {
 	if a.group == nil {
-		a.group = &groupState{subscriptions: map[netip.AddrPort]time.Time{}, skew: 1}
+		a.group = &groupState{
+			subscriptions: map[netip.AddrPort]time.Time{}, skew: 1, speeds: rankSpeeds{estimate: expert.NewRankSpeeds()},
+		}
 	}
 	return a.group
 }
@@ -164,6 +154,8 @@
 	a.perform(ctx, now, a.leader.ReceiveStatus(now, report.Status))
 	state := a.ensureGroupState()
 	state.observe(now, &report.Status)
+	state.speeds.estimate.Observe(now, &report.Status)
+	a.updateSpeeds(ctx, now)
 	size := a.expertLayers()
 	if size.Layers == 0 || len(report.Counts.Layers) != size.Layers {
 		return
@@ -172,6 +164,7 @@
 		state.demand = expert.NewDemand(size.Layers, size.Experts)
 	}
 	if state.demand.Add(now, report.Counts) {
+		a.updateSkew()
 		a.plan(ctx, now)
 	}
 }
@@ -195,41 +188,38 @@
 	}
 }
 
-// plan proposes a map for the current demand if its improvement is worth the time for loading experts.
+// plan proposes a map for the current demand and speeds if it is worth the time for loading experts.
 func (a *Agent) plan(ctx context.Context, now time.Time) {
 	state := a.ensureGroupState()
 	placement := a.leader.Placement()
+	if state.demand == nil || len(placement) == 0 {
+		return
+	}
 	// buckets is the number of time buckets in the estimate since the last jump in demand.
 	load, buckets := state.demand.Estimate()
-	if placement == nil || len(placement) != len(load) {
+	if buckets == 0 || len(placement) != len(load) {
 		return
 	}
 	size := a.expertLayers()
-	jumps := state.demand.Jumps()
-	jumped := jumps != state.plannedJumps
-	loadTimeLimit := refinedMapLoadTime
-	if jumped || buckets <= 1 {
-		loadTimeLimit = firstMapLoadTime
-	}
-	limits := expert.CopyLimits{
-		Slots: size.Slots, PerRank: size.LoadsWithin(loadTimeLimit), PerLayer: size.NewPerLayer,
-		MinGain: minGainPerSecond * size.LoadTime.Seconds(),
-	}
-	if !a.leader.Ready() && (!jumped || !a.leader.MayReplace()) {
-		return
-	}
-	plan := expert.PlanCopies(placement, load, limits)
-	state.skew = plan.SkewBefore
-	if plan.Copies == 0 || (plan.SkewBefore-plan.SkewAfter)/plan.SkewBefore < minImprovement {
+	slowness := state.speeds.estimate.Slowness()
+	proposal, found := state.maps.Decide(&expert.MapInput{
+		Placement: placement, Demand: state.demand, Slowness: slowness, SpeedChanges: state.speeds.changes,
+		Leaving: a.leavingRanks(len(placement[0])), Slots: size.Slots, NewPerLayer: size.NewPerLayer,
+		LoadsWithin: size.LoadsWithin, LoadTime: size.LoadTime, Ready: a.leader.Ready(), MayReplace: a.leader.MayReplace(),
+		Pass: state.passTime, ExpertPart: state.expertPart(a.engineModel()),
+	})
+	if !found {
 		return
 	}
-	state.plannedJumps = jumps
+	plan := &proposal.Plan
 	a.log.WithFields(logrus.Fields{
-		"group": a.self.Group, "copies": plan.Copies, "longest": plan.MaxPerRank, "skew": plan.SkewBefore,
-		"skew_after": plan.SkewAfter, "jumps": jumps, "buckets": buckets, "pass_ms": state.passTime.Milliseconds(),
+		"group": a.self.Group, "cause": proposal.Cause(), "copies": plan.Copies, "longest": plan.MaxPerRank, "skew": plan.SkewBefore,
+		"skew_after": plan.SkewAfter, "jumps": state.demand.Jumps(), "buckets": buckets, "pass_ms": state.passTime.Milliseconds(),
+		"slow": len(reportedSlowness(slowness)),
 	}).Info("map-planned")
+	a.scope.Tagged(map[string]string{"cause": proposal.Cause()}).Counter("maps_planned").Inc(1)
 	a.perform(ctx, now, a.leader.Propose(now, plan.Placement))
-	if jumped {
+	if proposal.Jumped {
 		state.reportedAt = time.Time{} // sends the report now: entries need it before the jump slows down passes
 		a.reportToEntries(now)
 	}
@@ -243,6 +233,7 @@
 	}
 	state := a.group
 	state.reportedAt = now
+	state.reportSequence++
 	for address, renewed := range state.subscriptions {
 		if now.Sub(renewed) > subscriptionTimeout {
 			delete(state.subscriptions, address)
@@ -252,7 +243,8 @@
 	report := &datagram.GroupReport{
 		Group: a.self.Group, Loads: slices.Clone(state.loads), PassMicros: state.passTime.Microseconds(),
 		Skew: state.skew, Loading: a.leader.MayReplace(), Entries: state.someEntries(),
-		EntryCount: len(state.subscriptions),
+		EntryCount: len(state.subscriptions), Slow: reportedSlowness(state.speeds.estimate.Slowness()),
+		Epoch: a.leader.Epoch(), Fence: a.leader.Fence(), Sequence: state.reportSequence,
 	}
 	for address := range state.subscriptions {
 		a.socket.Send(address, datagram.Message{GroupReport: report})
@@ -293,12 +285,15 @@
 				"loaded_ms": action.Loaded.Milliseconds(), "released_ms": action.Released.Milliseconds(),
 			}).Info("map-in-force")
 			a.scope.Counter("maps_in_force").Inc(1)
+			a.updateSkew()
 		case expert.LockstepLeadership:
 			a.log.WithFields(logrus.Fields{
 				"group": a.self.Group, "leading": action.Leading, "fence": action.Fence, "epoch": a.leader.Epoch(), "reason": action.Reason,
 			}).Info("leadership")
 			if !action.Leading {
 				a.group = nil
+				a.scope.Gauge("ranks_slow").Update(0)
+				a.scope.Gauge("rank_slowness_highest").Update(1)
 			}
 		}
 	}
--- a/internal/rankagent/poll.go
+++ b/internal/rankagent/poll.go
@@ -39,6 +39,7 @@
 				reading.counts, reading.epoch = a.readChoices(ctx)
 				schedule.limitChoices(time.Now(), &status, len(reading.counts), a.config.Settings.LinkRate)
 			}
+			schedule.confirmPace(time.Now(), &status)
 			a.post(func(now time.Time) { a.handleStatus(ctx, now, status, reading) })
 		}
 		select {
@@ -61,6 +62,8 @@
 	windowInterval time.Duration
 	inWindow       bool
 	fastUntil      time.Time
+	// last is the status that was read last.
+	last expert.RankStatus
 	// preparing is the version of the map that is being prepared; 0 for none.
 	preparing uint64
 }
@@ -75,6 +78,16 @@
 	}
 }
 
+// confirmPace makes the next reading follow soon if the rank's pace changed, because the leader needs two reports of a
+// pace. It does not do so while readings follow each other fast, so that a pace that changes all the time costs at most
+// one further reading for each usual one.
+func (p *pollSchedule) confirmPace(now time.Time, status *expert.RankStatus) {
+	if paceChanged(&p.last, status) && !now.Before(p.fastUntil) {
+		p.fastUntil = now.Add(fastPollInterval)
+	}
+	p.last = *status
+}
+
 // choicesDue reports whether the expert counts must be read with this status, and whether the reading ends a window whose
 // choices are reported. It records the reading. The counts are read at most about once per pollInterval, and only if a
 // pass has begun since the last reading: fast polling only needs the status.
--- a/internal/rankagent/report.go
+++ b/internal/rankagent/report.go
@@ -1,6 +1,7 @@
 package rankagent
 
 import (
+	"math"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/datagram"
@@ -14,6 +15,8 @@
 	// statusLinkShare is the share of the leader's link for reports that show no change, countsLinkShare that for counts.
 	statusLinkShare = 0.125
 	countsLinkShare = 0.3
+	// minPaceChange is the change of a rank's pace that is reported at once.
+	minPaceChange = 0.1
 )
 
 // reportSchedule decides which readings of its rank's status an agent reports to the leader. A change on which a rollout
@@ -22,6 +25,8 @@
 type reportSchedule struct {
 	last   expert.RankStatus
 	sentAt time.Time
+	// confirmPace is true if the last report was the first one of a changed pace. The leader needs two.
+	confirmPace bool
 }
 
 // due reports whether a report must be sent, and records that it is. linkRate is the rate of the link in bytes a second;
@@ -29,9 +34,10 @@
 func (r *reportSchedule) due(now time.Time, report *datagram.RankReport, linkRate float64) bool {
 	status := report.Status
 	interval := reportingInterval(status.Size, statusReportBytes, statusLinkShare*linkRate)
-	if len(report.Counts.Layers) == 0 && !changed(&r.last, &status) && now.Sub(r.sentAt) < interval {
+	if len(report.Counts.Layers) == 0 && !changed(&r.last, &status) && !r.confirmPace && now.Sub(r.sentAt) < interval {
 		return false
 	}
+	r.confirmPace = paceChanged(&r.last, &status)
 	r.last, r.sentAt = status, now
 	return true
 }
@@ -45,7 +51,12 @@
 	return time.Duration(float64(ranks*size) / rate * float64(time.Second))
 }
 
-// changed reports whether two statuses of a rank differ in a way on which a rollout may wait.
+// paceChanged reports whether the pace of two statuses of a rank differs by more than its scatter.
+func paceChanged(a, b *expert.RankStatus) bool {
+	return math.Abs(max(a.Pace, 1)-max(b.Pace, 1)) > minPaceChange
+}
+
+// changed reports whether two statuses of a rank differ in a way on which a rollout may wait, or in the rank's speed.
 func changed(a, b *expert.RankStatus) bool {
-	return a.Epoch != b.Epoch || a.Open != b.Open || a.Map != b.Map || a.Prepared != b.Prepared || a.Armed != b.Armed || a.Held != b.Held
+	return paceChanged(a, b) || a.Epoch != b.Epoch || a.Open != b.Open || a.Map != b.Map || a.Prepared != b.Prepared || a.Armed != b.Armed || a.Held != b.Held
 }
