Weight the maps of expert.Planner by the speed of ranks

Cause: the planner for groups with their own engines treated all ranks as equally fast, other than PlanCopies.

Change: PlanInput.Slowness; shares, changes, swaps, the skew, the lower bound and the greedy map multiply the load of a rank by its slowness. The lower bound divides the load by the sum of the speeds, and splits experts by what the fastest rank takes. LayerSkew had no callers and is removed. No agent has an estimate of speeds for these groups yet; they pass nil.

Ruled out: the load of a rank after its slowness for each token (weights on the tokens would change shares and their sum).

Result: go test -race of internal/expert, internal/experiment/groups and internal/control passes.

--- a/internal/control/group_events.go
+++ b/internal/control/group_events.go
@@ -144,7 +144,7 @@
 		status.Rollout = &rollout
 	}
 	if g.leader.Leading() && len(g.leader.Map().Layers) > 0 {
-		status.Skew = expert.Skew(g.leader.Map(), g.popularity.Load())
+		status.Skew = expert.Skew(g.leader.Map(), g.popularity.Load(), nil)
 	}
 	return status
 }
--- a/internal/experiment/groups/drift.go
+++ b/internal/experiment/groups/drift.go
@@ -95,7 +95,7 @@
 	if tick < planTicks {
 		return expert.Map{}, false
 	}
-	skew := expert.Skew(current, load)
+	skew := expert.Skew(current, load, nil)
 	if p.plannedSkew == 0 {
 		p.plannedSkew = 1
 	}
--- a/internal/experiment/groups/policies.go
+++ b/internal/experiment/groups/policies.go
@@ -23,7 +23,7 @@
 	if tick%fullPlanTicks != planTicks {
 		return expert.Map{}, false
 	}
-	return expert.GreedyMap(f.shape, load), true
+	return expert.GreedyMap(f.shape, load, nil), true
 }
 
 // oracle places experts by the true popularity of each tick, without cost. Its remaining skew comes from
@@ -34,7 +34,7 @@
 }
 
 func (o oracle) greedyMap(popularity expert.Load) expert.Map {
-	return expert.ShareByLoad(expert.GreedyMap(o.shape, popularity), popularity)
+	return expert.ShareByLoad(expert.GreedyMap(o.shape, popularity, nil), popularity, nil)
 }
 
 // periodicPlanner calls the planner at fixed times.
--- a/internal/experiment/groups/run.go
+++ b/internal/experiment/groups/run.go
@@ -128,7 +128,7 @@
 		for _, load := range ranks {
 			mean += load / float64(len(ranks))
 		}
-		bound += expert.RankLoadLowerBound(g.shape, tokens)
+		bound += expert.RankLoadLowerBound(g.shape, tokens, nil)
 	}
 	g.figures.skew += worst / mean
 	g.figures.waitFraction += 1 - mean/worst
--- a/internal/expert/balance.go
+++ b/internal/expert/balance.go
@@ -23,19 +23,22 @@
 	// both by expert and in the same order.
 	hosts        [][]int
 	replicaLoads [][]float64
-	rankLoads    []float64
+	// rankLoads holds the load of each rank, multiplied by its weight. A weight is the rank's slowness.
+	rankLoads []float64
+	weights   []float64
 	// rankExperts holds the experts of each rank.
 	rankExperts [][]Expert
 	evenShares  bool
 }
 
-// newLayerAssignment splits the load over the replicas by the shares of the layer.
-func newLayerAssignment(layer Layer, load []float64, even bool) *layerAssignment {
+// newLayerAssignment splits the load over the replicas by the shares of the layer. slowness is as in PlanInput.
+func newLayerAssignment(layer Layer, load, slowness []float64, even bool) *layerAssignment {
 	a := &layerAssignment{
 		expertLoads:  load,
 		hosts:        make([][]int, len(load)),
 		replicaLoads: make([][]float64, len(load)),
 		rankLoads:    make([]float64, len(layer.Ranks)),
+		weights:      rankWeights(slowness, len(layer.Ranks)),
 		rankExperts:  make([][]Expert, len(layer.Ranks)),
 		evenShares:   even,
 	}
@@ -44,16 +47,16 @@
 			part := load[replica.Expert] * float64(replica.Share) / ShareUnit
 			a.hosts[replica.Expert] = append(a.hosts[replica.Expert], rank)
 			a.replicaLoads[replica.Expert] = append(a.replicaLoads[replica.Expert], part)
-			a.rankLoads[rank] += part
+			a.rankLoads[rank] += a.weights[rank] * part
 			a.rankExperts[rank] = append(a.rankExperts[rank], replica.Expert)
 		}
 	}
 	return a
 }
 
-// copyFrom copies other into a and reuses a's memory. The two share only expertLoads.
+// copyFrom copies other into a and reuses a's memory. The two share only expertLoads and weights.
 func (a *layerAssignment) copyFrom(other *layerAssignment) {
-	a.expertLoads = other.expertLoads
+	a.expertLoads, a.weights = other.expertLoads, other.weights
 	a.evenShares = other.evenShares
 	a.rankLoads = append(a.rankLoads[:0], other.rankLoads...)
 	a.hosts = copyRows(a.hosts, other.hosts)
@@ -75,10 +78,11 @@
 	return slices.Max(a.rankLoads)
 }
 
+// meanRankLoad returns the mean load of a rank without weights.
 func (a *layerAssignment) meanRankLoad() float64 {
 	sum := 0.0
-	for _, load := range a.rankLoads {
-		sum += load
+	for rank, load := range a.rankLoads {
+		sum += load / a.weights[rank]
 	}
 	return sum / float64(len(a.rankLoads))
 }
@@ -95,20 +99,20 @@
 func (a *layerAssignment) removeReplica(expert Expert, rank int) {
 	i := slices.Index(a.hosts[expert], rank)
 	part := a.replicaLoads[expert][i]
-	a.rankLoads[rank] -= part
+	a.rankLoads[rank] -= a.weights[rank] * part
 	a.hosts[expert] = slices.Delete(a.hosts[expert], i, i+1)
 	a.replicaLoads[expert] = slices.Delete(a.replicaLoads[expert], i, i+1)
 	at := slices.Index(a.rankExperts[rank], expert)
 	a.rankExperts[rank] = slices.Delete(a.rankExperts[rank], at, at+1)
 	if len(a.hosts[expert]) > 0 {
 		a.replicaLoads[expert][0] += part
-		a.rankLoads[a.hosts[expert][0]] += part
+		a.rankLoads[a.hosts[expert][0]] += a.weights[a.hosts[expert][0]] * part
 	}
 }
 
 // splitLoads splits the load of all experts over their replicas: evenly if evenShares is set,
-// otherwise so that the sum of the squared rank loads is minimal, which also minimizes the
-// maximum rank load.
+// otherwise so that the weighted rank loads become as equal as possible, which minimizes the
+// maximum.
 func (a *layerAssignment) splitLoads() {
 	if a.evenShares {
 		for expert := range a.hosts {
@@ -133,7 +137,7 @@
 func (a *layerAssignment) splitEvenly(expert int) {
 	part := a.expertLoads[expert] / float64(len(a.hosts[expert]))
 	for i, rank := range a.hosts[expert] {
-		a.rankLoads[rank] += part - a.replicaLoads[expert][i]
+		a.rankLoads[rank] += a.weights[rank] * (part - a.replicaLoads[expert][i])
 		a.replicaLoads[expert][i] = part
 	}
 }
@@ -144,37 +148,35 @@
 	hosts := a.hosts[expert]
 	parts := a.replicaLoads[expert]
 	for i, rank := range hosts {
-		a.rankLoads[rank] -= parts[i]
+		a.rankLoads[rank] -= a.weights[rank] * parts[i]
 	}
 	level := a.waterLevel(hosts, a.expertLoads[expert])
 	change := 0.0
 	for i, rank := range hosts {
-		part := max(0, level-a.rankLoads[rank])
+		part := max(0, level-a.rankLoads[rank]) / a.weights[rank]
 		change = max(change, math.Abs(part-parts[i]))
 		parts[i] = part
-		a.rankLoads[rank] += part
+		a.rankLoads[rank] += a.weights[rank] * part
 	}
 	return change
 }
 
-// waterLevel returns the rank load that is reached when load is added to the least loaded of
-// the ranks first.
+// waterLevel returns the weighted rank load that is reached when load is added to the least
+// loaded of the ranks first.
 func (a *layerAssignment) waterLevel(hosts []int, load float64) float64 {
-	var buffer [16]float64
-	bases := buffer[:0]
-	for _, rank := range hosts {
-		bases = append(bases, a.rankLoads[rank])
-	}
-	slices.Sort(bases)
-	sum := load
-	for i, base := range bases {
-		sum += base
-		level := sum / float64(i+1)
-		if i+1 == len(bases) || level <= bases[i+1] {
-			return level
+	var buffer [16]int
+	order := append(buffer[:0], hosts...)
+	slices.SortFunc(order, func(x, y int) int { return cmp.Compare(a.rankLoads[x], a.rankLoads[y]) })
+	sum, speed, level := load, 0.0, load
+	for i, rank := range order {
+		sum += a.rankLoads[rank] / a.weights[rank]
+		speed += 1 / a.weights[rank]
+		level = sum / speed
+		if i+1 == len(order) || level <= a.rankLoads[order[i+1]] {
+			break
 		}
 	}
-	return sum
+	return level
 }
 
 // toLayer returns the replicas with their shares. The shares of an expert add up to ShareUnit.
@@ -213,34 +215,24 @@
 }
 
 // ShareByLoad returns a copy of the map with the shares that minimize the maximum rank load
-// of each layer under the load. Replicas stay on their ranks.
-func ShareByLoad(m Map, load Load) Map {
+// of each layer under the load, weighted by slowness as in PlanInput. Replicas stay on their ranks.
+func ShareByLoad(m Map, load Load, slowness []float64) Map {
 	shared := Map{Version: m.Version, Layers: make([]Layer, len(m.Layers))}
 	for i, layer := range m.Layers {
-		a := newLayerAssignment(layer, load[i], false)
+		a := newLayerAssignment(layer, load[i], slowness, false)
 		a.splitLoads()
 		shared.Layers[i] = a.toLayer()
 	}
 	return shared
 }
 
-// LayerSkew returns the maximum rank load divided by the mean rank load, or 1 if there is no
-// load.
-func LayerSkew(layer Layer, load []float64) float64 {
-	a := newLayerAssignment(layer, load, false)
-	mean := a.meanRankLoad()
-	if mean == 0 {
-		return 1
-	}
-	return a.maxRankLoad() / mean
-}
-
-// Skew returns the maximum rank load of each layer, summed over layers, divided by the sum of
-// the mean rank loads. It is 1 if there is no load.
-func Skew(m Map, load Load) float64 {
+// Skew returns the maximum rank load of each layer, weighted by slowness as in PlanInput and
+// summed over layers, divided by the sum of the mean rank loads without weights. It is 1 if
+// there is no load.
+func Skew(m Map, load Load, slowness []float64) float64 {
 	worst, mean := 0.0, 0.0
 	for i, layer := range m.Layers {
-		a := newLayerAssignment(layer, load[i], false)
+		a := newLayerAssignment(layer, load[i], slowness, false)
 		worst += a.maxRankLoad()
 		mean += a.meanRankLoad()
 	}
@@ -251,22 +243,28 @@
 }
 
 // RankLoadLowerBound returns a lower bound of the maximum rank load that any placement of a layer can
-// reach. It is the smallest limit for which the slots suffice if each expert is split into
-// replicas with at most that load.
-func RankLoadLowerBound(shape Shape, load []float64) float64 {
+// reach, weighted by slowness as in PlanInput. It is the smallest limit that the load of the layer does not
+// exceed over all ranks, and for which the slots suffice if each expert is split into replicas with at most
+// the load that the fastest rank takes within that limit.
+func RankLoadLowerBound(shape Shape, load, slowness []float64) float64 {
+	weights := rankWeights(slowness, shape.Ranks)
+	fastest, speed := slices.Min(weights), 0.0
+	for _, weight := range weights {
+		speed += 1 / weight
+	}
 	sum := 0.0
 	for _, tokens := range load {
 		sum += tokens
 	}
-	low := sum / float64(shape.Ranks)
-	high := max(low, slices.Max(load))
-	if fitsSlots(shape, load, low) {
+	low := sum / speed
+	high := max(low, fastest*slices.Max(load))
+	if fitsSlots(shape, load, low/fastest) {
 		return low
 	}
 	const halvings = 40
 	for range halvings {
 		middle := (low + high) / 2
-		if fitsSlots(shape, load, middle) {
+		if fitsSlots(shape, load, middle/fastest) {
 			high = middle
 		} else {
 			low = middle
@@ -287,16 +285,17 @@
 
 // GreedyMap returns a map that does not depend on a current one. Each spare slot goes to the
 // expert with the highest load per replica; then replicas are placed by descending load on
-// the least loaded rank with a free slot. Its version is zero.
-func GreedyMap(shape Shape, load Load) Map {
+// the rank with a free slot that is least loaded with it, weighted by slowness as in PlanInput.
+// Its version is zero.
+func GreedyMap(shape Shape, load Load, slowness []float64) Map {
 	layers := make([]Layer, shape.Layers)
 	for i := range layers {
-		layers[i] = greedyLayer(shape, load[i])
+		layers[i] = greedyLayer(shape, load[i], slowness)
 	}
 	return Map{Layers: layers}
 }
 
-func greedyLayer(shape Shape, load []float64) Layer {
+func greedyLayer(shape Shape, load, slowness []float64) Layer {
 	copies := make([]int, shape.Experts)
 	for expert := range copies {
 		copies[expert] = 1
@@ -313,10 +312,10 @@
 		}
 		copies[hottest]++
 	}
-	return packLayer(shape, load, copies)
+	return packLayer(shape, load, slowness, copies)
 }
 
-func packLayer(shape Shape, load []float64, copies []int) Layer {
+func packLayer(shape Shape, load, slowness []float64, copies []int) Layer {
 	order := make([]Expert, shape.Experts)
 	for expert := range order {
 		order[expert] = Expert(expert)
@@ -324,16 +323,20 @@
 	part := func(e Expert) float64 { return load[e] / float64(copies[e]) }
 	slices.SortStableFunc(order, func(a, b Expert) int { return cmp.Compare(part(b), part(a)) })
 	layer := Layer{Ranks: make([][]Replica, shape.Ranks)}
-	rankLoads := make([]float64, shape.Ranks)
+	rankLoads, weights := make([]float64, shape.Ranks), rankWeights(slowness, shape.Ranks)
 	placed := make([]int, shape.Experts)
 	for _, expert := range order {
+		added := part(expert)
 		for range copies[expert] {
-			rank := leastLoaded(layer, rankLoads, expert, shape.Slots)
+			rank := leastLoaded(layer, expert, shape.Slots, func(rank int) float64 {
+				// The added load matters only between ranks of different speed.
+				return weights[rank]*rankLoads[rank] + (weights[rank]-1)*added
+			})
 			if rank < 0 {
 				continue
 			}
 			layer.Ranks[rank] = append(layer.Ranks[rank], Replica{Expert: expert})
-			rankLoads[rank] += part(expert)
+			rankLoads[rank] += added
 			placed[expert]++
 		}
 	}
@@ -343,15 +346,15 @@
 }
 
 // leastLoaded returns the least loaded rank that has a free slot and no replica of the expert,
-// or -1 if there is none.
-func leastLoaded(layer Layer, rankLoads []float64, expert Expert, slots int) int {
-	best := -1
-	for rank := range rankLoads {
+// or -1 if there is none. rankLoad returns the load of a rank.
+func leastLoaded(layer Layer, expert Expert, slots int, rankLoad func(rank int) float64) int {
+	best, bestLoad := -1, 0.0
+	for rank := range layer.Ranks {
 		if len(layer.Ranks[rank]) >= slots || layer.HasReplica(rank, expert) {
 			continue
 		}
-		if best < 0 || rankLoads[rank] < rankLoads[best] {
-			best = rank
+		if load := rankLoad(rank); best < 0 || load < bestLoad {
+			best, bestLoad = rank, load
 		}
 	}
 	return best
--- a/internal/expert/plan.go
+++ b/internal/expert/plan.go
@@ -126,6 +126,9 @@
 	Current Map
 	// Load is the estimated load, in tokens per step.
 	Load Load
+	// Slowness is the factor by which the work of each rank takes longer than usual, by rank; nil if all are 1. The load of
+	// a rank is multiplied by it.
+	Slowness []float64
 }
 
 // Planner decides when and how to change a group's map. It is deterministic and not safe
--- a/internal/expert/planner.go
+++ b/internal/expert/planner.go
@@ -38,20 +38,20 @@
 // static map's (see benefitBreaker), and samples taken only at times of high skew would
 // underrate the planned maps.
 func (p *Planner) Plan(input PlanInput) Plan {
-	current, load := input.Current, input.Load
+	current, load, slowness := input.Current, input.Load, input.Slowness
 	if current.Validate(p.config.Shape) != nil || len(load) != len(current.Layers) {
 		return Plan{}
 	}
-	plan := Plan{SkewBefore: Skew(current, load)}
+	plan := Plan{SkewBefore: Skew(current, load, slowness)}
 	plan.SkewAfter = plan.SkewBefore
 	p.budget.advance(input.Steps)
-	switch p.breaker.observe(input.Steps, plan.SkewBefore, Skew(p.staticMap, load)) {
+	switch p.breaker.observe(input.Steps, plan.SkewBefore, Skew(p.staticMap, load, slowness)) {
 	case breakerTripped:
-		return p.fallBackToStatic(plan, current, load)
+		return p.fallBackToStatic(plan, input)
 	case breakerOpen:
 		return plan
 	}
-	result := p.searchAll(current, load)
+	result := p.searchAll(input)
 	if result.totalMean == 0 {
 		return plan
 	}
@@ -66,7 +66,7 @@
 	if plan.Gain <= max(plan.Cost, p.config.Weights.Skew*minSkewGain*p.config.Horizon) {
 		return plan
 	}
-	return p.propose(plan, current, result.assignments, load)
+	return p.propose(plan, input, result.assignments)
 }
 
 // searchResult is the result of the search in all layers.
@@ -82,10 +82,11 @@
 }
 
 // searchAll assigns new shares in each layer and then searches it for changes.
-func (p *Planner) searchAll(current Map, load Load) searchResult {
+func (p *Planner) searchAll(input PlanInput) searchResult {
+	current := input.Current
 	result := searchResult{assignments: make([]*layerAssignment, len(current.Layers))}
 	for i, layer := range current.Layers {
-		a := newLayerAssignment(layer, load[i], p.config.EvenShares)
+		a := newLayerAssignment(layer, input.Load[i], input.Slowness, p.config.EvenShares)
 		before := a.maxRankLoad()
 		result.totalMean += a.meanRankLoad()
 		a.splitLoads()
@@ -97,14 +98,14 @@
 }
 
 // propose completes the plan with the new map and deducts its moves from the budget.
-func (p *Planner) propose(plan Plan, current Map, assignments []*layerAssignment, load Load) Plan {
+func (p *Planner) propose(plan Plan, input PlanInput, assignments []*layerAssignment) Plan {
 	plan.Map = Map{Layers: make([]Layer, len(assignments))}
 	for i, a := range assignments {
 		plan.Map.Layers[i] = a.toLayer()
 	}
-	plan.Moves = len(Added(current, plan.Map))
+	plan.Moves = len(Added(input.Current, plan.Map))
 	plan.Bytes = int64(plan.Moves) * p.config.ExpertBytes
-	plan.SkewAfter = Skew(plan.Map, load)
+	plan.SkewAfter = Skew(plan.Map, input.Load, input.Slowness)
 	plan.Kind = PlanIncremental
 	if plan.Moves == 0 {
 		plan.Kind = PlanShares
@@ -115,11 +116,11 @@
 
 // fallBackToStatic proposes the static map. If popularity shifts after each activation, the
 // static map has less skew than a map that was planned for the previous load.
-func (p *Planner) fallBackToStatic(plan Plan, current Map, load Load) Plan {
+func (p *Planner) fallBackToStatic(plan Plan, input PlanInput) Plan {
 	plan.Map = p.staticMap.Clone()
-	plan.Moves = len(Added(current, plan.Map))
+	plan.Moves = len(Added(input.Current, plan.Map))
 	plan.Bytes = int64(plan.Moves) * p.config.ExpertBytes
-	plan.SkewAfter = Skew(plan.Map, load)
+	plan.SkewAfter = Skew(plan.Map, input.Load, input.Slowness)
 	plan.Kind = PlanFull
 	p.budget.spend(plan.Moves)
 	return plan
@@ -336,7 +337,7 @@
 // ranks. It returns the target's expert, which is chosen so that the exchange comes closest
 // to equal loads of the two ranks. It returns false if target has no expert that rank lacks.
 func (a *layerAssignment) swap(from *layerAssignment, expert Expert, rank, target int) (Expert, bool) {
-	idealLoad := from.replicaLoad(expert, rank) - (from.rankLoads[rank]-from.rankLoads[target])/2
+	idealLoad := from.replicaLoad(expert, rank) - (from.rankLoads[rank]-from.rankLoads[target])/(from.weights[rank]+from.weights[target])
 	var partner Expert
 	found := false
 	distance := 0.0
@@ -367,8 +368,8 @@
 	at := slices.Index(a.rankExperts[from], expert)
 	a.rankExperts[from] = slices.Delete(a.rankExperts[from], at, at+1)
 	a.rankExperts[to] = append(a.rankExperts[to], expert)
-	a.rankLoads[from] -= part
-	a.rankLoads[to] += part
+	a.rankLoads[from] -= a.weights[from] * part
+	a.rankLoads[to] += a.weights[to] * part
 }
 
 func newPlacement(layer int, expert Expert, rank int) Placement {
--- a/internal/expert/planner_bench_test.go
+++ b/internal/expert/planner_bench_test.go
@@ -53,6 +53,6 @@
 	load := randomLoad(rand.New(rand.NewPCG(1, 1)), largeShape)
 	b.ReportAllocs()
 	for b.Loop() {
-		GreedyMap(largeShape, load)
+		GreedyMap(largeShape, load, nil)
 	}
 }
--- a/internal/expert/planner_test.go
+++ b/internal/expert/planner_test.go
@@ -48,7 +48,7 @@
 			t.Fatal(err)
 		}
 		for i := range 4 {
-			input := PlanInput{Steps: float64(i) * 500, Current: current, Load: drawLoad(t, shape)}
+			input := PlanInput{Steps: float64(i) * 500, Current: current, Load: drawLoad(t, shape), Slowness: drawSlowness(t, shape)}
 			budget := planner.budget
 			budget.advance(input.Steps)
 			plan := planner.Plan(input)
@@ -99,23 +99,24 @@
 		{{Expert: 2, Share: ShareUnit / 2}},
 	}}
 	load := Load{{100, 200, 300}}
-	shared := ShareByLoad(Map{Layers: []Layer{layer}}, load)
-	c.Assert(Skew(shared, load) < 1.001, qt.IsTrue, qt.Commentf("600 tokens on 3 ranks can be split into 200 each"))
+	shared := ShareByLoad(Map{Layers: []Layer{layer}}, load, nil)
+	c.Assert(Skew(shared, load, nil) < 1.001, qt.IsTrue, qt.Commentf("600 tokens on 3 ranks can be split into 200 each"))
 }
 
-// Guards against a lower bound that a static or a greedy map undercuts.
+// Guards against a lower bound that a static or a greedy map undercuts, with and without slow ranks.
 func TestLowerBoundHoldsForMaps(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		shape := drawShape(t)
 		load := drawLoad(t, shape)
-		greedy := GreedyMap(shape, load)
+		slowness := drawSlowness(t, shape)
+		greedy := GreedyMap(shape, load, slowness)
 		if err := greedy.Validate(shape); err != nil {
 			t.Fatal(err)
 		}
-		for _, m := range []Map{StaticMap(Version{}, shape), ShareByLoad(greedy, load)} {
+		for _, m := range []Map{StaticMap(Version{}, shape), ShareByLoad(greedy, load, slowness)} {
 			for l, layer := range m.Layers {
-				worst := newLayerAssignment(layer, load[l], false).maxRankLoad()
-				if bound := RankLoadLowerBound(shape, load[l]); bound > worst*1.001+1e-9 {
+				worst := newLayerAssignment(layer, load[l], slowness, false).maxRankLoad()
+				if bound := RankLoadLowerBound(shape, load[l], slowness); bound > worst*1.001+1e-9 {
 					t.Fatalf("layer %d: lower bound %v exceeds the maximum rank load %v", l, bound, worst)
 				}
 			}
@@ -123,6 +124,18 @@
 	})
 }
 
+// drawSlowness returns a slowness of each rank, or nil.
+func drawSlowness(t *rapid.T, shape Shape) []float64 {
+	if rapid.Bool().Draw(t, "no slow ranks") {
+		return nil
+	}
+	slowness := make([]float64, shape.Ranks)
+	for rank := range slowness {
+		slowness[rank] = rapid.SampledFrom([]float64{1, 1, 1, 1.3, 4}).Draw(t, "slowness")
+	}
+	return slowness
+}
+
 // Guards against a planner that keeps planning while popularity shifts after each activation: the breaker must open, and
 // its back-off must grow.
 func TestBreakerOpensWhenPlannedMapsAreWorse(t *testing.T) {
