Keep a map in loading when the estimate of a slow rank rises

Cause: the estimate of a rank at eight times its work rises with the pass in progress, in up to four steps. Each step replaced the map being loaded by one that is nearly the same, and its loading began again.

Change: while a map is loaded, only a jump in demand or a rank that was not slow at the last decision replaces it.

--- a/internal/expert/maptrigger.go
+++ b/internal/expert/maptrigger.go
@@ -53,6 +53,8 @@
 type MapTrigger struct {
 	// plannedJumps and plannedSpeeds are the numbers of jumps and of changes of speed at the last decision on them.
 	plannedJumps, plannedSpeeds int
+	// plannedSlowness is the slowness at the last decision.
+	plannedSlowness []float64
 }
 
 // MapProposal is a map to propose, and its causes.
@@ -81,7 +83,7 @@
 	jumps := input.Demand.Jumps()
 	proposal := MapProposal{Jumped: jumps != t.plannedJumps, SpeedChanged: input.SpeedChanges != t.plannedSpeeds}
 	urgent := proposal.Jumped || proposal.SpeedChanged
-	if !input.Ready && (!urgent || !input.MayReplace) {
+	if !input.Ready && (!input.MayReplace || !proposal.Jumped && !t.newlySlow(input.Slowness)) {
 		return proposal, false
 	}
 	loadTimeLimit := refinedMapLoadTime
@@ -93,7 +95,7 @@
 		MinGain: minGainPerSecond * input.LoadTime.Seconds(), Slowness: input.Slowness, Leaving: input.Leaving,
 	})
 	plan := &proposal.Plan
-	t.plannedSpeeds = input.SpeedChanges
+	t.plannedSpeeds, t.plannedSlowness = input.SpeedChanges, input.Slowness
 	improves := plan.Copies > 0 && (plan.SkewBefore-plan.SkewAfter)/plan.SkewBefore >= minImprovement
 	if proposal.SpeedChanged && !proposal.Jumped {
 		improves = input.savesTime(plan)
@@ -104,6 +106,18 @@
 	return proposal, improves
 }
 
+// newlySlow reports whether a rank is slow that was not at the last decision. Only that replaces a map while it is loaded:
+// when the estimate of a slow rank rises, the next map is nearly the same, and to replace it would only begin its loading
+// again.
+func (t *MapTrigger) newlySlow(slowness []float64) bool {
+	for rank, factor := range slowness {
+		if factor > 1 && (rank >= len(t.plannedSlowness) || t.plannedSlowness[rank] <= 1) {
+			return true
+		}
+	}
+	return false
+}
+
 // savesTime reports whether a map saves more pass time while a rank is slow than its loading costs.
 func (i *MapInput) savesTime(plan *CopyPlan) bool {
 	if i.Pass <= 0 {
--- a/internal/expert/maptrigger_test.go
+++ b/internal/expert/maptrigger_test.go
@@ -87,6 +87,12 @@
 	w.input.MayReplace = true
 	_, found = w.decide()
 	c.Check(found, qt.IsTrue, qt.Commentf("the map of the rollout can be replaced"))
+	w.setSpeed(40, 8)
+	_, found = w.decide()
+	c.Check(found, qt.IsFalse, qt.Commentf("the estimate of a slow rank rises while its map is loaded"))
+	w.setSpeed(41, 4)
+	_, found = w.decide()
+	c.Check(found, qt.IsTrue, qt.Commentf("another rank becomes slow while a map is loaded"))
 }
 
 // Guards against decisions that differ from those without speeds in groups whose ranks all report a pace of 1 or none. The
