--- a/internal/expert/rankspeeds.go
+++ b/internal/expert/rankspeeds.go
@@ -33,8 +33,9 @@
 
 // RankSpeeds estimates the slowness of each rank of a group: the factor by which its work takes longer than usual. The
 // estimate is the pace that the rank reports, bounded by the measured passes: all ranks execute each pass together, so
-// that a pass takes at least the slowness of the slowest rank times the duration of a pass without requests. A healthy
-// rank that reports itself as slow is therefore taken to be at most as slow as the passes allow.
+// that a pass takes at least the slowness of the slowest rank with requests times the duration of a pass without requests. A
+// healthy rank that reports itself as slow is therefore taken to be at most as slow as the passes allow. A rank without
+// requests does not delay passes, so that its bound stays as it was.
 //
 // The bound is the median of the last three passes, so that a single long pass does not change the estimate. RankSpeeds is
 // pure and not safe for concurrent use.
@@ -61,6 +62,10 @@
 	recent []float64
 	// reported is the estimate in the last SpeedChange.
 	reported float64
+	// busyReports counts the consecutive reports with running requests. bound is the greatest slowness that the passes with
+	// requests of the rank allow; 0 if unknown.
+	busyReports int
+	bound       float64
 }
 
 // SpeedChange reports that the estimated slowness of a rank changed.
@@ -98,11 +103,14 @@
 		if now.Sub(view.reportedAt) < restartReportGap {
 			return
 		}
-		view.recent = nil // the rank restarted
+		*view = rankSpeed{reported: view.reported} // the rank restarted
 	}
 	view.step, view.reportedAt, view.pace = status.Step, now, max(status.Pace, 1)
 	view.recent = slices.Insert(view.recent, 0, view.pace)
 	view.recent = view.recent[:min(len(view.recent), paceConfirmations)]
+	if view.busyReports++; status.Running == 0 {
+		view.busyReports = 0
+	}
 	s.observePass(now, status.Step)
 }
 
@@ -131,8 +139,8 @@
 	for rank := range s.ranks {
 		view := &s.ranks[rank]
 		estimate := view.estimate(now)
-		if idlePass > 0 {
-			estimate = min(estimate, float64(pass)/float64(idlePass))
+		if view.updateBound(pass, idlePass); idlePass > 0 {
+			estimate = min(estimate, view.bound)
 		}
 		if estimate < minSlowness {
 			estimate = 1
@@ -155,6 +163,17 @@
 	return changes
 }
 
+// updateBound updates the bound by the duration of the latest passes. It falls only if the rank had requests in all of them,
+// since passes get short again as soon as a slow rank has none.
+func (r *rankSpeed) updateBound(pass, idlePass time.Duration) {
+	if idlePass <= 0 || pass <= 0 || r.busyReports == 0 {
+		return
+	}
+	if bound := float64(pass) / float64(idlePass); bound > r.bound || r.busyReports > recentPasses {
+		r.bound = bound
+	}
+}
+
 // estimate returns the pace of a rank without the bound by the passes: the smallest of its latest reports, so that it
 // rises with the second report of a greater pace and falls with the first of a smaller one. A rank that is taken to be
 // slow after it recovered only holds fewer experts than it could, but it costs nothing to let it recover at once.
--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -85,6 +85,13 @@
 		line := calls.of(c, id)
 		c.Assert([]any{line["outcome"], line["runs"], line["backend"]}, qt.DeepEquals, []any{outcome.Served, 2, "rank-1-" + string(streamService)})
 	}
+	report.Loads, report.PassMicros = []int{0, 3}, 60_000
+	reported := make(chan struct{})
+	g.gateway.enqueue(func(now time.Time) {
+		g.gateway.handleGroupReport(now, netip.AddrPort{}, report)
+		close(reported)
+	})
+	<-reported
 	before := len(ranks[0].requests())
 	c.Assert(g.get("/stream/x").status, qt.Equals, 200)
 	c.Assert(len(ranks[0].requests()), qt.Equals, before, qt.Commentf("a new stream goes elsewhere"))
