Measure expert maps while ranks are slow

Cause: nothing showed what maps by speed are worth, for how many slow ranks, factors and durations, and how near the estimate is to known speeds.

--- a/internal/experiment/groups/skew.go
+++ b/internal/experiment/groups/skew.go
@@ -48,6 +48,11 @@
 		Summary: "Time to find a straggling rank, and false alarms, of several detectors.",
 		Run:     runStragglers,
 	},
+	{
+		Name:    "straggler-maps",
+		Summary: "Passes and streams on time while ranks are slow, with maps by their estimated and by their true speed.",
+		Run:     runSlowMaps,
+	},
 }
 
 // job is one combination of pattern, shape and policy, with the figures of each seed.
