Predict passes from the slowest rank's own part and from skew peaks

Cause: the pass gate used means. It did not know of stragglers, nor of the skew peaks after jumps of demand, which make streams late that were admitted between two peaks. Change: the prediction is the slowest rank's own part plus the expert part. Ranks are chosen by what a request adds to the slowest own part, groups by the pauses it causes. A group beyond help serves late and holds its queue. Ruled out: counting prompts in the prediction at the current skew, which would refuse streams where there are no peaks; maxPassFraction covers them there. Measured: the existing tests of the changed packages pass with -race.

--- a/internal/admission/passgate.go
+++ b/internal/admission/passgate.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/routing"
@@ -23,6 +25,9 @@
 	// too late: callers wait for at most a quarter of the usual deadline of 8 s.
 	minGroupRetryAfter = 700 * time.Millisecond
 	maxGroupRetryAfter = 2 * time.Second
+	// minStraggler is the slowness from which a rank counts as a straggler, which gets no new prompts as long as other
+	// ranks have room. Measured times of equal ranks differ by up to a tenth.
+	minStraggler = 1.15
 )
 
 // GroupPace is the load and speed of a model group as reported by its leader.
@@ -41,6 +46,10 @@
 	// Slowness is the factor by which the work of each rank takes longer than usual, by rank; nil if all ranks are as fast
 	// as usual. Skew includes it.
 	Slowness []float64
+	// RankWriters are the writers of each rank, by rank; nil if only their sum is known.
+	RankWriters []int
+	// Forecast is what the latest reports say about the next passes. The zero value expects passes like the current one.
+	Forecast PassForecast
 	// Loading is true while ranks load experts for the next map.
 	Loading bool
 	// Entries is the number of entries that send requests to the group.
@@ -52,6 +61,14 @@
 	return !p.ReceivedAt.IsZero() && now.Sub(p.ReceivedAt) < maxReportAge
 }
 
+// SlowestRank returns the greatest slowness of a rank; 1 if all are as fast as usual.
+func (p GroupPace) SlowestRank() float64 {
+	if len(p.Slowness) == 0 {
+		return 1
+	}
+	return max(slices.Max(p.Slowness), 1)
+}
+
 // PassGate predicts the pass time of a lock-step group and admits a stream only if all streams stay on time. All ranks
 // share one pass time, so that a single excess stream delays all the others. This occurs in a load spike beyond the
 // group's capacity, and at usual load while the expert map does not fit the demand.
@@ -61,20 +78,66 @@
 	MaxEventGap time.Duration
 }
 
-// passTimePerWriter returns the mean time that one more writer adds to a pass if the writers are spread evenly over the
-// ranks.
+// OwnPart returns the time per pass that a rank spends on its own part: its steps, the share of its writers' work that is
+// not done by experts, and the prompt tokens that it processes, each longer by its slowness.
+func (g PassGate) OwnPart(slowness, writers, promptTokens float64) time.Duration {
+	e := g.Engine
+	own := float64(e.Step)*float64(e.StepsPerPass) + writers*float64(e.PerWriter)*float64(e.StepsPerPass)*(1-e.Experts.Share)
+	if e.PromptRate > 0 {
+		own += min(promptTokens, float64(e.PromptChunk)) / e.PromptRate * float64(time.Second)
+	}
+	return time.Duration(max(slowness, 1) * own)
+}
+
+// expertPart returns the time per pass of the most loaded rank's experts.
+func (g PassGate) expertPart(pace GroupPace, writers int, skew float64) time.Duration {
+	perWriter := float64(g.Engine.PerWriter) * float64(g.Engine.StepsPerPass) * g.Engine.Experts.Share
+	return time.Duration(perWriter * float64(writers) / float64(max(pace.Ranks, 1)) * max(skew, 1))
+}
+
+// slowestOwnPart returns the own part of the slowest rank. New writers are placed where they add least to it, so that a
+// straggler keeps the writers that it has or loses them, and the other ranks share the rest evenly.
+func (g PassGate) slowestOwnPart(pace GroupPace, writers int, promptTokens float64) time.Duration {
+	if len(pace.Slowness) == 0 {
+		return g.OwnPart(1, float64(writers)/float64(max(pace.Ranks, 1)), promptTokens)
+	}
+	// loadOf returns the writers that a straggler has left of those it had, as part of the given total.
+	loadOf := func(rank int) float64 {
+		load := float64(pace.Writers) / float64(max(pace.Ranks, 1))
+		if rank < len(pace.RankWriters) {
+			load = float64(pace.RankWriters[rank])
+		}
+		return load * min(float64(writers)/float64(max(pace.Writers, 1)), 1)
+	}
+	others, left := pace.Ranks, float64(writers)
+	slowest := time.Duration(0)
+	for rank, slowness := range pace.Slowness {
+		if slowness <= minStraggler {
+			continue
+		}
+		load := loadOf(rank)
+		others--
+		left -= load
+		slowest = max(slowest, g.OwnPart(slowness, load, 0))
+	}
+	if others <= 0 {
+		return max(slowest, g.OwnPart(slices.Max(pace.Slowness), float64(writers)/float64(max(pace.Ranks, 1)), promptTokens))
+	}
+	return max(slowest, g.OwnPart(1, max(left, 0)/float64(others), promptTokens))
+}
+
+// passTimePerWriter returns the mean time that one more writer adds to a pass.
 func (g PassGate) passTimePerWriter(pace GroupPace) time.Duration {
-	skew := max(pace.Skew, 1)
-	share := g.Engine.Experts.Share
-	factor := (1 - share) + share*skew
-	perPass := float64(g.Engine.PerWriter) * float64(g.Engine.StepsPerPass) * factor
-	return time.Duration(perPass / float64(max(pace.Ranks, 1)))
+	const sample = 16
+	writers := pace.Writers
+	return (g.modelledPass(pace, writers+sample) - g.modelledPass(pace, writers)) / sample
 }
 
 // modelledPass returns the duration of a pass by the engine's model. It follows a jump in demand at once, while the mean
-// of measured passes takes half a second. It does not count prompts that are processed at the same time.
-func (g PassGate) modelledPass(pace GroupPace) time.Duration {
-	pass := g.Engine.Step*time.Duration(g.Engine.StepsPerPass) + g.passTimePerWriter(pace)*time.Duration(pace.Writers)
+// of measured passes takes half a second. It does not count prompts that are processed at the same time, which
+// maxPassFraction covers.
+func (g PassGate) modelledPass(pace GroupPace, writers int) time.Duration {
+	pass := g.slowestOwnPart(pace, writers, 0) + g.expertPart(pace, writers, pace.Skew)
 	if pace.Loading {
 		pass = time.Duration(loadingSlowdown * float64(pass))
 	}
@@ -95,21 +158,41 @@
 // Capacity returns the number of streams per second that the group completes while all are on time.
 func (g PassGate) Capacity(pace GroupPace) float64 {
 	passes := float64(g.Engine.MeanAnswerTokens) / float64(max(g.Engine.StepsPerPass, 1))
-	longest := time.Duration(maxPassFraction * float64(g.MaxEventGap))
-	perWriter := g.passTimePerWriter(pace)
-	if passes <= 0 || longest <= 0 || perWriter <= 0 {
+	if passes <= 0 || g.MaxEventGap <= 0 {
+		return 0
+	}
+	writers := g.writersWithin(pace, g.currentBound())
+	if pace.Forecast.Late {
+		writers = g.slots(pace)
+	} else if limit, ok := g.PeakLimit(pace, g.ArrivalRate(pace)); ok {
+		writers = min(writers, limit.Mean)
+	}
+	if writers <= 0 {
 		return 0
 	}
-	idle := g.PredictPass(pace, 0)
-	writers := min(float64(max(longest-idle, 0))/float64(perWriter), float64(g.Engine.Slots*max(pace.Ranks, 1)))
-	return writers / (passes * g.PredictPass(pace, int(writers)).Seconds())
+	return float64(writers) / (passes * g.PredictPass(pace, writers).Seconds())
+}
+
+// slots returns the number of requests that all ranks run at a time.
+func (g PassGate) slots(pace GroupPace) int {
+	return g.Engine.Slots * max(pace.Ranks, 1)
+}
+
+// currentBound returns the longest predicted pass at the current skew.
+func (g PassGate) currentBound() time.Duration {
+	return time.Duration(maxPassFraction * float64(g.MaxEventGap))
+}
+
+// writersWithin returns the greatest number of writers whose predicted pass is within the bound; at most all slots.
+func (g PassGate) writersWithin(pace GroupPace, bound time.Duration) int {
+	return sort.Search(g.slots(pace), func(writers int) bool { return g.PredictPass(pace, writers+1) > bound })
 }
 
 // PredictPass returns the duration of a pass with the given number of writers instead of the reported one.
 func (g PassGate) PredictPass(pace GroupPace, writers int) time.Duration {
 	idle := g.Engine.Step * time.Duration(g.Engine.StepsPerPass)
-	base := max(pace.Pass, g.modelledPass(pace))
-	return max(idle, base+g.passTimePerWriter(pace)*time.Duration(writers-pace.Writers))
+	modelled := g.modelledPass(pace, pace.Writers)
+	return max(idle, max(pace.Pass, modelled)+g.modelledPass(pace, writers)-modelled)
 }
 
 // EstimateWriters returns the number of writers of a group: the reported number plus the change since the report. It
@@ -124,7 +207,7 @@
 	if g.MaxEventGap <= 0 {
 		return true
 	}
-	return g.PredictPass(pace, writers+1) <= time.Duration(maxPassFraction*float64(g.MaxEventGap))
+	return g.PredictPass(pace, writers+1) <= g.currentBound()
 }
 
 // RetryAfter returns the time after which a refused caller may be accepted: the time until enough streams have ended at
@@ -139,7 +222,7 @@
 	streamTime := float64(pass) * passes
 	excess := 0
 	if g.MaxEventGap > 0 {
-		over := pass - time.Duration(maxPassFraction*float64(g.MaxEventGap))
+		over := pass - g.currentBound()
 		if perWriter := g.passTimePerWriter(pace); perWriter > 0 && over > 0 {
 			excess = int(over / perWriter)
 		}
--- /dev/null
+++ b/internal/admission/trough_retry.go
@@ -0,0 +1,55 @@
+package admission
+
+import "time"
+
+// Constants of TroughRetry.
+const (
+	// retryPart is the part of their remaining time for which callers wait when asked to.
+	retryPart = 3
+	// fallingSlope is the relative change of demand per second from which it counts as falling. The estimate of an entry
+	// with 30 requests a second scatters by less.
+	fallingSlope = -0.1
+	// retrySpread is the part of the Retry-After over which callers are spread.
+	retrySpread = 0.25
+	// retryWindow is the part of the interval between two peaks over which callers are spread that return after a peak.
+	retryWindow = 0.4
+	// minPeakRetry is the shortest Retry-After during a peak.
+	minPeakRetry = 200 * time.Millisecond
+)
+
+// TroughRetry chooses when refused callers come back. Load pattern: callers retry once; demand swings over 13 s, so that
+// two to three seconds later there is room only if demand falls, and jumps each 2.7 s leave room for streams that end
+// before the next jump.
+type TroughRetry struct {
+	// Base is the time until enough streams have ended (PassGate.RetryAfter).
+	Base     time.Duration
+	Forecast PassForecast
+	// Slope is the relative change of the demand per second.
+	Slope float64
+	// Remaining is the time until the caller's deadline.
+	Remaining time.Duration
+}
+
+// After returns the Retry-After. Random is uniform in [0, 1).
+func (r TroughRetry) After(random float64) time.Duration {
+	longest := min(r.Remaining/retryPart, maxGroupRetryAfter)
+	if len(r.Forecast.Peaks) > 0 {
+		longest = r.Remaining / retryPart
+		start := r.Forecast.PeakLeft
+		if !r.Forecast.InPeak {
+			start = r.Forecast.NextPeak + r.Forecast.PeakLasts
+		}
+		window := time.Duration(retryWindow * float64(r.Forecast.Interval))
+		if later := start + r.Forecast.Interval; r.Slope < fallingSlope && later+window <= longest {
+			start = later
+		}
+		after := start + time.Duration(random*float64(window))
+		return max(min(after, longest), minPeakRetry)
+	}
+	base := r.Base
+	if r.Slope < fallingSlope {
+		base = max(base, longest)
+	}
+	base = min(base, longest)
+	return max(base-time.Duration(retrySpread*random*float64(base)), min(minGroupRetryAfter, max(longest, minPeakRetry)))
+}
--- a/internal/control/assignment.go
+++ b/internal/control/assignment.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bramleyspool/bramleyspool/internal/admission"
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
@@ -85,6 +86,16 @@
 	// duration of a pass.
 	Load, Writers int
 	Pass          time.Duration
+	// Mode, PeakPass, Limit and Margin are those of the admission.PassDecision.
+	Mode     admission.PassMode
+	PeakPass time.Duration
+	Limit    int
+	Margin   float64
+	// ServesLate is true if a full group serves late: the request may wait until its caller leaves. StreamTime is the
+	// predicted time of its stream. RoomIn is the time until a group has room again, 0 if that is unknown.
+	ServesLate bool
+	StreamTime time.Duration
+	RoomIn     time.Duration
 	// FirstEvent is the predicted time until the rank has processed the prompt.
 	FirstEvent time.Duration
 	// ReportAge is the age of the group's last GroupReport; negative if there is no recent one.
--- a/internal/control/dispatch_ranks.go
+++ b/internal/control/dispatch_ranks.go
@@ -10,12 +10,17 @@
 	"github.com/bramleyspool/bramleyspool/internal/routing"
 )
 
-// rankChoice is the best rank of a group that can take one more request.
+// rankChoice is the best rank of a group that can take one more request; server is nil if there is none.
 type rankChoice struct {
 	server *routing.Server
 	// firstEvent is the predicted time to the first event.
 	firstEvent time.Duration
-	pass       time.Duration
+	// decision is the gate's. It is zero without a recent report.
+	decision admission.PassDecision
+	// pauses is the time by which the request lengthens a pass for each stream of the group, summed over all of them.
+	pauses time.Duration
+	// pace is the group's last report.
+	pace admission.GroupPace
 	// writers is the estimated number of requests at all ranks of the group.
 	writers int
 	// reportAge is the age of the group's last GroupReport; negative if there is no recent one.
@@ -24,6 +29,8 @@
 	promptRate float64
 	// openRequests is the number of this entry's open requests at the group.
 	openRequests int
+	// retryAfter is the time until enough streams have ended if there is no server.
+	retryAfter time.Duration
 }
 
 const (
@@ -37,11 +44,24 @@
 	minComparedRanks = 3
 )
 
-// cost is what the groups are compared by; the group with the lowest cost is picked.
+// cost is what the groups are compared by; the group with the lowest cost is picked. The pauses of the group's other
+// streams count like those of this one.
 func (c *rankChoice) cost() time.Duration {
-	return c.firstEvent + passWeight*c.pass + time.Duration(c.openRequests)*costPerOpenRequest
+	return c.firstEvent + passWeight*(c.decision.Pass+c.pauses) + time.Duration(c.openRequests)*costPerOpenRequest
 }
 
+// fullKey identifies the waiting requests for which the same groups are full. fullGroups is what refused the first.
+type (
+	fullKey struct {
+		service ident.Service
+		gap     time.Duration
+	}
+	fullGroups struct {
+		choice rankChoice
+		retry  admission.TroughRetry
+	}
+)
+
 // pickRank picks the rank with the earliest predicted first event, among groups whose streams
 // stay on time with one more request. If all entries look for a slot at once, four things keep
 // them from choosing the same idle rank: the leaders' reports, the requests that this entry
@@ -49,35 +69,64 @@
 // where not all sends are reported (comparedRanks).
 func (d *Dispatcher) pickRank(now time.Time, request *BackendRequest, engine *routing.EngineModel, candidates []*routing.Server, assignment *Assignment) *routing.Server {
 	gate := admission.PassGate{Engine: engine, MaxEventGap: request.Route.EventGap}
+	// A request that is sent for the first time finds no rank in groups that are full for the one before it.
+	key, first := fullKey{service: request.Service, gap: gate.MaxEventGap}, !request.Resumed && len(request.Tried) == 0 && !assignment.Suspect
+	if full, ok := d.full[key]; ok && first {
+		full.choice.describe(gate, assignment)
+		assignment.RetryAfter = d.retryAfter(now, request, full.retry)
+		return nil
+	}
 	byGroup := map[ident.Group][]*routing.Server{}
 	for _, server := range candidates {
 		byGroup[server.Group] = append(byGroup[server.Group], server)
 	}
-	var best rankChoice
-	retry := time.Duration(0)
+	var best, full rankChoice
 	assignment.Outage = true
 	for _, name := range slices.Sorted(maps.Keys(byGroup)) {
 		if d.unavailable(now, name, byGroup[name], request) {
 			continue
 		}
-		assignment.Outage = false
-		choice, wait := d.chooseRank(now, gate, name, byGroup[name], request)
-		if choice.server != nil && (best.server == nil || choice.cost() < best.cost()) {
+		choice := d.chooseRank(now, gate, name, byGroup[name], request, len(byGroup))
+		switch {
+		case choice.server != nil && (best.server == nil || choice.cost() < best.cost()):
 			best = choice
+		case choice.server == nil && (assignment.Outage || choice.retryAfter < full.retryAfter):
+			full = choice
 		}
-		if choice.server == nil && (retry == 0 || wait < retry) {
-			retry = wait
-		}
+		assignment.Outage = false
 	}
 	if best.server == nil {
-		assignment.RetryAfter = retry
+		full.describe(gate, assignment)
+		retry := admission.TroughRetry{Base: full.retryAfter, Forecast: full.pace.Forecast}
+		if trend := d.arrivals[request.Service]; trend != nil {
+			retry.Slope = trend.Slope(now)
+		}
+		assignment.RetryAfter = d.retryAfter(now, request, retry)
+		if d.full != nil && first && !assignment.Outage {
+			d.full[key] = fullGroups{choice: full, retry: retry}
+		}
 		return nil
 	}
 	best.server.AddPrompt(now, request.PromptTokens, best.promptRate)
-	assignment.Pass, assignment.Writers, assignment.ReportAge, assignment.FirstEvent = best.pass, best.writers, best.reportAge, best.firstEvent
+	best.describe(gate, assignment)
 	return best.server
 }
 
+// retryAfter returns the Retry-After of a request that is refused because all groups are full.
+func (d *Dispatcher) retryAfter(now time.Time, request *BackendRequest, retry admission.TroughRetry) time.Duration {
+	retry.Remaining = request.Deadline.Sub(now)
+	return retry.After(d.random.Float64())
+}
+
+// describe states the inputs of the choice in the assignment.
+func (c *rankChoice) describe(gate admission.PassGate, assignment *Assignment) {
+	assignment.Writers, assignment.ReportAge, assignment.FirstEvent = c.writers, c.reportAge, c.firstEvent
+	assignment.Pass, assignment.PeakPass = c.decision.Pass, c.decision.PeakPass
+	assignment.Mode, assignment.Limit, assignment.Margin = c.decision.Mode, c.decision.Limit, c.pace.Forecast.Margin
+	assignment.ServesLate = c.decision.Mode == admission.ModeLate
+	assignment.StreamTime, assignment.RoomIn = gate.StreamTime(c.decision.Pass), c.decision.RoomIn
+}
+
 // unavailable reports whether a group can't get the request at the moment.
 func (d *Dispatcher) unavailable(now time.Time, name ident.Group, servers []*routing.Server, request *BackendRequest) bool {
 	group := d.groups[name]
@@ -90,29 +139,33 @@
 
 // chooseRank returns the group's best rank if the group can take one more request, otherwise
 // the time after which to retry.
-func (d *Dispatcher) chooseRank(now time.Time, gate admission.PassGate, name ident.Group, servers []*routing.Server, request *BackendRequest) (rankChoice, time.Duration) {
+func (d *Dispatcher) chooseRank(now time.Time, gate admission.PassGate, name ident.Group, servers []*routing.Server, request *BackendRequest, groups int) rankChoice {
 	group := d.groups[name]
 	choice := rankChoice{reportAge: -1}
 	if group != nil {
 		choice.openRequests = group.openRequests()
 	}
-	pace := admission.GroupPace{}
-	if group != nil && group.pace.Fresh(now) {
-		pace = group.pace
-		choice.reportAge = now.Sub(pace.ReceivedAt)
+	demand := 0.0
+	if group != nil {
+		demand = d.groupDemand(now, request.Service, groups, group.pace.Entries)
+	}
+	pace, fresh := d.currentPace(now, gate, group, demand)
+	if fresh {
+		choice.pace, choice.reportAge = pace, now.Sub(pace.ReceivedAt)
 		choice.writers = gate.EstimateWriters(pace, choice.openRequests-group.openAtReport)
-		choice.pass = gate.PredictPass(pace, choice.writers+1)
-		if !request.Resumed && !gate.Admits(pace, choice.writers) {
-			return rankChoice{}, gate.RetryAfter(pace, choice.writers, len(d.waiting))
-		}
+		choice.decision = gate.Decide(pace, choice.writers, demand)
+		added := choice.decision.Pass - gate.PredictPass(pace, choice.writers)
+		choice.pauses = added * time.Duration(choice.writers)
 	}
-	choice.promptRate = gate.Engine.PromptRateFor(choice.pass)
-	compared := d.comparedRanks(gate, group, pace, len(servers))
-	choice.server, choice.firstEvent = d.earliestRank(now, gate.Engine.Slots, choice.promptRate, servers, compared, request.PromptTokens)
-	if choice.server == nil {
-		return rankChoice{}, gate.RetryAfter(pace, choice.writers, len(d.waiting))
+	choice.promptRate = gate.Engine.PromptRateFor(choice.decision.Pass)
+	choice.firstEvent = gate.Engine.PromptTime(request.PromptTokens, choice.decision.Pass)
+	choice.retryAfter = gate.RetryAfter(pace, choice.writers, len(d.waiting))
+	if fresh && !request.Resumed && !choice.decision.Admitted {
+		return choice
 	}
-	return choice, 0
+	compared := d.comparedRanks(gate, group, pace, len(servers))
+	d.cheapestRank(now, gate, &choice, servers, compared, request)
+	return choice
 }
 
 // comparedRanks returns how many ranks of a group a request is compared at. An entry that knows of all sends compares all
@@ -130,25 +183,55 @@
 	return max(int(float64(ranks)/unknown), minComparedRanks)
 }
 
-// earliestRank returns the rank with a free slot that is predicted to finish the prompt first, among a number of random
-// ranks with free slots. Ties go to the lower load, then to a random rank.
-func (d *Dispatcher) earliestRank(now time.Time, slots int, rate float64, servers []*routing.Server, compared, tokens int) (*routing.Server, time.Duration) {
-	var best *routing.Server
-	var firstEvent time.Duration
+// cheapestRank chooses the rank with a free slot at which the request waits least for its first event and adds least to
+// the passes of the group's streams, among a number of random ranks with free slots. Ties go to the lower load, then to a
+// random rank.
+func (d *Dispatcher) cheapestRank(now time.Time, gate admission.PassGate, choice *rankChoice, servers []*routing.Server, compared int, request *BackendRequest) {
+	slowest := slowestRank(now, gate, &choice.pace, servers, choice.promptRate)
+	var bestCost, firstEvent, pauses time.Duration
 	for _, i := range d.random.Perm(len(servers)) {
 		server := servers[i]
-		if !server.GroupOpen || server.Paused(now) || server.Load(now) >= slots {
+		load := server.Load(now)
+		if !server.GroupOpen || server.Paused(now) || load >= gate.Engine.Slots {
+			continue
+		}
+		slowness := rankSlowness(&choice.pace, server)
+		added := gate.AddedOwnPart(slowest, slowness, float64(load))
+		if !gate.WorthAdding(added, choice.decision.Pass, slowness, choice.writers) && !request.Resumed {
 			continue
 		}
-		wait := server.TimeToFirstEvent(now, tokens, rate)
-		if best == nil || wait < firstEvent || wait == firstEvent && server.Load(now) < best.Load(now) {
-			best, firstEvent = server, wait
+		wait := server.TimeToFirstEvent(now, request.PromptTokens, choice.promptRate)
+		rankPauses := added * time.Duration(choice.writers)
+		cost := wait + rankPauses
+		if choice.server == nil || cost < bestCost || cost == bestCost && load < choice.server.Load(now) {
+			choice.server, bestCost, firstEvent, pauses = server, cost, wait, rankPauses
 		}
 		if compared--; compared <= 0 {
 			break
 		}
 	}
-	return best, firstEvent
+	if choice.server != nil {
+		choice.firstEvent = firstEvent
+		choice.pauses += pauses
+	}
+}
+
+// slowestRank returns the own part of the slowest rank in the next pass.
+func slowestRank(now time.Time, gate admission.PassGate, pace *admission.GroupPace, servers []*routing.Server, promptRate float64) time.Duration {
+	slowest := time.Duration(0)
+	for _, server := range servers {
+		backlog := server.PromptBacklog(now, promptRate)
+		slowest = max(slowest, gate.OwnPart(rankSlowness(pace, server), float64(server.Load(now)), backlog))
+	}
+	return slowest
+}
+
+// rankSlowness returns the reported slowness of a rank; 1 if there is none.
+func rankSlowness(pace *admission.GroupPace, server *routing.Server) float64 {
+	if rank := int(server.Rank); rank >= 0 && rank < len(pace.Slowness) {
+		return max(pace.Slowness[rank], 1)
+	}
+	return 1
 }
 
 // triedGroup reports whether the request was sent to one of the group's ranks before.
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -83,10 +83,15 @@
 	waiting  []BackendRequest
 	// resting has the end of the rest of each server that asked for one. It is kept while a server is not listed.
 	resting map[attempt.ServerInstance]time.Time
+	// arrivals has the demand for each service at this entry. full has the refusals of the current round over the waiting
+	// requests, which hold for further ones; nil outside of a round.
+	arrivals map[ident.Service]*admission.ArrivalTrend
+	full     map[fullKey]fullGroups
 }
 
 type groupState struct {
-	pace admission.GroupPace
+	pace     admission.GroupPace
+	forecast groupForecast
 	// silent is the number of other entries whose sends are unknown.
 	silent int
 	// openAtReport is the number of this entry's open requests at the group when the last
@@ -128,6 +133,7 @@
 		limits:   map[string]*admission.ServerLimit{},
 		resting:  map[attempt.ServerInstance]time.Time{},
 		entries:  1,
+		arrivals: map[ident.Service]*admission.ArrivalTrend{},
 	}
 }
 
@@ -197,6 +203,7 @@
 	}
 	group.pace = report.Pace
 	group.pace.ReceivedAt = now
+	group.pace.RankWriters = report.RankLoads
 	group.silent = report.SilentEntries
 	group.openAtReport = group.openRequests()
 	for _, server := range group.ranks {
@@ -204,6 +211,9 @@
 			server.RecordReport(now, report.RankLoads[rank])
 		}
 	}
+	if len(group.ranks) > 0 {
+		group.forecast.record(now, d.engineModel(group.ranks[0].Service), &group.pace)
+	}
 	return d.assignWaiting(now)
 }
 
@@ -265,6 +275,7 @@
 	switch request.Reason {
 	case SendReasonFirst:
 		d.repeats.CountRequest(now, request.Service)
+		d.recordArrival(now, request.Service)
 	case SendReasonRepeat:
 		if !d.repeats.Allow(now, request.Service) {
 			return []Assignment{{Request: request.ID, Cause: outcome.CauseRetryBudget, RetryAfter: noBackendRetryAfter}}
@@ -292,39 +303,11 @@
 	case assignment.Outage:
 		return now.Before(request.OutageEnd())
 	case assignment.Cause == outcome.CauseBackendsFull:
-		return now.Before(request.WaitEnd())
+		return now.Before(request.slotWaitEnd(now, assignment))
 	}
 	return false
 }
 
-// WaitEnd returns until when the request may wait for a free slot. The wait is short, because
-// under overload a long queue would delay all streams beyond their targets.
-func (request *BackendRequest) WaitEnd() time.Time {
-	end := request.Arrived.Add(time.Duration(waitShare * float64(request.Route.TargetLatency)))
-	if request.Resumed {
-		end = request.Arrived.Add(maxResumeWait)
-	}
-	return earlier(end, request.Deadline)
-}
-
-// OutageEnd returns until when the request may wait while no server runs requests. It is longer
-// than WaitEnd, because groups form again within a second or two and a refused caller retries
-// only once.
-func (request *BackendRequest) OutageEnd() time.Time {
-	end := request.Arrived.Add(time.Duration(outageShare * float64(request.Deadline.Sub(request.Arrived))))
-	if short := request.WaitEnd(); end.Before(short) {
-		return short
-	}
-	return earlier(end, request.Deadline)
-}
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // enqueue inserts a request into the queue, which is sorted in the order of service:
 // interrupted streams first, then by priority, then by arrival.
 func (d *Dispatcher) enqueue(request BackendRequest) {
@@ -383,6 +366,8 @@
 	if len(d.waiting) == 0 {
 		return nil
 	}
+	d.full = map[fullKey]fullGroups{}
+	defer func() { d.full = nil }()
 	var assigned []Assignment
 	kept := d.waiting[:0]
 	for i := range d.waiting {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -341,9 +341,9 @@
 		g.forwardProgress()
 		g.deliver(g.dispatcher.RequestBackend(now, request))
 	})
-	// If no server becomes free, the first Tick after WaitEnd refuses the request; in an outage, the first one after
-	// OutageEnd. So Tick is called at both times.
-	for _, end := range []time.Time{request.WaitEnd(), request.OutageEnd()} {
+	// If no server becomes free, the first Tick after WaitEnd refuses the request; in an outage or while a group serves
+	// late, the first one after a later time. So Tick is called at each of these.
+	for _, end := range request.DecisionTimes() {
 		timer := time.NewTimer(time.Until(end))
 		select {
 		case assigned := <-assignments:
@@ -472,8 +472,7 @@
 			fields["on_trial"] = a.Trial
 		}
 		if a.ReportAge >= 0 {
-			fields["prompt"], fields["predicted_first_ms"] = a.PromptTokens, a.FirstEvent.Milliseconds()
-			fields["writers"], fields["pass_ms"], fields["pace_age_ms"] = a.Writers, a.Pass.Milliseconds(), a.ReportAge.Milliseconds()
+			addPassFields(fields, &a)
 		}
 		g.metrics.waitTimes.RecordDuration(a.Waited)
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -230,6 +230,7 @@
 	}
 	g.metrics.backendsLimited.Update(float64(g.dispatcher.LimitedServers()))
 	g.metrics.setCallsWaiting(g.dispatcher.Waiting())
+	g.passModes.report(now, g, g.dispatcher.GroupModes())
 }
 
 // handleMessage handles a message of another process. Messages that are meant for agents are ignored.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,6 +136,7 @@
 
 	// The control thread owns the fields below.
 	dispatcher *control.Dispatcher
+	passModes  passModes
 	listing    *membership.Listing
 	// pending has the channels of the calls that wait for an assignment, by call key.
 	pending map[uint64]chan control.Assignment
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -124,6 +124,14 @@
 	return float64(e.PromptChunk) / pass.Seconds()
 }
 
+// PromptTime returns the time to the first event of a request at a rank that processes no other prompt: the rest of the
+// current pass, and a pass for each chunk of the prompt, the last of which ends with the event.
+func (e *EngineModel) PromptTime(tokens int, pass time.Duration) time.Duration {
+	pass = max(pass, e.Step*time.Duration(e.StepsPerPass))
+	chunk := max(e.PromptChunk, 1)
+	return pass/2 + pass*time.Duration(max((tokens+chunk-1)/chunk, 1))
+}
+
 // ExpertLayers describes the expert layers of an engine.
 type ExpertLayers struct {
 	// Layers is the number of expert layers, each with its own placement of experts.
