--- a/internal/admission/late_mode.go
+++ b/internal/admission/late_mode.go
@@ -10,8 +10,8 @@
 	// lateLeave is the time after which a group that may serve on time does so. Together with the time until a
 	// recovery is reported, 0.3 to 0.5 s, it stays below 1 s.
 	lateLeave = 450 * time.Millisecond
-	// enterShare is the share of the demand below which keeping the bound serves less value than serving late:
-	// lateValue. leaveShare is the one from which it is kept again.
+	// enterShare is the share of the streams served late below which keeping the bound serves less value: lateValue.
+	// leaveShare is the one from which the bound is kept again.
 	enterShare = lateValue
 	leaveShare = 0.5
 )
@@ -32,8 +32,9 @@
 type LateInputs struct {
 	// OwnPart is the slowest rank's own part of an idle group, Bound the longest pass of streams on time.
 	OwnPart, Bound time.Duration
-	// OnTime is the number of streams per second that are served on time, Demand that of the offered ones.
-	OnTime, Demand float64
+	// OnTime is the number of streams per second that are served on time, Late that with all slots, Demand that of the
+	// offered ones.
+	OnTime, Late, Demand float64
 }
 
 // LateInputs returns the inputs of a group's LateMode. Between jumps, the skew is that of the current map.
@@ -43,16 +44,26 @@
 	}
 	pace.Loading, pace.Pass = false, 0
 	inputs := LateInputs{OwnPart: g.slowestOwnPart(pace, 0, 0), Bound: g.currentBound(), Demand: demand}
-	writers := g.writersWithin(pace, inputs.Bound)
-	if life := g.StreamTime(g.PredictPass(pace, writers)); life > 0 {
-		inputs.OnTime = float64(writers) / life.Seconds()
-	}
+	inputs.OnTime = g.throughput(pace, g.writersWithin(pace, inputs.Bound))
+	inputs.Late = g.throughput(pace, g.slots(pace))
 	return inputs
 }
 
+// throughput returns the number of streams per second that a number of writers are.
+func (g PassGate) throughput(pace GroupPace, writers int) float64 {
+	life := g.StreamTime(g.PredictPass(pace, writers))
+	if life <= 0 {
+		return 0
+	}
+	return float64(writers) / life.Seconds()
+}
+
 // Late returns whether the group serves late.
 func (m *LateMode) Late() bool { return m.late }
 
+// LateAt returns whether the group served late at a time, if that is after the change before the last one.
+func (m *LateMode) LateAt(at time.Time) bool { return m.late || at.Before(m.Changed) }
+
 // Update returns whether the group serves late from now on.
 func (m *LateMode) Update(now time.Time, inputs LateInputs) bool {
 	if inputs.Bound <= 0 {
@@ -64,7 +75,7 @@
 	if m.late {
 		share, hold = leaveShare, lateLeave
 	}
-	wanted := beyond || inputs.OnTime < share*inputs.Demand
+	wanted := beyond || inputs.OnTime < share*min(inputs.Late, inputs.Demand)
 	switch {
 	case wanted == m.late:
 		m.since = time.Time{}
--- a/internal/admission/pass_decision.go
+++ b/internal/admission/pass_decision.go
@@ -74,8 +74,8 @@
 	return time.Duration(added / passes)
 }
 
-// WorthAdding reports whether one more stream at a rank serves more than it costs: added to each pass of all writers, it
-// must not delay them by more than the work of one stream.
-func (g PassGate) WorthAdding(added, pass time.Duration, slowness float64, writers int) bool {
-	return slowness <= minStraggler || added*time.Duration(writers) <= pass
+// WorthAdding reports whether one more stream at a rank with the given slowness serves more than it costs: added to each
+// pass of all writers, it must not delay them by more than the work of one stream.
+func (g PassGate) WorthAdding(pace GroupPace, slowness float64, added, pass time.Duration, writers int) bool {
+	return slowness <= minStraggler || !pace.fewStragglers() || added*time.Duration(writers) <= pass
 }
--- a/internal/admission/passgate.go
+++ b/internal/admission/passgate.go
@@ -95,11 +95,22 @@
 	return time.Duration(perWriter * float64(writers) / float64(max(pace.Ranks, 1)) * max(skew, 1))
 }
 
+// fewStragglers reports whether less than half of the ranks are stragglers, so that the others can take their work.
+func (p GroupPace) fewStragglers() bool {
+	stragglers := 0
+	for _, slowness := range p.Slowness {
+		if slowness > minStraggler {
+			stragglers++
+		}
+	}
+	return 2*stragglers < p.Ranks
+}
+
 // slowestOwnPart returns the own part of the slowest rank. New writers are placed where they add least to it, so that a
 // straggler keeps the writers that it has or loses them, and the other ranks share the rest evenly.
 func (g PassGate) slowestOwnPart(pace GroupPace, writers int, promptTokens float64) time.Duration {
-	if len(pace.Slowness) == 0 {
-		return g.OwnPart(1, float64(writers)/float64(max(pace.Ranks, 1)), promptTokens)
+	if !pace.fewStragglers() {
+		return g.OwnPart(pace.SlowestRank(), float64(writers)/float64(max(pace.Ranks, 1)), promptTokens)
 	}
 	// loadOf returns the writers that a straggler has left of those it had, as part of the given total.
 	loadOf := func(rank int) float64 {
@@ -120,9 +131,6 @@
 		left -= load
 		slowest = max(slowest, g.OwnPart(slowness, load, 0))
 	}
-	if others <= 0 {
-		return max(slowest, g.OwnPart(slices.Max(pace.Slowness), float64(writers)/float64(max(pace.Ranks, 1)), promptTokens))
-	}
 	return max(slowest, g.OwnPart(1, max(left, 0)/float64(others), promptTokens))
 }
 
@@ -155,22 +163,23 @@
 	return float64(pace.Writers) / (passes * pass.Seconds())
 }
 
-// Capacity returns the number of streams per second that the group completes while all are on time.
+// Capacity returns the number of streams per second that the group completes on time, or late while it serves late. It is
+// that of the current map: the peaks of skew count as far as streams are refused for them, not while they last.
 func (g PassGate) Capacity(pace GroupPace) float64 {
-	passes := float64(g.Engine.MeanAnswerTokens) / float64(max(g.Engine.StepsPerPass, 1))
-	if passes <= 0 || g.MaxEventGap <= 0 {
+	if g.MaxEventGap <= 0 {
 		return 0
 	}
+	if pace.Forecast.CalmSkew > 0 {
+		pace.Skew = min(pace.Skew, pace.Forecast.CalmSkew)
+		pace.Loading, pace.Pass = false, 0
+	}
 	writers := g.writersWithin(pace, g.currentBound())
 	if pace.Forecast.Late {
 		writers = g.slots(pace)
-	} else if limit, ok := g.PeakLimit(pace, g.ArrivalRate(pace)); ok {
+	} else if limit, ok := g.PeakLimit(pace, g.throughput(pace, g.slots(pace))); ok {
 		writers = min(writers, limit.Mean)
 	}
-	if writers <= 0 {
-		return 0
-	}
-	return float64(writers) / (passes * g.PredictPass(pace, writers).Seconds())
+	return g.throughput(pace, writers)
 }
 
 // slots returns the number of requests that all ranks run at a time.
--- a/internal/admission/peak_limit.go
+++ b/internal/admission/peak_limit.go
@@ -93,8 +93,8 @@
 		mean = 1 - life/(2*calm)
 	}
 	now := min(pace.Forecast.NextPeak.Seconds()/life, 1)
-	if pace.Forecast.InPeak {
-		// A stream that is admitted now sees no further pass of this peak once its prompt is processed.
+	if pace.Forecast.InPeak && pace.Forecast.PeakLeft <= g.Engine.PromptTime(g.Engine.PromptChunk, g.calmPass(pace, peak)) {
+		// The peak has ended when the prompt of a stream that is admitted now is processed.
 		now = 1
 	}
 	room := float64(slots - peak)
--- a/internal/admission/skew_peaks.go
+++ b/internal/admission/skew_peaks.go
@@ -14,8 +14,9 @@
 	// maxPeakTime is the time after which a high skew is no peak but the usual skew of a map that does not fit. Maps are in
 	// force about 0.63 s after a jump; a lost plan costs as much again.
 	maxPeakTime = 1500 * time.Millisecond
-	// keptPeaks is the number of peaks that the forecast uses, 16 to 21 s of jumps: enough for the higher ones.
-	keptPeaks = 6
+	// keptPeaks is the number of peaks that the forecast uses, 27 to 35 s of jumps. With six, the higher ones of a half of
+	// the jumps were forgotten at times.
+	keptPeaks = 10
 	// minPeaks is the number of peaks from which more are expected.
 	minPeaks = 2
 	// maxPeakInterval is the longest interval between jumps that are expected to continue. With longer ones most streams
@@ -139,11 +140,11 @@
 	}
 	slices.Sort(forecast.Peaks)
 	if s.inPeak {
-		forecast.PeakLeft = max(s.started.Add(forecast.PeakLasts).Sub(now), 0)
+		forecast.PeakLeft = max(s.started.Add(forecast.PeakLasts-lag).Sub(now), 0)
 		return forecast
 	}
 	last := s.peaks[len(s.peaks)-1].start
-	// Intervals that scatter give no time at which the next peak is sure not to begin.
+	// The jump was before it was reported. Intervals that scatter give no time at which the next peak is sure not to begin.
 	earliest := interval - 2*deviation - lag
 	forecast.NextPeak = max(last.Add(earliest).Sub(now), 0)
 	return forecast
--- a/internal/admission/trough_retry.go
+++ b/internal/admission/trough_retry.go
@@ -50,6 +50,6 @@
 	if r.Slope < fallingSlope {
 		base = max(base, longest)
 	}
-	base = min(base, longest)
-	return max(base-time.Duration(retrySpread*random*float64(base)), min(minGroupRetryAfter, max(longest, minPeakRetry)))
+	base = min(max(base, minGroupRetryAfter), time.Duration(float64(longest)/(1+retrySpread)))
+	return max(base+time.Duration(retrySpread*random*float64(base)), minPeakRetry)
 }
--- a/internal/control/dispatch_ranks.go
+++ b/internal/control/dispatch_ranks.go
@@ -40,6 +40,10 @@
 	// costPerOpenRequest is added for each of the entry's open requests. It prevents an entry
 	// without reports from sending all requests to one of two groups with equal costs.
 	costPerOpenRequest = time.Millisecond
+	// slowestShare is the part of its passes in which a rank that would be the slowest is so: prompts make others slower in
+	// the rest. With 1, requests were placed behind prompts too often, and 9.3% instead of 7.6% of the streams began late
+	// at the capacity (docs/measurements/crests.md).
+	slowestShare = 0.3
 	// minComparedRanks is the least number of random ranks that are compared. Three avoid nearly all full ranks.
 	minComparedRanks = 3
 )
@@ -50,6 +54,14 @@
 	return c.firstEvent + passWeight*(c.decision.Pass+c.pauses) + time.Duration(c.openRequests)*costPerOpenRequest
 }
 
+// startsLate reports whether the prompts before the request's own delay its first event beyond the target. While streams
+// are refused to keep others on time, slots go to streams that can be on time.
+func (c *rankChoice) startsLate(now time.Time, gate admission.PassGate, request *BackendRequest) bool {
+	target := request.Arrived.Add(request.Route.TargetLatency)
+	own := gate.Engine.PromptTime(request.PromptTokens, c.decision.Pass)
+	return c.server != nil && now.Add(c.firstEvent+c.decision.Pass/2).After(target) && !request.Arrived.Add(own).After(target)
+}
+
 // fullKey identifies the waiting requests for which the same groups are full. fullGroups is what refused the first.
 type (
 	fullKey struct {
@@ -58,6 +70,7 @@
 	}
 	fullGroups struct {
 		choice rankChoice
+		groups map[ident.Group][]*routing.Server
 		retry  admission.TroughRetry
 	}
 )
@@ -73,6 +86,7 @@
 	key, first := fullKey{service: request.Service, gap: gate.MaxEventGap}, !request.Resumed && len(request.Tried) == 0 && !assignment.Suspect
 	if full, ok := d.full[key]; ok && first {
 		full.choice.describe(gate, assignment)
+		d.keepQueued(gate, request, assignment, full.groups)
 		assignment.RetryAfter = d.retryAfter(now, request, full.retry)
 		return nil
 	}
@@ -97,13 +111,14 @@
 	}
 	if best.server == nil {
 		full.describe(gate, assignment)
+		d.keepQueued(gate, request, assignment, byGroup)
 		retry := admission.TroughRetry{Base: full.retryAfter, Forecast: full.pace.Forecast}
 		if trend := d.arrivals[request.Service]; trend != nil {
 			retry.Slope = trend.Slope(now)
 		}
 		assignment.RetryAfter = d.retryAfter(now, request, retry)
 		if d.full != nil && first && !assignment.Outage {
-			d.full[key] = fullGroups{choice: full, retry: retry}
+			d.full[key] = fullGroups{choice: full, groups: byGroup, retry: retry}
 		}
 		return nil
 	}
@@ -112,6 +127,15 @@
 	return best.server
 }
 
+// keepQueued lets a request wait longer if one of its groups served late when it arrived.
+func (d *Dispatcher) keepQueued(gate admission.PassGate, request *BackendRequest, assignment *Assignment, groups map[ident.Group][]*routing.Server) {
+	for name := range groups {
+		if group := d.groups[name]; group != nil && group.forecast.keepsQueued(gate, request) {
+			assignment.ServesLate = true
+		}
+	}
+}
+
 // retryAfter returns the Retry-After of a request that is refused because all groups are full.
 func (d *Dispatcher) retryAfter(now time.Time, request *BackendRequest, retry admission.TroughRetry) time.Duration {
 	retry.Remaining = request.Deadline.Sub(now)
@@ -165,6 +189,9 @@
 	}
 	compared := d.comparedRanks(gate, group, pace, len(servers))
 	d.cheapestRank(now, gate, &choice, servers, compared, request)
+	if choice.decision.Limit > 0 && !request.Resumed && choice.startsLate(now, gate, request) {
+		choice.server = nil
+	}
 	return choice
 }
 
@@ -197,11 +224,11 @@
 		}
 		slowness := rankSlowness(&choice.pace, server)
 		added := gate.AddedOwnPart(slowest, slowness, float64(load))
-		if !gate.WorthAdding(added, choice.decision.Pass, slowness, choice.writers) && !request.Resumed {
+		if !gate.WorthAdding(choice.pace, slowness, added, choice.decision.Pass, choice.writers) && !request.Resumed {
 			continue
 		}
 		wait := server.TimeToFirstEvent(now, request.PromptTokens, choice.promptRate)
-		rankPauses := added * time.Duration(choice.writers)
+		rankPauses := time.Duration(slowestShare * float64(added) * float64(choice.writers))
 		cost := wait + rankPauses
 		if choice.server == nil || cost < bestCost || cost == bestCost && load < choice.server.Load(now) {
 			choice.server, bestCost, firstEvent, pauses = server, cost, wait, rankPauses
--- a/internal/control/group_forecast.go
+++ b/internal/control/group_forecast.go
@@ -59,6 +59,13 @@
 	return mode.Update(now, gate.LateInputs(pace, demand))
 }
 
+// keepsQueued reports whether a request that came while the group served late may wait as long as then: it would be late
+// anyway, and a queue that is refused at once comes back at once.
+func (f *groupForecast) keepsQueued(gate admission.PassGate, request *BackendRequest) bool {
+	mode := f.modes[gate.MaxEventGap]
+	return mode != nil && !request.Resumed && mode.LateAt(request.Arrived)
+}
+
 // currentPace returns the group's last report, with the forecast as of now; false if there is no recent one.
 func (d *Dispatcher) currentPace(now time.Time, gate admission.PassGate, group *groupState, demand float64) (admission.GroupPace, bool) {
 	if group == nil || !group.pace.Fresh(now) {
