End a peak of skew with the first map after the jump

Cause: by reading: the first map after a jump leaves a part of the skew until later maps remove it. A peak that ended only near the usual skew would take longer than 1.5 s, count as the usual skew and never be expected again. Change: a peak has ended once less than 0.35 of its height is left. Ruled out: a longer limit of 1.5 s, which would delay the recognition of maps that don't fit at all.

--- a/internal/admission/skew_peaks.go
+++ b/internal/admission/skew_peaks.go
@@ -11,6 +11,9 @@
 	// reach 1.1 to 1.4; jumps raise it to 2.5 and more. Sampling noise stays below a fifth.
 	peakStart = 1.35
 	peakEnd   = 1.15
+	// peakFall is the part of a peak's height below which it has ended. The first map after a jump leaves a part of the
+	// skew, which later maps remove.
+	peakFall = 0.35
 	// maxPeakTime is the time after which a high skew is no peak but the usual skew of a map that does not fit. Maps are in
 	// force about 0.63 s after a jump; a lost plan costs as much again.
 	maxPeakTime = 1500 * time.Millisecond
@@ -72,7 +75,7 @@
 		s.calm = skew
 	case !s.inPeak && skew > peakStart*s.calm:
 		s.inPeak, s.started, s.highest = true, now, skew
-	case s.inPeak && skew < peakEnd*s.calm:
+	case s.inPeak && skew < max(peakEnd*s.calm, s.calm+peakFall*(s.highest-s.calm)):
 		s.inPeak = false
 		s.peaks = append(s.peaks, skewPeak{start: s.started, end: now, skew: s.highest})
 		s.peaks = s.peaks[max(len(s.peaks)-keptPeaks, 0):]
--- a/internal/admission/skew_peaks_test.go
+++ b/internal/admission/skew_peaks_test.go
@@ -38,6 +38,26 @@
 	c.Assert(peaks.Forecast(passAt(9600), 200*time.Millisecond).NextPeak, qt.Equals, time.Duration(0))
 }
 
+// The first map after a jump leaves a part of the skew until later maps remove it, 1.5 s after the jump: a detector that waits
+// for the calm skew would take the peak for the usual skew and never expect another.
+func TestPeakEndsWithTheFirstMap(t *testing.T) {
+	c := qt.New(t)
+	var peaks admission.SkewPeaks
+	for ms := 0; ms < 9000; ms += 150 {
+		switch since := ms % 3000; {
+		case since >= 600 && since < 1200:
+			peaks.Record(passAt(ms), 2.6)
+		case since >= 1200 && since < 2700:
+			peaks.Record(passAt(ms), 1.65)
+		default:
+			peaks.Record(passAt(ms), 1.3)
+		}
+	}
+	forecast := peaks.Forecast(passAt(9000), 0)
+	c.Assert(forecast.Peaks, qt.DeepEquals, []float64{2.6, 2.6, 2.6})
+	c.Assert(forecast.PeakLasts, qt.Equals, 600*time.Millisecond)
+}
+
 // Irregular jumps may come at any time. A forecast that waits for their mean interval would fill all slots before an early
 // one.
 func TestIrregularPeaksMayBeginAnyTime(t *testing.T) {
