Merge pass prediction; ranks that are avoided count as usual in it

Cause: the prediction took a straggler's steps into account although the rank delays no passes once its streams have moved away.

--- a/internal/control/slow_ranks.go
+++ b/internal/control/slow_ranks.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/admission"
@@ -20,7 +21,8 @@
 	Pass, ReportAge time.Duration
 }
 
-// updateSlowRanks decides from the group's last report which ranks get no streams.
+// updateSlowRanks decides from the group's last report which ranks get no streams. These delay no passes once their streams
+// have left, so that the predictions take them for usual ones.
 func (d *Dispatcher) updateSlowRanks(now time.Time, group *groupState) {
 	loads := make([]int, group.pace.Ranks)
 	var service ident.Service
@@ -35,9 +37,15 @@
 	if engine != nil && len(group.pace.Slowness) == len(loads) {
 		slow = admission.PassGate{Engine: engine, MaxEventGap: d.table.EventGap(service)}.SlowRanks(group.pace, loads)
 	}
+	group.slowness = group.pace.Slowness
+	if slow != nil {
+		group.pace.Slowness = slices.Clone(group.slowness)
+	}
 	for _, server := range group.ranks {
 		rank := int(server.Rank)
-		server.Avoided = rank >= 0 && rank < len(slow) && slow[rank]
+		if server.Avoided = rank >= 0 && rank < len(slow) && slow[rank]; server.Avoided {
+			group.pace.Slowness[rank] = 1
+		}
 	}
 }
 
@@ -51,7 +59,7 @@
 	for _, server := range group.ranks {
 		if server.Avoided && server.Open > 0 {
 			slow = append(slow, SlowRank{
-				Backend: server.ID, Group: name, Slowness: group.pace.Slowness[server.Rank], Streams: server.Open,
+				Backend: server.ID, Group: name, Slowness: group.slowness[server.Rank], Streams: server.Open,
 				Load: server.Load(now), Pass: group.pace.Pass, ReportAge: now.Sub(group.pace.ReceivedAt),
 			})
 		}
