Admit by shares of customers and count all calls at entries that send directly

Change: entries count what is offered and state it with their subscriptions (every 400 ms, at the next tick after a change by a quarter). The dispatcher computes the fractions from the newest sums and the smoothed capacity of all groups, and refuses at once what exceeds its share while no group has room for 15% more streams; cause over-share and the customer are in the answer's log line. The queue takes interrupted streams, share, priority, arrival. The account counts each call once, by customer and class, in metrics and a log line. Ruled out: refusing by fraction alone (an underestimated capacity would stay unused); ordering by fraction what is within its share (urgent requests of large customers were refused twice); room of 10% (twice the refusals by the gate).

--- a/internal/admission/demand_counter.go
+++ b/internal/admission/demand_counter.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -139,6 +140,13 @@
 	return sorted
 }
 
+// DemandChanged reports whether a total rate differs so much from the last one that was sent that the next message should not
+// wait. The noise of ten requests a second is below that in most intervals.
+func DemandChanged(sent, rate float64) bool {
+	const minChange, changeShare = 5, 0.25
+	return math.Abs(rate-sent) > max(minChange, changeShare*sent)
+}
+
 // TotalRate returns the sum of the rates.
 func TotalRate(demands []CustomerDemand) float64 {
 	total := 0.0
--- a/internal/control/assignment.go
+++ b/internal/control/assignment.go
@@ -16,8 +16,12 @@
 	ID      uint64
 	Service ident.Service
 	Route   *routing.Route
+	// Customer is the customer of the request; "" on public routes.
+	Customer ident.Customer
 	// Priority is the priority of the request; 0 is the most urgent.
 	Priority int
+	// Retry is true if the caller repeats a request that was refused.
+	Retry bool
 	// Arrived is when the request arrived. After Deadline its answer is of no use.
 	Arrived, Deadline time.Time
 	// PromptTokens is the number of prompt tokens of a request to a model engine.
@@ -36,6 +40,10 @@
 	Traits []attempt.Fingerprint
 	// Trial is the trait for which the request has a permit to run, see attempt.TrialRuns; zero for none.
 	Trial attempt.Fingerprint
+	// overShare is true if the request exceeds the share of its customer and priority, which get the fraction share of such
+	// requests. It is decided once, while the service is overloaded.
+	overShare, shareKnown bool
+	share                 float64
 }
 
 // SendReason says why a request is sent.
@@ -59,6 +67,10 @@
 	Backend membership.ListedBackend
 	// Cause is the reason of a refusal.
 	Cause outcome.Cause
+	// CausedBy is the customer whose demand is the reason of a refusal; "" if no single one is.
+	CausedBy ident.Customer
+	// Share is the admitted fraction of such requests, if the request is refused with outcome.CauseOverShare.
+	Share float64
 	// PromptTokens is the number of prompt tokens of the request.
 	PromptTokens int
 	// RetryAfter is the time after which the caller of a refused request should retry.
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -60,6 +60,8 @@
 	RankLoads []int
 	// SilentEntries is the number of other entries that do not notify this one of their sends.
 	SilentEntries int
+	// Demand is the sum of the demand of all entries for the group's service; nil if the report has none.
+	Demand []admission.CustomerDemand
 }
 
 // Dispatcher is the control state of an entry that sends requests directly to backend servers:
@@ -83,6 +85,7 @@
 	waiting  []BackendRequest
 	// resting has the end of the rest of each server that asked for one. It is kept while a server is not listed.
 	resting map[attempt.ServerInstance]time.Time
+	demands map[ident.Service]*serviceDemand
 }
 
 type groupState struct {
@@ -99,6 +102,7 @@
 	// progressAt is when the group last sent an event to this entry, or got a request while it
 	// had none open.
 	progressAt time.Time
+	demand     groupDemand
 }
 
 // stalled reports whether the group has open requests but has sent no event for stallTimeout.
@@ -127,6 +131,7 @@
 		crashes:  attempt.NewCrashRegister(attempt.DefaultCrashConfig()),
 		limits:   map[string]*admission.ServerLimit{},
 		resting:  map[attempt.ServerInstance]time.Time{},
+		demands:  map[ident.Service]*serviceDemand{},
 		entries:  1,
 	}
 }
@@ -199,6 +204,7 @@
 	group.pace.ReceivedAt = now
 	group.silent = report.SilentEntries
 	group.openAtReport = group.openRequests()
+	d.recordGroupDemand(now, group, &report)
 	for _, server := range group.ranks {
 		if rank := int(server.Rank); rank >= 0 && rank < len(report.RankLoads) {
 			server.RecordReport(now, report.RankLoads[rank])
@@ -270,6 +276,9 @@
 			return []Assignment{{Request: request.ID, Cause: outcome.CauseRetryBudget, RetryAfter: noBackendRetryAfter}}
 		}
 	}
+	if decided, ok := d.decideByShare(now, &request); ok {
+		return decided
+	}
 	assigned, ok := d.assign(now, &request)
 	switch {
 	case ok:
@@ -278,6 +287,7 @@
 		if request.Reason == SendReasonRepeat {
 			d.repeats.Release(now, request.Service)
 		}
+		d.nameCause(now, &request, &assigned)
 		return []Assignment{assigned}
 	}
 	d.enqueue(request)
@@ -325,27 +335,6 @@
 	return a
 }
 
-// enqueue inserts a request into the queue, which is sorted in the order of service:
-// interrupted streams first, then by priority, then by arrival.
-func (d *Dispatcher) enqueue(request BackendRequest) {
-	at := len(d.waiting)
-	for at > 0 && precedes(&request, &d.waiting[at-1]) {
-		at--
-	}
-	d.waiting = slices.Insert(d.waiting, at, request)
-}
-
-// precedes reports whether a is served before b.
-func precedes(a, b *BackendRequest) bool {
-	if a.Resumed != b.Resumed {
-		return a.Resumed
-	}
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
-	}
-	return a.Arrived.Before(b.Arrived)
-}
-
 // CancelRequest removes a waiting request whose caller disconnected or whose deadline passed.
 func (d *Dispatcher) CancelRequest(id uint64) {
 	d.waiting = slices.DeleteFunc(d.waiting, func(request BackendRequest) bool { return request.ID == id })
@@ -360,6 +349,7 @@
 	}
 	server.Open = max(server.Open-1, 0)
 	server.RecordResult(now, result, latency)
+	d.recordPlainEnd(now, server, result)
 	if group := d.groups[server.Group]; group != nil {
 		group.recordResult(now, result)
 	}
@@ -383,12 +373,14 @@
 	if len(d.waiting) == 0 {
 		return nil
 	}
+	d.orderWaiting(now)
 	var assigned []Assignment
 	kept := d.waiting[:0]
 	for i := range d.waiting {
 		request := d.waiting[i]
 		assignment, ok := d.assign(now, &request)
 		if ok || !d.mayWait(now, &request, &assignment) {
+			d.nameCause(now, &request, &assignment)
 			assigned = append(assigned, assignment)
 			continue
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bramleyspool/bramleyspool/internal/admission"
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -83,6 +84,9 @@
 	// lastEventAt is when the last event of a stream was passed on; longestGap is the longest time between two events.
 	lastEventAt time.Time
 	longestGap  time.Duration
+	// accountKey is the key under which the call is counted while accountOpen is true.
+	accountKey  admission.ClassKey
+	accountOpen bool
 }
 
 // bufferedResponse is a backend server's response that was read completely.
@@ -106,6 +110,7 @@
 		gateway: g, w: w, r: r, key: g.callCounter.Add(1), id: r.Header.Get(g.headers.RequestID),
 		arrived: time.Now(), table: g.table.Load(), lastEventID: r.Header.Get(g.headers.LastEventID),
 	}
+	defer c.closeAccount()
 	defer func() {
 		g.bufferedBytes.Add(-c.bufferedBytes)
 		c.logOutcome()
@@ -114,7 +119,9 @@
 			panic(http.ErrAbortHandler)
 		}
 	}()
-	if !c.identify() || !c.readBody() {
+	identified := c.identify()
+	c.openAccount()
+	if !identified || !c.readBody() {
 		return
 	}
 	c.serve()
@@ -231,17 +238,6 @@
 	return true
 }
 
-// computeDeadline returns the earlier of the route's timeout and the caller's deadline.
-func (c *call) computeDeadline() time.Time {
-	end := c.arrived.Add(c.route.Timeout)
-	if remaining, err := strconv.ParseInt(c.r.Header.Get(c.gateway.headers.Deadline), 10, 64); err == nil && remaining >= 0 {
-		if deadline := c.arrived.Add(time.Duration(remaining) * time.Millisecond); deadline.Before(end) {
-			end = deadline
-		}
-	}
-	return end
-}
-
 // serve sends the request to one backend server after another until the call has an outcome.
 func (c *call) serve() {
 	c.deadline = c.computeDeadline()
@@ -308,10 +304,13 @@
 // assignmentRequest returns the call's request for a backend server, for the control thread.
 func (c *call) assignmentRequest(reason control.SendReason) control.BackendRequest {
 	request := control.BackendRequest{
-		ID: c.key, Service: c.service, Route: c.route, Priority: c.priority(), Reason: reason,
+		ID: c.key, Service: c.service, Route: c.route, Customer: c.access.Customer, Priority: c.priority(), Reason: reason,
 		Arrived: c.arrived, Deadline: c.deadline, Tried: c.tried, Resumed: c.started,
 		PromptTokens: c.gateway.headers.PromptTokens(c.r.Header), Traits: c.knownTraits(),
 	}
+	if reason == control.SendReasonFirst {
+		request.Retry = c.isRetry()
+	}
 	if c.started {
 		// The wait for a server to resume the stream starts now, not at the call's arrival.
 		request.Arrived = time.Now()
@@ -383,14 +382,6 @@
 	}
 }
 
-// priority returns the priority of the customer if it has one, otherwise that of the route.
-func (c *call) priority() int {
-	if c.access.HasPriority {
-		return c.access.Priority
-	}
-	return c.route.Priority
-}
-
 // recordSendEnd reports the result of a send to the control thread. evidence is what crashEvidence returned; it may be nil.
 func (g *Gateway) recordSendEnd(assigned *control.Assignment, result routing.SendResult, latency time.Duration, evidence func(now time.Time)) {
 	backend, suspect := assigned.Backend.ID, assigned.Suspect
@@ -415,6 +406,7 @@
 	default:
 		c.assigned = refused
 		c.refuse(http.StatusServiceUnavailable, refused.Cause, refused.RetryAfter)
+		c.result.CausedBy = refused.CausedBy
 	}
 }
 
@@ -483,6 +475,9 @@
 	if c.result.Cause == outcome.CauseQuarantined {
 		fields["quarantined"], fields["prompt_parts"] = c.assigned.Quarantined, c.sharedParts()
 	}
+	if c.result.CausedBy != "" {
+		fields["caused_by"], fields["share"] = c.result.CausedBy, c.assigned.Share
+	}
 	if c.result.RetryAfter > 0 {
 		fields["retry_after_ms"] = c.result.RetryAfter.Milliseconds()
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -224,10 +224,14 @@
 	g.pool.closeExpired(now)
 	g.prober.removeExpired(now)
 	g.trials.Expire(now)
-	for _, subscription := range g.leaders.due(now) {
-		message := datagram.Message{Subscribe: &datagram.Subscribe{Group: subscription.group, Entry: g.socket.Address().String()}}
+	demandOf := func(group ident.Group) []admission.CustomerDemand { return g.dispatcher.GroupDemand(now, group) }
+	for _, subscription := range g.leaders.due(now, demandOf) {
+		message := datagram.Message{Subscribe: &datagram.Subscribe{
+			Group: subscription.group, Entry: g.socket.Address().String(), Demand: datagram.DemandShares(subscription.demand),
+		}}
 		g.socket.Send(subscription.agent, message)
 	}
+	g.reportAccount(now)
 	g.metrics.backendsLimited.Update(float64(g.dispatcher.LimitedServers()))
 	g.metrics.setCallsWaiting(g.dispatcher.Waiting())
 }
@@ -285,6 +289,7 @@
 			Pass: time.Duration(report.PassMicros) * time.Microsecond,
 		},
 		RankLoads: report.Loads, SilentEntries: entries - len(report.Entries),
+		Demand: datagram.CustomerDemands(report.Demand),
 	}))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,6 +105,7 @@
 	// survivors has the requests that were served recently. survivingTraits has their prompt parts that others may share, and
 	// while crashesKnown is true the fingerprints of the requests.
 	survivors, survivingTraits *survivorTable
+	account                    *callAccount
 	socket                     *datagram.Socket
 	headers                    Headers
 
@@ -177,7 +178,7 @@
 		trialNumber: rand.Uint64(),
 	}
 	g.pool = newConnPool(g.metrics.connectionOpened)
-	g.statements = newStatementTable()
+	g.statements, g.account = newStatementTable(), newCallAccount()
 	g.prober, g.survivors, g.survivingTraits = newProber(), newSurvivorTable(), newSurvivorTable()
 	g.startedAt = bootTime()
 	g.follower = source.NewFollower(sharingStore{Store: config.Store, gateway: g}, g, bootTime)
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/textproto"
+	"strconv"
 	"strings"
 	"time"
 
@@ -76,3 +77,14 @@
 	}
 	return size
 }
+
+// computeDeadline returns the earlier of the route's timeout and the caller's deadline.
+func (c *call) computeDeadline() time.Time {
+	end := c.arrived.Add(c.route.Timeout)
+	if remaining, err := strconv.ParseInt(c.r.Header.Get(c.gateway.headers.Deadline), 10, 64); err == nil && remaining >= 0 {
+		if deadline := c.arrived.Add(time.Duration(remaining) * time.Millisecond); deadline.Before(end) {
+			end = deadline
+		}
+	}
+	return end
+}
--- a/internal/gateway/leaders.go
+++ b/internal/gateway/leaders.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/bramleyspool/bramleyspool/internal/admission"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 )
 
@@ -12,6 +13,9 @@
 	// subscribeInterval is how often an entry renews a subscription. The leader drops a subscription after three
 	// intervals without a renewal.
 	subscribeInterval = time.Second
+	// demandInterval replaces subscribeInterval while there is demand to state, which takes effect within a second. With the
+	// ticks of 200 ms, demand is stated every 400 ms, and at the next tick if it has changed much.
+	demandInterval = 350 * time.Millisecond
 	// leaderTimeout is how long an entry waits for a report before it subscribes at another agent: about three reports.
 	// A leader checks every 100 ms whether its report interval of 150 ms has passed, so it reports about every 200 ms.
 	leaderTimeout = 600 * time.Millisecond
@@ -29,6 +33,8 @@
 	leader       netip.AddrPort
 	lastReportAt time.Time
 	subscribedAt time.Time
+	// statedRate is the total of the demand in the last subscription.
+	statedRate float64
 	// nextAgent is the index of the agent to subscribe at when the leader does not report.
 	nextAgent int
 }
@@ -37,6 +43,8 @@
 type subscription struct {
 	group ident.Group
 	agent netip.AddrPort
+	// demand is what callers offer at this entry for the group's service.
+	demand []admission.CustomerDemand
 }
 
 func newLeaderDirectory() *leaderDirectory {
@@ -65,12 +73,18 @@
 	}
 }
 
-// due returns the subscriptions to send now and marks them as sent.
-func (d *leaderDirectory) due(now time.Time) []subscription {
+// due returns the subscriptions to send now and marks them as sent. demandOf returns the demand for a group's service.
+func (d *leaderDirectory) due(now time.Time, demandOf func(group ident.Group) []admission.CustomerDemand) []subscription {
 	var due []subscription
 	for name, group := range d.groups {
-		unresponsive := now.Sub(group.lastReportAt) > leaderTimeout
-		if !unresponsive && now.Sub(group.subscribedAt) < subscribeInterval || len(group.agents) == 0 {
+		if len(group.agents) == 0 {
+			continue
+		}
+		unresponsive, age := now.Sub(group.lastReportAt) > leaderTimeout, now.Sub(group.subscribedAt)
+		demand := demandOf(name)
+		rate := admission.TotalRate(demand)
+		renewed := age >= subscribeInterval || age >= demandInterval && len(demand) > 0
+		if !unresponsive && !renewed && !admission.DemandChanged(group.statedRate, rate) {
 			continue
 		}
 		agent := group.leader
@@ -78,8 +92,8 @@
 			agent = group.agents[group.nextAgent%len(group.agents)]
 			group.nextAgent++
 		}
-		group.subscribedAt = now
-		due = append(due, subscription{group: name, agent: agent})
+		group.subscribedAt, group.statedRate = now, rate
+		due = append(due, subscription{group: name, agent: agent, demand: demand})
 	}
 	return due
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bramleyspool/bramleyspool/internal/admission"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 )
 
@@ -62,6 +63,31 @@
 // count increments a counter without labels.
 func (m *metrics) count(name string) { m.scope.Counter(name).Inc(1) }
 
+// setAccount sets the totals of one customer and class in the account of calls.
+func (m *metrics) setAccount(entry *admission.AccountEntry) {
+	customer, class := string(entry.Key.Customer), string(entry.Key.Class)
+	set := func(state string, count uint64) {
+		tags := map[string]string{"customer": customer, "class": class, "state": state}
+		m.scope.Tagged(tags).Gauge("account_calls").Update(float64(count))
+	}
+	unserved := func(state string, counts []admission.UnservedCount) {
+		total := uint64(0)
+		for _, count := range counts {
+			total += count.Count
+			tags := map[string]string{
+				"customer": customer, "class": class, "state": state, "cause": string(count.Cause), "caused_by": string(count.CausedBy),
+			}
+			m.scope.Tagged(tags).Gauge("account_unserved").Update(float64(count.Count))
+		}
+		set(state, total)
+	}
+	set("arrivals", entry.Arrivals)
+	set("served", entry.Served)
+	set("open", entry.Open)
+	unserved("not-run", entry.NotRun)
+	unserved("unknown", entry.Unknown)
+}
+
 // countSend counts the result of a send to a backend server.
 func (m *metrics) countSend(result string) {
 	m.scope.Tagged(map[string]string{"result": result}).Counter("sent").Inc(1)
