Weigh customers by their usual demand, and describe shares and the account

Cause: with equal weights three large customers of 24 exceed their shares in each overload; their urgent requests were refused while the least urgent ones of others were served: in 8 of 32 windows a class earned less than a less urgent one. Change: the weight of a customer is its average demand over 30 s without overload, and at least the mean over the customers. Ruled out: averaging during an overload, in which a flood would gain weight.

--- a/internal/admission/demand_shares.go
+++ b/internal/admission/demand_shares.go
@@ -38,7 +38,7 @@
 // DemandShares decides which fraction of the requests of each customer and priority a service admits. Customers get weighted
 // max-min shares of the capacity; within a customer the more urgent requests are served first, above a floor for all.
 type DemandShares struct {
-	// Weight returns the weight of a customer; nil if all weights are equal.
+	// Weight returns the weight of a customer, also of one that has none by itself; nil if all weights are equal.
 	Weight func(customer ident.Customer) float64
 }
 
@@ -92,7 +92,7 @@
 	}
 	if others := result.customers[OtherCustomers]; others != nil && !math.IsInf(smallest, 1) {
 		// Each customer in the sum demands at most as much as the smallest listed item, so there are at least so many.
-		others.weight = max(1, others.rate/smallest)
+		others.weight *= max(1, others.rate/smallest)
 	}
 	ordered := make([]*customerShare, 0, len(result.customers))
 	for _, share := range result.customers {
--- a/internal/admission/demand_shares_test.go
+++ b/internal/admission/demand_shares_test.go
@@ -203,6 +203,46 @@
 	})
 }
 
+// A customer that demands no more than usual must not be refused for another's flood while the capacity covers the usual demand
+// of all, even if its demand exceeds an equal share. A flood is not recorded, and a customer that stays away loses its weight.
+func TestUsualDemandIsServedBesideAFlood(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		usual := admission.UsualDemand{}
+		now := time.Unix(1000, 0)
+		calm := drawDemands(t, "usual")
+		for range 100 {
+			now = now.Add(100 * time.Millisecond)
+			usual.Record(now, calm)
+		}
+		weights, customers := usual.Weight("flood"), map[ident.Customer]bool{}
+		for _, demand := range calm {
+			if !customers[demand.Customer] {
+				customers[demand.Customer] = true
+				weights += usual.Weight(demand.Customer)
+			}
+		}
+		for i := range calm {
+			calm[i].Rate -= calm[i].Retries
+			calm[i].Retries = 0
+		}
+		capacity := weights * rapid.Float64Range(1.001, 2).Draw(t, "capacity")
+		flood := admission.CustomerDemand{Customer: "flood", Priority: rapid.IntRange(0, 4).Draw(t, "priority"), Rate: capacity * rapid.Float64Range(0.1, 50).Draw(t, "flood")}
+		fractions := admission.DemandShares{Weight: usual.Weight}.Fractions(capacity, append(calm, flood))
+		for _, demand := range calm {
+			if fraction := fractions.Of(demand.Customer, demand.Priority); fraction < 1 {
+				t.Fatalf("%+v is usual and gets %v", demand, fraction)
+			}
+		}
+		for range 100 {
+			now = now.Add(10 * time.Second)
+			usual.Record(now, []admission.CustomerDemand{{Customer: "other", Rate: 1}})
+		}
+		if weight := usual.Weight("c00"); math.Abs(weight-usual.Weight("unknown")) > rounding {
+			t.Fatalf("a customer that stays away keeps a weight of %v", weight)
+		}
+	})
+}
+
 // The counter must show a flood within a second, count what is offered once, forget it within a second, and bound its items.
 func TestDemandCounterFollowsAFlood(t *testing.T) {
 	c := qt.New(t)
--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -17,4 +17,7 @@
 // is the fixed number of steps after which each stream sends an event. PassGate predicts how long the passes of a group
 // take, and limits the number of streams accordingly. The control package's Dispatcher uses it at entries that send
 // requests without agents.
+//
+// DemandShares decides for such entries which fraction of the requests of each customer and priority is admitted, from a
+// service's capacity and the demand that DemandCounter measures at each entry. UsualDemand has the weights of customers.
 package admission
--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -35,6 +35,7 @@
 	// ends counts the requests that end, while requests wait for a plain service: that is its capacity at this entry.
 	ends    admission.DemandCounter
 	credits *admission.ShareCredits
+	usual   admission.UsualDemand
 	// eventGap is the longest pause between events that the service's routes allow, as far as requests have shown.
 	eventGap   time.Duration
 	fractions  *admission.AdmittedFractions
@@ -151,7 +152,10 @@
 		demand.capacity *= shareHeadroom
 	}
 	demand.offered = admission.TotalRate(sums)
-	demand.fractions = admission.DemandShares{}.Fractions(demand.capacity, sums)
+	demand.fractions = admission.DemandShares{Weight: demand.usual.Weight}.Fractions(demand.capacity, sums)
+	if demand.fractions == nil && len(sums) > 0 {
+		demand.usual.Record(now, sums)
+	}
 	return demand.fractions
 }
 
