--- a/internal/control/shares_replay_test.go
+++ b/internal/control/shares_replay_test.go
@@ -238,6 +238,25 @@
 	}
 }
 
+// No class and no customer may earn less than a quarter of the share of all in an overload.
+func TestNobodyStarvesInAnOverload(t *testing.T) {
+	r := replay{seed: 1, entries: 9, ranks: 50, seconds: 16, demand: 300, flood: 2.5, withDemand: true}
+	result := r.play()
+	total, earned := 0.0, 0.0
+	for window := range r.seconds / 2 {
+		shares, all := result.shares(window)
+		qt.Check(t, slices.Min(shares[:]) >= all/4, qt.IsTrue, qt.Commentf("window %d: %.3f of %.3f", window, shares, all))
+		for class := range 3 {
+			total += result.offered[window][class]
+			earned += result.earned[window][class]
+		}
+	}
+	for customer, offered := range result.customersOffered {
+		share := result.customerEarned[customer] / offered
+		qt.Check(t, share >= earned/total/4, qt.IsTrue, qt.Commentf("%s earns %.3f of %.3f", customer, share, earned/total))
+	}
+}
+
 // shares returns the earned part of the offered value in a window, by class and of all.
 func (r *replayResult) shares(window int) (shares [3]float64, all float64) {
 	earned, offered := 0.0, 0.0
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -17,8 +17,11 @@
 )
 
 const (
-	// accountInterval is the interval at which the account is exposed as metrics, and the least time between two log lines.
-	accountInterval = time.Second
+	// overloadLogInterval is the least time between two log lines about refusals.
+	overloadLogInterval = time.Second
+	// accountInterval is the interval at which the account is exposed as metrics. A thousand gauges take some milliseconds of
+	// a core, of which an entry may have a fifth.
+	accountInterval = 5 * time.Second
 	// maxAccountClasses bounds the customers and classes that are counted by themselves; further ones are counted together.
 	maxAccountClasses = 512
 	// maxLoggedRefusals bounds the kinds of refusals that a log line names.
@@ -41,8 +44,8 @@
 	seed     maphash.Seed
 	// refused has the times of refusals by the hash of the request.
 	refused map[uint64]time.Time
-	// reportedAt is when the account was last exposed. Only the control thread uses it.
-	reportedAt time.Time
+	// loggedAt is when refusals were last logged and exposedAt when the account was last exposed. Only the control thread uses them.
+	loggedAt, exposedAt time.Time
 }
 
 // refusalKey identifies a kind of refusals.
@@ -124,8 +127,16 @@
 	return found && now.Sub(at) <= retryAge
 }
 
-// report returns the entries that changed and the refusals since the last report, the most frequent first.
-func (a *callAccount) report(now time.Time) ([]admission.AccountEntry, []string, int) {
+// changed returns the entries that changed since the last call.
+func (a *callAccount) changed() []admission.AccountEntry {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	report, _ := a.account.Report(false)
+	return report.Entries
+}
+
+// newRefusals returns the most frequent kinds of refusals since the last call, and the number of all.
+func (a *callAccount) newRefusals(now time.Time) ([]string, int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for hash, at := range a.refused {
@@ -133,7 +144,6 @@
 			delete(a.refused, hash)
 		}
 	}
-	changed, _ := a.account.Report(false)
 	kinds := make([]refusalKey, 0, len(a.refusals))
 	total := 0
 	for kind, count := range a.refusals {
@@ -148,19 +158,23 @@
 		lines = append(lines, fmt.Sprintf("%s/%s %s because of %s: %d", kind.key.Customer, kind.key.Class, kind.cause, cmp.Or(kind.causedBy, "none"), a.refusals[kind]))
 	}
 	clear(a.refusals)
-	return changed.Entries, lines, total
+	return lines, total
 }
 
 // reportAccount exposes the account as metrics and logs who is refused because of whom.
 func (g *Gateway) reportAccount(now time.Time) {
-	if now.Sub(g.account.reportedAt) < accountInterval {
-		return
+	if now.Sub(g.account.exposedAt) >= accountInterval {
+		g.account.exposedAt = now
+		changed := g.account.changed()
+		for i := range changed {
+			g.metrics.setAccount(&changed[i])
+		}
 	}
-	g.account.reportedAt = now
-	changed, refusals, total := g.account.report(now)
-	for i := range changed {
-		g.metrics.setAccount(&changed[i])
+	if now.Sub(g.account.loggedAt) < overloadLogInterval {
+		return
 	}
+	g.account.loggedAt = now
+	refusals, total := g.account.newRefusals(now)
 	overloads := g.dispatcher.Overloads(now)
 	for _, overload := range overloads {
 		g.metrics.scope.Tagged(map[string]string{"service": string(overload.Service)}).Counter("overloaded_seconds").Inc(1)
