Test that shares follow a flood within a second and do not oscillate

Cause: the property tests do not include the time that statements and reports take. Change: TestSharesFollowAFloodWithinASecond with a caller that retries once, and a benchmark of the decision.

--- a/internal/admission/bench_test.go
+++ b/internal/admission/bench_test.go
@@ -127,3 +127,14 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapAlloc)
 }
+
+// BenchmarkDemandShares measures one decision, which an entry makes ten times a second while there is demand.
+func BenchmarkDemandShares(b *testing.B) {
+	var demands []admission.CustomerDemand
+	for i := range admission.MaxDemandItems {
+		demands = append(demands, admission.CustomerDemand{Customer: ident.Customer(fmt.Sprint(i / 3)), Priority: i % 3, Rate: float64(i + 1)})
+	}
+	for b.Loop() {
+		admission.DemandShares{}.Fractions(300, demands)
+	}
+}
--- a/internal/control/demand_test.go
+++ b/internal/control/demand_test.go
@@ -211,3 +211,78 @@
 	c.Assert(demand[0].Rate >= 20 && demand[0].Rate <= 25, qt.IsTrue, qt.Commentf("%+v", demand[0]))
 	c.Assert(demand[0].Retries, qt.Equals, demand[0].Rate/4)
 }
+
+// Shares must take effect within a second of a flood, stay steady while it lasts, with callers that retry once, and end within a
+// second of it. Statements and reports take the time that they take between processes: ticks of 200 ms at both.
+func TestSharesFollowAFloodWithinASecond(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(1, 0)
+	pace := fullPace()
+	gate := admission.PassGate{Engine: &testEngine, MaxEventGap: testRoute.EventGap}
+	capacity := gate.Capacity(pace)
+	const begin, end, last = 3000, 9000, 12000
+	var stated []admission.CustomerDemand
+	statedRate, reportedRate, first := 0.0, 0.0, 0
+	offered, refused := make([]float64, last/1000), make([]float64, last/1000)
+	retries := map[int]int{}
+	id := uint64(0)
+	send := func(ms int, customer ident.Customer, retry bool) {
+		id++
+		request := testRequest(id, clockAt(ms), 100)
+		request.Customer, request.Priority, request.Retry = customer, 2, retry
+		if customer == "flood" {
+			offered[ms/1000]++
+		}
+		for _, answer := range d.RequestBackend(clockAt(ms), request) {
+			if answer.Cause != outcome.CauseOverShare {
+				continue
+			}
+			c.Assert(customer, qt.Equals, ident.Customer("flood"))
+			refused[ms/1000]++
+			if first == 0 {
+				first = ms
+			}
+			if !retry {
+				retries[ms+int(answer.RetryAfter.Milliseconds())]++
+			}
+		}
+	}
+	smallCredit, floodCredit := 0.0, 0.0
+	for ms := range last {
+		if ms%200 == 0 {
+			demand := d.GroupDemand(clockAt(ms), "g0")
+			if rate := admission.TotalRate(demand); ms%400 == 0 || admission.DemandChanged(statedRate, rate) {
+				stated, statedRate = demand, rate
+			}
+			d.Tick(clockAt(ms))
+		}
+		if ms%200 == 100 {
+			var demand []admission.CustomerDemand
+			if ms%400 == 100 || admission.DemandChanged(reportedRate, statedRate) {
+				demand, reportedRate = stated, statedRate
+			}
+			reportDemand(d, clockAt(ms), "g0", pace, demand)
+		}
+		for range retries[ms] {
+			send(ms, "flood", true)
+		}
+		if smallCredit += 0.4 * capacity / 1000; smallCredit >= 1 {
+			smallCredit--
+			send(ms, "small", false)
+		}
+		if floodCredit += 2 * capacity / 1000; ms >= begin && ms < end && floodCredit >= 1 {
+			floodCredit--
+			send(ms, "flood", false)
+		}
+		floodCredit = min(floodCredit, 1)
+	}
+	c.Logf("first refusal %d ms after the beginning; of %v offered each second, %v refused", first-begin, offered, refused)
+	c.Check(first > begin && first <= begin+1000, qt.IsTrue)
+	for second := begin/1000 + 2; second < end/1000; second++ {
+		// The flood's share is 0.95 - 0.4 of the capacity.
+		admitted := (offered[second] - refused[second]) / capacity
+		c.Check(admitted > 0.4 && admitted < 0.7, qt.IsTrue, qt.Commentf("second %d: %.2f of the capacity", second, admitted))
+	}
+	// Retries arrive up to 2 s after the flood; what they ask for is within the share after one.
+	c.Check(refused[end/1000+2], qt.Equals, 0.0)
+}
