Assign urgent requests without trying the whole queue, and test a partition

Cause: each new request of an overloaded service tried all waiting ones again, also if it is served before them. Change: a request joins the queue first only if one that precedes it waits. A test for one side of a partition: a group that cannot run requests has no capacity.

--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -230,7 +230,7 @@
 			Cause: outcome.CauseOverShare, CausedBy: d.fractionsOf(now, request.Service).CausedBy(), Share: request.share,
 			RetryAfter: admission.ShareRetryAfter(d.random.Float64()),
 		}}, true
-	case len(d.waiting) < maxWaiting && d.waitingFor(request.Service) > 0:
+	case len(d.waiting) < maxWaiting && d.mustQueue(request):
 		d.enqueue(*request)
 		return d.assignWaiting(now), true
 	}
--- a/internal/control/demand_test.go
+++ b/internal/control/demand_test.go
@@ -117,6 +117,21 @@
 	c.Assert(refusedForShare(c, d, clockAt(1201), "flood", 3, 5), qt.Equals, 0, qt.Commentf("group with room"))
 }
 
+// A group that cannot run requests has no capacity: on one side of a partition, the other group's ranks do not answer and its leader
+// is not heard, and the entries divide what is left.
+func TestSharesOnOneSideOfAPartition(t *testing.T) {
+	c := qt.New(t)
+	d, demand := overloadedDispatcher(2, clockAt(1000))
+	d.RecordEnd(clockAt(2050), "g1-0", routing.SendGroupBroken, 0)
+	for i := range demand {
+		demand[i].Rate /= 2 // the other side has the other half of the demand
+	}
+	reportDemand(d, clockAt(2100), "g0", fullPace(), demand)
+	refused := refusedForShare(c, d, clockAt(2110), "flood", 3, 100)
+	c.Assert(refused >= 78 && refused <= 82, qt.IsTrue, qt.Commentf("%d of 100", refused))
+	c.Assert(refusedForShare(c, d, clockAt(2120), "small1", 2, 20), qt.Equals, 0)
+}
+
 // Reports with demand within the capacity must not change any decision: the same load gives the same assignments with and
 // without them.
 func TestDemandWithinCapacityChangesNothing(t *testing.T) {
--- a/internal/control/queue_order.go
+++ b/internal/control/queue_order.go
@@ -45,6 +45,13 @@
 	return waiting
 }
 
+// mustQueue reports whether a request for the same service waits that is served before this one.
+func (d *Dispatcher) mustQueue(request *BackendRequest) bool {
+	return slices.ContainsFunc(d.waiting, func(other BackendRequest) bool {
+		return other.Service == request.Service && !precedes(request, &other)
+	})
+}
+
 // orderWaiting decides which of the waiting requests exceed their shares, if a service has become overloaded since they
 // arrived, and sorts them in the order of service.
 func (d *Dispatcher) orderWaiting(now time.Time) {
