--- a/internal/control/demand_test.go
+++ b/internal/control/demand_test.go
@@ -301,3 +301,29 @@
 	// Retries arrive up to 2 s after the flood; what they ask for is within the share after one.
 	c.Check(refused[end/1000+2], qt.Equals, 0.0)
 }
+
+// A large customer that demands as much as usual must not be refused for another's flood. With equal weights it would exceed its
+// share in each overload.
+func TestLargeCustomersKeepTheirUsualShare(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(1, 0)
+	pace := fullPace()
+	gate := admission.PassGate{Engine: &testEngine, MaxEventGap: testRoute.EventGap}
+	capacity := gate.Capacity(pace)
+	usual := []admission.CustomerDemand{{Customer: "large", Priority: 1, Rate: 0.4 * capacity}}
+	for i := range 10 {
+		usual = append(usual, admission.CustomerDemand{Customer: ident.Customer(fmt.Sprint("small", i)), Priority: 3, Rate: 0.02 * capacity})
+	}
+	for ms := 1000; ms < 3000; ms += 200 {
+		offer(d, uint64(ms), clockAt(ms), "small0", 3)
+		reportDemand(d, clockAt(ms+100), "g0", pace, usual)
+	}
+	flood := append(slices.Clone(usual), admission.CustomerDemand{Customer: "flood", Priority: 0, Rate: 3 * capacity})
+	for ms := 3000; ms < 4000; ms += 200 {
+		reportDemand(d, clockAt(ms), "g0", pace, flood)
+	}
+	at := clockAt(3900)
+	c.Assert(refusedForShare(c, d, at, "flood", 0, 40) > 30, qt.IsTrue)
+	c.Assert(refusedForShare(c, d, at, "large", 1, 40), qt.Equals, 0)
+	c.Assert(refusedForShare(c, d, at, "small3", 3, 40), qt.Equals, 0)
+}
