--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -60,6 +60,8 @@
 	RankLoads []int
 	// SilentEntries is the number of other entries that do not notify this one of their sends.
 	SilentEntries int
+	// Demand is the sum of the demand of all entries for the group's service; nil if the report has none.
+	Demand []admission.CustomerDemand
 }
 
 // Dispatcher is the control state of an entry that sends requests directly to backend servers:
@@ -87,6 +89,7 @@
 	// requests, which hold for further ones; nil outside of a round.
 	arrivals map[ident.Service]*admission.ArrivalTrend
 	full     map[fullKey]fullGroups
+	demands  map[ident.Service]*serviceDemand
 }
 
 type groupState struct {
@@ -106,6 +109,7 @@
 	// progressAt is when the group last sent an event to this entry, or got a request while it
 	// had none open.
 	progressAt time.Time
+	demand     groupDemand
 }
 
 // stalled reports whether the group has open requests but has sent no event for stallTimeout.
@@ -134,6 +138,7 @@
 		crashes:  attempt.NewCrashRegister(attempt.DefaultCrashConfig()),
 		limits:   map[string]*admission.ServerLimit{},
 		resting:  map[attempt.ServerInstance]time.Time{},
+		demands:  map[ident.Service]*serviceDemand{},
 		entries:  1,
 		arrivals: map[ident.Service]*admission.ArrivalTrend{},
 	}
@@ -217,6 +222,7 @@
 	if len(group.ranks) > 0 {
 		group.forecast.record(now, d.engineModel(group.ranks[0].Service), &group.pace)
 	}
+	d.recordGroupDemand(now, group, &report)
 	return d.assignWaiting(now)
 }
 
@@ -284,6 +290,9 @@
 			return []Assignment{{Request: request.ID, Cause: outcome.CauseRetryBudget, RetryAfter: noBackendRetryAfter}}
 		}
 	}
+	if decided, ok := d.decideByShare(now, &request); ok {
+		return decided
+	}
 	assigned, ok := d.assign(now, &request)
 	switch {
 	case ok:
@@ -292,6 +301,7 @@
 		if request.Reason == SendReasonRepeat {
 			d.repeats.Release(now, request.Service)
 		}
+		d.nameCause(now, &request, &assigned)
 		return []Assignment{assigned}
 	}
 	d.enqueue(request)
@@ -311,27 +321,6 @@
 	return false
 }
 
-// enqueue inserts a request into the queue, which is sorted in the order of service:
-// interrupted streams first, then by priority, then by arrival.
-func (d *Dispatcher) enqueue(request BackendRequest) {
-	at := len(d.waiting)
-	for at > 0 && precedes(&request, &d.waiting[at-1]) {
-		at--
-	}
-	d.waiting = slices.Insert(d.waiting, at, request)
-}
-
-// precedes reports whether a is served before b.
-func precedes(a, b *BackendRequest) bool {
-	if a.Resumed != b.Resumed {
-		return a.Resumed
-	}
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
-	}
-	return a.Arrived.Before(b.Arrived)
-}
-
 // CancelRequest removes a waiting request whose caller disconnected or whose deadline passed.
 func (d *Dispatcher) CancelRequest(id uint64) {
 	d.waiting = slices.DeleteFunc(d.waiting, func(request BackendRequest) bool { return request.ID == id })
@@ -346,6 +335,7 @@
 	}
 	server.Open = max(server.Open-1, 0)
 	server.RecordResult(now, result, latency)
+	d.recordPlainEnd(now, server, result)
 	if group := d.groups[server.Group]; group != nil {
 		group.recordResult(now, result)
 	}
@@ -371,12 +361,14 @@
 	}
 	d.full = map[fullKey]fullGroups{}
 	defer func() { d.full = nil }()
+	d.orderWaiting(now)
 	var assigned []Assignment
 	kept := d.waiting[:0]
 	for i := range d.waiting {
 		request := d.waiting[i]
 		assignment, ok := d.assign(now, &request)
 		if ok || !d.mayWait(now, &request, &assignment) {
+			d.nameCause(now, &request, &assignment)
 			assigned = append(assigned, assignment)
 			continue
 		}
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -80,6 +80,7 @@
 		c.assigned = refused
 	}
 	c.endUnserved(unserved{status: http.StatusServiceUnavailable, cause: refused.Cause, retryAfter: refused.RetryAfter})
+	c.result.CausedBy = refused.CausedBy
 }
 
 // endExpired ends a call whose caller disconnected or whose deadline passed.
