Send nothing new to evacuated availability zones

Cause: the store's keys op/evacuate/ZONE were not read, so that requests reached evacuated zones.

Change: the keys are decoded by reads and watches of the store (whatever their value) and held in membership.Evacuations with the position of the store. Entries tell each other in hellos, and at once when it changes. Zones of an earlier era stay evacuated until the store was read after the grace of a restore. The dispatcher gives no server of such a zone to first sends, repeats, resumed and replaced streams and waiting requests; the gateway checks again right before a send, after a short wait for word if the process was suspended. Requests that only such servers could take are refused at once with cause=evacuated. The pass gate counts the ranks that still receive. Work returns to a zone in 8 steps over 2 s.

Ruled out: a position of the last change of the keys (a read cannot tell when a key was deleted); ending the hold by time alone (the store may be away or lag); drawing for each server which of a returning zone may be used (the idle ones that are drawn get all requests).

Removing the hold, its end, the order of positions, the check at the send, the wait after a suspension, the decision for waiting requests, the steps or the count of ranks fails a test each. Beside other load (average 20 on 7 cores) one run of the package failed TestRestoredStoreBringsNothingBack (503 one second after the rewrite) and one test by a port in use; both passed 3 of 3 alone.

--- a/internal/admission/passgate.go
+++ b/internal/admission/passgate.go
@@ -34,6 +34,8 @@
 	Writers int
 	// Ranks is the number of ranks.
 	Ranks int
+	// Receiving is the number of ranks that get new requests; 0 for all.
+	Receiving int
 	// Pass is the mean duration of the latest passes; 0 for an idle group.
 	Pass time.Duration
 	// Skew is the expert load of the most loaded rank divided by the mean over the ranks.
@@ -71,6 +73,22 @@
 	return time.Duration(perPass / float64(max(pace.Ranks, 1)))
 }
 
+// receiving returns the number of ranks that get new requests.
+func (p GroupPace) receiving() int {
+	if p.Receiving <= 0 {
+		return max(p.Ranks, 1)
+	}
+	return p.Receiving
+}
+
+// passTimePerNewWriter is passTimePerWriter for writers at the ranks that get new requests. The work of experts is spread over
+// all ranks all the same.
+func (g PassGate) passTimePerNewWriter(pace GroupPace) time.Duration {
+	own := (1 - g.Engine.Experts.Share) * float64(g.Engine.PerWriter) * float64(g.Engine.StepsPerPass)
+	ranks := float64(max(pace.Ranks, 1))
+	return g.passTimePerWriter(pace) + time.Duration(own/ranks*(ranks/float64(pace.receiving())-1))
+}
+
 // modelledPass returns the duration of a pass by the engine's model. It follows a jump in demand at once, while the mean
 // of measured passes takes half a second. It does not count prompts that are processed at the same time.
 func (g PassGate) modelledPass(pace GroupPace) time.Duration {
@@ -96,12 +114,12 @@
 func (g PassGate) Capacity(pace GroupPace) float64 {
 	passes := float64(g.Engine.MeanAnswerTokens) / float64(max(g.Engine.StepsPerPass, 1))
 	longest := time.Duration(maxPassFraction * float64(g.MaxEventGap))
-	perWriter := g.passTimePerWriter(pace)
+	perWriter := g.passTimePerNewWriter(pace)
 	if passes <= 0 || longest <= 0 || perWriter <= 0 {
 		return 0
 	}
 	idle := g.PredictPass(pace, 0)
-	writers := min(float64(max(longest-idle, 0))/float64(perWriter), float64(g.Engine.Slots*max(pace.Ranks, 1)))
+	writers := min(float64(max(longest-idle, 0))/float64(perWriter), float64(g.Engine.Slots*pace.receiving()))
 	return writers / (passes * g.PredictPass(pace, int(writers)).Seconds())
 }
 
@@ -109,7 +127,11 @@
 func (g PassGate) PredictPass(pace GroupPace, writers int) time.Duration {
 	idle := g.Engine.Step * time.Duration(g.Engine.StepsPerPass)
 	base := max(pace.Pass, g.modelledPass(pace))
-	return max(idle, base+g.passTimePerWriter(pace)*time.Duration(writers-pace.Writers))
+	perWriter := g.passTimePerWriter(pace)
+	if writers > pace.Writers {
+		perWriter = g.passTimePerNewWriter(pace)
+	}
+	return max(idle, base+perWriter*time.Duration(writers-pace.Writers))
 }
 
 // EstimateWriters returns the number of writers of a group: the reported number plus the change since the report. It
--- a/internal/control/dispatch_ranks.go
+++ b/internal/control/dispatch_ranks.go
@@ -99,6 +99,7 @@
 	pace := admission.GroupPace{}
 	if group != nil && group.pace.Fresh(now) {
 		pace = group.pace
+		pace.Receiving = d.receivingRanks(group)
 		choice.reportAge = now.Sub(pace.ReceivedAt)
 		choice.writers = gate.EstimateWriters(pace, choice.openRequests-group.openAtReport)
 		choice.pass = gate.PredictPass(pace, choice.writers+1)
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -82,7 +82,8 @@
 	isolated bool
 	waiting  []BackendRequest
 	// resting has the end of the rest of each server that asked for one. It is kept while a server is not listed.
-	resting map[attempt.ServerInstance]time.Time
+	resting   map[attempt.ServerInstance]time.Time
+	evacuated evacuations
 }
 
 type groupState struct {
@@ -410,10 +411,10 @@
 	}
 	candidates := d.candidates(request)
 	if len(candidates) == 0 {
-		assignment.Cause, assignment.RetryAfter = outcome.CauseNoBackend, noBackendRetryAfter
+		assignment.Cause, assignment.RetryAfter = d.noCandidate(request)
 		return assignment, false
 	}
-	candidates, assignment.LimitedFor = d.withinLimits(now, candidates)
+	candidates, assignment.LimitedFor = d.withinLimits(now, d.withoutReturning(now, candidates))
 	if len(candidates) == 0 {
 		assignment.Cause = outcome.CauseBackendsFull
 		assignment.RetryAfter = assignment.LimitedFor + time.Duration(d.random.Int64N(int64(limitRetrySpread)))
@@ -448,7 +449,7 @@
 	var fresh, tried []*routing.Server
 	for _, server := range d.services[request.Service] {
 		switch {
-		case server.Leaving || server.StatedLeaving:
+		case !d.mayReceive(server):
 		case slices.Contains(request.Tried, server.ID):
 			tried = append(tried, server)
 		default:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -270,7 +270,7 @@
 		}
 		c.tried = append(c.tried, assigned.Backend.ID)
 		reason = control.SendReasonRepeat
-		if result.sendResult == routing.SendNotConnected {
+		if result.sendResult == routing.SendNotConnected || result.sendResult == routing.SendEvacuated {
 			reason = control.SendReasonNotConnected
 		}
 		if !c.maySendAgain() {
@@ -338,8 +338,7 @@
 	assignments := make(chan control.Assignment, 1)
 	g.enqueue(func(now time.Time) {
 		g.pending[c.key] = assignments
-		g.forwardProgress()
-		g.deliver(g.dispatcher.RequestBackend(now, request))
+		g.requestBackend(now, request)
 	})
 	// If no server becomes free, the first Tick after WaitEnd refuses the request; in an outage, the first one after
 	// OutageEnd. So Tick is called at both times.
--- a/internal/gateway/crash_exchange.go
+++ b/internal/gateway/crash_exchange.go
@@ -25,10 +25,11 @@
 
 func (g *Gateway) sendHello(now time.Time, to netip.AddrPort, answer bool) {
 	hello := &datagram.Hello{Peers: g.peerDirectory.known(now), CrashDigest: g.dispatcher.Crashes().Digest(), Answer: answer}
-	hello.Joining = g.peerDirectory.joining(now)
+	hello.Joining = g.peerDirectory.joining(now) || g.evacuations.doubted()
 	if table := g.table.Load(); table != nil {
 		hello.ConfigurationVersion = table.Version
 	}
+	g.addEvacuation(hello, to)
 	g.socket.Send(to, datagram.Message{Hello: hello})
 }
 
@@ -36,6 +37,7 @@
 // this entry's, and a hello from which it sees that this entry lacks something.
 func (g *Gateway) handleHello(now time.Time, from netip.AddrPort, hello *datagram.Hello) {
 	g.recordHeardVersion(hello.ConfigurationVersion)
+	g.recordHeardEvacuation(now, hello.Evacuation)
 	joined := g.peerDirectory.recordHeard(now, from, now) || hello.Joining
 	g.peerDirectory.recordMessage(now)
 	if joined {
--- a/internal/gateway/crash_requests.go
+++ b/internal/gateway/crash_requests.go
@@ -57,7 +57,7 @@
 		}
 	case routing.SendNotConnected:
 		return c.refusedEvidence(backend)
-	case routing.SendMisdirected:
+	case routing.SendMisdirected, routing.SendEvacuated:
 	}
 	return nil
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -41,7 +41,9 @@
 	}
 	g.storeEra, g.storeEraKnown = state.Era, true
 	g.recordStoreVersion(state.Table)
+	g.evacuations.merge("store", func(known *membership.Evacuations) bool { return known.MergeRead(bootTime(), state.Evacuation) })
 	g.enqueue(func(now time.Time) {
+		g.evacuationChanged(now)
 		g.recordStoreResponse(now)
 		if restored {
 			g.listing.Restored(now)
@@ -57,7 +59,11 @@
 func (g *Gateway) Changed(changes source.Changes) {
 	g.replaceTable(changes.Table)
 	g.recordStoreVersion(changes.Table)
+	g.evacuations.merge("store", func(known *membership.Evacuations) bool {
+		return known.Apply(changes.Revision, changes.Evacuations)
+	})
 	g.enqueue(func(now time.Time) {
+		g.evacuationChanged(now)
 		g.recordStoreResponse(now)
 		if changes.Table != nil {
 			g.applyConfiguration(changes.Table)
@@ -96,6 +102,7 @@
 // CurrentAsOf implements source.Handler. It records that the table in force was current at the given time. A store that holds
 // an older version than is known proves nothing: it was restored from a copy, and changes are missing in it.
 func (g *Gateway) CurrentAsOf(at time.Duration) {
+	g.confirmEvacuation(at)
 	table := g.table.Load()
 	if table == nil || g.storeVersion.Load() < max(table.Version, g.heardVersion.Load()) {
 		return
@@ -219,6 +226,7 @@
 	}
 	g.readRevisionIfDue(context.Background(), now)
 	g.crashRegisterChanged()
+	g.checkEvacuation(now)
 	g.sendHellos(now)
 	g.dispatcher.SetEntries(now, g.peerDirectory.entries(), g.peerDirectory.isolated(now))
 	g.pool.closeExpired(now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/datagram"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
 	"github.com/bramleyspool/bramleyspool/internal/node"
 	"github.com/bramleyspool/bramleyspool/internal/routing"
@@ -134,6 +135,9 @@
 	// lastProgress maps each group to the time at which it last sent an event on one of this entry's streams.
 	lastProgress sync.Map
 
+	// evacuations has the evacuated availability zones.
+	evacuations evacuationTable
+
 	// The control thread owns the fields below.
 	dispatcher *control.Dispatcher
 	listing    *membership.Listing
@@ -160,6 +164,8 @@
 	// crashNewsPlanned is true while a call of sendCrashNews is planned.
 	crashNewsPlanned bool
 	storeDown        bool
+	// appliedEvacuation is the list of evacuated zones that the dispatcher has.
+	appliedEvacuation *[]ident.Zone
 }
 
 // New returns a gateway that Run starts.
@@ -180,6 +186,7 @@
 	g.statements = newStatementTable()
 	g.prober, g.survivors, g.survivingTraits = newProber(), newSurvivorTable(), newSurvivorTable()
 	g.startedAt = bootTime()
+	g.evacuations.aliveAt.Store(int64(g.startedAt))
 	g.follower = source.NewFollower(sharingStore{Store: config.Store, gateway: g}, g, bootTime)
 	if bounds.Revocation-revocationMargin >= minSharedValidity {
 		g.follower.SharedRevision = g.sharedRevision
@@ -277,7 +284,7 @@
 // ready reports whether the entry can serve new callers: its configuration is current enough to check credentials, and
 // it has backend servers.
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && g.table.Load() != nil && g.hasBackends.Load() && g.credentialsCurrent()
+	return !g.stopping.Load() && g.table.Load() != nil && g.hasBackends.Load() && g.credentialsCurrent() && g.evacuationSettled()
 }
 
 // idle reports whether there have been no calls for idleAfter.
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -72,6 +73,8 @@
 	state   source.State
 	down    bool
 	changed chan struct{}
+	// evacuations are the requests and ends of evacuations that watches return.
+	evacuations []membership.EvacuationChange
 	// revisionReads counts the reads of the revision.
 	revisionReads int
 }
@@ -82,7 +85,9 @@
 	if s.down {
 		return source.State{}, io.ErrUnexpectedEOF
 	}
-	return s.state, nil
+	state := s.state
+	state.Evacuation.Era, state.Evacuation.Revision = state.Era, state.Revision
+	return state, nil
 }
 
 func (s *testStore) ReadStale(ctx context.Context) (source.State, error) { return s.Read(ctx) }
@@ -92,7 +97,7 @@
 func (s *testStore) Watch(ctx context.Context, after source.Position, wait time.Duration) (source.Changes, error) {
 	for {
 		s.mu.Lock()
-		state, changed, down := s.state, s.changed, s.down
+		state, changed, down, evacuations := s.state, s.changed, s.down, slices.Clone(s.evacuations)
 		s.mu.Unlock()
 		if down {
 			return source.Changes{}, io.ErrUnexpectedEOF
@@ -101,7 +106,8 @@
 			return source.Changes{}, source.ErrHistoryLost
 		}
 		if state.Revision > after.Revision {
-			return source.Changes{Table: state.Table, Put: state.Backends, Revision: state.Revision}, nil
+			evacuations = slices.DeleteFunc(evacuations, func(change membership.EvacuationChange) bool { return change.Revision <= after.Revision })
+			return source.Changes{Table: state.Table, Put: state.Backends, Revision: state.Revision, Evacuations: evacuations}, nil
 		}
 		select {
 		case <-changed:
@@ -133,6 +139,18 @@
 	s.changed = make(chan struct{})
 }
 
+// evacuate requests the evacuation of a zone, or ends it.
+func (s *testStore) evacuate(zone ident.Zone, ended bool) {
+	s.set(func(state *source.State) {
+		s.evacuations = append(s.evacuations, membership.EvacuationChange{Zone: zone, Ended: ended, Revision: state.Revision + 1})
+		zones := slices.DeleteFunc(slices.Clone(state.Evacuation.Zones), func(known ident.Zone) bool { return known == zone })
+		if !ended {
+			zones = append(zones, zone)
+		}
+		state.Evacuation.Zones = zones
+	})
+}
+
 // receivedRequest is a request as received by a backend server.
 type receivedRequest struct {
 	method, uri, host string
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -86,6 +86,10 @@
 			conn.reset()
 			return nil, routing.SendAbandoned
 		}
+		if c.evacuatedSinceAssignment(ctx, &assigned.Backend) {
+			conn.reset()
+			return nil, routing.SendEvacuated
+		}
 		stop := context.AfterFunc(ctx, func() { conn.reset() })
 		err = conn.send(c.backendRequest(assigned))
 		stop()
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -56,7 +56,9 @@
 	CauseOverShare    Cause = "over-share"
 	CauseBackendsFull Cause = "backends-full"
 	CauseNoBackend    Cause = "no-backend"
-	CauseDeadline     Cause = "deadline"
+	// CauseEvacuated: all backend servers that could take the request are in evacuated availability zones.
+	CauseEvacuated Cause = "evacuated"
+	CauseDeadline  Cause = "deadline"
 	// CauseLeaving: the backend server's agent is in a planned stop.
 	CauseLeaving Cause = "leaving"
 	// CauseQuarantined: the request is quarantined, since backend servers crashed while they ran it. All requests of
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -29,6 +29,9 @@
 	SendGroupBroken
 	// SendAbandoned means that the caller left. It says nothing about the server.
 	SendAbandoned
+	// SendEvacuated means that nothing was sent, since the server's availability zone was evacuated after the assignment. It
+	// says nothing about the server.
+	SendEvacuated
 )
 
 // String returns the name of the result in logs.
@@ -50,6 +53,8 @@
 		return "group-broken"
 	case SendAbandoned:
 		return "abandoned"
+	case SendEvacuated:
+		return "evacuated"
 	}
 	return "invalid"
 }
@@ -201,8 +206,8 @@
 }
 
 // RecordResult records the result of a request. Latency is the time to the first byte, 0 if there was none.
-// SendAbandoned and SendGroupBroken change nothing: the first says nothing about the server, and for the second the control
-// package's Dispatcher pauses the whole group.
+// SendAbandoned, SendEvacuated and SendGroupBroken change nothing: the first two say nothing about the server, and for the
+// last the control package's Dispatcher pauses the whole group.
 func (s *Server) RecordResult(now time.Time, result SendResult, latency time.Duration) {
 	switch result {
 	case SendServed:
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -44,4 +44,10 @@
 	// RepeatWindow at most RepeatShare times the number of requests, plus RepeatFixed.
 	RepeatShare, RepeatFixed float64
 	RepeatWindow             time.Duration
+	// Evacuation is the maximum time from the request of an evacuation until no entry sends anything new to the zone; 0 if the
+	// deployment states none.
+	Evacuation time.Duration
+	// ColdFactor and ColdExtra bound the requests that a cold backend server gets in any one second from all entries together:
+	// ColdFactor times the service's routing.DirectService.ColdRate, plus ColdExtra. There is no bound if ColdFactor is 0.
+	ColdFactor, ColdExtra float64
 }
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -39,6 +39,8 @@
 	// Revision is the newest revision whose changes the state includes, Era the era of the store in which it was read.
 	Revision uint64
 	Era      uint64
+	// Evacuation is the state of evacuations as of its own position, which may be newer than Revision.
+	Evacuation membership.EvacuationState
 }
 
 // Position returns the position of the state.
@@ -51,6 +53,8 @@
 	// Put lists the new and changed backend servers, Removed the IDs of the removed ones.
 	Put     []membership.ListedBackend
 	Removed []string
+	// Evacuations are the requests and ends of evacuations, in their order.
+	Evacuations []membership.EvacuationChange
 	// Revision is the newest revision whose changes are included.
 	Revision uint64
 }
@@ -434,7 +438,7 @@
 
 // Any reports whether there are any changes.
 func (c *Changes) Any() bool {
-	return c.Table != nil || len(c.Put) > 0 || len(c.Removed) > 0
+	return c.Table != nil || len(c.Put) > 0 || len(c.Removed) > 0 || len(c.Evacuations) > 0
 }
 
 // Set records a new or changed backend server. It replaces earlier changes of the same server.
