Keep cold backend servers within their limit over all entries

Cause: entries gave a server that had just started, or had become cold again, its full share of the load; idle servers even get the most.

Cold is a part of admission.ServerLimit: the account of the sends of all entries at cold-per-s, and an own share of each entry, (cold-per-s x cold-over + cold-slack) / entries in any 1.1 s, which holds in any cut without a message. Sends to ranks are counted from PromptSent, weighted where only a share of the entries is heard; sends to plain servers from LimitedSend.

Ruled out: the account alone with equal parts after 5 s without a message (each part of a cut sends up to the whole limit until then; without the share the tests of cuts and isolation fail); equal shares alone (54 a second to a server that serves 34). Entries that lend each other shares would use idle entries' shares; not built.

--- a/internal/admission/server_limit.go
+++ b/internal/admission/server_limit.go
@@ -42,6 +42,9 @@
 	threshold float64
 	// endedAt is when the server stopped stating a limit; zero if it states one.
 	endedAt time.Time
+	// stated is true if the server states a limit, or did so until endedAt.
+	stated bool
+	cold   coldLimit
 }
 
 // BindingServerRate reports whether a stated limit, in requests per second, is low enough to be kept.
@@ -49,7 +52,7 @@
 
 // NewServerLimit returns the account of a server that states a limit from now on, in requests per second.
 func NewServerLimit(now time.Time, rate float64, random *rand.Rand) *ServerLimit {
-	limit := &ServerLimit{random: random, rate: max(rate, serverTrialRate), entries: 1, updatedAt: now}
+	limit := &ServerLimit{random: random, rate: max(rate, serverTrialRate), entries: 1, updatedAt: now, stated: true}
 	limit.drawThreshold()
 	return limit
 }
@@ -57,12 +60,12 @@
 // State records a limit that the server has stated, in requests per second.
 func (l *ServerLimit) State(now time.Time, rate float64) {
 	l.advance(now)
-	l.rate, l.endedAt = max(rate, serverTrialRate), time.Time{}
+	l.rate, l.endedAt, l.stated = max(rate, serverTrialRate), time.Time{}, true
 }
 
 // End records that the server states no limit any more.
 func (l *ServerLimit) End(now time.Time) {
-	if l.endedAt.IsZero() {
+	if l.stated && l.endedAt.IsZero() {
 		l.advance(now)
 		l.endedAt = now
 	}
@@ -70,7 +73,7 @@
 
 // Expired reports whether the limit has ended and no longer applies.
 func (l *ServerLimit) Expired(now time.Time) bool {
-	return !l.endedAt.IsZero() && now.Sub(l.endedAt) >= limitRamp
+	return (!l.stated || !l.endedAt.IsZero() && now.Sub(l.endedAt) >= limitRamp) && l.cold.expired(now)
 }
 
 // SetEntries sets the number of entries, including this one, and whether this one hears of no other.
@@ -85,25 +88,30 @@
 
 // RecordSend records that this or another entry has sent a request to the server.
 func (l *ServerLimit) RecordSend(now time.Time) {
+	l.recordSends(now, 1)
+}
+
+func (l *ServerLimit) recordSends(now time.Time, sends float64) {
 	l.advance(now)
-	l.level = max(l.level-1, -limitMemory.Seconds()*l.rate-1)
+	l.level = max(l.level-sends, -limitMemory.Seconds()*l.rate-1)
 	l.drawThreshold()
 }
 
 // Wait returns the time until this entry may send a request to the server, if no other entry does; 0 if it may now.
 func (l *ServerLimit) Wait(now time.Time) time.Duration {
 	l.advance(now)
+	wait := l.cold.wait(now)
 	if l.level >= l.threshold {
-		return 0
+		return wait
 	}
-	return time.Duration(math.Ceil((l.threshold - l.level) / l.currentRate(now) * float64(time.Second)))
+	return max(wait, time.Duration(math.Ceil((l.threshold-l.level)/l.currentRate(now)*float64(time.Second))))
 }
 
 // currentRate returns the rate at which this entry's account grows.
 func (l *ServerLimit) currentRate(now time.Time) float64 {
-	rate := l.rate
-	if !l.endedAt.IsZero() {
-		rate *= math.Exp2(now.Sub(l.endedAt).Seconds() / limitDoubling.Seconds())
+	rate := l.cold.rateAt(now)
+	if l.stated {
+		rate = min(rate, rampedRate(now, l.rate, l.endedAt))
 	}
 	if l.isolated {
 		rate /= float64(l.entries)
@@ -111,6 +119,14 @@
 	return rate
 }
 
+// rampedRate returns a rate that doubles every limitDoubling from its end on, which is zero if it has not ended.
+func rampedRate(now time.Time, rate float64, endedAt time.Time) float64 {
+	if endedAt.IsZero() || now.Before(endedAt) {
+		return rate
+	}
+	return rate * math.Exp2(now.Sub(endedAt).Seconds()/limitDoubling.Seconds())
+}
+
 // advance adds what the limit has allowed since the last call.
 func (l *ServerLimit) advance(now time.Time) {
 	if elapsed := now.Sub(l.updatedAt); elapsed > 0 {
--- a/internal/control/assignment.go
+++ b/internal/control/assignment.go
@@ -72,7 +72,7 @@
 	// Outage is true if the request is refused because servers are listed but none runs
 	// requests at the moment.
 	Outage bool
-	// Limited is true if the chosen server states a limit of requests: other entries are told of the send. LimitedFor is the
+	// Limited is true if a limit of requests applies to the chosen server and other entries must be told of the send. LimitedFor is the
 	// time until this entry may send to the first server, if a request is refused since all servers state limits.
 	Limited    bool
 	LimitedFor time.Duration
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -84,6 +84,7 @@
 	// resting has the end of the rest of each server that asked for one. It is kept while a server is not listed.
 	resting   map[attempt.ServerInstance]time.Time
 	evacuated evacuations
+	cold      coldServers
 }
 
 type groupState struct {
@@ -166,6 +167,7 @@
 	}
 	d.recordRemoved(now, servers)
 	d.removeLimits(now, servers)
+	d.applyCold(now, servers)
 	d.countServers(now)
 	d.servers = servers
 	for name, group := range d.groups {
@@ -226,6 +228,7 @@
 			continue
 		}
 		server.RecordRemoteSend(now)
+		d.recordRemoteColdSend(now, server, group)
 		if engine := d.engineModel(server.Service); engine != nil {
 			server.AddPrompt(now, sent.PromptTokens, engine.PromptRateFor(group.pace.Pass))
 		}
--- a/internal/control/server_limits.go
+++ b/internal/control/server_limits.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// LimitedServers returns the number of servers that state a limit of requests, or did so until a moment ago.
+// LimitedServers returns the number of servers that state a limit of requests or are cold, or did or were so until a moment ago.
 func (d *Dispatcher) LimitedServers() int { return len(d.limits) }
 
 // SetEntries sets the number of entries, including this one, and whether this one hears of no other.
@@ -119,14 +119,15 @@
 	return nil, shortest
 }
 
-// recordLimitedSend records a send to a chosen server, and reports whether the server states a limit.
+// recordLimitedSend records a send to a chosen server, and reports whether other entries must be told that a limit applies to
+// it. They are told of all sends to ranks anyway.
 func (d *Dispatcher) recordLimitedSend(now time.Time, server *routing.Server) bool {
 	limit := d.limits[server.ID]
 	if limit == nil {
 		return false
 	}
-	limit.RecordSend(now)
-	return true
+	limit.RecordOwnSend(now)
+	return limit.Stated() || server.Group == ""
 }
 
 // removeLimits removes the limits that have ended, and those of servers that are no longer listed or have started again.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -51,6 +51,7 @@
 		if state.Table != nil {
 			g.applyConfiguration(state.Table)
 		}
+		g.recordCold(now, state.Backends)
 		g.updateListing(now, g.listing.Replace(now, state.Backends))
 	})
 }
@@ -68,6 +69,7 @@
 		if changes.Table != nil {
 			g.applyConfiguration(changes.Table)
 		}
+		g.recordCold(now, changes.Put)
 		changed := false
 		for _, backend := range changes.Put {
 			changed = g.listing.Put(backend) || changed
@@ -229,6 +231,8 @@
 	g.checkEvacuation(now)
 	g.sendHellos(now)
 	g.dispatcher.SetEntries(now, g.peerDirectory.entries(), g.peerDirectory.isolated(now))
+	g.dispatcher.SetSenders(now, g.peerDirectory.senders(now))
+	g.metrics.backendsCold.Update(float64(g.dispatcher.ColdServers()))
 	g.pool.closeExpired(now)
 	g.prober.removeExpired(now)
 	g.trials.Expire(now)
@@ -275,6 +279,7 @@
 func (g *Gateway) handleGroupReport(now time.Time, from netip.AddrPort, report *datagram.GroupReport) {
 	g.leaders.recordReport(now, report.Group, from)
 	entries := max(report.EntryCount, len(report.Entries))
+	g.peerDirectory.recordCount(now, entries)
 	for _, entry := range report.Entries {
 		g.peerDirectory.recordHeard(now, entry, now)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -182,6 +182,7 @@
 		trials:     attempt.NewTrialRuns(trialSettleTime), pendingTrials: map[uint64]pendingTrial{},
 		trialNumber: rand.Uint64(),
 	}
+	g.dispatcher.ConfigureCold(bounds.ColdFactor, bounds.ColdExtra)
 	g.pool = newConnPool(g.metrics.connectionOpened)
 	g.statements = newStatementTable()
 	g.prober, g.survivors, g.survivingTraits = newProber(), newSurvivorTable(), newSurvivorTable()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,8 @@
 	callsWaiting      tally.Gauge
 	// backendsLimited is the number of backend servers that state a limit of requests.
 	backendsLimited tally.Gauge
+	// backendsCold is the number of backend servers that are cold.
+	backendsCold tally.Gauge
 	// zonesEvacuated is the number of evacuated availability zones.
 	zonesEvacuated tally.Gauge
 	// suspects, quarantined and crashesDropped are those of attempt.CrashRegister.Counts.
@@ -39,6 +41,7 @@
 		connectionsOpened: scope.Counter("backend_connections_opened"),
 		callsWaiting:      scope.Gauge("calls_waiting"),
 		backendsLimited:   scope.Gauge("backends_limited"),
+		backendsCold:      scope.Gauge("backends_cold"),
 		zonesEvacuated:    scope.Gauge("zones_evacuated"),
 		suspects:          scope.Gauge("crash_suspects"),
 		quarantined:       scope.Gauge("crash_quarantined"),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -44,6 +44,7 @@
 	messageAt time.Time
 	most      int
 	helloAt   time.Time
+	counts    entryCounts
 }
 
 func newPeerDirectory(now time.Time, self netip.AddrPort, seeds []netip.Addr, random *rand.Rand) *peerDirectory {
--- a/internal/membership/listing.go
+++ b/internal/membership/listing.go
@@ -31,8 +31,14 @@
 	GroupSize int
 	// GroupOpen is false while the group can't run requests.
 	GroupOpen bool
+	// ColdFor is how long the server stays cold, as of the time its record was read; 0 for a warm one, ColdNotStated if the
+	// record does not say.
+	ColdFor time.Duration
 }
 
+// ColdNotStated is the value of ListedBackend.ColdFor if a record does not say whether its server is cold.
+const ColdNotStated = time.Duration(-1)
+
 // Time limits of a Listing.
 const (
 	// MinListOutage is the shortest period of failures that counts as an outage. In an outage, records of
@@ -120,7 +126,7 @@
 	return changed
 }
 
-// Put adds or changes one server. It returns whether anything changed. A server that was leaving stays so until it starts
+// Put adds or changes one server. It returns whether anything changed, as the time for which a server is cold always does. A server that was leaving stays so until it starts
 // again, whatever the list says.
 func (l *Listing) Put(backend ListedBackend) bool {
 	known := l.backends[backend.ID]
@@ -131,7 +137,7 @@
 	if left || known != nil && known.backend.Started == backend.Started && known.backend.Leaving {
 		backend.Leaving = true
 	}
-	if known != nil && !known.missing && known.backend == backend {
+	if known != nil && !known.missing && known.backend == backend && backend.ColdFor <= 0 {
 		return false
 	}
 	l.backends[backend.ID] = &listed{backend: backend}
--- a/internal/membership/listing_test.go
+++ b/internal/membership/listing_test.go
@@ -121,3 +121,15 @@
 	foreign.Service = "unknown"
 	c.Assert(ids(before, foreign), qt.DeepEquals, []string{"before", "after"}, qt.Commentf("the record of another program replaces nothing"))
 }
+
+// The time for which a server is cold counts from the moment at which its record is read: a record that is written again with the
+// same time must not be taken for the earlier one.
+func TestColdRecordIsAChange(t *testing.T) {
+	c := qt.New(t)
+	listing := membership.NewListing()
+	warm, cold := membership.ListedBackend{ID: "a"}, membership.ListedBackend{ID: "a", ColdFor: 8 * time.Second}
+	c.Assert(listing.Put(warm), qt.IsTrue)
+	c.Assert(listing.Put(warm), qt.IsFalse)
+	c.Assert(listing.Put(cold), qt.IsTrue)
+	c.Assert(listing.Put(cold), qt.IsTrue)
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -158,6 +158,10 @@
 	MaxConns int
 	// Engine is the model of the service's engine; nil for plain services.
 	Engine *EngineModel
+	// ColdTime is how long a backend server is cold after its start if its record does not say so, ColdRate the number of
+	// requests per second that a cold one may get from all entries; 0 for no limit.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // CallerLimits bounds what a caller may send. Sizes are in bytes.
