Give a returning zone its growing part of the requests

Cause: after an evacuation each request could go to the zone with a growing probability, and was then placed by load and latency. A server without an answer in the last 3 s counts as one of 15 ms, so that beside servers that answer within 1 ms the zone got none of few requests (seen once in five runs of TestEntriesEvacuateAZone). The idle ones could also get more than their part.

Change: while work returns, the draw decides between the zone and the others: the zone gets the share of the step times its part of the servers.

Ruled out: another latency for unknown servers (it changes the choice of all deployments).

--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -417,13 +417,13 @@
 		assignment.Cause, assignment.RetryAfter = d.noCandidate(request)
 		return assignment, false
 	}
-	candidates, assignment.LimitedFor = d.withinLimits(now, d.withoutReturning(now, candidates))
+	candidates, assignment.LimitedFor = d.withinLimits(now, candidates)
 	if len(candidates) == 0 {
 		assignment.Cause = outcome.CauseBackendsFull
 		assignment.RetryAfter = assignment.LimitedFor + time.Duration(d.random.Int64N(int64(limitRetrySpread)))
 		return assignment, false
 	}
-	chosen := d.pick(now, request, candidates, &assignment)
+	chosen := d.pick(now, request, d.shareReturning(now, candidates), &assignment)
 	switch {
 	case chosen == nil && assignment.Outage:
 		assignment.Cause, assignment.RetryAfter = outcome.CauseNoBackend, outageRetryAfter
--- a/internal/control/evacuations.go
+++ b/internal/control/evacuations.go
@@ -73,18 +73,32 @@
 	return outcome.CauseNoBackend, noBackendRetryAfter
 }
 
-// withoutReturning returns the candidates of a request without those in zones to which work returns, except for a growing share
-// of requests. If there are no others, it returns all.
-func (d *Dispatcher) withoutReturning(now time.Time, candidates []*routing.Server) []*routing.Server {
+// shareReturning divides requests between the zones to which work returns and the others: the first get a growing part of what
+// falls to their number of servers. It returns the candidates that the request may go to. The choice is not left to their load and
+// latency: idle servers would get all requests, and those without a recent answer none while others answer quickly.
+func (d *Dispatcher) shareReturning(now time.Time, candidates []*routing.Server) []*routing.Server {
 	if len(d.evacuated.returnedAt) == 0 {
 		return candidates
 	}
-	drawn := d.random.Float64()
-	kept := slices.DeleteFunc(slices.Clone(candidates), func(server *routing.Server) bool { return drawn >= d.evacuated.share(now, server.Zone) })
-	if len(kept) == 0 {
+	var returning, others []*routing.Server
+	weight := 0.0
+	for _, server := range candidates {
+		share := d.evacuated.share(now, server.Zone)
+		switch {
+		case share >= 1:
+			others = append(others, server)
+		case !server.Paused(now):
+			returning = append(returning, server)
+			weight += share / float64(len(candidates))
+		}
+	}
+	switch {
+	case len(others) == 0:
 		return candidates
+	case len(returning) > 0 && d.random.Float64() < weight:
+		return returning
 	}
-	return kept
+	return others
 }
 
 // receivingRanks returns the number of a group's ranks that may get new requests.
--- a/internal/control/evacuations_test.go
+++ b/internal/control/evacuations_test.go
@@ -149,6 +149,24 @@
 	c.Logf("shares of the returning zone: %g, %g, %g, %g", first, second, third, last)
 	c.Assert(first > 0 && first < 0.2, qt.IsTrue)
 	c.Assert(first < second && second < last, qt.IsTrue)
+	// With few requests, quick answers of the others must not keep the zone from getting any.
+	few := newZonedDispatcher(0, 6)
+	few.SetEvacuated(clockStart, []ident.Zone{"b"})
+	returned := 0
+	for i := range 400 {
+		now := clockAt(10 * i)
+		if i == 100 {
+			few.SetEvacuated(now, nil)
+		}
+		request := testRequest(uint64(i+1), now, 0)
+		request.Service = "plain"
+		answer := single(c, few.RequestBackend(now, request))
+		if answer.Backend.Zone == "b" {
+			returned++
+		}
+		few.RecordEnd(now, answer.Backend.ID, routing.SendServed, time.Millisecond)
+	}
+	c.Assert(returned > 10, qt.IsTrue, qt.Commentf("%d of 300", returned))
 	// A service that has servers only there is served at once.
 	only := zonedBackends(0, 2)[1:]
 	d.SetEvacuated(clockAt(5000), []ident.Zone{"b"})
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -139,9 +139,13 @@
 	g.evacuations.mu.Unlock()
 	if before > 0 || len(*zones) > 0 {
 		g.metrics.count("evacuations_changed")
+		confirmed := time.Duration(-1)
+		if at := time.Duration(g.evacuations.confirmedAt.Load()); at > 0 {
+			confirmed = bootTime() - at
+		}
 		g.log.WithFields(logrus.Fields{
 			"zones": *zones, "era": state.Era, "revision": state.Revision, "held": held.Zones, "source": source,
-			"waiting": g.dispatcher.Waiting(), "confirmed_ms": (bootTime() - time.Duration(g.evacuations.confirmedAt.Load())).Milliseconds(),
+			"waiting": g.dispatcher.Waiting(), "confirmed_ms": confirmed.Milliseconds(),
 		}).Info("evacuation")
 	}
 	g.metrics.zonesEvacuated.Update(float64(len(*zones)))
