Test what an entry knows of evacuations before it sends

Cause: no test failed without the wait of an entry that starts, or that has resumed before its control thread worked. Change: a test of Gateway.evacuationSettled for a start, a silent and a heard neighbour, no bound, a long outage of the store and a resumption. Ruled out: a test with requests, since the check of credentials waits in the same way and hides the rule. Measured: passes with -race.

--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -3,14 +3,17 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
+	"github.com/bramleyspool/bramleyspool/internal/node"
 	"github.com/bramleyspool/bramleyspool/internal/settings"
 	"github.com/bramleyspool/bramleyspool/internal/source"
 )
@@ -121,3 +124,35 @@
 	g.c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
 	g.c.Check(got.body, qt.Equals, "not-run: evacuated\n")
 }
+
+// An entry that starts must not rely on its own read of the store, which may be of an older copy, before others had time to tell it
+// what they know; nor may it wait for others that do not answer. Without a bound on evacuations it must not wait at all.
+func TestEntryThatStartsAwaitsWordOfEvacuations(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	newGateway := func(bound time.Duration) *Gateway {
+		direct := settings.Direct{Seeds: []netip.Addr{netip.MustParseAddr("127.0.150.1")}, Bounds: settings.DirectBounds{Evacuation: bound}}
+		metrics := node.NewMetrics("entry")
+		t.Cleanup(metrics.Close)
+		g := New(Config{Settings: direct, Headers: testHeaders, Store: newTestStore(), Log: logrus.NewEntry(logrus.New()), Metrics: metrics})
+		g.confirmEvacuation(bootTime())
+		return g
+	}
+	g := newGateway(5 * time.Second)
+	c.Assert(g.evacuationSettled(), qt.IsFalse)
+	time.Sleep(joinWait)
+	c.Assert(g.evacuationSettled(), qt.IsTrue, qt.Commentf("nobody answers"))
+	told := newGateway(5 * time.Second)
+	told.evacuations.heardAt.Store(int64(bootTime()))
+	c.Assert(told.evacuationSettled(), qt.IsTrue, qt.Commentf("another entry has told its state"))
+	c.Assert(newGateway(0).evacuationSettled(), qt.IsTrue)
+	// The store is away for long, and the process runs: the last state stays in force.
+	away := newGateway(5 * time.Second)
+	away.startedAt -= time.Minute
+	away.evacuations.confirmedAt.Store(int64(bootTime() - 30*time.Second))
+	away.evacuations.aliveAt.Store(int64(bootTime()))
+	c.Assert(away.evacuationSettled(), qt.IsTrue)
+	// It has just resumed, but its control thread has not worked yet.
+	away.evacuations.aliveAt.Store(int64(bootTime() - 2*suspendedAfter))
+	c.Assert(away.evacuationSettled(), qt.IsFalse)
+}
