Merge evacuated zones and cold backend servers

The smaller room of a group with an evacuated zone counts in the slots, and in the ranks over which new writers spread, of the pass prediction.

--- a/internal/admission/passgate.go
+++ b/internal/admission/passgate.go
@@ -39,6 +39,8 @@
 	Writers int
 	// Ranks is the number of ranks.
 	Ranks int
+	// Receiving is the number of ranks that get new requests; 0 for all.
+	Receiving int
 	// Pass is the mean duration of the latest passes; 0 for an idle group.
 	Pass time.Duration
 	// Skew is the expert load of the most loaded rank divided by the mean over the ranks.
@@ -110,7 +112,7 @@
 // straggler keeps the writers that it has or loses them, and the other ranks share the rest evenly.
 func (g PassGate) slowestOwnPart(pace GroupPace, writers int, promptTokens float64) time.Duration {
 	if !pace.fewStragglers() {
-		return g.OwnPart(pace.SlowestRank(), float64(writers)/float64(max(pace.Ranks, 1)), promptTokens)
+		return g.OwnPart(pace.SlowestRank(), float64(writers)/float64(pace.receiving()), promptTokens)
 	}
 	// loadOf returns the writers that a straggler has left of those it had, as part of the given total.
 	loadOf := func(rank int) float64 {
@@ -120,7 +122,7 @@
 		}
 		return load * min(float64(writers)/float64(max(pace.Writers, 1)), 1)
 	}
-	others, left := pace.Ranks, float64(writers)
+	others, left := pace.receiving(), float64(writers)
 	slowest := time.Duration(0)
 	for rank, slowness := range pace.Slowness {
 		if slowness <= minStraggler {
@@ -131,7 +133,7 @@
 		left -= load
 		slowest = max(slowest, g.OwnPart(slowness, load, 0))
 	}
-	return max(slowest, g.OwnPart(1, max(left, 0)/float64(others), promptTokens))
+	return max(slowest, g.OwnPart(1, max(left, 0)/float64(max(others, 1)), promptTokens))
 }
 
 // passTimePerWriter returns the mean time that one more writer adds to a pass.
@@ -141,6 +143,14 @@
 	return (g.modelledPass(pace, writers+sample) - g.modelledPass(pace, writers)) / sample
 }
 
+// receiving returns the number of ranks that get new requests.
+func (p GroupPace) receiving() int {
+	if p.Receiving <= 0 {
+		return max(p.Ranks, 1)
+	}
+	return p.Receiving
+}
+
 // modelledPass returns the duration of a pass by the engine's model. It follows a jump in demand at once, while the mean
 // of measured passes takes half a second. It does not count prompts that are processed at the same time, which
 // maxPassFraction covers.
@@ -182,9 +192,9 @@
 	return g.throughput(pace, writers)
 }
 
-// slots returns the number of requests that all ranks run at a time.
+// slots returns the number of requests that the ranks that get new ones run at a time.
 func (g PassGate) slots(pace GroupPace) int {
-	return g.Engine.Slots * max(pace.Ranks, 1)
+	return g.Engine.Slots * pace.receiving()
 }
 
 // currentBound returns the longest predicted pass at the current skew.
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -87,9 +87,11 @@
 	resting map[attempt.ServerInstance]time.Time
 	// arrivals has the demand for each service at this entry. full has the refusals of the current round over the waiting
 	// requests, which hold for further ones; nil outside of a round.
-	arrivals map[ident.Service]*admission.ArrivalTrend
-	full     map[fullKey]fullGroups
-	demands  map[ident.Service]*serviceDemand
+	arrivals  map[ident.Service]*admission.ArrivalTrend
+	full      map[fullKey]fullGroups
+	demands   map[ident.Service]*serviceDemand
+	evacuated evacuations
+	cold      coldServers
 }
 
 type groupState struct {
@@ -178,6 +180,7 @@
 	}
 	d.recordRemoved(now, servers)
 	d.removeLimits(now, servers)
+	d.applyCold(now, servers)
 	d.countServers(now)
 	d.servers = servers
 	for name, group := range d.groups {
@@ -244,6 +247,7 @@
 			continue
 		}
 		server.RecordRemoteSend(now)
+		d.recordRemoteColdSend(now, server, group)
 		if engine := d.engineModel(server.Service); engine != nil {
 			server.AddPrompt(now, sent.PromptTokens, engine.PromptRateFor(group.pace.Pass))
 		}
@@ -390,7 +394,7 @@
 	}
 	candidates := d.candidates(now, request)
 	if len(candidates) == 0 {
-		assignment.Cause, assignment.RetryAfter = outcome.CauseNoBackend, noBackendRetryAfter
+		assignment.Cause, assignment.RetryAfter = d.noCandidate(request)
 		return assignment, false
 	}
 	candidates, assignment.LimitedFor = d.withinLimits(now, candidates)
@@ -399,7 +403,7 @@
 		assignment.RetryAfter = assignment.LimitedFor + time.Duration(d.random.Int64N(int64(limitRetrySpread)))
 		return assignment, false
 	}
-	chosen := d.pick(now, request, candidates, &assignment)
+	chosen := d.pick(now, request, d.shareReturning(now, candidates), &assignment)
 	switch {
 	case chosen == nil && assignment.Outage:
 		assignment.Cause, assignment.RetryAfter = outcome.CauseNoBackend, outageRetryAfter
@@ -428,7 +432,7 @@
 	var fresh, slow, tried []*routing.Server
 	for _, server := range d.services[request.Service] {
 		switch {
-		case server.Leaving || server.StatedLeaving:
+		case !d.mayReceive(server):
 		case slices.Contains(request.Tried, server.ID):
 			tried = append(tried, server)
 		case d.avoided(now, server):
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -232,7 +232,7 @@
 		}
 		c.tried = append(c.tried, assigned.Backend.ID)
 		reason = control.SendReasonRepeat
-		if result.sendResult == routing.SendNotConnected {
+		if result.sendResult == routing.SendNotConnected || result.sendResult == routing.SendEvacuated {
 			reason = control.SendReasonNotConnected
 		}
 		if !c.maySendAgain() {
@@ -303,8 +303,7 @@
 	assignments := make(chan control.Assignment, 1)
 	g.enqueue(func(now time.Time) {
 		g.pending[c.key] = assignments
-		g.forwardProgress()
-		g.deliver(g.dispatcher.RequestBackend(now, request))
+		g.requestBackend(now, request)
 	})
 	// If no server becomes free, the first Tick after WaitEnd refuses the request; in an outage or while a group serves
 	// late, the first one after a later time. So Tick is called at each of these.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -41,7 +41,9 @@
 	}
 	g.storeEra, g.storeEraKnown = state.Era, true
 	g.recordStoreVersion(state.Table)
+	g.evacuations.merge("store", func(known *membership.Evacuations) bool { return known.MergeRead(bootTime(), state.Evacuation) })
 	g.enqueue(func(now time.Time) {
+		g.evacuationChanged(now)
 		g.recordStoreResponse(now)
 		if restored {
 			g.listing.Restored(now)
@@ -49,6 +51,7 @@
 		if state.Table != nil {
 			g.applyConfiguration(state.Table)
 		}
+		g.recordCold(now, state.Backends)
 		g.updateListing(now, g.listing.Replace(now, state.Backends))
 	})
 }
@@ -57,11 +60,16 @@
 func (g *Gateway) Changed(changes source.Changes) {
 	g.replaceTable(changes.Table)
 	g.recordStoreVersion(changes.Table)
+	g.evacuations.merge("store", func(known *membership.Evacuations) bool {
+		return known.Apply(changes.Revision, changes.Evacuations)
+	})
 	g.enqueue(func(now time.Time) {
+		g.evacuationChanged(now)
 		g.recordStoreResponse(now)
 		if changes.Table != nil {
 			g.applyConfiguration(changes.Table)
 		}
+		g.recordCold(now, changes.Put)
 		changed := false
 		for _, backend := range changes.Put {
 			changed = g.listing.Put(backend) || changed
@@ -96,6 +104,7 @@
 // CurrentAsOf implements source.Handler. It records that the table in force was current at the given time. A store that holds
 // an older version than is known proves nothing: it was restored from a copy, and changes are missing in it.
 func (g *Gateway) CurrentAsOf(at time.Duration) {
+	g.confirmEvacuation(at)
 	table := g.table.Load()
 	if table == nil || g.storeVersion.Load() < max(table.Version, g.heardVersion.Load()) {
 		return
@@ -219,8 +228,11 @@
 	}
 	g.readRevisionIfDue(context.Background(), now)
 	g.crashRegisterChanged()
+	g.checkEvacuation(now)
 	g.sendHellos(now)
 	g.dispatcher.SetEntries(now, g.peerDirectory.entries(), g.peerDirectory.isolated(now))
+	g.dispatcher.SetSenders(now, g.peerDirectory.senders(now))
+	g.metrics.backendsCold.Update(float64(g.dispatcher.ColdServers()))
 	g.pool.closeExpired(now)
 	g.prober.removeExpired(now)
 	g.trials.Expire(now)
@@ -275,6 +287,7 @@
 	}
 	g.leaders.recordReport(now, report.Group, from)
 	entries := max(report.EntryCount, len(report.Entries))
+	g.peerDirectory.recordCount(now, entries)
 	for _, entry := range report.Entries {
 		g.peerDirectory.recordHeard(now, entry, now)
 	}
