Hold the slowness of ranks in maps for 3 s

Change: expert.MapTrigger plans with the last slowness of a rank for 3 s after it was slow, and finds changes of speed itself by comparing with the slowness of the last decision. Entries and the reported skew follow the estimate without delay.

Ruled out: a slower fall of the estimate (entries would keep a recovered rank empty); a longer time between maps (jumps in demand need them).

Result: TestFlappingRanksStartOneMap: one map in 10 s.

--- a/internal/experiment/groups/slowgroup.go
+++ b/internal/experiment/groups/slowgroup.go
@@ -92,14 +92,16 @@
 	placement expert.LayerPlacements
 	rollout   slowRollout
 
-	demand   *expert.Demand
-	counted  expert.Load
-	speeds   *expert.RankSpeeds
-	known    []float64
-	changes  int
-	trigger  expert.MapTrigger
-	lastPass time.Duration
-	figures  slowFigures
+	// nextReport is the time of the next report of each rank, and reported the pace in the last one.
+	nextReport []time.Duration
+	reported   []float64
+	demand     *expert.Demand
+	counted    expert.Load
+	speeds     *expert.RankSpeeds
+	known      []float64
+	trigger    expert.MapTrigger
+	lastPass   time.Duration
+	figures    slowFigures
 }
 
 // slowPass is the beginning and the duration of a pass.
@@ -118,10 +120,12 @@
 	g := &slowGroup{
 		slowCase: parameters, policy: policy, random: rand.New(rand.NewPCG(seed, 5)), demand: expert.NewDemand(slowLayers, parameters.experts),
 		counted: expert.NewLoad(slowLayers, parameters.experts), speeds: expert.NewRankSpeeds(), writers: make([]int, parameters.ranks),
+		nextReport: make([]time.Duration, parameters.ranks), reported: make([]float64, parameters.ranks),
 		placement: make(expert.LayerPlacements, slowLayers),
 		figures:   slowFigures{detected: math.NaN(), mapped: math.NaN(), recovered: math.NaN()},
 	}
 	for rank := range g.writers {
+		g.nextReport[rank], g.reported[rank] = time.Duration(g.random.Int64N(int64(reportTime))), 1
 		g.writers[rank] = max(1, int(math.Round(meanWriters+writersDeviation*g.random.NormFloat64())))
 	}
 	for layer := range g.placement {
@@ -227,12 +231,19 @@
 // ranks of a real group report at different times.
 func (g *slowGroup) report() {
 	for rank := range g.ranks {
-		phase := time.Duration(rank) * 7 * time.Millisecond / simulationTick * simulationTick
-		if (g.now+phase)%reportTime != 0 || g.random.Float64() < lostReports {
+		pace := g.slownessOf(rank)
+		if g.now < g.nextReport[rank] {
+			continue
+		}
+		g.nextReport[rank] = g.now + reportTime
+		if pace != g.reported[rank] {
+			g.reported[rank], g.nextReport[rank] = pace, g.now+pollTime
+		}
+		if g.random.Float64() < lostReports {
 			continue
 		}
 		g.speeds.Observe(simulationStart.Add(g.now), &expert.RankStatus{
-			Epoch: 1, Rank: ident.Rank(rank), Size: g.ranks, Open: true, Step: g.step, Pace: g.slownessOf(rank), Running: g.writers[rank],
+			Epoch: 1, Rank: ident.Rank(rank), Size: g.ranks, Open: true, Step: g.step, Pace: pace, Running: g.writers[rank],
 		})
 	}
 	if g.now%(reportTime/2) == 0 {
@@ -265,7 +276,6 @@
 	case speedsUnknown:
 	}
 	if changed {
-		g.changes++
 		g.recordChange()
 	}
 	if _, buckets := g.demand.Estimate(); buckets == 0 || !changed && g.now%reportTime != 0 {
@@ -273,7 +283,7 @@
 	}
 	loading := g.rollout.target != nil && g.now < g.rollout.loadedAt
 	proposal, found := g.trigger.Decide(&expert.MapInput{
-		Placement: g.placement, Demand: g.demand, Slowness: g.known, SpeedChanges: g.changes, Slots: g.slots, NewPerLayer: newPerLayer,
+		Now: simulationStart.Add(g.now), Placement: g.placement, Demand: g.demand, Slowness: g.known, Slots: g.slots, NewPerLayer: newPerLayer,
 		LoadsWithin: func(limit time.Duration) int { return max(int(limit/expertLoadTime), 1) }, LoadTime: expertLoadTime,
 		Ready: g.rollout.target == nil, MayReplace: loading, Pass: g.lastPass, ExpertPart: g.expertPart(),
 	})
--- a/internal/experiment/groups/slowmaps.go
+++ b/internal/experiment/groups/slowmaps.go
@@ -130,7 +130,7 @@
 			{Name: "estimate", Unit: "ms"},
 			{Name: "oracle", Unit: "ms"},
 			{Name: "maps: previous", Unit: "in force"},
-			{Name: "estimate", Unit: "in force"},
+			{Name: "maps: estimate", Unit: "in force"},
 			{Name: "detected", Unit: "s"},
 			{Name: "map", Unit: "s"},
 			{Name: "recovered", Unit: "s"},
--- a/internal/expert/maptrigger.go
+++ b/internal/expert/maptrigger.go
@@ -22,6 +22,10 @@
 	// stragglerDuration is the usual time for which a rank is slow. A map for a change of speed must save more time in it
 	// than its loading costs.
 	stragglerDuration = 6 * time.Second
+	// slowHold is the time for which maps treat a rank as slow after it was. A rank that is slow and as usual by turns would
+	// otherwise start a map with each change, in which passes take longer while experts are loaded. A recovered rank that
+	// holds few experts for this time costs little.
+	slowHold = 3 * time.Second
 	// loadingSlowdown is the fraction by which passes take longer while experts are loaded, as stated by the platform, and
 	// rolloutTime the time of a rollout without the loading itself, in which it may apply too.
 	loadingSlowdown = 0.15
@@ -33,10 +37,11 @@
 	// Placement is the map in use, Demand the estimated demand.
 	Placement LayerPlacements
 	Demand    *Demand
-	// Slowness is as in RankSpeeds, SpeedChanges the number of times that it changed. Leaving is as in CopyLimits.
-	Slowness     []float64
-	SpeedChanges int
-	Leaving      []bool
+	// Now is the present time.
+	Now time.Time
+	// Slowness is as in RankSpeeds, Leaving as in CopyLimits.
+	Slowness []float64
+	Leaving  []bool
 	// Slots and NewPerLayer are the limits of a rank in a layer. LoadsWithin returns the number of experts that a rank loads
 	// within a time, and LoadTime is that of one expert.
 	Slots, NewPerLayer int
@@ -51,10 +56,17 @@
 // MapTrigger decides when a leader proposes a map: after a jump in demand or a change of speed at once, and otherwise when
 // it reduces the skew enough. It is pure and not safe for concurrent use.
 type MapTrigger struct {
-	// plannedJumps and plannedSpeeds are the numbers of jumps and of changes of speed at the last decision on them.
-	plannedJumps, plannedSpeeds int
-	// plannedSlowness is the slowness at the last decision.
+	// plannedJumps is the number of jumps, and plannedSlowness the slowness, at the last decision on them.
+	plannedJumps    int
 	plannedSlowness []float64
+	// held holds the ranks that are slow or were a short time ago.
+	held map[int]heldSlowness
+}
+
+// heldSlowness is the last slowness of a rank that was slow, and the time until which maps use it.
+type heldSlowness struct {
+	slowness float64
+	until    time.Time
 }
 
 // MapProposal is a map to propose, and its causes.
@@ -81,9 +93,10 @@
 func (t *MapTrigger) Decide(input *MapInput) (MapProposal, bool) {
 	load, buckets := input.Demand.Estimate()
 	jumps := input.Demand.Jumps()
-	proposal := MapProposal{Jumped: jumps != t.plannedJumps, SpeedChanged: input.SpeedChanges != t.plannedSpeeds}
+	slowness := t.hold(input.Now, input.Slowness, len(input.Placement[0]))
+	proposal := MapProposal{Jumped: jumps != t.plannedJumps, SpeedChanged: t.speedChanged(slowness)}
 	urgent := proposal.Jumped || proposal.SpeedChanged
-	if !input.Ready && (!input.MayReplace || !proposal.Jumped && !t.newlySlow(input.Slowness)) {
+	if !input.Ready && (!input.MayReplace || !proposal.Jumped && !t.newlySlow(slowness)) {
 		return proposal, false
 	}
 	loadTimeLimit := refinedMapLoadTime
@@ -92,10 +105,10 @@
 	}
 	proposal.Plan = PlanCopies(input.Placement, load, CopyLimits{
 		Slots: input.Slots, PerRank: input.LoadsWithin(loadTimeLimit), PerLayer: input.NewPerLayer,
-		MinGain: minGainPerSecond * input.LoadTime.Seconds(), Slowness: input.Slowness, Leaving: input.Leaving,
+		MinGain: minGainPerSecond * input.LoadTime.Seconds(), Slowness: slowness, Leaving: input.Leaving,
 	})
 	plan := &proposal.Plan
-	t.plannedSpeeds, t.plannedSlowness = input.SpeedChanges, input.Slowness
+	t.plannedSlowness = slowness
 	improves := plan.Copies > 0 && (plan.SkewBefore-plan.SkewAfter)/plan.SkewBefore >= minImprovement
 	if proposal.SpeedChanged && !proposal.Jumped {
 		improves = input.savesTime(plan)
@@ -106,6 +119,43 @@
 	return proposal, improves
 }
 
+// hold returns the slowness by which to plan: that of ranks that are slow, and for slowHold the last one of ranks that were;
+// nil if there are none.
+func (t *MapTrigger) hold(now time.Time, slowness []float64, ranks int) []float64 {
+	for rank, factor := range slowness {
+		if factor > 1 {
+			if t.held == nil {
+				t.held = map[int]heldSlowness{}
+			}
+			t.held[rank] = heldSlowness{slowness: factor, until: now.Add(slowHold)}
+		}
+	}
+	var planned []float64
+	for rank, held := range t.held {
+		if !now.Before(held.until) || rank >= ranks {
+			delete(t.held, rank)
+			continue
+		}
+		if planned == nil {
+			planned = rankWeights(nil, ranks)
+		}
+		planned[rank] = held.slowness
+	}
+	return planned
+}
+
+// speedChanged reports whether a slowness differs from that of the last decision as much as a SpeedChange does.
+func (t *MapTrigger) speedChanged(slowness []float64) bool {
+	ranks := max(len(slowness), len(t.plannedSlowness))
+	now, before := rankWeights(slowness, ranks), rankWeights(t.plannedSlowness, ranks)
+	for rank := range now {
+		if isSpeedChange(before[rank], now[rank]) {
+			return true
+		}
+	}
+	return false
+}
+
 // newlySlow reports whether a rank is slow that was not at the last decision. Only that replaces a map while it is loaded:
 // when the estimate of a slow rank rises, the next map is nearly the same, and to replace it would only begin its loading
 // again.
--- a/internal/expert/maptrigger_test.go
+++ b/internal/expert/maptrigger_test.go
@@ -38,6 +38,7 @@
 
 func (w *triggerWorld) add(load Load) {
 	w.now = w.now.Add(demandBucketTime)
+	w.input.Now = w.now
 	w.input.Demand.Add(w.now, choices(load, 1))
 }
 
@@ -54,7 +55,6 @@
 func (w *triggerWorld) setSpeed(rank int, slowness float64) {
 	w.input.Slowness = rankWeights(w.input.Slowness, 72)
 	w.input.Slowness[rank] = slowness
-	w.input.SpeedChanges++
 }
 
 // Guards against changes of speed that start no map, and against maps that cost more than they save: for a rank that
@@ -71,8 +71,11 @@
 		_, found = w.decide()
 		c.Check(found, qt.IsFalse, qt.Commentf("factor %v, after the map", factor))
 		w.setSpeed(40, 1)
-		proposal, found = w.decide()
-		c.Check(found, qt.IsFalse, qt.Commentf("recovery from factor %v: skew %v to %v", factor, proposal.Plan.SkewBefore, proposal.Plan.SkewAfter))
+		for range 50 {
+			w.input.Now = w.input.Now.Add(demandBucketTime)
+			proposal, found = w.decide()
+			c.Check(found, qt.IsFalse, qt.Commentf("recovery from factor %v: skew %v to %v", factor, proposal.Plan.SkewBefore, proposal.Plan.SkewAfter))
+		}
 	}
 	w := newTriggerWorld(random)
 	w.input.ExpertPart = 0
@@ -95,6 +98,26 @@
 	c.Check(found, qt.IsTrue, qt.Commentf("another rank becomes slow while a map is loaded"))
 }
 
+// Guards against a map for each change of ranks that are slow and as usual by turns: the first map remains.
+func TestFlappingRanksStartOneMap(t *testing.T) {
+	c := qt.New(t)
+	w := newTriggerWorld(rand.New(rand.NewPCG(25, 26)))
+	maps := 0
+	for i := range 100 {
+		w.input.Now = w.input.Now.Add(demandBucketTime)
+		w.input.Slowness = nil
+		if i%10 < 5 {
+			for rank := range 8 {
+				w.setSpeed(rank, 2)
+			}
+		}
+		if _, found := w.decide(); found {
+			maps++
+		}
+	}
+	c.Assert(maps, qt.Equals, 1)
+}
+
 // Guards against decisions that differ from those without speeds in groups whose ranks all report a pace of 1 or none. The
 // rule in the test is the one by which leaders decided before they knew speeds.
 func TestDecisionsWithoutSlowRanksAreUnchanged(t *testing.T) {
@@ -113,7 +136,7 @@
 			for rank := range 72 {
 				speeds.Observe(w.now, &RankStatus{Epoch: 1, Rank: ident.Rank(rank), Size: 72, Step: uint64(round*12 + bucket), Pace: float64(rank % 2)})
 			}
-			w.input.SpeedChanges += len(speeds.Update(w.now, idleTestPass))
+			speeds.Update(w.now, idleTestPass)
 			w.input.Slowness = speeds.Slowness()
 			expected, expectedFound := decideWithoutSpeeds(&w.input, &plannedJumps)
 			proposal, found := w.decide()
--- a/internal/expert/rankspeeds.go
+++ b/internal/expert/rankspeeds.go
@@ -140,7 +140,7 @@
 		estimates[rank] = estimate
 		slow = slow || estimate > 1
 		before := max(view.reported, 1)
-		if estimate == before || estimate > 1 && before > 1 && estimate < before*speedChangeFactor && before < estimate*speedChangeFactor {
+		if !isSpeedChange(before, estimate) {
 			continue
 		}
 		view.reported = estimate
@@ -155,6 +155,14 @@
 	return changes
 }
 
+// isSpeedChange reports whether two values of a rank's slowness differ so much that its speed changed.
+func isSpeedChange(before, now float64) bool {
+	if before == 1 || now == 1 {
+		return before != now
+	}
+	return now >= before*speedChangeFactor || before >= now*speedChangeFactor
+}
+
 // estimate returns the pace of a rank without the bound by the passes: the smallest of its latest reports, so that it
 // rises with the second report of a greater pace and falls with the first of a smaller one. A rank that is taken to be
 // slow after it recovered only holds fewer experts than it could, but it costs nothing to let it recover at once.
--- a/internal/rankagent/lead.go
+++ b/internal/rankagent/lead.go
@@ -203,7 +203,7 @@
 	size := a.expertLayers()
 	slowness := state.speeds.estimate.Slowness()
 	proposal, found := state.maps.Decide(&expert.MapInput{
-		Placement: placement, Demand: state.demand, Slowness: slowness, SpeedChanges: state.speeds.changes,
+		Now: now, Placement: placement, Demand: state.demand, Slowness: slowness,
 		Leaving: a.leavingRanks(len(placement[0])), Slots: size.Slots, NewPerLayer: size.NewPerLayer,
 		LoadsWithin: size.LoadsWithin, LoadTime: size.LoadTime, Ready: a.leader.Ready(), MayReplace: a.leader.MayReplace(),
 		Pass: state.passTime, ExpertPart: state.expertPart(a.engineModel()),
--- a/internal/rankagent/speeds.go
+++ b/internal/rankagent/speeds.go
@@ -25,9 +25,7 @@
 
 // rankSpeeds is what a leader keeps about the speeds of its ranks.
 type rankSpeeds struct {
-	estimate *expert.RankSpeeds
-	// changes is the number of updates in which a speed changed.
-	changes   int
+	estimate  *expert.RankSpeeds
 	updatedAt time.Time
 	// lines is the number of log lines since linesFrom.
 	lines     int
@@ -59,7 +57,6 @@
 	if len(changes) == 0 {
 		return
 	}
-	state.speeds.changes++
 	a.logSpeeds(now, changes)
 	a.updateSkew()
 	a.plan(ctx, now)
