Weigh served runs against the ends of a suspect

Cause: a suspect that was served once was cleared of all its ends: RecordServed marked every end as survived, at this entry and by report at all others, and a request that an entry had served within 10 s was not recorded at an end at all. A request that ends its server in two of three runs was hardly ever quarantined.

Change: served runs are counted per end, trait and entry, before and after the end, and shared as counts that only grow, in 16 steps up to 256. The evidence is Wald's test in the form of Page over the sequence of ends and served runs, for shares of crashing runs of 1, 2/3, 1/2 and 1/4; for a share of 1 it is the rule of before. Only 24 served runs in a row since the last broken one keep a trait out of the suspects of an end. The table of survivors in the gateway counts runs for that.

TestAssessmentsOfSuspectsAreReported required that one served run lifts a quarantine after six ends, which contradicts the requirement; it now requires that one does not and that many do.

--- a/internal/attempt/crash_decision.go
+++ b/internal/attempt/crash_decision.go
@@ -29,8 +29,12 @@
 	assessment := r.newAssessment(now)
 	assessment.findOwners()
 	var all, strong []*suspectCase
+	clear(r.strength)
 	for _, suspect := range assessment.cases {
 		assessment.weigh(suspect)
+		if len(suspect.events) > 0 && len(suspect.ends) >= r.config.MinEnds {
+			r.strength[suspect.trait] = suspect.strength
+		}
 		all = append(all, suspect)
 	}
 	slices.SortFunc(all, func(a, b *suspectCase) int { return cmp.Compare(b.strength, a.strength) })
--- a/internal/attempt/crash_evidence.go
+++ b/internal/attempt/crash_evidence.go
@@ -18,13 +18,16 @@
 // suspectCase is the evidence against one trait.
 type suspectCase struct {
 	trait Fingerprint
-	// ends are the ends at which the trait was running and that no other quarantined trait explains, in the order of time.
+	// ends are the ends at which the trait was running and that no other quarantined trait explains, in the order of time; once
+	// the case is weighed, those since the first that the trait's served runs do not outweigh.
 	ends []*serverEnd
+	// served has the numbers of the trait's runs that were served before each end, and after the last.
+	served []int
 	// compared has the evidence of each end for comparisons with other traits, which is not limited to MaxEvidence.
 	compared map[*serverEnd]float64
 	// events are the ends, those at the same moment as one since they may have one cause.
 	events []crashEvent
-	// strength is the evidence of all events.
+	// strength is the evidence of all events and of the served runs.
 	strength float64
 }
 
@@ -126,28 +129,37 @@
 	for trait, servers := range r.suspects {
 		single := trait.IsPart() && len(r.suspects) <= maxSuspectsWithSingles
 		if (len(servers) > 1 || single) && r.quarantine.Left(now, trait) == 0 {
-			a.cases = append(a.cases, &suspectCase{trait: trait, ends: r.settledEnds(now, trait, servers)})
+			ends, served := r.settledEnds(now, trait, servers)
+			a.cases = append(a.cases, &suspectCase{trait: trait, ends: ends, served: served})
 		}
 	}
 	return a
 }
 
-// settledEnds returns the ends that count against a trait, in the order of time. It plans another assessment for those
-// that have not settled.
-func (r *CrashRegister) settledEnds(now time.Time, trait Fingerprint, servers []ServerInstance) []*serverEnd {
-	var ends []*serverEnd
+// settledEnds returns the ends that count against a trait, in the order of time, and the numbers of served runs before each
+// and after the last. It plans another assessment for those that have not settled.
+func (r *CrashRegister) settledEnds(now time.Time, trait Fingerprint, servers []ServerInstance) (ends []*serverEnd, served []int) {
+	var settled []*serverEnd
 	for _, server := range servers {
 		end := r.ends[server]
 		if settlesAt := end.at.Add(r.config.SettleTime); now.Before(settlesAt) {
 			r.planAssessment(settlesAt)
 			continue
 		}
-		if !r.explained(now, end, trait) {
-			ends = append(ends, end)
+		settled = append(settled, end)
+	}
+	slices.SortFunc(settled, func(a, b *serverEnd) int { return a.at.Compare(b.at) })
+	sum := 0
+	for i, runs := range servedBetween(trait, settled) {
+		sum += runs
+		if i == len(settled) || !r.explained(now, settled[i], trait) {
+			served, sum = append(served, sum), 0
+		}
+		if i < len(settled) && len(served) > len(ends) {
+			ends = append(ends, settled[i])
 		}
 	}
-	slices.SortFunc(ends, func(a, b *serverEnd) int { return a.at.Compare(b.at) })
-	return ends
+	return ends, served
 }
 
 // findOwners determines the traits that explain each end best. For this, all ends count for the rate at which servers end
@@ -155,11 +167,13 @@
 func (a *assessment) findOwners() {
 	best := map[*serverEnd]float64{}
 	for _, suspect := range a.cases {
-		strength := 0.0
-		for _, end := range suspect.ends {
-			strength += min(a.chanceNats(end, suspect.trait, nil), a.register.config.MaxEvidence)
+		nats := make([]float64, len(suspect.ends))
+		for i, end := range suspect.ends {
+			nats[i] = min(a.chanceNats(end, suspect.trait, nil), a.register.config.MaxEvidence)
 		}
-		for _, end := range suspect.ends {
+		weight := weighOutcomes(nats, suspect.served)
+		strength := weight.strength
+		for _, end := range suspect.ends[weight.first:] {
 			switch {
 			case strength > best[end]:
 				best[end], a.owners[end] = strength, []Fingerprint{suspect.trait}
@@ -190,7 +204,10 @@
 			owned = append(owned, end)
 		}
 	}
-	for _, end := range suspect.ends {
+	// served has the numbers of served runs before each event, and last after the last.
+	served, since := []int{}, 0
+	for i, end := range suspect.ends {
+		since += suspect.served[i]
 		chance, together := a.chanceNats(end, suspect.trait, owned), a.togetherNats(end, suspect)
 		nats := min(chance, together, config.MaxEvidence)
 		suspect.compared[end] = min(chance, together)
@@ -201,10 +218,31 @@
 			continue
 		}
 		suspect.events = append(suspect.events, crashEvent{ends: []*serverEnd{end}, nats: nats})
+		served, since = append(served, since), 0
 	}
-	for i := range suspect.events {
-		suspect.strength += suspect.events[i].nats
+	suspect.weighServed(append(served, since+suspect.served[len(suspect.ends)]))
+}
+
+// weighServed weighs the evidence of the events against the numbers of served runs before each and after the last. What the
+// served runs take away, they take from each event in proportion.
+func (c *suspectCase) weighServed(served []int) {
+	nats, total := make([]float64, len(c.events)), 0.0
+	for i := range c.events {
+		nats[i] = c.events[i].nats
+	}
+	weight := weighOutcomes(nats, served)
+	c.events, c.strength, c.ends = c.events[weight.first:], weight.strength, nil
+	for i := range c.events {
+		total += c.events[i].nats
+		c.ends = append(c.ends, c.events[i].ends...)
+	}
+	compared := map[*serverEnd]float64{}
+	for _, end := range c.ends {
+		if total > 0 {
+			compared[end] = c.compared[end] * c.strength / total
+		}
 	}
+	c.compared = compared
 }
 
 // enough reports whether the evidence against the suspect suffices for a quarantine. The limit is lower after confirming
--- a/internal/attempt/crash_findings_test.go
+++ b/internal/attempt/crash_findings_test.go
@@ -42,7 +42,12 @@
 	c.Check(findings[0].Decision, qt.Equals, attempt.CrashQuarantined)
 	c.Check(findings[0].Events, qt.Equals, 5)
 	c.Check(findings[0].Nats >= attempt.DefaultCrashConfig().EvidenceLimit, qt.IsTrue)
+	// One served run does not outweigh six ends, see TestRequestThatCrashesAtTimesIsRefused; many do.
 	register.RecordServed(now, []attempt.Fingerprint{fingerprint})
+	c.Assert(settled(), qt.HasLen, 0)
+	for range 100 {
+		register.RecordServed(now, []attempt.Fingerprint{fingerprint})
+	}
 	findings = settled()
 	c.Assert(findings, qt.HasLen, 1)
 	c.Check(findings[0].Decision, qt.Equals, attempt.CrashLifted)
--- a/internal/attempt/crash_register.go
+++ b/internal/attempt/crash_register.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -89,7 +90,7 @@
 	ends    map[ServerInstance]*serverEnd
 	// order has the ends in the order in which they were added, and may have ends that were removed.
 	order []ServerInstance
-	// suspects has the ends at which a trait was running, for each trait that no server has survived since.
+	// suspects has the ends at which a trait was running and that its served runs do not outweigh.
 	suspects   map[Fingerprint][]ServerInstance
 	quarantine *Quarantine
 	// servers has the number of servers of each service.
@@ -98,8 +99,15 @@
 	endedRuns int
 	// assessAt is when the evidence is assessed next; zero if nothing has changed.
 	assessAt time.Time
-	// cleared has the number of ends at which a trait was running that a server has survived since.
+	// cleared has the number of ends at which a trait was running that its served runs outweigh.
 	cleared map[Fingerprint]int
+	// number identifies the register's counts of served runs. It is drawn, so that a restarted entry does not add to counts
+	// that it has forgotten.
+	number uint64
+	// recent has the traits' recently served runs, strength the evidence of the last assessment against those with MinEnds
+	// ends.
+	recent   map[Fingerprint]recentRuns
+	strength map[Fingerprint]float64
 	// changedEnds and changedQuarantine are how often changes are yet to be reported to other entries.
 	changedEnds       map[ServerInstance]int
 	changedQuarantine map[Fingerprint]int
@@ -123,8 +131,9 @@
 type serverEnd struct {
 	service ident.Service
 	at      time.Time
-	// runs are those of the traits that were running.
-	runs map[Fingerprint]endedRun
+	// runs are those of the traits that were running, served the counts of served runs of the suspected ones.
+	runs   map[Fingerprint]endedRun
+	served map[Fingerprint]servedCounts
 }
 
 // serverCount is the number of servers of a service. Servers that have ended leave the list before others replace them.
@@ -150,8 +159,10 @@
 type endedRun struct {
 	// duration is the time from the send to its end; the longest if several requests with the trait were running.
 	duration time.Duration
-	// survived is true if a server has survived the trait since, or shortly before.
+	// survived is true if the trait's served runs outweigh the end, before it or since.
 	survived bool
+	// servedBefore is the number of runs that were served shortly before a pending send was broken.
+	servedBefore uint16
 	// closed is true if all responses to requests with the trait looked complete, but ended with their connection.
 	closed bool
 }
@@ -162,7 +173,7 @@
 	StartedAt time.Time
 	// Closed is true in the second case: the server has survived the request if it is reached later.
 	Closed bool
-	// Suspected are the request's traits that no server is known to have survived shortly before, the request itself
+	// Suspected are the request's traits of which not ClearingRuns runs were served shortly before, the request itself
 	// first. Survived are others that are worth reporting to other entries.
 	Suspected, Survived []Fingerprint
 }
@@ -174,6 +185,7 @@
 		suspects: map[Fingerprint][]ServerInstance{}, quarantine: NewQuarantine(),
 		servers: map[ident.Service]*serverCount{}, cleared: map[Fingerprint]int{}, changedEnds: map[ServerInstance]int{},
 		changedQuarantine: map[Fingerprint]int{}, lastFindings: map[Fingerprint]CrashFinding{},
+		number: rand.Uint64(), recent: map[Fingerprint]recentRuns{}, strength: map[Fingerprint]float64{},
 	}
 }
 
@@ -239,6 +251,7 @@
 			r.dropped++
 			return
 		}
+		run.servedBefore = r.takeRecent(now, trait).runs
 		if known {
 			run = mergeRuns(old, run)
 		}
@@ -267,7 +280,10 @@
 
 // mergeRuns returns the run that is less evidence against a trait, field by field.
 func mergeRuns(a, b endedRun) endedRun {
-	return endedRun{duration: max(a.duration, b.duration), survived: a.survived || b.survived, closed: a.closed && b.closed}
+	return endedRun{
+		duration: max(a.duration, b.duration), survived: a.survived || b.survived, servedBefore: max(a.servedBefore, b.servedBefore),
+		closed: a.closed && b.closed,
+	}
 }
 
 // RecordReached records that a server was reached by a connection or request that began at startedAt: it has not ended
@@ -317,15 +333,8 @@
 // RecordServed records that a server has run a request with the given traits and given a complete response.
 func (r *CrashRegister) RecordServed(now time.Time, traits []Fingerprint) {
 	for _, trait := range traits {
-		for _, pending := range r.pending {
-			if run, known := pending.runs[trait]; known {
-				run.survived = true
-				pending.runs[trait] = run
-			}
-		}
-		for _, server := range r.suspects[trait] {
-			r.addRun(now, server, r.ends[server], trait, endedRun{survived: true})
-		}
+		r.recordRecent(now, trait)
+		r.recordServedSince(now, trait, 1)
 	}
 }
 
@@ -384,7 +393,8 @@
 // addRun adds a run to an end, or merges it with what is known of it.
 func (r *CrashRegister) addRun(now time.Time, server ServerInstance, end *serverEnd, trait Fingerprint, run endedRun) {
 	old, known := end.runs[trait]
-	run.closed = false
+	before := run.servedBefore
+	run.closed, run.servedBefore = false, 0
 	merged := mergeRuns(old, run)
 	// The end itself may have been dropped when one of its runs was added to a full register.
 	if known && merged == old || r.ends[server] != end {
@@ -398,8 +408,10 @@
 	switch {
 	case !merged.survived && !known:
 		r.suspects[trait] = append(r.suspects[trait], server)
+		r.addRecent(now, server, end, trait, before)
 	case merged.survived && !old.survived:
 		r.cleared[trait]++
+		delete(end.served, trait)
 		if known {
 			r.removeSuspicion(trait, server)
 		}
@@ -415,7 +427,7 @@
 	}
 }
 
-// isCleared reports whether a server has survived the trait since all ends at which it was running.
+// isCleared reports whether the trait's served runs outweigh all ends at which it was running.
 func (r *CrashRegister) isCleared(trait Fingerprint) bool {
 	return r.cleared[trait] > 0 && r.suspects[trait] == nil
 }
--- a/internal/attempt/crash_reports.go
+++ b/internal/attempt/crash_reports.go
@@ -26,8 +26,22 @@
 	Fingerprint Fingerprint `cbor:"1,keyasint"`
 	// Duration is the time from the send to its end.
 	Duration time.Duration `cbor:"2,keyasint"`
+	// Served are the numbers of served runs with the trait that entries have counted before and after the end.
+	Served []ServedRuns `cbor:"3,keyasint,omitempty"`
 }
 
+// ServedRuns is an entry's count of served runs with a trait. Counts only grow, so that the greatest is the last.
+type ServedRuns struct {
+	// Entry identifies the counting register.
+	Entry uint64 `cbor:"1,keyasint"`
+	// Before is true for runs since the entry's previous end with the trait, false for those since this one.
+	Before bool   `cbor:"2,keyasint,omitempty"`
+	Runs   uint16 `cbor:"3,keyasint"`
+}
+
+// size returns the number of runs that the run counts as in a packet.
+func (r *SuspectedRun) size() int { return 1 + (len(r.Served)+1)/2 }
+
 // CrashUpdate is a part of one entry's register for another entry.
 type CrashUpdate struct {
 	Ends        []EndReport        `cbor:"1,keyasint,omitempty"`
@@ -123,12 +137,16 @@
 func (w *updateWriter) addEnd(report EndReport) bool {
 	for {
 		rest := report
-		fits := maxUpdateRuns - endRuns
-		suspected := min(len(report.Suspected), fits)
-		survived := min(len(report.Survived), fits-suspected)
+		fits, size, suspected := maxUpdateRuns-endRuns, 0, 0
+		for suspected < len(report.Suspected) && size+report.Suspected[suspected].size() <= fits {
+			size += report.Suspected[suspected].size()
+			suspected++
+		}
+		fits -= size
+		survived := min(len(report.Survived), fits)
 		report.Suspected, rest.Suspected = report.Suspected[:suspected], report.Suspected[suspected:]
 		report.Survived, rest.Survived = report.Survived[:survived], report.Survived[survived:]
-		part := w.reserve(endRuns + suspected + survived)
+		part := w.reserve(endRuns + size + survived)
 		if part == nil {
 			return false
 		}
@@ -157,19 +175,21 @@
 			report.Survived = append(report.Survived, fingerprint)
 			continue
 		}
-		report.Suspected = append(report.Suspected, SuspectedRun{Fingerprint: fingerprint, Duration: run.duration})
+		report.Suspected = append(report.Suspected, SuspectedRun{
+			Fingerprint: fingerprint, Duration: run.duration, Served: end.servedReports(fingerprint),
+		})
 	}
 	return report
 }
 
 // Merge adds what another entry reports. Only what is new here is reported further. Traits for which survived returns true
-// are cleared: a server of this entry has survived them shortly before.
+// count as served ClearingRuns times: this entry's servers have survived them as often shortly before.
 func (r *CrashRegister) Merge(now time.Time, update CrashUpdate, survived func(Fingerprint) bool) {
 	for _, report := range update.Ends {
 		r.mergeEnd(now, report)
 		for _, run := range report.Suspected {
 			if survived(run.Fingerprint) {
-				r.RecordServed(now, []Fingerprint{run.Fingerprint})
+				r.recordOftenServed(now, run.Fingerprint)
 			}
 		}
 	}
@@ -209,11 +229,16 @@
 	}
 	for _, run := range report.Suspected {
 		r.addRun(now, report.Server, end, run.Fingerprint, endedRun{duration: run.Duration})
+		for _, served := range run.Served {
+			if r.ends[report.Server] == end {
+				r.setServed(now, report.Server, end, run.Fingerprint, servedKey{entry: served.Entry, before: served.Before}, served.Runs)
+			}
+		}
 	}
 }
 
-// Digest returns a value that is the same for registers with the same requests at the same ends. It does not cover
-// durations.
+// Digest returns a value that is the same for registers with the same requests at the same ends, and the same reported counts
+// of served runs. It does not cover durations.
 func (r *CrashRegister) Digest() uint64 {
 	digest := r.quarantine.digest
 	for server, end := range r.ends {
@@ -223,7 +248,7 @@
 			if run.survived {
 				mixed = mix(mixed)
 			}
-			digest ^= mixed
+			digest ^= mixed ^ end.digestServed(fingerprint, key)
 		}
 	}
 	return digest
--- a/internal/attempt/trials.go
+++ b/internal/attempt/trials.go
@@ -98,7 +98,7 @@
 func (r *CrashRegister) OnTrial(traits []Fingerprint) (trait Fingerprint, lasts time.Duration, onTrial bool) {
 	for _, trait := range traits {
 		ends := r.suspects[trait]
-		if trait.IsPart() || len(ends) < r.config.MinEnds {
+		if trait.IsPart() || len(ends) < r.config.MinEnds || !r.needsTrial(trait) {
 			continue
 		}
 		longest := time.Duration(0)
--- a/internal/gateway/crash_requests.go
+++ b/internal/gateway/crash_requests.go
@@ -138,6 +138,10 @@
 		"request": c.id, "fingerprint": c.fingerprint(), "route": c.route.Name, "customer": c.access.Customer,
 		"backend": backend.ID, "address": backend.Address, "closed_by_server": closedByServer, "prompt_parts": c.sharedParts(),
 	})
+	g.survivors.recordBroken(c.survivorHash())
+	for _, trait := range c.traits() {
+		g.survivingTraits.recordBroken(traitHash(trait))
+	}
 	log.WithField("survived_before", len(send.Survived) > 0).WithField("suspected_traits", len(send.Suspected)).Info("send-broken")
 	if closedByServer && g.prober.due(time.Now(), backend.Address) {
 		go g.probe(backend, log)
@@ -148,7 +152,7 @@
 	}
 }
 
-// brokenSend returns the request's traits, divided by whether a server of this entry has survived them shortly before.
+// brokenSend returns the request's traits, divided by whether servers of this entry have survived them often shortly before.
 // Surviving parts are left out: the entries that suspect them report them, and are told by those that know better.
 func (c *call) brokenSend(startedAt time.Time) attempt.BrokenSend {
 	now, send := time.Now(), attempt.BrokenSend{StartedAt: startedAt}
--- a/internal/gateway/survivors.go
+++ b/internal/gateway/survivors.go
@@ -13,12 +13,12 @@
 	// survivorSlots is the number of traits that a survivorTable remembers at most. It is several times the number of
 	// requests that an entry serves within survivorAge.
 	survivorSlots = 8192
-	// survivorAge is the time for which a complete response shows that a trait of the request does not crash servers.
+	// survivorAge is the time for which complete responses show that a trait of the request does not crash servers.
 	survivorAge = 10 * time.Second
 )
 
-// survivorTable remembers which requests, or prompt parts, this entry's backend servers have run to the end within
-// survivorAge. It is a hash table of fixed size in which a newer trait replaces an older one, and is safe for concurrent
+// survivorTable counts how often in a row this entry's backend servers have run requests, or prompt parts, to the end, the last
+// time within survivorAge. It is a hash table of fixed size in which a newer trait replaces an older one, and is safe for concurrent
 // use.
 type survivorTable struct {
 	seed  maphash.Seed
@@ -32,6 +32,8 @@
 	hash atomic.Uint64
 	// at is the time of the response, as the duration from survivorTable.start.
 	at atomic.Int64
+	// runs is the number of responses since a send was broken, each within survivorAge after the one before.
+	runs atomic.Uint32
 }
 
 func newSurvivorTable() *survivorTable {
@@ -41,14 +43,25 @@
 // add records a response to a request that has the trait with the hash.
 func (t *survivorTable) add(hash uint64, now time.Time) {
 	slot := &t.slots[hash%survivorSlots]
+	if slot.hash.Load() != hash || now.Sub(t.start)-time.Duration(slot.at.Load()) > survivorAge {
+		slot.runs.Store(0)
+	}
+	slot.runs.Add(1)
 	slot.at.Store(int64(now.Sub(t.start)))
 	slot.hash.Store(hash)
 }
 
-// contains reports whether there was such a response within survivorAge.
+// contains reports whether there were attempt.ClearingRuns such responses in a row, the last within survivorAge.
 func (t *survivorTable) contains(hash uint64, now time.Time) bool {
 	slot := &t.slots[hash%survivorSlots]
-	return slot.hash.Load() == hash && now.Sub(t.start)-time.Duration(slot.at.Load()) <= survivorAge
+	return slot.hash.Load() == hash && slot.runs.Load() >= attempt.ClearingRuns && now.Sub(t.start)-time.Duration(slot.at.Load()) <= survivorAge
+}
+
+// recordBroken records that a send of a request that has the trait with the hash was broken.
+func (t *survivorTable) recordBroken(hash uint64) {
+	if slot := &t.slots[hash%survivorSlots]; slot.hash.Load() == hash {
+		slot.runs.Store(0)
+	}
 }
 
 // traitHash identifies a prompt part in the survivor table.
