Tell a trait that crashes at times from sound parts beside other causes

Cause: with served runs weighed, ends that a trait's served runs outweigh counted as ends by chance and lowered the evidence of its later ones, some served runs counted twice (after an end and, in the register's own count, after the next reported one), and a part that sound requests share could be taken for a cause that crashes at times.

Change: all ends at which a trait was running are left out of its own rate of ends unless another trait explains them better; runs that were served before an end is reported count as before it; where served runs are weighed, an end counts up to 8 nats, since a sound request may end its server in one of 4,096 runs; a trait that was served between its ends must explain them better than all other traits, and any trait must explain two events better while two young causes are assumed. TestRequestThatCrashesAtTimesIsRefusedByAllEntries is the observed case with real entries.

Ruled out: a trial run that is spaced further apart the longer a suspect runs; sound suspects would wait as long.

--- a/internal/attempt/crash_decision.go
+++ b/internal/attempt/crash_decision.go
@@ -59,21 +59,28 @@
 // decide quarantines a trait if it explains its events better than the other traits. If some explain them nearly as well,
 // only requests that have all of these are refused: one of them is the cause. A request with some of them still runs, and
 // its end tells which. Until ReturnFor after the first event there may soon be more evidence against traits that have
-// little: up to youngCauses of them may turn out to be the cause.
+// little: up to youngCauses of them may turn out to be the cause. A trait that was served between its events must explain them
+// better than all others at any time: a part of many requests is served, and may have run at the ends by several causes.
 func (r *CrashRegister) decide(now time.Time, suspect *suspectCase, strong, all []*suspectCase) {
 	others := strong
-	if !suspect.trait.IsPart() {
+	if suspect.atTimes {
+		others = all
+	} else if !suspect.trait.IsPart() {
 		// Two requests never share a run, so that another one with little evidence is a cause of its own.
 		others = slices.DeleteFunc(slices.Clone(all), func(other *suspectCase) bool { return other.trait.IsPart() && !slices.Contains(strong, other) })
 	}
 	unexplained := suspect.unexplainedBy(others)
 	margin := totalNats(unexplained)
 	decidable := suspect.events[0].ends[0].at.Add(r.config.ReturnFor)
-	if margin >= r.config.Margin && now.Before(decidable) {
+	if margin >= r.config.Margin && (suspect.atTimes || now.Before(decidable)) {
 		for range youngCauses {
 			unexplained = suspect.withoutBest(unexplained, all)
 		}
 		margin = totalNats(unexplained)
+		if countAbove(unexplained, 1) < 2 {
+			// One of the ends may have happened by chance.
+			margin = 0
+		}
 	}
 	if margin >= r.config.Margin {
 		r.quarantineAll(now, suspect, []Fingerprint{suspect.trait}, margin)
@@ -128,6 +135,17 @@
 	return least
 }
 
+// countAbove returns the number of values above the limit.
+func countAbove(values []float64, limit float64) int {
+	count := 0
+	for _, value := range values {
+		if value > limit {
+			count++
+		}
+	}
+	return count
+}
+
 // totalNats returns the sum of the values.
 func totalNats(values []float64) float64 {
 	total := 0.0
--- a/internal/attempt/crash_evidence.go
+++ b/internal/attempt/crash_evidence.go
@@ -21,6 +21,8 @@
 	// ends are the ends at which the trait was running and that no other quarantined trait explains, in the order of time; once
 	// the case is weighed, those since the first that the trait's served runs do not outweigh.
 	ends []*serverEnd
+	// running are all ends at which the trait was running, also those that are not counted in ends.
+	running []*serverEnd
 	// served has the numbers of the trait's runs that were served before each end, and after the last.
 	served []int
 	// compared has the evidence of each end for comparisons with other traits, which is not limited to MaxEvidence.
@@ -29,12 +31,14 @@
 	events []crashEvent
 	// strength is the evidence of all events and of the served runs.
 	strength float64
+	// atTimes is true if the events are explained best if only a share of the trait's runs end their server.
+	atTimes bool
 }
 
 // crashEvent is one or several ends of servers at the same moment.
 type crashEvent struct {
 	ends []*serverEnd
-	// nats is the evidence of the end with the most.
+	// nats is the evidence of the end with the most, which is not limited.
 	nats float64
 }
 
@@ -130,12 +134,29 @@
 		single := trait.IsPart() && len(r.suspects) <= maxSuspectsWithSingles
 		if (len(servers) > 1 || single) && r.quarantine.Left(now, trait) == 0 {
 			ends, served := r.settledEnds(now, trait, servers)
-			a.cases = append(a.cases, &suspectCase{trait: trait, ends: ends, served: served})
+			a.cases = append(a.cases, &suspectCase{trait: trait, ends: ends, served: served, running: slices.Clone(ends)})
 		}
 	}
+	a.addSurvivedEnds()
 	return a
 }
 
+// addSurvivedEnds adds the ends that the served runs of a suspect outweigh to those at which it was running: if the suspect
+// ends servers at times, they are no ends by chance.
+func (a *assessment) addSurvivedEnds() {
+	cases := make(map[Fingerprint]*suspectCase, len(a.cases))
+	for _, suspect := range a.cases {
+		cases[suspect.trait] = suspect
+	}
+	for end := range a.unexplained {
+		for trait, run := range end.runs {
+			if suspect := cases[trait]; run.survived && suspect != nil {
+				suspect.running = append(suspect.running, end)
+			}
+		}
+	}
+}
+
 // settledEnds returns the ends that count against a trait, in the order of time, and the numbers of served runs before each
 // and after the last. It plans another assessment for those that have not settled.
 func (r *CrashRegister) settledEnds(now time.Time, trait Fingerprint, servers []ServerInstance) (ends []*serverEnd, served []int) {
@@ -169,11 +190,10 @@
 	for _, suspect := range a.cases {
 		nats := make([]float64, len(suspect.ends))
 		for i, end := range suspect.ends {
-			nats[i] = min(a.chanceNats(end, suspect.trait, nil), a.register.config.MaxEvidence)
+			nats[i] = a.chanceNats(end, suspect.trait, nil)
 		}
-		weight := weighOutcomes(nats, suspect.served)
-		strength := weight.strength
-		for _, end := range suspect.ends[weight.first:] {
+		strength := a.register.config.weighOutcomes(nats, suspect.served).strength
+		for _, end := range suspect.running {
 			switch {
 			case strength > best[end]:
 				best[end], a.owners[end] = strength, []Fingerprint{suspect.trait}
@@ -199,7 +219,7 @@
 	config := &a.register.config
 	suspect.compared = map[*serverEnd]float64{}
 	var owned []*serverEnd
-	for _, end := range suspect.ends {
+	for _, end := range suspect.running {
 		if slices.Contains(a.owners[end], suspect.trait) {
 			owned = append(owned, end)
 		}
@@ -209,7 +229,7 @@
 	for i, end := range suspect.ends {
 		since += suspect.served[i]
 		chance, together := a.chanceNats(end, suspect.trait, owned), a.togetherNats(end, suspect)
-		nats := min(chance, together, config.MaxEvidence)
+		nats := min(chance, together)
 		suspect.compared[end] = min(chance, together)
 		last := len(suspect.events) - 1
 		if last >= 0 && config.sameMoment(suspect.events[last].ends[0], end, suspect.trait) {
@@ -220,26 +240,26 @@
 		suspect.events = append(suspect.events, crashEvent{ends: []*serverEnd{end}, nats: nats})
 		served, since = append(served, since), 0
 	}
-	suspect.weighServed(append(served, since+suspect.served[len(suspect.ends)]))
+	suspect.weighServed(config, append(served, since+suspect.served[len(suspect.ends)]))
 }
 
 // weighServed weighs the evidence of the events against the numbers of served runs before each and after the last. What the
 // served runs take away, they take from each event in proportion.
-func (c *suspectCase) weighServed(served []int) {
+func (c *suspectCase) weighServed(config *CrashConfig, served []int) {
 	nats, total := make([]float64, len(c.events)), 0.0
 	for i := range c.events {
 		nats[i] = c.events[i].nats
 	}
-	weight := weighOutcomes(nats, served)
-	c.events, c.strength, c.ends = c.events[weight.first:], weight.strength, nil
+	weight := config.weighOutcomes(nats, served)
+	c.events, c.strength, c.atTimes, c.ends = c.events[weight.first:], weight.strength, weight.share < 1, nil
 	for i := range c.events {
-		total += c.events[i].nats
+		total += min(c.events[i].nats, config.MaxEvidence)
 		c.ends = append(c.ends, c.events[i].ends...)
 	}
 	compared := map[*serverEnd]float64{}
 	for _, end := range c.ends {
 		if total > 0 {
-			compared[end] = c.compared[end] * c.strength / total
+			compared[end] = c.compared[end] * min(c.strength/total, 1)
 		}
 	}
 	c.compared = compared
--- a/internal/attempt/crash_register.go
+++ b/internal/attempt/crash_register.go
@@ -11,9 +11,9 @@
 // CrashConfig configures a CrashRegister.
 type CrashConfig struct {
 	// EvidenceLimit is the evidence, in nats, at which a trait is quarantined. MinEnds is the number of ends below which
-	// it never is. MaxEvidence bounds the evidence of one end.
-	EvidenceLimit, MaxEvidence float64
-	MinEnds                    int
+	// it never is. MaxEvidence bounds the evidence of one end, MaxShareEvidence where served runs are weighed against the ends.
+	EvidenceLimit, MaxEvidence, MaxShareEvidence float64
+	MinEnds                                      int
 	// TrialEvidenceLimit is the evidence at which a request is quarantined that has ended ConfirmingTrials servers in trial runs.
 	TrialEvidenceLimit float64
 	ConfirmingTrials   int
@@ -42,11 +42,12 @@
 }
 
 // DefaultCrashConfig returns the default configuration. A trait that alone explains three ends within short runs is
-// quarantined. The evidence limit corresponds to a probability of 6 in a million for a sound one.
+// quarantined. The evidence limit corresponds to a probability of 6 in a million for a sound one. Of the runs of a sound request
+// one in 4,096 may end its server, which is 8.3 nats.
 func DefaultCrashConfig() CrashConfig {
 	suspects := DefaultSuspectConfig()
 	return CrashConfig{
-		EvidenceLimit: 12, MaxEvidence: 5, MinEnds: 3, TrialEvidenceLimit: 8, ConfirmingTrials: 2, Margin: 5,
+		EvidenceLimit: 12, MaxEvidence: 5, MaxShareEvidence: 8, MinEnds: 3, TrialEvidenceLimit: 8, ConfirmingTrials: 2, Margin: 5,
 		SettleTime: 150 * time.Millisecond, SameMoment: 60 * time.Millisecond, SequenceGap: 500 * time.Millisecond, ListDelay: 5 * time.Second,
 		ObserveFor: 10 * time.Second, PriorEnds: 4, ReturnFor: 2500 * time.Millisecond,
 		BrokenFor: 8 * time.Second, SuspectFor: suspects.SuspectFor, QuarantineFor: suspects.QuarantineFor,
@@ -161,7 +162,9 @@
 	duration time.Duration
 	// survived is true if the trait's served runs outweigh the end, before it or since.
 	survived bool
-	// servedBefore is the number of runs that were served shortly before a pending send was broken.
+	// sent is true if the register's own entry sent the requests, servedBefore the number of runs that it served shortly
+	// before. Both are used until the run is added to its end.
+	sent         bool
 	servedBefore uint16
 	// closed is true if all responses to requests with the trait looked complete, but ended with their connection.
 	closed bool
@@ -262,7 +265,7 @@
 // eachRun calls add with each trait of the request and its run, which ends now.
 func (s *BrokenSend) eachRun(now time.Time, add func(trait Fingerprint, run endedRun)) {
 	for _, trait := range s.Suspected {
-		add(trait, endedRun{duration: now.Sub(s.StartedAt), closed: s.Closed})
+		add(trait, endedRun{duration: now.Sub(s.StartedAt), closed: s.Closed, sent: true})
 	}
 	for _, trait := range s.Survived {
 		add(trait, endedRun{duration: now.Sub(s.StartedAt), survived: true})
@@ -281,7 +284,7 @@
 // mergeRuns returns the run that is less evidence against a trait, field by field.
 func mergeRuns(a, b endedRun) endedRun {
 	return endedRun{
-		duration: max(a.duration, b.duration), survived: a.survived || b.survived, servedBefore: max(a.servedBefore, b.servedBefore),
+		duration: max(a.duration, b.duration), survived: a.survived || b.survived, sent: a.sent || b.sent, servedBefore: max(a.servedBefore, b.servedBefore),
 		closed: a.closed && b.closed,
 	}
 }
@@ -393,8 +396,8 @@
 // addRun adds a run to an end, or merges it with what is known of it.
 func (r *CrashRegister) addRun(now time.Time, server ServerInstance, end *serverEnd, trait Fingerprint, run endedRun) {
 	old, known := end.runs[trait]
-	before := run.servedBefore
-	run.closed, run.servedBefore = false, 0
+	added := run
+	run.closed, run.sent, run.servedBefore = false, false, 0
 	merged := mergeRuns(old, run)
 	// The end itself may have been dropped when one of its runs was added to a full register.
 	if known && merged == old || r.ends[server] != end {
@@ -408,7 +411,7 @@
 	switch {
 	case !merged.survived && !known:
 		r.suspects[trait] = append(r.suspects[trait], server)
-		r.addRecent(now, server, end, trait, before)
+		r.addRecent(now, server, end, trait, added)
 	case merged.survived && !old.survived:
 		r.cleared[trait]++
 		delete(end.served, trait)
--- a/internal/attempt/crash_served.go
+++ b/internal/attempt/crash_served.go
@@ -83,15 +83,16 @@
 	return recent
 }
 
-// addRecent records the trait's recently served runs at an end that has just become known: those before its send was broken,
-// and those since.
-func (r *CrashRegister) addRecent(now time.Time, server ServerInstance, end *serverEnd, trait Fingerprint, before uint16) {
-	recent := r.takeRecent(now, trait)
-	if !recent.lastAt.After(end.at) {
-		before, recent.runs = max(before, recent.runs), 0
+// addRecent records the trait's recently served runs at an end that has just become known: those before the entry's own send was
+// broken, and those since. If another entry reports the end, the runs since are not known apart and count as before.
+func (r *CrashRegister) addRecent(now time.Time, server ServerInstance, end *serverEnd, trait Fingerprint, run endedRun) {
+	recent, before := r.takeRecent(now, trait).runs, servedKey{entry: r.number, before: true}
+	if !run.sent {
+		r.setServed(now, server, end, trait, before, recent)
+		return
 	}
-	r.setServed(now, server, end, trait, servedKey{entry: r.number, before: true}, before)
-	r.setServed(now, server, end, trait, servedKey{entry: r.number}, recent.runs)
+	r.setServed(now, server, end, trait, before, run.servedBefore)
+	r.setServed(now, server, end, trait, servedKey{entry: r.number}, recent)
 }
 
 // recordServedSince counts a served run of a suspect since its last end.
@@ -161,10 +162,9 @@
 	slices.SortFunc(ends, func(a, b *serverEnd) int { return a.at.Compare(b.at) })
 	nats := make([]float64, len(ends))
 	for i := range nats {
-		nats[i] = r.config.MaxEvidence
+		nats[i] = r.config.MaxShareEvidence
 	}
-	weight := weighOutcomes(nats, servedBetween(trait, ends))
-	return weight.first == len(nats)
+	return r.config.weighOutcomes(nats, servedBetween(trait, ends)).first == len(nats)
 }
 
 // servedBetween returns the numbers of served runs before each end, and after the last: those that the entries know since the
@@ -201,6 +201,8 @@
 	// strength is the evidence in nats since the first end that counts; first is its index, the number of ends if none does.
 	strength float64
 	first    int
+	// share is the share of runs that end their server which explains the outcomes best.
+	share float64
 }
 
 // weighOutcomes weighs the evidence of each end, in nats, against the numbers of served runs before each and after the last.
@@ -208,27 +210,31 @@
 // trait cannot gather credit for later. If each run of the trait ends its server, one served run outweighs all ends; if a
 // share of them does, an end is less evidence, by the logarithm of the share, and a served run is evidence to the contrary, of
 // the logarithm of the rest. The share that explains the outcomes best counts.
-func weighOutcomes(nats []float64, served []int) outcomeWeight {
-	best := outcomeWeight{first: len(nats)}
+func (c *CrashConfig) weighOutcomes(nats []float64, served []int) outcomeWeight {
+	best := outcomeWeight{first: len(nats), share: 1}
 	for i := len(nats) - 1; i >= 0 && served[i+1] == 0; i-- {
-		best.strength += nats[i]
+		best.strength += min(nats[i], c.MaxEvidence)
 		best.first = i
 	}
 	for _, share := range crashShares {
-		weight := outcomeWeight{first: len(nats)}
+		weight, runs := outcomeWeight{first: len(nats), share: share}, 0
 		for i := range nats {
 			if weight.first == len(nats) {
-				weight.first, weight.strength = i, 0
+				weight.first, weight.strength, runs = i, 0, 0
 			}
-			weight.strength += nats[i] + math.Log(share) + float64(served[i+1])*math.Log(1-share)
+			runs += served[i+1]
+			weight.strength += min(nats[i], c.MaxShareEvidence) + math.Log(share) + float64(served[i+1])*math.Log(1-share)
 			if weight.strength <= 0 {
-				weight = outcomeWeight{first: len(nats)}
+				weight.first = len(nats)
 			}
 		}
-		if weight.strength -= sharePenalty; weight.first < len(nats) && weight.strength > best.strength {
+		weight.strength -= sharePenalty
+		switch {
+		case weight.first == len(nats) || runs == 0:
+		case weight.strength > best.strength:
 			best = weight
-		} else if best.first == len(nats) && weight.first < len(nats) {
-			best = outcomeWeight{first: weight.first}
+		case best.first == len(nats):
+			best = outcomeWeight{first: weight.first, share: share}
 		}
 	}
 	return best
--- a/internal/gateway/crash_requests_test.go
+++ b/internal/gateway/crash_requests_test.go
@@ -43,13 +43,16 @@
 	downtime, runTime time.Duration
 
 	mu sync.Mutex
+	// spared decides whether the server survives a run of a crash request; nil if it never does.
+	spared func() bool
 	// unframed lets responses end with their connection, also those that a crash cuts off.
 	unframed bool
 	// crashes has the times of all crashes, runs the identifiers of all requests that were run.
 	crashes []time.Time
 	runs    map[string]int
-	// crashRunAt has the times of the runs of crash requests, by identifier the first one.
+	// crashRunAt has the times of the runs of crash requests, by identifier the first one, crashRuns those of all runs.
 	crashRunAt map[string]time.Time
+	crashRuns  []time.Time
 }
 
 // newCrashingServers starts servers of both test services and lists them in the store.
@@ -109,6 +112,8 @@
 		if _, known := s.crashRunAt[id]; !known {
 			s.crashRunAt[id] = time.Now()
 		}
+		s.crashRuns = append(s.crashRuns, time.Now())
+		crashes = s.spared == nil || !s.spared()
 		s.mu.Unlock()
 		time.Sleep(s.runTime)
 	}
