--- a/internal/admission/late_mode_test.go
+++ b/internal/admission/late_mode_test.go
@@ -83,6 +83,10 @@
 	retry := admission.TroughRetry{Base: time.Second, Forecast: peakForecast(300*time.Millisecond, 3.3, 3.3), Remaining: 8 * time.Second}
 	c.Assert(retry.After(0), qt.Equals, 900*time.Millisecond)
 	c.Assert(retry.After(0.999) > 1800*time.Millisecond, qt.IsTrue)
+	falling := retry
+	falling.Slope = -0.2
+	c.Assert(falling.After(0) > 1500*time.Millisecond, qt.IsTrue)
+	c.Assert(falling.After(0.999) <= falling.Remaining/3, qt.IsTrue)
 	retry.Forecast.InPeak, retry.Forecast.PeakLeft = true, 400*time.Millisecond
 	c.Assert(retry.After(0), qt.Equals, 400*time.Millisecond)
 	retry.Remaining = 900 * time.Millisecond
--- a/internal/admission/trough_retry.go
+++ b/internal/admission/trough_retry.go
@@ -40,8 +40,8 @@
 			start = r.Forecast.NextPeak + r.Forecast.PeakLasts
 		}
 		window := time.Duration(retryWindow * float64(r.Forecast.Interval))
-		if later := start + r.Forecast.Interval; r.Slope < fallingSlope && later+window <= longest {
-			start = later
+		if r.Slope < fallingSlope {
+			start = max(start, longest-window)
 		}
 		after := start + time.Duration(random*float64(window))
 		return max(min(after, longest), minPeakRetry)
