--- a/internal/admission/arrival_trend.go
+++ b/internal/admission/arrival_trend.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Constants of ArrivalTrend.
 const (
@@ -54,16 +57,19 @@
 	return t.over(4, 0)
 }
 
-// Slope returns the change of the rate per second, relative to the rate; 0 until there is enough to compare.
-func (t *ArrivalTrend) Slope(now time.Time) float64 {
+// Slope returns the change of the rate per second, relative to the rate, and its standard error if arrivals are independent;
+// 0 until there is enough to compare.
+func (t *ArrivalTrend) Slope(now time.Time) (slope, standardError float64) {
 	t.advance(now)
 	const half = (trendBuckets - 2) / 2
 	if t.bucket-t.first <= 2*half {
-		return 0
+		return 0, 0
 	}
 	late, early := t.over(half, 0), t.over(half, half)
 	if late+early == 0 {
-		return 0
+		return 0, 0
 	}
-	return (late - early) / (half * trendBucket.Seconds()) / ((late + early) / 2)
+	span := half * trendBucket.Seconds()
+	mean := (late + early) / 2
+	return (late - early) / span / mean, math.Sqrt(2/(mean*span)) / span
 }
--- a/internal/admission/demand_shares.go
+++ b/internal/admission/demand_shares.go
@@ -30,9 +30,12 @@
 	Rate, Retries float64
 }
 
+// minDemandRate is the least rate in requests per second that is counted. Entries round to one request in about a second.
+const minDemandRate = 0.01
+
 // valid reports whether the rates can be used; a received message may contain anything.
 func (d CustomerDemand) valid() bool {
-	return d.Rate > 0 && !math.IsInf(d.Rate, 1) && d.Retries >= 0 && d.Retries <= d.Rate
+	return d.Rate >= minDemandRate && !math.IsInf(d.Rate, 1) && d.Retries >= 0 && d.Retries <= d.Rate
 }
 
 // DemandShares decides which fraction of the requests of each customer and priority a service admits. Customers get weighted
@@ -112,6 +115,17 @@
 	return result
 }
 
+// Shared reports whether there is more than one customer or priority. Otherwise a refusal serves nobody else.
+func (f *AdmittedFractions) Shared() bool {
+	if f == nil || len(f.customers) != 1 {
+		return f != nil
+	}
+	for _, share := range f.customers {
+		return len(share.demands) > 1
+	}
+	return false
+}
+
 func (s DemandShares) weight(customer ident.Customer) float64 {
 	if s.Weight == nil {
 		return 1
@@ -124,14 +138,14 @@
 
 // divideCapacity sets the weighted max-min shares of customers that are sorted by demand per weight.
 func divideCapacity(capacity float64, ordered []*customerShare) {
-	weights := 0.0
-	for _, share := range ordered {
-		weights += share.weight
+	// weights has the sum of the weights of each customer and those after it.
+	weights := make([]float64, len(ordered)+1)
+	for i := len(ordered) - 1; i >= 0; i-- {
+		weights[i] = weights[i+1] + ordered[i].weight
 	}
-	for _, share := range ordered {
-		share.share = min(share.rate, capacity*share.weight/weights)
+	for i, share := range ordered {
+		share.share = min(share.rate, max(capacity, 0)*share.weight/weights[i])
 		capacity -= share.share
-		weights -= share.weight
 	}
 }
 
--- a/internal/admission/demand_shares_test.go
+++ b/internal/admission/demand_shares_test.go
@@ -278,3 +278,14 @@
 		c.Assert(fractions.Of("a", 0), qt.Equals, 1.0)
 	}
 }
+
+// A single customer with a single priority has nobody to share with; only the gate may refuse its requests.
+func TestSingleCustomerSharesWithNobody(t *testing.T) {
+	c := qt.New(t)
+	demands := []admission.CustomerDemand{{Customer: "a", Rate: 600}}
+	c.Assert(admission.DemandShares{}.Fractions(400, demands).Shared(), qt.IsFalse)
+	demands = append(demands, admission.CustomerDemand{Customer: "a", Priority: 1, Rate: 100})
+	c.Assert(admission.DemandShares{}.Fractions(400, demands).Shared(), qt.IsTrue)
+	demands[1] = admission.CustomerDemand{Customer: "b", Rate: 100}
+	c.Assert(admission.DemandShares{}.Fractions(400, demands).Shared(), qt.IsTrue)
+}
--- a/internal/admission/late_mode_test.go
+++ b/internal/admission/late_mode_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -128,10 +129,39 @@
 	}
 	arrive(5000, func(int) float64 { return 40 })
 	c.Assert(trend.Rate(passAt(now)), qt.Equals, 40.0)
-	c.Assert(trend.Slope(passAt(now)), qt.Equals, 0.0)
+	slope := func() float64 {
+		slope, _ := trend.Slope(passAt(now))
+		return slope
+	}
+	c.Assert(slope(), qt.Equals, 0.0)
 	arrive(8000, func(ms int) float64 { return 40 - float64(ms-5000)/150 })
-	c.Assert(trend.Slope(passAt(now)) < -0.1, qt.IsTrue, qt.Commentf("%.2f", trend.Slope(passAt(now))))
+	c.Assert(slope() < -0.1, qt.IsTrue, qt.Commentf("%.2f", slope()))
 	arrive(12_000, func(ms int) float64 { return 20 + float64(ms-8000)/150 })
-	c.Assert(trend.Slope(passAt(now)) > 0.1, qt.IsTrue, qt.Commentf("%.2f", trend.Slope(passAt(now))))
+	c.Assert(slope() > 0.1, qt.IsTrue, qt.Commentf("%.2f", slope()))
 	c.Assert(trend.Rate(passAt(now+20_000)), qt.Equals, 0.0)
 }
+
+// A steady demand scatters. It must not count as falling, since refused callers would wait longer than needed.
+func TestSteadyDemandDoesNotCountAsFalling(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, rate := range []float64{10, 30, 100} {
+		var trend admission.ArrivalTrend
+		falling, asked := 0, 0
+		next := 0.0
+		for ms := range 600_000 {
+			for ; next <= float64(ms); next += random.ExpFloat64() * 1000 / rate {
+				trend.Record(passAt(ms))
+			}
+			if ms%500 == 0 && ms > 5000 {
+				retry := admission.TroughRetry{Base: 700 * time.Millisecond, Remaining: 8 * time.Second}
+				retry.Slope, retry.SlopeError = trend.Slope(passAt(ms))
+				if asked++; retry.After(0) > 700*time.Millisecond {
+					falling++
+				}
+			}
+		}
+		// Two standard errors leave 2.3%.
+		c.Check(falling*20 < asked, qt.IsTrue, qt.Commentf("rate %v: %d of %d", rate, falling, asked))
+	}
+}
--- a/internal/admission/pass_error.go
+++ b/internal/admission/pass_error.go
@@ -9,6 +9,9 @@
 	errorWindow = 1500 * time.Millisecond
 	// errorWeight is the weight of a new window in the mean.
 	errorWeight = 0.25
+	// fallingErrorWeight replaces errorWeight for a window with a smaller error. A margin that stays after a straggler or a
+	// held group has ended refuses streams without need.
+	fallingErrorWeight = 0.5
 	// maxPassMargin bounds the margin. What exceeds the prediction by more is no error of the model, but a straggler or
 	// a held group, for which refusing streams does not help.
 	maxPassMargin = 0.2
@@ -26,9 +29,14 @@
 func (e *PassError) Record(now time.Time, measured, predicted time.Duration) {
 	if now.Sub(e.windowStart) > errorWindow {
 		if e.measured > 0 && e.predicted > 0 {
-			excess := float64(e.measured)/float64(e.predicted) - 1
-			e.deviation += errorWeight * (max(excess-e.mean, e.mean-excess) - e.deviation)
-			e.mean += errorWeight * (excess - e.mean)
+			// A single held pass must not count for many windows.
+			excess := min(max(float64(e.measured)/float64(e.predicted)-1, -maxPassMargin), maxPassMargin)
+			weight := errorWeight
+			if excess < e.mean {
+				weight = fallingErrorWeight
+			}
+			e.deviation += weight * (max(excess-e.mean, e.mean-excess) - e.deviation)
+			e.mean += weight * (excess - e.mean)
 		}
 		e.windowStart, e.measured, e.predicted = now, 0, 0
 	}
--- a/internal/admission/pass_prediction_test.go
+++ b/internal/admission/pass_prediction_test.go
@@ -124,4 +124,7 @@
 	c.Assert(errors.Margin() > 0.09 && errors.Margin() < 0.15, qt.IsTrue, qt.Commentf("%.3f", errors.Margin()))
 	record(30_000, 60_000, 3)
 	c.Assert(errors.Margin(), qt.Equals, 0.2)
+	// A straggler that has recovered must not tighten admission for long.
+	record(60_000, 70_000, 1)
+	c.Assert(errors.Margin() < 0.1, qt.IsTrue, qt.Commentf("%.3f", errors.Margin()))
 }
--- a/internal/admission/passgate.go
+++ b/internal/admission/passgate.go
@@ -112,7 +112,7 @@
 // straggler keeps the writers that it has or loses them, and the other ranks share the rest evenly.
 func (g PassGate) slowestOwnPart(pace GroupPace, writers int, promptTokens float64) time.Duration {
 	if !pace.fewStragglers() {
-		return g.OwnPart(pace.SlowestRank(), float64(writers)/float64(pace.receiving()), promptTokens)
+		return g.OwnPart(pace.SlowestRank(), float64(writers)/float64(max(pace.Ranks, 1))+pace.crowding(writers), promptTokens)
 	}
 	// loadOf returns the writers that a straggler has left of those it had, as part of the given total.
 	loadOf := func(rank int) float64 {
@@ -122,7 +122,7 @@
 		}
 		return load * min(float64(writers)/float64(max(pace.Writers, 1)), 1)
 	}
-	others, left := pace.receiving(), float64(writers)
+	others, left := pace.Ranks, float64(writers)
 	slowest := time.Duration(0)
 	for rank, slowness := range pace.Slowness {
 		if slowness <= minStraggler {
@@ -133,7 +133,7 @@
 		left -= load
 		slowest = max(slowest, g.OwnPart(slowness, load, 0))
 	}
-	return max(slowest, g.OwnPart(1, max(left, 0)/float64(max(others, 1)), promptTokens))
+	return max(slowest, g.OwnPart(1, max(left, 0)/float64(max(others, 1))+pace.crowding(writers), promptTokens))
 }
 
 // passTimePerWriter returns the mean time that one more writer adds to a pass.
@@ -143,6 +143,13 @@
 	return (g.modelledPass(pace, writers+sample) - g.modelledPass(pace, writers)) / sample
 }
 
+// crowding returns by how many writers more than the mean a rank that gets new ones has with a total number of writers: those
+// that run stay where they are, and only some ranks get further ones.
+func (p GroupPace) crowding(writers int) float64 {
+	further := float64(max(writers-p.Writers, 0))
+	return further/float64(p.receiving()) - further/float64(max(p.Ranks, 1))
+}
+
 // receiving returns the number of ranks that get new requests.
 func (p GroupPace) receiving() int {
 	if p.Receiving <= 0 {
--- a/internal/admission/skew_peaks.go
+++ b/internal/admission/skew_peaks.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -69,18 +70,21 @@
 
 // Record records the skew of a report.
 func (s *SkewPeaks) Record(now time.Time, skew float64) {
+	if math.IsNaN(skew) || math.IsInf(skew, 0) {
+		return
+	}
 	skew = max(skew, 1)
 	switch {
 	case s.calm == 0:
 		s.calm = skew
 	case !s.inPeak && skew > peakStart*s.calm:
 		s.inPeak, s.started, s.highest = true, now, skew
+	case s.inPeak && now.Sub(s.started) > maxPeakTime:
+		s.inPeak, s.calm = false, skew
 	case s.inPeak && skew < max(peakEnd*s.calm, s.calm+peakFall*(s.highest-s.calm)):
 		s.inPeak = false
 		s.peaks = append(s.peaks, skewPeak{start: s.started, end: now, skew: s.highest})
 		s.peaks = s.peaks[max(len(s.peaks)-keptPeaks, 0):]
-	case s.inPeak && now.Sub(s.started) > maxPeakTime:
-		s.inPeak, s.calm = false, skew
 	case s.inPeak:
 		s.highest = max(s.highest, skew)
 	case skew < s.calm:
--- a/internal/admission/skew_peaks_test.go
+++ b/internal/admission/skew_peaks_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -126,3 +127,29 @@
 	}
 	c.Assert(last, qt.Equals, 320)
 }
+
+// A group that reports nothing for seconds during a peak, or a skew that is not a number, must not spoil the forecast.
+func TestGapsAndInvalidSkewsAreNoPeaks(t *testing.T) {
+	c := qt.New(t)
+	var peaks admission.SkewPeaks
+	at := 0
+	for range 4 {
+		for ms := 0; ms < 2670; ms += 150 {
+			skew := 1.3
+			if ms < 600 {
+				skew = 3
+			}
+			peaks.Record(passAt(at+ms), skew)
+		}
+		at += 2670
+	}
+	before := peaks.Forecast(passAt(at), 0).PeakLasts
+	c.Assert(before > 0, qt.IsTrue)
+	peaks.Record(passAt(at), 3)
+	at += 5000
+	peaks.Record(passAt(at), 1.3)
+	c.Assert(peaks.Forecast(passAt(at), 0).PeakLasts <= before, qt.IsTrue)
+	peaks.Record(passAt(at+150), math.NaN())
+	peaks.Record(passAt(at+300), math.Inf(1))
+	c.Assert(peaks.Forecast(passAt(at+300), 0).CalmSkew < 1.5, qt.IsTrue)
+}
--- a/internal/admission/slow_ranks.go
+++ b/internal/admission/slow_ranks.go
@@ -20,7 +20,7 @@
 // delaying them. So its streams are better off at other ranks, as long as these have room for them.
 //
 // Load pattern: one or more ranks turn slow for seconds while the group is busy. loads are the numbers of running and queued
-// streams by rank.
+// streams by rank; only the ranks that get new requests have room for others.
 func (g PassGate) SlowRanks(pace GroupPace, loads []int) []bool {
 	longest := time.Duration(maxPassFraction * float64(g.MaxEventGap))
 	if longest <= 0 || len(pace.Slowness) != len(loads) || len(loads) == 0 {
@@ -44,7 +44,7 @@
 	for _, rank := range order {
 		pass := g.ownPass(pace.Slowness[rank], max(loads[rank], 1)) + shared
 		saves := usual <= longest || float64(pass-usual) >= minPassReduction*float64(pass)
-		room := usableSlots * float64(g.Engine.Slots*(len(loads)-avoided-1))
+		room := usableSlots * float64(g.Engine.Slots*(pace.receiving()-avoided-1))
 		if pass <= longest || !saves || float64(total) > room {
 			break
 		}
--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -228,7 +228,7 @@
 	}
 	engine := d.engineModel(request.Service)
 	switch {
-	case request.overShare && engine != nil && !d.hasShareRoom(now, request, engine):
+	case request.overShare && engine != nil && d.fractionsOf(now, request.Service).Shared() && !d.hasShareRoom(now, request, engine):
 		return []Assignment{{
 			Request: request.ID, PromptTokens: request.PromptTokens, Waited: now.Sub(request.Arrived), ReportAge: -1,
 			Cause: outcome.CauseOverShare, CausedBy: d.fractionsOf(now, request.Service).CausedBy(), Share: request.share,
--- a/internal/control/dispatch_ranks.go
+++ b/internal/control/dispatch_ranks.go
@@ -29,6 +29,8 @@
 	promptRate float64
 	// openRequests is the number of this entry's open requests at the group.
 	openRequests int
+	// tooLate is true if there is no server since the request would start late.
+	tooLate bool
 	// retryAfter is the time until enough streams have ended if there is no server.
 	retryAfter time.Duration
 }
@@ -95,6 +97,8 @@
 		byGroup[server.Group] = append(byGroup[server.Group], server)
 	}
 	var best, full rankChoice
+	// refusesAll is true if the groups would refuse any new request, not just one with this prompt and these servers.
+	refusesAll := len(d.evacuated.returnedAt) == 0
 	assignment.Outage = true
 	for _, name := range slices.Sorted(maps.Keys(byGroup)) {
 		if d.unavailable(now, name, byGroup[name], request) {
@@ -107,6 +111,7 @@
 		case choice.server == nil && (assignment.Outage || choice.retryAfter < full.retryAfter):
 			full = choice
 		}
+		refusesAll = refusesAll && !choice.tooLate
 		assignment.Outage = false
 	}
 	if best.server == nil {
@@ -114,10 +119,10 @@
 		d.keepQueued(gate, request, assignment, byGroup)
 		retry := admission.TroughRetry{Base: full.retryAfter, Forecast: full.pace.Forecast}
 		if trend := d.arrivals[request.Service]; trend != nil {
-			retry.Slope = trend.Slope(now)
+			retry.Slope, retry.SlopeError = trend.Slope(now)
 		}
 		assignment.RetryAfter = d.retryAfter(now, request, retry)
-		if d.full != nil && first && !assignment.Outage {
+		if d.full != nil && first && refusesAll && !assignment.Outage {
 			d.full[key] = fullGroups{choice: full, groups: byGroup, retry: retry}
 		}
 		return nil
@@ -190,7 +195,7 @@
 	compared := d.comparedRanks(gate, group, pace, len(servers))
 	d.cheapestRank(now, gate, &choice, servers, compared, request)
 	if choice.decision.Limit > 0 && !request.Resumed && choice.startsLate(now, gate, request) {
-		choice.server = nil
+		choice.server, choice.tooLate = nil, true
 	}
 	return choice
 }
--- a/internal/control/evacuations.go
+++ b/internal/control/evacuations.go
@@ -50,6 +50,9 @@
 		}
 	}
 	d.evacuated.zones = slices.Clone(zones)
+	for _, group := range d.groups {
+		group.pace.Receiving = d.receivingRanks(group)
+	}
 	for zone, at := range d.evacuated.returnedAt {
 		if now.Sub(at) >= zoneReturn || slices.Contains(zones, zone) {
 			delete(d.evacuated.returnedAt, zone)
@@ -105,7 +108,7 @@
 func (d *Dispatcher) receivingRanks(group *groupState) int {
 	receiving := 0
 	for _, server := range group.ranks {
-		if d.mayReceive(server) {
+		if d.mayReceive(server) && !server.Avoided {
 			receiving++
 		}
 	}
--- a/internal/control/group_forecast.go
+++ b/internal/control/group_forecast.go
@@ -72,7 +72,6 @@
 		return admission.GroupPace{}, false
 	}
 	pace := group.pace
-	pace.Receiving = d.receivingRanks(group)
 	pace.Forecast = pace.Forecast.Elapsed(now.Sub(pace.ReceivedAt))
 	pace.Forecast.Late = group.forecast.serveLate(now, gate, pace, demand)
 	group.pace.Forecast.Late = pace.Forecast.Late
--- a/internal/control/slow_ranks.go
+++ b/internal/control/slow_ranks.go
@@ -24,7 +24,11 @@
 // updateSlowRanks decides from the group's last report which ranks get no streams. These delay no passes once their streams
 // have left, so that the predictions take them for usual ones.
 func (d *Dispatcher) updateSlowRanks(now time.Time, group *groupState) {
-	loads := make([]int, group.pace.Ranks)
+	for _, server := range group.ranks {
+		server.Avoided = false
+	}
+	group.pace.Receiving = d.receivingRanks(group)
+	loads := make([]int, max(group.pace.Ranks, 0))
 	var service ident.Service
 	for _, server := range group.ranks {
 		if rank := int(server.Rank); rank >= 0 && rank < len(loads) {
@@ -47,6 +51,7 @@
 			group.pace.Slowness[rank] = 1
 		}
 	}
+	group.pace.Receiving = d.receivingRanks(group)
 }
 
 // SlowRanks returns the ranks at which this entry has streams that should continue elsewhere.
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -76,8 +76,9 @@
 	return key
 }
 
-// close counts the outcome of an open call.
-func (a *callAccount) close(key admission.ClassKey, result outcome.Outcome) {
+// close counts the outcome of an open call. key is what open returned, class the customer and class of the call, by which the
+// log names refusals.
+func (a *callAccount) close(key, class admission.ClassKey, result outcome.Outcome) {
 	limit := admission.LimitNone
 	switch result.Cause {
 	case outcome.CauseOverShare:
@@ -91,7 +92,7 @@
 	defer a.mu.Unlock()
 	a.account.Close(key, result, limit, 1)
 	if result.Kind == outcome.NotRun && (limit == admission.LimitShare || limit == admission.LimitCapacity) {
-		a.refusals[refusalKey{key, result.Cause, result.CausedBy}]++
+		a.refusals[refusalKey{class, result.Cause, result.CausedBy}]++
 	}
 }
 
@@ -193,11 +194,15 @@
 
 // openAccount counts the arrival of the call. Its customer and class are empty if they are not known.
 func (c *call) openAccount() {
+	c.accountKey, c.accountOpen = c.gateway.account.open(c.classKey()), true
+}
+
+func (c *call) classKey() admission.ClassKey {
 	key := admission.ClassKey{Customer: c.access.Customer}
 	if c.route != nil {
 		key.Class = ident.Class(c.route.Name)
 	}
-	c.accountKey, c.accountOpen = c.gateway.account.open(key), true
+	return key
 }
 
 // closeAccount counts the outcome of the call; a call that a panic ended may have run.
@@ -206,7 +211,7 @@
 		c.openAccount()
 	}
 	c.accountOpen = false
-	c.gateway.account.close(c.accountKey, c.result)
+	c.gateway.account.close(c.accountKey, c.classKey(), c.result)
 	if c.result.Kind == outcome.NotRun && (c.result.Cause == outcome.CauseOverShare || c.result.Cause == outcome.CauseBackendsFull) {
 		c.gateway.account.recordRefused(time.Now(), c.retryHash())
 	}
--- a/internal/gateway/account_test.go
+++ b/internal/gateway/account_test.go
@@ -105,7 +105,7 @@
 					key := account.open(admission.ClassKey{Customer: ident.Customer(fmt.Sprint((i*7 + worker) % customers)), Class: "x"})
 					result := outcome.Outcome{Kind: outcome.Kind(kinds[i%len(kinds)]), Cause: outcome.CauseOverShare, CausedBy: ident.Customer(fmt.Sprint(i % 90))}
 					if i%5 != 0 {
-						account.close(key, result)
+						account.close(key, key, result)
 					}
 				}
 			})
@@ -134,7 +134,8 @@
 		for range times {
 			result := outcome.Refused(cause)
 			result.CausedBy = "flood"
-			account.close(account.open(admission.ClassKey{Customer: customer, Class: "drafts"}), result)
+			key := admission.ClassKey{Customer: customer, Class: "drafts"}
+			account.close(account.open(key), key, result)
 		}
 	}
 	refuse("flood", outcome.CauseOverShare, 9)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -210,6 +210,7 @@
 	c.service = c.route.Choose(rand.Uint64())
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	defer c.releaseReplacement()
 	reason := control.SendReasonFirst
 	for {
 		assigned, ok := c.nextAssignment(ctx, reason)
@@ -242,6 +243,14 @@
 	}
 }
 
+// releaseReplacement ends the assignment of a backend server that was to continue a stream, if the call ends before it does.
+func (c *call) releaseReplacement() {
+	if c.replacement != nil {
+		c.gateway.recordSendEnd(c.replacement, routing.SendAbandoned, 0, nil)
+		c.replacement = nil
+	}
+}
+
 // nextAssignment returns the backend server that continues a stalled stream if there is one, or requests an assignment.
 func (c *call) nextAssignment(ctx context.Context, reason control.SendReason) (control.Assignment, bool) {
 	if c.replacement != nil {
@@ -293,9 +302,12 @@
 	if runs := c.runs.Possible(); runs > 0 && (!c.route.Repeatable() || runs >= c.route.MaxServers) {
 		return false
 	}
-	return len(c.tried) < c.route.MaxServers+extraSends
+	return c.mayTryAfter(len(c.tried))
 }
 
+// mayTryAfter reports whether the request may be sent once more after a number of sends.
+func (c *call) mayTryAfter(sends int) bool { return sends < c.route.MaxServers+extraSends }
+
 // requestAssignment requests a backend server from the control thread and waits for the assignment. It returns false if
 // the call ended first.
 func (c *call) requestAssignment(ctx context.Context, request control.BackendRequest) (control.Assignment, bool) {
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -7,7 +7,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bramleyspool/bramleyspool/internal/control"
-	"github.com/bramleyspool/bramleyspool/internal/outcome"
 )
 
 // streamTable has the watchdogs of running streams by the ID of their backend server. It is safe for concurrent use.
@@ -67,20 +66,15 @@
 
 // move lets another rank continue the stream if one has room.
 func (w *stallWatchdog) move() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.ended || w.ctx.Err() != nil {
-		return
-	}
 	request := w.request
 	request.Arrived, request.OtherGroupOnly, request.Moved = time.Now(), false, true
-	assigned, ok := w.call.requestAssignment(w.ctx, request)
-	result := "no-room"
-	if ok && assigned.Cause == outcome.CauseNone {
-		result, w.moved = "moved", true
-		w.replaceBy(assigned)
+	replaced, asked := w.replaceStream(request, true)
+	switch {
+	case replaced:
+		w.call.gateway.metrics.countMove("moved")
+	case asked:
+		w.call.gateway.metrics.countMove("no-room")
 	}
-	w.call.gateway.metrics.countMove(result)
 }
 
 // countMove counts a stream that is to leave a slow rank.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -28,6 +28,7 @@
 // thread.
 func (c *call) send(ctx context.Context, assigned control.Assignment) exchangeResult {
 	start := time.Now()
+	c.moved = false
 	result := c.exchange(ctx, assigned)
 	latency := time.Duration(0)
 	if result.sendResult == routing.SendServed && !c.firstByteAt.IsZero() {
@@ -38,9 +39,8 @@
 	}
 	evidence := c.crashEvidence(ctx, assigned.Backend, start, result.sendResult, c.replacement == nil)
 	c.gateway.recordSendEnd(&assigned, result.sendResult, latency, evidence)
-	if c.replacement != nil && (result.done || ctx.Err() != nil) {
-		c.gateway.recordSendEnd(c.replacement, routing.SendAbandoned, 0, nil)
-		c.replacement = nil
+	if result.done || ctx.Err() != nil {
+		c.releaseReplacement()
 	}
 	return result
 }
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -26,11 +26,14 @@
 	// replacement is the backend server that continues the stream; moved is true if the stream's own one has not failed.
 	replacement *control.Assignment
 	moved       bool
+	// requesting is closed when the request for a replacement in progress has been answered; nil if there is none. Events
+	// are passed on meanwhile.
+	requesting chan struct{}
 }
 
 // startWatchdog starts a watchdog for a stream; nil if another backend server may not continue it.
 func (c *call) startWatchdog(ctx context.Context, conn *backendConn) *stallWatchdog {
-	if c.route.Kind != routing.EventStream || !c.route.Repeatable() || c.runs.Possible() >= c.route.MaxServers {
+	if c.route.Kind != routing.EventStream || !c.route.Repeatable() || c.runs.Possible() >= c.route.MaxServers || !c.mayTryAfter(len(c.tried)+1) {
 		return nil
 	}
 	w := &stallWatchdog{call: c, ctx: ctx, conn: conn, request: c.replacementRequest(), server: c.assigned.Backend.ID}
@@ -51,21 +54,43 @@
 	}
 }
 
-// requestReplacement requests another backend server. If none is available, it tries again after another stall timeout.
+// requestReplacement requests another backend server for a stalled stream. If none is available, it tries again after another
+// stall timeout.
 func (w *stallWatchdog) requestReplacement() {
+	// The wait for a replacement starts now, not at the call's arrival.
+	request := w.request
+	request.Arrived = time.Now()
+	if replaced, asked := w.replaceStream(request, false); asked && !replaced {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !w.ended {
+			w.timer.Reset(streamStallTimeout)
+		}
+	}
+}
+
+// replaceStream requests a backend server that continues the stream. It returns whether there is one, and false for asked if the
+// stream has ended or another request is in progress.
+func (w *stallWatchdog) replaceStream(request control.BackendRequest, moved bool) (replaced, asked bool) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.ended || w.ctx.Err() != nil {
-		return
+	if w.ended || w.ctx.Err() != nil || w.requesting != nil {
+		w.mu.Unlock()
+		return false, false
 	}
-	// The wait for a replacement starts now, not at the call's arrival.
-	w.request.Arrived = time.Now()
-	assigned, ok := w.call.requestAssignment(w.ctx, w.request)
+	answered := make(chan struct{})
+	w.requesting = answered
+	w.mu.Unlock()
+	assigned, ok := w.call.requestAssignment(w.ctx, request)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.requesting = nil
+	defer close(answered)
 	if !ok || assigned.Cause != outcome.CauseNone {
-		w.timer.Reset(streamStallTimeout)
-		return
+		return false, true
 	}
+	w.moved = moved
 	w.replaceBy(assigned)
+	return true, true
 }
 
 // replaceBy lets another backend server continue the stream.
@@ -83,6 +108,13 @@
 	}
 	w.call.gateway.runningStreams.remove(w)
 	w.mu.Lock()
+	requesting := w.requesting
+	w.mu.Unlock()
+	if requesting != nil {
+		// The server that it assigns must be used or released.
+		<-requesting
+	}
+	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ended = true
 	w.timer.Stop()
