Leave slow ranks out of the forecast, and count writers before a limit

Change: no skew and no prediction error is recorded while ranks are slow; the limit before peaks is compared with the counted writers where all sends are known.

--- a/internal/admission/pass_decision.go
+++ b/internal/admission/pass_decision.go
@@ -49,6 +49,11 @@
 	}
 	if limited {
 		decision.Limit = limit.Now
+		// The estimate multiplies the change at one entry by the number of entries. With 18 entries it scatters by a tenth of
+		// the writers, which would refuse streams far below the limit.
+		if pace.CountedWriters > 0 {
+			writers = min(writers, pace.CountedWriters)
+		}
 		decision.Admitted = decision.Admitted && writers < limit.Now
 	}
 	return decision
--- a/internal/admission/passgate.go
+++ b/internal/admission/passgate.go
@@ -37,6 +37,8 @@
 	// Writers is the number of running and queued requests at all ranks. A writer is a request that generates tokens;
 	// the prediction treats queued requests like running ones.
 	Writers int
+	// CountedWriters is the number of writers as of now if all sends since the report are known; otherwise 0.
+	CountedWriters int
 	// Ranks is the number of ranks.
 	Ranks int
 	// Receiving is the number of ranks that get new requests; 0 for all.
--- a/internal/control/dispatch_ranks.go
+++ b/internal/control/dispatch_ranks.go
@@ -182,6 +182,7 @@
 	if fresh {
 		choice.pace, choice.reportAge = pace, now.Sub(pace.ReceivedAt)
 		choice.writers = gate.EstimateWriters(pace, choice.openRequests-group.openAtReport)
+		pace.CountedWriters = group.countedWriters(now)
 		choice.decision = gate.Decide(pace, choice.writers, demand)
 		added := choice.decision.Pass - gate.PredictPass(pace, choice.writers)
 		choice.pauses = added * time.Duration(choice.writers)
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -119,6 +119,19 @@
 	return g.openRequests() > 0 && now.Sub(g.progressAt) > stallTimeout
 }
 
+// countedWriters returns the number of requests at all ranks by the last report and the sends since, if this entry hears of all
+// sends; otherwise 0.
+func (g *groupState) countedWriters(now time.Time) int {
+	if g.silent > 0 {
+		return 0
+	}
+	writers := 0
+	for _, server := range g.ranks {
+		writers += server.Load(now)
+	}
+	return writers
+}
+
 // openRequests returns the number of this entry's open requests at the group.
 func (g *groupState) openRequests() int {
 	open := 0
@@ -223,7 +236,7 @@
 	}
 	d.updateSlowRanks(now, group)
 	if len(group.ranks) > 0 {
-		group.forecast.record(now, d.engineModel(group.ranks[0].Service), &group.pace)
+		group.forecast.record(now, d.engineModel(group.ranks[0].Service), &group.pace, group.slowness != nil)
 	}
 	d.recordGroupDemand(now, group, &report)
 	return d.assignWaiting(now)
--- a/internal/control/group_forecast.go
+++ b/internal/control/group_forecast.go
@@ -24,16 +24,19 @@
 // demandMaxAge is the time without a request after which a group has no demand.
 const demandMaxAge = time.Second
 
-// record adds a report to the forecast, and the forecast to the group's pace.
-func (f *groupForecast) record(now time.Time, engine *routing.EngineModel, pace *admission.GroupPace) {
+// record adds a report to the forecast, and the forecast to the group's pace. While ranks are slow, skew and passes say nothing
+// about the next jumps of demand: the skew is weighted by slowness, and passes last until the slow ranks have no streams.
+func (f *groupForecast) record(now time.Time, engine *routing.EngineModel, pace *admission.GroupPace, slowRanks bool) {
 	if engine == nil {
 		return
 	}
 	gate := admission.PassGate{Engine: engine}
-	if pace.Writers >= pace.Ranks {
+	if pace.Writers >= pace.Ranks && !slowRanks {
 		f.errors.Record(now, pace.Pass, gate.ModelledPass(*pace))
 	}
-	f.peaks.Record(now, pace.Skew)
+	if !slowRanks {
+		f.peaks.Record(now, pace.Skew)
+	}
 	pace.Forecast = f.peaks.Forecast(now, routing.LoadAge)
 	pace.Forecast.Margin = f.errors.Margin()
 	if now.Sub(f.demandAt) > demandMaxAge {
