Believe the pace of a slow rank that has no requests yet

Cause: the bound of a rank starts at 0 and is set only while the rank has running requests. A new leader, or a restart of the rank, made min(estimate, 0) count as 1, so that a slow rank whose streams had been moved away was reported as healthy. Entries sent streams there and passes got long.

Change: while no passes with requests of the rank are known, its estimate is not bounded as soon as passes of the group are known.

Ruled out: passes without requests of the rank as its bound (they are short because the rank is drained). The cost: an idle healthy rank with a false pace is believed until it gets requests, and holds fewer experts.

--- a/internal/expert/rankspeeds.go
+++ b/internal/expert/rankspeeds.go
@@ -35,7 +35,7 @@
 // estimate is the pace that the rank reports, bounded by the measured passes: all ranks execute each pass together, so
 // that a pass takes at least the slowness of the slowest rank with requests times the duration of a pass without requests. A
 // healthy rank that reports itself as slow is therefore taken to be at most as slow as the passes allow. A rank without
-// requests does not delay passes, so that its bound stays as it was.
+// requests does not delay passes, so that its bound stays as it was; if it has none yet, its pace is believed.
 //
 // The bound is the median of the last three passes, so that a single long pass does not change the estimate. RankSpeeds is
 // pure and not safe for concurrent use.
@@ -140,7 +140,7 @@
 		view := &s.ranks[rank]
 		estimate := view.estimate(now)
 		if view.updateBound(pass, idlePass); idlePass > 0 {
-			estimate = min(estimate, view.bound)
+			estimate = view.bounded(estimate, pass)
 		}
 		if estimate < minSlowness {
 			estimate = 1
@@ -163,6 +163,17 @@
 	return changes
 }
 
+// bounded returns an estimate bounded by the passes. While no passes with requests of the rank are known, it is not bounded
+// once passes of the group are known: a new leader would otherwise take a slow rank whose streams were moved away as
+// healthy, and entries would send new streams there. The cost is that a healthy rank with a false pace is believed until it
+// gets requests. Meanwhile it holds fewer experts than it could, but it lengthens no passes.
+func (r *rankSpeed) bounded(estimate float64, pass time.Duration) float64 {
+	if r.bound == 0 && pass > 0 {
+		return estimate
+	}
+	return min(estimate, r.bound)
+}
+
 // updateBound updates the bound by the duration of the latest passes. It falls only if the rank had requests in all of them,
 // since passes get short again as soon as a slow rank has none.
 func (r *rankSpeed) updateBound(pass, idlePass time.Duration) {
