Count the mean of passes that are reported together once

Cause: observePass inserted the mean once for each pass, so that a long pass that was reported together with the next filled two or three of the three values. Their median then followed a single long pass.

Change: the mean is one value.

Ruled out: the shortest possible pass for the others (unknown to the leader).

--- a/internal/expert/rankspeeds.go
+++ b/internal/expert/rankspeeds.go
@@ -124,9 +124,9 @@
 	}
 	passes, elapsed := step-s.step, now.Sub(s.stepAt)
 	if !s.stepAt.IsZero() && elapsed <= maxPassTime {
-		for range min(passes, recentPasses) {
-			s.passes = slices.Insert(s.passes, 0, elapsed/time.Duration(passes))
-		}
+		// The mean of passes that are reported together counts once, so that a long pass among them is a single value of
+		// the median.
+		s.passes = slices.Insert(s.passes, 0, elapsed/time.Duration(passes))
 		s.passes = s.passes[:min(len(s.passes), recentPasses)]
 	}
 	s.step, s.stepAt = step, now
--- a/internal/expert/rankspeeds_test.go
+++ b/internal/expert/rankspeeds_test.go
@@ -190,6 +190,26 @@
 	c.Check(w.slowness(0), qt.Equals, 1.0)
 }
 
+// Guards against a long pass that counts for each of the passes that are reported together with it.
+func TestLongPassReportedWithOthersCountsOnce(t *testing.T) {
+	c := qt.New(t)
+	for others := range 4 {
+		speeds, now, step := NewRankSpeeds(), time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), uint64(100)
+		observe := func(elapsed time.Duration, passes int) {
+			now, step = now.Add(elapsed), step+uint64(passes)
+			speeds.Observe(now, &RankStatus{Epoch: 1, Rank: 0, Size: 2, Open: true, Step: step, Pace: 1, Running: 5})
+			speeds.Update(now, idleTestPass)
+		}
+		for range 5 {
+			observe(65*time.Millisecond, 1)
+		}
+		observe(time.Second+time.Duration(others)*65*time.Millisecond, 1+others)
+		c.Check(speeds.Pass(now), qt.Equals, 65*time.Millisecond, qt.Commentf("%d other passes", others))
+		observe(65*time.Millisecond, 1)
+		c.Check(speeds.Pass(now), qt.Equals, 65*time.Millisecond, qt.Commentf("%d other passes", others))
+	}
+}
+
 // Guards against an estimate that outlives its reports, the epoch or the process of the rank.
 func TestSpeedsStartOver(t *testing.T) {
 	c := qt.New(t)
