Ignore implausible values in received statuses of ranks

Cause: a negative size of the group panicked in make, a pace that is not a number passed into the estimate, and one huge pass made all later passes ignored until the next epoch. A leader without any status reported empty loads, by which entries take the group to have no ranks.

Change: RankStatus.Valid checks the size and the rank for RankSpeeds, LockstepLeader and the agent's own status. RankSpeeds ignores a pace that is not finite, and a pass more than 1,000 after that of the group unless a second rank confirms it; the measurement then starts over. The counter rank_status_implausible counts such statuses. No report is sent before the first status.

Ruled out: a limit by time and pass duration (a wrong first status would make all true ones exceed it).

Result: TestImplausibleStatusesAreIgnored and TestLeaderWithoutStatusesReportsNothing failed before (panic in make, an estimate that no longer follows, a report without loads) and pass.

--- a/internal/expert/lockstep.go
+++ b/internal/expert/lockstep.go
@@ -108,6 +108,14 @@
 	Pace float64 `cbor:"14,keyasint,omitempty" json:"pace,omitempty"`
 }
 
+// maxGroupSize limits the size of a group in received statuses: messages number ranks by 16 bits.
+const maxGroupSize = 1 << 16
+
+// Valid reports whether the size of the group and the rank in a received status are possible.
+func (s *RankStatus) Valid() bool {
+	return s.Size > 0 && s.Size <= maxGroupSize && s.Rank >= 0 && int(s.Rank) < s.Size
+}
+
 // LockstepReply is the answer to an order.
 type LockstepReply struct {
 	Rank ident.Rank
--- a/internal/expert/lockstep_leader.go
+++ b/internal/expert/lockstep_leader.go
@@ -165,9 +165,12 @@
 	return task != nil && task.done
 }
 
-// recordStatus records the status of a rank. It ignores a status of an earlier epoch, and one that shows an earlier pass
-// than the status recorded last. A status of a later epoch starts that epoch.
+// recordStatus records the status of a rank. It ignores a status with impossible values, one of an earlier epoch, and one
+// that shows an earlier pass than the status recorded last. A status of a later epoch starts that epoch.
 func (l *LockstepLeader) recordStatus(now time.Time, status RankStatus) {
+	if !status.Valid() {
+		return
+	}
 	if status.Epoch > l.epoch {
 		l.startEpoch(now, status)
 	}
--- a/internal/expert/rankspeeds.go
+++ b/internal/expert/rankspeeds.go
@@ -1,6 +1,7 @@
 package expert
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -31,6 +32,9 @@
 	restartReportGap = 300 * time.Millisecond
 	// recentPasses is the number of measured passes that bound the estimate.
 	recentPasses = 3
+	// maxStepDistance is the greatest difference from the last pass of the group with which a single rank's report of a pass
+	// is believed: more than 30 s of passes. A greater one needs the report of a second rank.
+	maxStepDistance = 1000
 )
 
 // RankSpeeds estimates the slowness of each rank of a group: the factor by which its work takes longer than usual. The
@@ -50,10 +54,19 @@
 	// step is the last pass known to have begun, and stepAt the time at which that became known.
 	step   uint64
 	stepAt time.Time
+	// doubted is the last report of a pass that is further than maxStepDistance from step.
+	doubted doubtedStep
 	// passes are the durations of the latest passes, the last one first.
 	passes []time.Duration
 }
 
+// doubtedStep is a pass that a rank reported and that no other rank confirmed yet.
+type doubtedStep struct {
+	known bool
+	rank  ident.Rank
+	step  uint64
+}
+
 // rankSpeed is what is known about the speed of one rank.
 type rankSpeed struct {
 	// step and reportedAt are the pass and the time of the last report.
@@ -89,22 +102,25 @@
 func NewRankSpeeds() *RankSpeeds { return &RankSpeeds{} }
 
 // Observe records a rank's status, received at now. A status of a later epoch starts the estimate over; one of an earlier
-// epoch is ignored, as are delayed ones.
-func (s *RankSpeeds) Observe(now time.Time, status *RankStatus) {
+// epoch is ignored, as are delayed ones. It returns false if it ignores the status because its values are not plausible.
+func (s *RankSpeeds) Observe(now time.Time, status *RankStatus) bool {
+	if !status.Valid() || math.IsNaN(status.Pace) || math.IsInf(status.Pace, 0) {
+		return false
+	}
 	if status.Epoch < s.epoch {
-		return
+		return true
 	}
 	if status.Epoch > s.epoch || len(s.ranks) != status.Size {
 		*s = RankSpeeds{epoch: status.Epoch, ranks: make([]rankSpeed, status.Size)}
 	}
-	rank := int(status.Rank)
-	if rank < 0 || rank >= len(s.ranks) {
-		return
+	stepPlausible := s.plausibleStep(status.Rank, status.Step)
+	if !stepPlausible && status.Step > s.step {
+		return false
 	}
-	view := &s.ranks[rank]
+	view := &s.ranks[status.Rank]
 	if status.Step < view.step {
 		if now.Sub(view.reportedAt) < restartReportGap {
-			return
+			return true
 		}
 		*view = rankSpeed{reported: view.reported} // the rank restarted
 	}
@@ -114,9 +130,29 @@
 	if view.busyReports++; status.Running == 0 {
 		view.busyReports = 0
 	}
-	s.observePass(now, status.Step)
+	if stepPlausible {
+		s.observePass(now, status.Step)
+	}
+	return true
 }
 
+// plausibleStep reports whether a pass that a rank reports can be that of the group. All ranks execute each pass together, so
+// that a pass far from that of the group is wrong unless a second rank confirms it. The measurement then starts over: the
+// former pass of the group was wrong.
+func (s *RankSpeeds) plausibleStep(rank ident.Rank, step uint64) bool {
+	if s.stepAt.IsZero() || stepDistance(step, s.step) <= maxStepDistance {
+		return true
+	}
+	if s.doubted.known && s.doubted.rank != rank && stepDistance(step, s.doubted.step) <= maxStepDistance {
+		s.step, s.stepAt, s.passes, s.doubted = step, time.Time{}, nil, doubtedStep{}
+		return true
+	}
+	s.doubted = doubtedStep{known: true, rank: rank, step: step}
+	return false
+}
+
+func stepDistance(a, b uint64) uint64 { return max(a, b) - min(a, b) }
+
 // observePass measures the duration of passes from the first report of each pass.
 func (s *RankSpeeds) observePass(now time.Time, step uint64) {
 	if step <= s.step && !s.stepAt.IsZero() {
--- a/internal/expert/rankspeeds_test.go
+++ b/internal/expert/rankspeeds_test.go
@@ -1,6 +1,7 @@
 package expert
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -210,6 +211,41 @@
 	}
 }
 
+// Guards against a panic, an estimate that is not a number, and passes that are not measured any more after a single report
+// with wrong values, whether it is the first report or a later one.
+func TestImplausibleStatusesAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	status := func(change func(*RankStatus)) *RankStatus {
+		s := &RankStatus{Epoch: 1, Rank: 3, Size: 72, Open: true, Step: 100, Pace: 1, Running: 5}
+		change(s)
+		return s
+	}
+	wrong := []*RankStatus{
+		status(func(s *RankStatus) { s.Size = -1 }), status(func(s *RankStatus) { s.Size = math.MaxInt }),
+		status(func(s *RankStatus) { s.Rank = 72 }), status(func(s *RankStatus) { s.Rank = -1 }),
+		status(func(s *RankStatus) { s.Pace = math.NaN() }), status(func(s *RankStatus) { s.Pace = math.Inf(1) }),
+		status(func(s *RankStatus) { s.Step = math.MaxUint64 }),
+	}
+	for i, bad := range wrong {
+		for _, warmUp := range []time.Duration{0, time.Second} {
+			w := newSpeedWorld(72)
+			w.run(warmUp)
+			valid := w.speeds.Observe(w.now, bad)
+			first := warmUp == 0 && bad.Step != 100
+			c.Check(valid, qt.Equals, first, qt.Commentf("status %d after %v", i, warmUp))
+			w.run(time.Second)
+			c.Check(w.changes, qt.HasLen, 0, qt.Commentf("status %d after %v", i, warmUp))
+			w.slowDown(40, 4)
+			w.run(time.Second)
+			c.Check(w.slowness(40), qt.Equals, 4.0, qt.Commentf("status %d after %v", i, warmUp))
+		}
+	}
+	leader := NewLockstepLeader(time.Unix(0, 0), 0, 72, 1, 1e6)
+	bad := status(func(s *RankStatus) { s.Size, s.Epoch = -1, 2 })
+	leader.ReceiveStatus(time.Unix(1, 0), *bad)
+	c.Check(leader.Epoch(), qt.Equals, uint64(1))
+}
+
 // Guards against an estimate that outlives its reports, the epoch or the process of the rank.
 func TestSpeedsStartOver(t *testing.T) {
 	c := qt.New(t)
@@ -266,11 +302,13 @@
 				Step: uint64(rapid.IntRange(0, 50).Draw(t, "step")), Pace: rapid.Float64Range(-1, 100).Draw(t, "pace"),
 				Running: rapid.IntRange(0, 1).Draw(t, "running"),
 			}
-			if status.Epoch > speeds.epoch || status.Epoch == speeds.epoch && len(speeds.ranks) != status.Size {
+			startsOver := status.Epoch > speeds.epoch || status.Epoch == speeds.epoch && len(speeds.ranks) != status.Size
+			former := slices.Clone(speeds.ranks)
+			if valid := speeds.Observe(now, &status); valid && startsOver {
 				clear(longest)
+			} else if impossible := status.Rank < 0 || int(status.Rank) >= status.Size; valid == impossible {
+				t.Fatalf("rank %d of %d: valid %v", status.Rank, status.Size, valid)
 			}
-			former := slices.Clone(speeds.ranks)
-			speeds.Observe(now, &status)
 			speeds.Update(now, idleTestPass)
 			pass := speeds.Pass(now)
 			current := max(1, float64(pass)/float64(idleTestPass))
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -321,6 +321,10 @@
 // handleStatus handles the polled status and expert counts of the agent's own rank. The first status starts the
 // leader election. Later ones are processed here if this agent leads, and are sent to the leader's agent otherwise.
 func (a *Agent) handleStatus(ctx context.Context, now time.Time, status expert.RankStatus, reading choiceReading) {
+	if !status.Valid() {
+		a.scope.Counter("rank_status_implausible").Inc(1)
+		return
+	}
 	if !a.hasStatus || a.status.Epoch != status.Epoch {
 		a.epochAt.Store(int64(monotonicTime()))
 		a.follower.Wake()
--- a/internal/rankagent/lead.go
+++ b/internal/rankagent/lead.go
@@ -156,8 +156,11 @@
 	}
 	a.perform(ctx, now, a.leader.ReceiveStatus(now, report.Status))
 	state := a.ensureGroupState()
-	state.observe(now, &report.Status)
-	state.speeds.estimate.Observe(now, &report.Status)
+	if state.speeds.estimate.Observe(now, &report.Status) {
+		state.observe(now, &report.Status)
+	} else {
+		a.scope.Counter("rank_status_implausible").Inc(1)
+	}
 	a.updateSpeeds(ctx, now)
 	size := a.expertLayers()
 	if size.Layers == 0 || len(report.Counts.Layers) != size.Layers {
@@ -229,9 +232,9 @@
 }
 
 // reportToEntries sends the group's load to all subscribed entries, at most once per reportInterval. It removes
-// expired subscriptions.
+// expired subscriptions. Without the status of any rank it sends none: entries would take the group to have no ranks.
 func (a *Agent) reportToEntries(now time.Time) {
-	if !a.leader.Leading() || a.group == nil || now.Sub(a.group.reportedAt) < reportInterval {
+	if !a.leader.Leading() || a.group == nil || len(a.group.loads) == 0 || now.Sub(a.group.reportedAt) < reportInterval {
 		return
 	}
 	state := a.group
--- a/internal/rankagent/speeds_test.go
+++ b/internal/rankagent/speeds_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/bramleyspool/bramleyspool/internal/datagram"
 	"github.com/bramleyspool/bramleyspool/internal/expert"
@@ -155,6 +157,48 @@
 	c.Assert(sent, qt.IsFalse, qt.Commentf("a small change is no change of speed"))
 }
 
+// Guards against reports without loads, by which entries would take the group to have no ranks, from a leader without any
+// status, and against wrong values in a received status.
+func TestLeaderWithoutStatusesReportsNothing(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	entry, err := datagram.Listen("127.0.7.102", 0, func(err error) { t.Log(err) })
+	c.Assert(err, qt.IsNil)
+	socket, err := datagram.Listen("127.0.7.103", 0, func(err error) { t.Log(err) })
+	c.Assert(err, qt.IsNil)
+	reports := make(chan *datagram.GroupReport, 16)
+	go entry.Receive(ctx, func(received datagram.Received) { reports <- received.Message.GroupReport })
+	now := time.Unix(1000, 0)
+	scope := tally.NewTestScope("", nil)
+	agent := &Agent{leader: expert.NewLockstepLeader(now, 0, 2, 1, 1e6), socket: socket, scope: scope}
+	agent.self.Group = "g"
+	for i := 0; i < 100 && !agent.leader.Leading(); i++ {
+		now = now.Add(100 * time.Millisecond)
+		agent.leader.Tick(now)
+	}
+	c.Assert(agent.leader.Leading(), qt.IsTrue)
+	agent.handleSubscribe(now, &datagram.Subscribe{Group: "g", Entry: entry.Address().String()})
+	status := expert.RankStatus{Epoch: 1, Rank: 1, Size: 2, Step: 7, Running: 5, Pace: 1}
+	wrongSize, wrongPace := status, status
+	wrongSize.Size, wrongPace.Pace = -1, math.NaN()
+	for _, wrong := range []expert.RankStatus{wrongSize, wrongPace} {
+		agent.handleRankReport(ctx, now, &datagram.RankReport{Group: "g", Status: wrong})
+		now = now.Add(reportInterval)
+		agent.reportToEntries(now)
+	}
+	c.Check(scope.Snapshot().Counters()["rank_status_implausible+"].Value(), qt.Equals, int64(2))
+	agent.handleRankReport(ctx, now, &datagram.RankReport{Group: "g", Status: status})
+	now = now.Add(reportInterval)
+	agent.reportToEntries(now)
+	select {
+	case report := <-reports:
+		c.Check(report.Loads, qt.DeepEquals, []int{0, 5})
+	case <-time.After(5 * time.Second):
+		t.Fatal("no report")
+	}
+}
+
 // Guards against reports that name ranks at their usual speed or overflow the field.
 func TestReportedSlownessOmitsUsualRanks(t *testing.T) {
 	c := qt.New(t)
