--- a/internal/expert/rankspeeds.go
+++ b/internal/expert/rankspeeds.go
@@ -1,6 +1,7 @@
 package expert
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -12,9 +13,11 @@
 	// maxPaceAge is the age from which a reported pace counts as 1. A busy rank reports about every 100 ms and an idle one
 	// every 400 ms, so that two lost reports of an idle rank do not change the estimate.
 	maxPaceAge = time.Second
-	// minSlowness is the slowness from which a rank counts as slow. A smaller one lengthens passes by less than their
-	// usual scatter.
-	minSlowness = 1.1
+	// minSlowness is the slowness from which a rank counts as slow, and usualSlowness the one below which a slow rank counts
+	// as usual again. A slowness of 1.1 lengthens passes by less than their usual scatter; with that single threshold, paces
+	// of 1.08 to 1.16 changed the estimate 103 times in 10 s.
+	minSlowness   = 1.15
+	usualSlowness = 1.05
 	// paceConfirmations is the number of consecutive reports of a greater pace that the estimate needs to rise.
 	paceConfirmations = 2
 	// maxPassTime is the longest time that counts as the duration of a pass. A longer time without the beginning of a pass
@@ -29,13 +32,16 @@
 	restartReportGap = 300 * time.Millisecond
 	// recentPasses is the number of measured passes that bound the estimate.
 	recentPasses = 3
+	// maxStepDistance is the greatest difference from the last pass of the group with which a single rank's report of a pass
+	// is believed: more than 30 s of passes. A greater one needs the report of a second rank.
+	maxStepDistance = 1000
 )
 
 // RankSpeeds estimates the slowness of each rank of a group: the factor by which its work takes longer than usual. The
 // estimate is the pace that the rank reports, bounded by the measured passes: all ranks execute each pass together, so
 // that a pass takes at least the slowness of the slowest rank with requests times the duration of a pass without requests. A
 // healthy rank that reports itself as slow is therefore taken to be at most as slow as the passes allow. A rank without
-// requests does not delay passes, so that its bound stays as it was.
+// requests does not delay passes, so that its bound stays as it was; if it has none yet, its pace is believed.
 //
 // The bound is the median of the last three passes, so that a single long pass does not change the estimate. RankSpeeds is
 // pure and not safe for concurrent use.
@@ -48,10 +54,19 @@
 	// step is the last pass known to have begun, and stepAt the time at which that became known.
 	step   uint64
 	stepAt time.Time
+	// doubted is the last report of a pass that is further than maxStepDistance from step.
+	doubted doubtedStep
 	// passes are the durations of the latest passes, the last one first.
 	passes []time.Duration
 }
 
+// doubtedStep is a pass that a rank reported and that no other rank confirmed yet.
+type doubtedStep struct {
+	known bool
+	rank  ident.Rank
+	step  uint64
+}
+
 // rankSpeed is what is known about the speed of one rank.
 type rankSpeed struct {
 	// step and reportedAt are the pass and the time of the last report.
@@ -60,7 +75,8 @@
 	// pace is the last reported pace, recent the paces of the reports since the rank's start, the last one first.
 	pace   float64
 	recent []float64
-	// reported is the estimate in the last SpeedChange.
+	// slow is true if the rank was slow at the last Update, reported the estimate in the last SpeedChange.
+	slow     bool
 	reported float64
 	// busyReports counts the consecutive reports with running requests. bound is the greatest slowness that the passes with
 	// requests of the rank allow; 0 if unknown.
@@ -86,22 +102,25 @@
 func NewRankSpeeds() *RankSpeeds { return &RankSpeeds{} }
 
 // Observe records a rank's status, received at now. A status of a later epoch starts the estimate over; one of an earlier
-// epoch is ignored, as are delayed ones.
-func (s *RankSpeeds) Observe(now time.Time, status *RankStatus) {
+// epoch is ignored, as are delayed ones. It returns false if it ignores the status because its values are not plausible.
+func (s *RankSpeeds) Observe(now time.Time, status *RankStatus) bool {
+	if !status.Valid() || math.IsNaN(status.Pace) || math.IsInf(status.Pace, 0) {
+		return false
+	}
 	if status.Epoch < s.epoch {
-		return
+		return true
 	}
 	if status.Epoch > s.epoch || len(s.ranks) != status.Size {
 		*s = RankSpeeds{epoch: status.Epoch, ranks: make([]rankSpeed, status.Size)}
 	}
-	rank := int(status.Rank)
-	if rank < 0 || rank >= len(s.ranks) {
-		return
+	stepPlausible := s.plausibleStep(status.Rank, status.Step)
+	if !stepPlausible && status.Step > s.step {
+		return false
 	}
-	view := &s.ranks[rank]
+	view := &s.ranks[status.Rank]
 	if status.Step < view.step {
 		if now.Sub(view.reportedAt) < restartReportGap {
-			return
+			return true
 		}
 		*view = rankSpeed{reported: view.reported} // the rank restarted
 	}
@@ -111,9 +130,29 @@
 	if view.busyReports++; status.Running == 0 {
 		view.busyReports = 0
 	}
-	s.observePass(now, status.Step)
+	if stepPlausible {
+		s.observePass(now, status.Step)
+	}
+	return true
+}
+
+// plausibleStep reports whether a pass that a rank reports can be that of the group. All ranks execute each pass together, so
+// that a pass far from that of the group is wrong unless a second rank confirms it. The measurement then starts over: the
+// former pass of the group was wrong.
+func (s *RankSpeeds) plausibleStep(rank ident.Rank, step uint64) bool {
+	if s.stepAt.IsZero() || stepDistance(step, s.step) <= maxStepDistance {
+		return true
+	}
+	if s.doubted.known && s.doubted.rank != rank && stepDistance(step, s.doubted.step) <= maxStepDistance {
+		s.step, s.stepAt, s.passes, s.doubted = step, time.Time{}, nil, doubtedStep{}
+		return true
+	}
+	s.doubted = doubtedStep{known: true, rank: rank, step: step}
+	return false
 }
 
+func stepDistance(a, b uint64) uint64 { return max(a, b) - min(a, b) }
+
 // observePass measures the duration of passes from the first report of each pass.
 func (s *RankSpeeds) observePass(now time.Time, step uint64) {
 	if step <= s.step && !s.stepAt.IsZero() {
@@ -121,9 +160,9 @@
 	}
 	passes, elapsed := step-s.step, now.Sub(s.stepAt)
 	if !s.stepAt.IsZero() && elapsed <= maxPassTime {
-		for range min(passes, recentPasses) {
-			s.passes = slices.Insert(s.passes, 0, elapsed/time.Duration(passes))
-		}
+		// The mean of passes that are reported together counts once, so that a long pass among them is a single value of
+		// the median.
+		s.passes = slices.Insert(s.passes, 0, elapsed/time.Duration(passes))
 		s.passes = s.passes[:min(len(s.passes), recentPasses)]
 	}
 	s.step, s.stepAt = step, now
@@ -140,13 +179,17 @@
 		view := &s.ranks[rank]
 		estimate := view.estimate(now)
 		if view.updateBound(pass, idlePass); idlePass > 0 {
-			estimate = min(estimate, view.bound)
+			estimate = view.bounded(estimate, pass)
 		}
-		if estimate < minSlowness {
+		threshold := minSlowness
+		if view.slow {
+			threshold = usualSlowness
+		}
+		if view.slow = estimate >= threshold; !view.slow {
 			estimate = 1
 		}
 		estimates[rank] = estimate
-		slow = slow || estimate > 1
+		slow = slow || view.slow
 		before := max(view.reported, 1)
 		if !isSpeedChange(before, estimate) {
 			continue
@@ -163,6 +206,17 @@
 	return changes
 }
 
+// bounded returns an estimate bounded by the passes. While no passes with requests of the rank are known, it is not bounded
+// once passes of the group are known: a new leader would otherwise take a slow rank whose streams were moved away as
+// healthy, and entries would send new streams there. The cost is that a healthy rank with a false pace is believed until it
+// gets requests. Meanwhile it holds fewer experts than it could, but it lengthens no passes.
+func (r *rankSpeed) bounded(estimate float64, pass time.Duration) float64 {
+	if r.bound == 0 && pass > 0 {
+		return estimate
+	}
+	return min(estimate, r.bound)
+}
+
 // updateBound updates the bound by the duration of the latest passes. It falls only if the rank had requests in all of them,
 // since passes get short again as soon as a slow rank has none.
 func (r *rankSpeed) updateBound(pass, idlePass time.Duration) {
