Try all servers if the drawn part of a returning zone is full

Cause: while work returns to a zone, shareReturning drew either the servers of that zone or the others and the request could go to no other server, so that requests waited although servers of the other part were idle. Ended returns were kept until the next change of the evacuated zones, so that each request went on computing shares.

Change: pickShared tries the drawn part first, then all candidates if none of the part can take the request or only a paused one is left. The first try neither reads nor writes the refusals that a round over the waiting requests keeps, since a refusal by some servers does not hold for the others. Returns are removed when they have ended.

Ruled out: trying only the other part, since the Retry-After and the refusal kept for the round would then be those of a part of the servers.

--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -403,7 +403,7 @@
 		assignment.RetryAfter = assignment.LimitedFor + time.Duration(d.random.Int64N(int64(limitRetrySpread)))
 		return assignment, false
 	}
-	chosen := d.pick(now, request, d.shareReturning(now, candidates), &assignment)
+	chosen := d.pickShared(now, request, candidates, &assignment)
 	switch {
 	case chosen == nil && assignment.Outage:
 		assignment.Cause, assignment.RetryAfter = outcome.CauseNoBackend, outageRetryAfter
--- a/internal/control/evacuations.go
+++ b/internal/control/evacuations.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -73,10 +74,34 @@
 	return outcome.CauseNoBackend, noBackendRetryAfter
 }
 
+// pickShared picks a server for a request. While work returns to zones, the request goes to the part of the candidates that is
+// drawn for it. If that part has no server that can take it now, all candidates are tried.
+func (d *Dispatcher) pickShared(now time.Time, request *BackendRequest, candidates []*routing.Server, assignment *Assignment) *routing.Server {
+	drawn := d.shareReturning(now, candidates)
+	if len(drawn) < len(candidates) {
+		undecided := *assignment
+		if chosen := d.pickUncached(now, request, drawn, assignment); chosen != nil && !chosen.Paused(now) {
+			return chosen
+		}
+		*assignment = undecided
+	}
+	return d.pick(now, request, candidates, assignment)
+}
+
+// pickUncached picks a server without the refusals of the round over the waiting requests: a refusal by some of the servers
+// does not hold for requests that may go to others.
+func (d *Dispatcher) pickUncached(now time.Time, request *BackendRequest, candidates []*routing.Server, assignment *Assignment) *routing.Server {
+	full := d.full
+	d.full = nil
+	defer func() { d.full = full }()
+	return d.pick(now, request, candidates, assignment)
+}
+
 // shareReturning divides requests between the zones to which work returns and the others: the first get a growing part of what
-// falls to their number of servers. It returns the candidates that the request may go to. The choice is not left to their load and
-// latency: idle servers would get all requests, and those without a recent answer none while others answer quickly.
+// falls to their number of servers. It returns the candidates that the request should go to. The choice is not left to their load
+// and latency: idle servers would get all requests, and those without a recent answer none while others answer quickly.
 func (d *Dispatcher) shareReturning(now time.Time, candidates []*routing.Server) []*routing.Server {
+	maps.DeleteFunc(d.evacuated.returnedAt, func(_ ident.Zone, at time.Time) bool { return now.Sub(at) >= zoneReturn })
 	if len(d.evacuated.returnedAt) == 0 {
 		return candidates
 	}
--- a/internal/control/evacuations_test.go
+++ b/internal/control/evacuations_test.go
@@ -203,3 +203,65 @@
 	c.Logf("predicted pass with 24 streams: %s at all ranks, %s at those of one zone", whole, third)
 	c.Assert(third > whole, qt.IsTrue)
 }
+
+// TestFullPartDoesNotRefuseWhileTheOtherIsIdle guards against requests that wait or are refused because no server of the drawn part
+// has a free slot, while servers of the other part are idle.
+func TestFullPartDoesNotRefuseWhileTheOtherIsIdle(t *testing.T) {
+	c := qt.New(t)
+	for _, full := range []ident.Zone{"b", "c"} {
+		backends := zonedBackends(0, 6)
+		for i := range backends {
+			backends[i].Slots = 1000
+			if backends[i].Zone == full {
+				backends[i].Slots = 1
+			}
+		}
+		d := newZonedDispatcher(0, 0)
+		d.SetBackends(clockStart, backends)
+		d.SetEvacuated(clockStart, []ident.Zone{"a", "b"})
+		d.SetEvacuated(clockAt(100), []ident.Zone{"a"})
+		unassigned := 0
+		for i := range 200 {
+			now := clockAt(100 + 5*i)
+			request := testRequest(uint64(i+1), now, 0)
+			request.Service = "plain"
+			if answers := d.RequestBackend(now, request); len(answers) != 1 || answers[0].Cause != outcome.CauseNone {
+				unassigned++
+			}
+		}
+		c.Check(unassigned, qt.Equals, 0, qt.Commentf("servers of zone %s are full", full))
+	}
+}
+
+// TestRefusalByTheDrawnPartIsNotReused guards against a waiting request that is refused because the ranks drawn for another one were
+// full, while ranks that it may go to have free slots.
+func TestRefusalByTheDrawnPartIsNotReused(t *testing.T) {
+	c := qt.New(t)
+	d := newZonedDispatcher(1, 0)
+	loads := make([]int, 8)
+	report := func(now time.Time, load func(zone ident.Zone) int) []control.Assignment {
+		for i, backend := range zonedBackends(1, 0) {
+			loads[i] = load(backend.Zone)
+		}
+		return d.RecordGroupReport(now, control.GroupReport{Group: "g0", Pace: admission.GroupPace{Ranks: 8, Entries: 2, Skew: 1.2}, RankLoads: loads})
+	}
+	d.SetEvacuated(clockStart, []ident.Zone{"b"})
+	report(clockStart, func(ident.Zone) int { return testEngine.Slots })
+	const waiting = 20
+	for id := range uint64(waiting) {
+		c.Assert(d.RequestBackend(clockStart, testRequest(id+1, clockStart, 10)), qt.HasLen, 0)
+	}
+	c.Assert(d.SetEvacuated(clockAt(1), nil), qt.HasLen, 0)
+	// Only the ranks of the returning zone have free slots; most requests draw the others.
+	assigned := report(clockAt(2), func(zone ident.Zone) int {
+		if zone == "b" {
+			return 0
+		}
+		return testEngine.Slots
+	})
+	free := min(waiting, 3*testEngine.Slots)
+	c.Assert(len(assigned), qt.Equals, free, qt.Commentf("of %d that wait", waiting))
+	for _, answer := range assigned {
+		c.Assert([]any{answer.Cause, answer.Backend.Zone}, qt.DeepEquals, []any{outcome.CauseNone, ident.Zone("b")})
+	}
+}
