Reject group reports with impossible values

Cause: the entry count of a report was unbounded and is remembered for up to an hour as the number of entries that share a cold server's limit: with 1e6 each entry sends one request in 8 s to it, and 2^40 overflows. Loads, durations of passes and the skew were taken as they came.

Change: a report with more than 1,024 or fewer than 0 entries, a load or a duration below 0 or so large that sums overflow, or a skew that is not finite, below 0 or above its bound is dropped before it has any effect. It is counted (group_report_invalid) and logged at most once per second.

The bound on the skew is the number of ranks times the largest stated slowness, and one percent for rounding: agents weight the rank loads by slowness, so that a sound group with a slow rank may report more than its number of ranks.

Ruled out: clamping the values, since a report with one impossible value says nothing reliable about the rest.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -280,9 +280,10 @@
 	}
 }
 
-// handleGroupReport passes the report of a group's leader to the dispatcher. It ignores outdated reports.
+// handleGroupReport passes the report of a group's leader to the dispatcher. It ignores invalid and outdated
+// reports.
 func (g *Gateway) handleGroupReport(now time.Time, from netip.AddrPort, report *datagram.GroupReport) {
-	if g.isOutdatedReport(now, report, from.String()) {
+	if g.isInvalidReport(now, report, from) || g.isOutdatedReport(now, report, from.String()) {
 		return
 	}
 	g.leaders.recordReport(now, report.Group, from)
--- a/internal/gateway/leaders.go
+++ b/internal/gateway/leaders.go
@@ -23,7 +23,8 @@
 
 // leaderDirectory tracks the agents of each group and which of them leads, and decides where to send subscriptions.
 type leaderDirectory struct {
-	groups map[ident.Group]*groupLeader
+	groups          map[ident.Group]*groupLeader
+	invalidLoggedAt time.Time
 }
 
 // groupLeader is the state of the subscription to one group.
--- a/internal/gateway/report_order.go
+++ b/internal/gateway/report_order.go
@@ -2,8 +2,14 @@
 
 import (
 	"cmp"
+	"errors"
+	"math"
+	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/bramleyspool/bramleyspool/internal/datagram"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 )
@@ -12,6 +18,74 @@
 // from reports of that age are not used any more, and the epochs of a group may have begun anew.
 const reportSilence = time.Second
 
+const (
+	// maxReportedCount bounds the number of entries in a report: several times what deployments have. The number is remembered
+	// for up to an hour, in which each entry's share of a cold server's limit is computed from it.
+	maxReportedCount = 1024
+	// maxReportedLoad bounds the number of requests of a rank, so that their sum does not overflow.
+	maxReportedLoad = math.MaxInt32
+	// maxPassMicros bounds the duration of a pass in a report, so that it fits in a time.Duration. Passes last far below a second.
+	maxPassMicros = int64(time.Hour / time.Microsecond)
+	// skewRounding is the part by which the skew may exceed its bound, since the slowness of ranks is rounded to percents.
+	skewRounding = 0.01
+	// invalidReportLogInterval is the least time between two log lines about invalid reports.
+	invalidReportLogInterval = time.Second
+)
+
+var (
+	errReportedEntries = errors.New("number of entries out of range")
+	errReportedLoad    = errors.New("load of a rank out of range")
+	errReportedPass    = errors.New("duration of passes out of range")
+	errReportedSkew    = errors.New("skew out of range")
+)
+
+// validateReport returns an error if no group can be in the state that a report states.
+func validateReport(report *datagram.GroupReport) error {
+	switch {
+	case report.EntryCount < 0 || report.EntryCount > maxReportedCount || len(report.Entries) > maxReportedCount:
+		return errReportedEntries
+	case slices.ContainsFunc(report.Loads, func(load int) bool { return load < 0 || load > maxReportedLoad }):
+		return errReportedLoad
+	case report.PassMicros < 0 || report.PassMicros > maxPassMicros:
+		return errReportedPass
+	case math.IsNaN(report.Skew) || report.Skew < 0 || report.Skew > maxSkew(report):
+		return errReportedSkew
+	}
+	return nil
+}
+
+// maxSkew returns the greatest skew that a report can have. All load may be at one rank; the loads are weighted by the slowness of
+// the ranks. A group that has just formed may report a skew of 1 and no ranks yet.
+func maxSkew(report *datagram.GroupReport) float64 {
+	slowest := uint16(100)
+	for _, slow := range report.Slow {
+		slowest = max(slowest, slow.Percent)
+	}
+	return float64(max(len(report.Loads), 1)) * float64(slowest) / 100 * (1 + skewRounding)
+}
+
+// isInvalidReport reports whether a report states what no group can have. It counts such reports, and logs at most one per
+// invalidReportLogInterval.
+func (g *Gateway) isInvalidReport(now time.Time, report *datagram.GroupReport, from netip.AddrPort) bool {
+	err := validateReport(report)
+	if err == nil {
+		return false
+	}
+	g.metrics.count("group_report_invalid")
+	if now.Sub(g.leaders.invalidLoggedAt) >= invalidReportLogInterval {
+		g.leaders.invalidLoggedAt = now
+		group := report.Group
+		if g.leaders.groups[group] == nil {
+			group = "unknown"
+		}
+		g.log.WithError(err).WithFields(logrus.Fields{
+			"group": group, "agent": from.String(), "entries": max(report.EntryCount, len(report.Entries)), "ranks": len(report.Loads),
+			"pass_us": report.PassMicros, "skew": report.Skew,
+		}).Warn("group-report-invalid")
+	}
+	return true
+}
+
 // reportPosition is the position of a report of a group in the order of its epochs, leaders and reports.
 type reportPosition struct {
 	epoch, fence, sequence uint64
