Bound the numbers of the limits of cold servers

Cause: share converted a float of any size to an int. With a cold-per-s of 1e300 the share became the least int64 and the next wait indexed out of range.

Ruled out: rejecting the configuration, since one field that cannot be read must not make it invalid.

--- a/internal/admission/cold_limit.go
+++ b/internal/admission/cold_limit.go
@@ -22,16 +22,31 @@
 // so that sends which are delayed by up to 100 ms on their way do not add up.
 const coldWindow = 1100 * time.Millisecond
 
+const (
+	// maxColdAllowed bounds the requests per second that a cold server may get, many times what any server serves.
+	maxColdAllowed = 1e6
+	// maxColdWindow bounds the window in which an entry may send one request to a cold server, so that it does not overflow.
+	maxColdWindow = time.Hour
+)
+
 // share returns the number of requests that each of a number of entries may send in a window. The shares of all entries add up
 // to at most the bound, whatever the entries hear of each other. With more entries than requests in the bound, an entry may send
 // one in a longer window, which keeps the bound on average.
 func (b ColdBounds) share(entries int) (int, time.Duration) {
-	allowed := b.Factor*b.Rate + b.Extra
-	share := math.Floor(allowed / float64(max(entries, 1)))
+	allowed, senders := clamp(b.Factor*b.Rate+b.Extra, 0, maxColdAllowed), float64(max(entries, 1))
+	share := math.Floor(allowed / senders)
 	if share >= 1 {
 		return int(share), coldWindow
 	}
-	return 1, time.Duration(float64(coldWindow) * float64(entries) / max(allowed, 1))
+	return 1, time.Duration(min(float64(coldWindow)*senders/max(allowed, 1), float64(maxColdWindow)))
+}
+
+// clamp returns a number within bounds; the lower one for NaN.
+func clamp(x, low, high float64) float64 {
+	if math.IsNaN(x) {
+		return low
+	}
+	return min(max(x, low), high)
 }
 
 // coldLimit is the part of a ServerLimit that applies while its server is cold.
@@ -57,7 +72,7 @@
 // entry hears of, and of those that it may have been cut off from.
 func (l *ServerLimit) SetCold(now, until time.Time, bounds ColdBounds, entries int) {
 	l.advance(now)
-	l.cold.rate, l.cold.until = max(bounds.Rate, serverTrialRate), until
+	l.cold.rate, l.cold.until = clamp(bounds.Rate, serverTrialRate, maxColdAllowed), until
 	l.cold.share, l.cold.window = bounds.share(entries)
 	if !l.stated {
 		l.rate = l.cold.rate
--- a/internal/admission/cold_limit_test.go
+++ b/internal/admission/cold_limit_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -180,3 +181,27 @@
 	c.Assert(count(6*time.Second, 10*time.Second) <= 2*4+2, qt.IsTrue)
 	c.Assert(limit.Expired(limitStart.Add(time.Minute)), qt.IsFalse, qt.Commentf("the server still states a limit"))
 }
+
+// TestColdLimitTakesAnyNumber guards against a configured number or a number of entries that overflows, which ended the process or
+// let an entry send without a bound or never again.
+func TestColdLimitTakesAnyNumber(t *testing.T) {
+	numbers := []float64{0, -1, 34, 1e300, -1e300, math.MaxFloat64, math.Inf(1), math.Inf(-1), math.NaN(), math.SmallestNonzeroFloat64}
+	for _, rate := range numbers {
+		for _, factor := range numbers {
+			for _, extra := range numbers {
+				for _, entries := range []int{-1, 0, 1, 18, 1024, 1 << 40, math.MaxInt} {
+					limit := admission.NewColdServerLimit(limitStart, rand.New(rand.NewPCG(1, 2)))
+					limit.SetEntries(limitStart, 1, false)
+					limit.SetCold(limitStart, limitStart.Add(coldTime), admission.ColdBounds{Rate: rate, Factor: factor, Extra: extra}, entries)
+					limit.RecordOwnSend(limitStart.Add(time.Second))
+					for _, at := range []time.Duration{time.Second, 2 * time.Second, coldTime - 1, coldTime} {
+						wait := limit.Wait(limitStart.Add(at))
+						if wait < 0 || at < coldTime && wait > time.Minute {
+							t.Fatalf("wait of %s %s after the start with rate %g, factor %g, extra %g, %d entries", wait, at, rate, factor, extra, entries)
+						}
+					}
+				}
+			}
+		}
+	}
+}
