Let the store refute states of evacuations that other entries told

Cause: the state with the greatest position won for ever. A hello with an era that the store never had kept the hold of evacuated zones from ending, one with a huge revision of the present era evacuated its zones until the entry ended; neither the watch nor a new read undid it, and hellos passed both on.

Change: an entry keeps its own store's state apart from the newest one. Another entry's state with a position that the store has not shown is unproven. If it stays so for 2.2 s and no grace after a restore runs, the entry has its follower read the whole store again. A complete read that began after the message arrived and after the grace replaces the state, also if its position is lower. The refuted position is remembered and neither taken up nor passed on again. Once the store shows the position of an unproven state, the store's word is in force; messages about positions that it has shown are ignored. Until the store answers, but for at most 4.4 s, an unproven state ends no evacuation that it shows.

Ruled out: letting CurrentAsOf refute states, as it may rest on a revision that another entry read and come from a follower still in the earlier era; TestEvacuationOutlastsARestore demands that it does not. A bound on how far a position may be ahead: positions just ahead of the store are as harmful.

Measured: TestWrongHelloIsRefutedByTheStore fails before. Without each of the refuted positions, the time of the message, the grace, own zones in force, shown positions and the replacement, a test fails.

--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -43,6 +43,8 @@
 	confirmedAt, heardAt atomic.Int64
 	// aliveAt is when the control thread last worked. The entry was suspended before resumedAt; 0 if it never was.
 	aliveAt, resumedAt atomic.Int64
+	// rereadAt is when the control thread last had the store read again.
+	rereadAt time.Duration
 }
 
 // merge changes what is known, and publishes the evacuated zones. source says where the change comes from, for the log.
@@ -183,9 +185,28 @@
 			g.sendHello(now, peer, false)
 		}
 	}
+	t.merge("entry", func(known *membership.Evacuations) bool { return known.Release(at) })
+	g.rereadEvacuations(at)
 	g.evacuationChanged(now)
 }
 
+// rereadEvacuations has the whole store read if it does not show what another entry told. It does so at most once per
+// membership.EvacuationGrace, since wrong messages must not load the store.
+func (g *Gateway) rereadEvacuations(at time.Duration) {
+	t := &g.evacuations
+	t.mu.Lock()
+	needed := t.known.NeedsRead(at)
+	state, _ := t.known.Current()
+	t.mu.Unlock()
+	if !needed || at-t.rereadAt < membership.EvacuationGrace && t.rereadAt > 0 {
+		return
+	}
+	t.rereadAt = at
+	g.metrics.count("evacuations_reread")
+	g.log.WithFields(logrus.Fields{"zones": state.Zones, "era": state.Era, "revision": state.Revision}).Warn("evacuation-unproven")
+	g.follower.Reread()
+}
+
 // addEvacuation adds the newest state to a hello. Zones that only an earlier era of the store lists are told by a hello of
 // their own, which is sent first: a receiver that has just started must not rely on the newest state alone.
 func (g *Gateway) addEvacuation(hello *datagram.Hello, to netip.AddrPort) {
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bramleyspool/bramleyspool/internal/datagram"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
 	"github.com/bramleyspool/bramleyspool/internal/node"
@@ -156,3 +158,47 @@
 	away.evacuations.aliveAt.Store(int64(bootTime() - 2*suspendedAfter))
 	c.Assert(away.evacuationSettled(), qt.IsFalse)
 }
+
+// Guards against a hello with a position that the store never had, which evacuates zones, or ends an evacuation that the store shows,
+// until the entry ends. The hello comes again from an entry that was not corrected yet.
+func TestWrongHelloIsRefutedByTheStore(t *testing.T) {
+	t.Parallel()
+	for name, wrong := range map[string]datagram.Evacuation{
+		"era": {Era: 1 << 50, Revision: 1}, "revision": {Revision: 1 << 50, Zones: []ident.Zone{"a", "b", "c"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, b := newTestBackend(t, "a", slowly), newTestBackend(t, "b", slowly)
+			store := newZonedStore(a, b)
+			store.evacuate("a", false)
+			g := startTestGateway(t, store, withEvacuationBound(5*time.Second))
+			for !g.gateway.ready() {
+				time.Sleep(time.Millisecond)
+			}
+			wrong.Era = max(wrong.Era, store.state.Era)
+			hear := func() { g.gateway.enqueue(func(now time.Time) { g.gateway.recordHeardEvacuation(now, &wrong) }) }
+			zones := func() []ident.Zone { return *g.gateway.evacuations.zones.Load() }
+			hear()
+			heard := time.Now()
+			time.Sleep(50 * time.Millisecond)
+			store.evacuate("c", false)
+			known := func() membership.EvacuationState {
+				g.gateway.evacuations.mu.Lock()
+				defer g.gateway.evacuations.mu.Unlock()
+				state, _ := g.gateway.evacuations.known.Current()
+				return state
+			}
+			for known().Revision != 3 || known().Era != store.state.Era {
+				if time.Since(heard) > 4500*time.Millisecond {
+					t.Fatalf("the entry has %v after %s", known(), time.Since(heard))
+				}
+				g.c.Assert(slices.Contains(zones(), "a"), qt.IsTrue)
+				time.Sleep(5 * time.Millisecond)
+			}
+			hear()
+			time.Sleep(50 * time.Millisecond)
+			g.c.Assert(known().Revision, qt.Equals, uint64(3))
+			g.c.Assert(zones(), qt.DeepEquals, []ident.Zone{"a", "c"})
+		})
+	}
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -41,7 +41,9 @@
 	}
 	g.storeEra, g.storeEraKnown = state.Era, true
 	g.recordStoreVersion(state.Table)
-	g.evacuations.merge("store", func(known *membership.Evacuations) bool { return known.MergeRead(bootTime(), state.Evacuation) })
+	g.evacuations.merge("store", func(known *membership.Evacuations) bool {
+		return known.MergeCompleteRead(bootTime(), state.ReadAt, state.Evacuation)
+	})
 	g.enqueue(func(now time.Time) {
 		g.evacuationChanged(now)
 		g.recordStoreResponse(now)
--- a/internal/membership/evacuations_test.go
+++ b/internal/membership/evacuations_test.go
@@ -24,9 +24,90 @@
 	c.Assert(known.Apply(25, []membership.EvacuationChange{{Zone: "c", Revision: 22}, {Zone: "b", Ended: true, Revision: 24}}), qt.IsTrue)
 	c.Assert(known.Zones(), qt.DeepEquals, []ident.Zone{"c"})
 	c.Assert(known.Merge(0, membership.EvacuationState{Era: 1, Revision: 23, Zones: []ident.Zone{"b", "c"}}), qt.IsFalse)
+	c.Assert(known.Merge(0, membership.EvacuationState{Era: 1, Revision: 25, Zones: []ident.Zone{"a", "c"}}), qt.IsFalse, qt.Commentf("the store has shown the position"))
 	c.Assert(known.Zones(), qt.DeepEquals, []ident.Zone{"c"})
 }
 
+// TestWrongStateOfAnotherEntryDoesNotLast guards against a message with a position that the store never had, which keeps zones
+// evacuated and blocks the store's own word for ever, and against an entry that takes up the state again or passes it on.
+func TestWrongStateOfAnotherEntryDoesNotLast(t *testing.T) {
+	const huge = 1 << 63
+	all := []ident.Zone{"a", "b", "c"}
+	for name, wrong := range map[string]membership.EvacuationState{
+		"era":                 {Era: huge, Revision: 3},
+		"era and zones":       {Era: huge, Revision: 3, Zones: all},
+		"revision and zones":  {Era: 2, Revision: huge, Zones: all},
+		"revision":            {Era: 2, Revision: huge},
+		"revision to be told": {Era: 2, Revision: 14, Zones: all},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var known membership.Evacuations
+			known.MergeRead(0, membership.EvacuationState{Era: 2, Revision: 10, Zones: []ident.Zone{"b"}})
+			known.ConfirmCurrent(time.Minute)
+			at, grace := 2*time.Minute, membership.EvacuationGrace
+			c.Assert(known.NeedsRead(at), qt.IsFalse)
+			known.Merge(at, wrong)
+			known.Apply(12, []membership.EvacuationChange{{Zone: "c", Revision: 12}})
+			c.Assert(known.NeedsRead(at+grace-1), qt.IsFalse)
+			c.Assert(known.NeedsRead(at+grace), qt.IsTrue)
+			own := membership.EvacuationState{Era: 2, Revision: 13, Zones: []ident.Zone{"b", "c"}}
+			// A read that began before the message arrived proves nothing about it.
+			known.MergeCompleteRead(at+grace, at, own)
+			c.Assert(known.NeedsRead(at+grace), qt.IsTrue)
+			c.Assert(known.MergeCompleteRead(at+grace+2, at+grace+1, own), qt.IsTrue)
+			for range 2 {
+				c.Assert(known.Zones(), qt.DeepEquals, own.Zones)
+				current, _ := known.Current()
+				c.Assert(current, qt.DeepEquals, own)
+				_, holding := known.Held()
+				c.Assert(holding, qt.IsFalse)
+				c.Assert(known.NeedsRead(at+time.Hour), qt.IsFalse)
+				c.Assert(known.Merge(at+grace+3, wrong), qt.IsFalse, qt.Commentf("another entry repeats it"))
+			}
+			c.Assert(known.Apply(14, []membership.EvacuationChange{{Zone: "b", Ended: true, Revision: 14}}), qt.IsTrue)
+			c.Assert(known.Zones(), qt.DeepEquals, []ident.Zone{"c"})
+		})
+	}
+}
+
+// TestMessageEndsNoEvacuationWhileTheStoreAnswers guards against a wrong message that ends an evacuation which the store shows, and
+// against an entry without its store that never learns of the end.
+func TestMessageEndsNoEvacuationWhileTheStoreAnswers(t *testing.T) {
+	c := qt.New(t)
+	var known membership.Evacuations
+	known.MergeRead(0, membership.EvacuationState{Era: 1, Revision: 10, Zones: []ident.Zone{"b"}})
+	known.ConfirmCurrent(time.Minute)
+	at := 2 * time.Minute
+	known.Merge(at, membership.EvacuationState{Era: 1, Revision: 12, Zones: []ident.Zone{"c"}})
+	c.Assert(known.Zones(), qt.DeepEquals, []ident.Zone{"b", "c"})
+	c.Assert(known.Release(at+2*membership.EvacuationGrace-1), qt.IsFalse)
+	without := known
+	c.Assert(without.Release(at+2*membership.EvacuationGrace), qt.IsTrue)
+	c.Assert(without.Zones(), qt.DeepEquals, []ident.Zone{"c"}, qt.Commentf("the store does not answer"))
+	c.Assert(known.Apply(12, []membership.EvacuationChange{{Zone: "b", Ended: true, Revision: 11}, {Zone: "c", Revision: 12}}), qt.IsTrue)
+	c.Assert(known.Zones(), qt.DeepEquals, []ident.Zone{"c"}, qt.Commentf("the store shows the end"))
+}
+
+// TestWrongStateIsKeptDuringTheGrace guards against a read that ends the hold after a restore before the operator had time to
+// request again what the older copy lacks.
+func TestWrongStateIsKeptDuringTheGrace(t *testing.T) {
+	c := qt.New(t)
+	var known membership.Evacuations
+	known.MergeRead(0, membership.EvacuationState{Era: 1, Revision: 10, Zones: []ident.Zone{"b"}})
+	known.ConfirmCurrent(time.Minute)
+	at, restored := 2*time.Minute, 2*time.Minute+time.Second
+	known.Merge(at, membership.EvacuationState{Era: 1, Revision: 1 << 40, Zones: []ident.Zone{"a", "b"}})
+	older := membership.EvacuationState{Era: 2, Revision: 5}
+	known.MergeCompleteRead(restored, restored, older)
+	known.Merge(restored, membership.EvacuationState{Era: 2, Revision: 1 << 40})
+	last := restored + membership.EvacuationGrace - 1
+	known.MergeCompleteRead(last, last, older)
+	c.Assert(known.Zones(), qt.DeepEquals, []ident.Zone{"a", "b"})
+	known.MergeCompleteRead(last+1, last+1, older)
+	c.Assert(known.Zones(), qt.HasLen, 0)
+}
+
 // TestEvacuationOutlastsARestore guards against an evacuation that ends because an older copy of the store lacks it, before the
 // operator had time to request it again, and against one that never ends if it is not requested again.
 func TestEvacuationOutlastsARestore(t *testing.T) {
@@ -69,6 +150,8 @@
 	era, revision uint64
 	read          bool
 	frozen, cut   bool
+	// reread is true if it reads the whole store at the next opportunity.
+	reread bool
 	// learned are the zones whose present request it knows.
 	learned map[ident.Zone]bool
 	// readAt and readState are an answer of the store that it has not handled yet.
@@ -92,7 +175,10 @@
 	rewriteAt time.Duration
 	entries   []*evacuationEntry
 	messages  []evacuationMessage
-	halves    bool
+	// wrong is true if there are wrong states. An entry may then take a zone for evacuated that the store does not have yet, so
+	// that check can't tell what it has lost.
+	wrong  bool
+	halves bool
 }
 
 type evacuationMessage struct {
@@ -168,7 +254,7 @@
 		entry.readState = nil
 		if !entry.read || answer.Era >= entry.era {
 			entry.read, entry.era, entry.revision = true, answer.Era, answer.Revision
-			entry.known.MergeRead(w.now, *answer)
+			entry.known.MergeCompleteRead(w.now, entry.readAt, *answer)
 			entry.known.ConfirmCurrent(entry.readAt)
 		}
 		return
@@ -176,7 +262,8 @@
 	if entry.cut || w.down {
 		return
 	}
-	if !entry.read || entry.era != w.era {
+	if !entry.read || entry.era != w.era || entry.reread {
+		entry.reread = false
 		entry.readState, entry.readAt = &membership.EvacuationState{Era: w.era, Revision: w.position, Zones: w.stored()}, w.now
 		if !late {
 			w.follow(entry, false)
@@ -238,6 +325,9 @@
 
 // check fails if an entry has lost an evacuation that it knew and that is still requested.
 func (w *evacuationWorld) check() {
+	if w.wrong {
+		return
+	}
 	for i, entry := range w.entries {
 		zones := entry.known.Zones()
 		state, _ := entry.known.Current()
@@ -254,7 +344,16 @@
 	}
 }
 
-func (w *evacuationWorld) step() {
+func newEvacuationWorld(t *rapid.T) *evacuationWorld {
+	w := &evacuationWorld{t: t, era: 1, position: 1, wanted: map[ident.Zone]membership.EvacuationState{}}
+	for range rapid.IntRange(2, 4).Draw(t, "entries") {
+		w.entries = append(w.entries, &evacuationEntry{learned: map[ident.Zone]bool{}})
+	}
+	return w
+}
+
+// event lets something happen.
+func (w *evacuationWorld) event() {
 	w.now += time.Duration(rapid.IntRange(0, 700).Draw(w.t, "pause")) * time.Millisecond
 	if w.rewriteAt > 0 && w.now >= w.rewriteAt {
 		// The operator wrote in time, but no entry has read the store since.
@@ -263,12 +362,15 @@
 	i := rapid.IntRange(0, len(w.entries)-1).Draw(w.t, "entry")
 	entry := w.entries[i]
 	switch rapid.SampledFrom([]string{
-		"operate", "follow", "follow", "follow", "follow late", "send", "send", "deliver", "deliver", "outage", "restore", "freeze", "cut", "halves", "restart",
+		"operate", "follow", "follow", "follow", "follow late", "send", "send", "deliver", "deliver", "outage", "restore", "freeze", "cut", "halves", "restart", "reread",
 	}).Draw(w.t, "event") {
 	case "operate":
 		w.operate(zoneName(rapid.IntRange(0, evacuationZones-1).Draw(w.t, "zone")))
 	case "follow":
 		w.follow(entry, false)
+	case "reread":
+		entry.reread = true
+		entry.known.Release(w.now)
 	case "follow late":
 		w.follow(entry, true)
 	case "send":
@@ -300,7 +402,6 @@
 	case "restart":
 		w.restart(i)
 	}
-	w.check()
 }
 
 // TestEvacuationsOverInterleavings guards against an entry that loses an evacuation while it is requested, over interleavings of
@@ -308,29 +409,69 @@
 // all is well again, all entries must know exactly what is requested.
 func TestEvacuationsOverInterleavings(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &evacuationWorld{t: t, era: 1, position: 1, wanted: map[ident.Zone]membership.EvacuationState{}}
-		for range rapid.IntRange(2, 4).Draw(t, "entries") {
-			w.entries = append(w.entries, &evacuationEntry{learned: map[ident.Zone]bool{}})
-		}
+		w := newEvacuationWorld(t)
 		for range rapid.IntRange(10, 150).Draw(t, "steps") {
-			w.step()
+			w.event()
+			w.check()
+		}
+		w.settle(w.check)
+	})
+}
+
+// settle ends all disturbances and fails unless all entries then know exactly what is requested.
+func (w *evacuationWorld) settle(check func()) {
+	w.down = false
+	for range 12 {
+		w.now += time.Second
+		if w.rewriteAt > 0 && w.now >= w.rewriteAt {
+			w.rewrite()
 		}
-		w.down = false
-		for range 12 {
-			w.now += time.Second
-			if w.rewriteAt > 0 && w.now >= w.rewriteAt {
-				w.rewrite()
+		for _, entry := range w.entries {
+			entry.frozen, entry.cut = false, false
+			entry.reread = entry.reread || entry.known.NeedsRead(w.now)
+			w.follow(entry, false)
+		}
+		check()
+	}
+	for i, entry := range w.entries {
+		if zones := entry.known.Zones(); !slices.Equal(zones, w.stored()) || len(zones) != len(w.wanted) {
+			w.t.Fatalf("entry %d has %v evacuated, requested are %v", i, zones, w.stored())
+		}
+	}
+}
+
+// TestWrongStatesOverInterleavings guards against wrong states, with positions far or just beyond those of the store, that outlast
+// the disturbances in which they came up while entries repeat to each other what they know.
+func TestWrongStatesOverInterleavings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newEvacuationWorld(t)
+		w.wrong = true
+		for range rapid.IntRange(10, 100).Draw(t, "steps") {
+			w.event()
+			if rapid.IntRange(0, 9).Draw(t, "wrong") > 0 {
+				continue
 			}
-			for _, entry := range w.entries {
-				entry.frozen, entry.cut = false, false
-				w.follow(entry, false)
+			state := membership.EvacuationState{Era: w.era, Revision: w.position + rapid.SampledFrom([]uint64{0, 1, 5, 1 << 50}).Draw(t, "ahead")}
+			if rapid.Bool().Draw(t, "era") {
+				state.Era = rapid.SampledFrom([]uint64{w.era + 1, 1 << 50}).Draw(t, "wrong era")
 			}
-			w.check()
-		}
-		for i, entry := range w.entries {
-			if zones := entry.known.Zones(); !slices.Equal(zones, w.stored()) || len(zones) != len(w.wanted) {
-				t.Fatalf("entry %d has %v evacuated, requested are %v", i, zones, w.stored())
+			for i := range evacuationZones {
+				if rapid.Bool().Draw(t, "zone") {
+					state.Zones = append(state.Zones, zoneName(i))
+				}
 			}
+			w.entries[rapid.IntRange(0, len(w.entries)-1).Draw(t, "to")].known.Merge(w.now, state)
 		}
+		w.settle(func() {
+			for i, from := range w.entries {
+				for to := range w.entries {
+					for _, state := range tell(from) {
+						if to != i {
+							w.entries[to].known.Merge(w.now, state)
+						}
+					}
+				}
+			}
+		})
 	})
 }
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -41,6 +41,8 @@
 	Era      uint64
 	// Evacuation is the state of evacuations as of its own position, which may be newer than Revision.
 	Evacuation membership.EvacuationState
+	// ReadAt is when the read began, a reading of Follower.Now. It is 0 for reads that may be stale.
+	ReadAt time.Duration
 }
 
 // Position returns the position of the state.
@@ -142,6 +144,8 @@
 	cancelWatch context.CancelFunc
 	// outdated is true if the store is known to be in a later era than the state delivered, so that it must be read again.
 	outdated bool
+	// reread is true if the process wants the store to be read again.
+	reread bool
 	// restored is true if the era has changed since the first read, restoredAt when the change was seen.
 	restored   bool
 	restoredAt time.Duration
@@ -162,6 +166,7 @@
 	}
 	pause := minRetryPause
 	for ctx.Err() == nil {
+		f.clearReread()
 		start := f.Now()
 		state, err := f.read(ctx)
 		if err != nil {
@@ -173,6 +178,7 @@
 			continue
 		}
 		pause = minRetryPause
+		state.ReadAt = start
 		f.Handler.Replaced(state)
 		f.recordDelivered(state.Position())
 		f.reportCurrent(start)
@@ -390,7 +396,23 @@
 func (f *Follower) mustReread() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.outdated
+	return f.outdated || f.reread
+}
+
+// Reread makes Run read the whole state again.
+func (f *Follower) Reread() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reread = true
+	if f.cancelWatch != nil {
+		f.cancelWatch()
+	}
+}
+
+func (f *Follower) clearReread() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reread = false
 }
 
 func (f *Follower) maxBatchDelay() time.Duration {
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -304,3 +304,41 @@
 		synctest.Wait()
 	})
 }
+
+// TestRereadReadsTheStoreOnce guards against a process that keeps what it has when it asks for a new read, and against one that reads
+// again and again.
+func TestRereadReadsTheStoreOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store, handler := &quietStore{}, &recorder{}
+		f := source.NewFollower(store, handler, func() time.Duration { return time.Since(time.Time{}) })
+		f.Wait = time.Second
+		go f.Run(ctx)
+		time.Sleep(1500 * time.Millisecond)
+		synctest.Wait()
+		c.Assert(handler.reads, qt.Equals, 1)
+		f.Reread()
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		c.Assert(handler.reads, qt.Equals, 2)
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		c.Assert(handler.reads, qt.Equals, 2)
+		cancel()
+	})
+}
+
+// quietStore is a store without changes.
+type quietStore struct{ scriptedStore }
+
+func (*quietStore) Read(context.Context) (source.State, error) { return source.State{Revision: 1}, nil }
+
+func (*quietStore) Watch(ctx context.Context, after source.Position, wait time.Duration) (source.Changes, error) {
+	select {
+	case <-time.After(wait):
+		return source.Changes{Revision: after.Revision}, nil
+	case <-ctx.Done():
+		return source.Changes{}, ctx.Err()
+	}
+}
