Remember the start times of servers that are no longer listed

Cause: a server without a known predecessor in the list counts as started since the entry knows the list. A warm server whose item was missing for a moment counted as cold for warmup-s afterwards, although its start time was the same.

Change: the start times of removed servers are remembered for 10 min, at most 1,024 of them; the one that was removed first is forgotten then. A server with an unknown start time (0) is not remembered. A server that is cold when its item goes missing stays cold.

Ruled out: comparing the start time with the clock, since the clocks of VMs differ and the start time is the server's.

Measured: TestServerThatReturnsToTheListIsNotCold fails without the check; the package's tests of cold servers and evacuations pass with the race detector, but for TestAdmissionCountsTheRoomThatIsLeft, which failed before.

--- a/internal/control/cold_servers.go
+++ b/internal/control/cold_servers.go
@@ -9,6 +9,14 @@
 	"github.com/bramleyspool/bramleyspool/internal/routing"
 )
 
+const (
+	// removedMemory is how long the start times of servers that are no longer listed are remembered. An item may be missing for a
+	// moment or for the time of a store's outage, while its server runs.
+	removedMemory = 10 * time.Minute
+	// maxRemoved bounds the number of remembered start times; the servers that were removed first are forgotten.
+	maxRemoved = 1024
+)
+
 // coldServers has the servers that are cold, and the bounds of what they may get.
 type coldServers struct {
 	// factor and extra are those of admission.ColdBounds; there is no bound if factor is 0.
@@ -17,6 +25,8 @@
 	until map[attempt.ServerInstance]time.Time
 	// entries is the number of entries that may send requests, including those that this one may have been cut off from.
 	entries int
+	// removedAt is when each server that is no longer listed was removed from the list.
+	removedAt map[attempt.ServerInstance]time.Time
 }
 
 // ConfigureCold sets the bound on the requests that a cold server gets in any one second, see admission.ColdBounds.
@@ -41,7 +51,7 @@
 	bounds := d.coldBounds(backend)
 	coldFor := backend.ColdFor
 	if known := d.servers[backend.ID]; coldFor == membership.ColdNotStated {
-		if len(d.servers) == 0 || known != nil && known.Started == backend.Started || d.table == nil {
+		if len(d.servers) == 0 || known != nil && known.Started == backend.Started || d.cold.returned(now, instance) || d.table == nil {
 			return 0
 		}
 		// The server has started since this entry knows the list.
@@ -64,6 +74,42 @@
 	return coldFor
 }
 
+// recordRemoved records that a server is no longer listed. A start time of 0 is unknown, and says nothing when the server returns.
+func (c *coldServers) recordRemoved(now time.Time, instance attempt.ServerInstance) {
+	if instance.Started == 0 {
+		return
+	}
+	if c.removedAt == nil {
+		c.removedAt = map[attempt.ServerInstance]time.Time{}
+	}
+	if _, known := c.removedAt[instance]; !known && len(c.removedAt) >= maxRemoved {
+		c.forgetRemoved(now)
+	}
+	c.removedAt[instance] = now
+}
+
+// forgetRemoved forgets the servers that were removed too long ago, or else the one that was removed first.
+func (c *coldServers) forgetRemoved(now time.Time) {
+	var first attempt.ServerInstance
+	firstAt := now.Add(1)
+	for instance, at := range c.removedAt {
+		if now.Sub(at) >= removedMemory {
+			delete(c.removedAt, instance)
+		} else if at.Before(firstAt) {
+			first, firstAt = instance, at
+		}
+	}
+	if len(c.removedAt) >= maxRemoved {
+		delete(c.removedAt, first)
+	}
+}
+
+// returned reports whether a server was listed lately and has not started again since.
+func (c *coldServers) returned(now time.Time, instance attempt.ServerInstance) bool {
+	at, removed := c.removedAt[instance]
+	return removed && now.Sub(at) < removedMemory
+}
+
 // ColdServers returns the number of servers that are cold.
 func (d *Dispatcher) ColdServers() int { return len(d.cold.until) }
 
--- a/internal/control/cold_servers_test.go
+++ b/internal/control/cold_servers_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -142,3 +143,34 @@
 	c.Logf("sends to a cold rank: %d alone, %d beside 10 sends of others, %d if half of theirs is heard", alone, heard, shareHeard)
 	c.Assert(alone > heard && heard > shareHeard, qt.IsTrue)
 }
+
+// TestServerThatReturnsToTheListIsNotCold guards against a warm server that counts as cold because its item was missing for a moment,
+// and against one that started again meanwhile and counts as warm.
+func TestServerThatReturnsToTheListIsNotCold(t *testing.T) {
+	c := qt.New(t)
+	backends := testBackends(0, 3)
+	for i := range backends {
+		backends[i].Started, backends[i].ColdFor = int64(100+i), membership.ColdNotStated
+		backends[i].Address = fmt.Sprintf("127.0.0.1:%d", 8000+i)
+	}
+	d := newColdDispatcher(1, backends)
+	c.Assert(d.ColdServers(), qt.Equals, 0)
+	list(d, clockAt(1000), backends[2:])
+	list(d, clockAt(1100), backends[1:])
+	c.Assert(d.ColdServers(), qt.Equals, 0, qt.Commentf("the same start time"))
+	sends := flood(d, "plain", 1100, 2100)
+	c.Assert(sends["p1"] > coldAllowed, qt.IsTrue, qt.Commentf("%v", sends))
+	backends[0].Started = 500
+	list(d, clockAt(2200), backends)
+	c.Assert(d.ColdServers(), qt.Equals, 1, qt.Commentf("started again"))
+	// Its item is missing while it is cold: it stays so.
+	list(d, clockAt(2300), backends[1:])
+	list(d, clockAt(2400), backends)
+	c.Assert(d.ColdServers(), qt.Equals, 1)
+	sends = flood(d, "plain", 2400, 3400)
+	c.Assert(sends["p0"] <= coldAllowed, qt.IsTrue, qt.Commentf("%v", sends))
+	// A server that was away for long is as good as unknown.
+	list(d, clockAt(20_000), backends[:2])
+	list(d, clockAt(20_000+10*60_000), backends)
+	c.Assert(d.ColdServers(), qt.Equals, 1)
+}
--- a/internal/control/crash_requests.go
+++ b/internal/control/crash_requests.go
@@ -53,6 +53,7 @@
 func (d *Dispatcher) recordRemoved(now time.Time, listed map[string]*routing.Server) {
 	for id, server := range d.servers {
 		if current := listed[id]; current == nil || current.Started != server.Started {
+			d.cold.recordRemoved(now, InstanceOf(&server.ListedBackend))
 			d.RecordServerEnded(now, server.ListedBackend)
 		}
 	}
