--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -41,7 +41,9 @@
 	}
 	g.storeEra, g.storeEraKnown = state.Era, true
 	g.recordStoreVersion(state.Table)
-	g.evacuations.merge("store", func(known *membership.Evacuations) bool { return known.MergeRead(bootTime(), state.Evacuation) })
+	g.evacuations.merge("store", func(known *membership.Evacuations) bool {
+		return known.MergeCompleteRead(bootTime(), state.ReadAt, state.Evacuation)
+	})
 	g.enqueue(func(now time.Time) {
 		g.evacuationChanged(now)
 		g.recordStoreResponse(now)
@@ -280,9 +282,10 @@
 	}
 }
 
-// handleGroupReport passes the report of a group's leader to the dispatcher. It ignores outdated reports.
+// handleGroupReport passes the report of a group's leader to the dispatcher. It ignores invalid and outdated
+// reports.
 func (g *Gateway) handleGroupReport(now time.Time, from netip.AddrPort, report *datagram.GroupReport) {
-	if g.isOutdatedReport(now, report, from.String()) {
+	if g.isInvalidReport(now, report, from) || g.isOutdatedReport(now, report, from.String()) {
 		return
 	}
 	g.leaders.recordReport(now, report.Group, from)
