Believe the pace of a rank without requests, and avoid ranks before jumps

Change: a rank without requests has no bound by passes. Where jumps of demand are expected, a rank is avoided if it makes the passes of the next jump too long, not only the present ones.

--- a/internal/admission/slow_ranks.go
+++ b/internal/admission/slow_ranks.go
@@ -37,12 +37,17 @@
 	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Or(cmp.Compare(pace.Slowness[b], pace.Slowness[a]), cmp.Compare(a, b))
 	})
-	shared := g.expertPass(pace, total)
-	usual := g.ownPass(1, total/len(loads)) + shared
+	stretch := 1.0
+	if peaks := pace.Forecast.Peaks; len(peaks) > 0 {
+		// Passes must be short enough also during the next jump of demand and the loading of experts after it.
+		pace.Skew, stretch = max(pace.Skew, peaks[len(peaks)-1]), loadingSlowdown
+	}
+	shared := time.Duration(stretch * float64(g.expertPass(pace, total)))
+	usual := time.Duration(stretch*float64(g.ownPass(1, total/len(loads)))) + shared
 	slow := make([]bool, len(loads))
 	avoided := 0
 	for _, rank := range order {
-		pass := g.ownPass(pace.Slowness[rank], max(loads[rank], 1)) + shared
+		pass := time.Duration(stretch*float64(g.ownPass(pace.Slowness[rank], max(loads[rank], 1)))) + shared
 		saves := usual <= longest || float64(pass-usual) >= minPassReduction*float64(pass)
 		room := usableSlots * float64(g.Engine.Slots*(pace.receiving()-avoided-1))
 		if pass <= longest || !saves || float64(total) > room {
--- a/internal/control/slow_ranks.go
+++ b/internal/control/slow_ranks.go
@@ -38,8 +38,10 @@
 	}
 	engine := d.engineModel(service)
 	var slow []bool
+	pace := group.pace
+	pace.Forecast = group.forecast.peaks.Forecast(now, routing.LoadAge)
 	if engine != nil && len(group.pace.Slowness) == len(loads) {
-		slow = admission.PassGate{Engine: engine, MaxEventGap: d.table.EventGap(service)}.SlowRanks(group.pace, loads)
+		slow = admission.PassGate{Engine: engine, MaxEventGap: d.table.EventGap(service)}.SlowRanks(pace, loads)
 	}
 	group.slowness = group.pace.Slowness
 	if slow != nil {
--- a/internal/expert/rankspeeds.go
+++ b/internal/expert/rankspeeds.go
@@ -218,9 +218,14 @@
 }
 
 // updateBound updates the bound by the duration of the latest passes. It falls only if the rank had requests in all of them,
-// since passes get short again as soon as a slow rank has none.
+// since passes get short again as soon as a slow rank has none. A rank without requests has no bound: the passes that it had
+// some in may have ended before they showed how slow it is, and a rank that is taken for faster than it is gets new streams.
 func (r *rankSpeed) updateBound(pass, idlePass time.Duration) {
-	if idlePass <= 0 || pass <= 0 || r.busyReports == 0 {
+	if r.busyReports == 0 {
+		r.bound = 0
+		return
+	}
+	if idlePass <= 0 || pass <= 0 {
 		return
 	}
 	if bound := float64(pass) / float64(idlePass); bound > r.bound || r.busyReports > recentPasses {
