Use the gate's own parts for slow ranks, and clearer names

Change: SlowRanks uses OwnPart and expertPart; renamed constants and comments; no change of behaviour but that the mean load is no longer rounded down. Result: tests of both packages for these parts pass.

--- a/internal/admission/demand_shares.go
+++ b/internal/admission/demand_shares.go
@@ -48,8 +48,8 @@
 // AdmittedFractions is the decision for one service. A nil value admits everything.
 type AdmittedFractions struct {
 	customers map[ident.Customer]*customerShare
-	// excessive is the customer whose demand exceeds its share the most.
-	excessive ident.Customer
+	// mostExcessive is the customer whose demand exceeds its share the most.
+	mostExcessive ident.Customer
 }
 
 // customerShare is the share of one customer.
@@ -109,7 +109,7 @@
 	for _, share := range ordered {
 		share.divide(floorShare * capacity / offered)
 		if excess := share.distinct - share.share; excess > largest {
-			largest, result.excessive = excess, share.customer
+			largest, result.mostExcessive = excess, share.customer
 		}
 	}
 	return result
@@ -203,7 +203,7 @@
 	if f == nil {
 		return ""
 	}
-	return f.excessive
+	return f.mostExcessive
 }
 
 // ShareRetryAfter returns the Retry-After of a request that is refused for its customer's share. draw is a random number from
--- a/internal/admission/late_mode.go
+++ b/internal/admission/late_mode.go
@@ -61,7 +61,7 @@
 // Late returns whether the group serves late.
 func (m *LateMode) Late() bool { return m.late }
 
-// LateAt returns whether the group served late at a time, if that is after the change before the last one.
+// LateAt returns whether the group served late at a time. Only the last change of the mode is known.
 func (m *LateMode) LateAt(at time.Time) bool { return m.late || at.Before(m.Changed) }
 
 // Update returns whether the group serves late from now on.
--- a/internal/admission/slow_ranks.go
+++ b/internal/admission/slow_ranks.go
@@ -22,7 +22,7 @@
 // Load pattern: one or more ranks turn slow for seconds while the group is busy. loads are the numbers of running and queued
 // streams by rank; only the ranks that get new requests have room for others.
 func (g PassGate) SlowRanks(pace GroupPace, loads []int) []bool {
-	longest := time.Duration(maxPassFraction * float64(g.MaxEventGap))
+	longest := g.currentBound()
 	if longest <= 0 || len(pace.Slowness) != len(loads) || len(loads) == 0 {
 		return nil
 	}
@@ -37,17 +37,18 @@
 	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Or(cmp.Compare(pace.Slowness[b], pace.Slowness[a]), cmp.Compare(a, b))
 	})
+	chunk := float64(g.Engine.PromptChunk)
 	stretch := 1.0
 	if peaks := pace.Forecast.Peaks; len(peaks) > 0 {
 		// Passes must be short enough also during the next jump of demand and the loading of experts after it.
 		pace.Skew, stretch = max(pace.Skew, peaks[len(peaks)-1]), loadingSlowdown
 	}
-	shared := time.Duration(stretch * float64(g.expertPass(pace, total)))
-	usual := time.Duration(stretch*float64(g.ownPass(1, total/len(loads)))) + shared
+	shared := time.Duration(stretch * float64(g.expertPart(pace, total, pace.Skew)))
+	usual := time.Duration(stretch*float64(g.OwnPart(1, float64(total)/float64(len(loads)), chunk))) + shared
 	slow := make([]bool, len(loads))
 	avoided := 0
 	for _, rank := range order {
-		pass := time.Duration(stretch*float64(g.ownPass(pace.Slowness[rank], max(loads[rank], 1)))) + shared
+		pass := time.Duration(stretch*float64(g.OwnPart(pace.Slowness[rank], float64(max(loads[rank], 1)), chunk))) + shared
 		saves := usual <= longest || float64(pass-usual) >= minPassReduction*float64(pass)
 		room := usableSlots * float64(g.Engine.Slots*(pace.receiving()-avoided-1))
 		if pass <= longest || !saves || float64(total) > room {
@@ -61,19 +62,3 @@
 	}
 	return slow
 }
-
-// ownPass returns the part of a pass that a rank with the slowness spends on its own streams and on a chunk of a prompt.
-func (g PassGate) ownPass(slowness float64, streams int) time.Duration {
-	steps := float64(g.Engine.StepsPerPass)
-	own := steps * (float64(g.Engine.Step) + (1-g.Engine.Experts.Share)*float64(g.Engine.PerWriter)*float64(streams))
-	if g.Engine.PromptRate > 0 {
-		own += float64(g.Engine.PromptChunk) / g.Engine.PromptRate * float64(time.Second)
-	}
-	return time.Duration(slowness * own)
-}
-
-// expertPass returns the part of a pass that the most loaded rank spends on experts for the streams of the group.
-func (g PassGate) expertPass(pace GroupPace, streams int) time.Duration {
-	mean := float64(streams) / float64(max(pace.Ranks, 1))
-	return time.Duration(g.Engine.Experts.Share * float64(g.Engine.PerWriter) * float64(g.Engine.StepsPerPass) * mean * max(pace.Skew, 1))
-}
--- a/internal/admission/trough_retry.go
+++ b/internal/admission/trough_retry.go
@@ -4,8 +4,8 @@
 
 // Constants of TroughRetry.
 const (
-	// retryPart is the part of their remaining time for which callers wait when asked to.
-	retryPart = 3
+	// retryDivisor divides the remaining time of callers: they wait for a third of it at most when asked to.
+	retryDivisor = 3
 	// fallingSlope is the relative change of demand per second from which it counts as falling, if it is also
 	// slopeCertainty times the scatter of the estimate. Without the second condition, a steady demand of 30 requests a second
 	// counted as falling in 30% of the cases.
@@ -37,9 +37,9 @@
 
 // After returns the Retry-After. Random is uniform in [0, 1).
 func (r TroughRetry) After(random float64) time.Duration {
-	longest := min(r.Remaining/retryPart, maxGroupRetryAfter)
+	longest := min(r.Remaining/retryDivisor, maxGroupRetryAfter)
 	if len(r.Forecast.Peaks) > 0 {
-		longest = r.Remaining / retryPart
+		longest = r.Remaining / retryDivisor
 		start := r.Forecast.PeakLeft
 		if !r.Forecast.InPeak {
 			start = r.Forecast.NextPeak + r.Forecast.PeakLasts
--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -17,12 +17,12 @@
 	// demand is counted. A jump in demand lowers the capacity for some 0.6 s until the next expert map is in force, which
 	// must not count as overload.
 	capacitySmoothing = time.Second
-	// shareRoom is the fraction of streams that a group must have room for beyond the present ones for nothing to be refused
+	// requiredFreeShare is the fraction of streams that a group must have room for beyond the present ones for nothing to be refused
 	// because of shares. It keeps room for urgent requests, and no room stays unused because a capacity was underestimated.
-	shareRoom = 0.15
-	// shareHeadroom is the fraction of the capacity that is divided. A group that is filled to its limit by the less urgent
+	requiredFreeShare = 0.15
+	// dividedShare is the fraction of the capacity that is divided. A group that is filled to its limit by the less urgent
 	// requests would refuse urgent ones as they happen to arrive.
-	shareHeadroom = 0.95
+	dividedShare = 0.95
 	// maxDemandAge is the age from which the sums of demand in a leader's report are not used.
 	maxDemandAge = time.Second
 	// fractionsMaxAge is the time for which computed fractions are used.
@@ -32,7 +32,7 @@
 // serviceDemand is the demand for one service and the decision about it.
 type serviceDemand struct {
 	counter admission.DemandCounter
-	// ends counts the requests that end, while requests wait for a plain service: that is its capacity at this entry.
+	// ends counts the requests that a plain service has served. While requests wait for it, that is its capacity at this entry.
 	ends    admission.DemandCounter
 	credits *admission.ShareCredits
 	usual   admission.UsualDemand
@@ -149,7 +149,7 @@
 		demand.capacity, demand.reportedAt, sums = admission.TotalRate(demand.ends.Demand(now)), now, demand.counter.Demand(now)
 	} else {
 		demand.capacity, demand.reportedAt, sums = d.reportedDemand(now, service)
-		demand.capacity *= shareHeadroom
+		demand.capacity *= dividedShare
 	}
 	demand.offered = admission.TotalRate(sums)
 	demand.fractions = admission.DemandShares{Weight: demand.usual.Weight}.Fractions(demand.capacity, sums)
@@ -178,8 +178,8 @@
 	return capacity, at, sums
 }
 
-// hasShareRoom reports whether a group of the service has room for shareRoom more streams.
-func (d *Dispatcher) hasShareRoom(now time.Time, request *BackendRequest, engine *routing.EngineModel) bool {
+// hasFreeShare reports whether a group of the service has room for requiredFreeShare more streams.
+func (d *Dispatcher) hasFreeShare(now time.Time, request *BackendRequest, engine *routing.EngineModel) bool {
 	gate := admission.PassGate{Engine: engine, MaxEventGap: request.Route.EventGap}
 	for name, group := range d.groups {
 		if len(group.ranks) == 0 || group.ranks[0].Service != request.Service || d.unavailable(now, name, group.ranks, request) {
@@ -190,7 +190,7 @@
 			return true
 		}
 		writers := gate.EstimateWriters(pace, group.openRequests()-group.openAtReport)
-		needed := writers + int(shareRoom*float64(writers))
+		needed := writers + int(requiredFreeShare*float64(writers))
 		if gate.Decide(pace, needed, group.forecast.demand).Admitted && needed < engine.Slots*pace.Ranks {
 			return true
 		}
@@ -228,7 +228,7 @@
 	}
 	engine := d.engineModel(request.Service)
 	switch {
-	case request.overShare && engine != nil && d.fractionsOf(now, request.Service).Shared() && !d.hasShareRoom(now, request, engine):
+	case request.overShare && engine != nil && d.fractionsOf(now, request.Service).Shared() && !d.hasFreeShare(now, request, engine):
 		return []Assignment{{
 			Request: request.ID, PromptTokens: request.PromptTokens, Waited: now.Sub(request.Arrived), ReportAge: -1,
 			Cause: outcome.CauseOverShare, CausedBy: d.fractionsOf(now, request.Service).CausedBy(), Share: request.share,
--- a/internal/control/group_forecast.go
+++ b/internal/control/group_forecast.go
@@ -63,7 +63,7 @@
 }
 
 // keepsQueued reports whether a request that came while the group served late may wait as long as then: it would be late
-// anyway, and a queue that is refused at once comes back at once.
+// anyway, and the callers of a queue that is refused at once would all retry together.
 func (f *groupForecast) keepsQueued(gate admission.PassGate, request *BackendRequest) bool {
 	mode := f.modes[gate.MaxEventGap]
 	return mode != nil && !request.Resumed && mode.LateAt(request.Arrived)
--- a/internal/control/slow_ranks.go
+++ b/internal/control/slow_ranks.go
@@ -15,7 +15,7 @@
 	Group   ident.Group
 	// Slowness is the factor by which the rank's work takes longer than usual.
 	Slowness float64
-	// Streams is the number of this entry's streams there, Load that of all entries.
+	// Streams is the number of this entry's open requests there, Load that of all entries.
 	Streams, Load int
 	// Pass is the mean duration of the group's last passes, ReportAge the age of the report that says so.
 	Pass, ReportAge time.Duration
--- a/internal/control/wait_end.go
+++ b/internal/control/wait_end.go
@@ -4,11 +4,11 @@
 
 // Constants of the waiting time of requests for lock-step groups.
 const (
-	// leaveTime, leaveTargets and leaveGaps define when callers leave a stream without events: after the longest of 2 s,
-	// four times the target and eight times the longest pause on time.
-	leaveTime    = 2 * time.Second
-	leaveTargets = 4
-	leaveGaps    = 8
+	// abandonAfter, abandonAfterTargets and abandonAfterGaps define when callers leave a stream without events: after the
+	// longest of 2 s, four times the target and eight times the longest pause on time.
+	abandonAfter        = 2 * time.Second
+	abandonAfterTargets = 4
+	abandonAfterGaps    = 8
 	// leaveMargin is the time for the first event to reach the caller, and by which predictions of passes may fail.
 	leaveMargin = 100 * time.Millisecond
 )
@@ -43,7 +43,7 @@
 
 // LeaveTime returns when the caller leaves if it has received no event.
 func (request *BackendRequest) LeaveTime() time.Time {
-	patience := max(leaveTime, leaveTargets*request.Route.TargetLatency, leaveGaps*request.Route.EventGap)
+	patience := max(abandonAfter, abandonAfterTargets*request.Route.TargetLatency, abandonAfterGaps*request.Route.EventGap)
 	return earlier(request.Arrived.Add(patience), request.Deadline)
 }
 
