Use usual terms for the exchange of evacuations

Cause: news, evacuationDoubt, doubted and "word of another entry" are not terms of the field.

Change: announcePending, resumeGrace, recentlyResumed and takeAnnouncement, and comments that speak of messages. Nothing behaves differently.

Ruled out: renaming startDoubt and the comments of the crash register, which belong to other parts.

Measured: go vet of all packages; the tests of evacuations, reports and restores of the gateway pass with the race detector. In that run, beside other load, TestColdServerGetsFewRequestsOfAllEntries/whole failed (the cold server got no request in 7 s); it passed alone without the race detector.

--- a/internal/control/cold_servers_test.go
+++ b/internal/control/cold_servers_test.go
@@ -68,7 +68,7 @@
 }
 
 // TestColdServersGetFewRequests guards against cold servers that get first sends, waiting requests or resumed streams beyond the
-// limit: servers that are cold from their start, that become cold again, and that started without a word about it.
+// limit: servers that are cold from their start, that become cold again, and that started and whose records do not say so.
 func TestColdServersGetFewRequests(t *testing.T) {
 	c := qt.New(t)
 	backends := testBackends(0, 3)
@@ -84,7 +84,7 @@
 	c.Assert(d.ColdServers(), qt.Equals, 0)
 	sends = flood(d, "plain", 5000, 6000)
 	c.Assert(sends["p0"] > coldAllowed, qt.IsTrue, qt.Commentf("%v", sends))
-	// It becomes cold again, and another one has started again without a word in its record.
+	// It becomes cold again, and another one has started again, which its record does not say.
 	backends[0].ColdFor = 8 * time.Second
 	backends[1].Started, backends[1].ColdFor = 7, membership.ColdNotStated
 	list(d, clockAt(6000), backends)
--- a/internal/gateway/crash_exchange.go
+++ b/internal/gateway/crash_exchange.go
@@ -25,7 +25,7 @@
 
 func (g *Gateway) sendHello(now time.Time, to netip.AddrPort, answer bool) {
 	hello := &datagram.Hello{Peers: g.peerDirectory.known(now), CrashDigest: g.dispatcher.Crashes().Digest(), Answer: answer}
-	hello.Joining = g.peerDirectory.joining(now) || g.evacuations.doubted()
+	hello.Joining = g.peerDirectory.joining(now) || g.evacuations.recentlyResumed()
 	if table := g.table.Load(); table != nil {
 		hello.ConfigurationVersion = table.Version
 	}
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -22,10 +22,10 @@
 	evacuationMargin = 500 * time.Millisecond
 	// suspendedAfter is the time without work of the control thread after which the process counts as suspended: five ticks.
 	suspendedAfter = time.Second
-	// evacuationDoubt is how long an entry that was suspended waits for word of another entry, or of the store, before it sends
+	// resumeGrace is how long an entry that was suspended waits for a message from another entry, or the store, before it sends
 	// requests: twice the time in which the store answers when it is slow.
-	evacuationDoubt = 400 * time.Millisecond
-	// evacuationPoll is the interval at which a send checks whether the word has come.
+	resumeGrace = 400 * time.Millisecond
+	// evacuationPoll is the interval at which a send checks whether a message has arrived.
 	evacuationPoll = 10 * time.Millisecond
 )
 
@@ -33,9 +33,9 @@
 type evacuationTable struct {
 	mu    sync.Mutex
 	known membership.Evacuations
-	// news is true if other entries should be told, source says where the last change came from.
-	news   bool
-	source string
+	// announcePending is true if other entries should be told, source says where the last change came from.
+	announcePending bool
+	source          string
 
 	// zones are the evacuated zones; nil before the first change.
 	zones atomic.Pointer[[]ident.Zone]
@@ -54,7 +54,7 @@
 	if !change(&t.known) {
 		return false
 	}
-	t.news, t.source = true, source
+	t.announcePending, t.source = true, source
 	zones := t.known.Zones()
 	t.zones.Store(&zones)
 	return true
@@ -66,19 +66,19 @@
 	return zones != nil && slices.Contains(*zones, zone)
 }
 
-// takeNews reports whether other entries should be told, and that they are.
-func (t *evacuationTable) takeNews() bool {
+// takeAnnouncement reports whether other entries should be told, and resets it.
+func (t *evacuationTable) takeAnnouncement() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	news := t.news
-	t.news = false
-	return news
+	pending := t.announcePending
+	t.announcePending = false
+	return pending
 }
 
-// doubted reports whether the process was suspended until a moment ago.
-func (t *evacuationTable) doubted() bool {
+// recentlyResumed reports whether the process was suspended until a moment ago.
+func (t *evacuationTable) recentlyResumed() bool {
 	resumed := time.Duration(t.resumedAt.Load())
-	return resumed > 0 && bootTime()-resumed < evacuationDoubt
+	return resumed > 0 && bootTime()-resumed < resumeGrace
 }
 
 // evacuationSettled reports whether requests may be sent by what is known of evacuations. After the start, and after a
@@ -98,14 +98,14 @@
 	if now-time.Duration(t.aliveAt.Load()) > suspendedAfter {
 		return false
 	}
-	return !t.doubted() || t.heardAt.Load() > t.resumedAt.Load()
+	return !t.recentlyResumed() || t.heardAt.Load() > t.resumedAt.Load()
 }
 
 // evacuatedSinceAssignment reports whether the zone of an assigned backend server has been evacuated. It is called right before
 // the send, since the assignment may be older than the evacuation.
 func (c *call) evacuatedSinceAssignment(ctx context.Context, backend *membership.ListedBackend) bool {
 	g := c.gateway
-	for end := time.Now().Add(evacuationDoubt); !g.evacuationSettled() && time.Now().Before(end) && ctx.Err() == nil; {
+	for end := time.Now().Add(resumeGrace); !g.evacuationSettled() && time.Now().Before(end) && ctx.Err() == nil; {
 		time.Sleep(evacuationPoll)
 	}
 	if !g.evacuations.contains(backend.Zone) {
@@ -157,7 +157,7 @@
 // evacuationChanged applies a change and tells some entries, each of which passes on what is new to it.
 func (g *Gateway) evacuationChanged(now time.Time) {
 	g.applyEvacuation(now)
-	if g.evacuations.takeNews() {
+	if g.evacuations.takeAnnouncement() {
 		for _, peer := range g.peerDirectory.sample(updateFanout) {
 			g.sendHello(now, peer, true)
 		}
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -46,7 +46,7 @@
 	t.Parallel()
 	a, b := newTestBackend(t, "a", slowly), newTestBackend(t, "b", slowly)
 	store := newZonedStore(a, b)
-	// No confirmation of the store is recent enough for this bound, so that the state is in doubt after a suspension.
+	// No confirmation of the store is recent enough for this bound, so that the state is not current after a suspension.
 	g := startTestGateway(t, store, withEvacuationBound(evacuationMargin+time.Nanosecond))
 	g.awaitService()
 	before := len(a.requests())
@@ -55,7 +55,7 @@
 	for range 20 {
 		callers.Go(func() { g.c.Check(g.get("/lookup/x").status, qt.Equals, http.StatusOK) })
 	}
-	time.Sleep(evacuationDoubt / 4)
+	time.Sleep(resumeGrace / 4)
 	waiting := make(chan int)
 	g.gateway.enqueue(func(time.Time) { waiting <- len(g.gateway.pending) })
 	g.c.Assert([]int64{int64(<-waiting), g.gateway.openCalls.Load()}, qt.DeepEquals, []int64{0, 20}, qt.Commentf("assigned, but not sent yet"))
@@ -129,7 +129,7 @@
 
 // An entry that starts must not rely on its own read of the store, which may be of an older copy, before others had time to tell it
 // what they know; nor may it wait for others that do not answer. Without a bound on evacuations it must not wait at all.
-func TestEntryThatStartsAwaitsWordOfEvacuations(t *testing.T) {
+func TestStartingEntryWaitsForEvacuations(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
 	newGateway := func(bound time.Duration) *Gateway {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,7 +60,7 @@
 	// startDoubt is the time after the start in which credentials are not accepted while another entry has a newer
 	// configuration in force. Later, an entry may have heard of a change before it gets the change itself.
 	startDoubt = 10 * time.Second
-	// joinWait is how long an entry that has just started waits for word of another one before it accepts credentials.
+	// joinWait is how long an entry that has just started waits for a message from another one before it accepts credentials.
 	joinWait = 150 * time.Millisecond
 	// assumedEntries is the number of entries among which the fixed part of the limit on repeats is divided. The store
 	// does not list entries; deployments have up to 24.
--- a/internal/membership/evacuations_test.go
+++ b/internal/membership/evacuations_test.go
@@ -29,7 +29,7 @@
 }
 
 // TestWrongStateOfAnotherEntryDoesNotLast guards against a message with a position that the store never had, which keeps zones
-// evacuated and blocks the store's own word for ever, and against an entry that takes up the state again or passes it on.
+// evacuated and blocks the store's own state for ever, and against an entry that takes up the state again or passes it on.
 func TestWrongStateOfAnotherEntryDoesNotLast(t *testing.T) {
 	const huge = 1 << 63
 	all := []ident.Zone{"a", "b", "c"}
