Log a stale pace of a rank as such, and rename what the trigger retains

Cause: rank-recovered was also logged if a slow rank's pace only became stale, and held and slowHold in MapTrigger could be taken for the engines' hold of a pass.

Change: the event is rank-pace-stale in the log and in rank_speed_changes. MapTrigger has recentlySlow, retainSlowness and slownessRetention.

Ruled out: no event for a stale pace (the estimate changes with it).

Result: TestStalePaceIsNoRecovery fails without the event and passes.

--- a/internal/expert/maptrigger.go
+++ b/internal/expert/maptrigger.go
@@ -22,10 +22,10 @@
 	// stragglerDuration is the usual time for which a rank is slow. A map for a change of speed must save more time in it
 	// than its loading costs.
 	stragglerDuration = 6 * time.Second
-	// slowHold is the time for which maps treat a rank as slow after it was. A rank that is slow and as usual by turns would
+	// slownessRetention is the time for which maps treat a rank as slow after it was. A rank that is slow and as usual by turns would
 	// otherwise start a map with each change, in which passes take longer while experts are loaded. A recovered rank that
 	// holds few experts for this time costs little.
-	slowHold = 3 * time.Second
+	slownessRetention = 3 * time.Second
 	// loadingSlowdown is the fraction by which passes take longer while experts are loaded, as stated by the platform, and
 	// rolloutTime the time of a rollout without the loading itself, in which it may apply too.
 	loadingSlowdown = 0.15
@@ -65,15 +65,15 @@
 	// slowness with which a map was last compared with it and not proposed.
 	loading         LayerPlacements
 	refusedSlowness []float64
-	// held holds the ranks that are slow or were a short time ago.
-	held map[int]heldSlowness
+	// recentlySlow holds the ranks that are slow or were a short time ago.
+	recentlySlow map[int]retainedSlowness
 }
 
 // demandState identifies an estimate of the demand, which changes only with a jump or another bucket.
 type demandState struct{ jumps, buckets int }
 
-// heldSlowness is the last slowness of a rank that was slow, and the time until which maps use it.
-type heldSlowness struct {
+// retainedSlowness is the last slowness of a rank that was slow, and the time until which maps use it.
+type retainedSlowness struct {
 	slowness float64
 	until    time.Time
 }
@@ -102,7 +102,7 @@
 func (t *MapTrigger) Decide(input *MapInput) (MapProposal, bool) {
 	load, buckets := input.Demand.Estimate()
 	jumps := input.Demand.Jumps()
-	slowness := t.hold(input.Now, input.Slowness, len(input.Placement[0]))
+	slowness := t.retainSlowness(input.Now, input.Slowness, len(input.Placement[0]))
 	proposal := MapProposal{Jumped: jumps != t.plannedJumps, SpeedChanged: t.speedChanged(slowness)}
 	urgent := proposal.Jumped || proposal.SpeedChanged
 	if input.Ready {
@@ -147,27 +147,27 @@
 	return proposal, improves
 }
 
-// hold returns the slowness by which to plan: that of ranks that are slow, and for slowHold the last one of ranks that were;
+// retainSlowness returns the slowness by which to plan: that of ranks that are slow, and for slownessRetention the last one of ranks that were;
 // nil if there are none.
-func (t *MapTrigger) hold(now time.Time, slowness []float64, ranks int) []float64 {
+func (t *MapTrigger) retainSlowness(now time.Time, slowness []float64, ranks int) []float64 {
 	for rank, factor := range slowness {
 		if factor > 1 {
-			if t.held == nil {
-				t.held = map[int]heldSlowness{}
+			if t.recentlySlow == nil {
+				t.recentlySlow = map[int]retainedSlowness{}
 			}
-			t.held[rank] = heldSlowness{slowness: factor, until: now.Add(slowHold)}
+			t.recentlySlow[rank] = retainedSlowness{slowness: factor, until: now.Add(slownessRetention)}
 		}
 	}
 	var planned []float64
-	for rank, held := range t.held {
-		if !now.Before(held.until) || rank >= ranks {
-			delete(t.held, rank)
+	for rank, retained := range t.recentlySlow {
+		if !now.Before(retained.until) || rank >= ranks {
+			delete(t.recentlySlow, rank)
 			continue
 		}
 		if planned == nil {
 			planned = rankWeights(nil, ranks)
 		}
-		planned[rank] = held.slowness
+		planned[rank] = retained.slowness
 	}
 	return planned
 }
--- a/internal/expert/rankspeeds.go
+++ b/internal/expert/rankspeeds.go
@@ -98,6 +98,9 @@
 // Slow reports whether the rank is slow now.
 func (c SpeedChange) Slow() bool { return c.Slowness > 1 }
 
+// Stale reports whether the rank counts as usual only because its last report is too old.
+func (c SpeedChange) Stale() bool { return !c.Slow() && c.Age >= maxPaceAge }
+
 // NewRankSpeeds returns an estimate without reports, by which no rank is slow.
 func NewRankSpeeds() *RankSpeeds { return &RankSpeeds{} }
 
--- a/internal/rankagent/speeds.go
+++ b/internal/rankagent/speeds.go
@@ -79,6 +79,8 @@
 			event = "rank-slowness-changed"
 		case change.Slow():
 			event = "rank-slow"
+		case change.Stale():
+			event = "rank-pace-stale"
 		}
 		a.scope.Tagged(map[string]string{"change": event}).Counter("rank_speed_changes").Inc(1)
 		if speeds.lines++; speeds.lines > maxSpeedLines {
--- a/internal/rankagent/speeds_test.go
+++ b/internal/rankagent/speeds_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bramleyspool/bramleyspool/internal/datagram"
@@ -199,6 +200,32 @@
 	}
 }
 
+// Guards against a rank whose reports are missing and that is logged as recovered.
+func TestStalePaceIsNoRecovery(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		pace  float64
+		age   time.Duration
+		event string
+	}{{4, time.Second, "rank-pace-stale"}, {1, 0, "rank-recovered"}} {
+		scope, now := tally.NewTestScope("", nil), time.Unix(1000, 0)
+		agent := &Agent{scope: scope, log: logrus.NewEntry(logrus.New())}
+		speeds := &agent.ensureGroupState().speeds
+		status := expert.RankStatus{Epoch: 1, Rank: 1, Size: 2, Pace: 4}
+		for range 4 {
+			now = now.Add(50 * time.Millisecond)
+			status.Step++
+			speeds.estimate.Observe(now, &status)
+		}
+		agent.logSpeeds(now, speeds.estimate.Update(now, 0))
+		status.Pace = test.pace
+		speeds.estimate.Observe(now, &status)
+		now = now.Add(test.age)
+		agent.logSpeeds(now, speeds.estimate.Update(now, 0))
+		c.Check(scope.Snapshot().Counters()["rank_speed_changes+change="+test.event].Value(), qt.Equals, int64(1))
+	}
+}
+
 // Guards against reports that name ranks at their usual speed or overflow the field.
 func TestReportedSlownessOmitsUsualRanks(t *testing.T) {
 	c := qt.New(t)
