State once which ranks are assumed to delay passes

Cause: the comment of RankSpeeds says that only ranks with requests delay passes, while LateMode counts a straggler's steps of an idle group.

No code changes.

Ruled out: changing LateMode in this commit (it belongs to another part).

Result: comments and documentation only.

--- a/internal/admission/late_mode.go
+++ b/internal/admission/late_mode.go
@@ -30,7 +30,8 @@
 
 // LateInputs are what LateMode decides by.
 type LateInputs struct {
-	// OwnPart is the slowest rank's own part of an idle group, Bound the longest pass of streams on time.
+	// OwnPart is the slowest rank's own part of an idle group, Bound the longest pass of streams on time. OwnPart counts the
+	// steps of a straggler without requests, which by the assumption in docs/design/0025 delay no pass.
 	OwnPart, Bound time.Duration
 	// OnTime is the number of streams per second that are served on time, Late that with all slots, Demand that of the
 	// offered ones.
--- a/internal/expert/rankspeeds.go
+++ b/internal/expert/rankspeeds.go
@@ -40,8 +40,9 @@
 // RankSpeeds estimates the slowness of each rank of a group: the factor by which its work takes longer than usual. The
 // estimate is the pace that the rank reports, bounded by the measured passes: all ranks execute each pass together, so
 // that a pass takes at least the slowness of the slowest rank with requests times the duration of a pass without requests. A
-// healthy rank that reports itself as slow is therefore taken to be at most as slow as the passes allow. A rank without
-// requests does not delay passes, so that its bound stays as it was; if it has none yet, its pace is believed.
+// healthy rank that reports itself as slow is therefore taken to be at most as slow as the passes allow. By the assumption in
+// docs/design/0025, a rank without requests does not delay passes, so that its bound stays as it was; if it has no bound
+// yet, its pace is believed.
 //
 // The bound is the median of the last three passes, so that a single long pass does not change the estimate. RankSpeeds is
 // pure and not safe for concurrent use.
