Play stragglers, evacuations and cold replicas in the fault soak

Change: replicas are spread over three zones. By seed, beside the faults: a rank takes 1.5 to 4 times as long, and passes take as long as the slowest rank with requests; a zone is evacuated for 7.5 to 9.5 s; a plain replica is cold for 3 to 7 s while six more callers send lookups. Checked from the replicas' runs: no run in the zone of a request sent 6.5 s or more after the evacuation was requested, and no more than cold-per-s x cold-over + cold-slack runs in any second. A request is left out only if a fault affected the store or its entry within the bound before it was sent, or since the replica became cold without 1.5 s of quiet. Six plain replicas instead of three, so that a zone, a cold replica and a stopped one can be away at the same time.

Ruled out: leaving out all runs while any entry was disturbed; with two injectors hardly any run was checked.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -32,6 +32,9 @@
 	sharedRequestInterval = 8
 )
 
+// allKinds are the kinds of requests of usual callers. Only probeVersions sends Probe.
+var allKinds = []standin.RequestKind{standin.Lookup, standin.Posting, standin.Draft}
+
 // callRecord is a caller's request and its response.
 type callRecord struct {
 	id, credential string
@@ -60,10 +63,12 @@
 	// atMostOnce are the calls that may run at most once. notRun are those of them whose status states that they have
 	// not run and never will.
 	atMostOnce, notRun []callRecord
+	// calls are all calls and probes, without the bodies of their responses.
+	calls []callRecord
 }
 
-// run is one caller: it sends one request after the other until the context ends.
-func (c *callers) run(ctx context.Context, number int, random *rand.Rand) {
+// run is one caller: it sends one request after the other, of random kinds, until the context ends.
+func (c *callers) run(ctx context.Context, name string, kinds []standin.RequestKind, thinkTime time.Duration, random *rand.Rand) {
 	client := newClient()
 	defer client.CloseIdleConnections()
 	var entry *process
@@ -75,19 +80,18 @@
 			time.Sleep(readinessInterval)
 			continue
 		}
-		// Probe is the last kind. It is excluded, since only probeVersions sends it.
-		kind := standin.RequestKind(random.IntN(int(standin.Probe)))
+		kind := pickRandom(random, kinds)
 		// For checkRevoked, one request in 20 has a revoked credential if there is one.
 		valid := random.IntN(20) > 0
 		call := &callRecord{
-			id: fmt.Sprintf("r%d-%d", number, c.idCounter.Add(1)), kind: kind, entry: entry,
+			id: fmt.Sprintf("%s-%d", name, c.idCounter.Add(1)), kind: kind, entry: entry,
 			credential: c.soak.deployment.Credential(random, valid), shared: random.IntN(sharedRequestInterval) == 0,
 		}
 		c.call(ctx, client, call)
 		if call.err != nil {
 			entry = nil
 		}
-		time.Sleep(time.Duration(random.Int64N(int64(2 * meanThinkTime))))
+		time.Sleep(time.Duration(random.Int64N(int64(2 * thinkTime))))
 	}
 }
 
@@ -120,6 +124,7 @@
 	c.countOutcome(call)
 	c.checkPlannedStop(call, incarnation, ctx.Err() != nil)
 	c.record(call)
+	c.keep(call)
 }
 
 // request returns the HTTP request of the call.
@@ -209,6 +214,15 @@
 	return names
 }
 
+// keep stores a call, without the body of its response, for the checks of zones and of cold replicas.
+func (c *callers) keep(call *callRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := *call
+	kept.body = ""
+	c.calls = append(c.calls, kept)
+}
+
 // record stores a call for checkRuns if it may run at most once, and calls checkRevoked for every call.
 func (c *callers) record(call *callRecord) {
 	c.mu.Lock()
@@ -335,6 +349,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	id := fmt.Sprintf("p-%s-%d", entry.settings.Name, c.idCounter.Add(1))
+	c.keep(&callRecord{id: id, kind: standin.Probe, entry: entry, sentAt: time.Now()})
 	request, err := standin.Request(ctx, entry.settings.Callers, standin.Probe, id, "", version)
 	if err != nil {
 		c.soak.reportViolation("failed to create a request: " + err.Error())
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -59,13 +59,7 @@
 				times = append(times, at)
 			}
 		}
-		most, first := 0, 0
-		for i, at := range times {
-			for at.Sub(times[first]) >= limitSpan {
-				first++
-			}
-			most = max(most, i-first+1)
-		}
+		most := mostWithin(times, limitSpan)
 		l.soak.log(fmt.Sprintf("%s with a limit of %g a second: %d runs, at most %d in %s", limit.instance, limit.rate, len(times), most, limitSpan))
 		if allowed := limitFactor*limit.rate*limitSpan.Seconds() + limitSlack; float64(most) > allowed {
 			l.soak.reportViolation(fmt.Sprintf("%s ran %d requests in %s at a limit of %g a second; allowed %g", limit.instance, most, limitSpan, limit.rate, allowed))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -21,8 +21,9 @@
 // Sizes, ports and times of a soak.
 const (
 	callersPerEntry  = 4
-	plainReplicas    = 3
+	plainReplicas    = 6
 	ranksPerGroup    = 4
+	zones            = 3
 	concurrentFaults = 2
 	peerPort         = 7340
 	replicaPort      = 8000
@@ -38,6 +39,10 @@
 	limitStream = 51
 	// statementStream is the random stream of statements.
 	statementStream = 52
+	// stragglerStream, evacuationStream and coldStream are the random streams of hardLoad.
+	stragglerStream  = 53
+	evacuationStream = 54
+	coldStream       = 55
 	// minProcesses is enough for two entries and the agents of one group.
 	minProcesses = 2 + ranksPerGroup
 )
@@ -85,8 +90,10 @@
 	limits *limits
 	// statements lets replicas say that they leave or want rest, and restores the store from copies.
 	statements *statements
-	faults     faultLog
-	cancel     context.CancelFunc
+	// hardLoad plays stragglers, evacuations and cold replicas.
+	hardLoad *hardLoad
+	faults   faultLog
+	cancel   context.CancelFunc
 
 	entries, agents              []*process
 	storeProxies, replicaProxies []*proxy
@@ -133,6 +140,7 @@
 	s.crashRequests.check()
 	s.limits.check()
 	s.statements.check()
+	s.hardLoad.check()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fmt.Fprintf(options.Out, "seed %d: %d served, %d refused, %d failed, %d crashes by requests\n",
@@ -175,7 +183,7 @@
 // its own loopback address; a rank shares one with its agent.
 func (s *soak) start(ctx context.Context) error {
 	entries, groups := s.sizes()
-	size := standin.Size{Plain: plainReplicas, Groups: groups, RanksPerGroup: ranksPerGroup}
+	size := standin.Size{Plain: plainReplicas, Groups: groups, RanksPerGroup: ranksPerGroup, Zones: zones}
 	var err error
 	if s.deployment, err = standin.New(ctx, s.seed, size, replicaAddress, s.reportViolation); err != nil {
 		return err
@@ -195,7 +203,7 @@
 		}
 		ip := replicaIP("rank", i)
 		if err := s.addProcess("agent", standin.ProcessSettings{
-			Name: fmt.Sprintf("agent-%d", i), IP: ip, Backend: replicaAddress("rank", i), PeerPort: peerPort,
+			Name: fmt.Sprintf("agent-%d", i), IP: ip, Backend: replicaAddress("rank", i), PeerPort: peerPort, Zone: string(replica.Zone()),
 		}, store); err != nil {
 			return err
 		}
@@ -214,6 +222,7 @@
 	s.crashRequests = newCrashRequests(s)
 	s.limits = &limits{soak: s}
 	s.statements = &statements{soak: s}
+	s.hardLoad = &hardLoad{soak: s}
 	return nil
 }
 
@@ -281,7 +290,7 @@
 		s.reportViolation(fmt.Sprintf("no entry became ready within %s", startTimeout))
 	}
 	for i := range callersPerEntry * len(s.entries) {
-		workers.Go(func() { s.callers.run(ctx, i, newRandom(uint64(100+i))) })
+		workers.Go(func() { s.callers.run(ctx, fmt.Sprintf("r%d", i), allKinds, meanThinkTime, newRandom(uint64(100+i))) })
 	}
 	for _, entry := range s.entries {
 		workers.Go(func() { s.callers.probeVersions(ctx, entry) })
@@ -291,6 +300,9 @@
 	var injectors sync.WaitGroup
 	if !s.options.CrashRequestsOnly {
 		injectors.Go(func() { s.limits.run(faultCtx, newRandom(limitStream)) })
+		injectors.Go(func() { s.hardLoad.runStragglers(faultCtx, newRandom(stragglerStream)) })
+		injectors.Go(func() { s.hardLoad.runEvacuations(faultCtx, ctx, newRandom(evacuationStream)) })
+		injectors.Go(func() { s.hardLoad.runCold(faultCtx, newRandom(coldStream)) })
 		injectors.Go(func() { s.statements.run(faultCtx, newRandom(statementStream)) })
 		for i := range concurrentFaults {
 			injectors.Go(func() { s.injectFaults(faultCtx, newRandom(uint64(i))) })
