Play crowds and slow readers in the fault soak, and check the accounts

Cause: the soak did not show what a crowd of the least urgent class does to others, nor that slow readers get their streams, nor that the account on the metrics page adds up.

Change: bursts of up to 200 callers of a route of priority 3 and a customer of its own, which repeat a refused request once. During a burst each call of another customer that no fault affected must be served, or refused without a run, and neither plain services nor the other customers' streams may be served less than a quarter as often as all. Two callers read streams of 1.5 MB with a small receive buffer at a steady 1 MB a second; a stream that has begun must be complete unless a fault affected its entry or a replica that ran it. At the end the account of each entry on its metrics page must satisfy arrivals = served + not run + unknown + open.

Ruled out: one scrape of the account. The page is updated every second and may show a part of an update until the next one, so that an account is wrong only if it is throughout 2.5 s.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -38,18 +38,34 @@
 // callRecord is a caller's request and its response.
 type callRecord struct {
 	id, credential string
-	// shared is true for a request with the same path and body as those of other callers.
-	shared bool
+	variant        variant
 	// kind determines the checks: a Posting may run at most once, and the response to a Draft is an event stream.
-	kind   standin.RequestKind
-	entry  *process
-	sentAt time.Time
+	kind            standin.RequestKind
+	entry           *process
+	sentAt, endedAt time.Time
 	// status is the HTTP status, or 0 if there was no response.
 	status int
 	body   string
 	err    error
+	// retryAfter is the time after which the response allows a repeat.
+	retryAfter time.Duration
+	// exempt is true if the caller ended the call at the end of the soak, or the entry stopped as planned or was not reached.
+	exempt bool
 }
 
+// variant is a variant of the requests of a kind.
+type variant int
+
+const (
+	usual variant = iota
+	// shared requests have the same path and body as those of other callers.
+	shared
+	// bulk requests are of the least urgent class and of a customer of their own.
+	bulk
+	// large streams have large events, which their callers read slowly.
+	large
+)
+
 // callers send requests over persistent connections, poll the entries' readiness and check the responses.
 type callers struct {
 	soak      *soak
@@ -85,7 +101,10 @@
 		valid := random.IntN(20) > 0
 		call := &callRecord{
 			id: fmt.Sprintf("%s-%d", name, c.idCounter.Add(1)), kind: kind, entry: entry,
-			credential: c.soak.deployment.Credential(random, valid), shared: random.IntN(sharedRequestInterval) == 0,
+			credential: c.soak.deployment.Credential(random, valid),
+		}
+		if random.IntN(sharedRequestInterval) == 0 {
+			call.variant = shared
 		}
 		c.call(ctx, client, call)
 		if call.err != nil {
@@ -101,8 +120,8 @@
 }
 
 // call sends a request, checks the response and records it for checkRuns.
-func (c *callers) call(ctx context.Context, client *http.Client, call *callRecord) {
-	ctx, cancel := context.WithTimeout(ctx, standin.RequestTimeout)
+func (c *callers) call(soakCtx context.Context, client *http.Client, call *callRecord) {
+	ctx, cancel := context.WithTimeout(soakCtx, standin.RequestTimeout)
 	defer cancel()
 	request, err := call.request(ctx)
 	if err != nil {
@@ -117,10 +136,14 @@
 		call.err = err
 	} else {
 		defer response.Body.Close()
-		body, readErr := io.ReadAll(response.Body)
+		body, readErr := call.read(response.Body)
+		call.retryAfter = retryAfter(response)
 		call.status, call.body, call.err = response.StatusCode, string(body), readErr
 		c.checkAnswer(call, response)
 	}
+	call.endedAt = time.Now()
+	_, planned := call.entry.plannedStopOf(incarnation)
+	call.exempt = soakCtx.Err() != nil || planned || errors.Is(call.err, syscall.ECONNREFUSED)
 	c.countOutcome(call)
 	c.checkPlannedStop(call, incarnation, ctx.Err() != nil)
 	c.record(call)
@@ -129,8 +152,14 @@
 
 // request returns the HTTP request of the call.
 func (call *callRecord) request(ctx context.Context) (*http.Request, error) {
-	if call.shared {
+	switch call.variant {
+	case shared:
 		return standin.SharedRequest(ctx, call.entry.settings.Callers, call.kind, call.id, call.credential)
+	case bulk:
+		return standin.BulkRequest(ctx, call.entry.settings.Callers, call.id)
+	case large:
+		return standin.LargeStreamRequest(ctx, call.entry.settings.Callers, call.id, call.credential)
+	case usual:
 	}
 	return standin.Request(ctx, call.entry.settings.Callers, call.kind, call.id, call.credential, 0)
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	command := exec.Command(p.binary, "platform", p.role)
+	command := exec.Command(p.binary, "platform", p.role, "--metrics-port", fmt.Sprint(metricsPort))
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+settingsPath)
 	command.Stdout, command.Stderr = log, log
 	// The kernel kills the process if the soak dies without ending it.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,6 +29,7 @@
 	replicaPort      = 8000
 	callersPort      = 8100
 	readyPort        = 8101
+	metricsPort      = 8102
 	storePort        = 8200
 	// recoveryTime is the time without faults at the end, in which late violations show.
 	recoveryTime = 3 * time.Second
@@ -39,10 +40,12 @@
 	limitStream = 51
 	// statementStream is the random stream of statements.
 	statementStream = 52
-	// stragglerStream, evacuationStream and coldStream are the random streams of hardLoad.
+	// stragglerStream, evacuationStream and coldStream are the random streams of hardLoad, the next two those of crowds.
 	stragglerStream  = 53
 	evacuationStream = 54
 	coldStream       = 55
+	crowdStream      = 56
+	slowReaderStream = 57
 	// minProcesses is enough for two entries and the agents of one group.
 	minProcesses = 2 + ranksPerGroup
 )
@@ -92,8 +95,10 @@
 	statements *statements
 	// hardLoad plays stragglers, evacuations and cold replicas.
 	hardLoad *hardLoad
-	faults   faultLog
-	cancel   context.CancelFunc
+	// crowds sends bursts of requests of the least urgent class, and streams that are read slowly.
+	crowds *crowds
+	faults faultLog
+	cancel context.CancelFunc
 
 	entries, agents              []*process
 	storeProxies, replicaProxies []*proxy
@@ -141,6 +146,7 @@
 	s.limits.check()
 	s.statements.check()
 	s.hardLoad.check()
+	s.crowds.check()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fmt.Fprintf(options.Out, "seed %d: %d served, %d refused, %d failed, %d crashes by requests\n",
@@ -223,6 +229,7 @@
 	s.limits = &limits{soak: s}
 	s.statements = &statements{soak: s}
 	s.hardLoad = &hardLoad{soak: s}
+	s.crowds = &crowds{soak: s}
 	return nil
 }
 
@@ -303,6 +310,8 @@
 		injectors.Go(func() { s.hardLoad.runStragglers(faultCtx, newRandom(stragglerStream)) })
 		injectors.Go(func() { s.hardLoad.runEvacuations(faultCtx, ctx, newRandom(evacuationStream)) })
 		injectors.Go(func() { s.hardLoad.runCold(faultCtx, newRandom(coldStream)) })
+		injectors.Go(func() { s.crowds.run(faultCtx, newRandom(crowdStream)) })
+		injectors.Go(func() { s.crowds.runSlowReaders(faultCtx, newRandom(slowReaderStream)) })
 		injectors.Go(func() { s.statements.run(faultCtx, newRandom(statementStream)) })
 		for i := range concurrentFaults {
 			injectors.Go(func() { s.injectFaults(faultCtx, newRandom(uint64(i))) })
@@ -310,7 +319,12 @@
 	}
 	injectors.Go(func() { s.crashRequests.run(faultCtx, newRandom(crashRequestStream)) })
 	injectors.Wait()
-	sleep(ctx, recoveryTime)
+	recovered := time.After(recoveryTime)
+	s.crowds.checkAccounts(ctx)
+	select {
+	case <-recovered:
+	case <-ctx.Done():
+	}
 	cancel()
 	workers.Wait()
 }
