Make slow readers and cold replicas of the soak strain the entries

Ruled out: a shorter quiet time than 1.5 s for the cold check, which is the margin of scheduling of all checks.

--- a/internal/soak/crowds.go
+++ b/internal/soak/crowds.go
@@ -30,7 +30,7 @@
 	starvedShare   = 0.25
 	minJudgedCalls = 20
 	// A slow reader reads slowReadBytes every slowReadPause: a large stream takes 1.5 s, which is well within RequestTimeout.
-	slowReadBytes = 16 << 10
+	slowReadBytes = 64 << 10
 	slowReadPause = 15 * time.Millisecond
 	slowReaders   = 2
 	// slowReadBuffer is the receive buffer of slow readers, so that the entry must hold what they have not read.
--- a/internal/soak/hard_load.go
+++ b/internal/soak/hard_load.go
@@ -23,9 +23,10 @@
 	// An evacuation stands for evacuationKnown and up to maxEvacuationChecked.
 	minEvacuationChecked = time.Second
 	maxEvacuationChecked = 3 * time.Second
-	// A replica is cold for minColdTime to maxColdTime: past schedulingMargin, from which the limit is checked.
-	minColdTime = 3 * time.Second
-	maxColdTime = 7 * time.Second
+	// A replica is cold for minColdTime to maxColdTime: long enough that most entries have schedulingMargin without a fault, after
+	// which the limit is checked.
+	minColdTime = 5 * time.Second
+	maxColdTime = 8 * time.Second
 	// coldCallers callers send lookups with a mean pause of coldThinkTime while a replica is cold, which is several times what
 	// it may get.
 	coldCallers   = 6
@@ -41,6 +42,11 @@
 	stragglers  int
 	evacuations []evacuation
 	cold        []coldTime
+
+	mu sync.Mutex
+	// evacuated is the zone that is evacuated and warming that of the cold replica; "" for none. They differ, since a cold replica of
+	// an evacuated zone would get no requests.
+	evacuated, warming ident.Zone
 }
 
 // evacuation is the time for which a zone was evacuated.
@@ -60,6 +66,18 @@
 	return least + time.Duration(random.Int64N(int64(most-least)))
 }
 
+// pickReplica returns a random plain replica that is not in the zone other, and sets own to its zone.
+func (h *hardLoad) pickReplica(random *rand.Rand, own, other *ident.Zone) *standin.Replica {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for {
+		if replica := pickRandom(random, h.soak.deployment.Plain); replica.Zone() != *other {
+			*own = replica.Zone()
+			return replica
+		}
+	}
+}
+
 // runStragglers makes one rank after the other slow until the context ends.
 func (h *hardLoad) runStragglers(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
@@ -78,7 +96,7 @@
 // the soak ends.
 func (h *hardLoad) runEvacuations(ctx, soakCtx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
-		zone := pickRandom(random, h.soak.deployment.Plain).Zone()
+		zone := h.pickReplica(random, &h.evacuated, &h.warming).Zone()
 		evacuated := evacuation{zone: zone, from: h.soak.deployment.Evacuate(zone, true)}
 		h.soak.log("zone " + string(zone) + " is evacuated")
 		sleep(soakCtx, evacuationKnown+between(random, minEvacuationChecked, maxEvacuationChecked))
@@ -90,18 +108,19 @@
 	}
 }
 
-// runCold makes one plain replica after the other cold until the context ends, while callers send more lookups than it may get.
-func (h *hardLoad) runCold(ctx context.Context, random *rand.Rand) {
+// runCold makes one plain replica after the other cold until the context ends, while callers send more lookups than it may get. The
+// last one stays cold for its time too, unless the soak ends.
+func (h *hardLoad) runCold(ctx, soakCtx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
 		duration := between(random, minColdTime, maxColdTime)
-		replica := pickRandom(random, h.soak.deployment.Plain)
+		replica := h.pickReplica(random, &h.warming, &h.evacuated)
 		if !h.soak.reserve(replica) {
 			sleep(ctx, between(random, 0, maxLoadPause))
 			continue
 		}
 		cold := coldTime{instance: replica.SetCold(duration), from: time.Now()}
 		h.soak.log(fmt.Sprintf("%s is cold for %s", cold.instance, duration))
-		coldCtx, cancel := context.WithTimeout(ctx, duration)
+		coldCtx, cancel := context.WithTimeout(soakCtx, duration)
 		var workers sync.WaitGroup
 		for range coldCallers {
 			callerRandom := rand.New(rand.NewPCG(random.Uint64(), 0))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -309,7 +309,7 @@
 		injectors.Go(func() { s.limits.run(faultCtx, newRandom(limitStream)) })
 		injectors.Go(func() { s.hardLoad.runStragglers(faultCtx, newRandom(stragglerStream)) })
 		injectors.Go(func() { s.hardLoad.runEvacuations(faultCtx, ctx, newRandom(evacuationStream)) })
-		injectors.Go(func() { s.hardLoad.runCold(faultCtx, newRandom(coldStream)) })
+		injectors.Go(func() { s.hardLoad.runCold(faultCtx, ctx, newRandom(coldStream)) })
 		injectors.Go(func() { s.crowds.run(faultCtx, newRandom(crowdStream)) })
 		injectors.Go(func() { s.crowds.runSlowReaders(faultCtx, newRandom(slowReaderStream)) })
 		injectors.Go(func() { s.statements.run(faultCtx, newRandom(statementStream)) })
