Count the served runs of an entry for one reported end only

Change: Merge asks for the runs of suspects only, and asking uses them up. Ruled out: passing a second function to Merge, since all callers pass one that decides by trait. The table by request hash cannot be used up from a fingerprint; the local path still reads it once.

--- a/internal/attempt/crash_reports.go
+++ b/internal/attempt/crash_reports.go
@@ -182,15 +182,14 @@
 	return report
 }
 
-// Merge adds what another entry reports. Only what is new here is reported further. Traits for which survived returns true
-// count as served ClearingRuns times: this entry's servers have survived them as often shortly before.
-func (r *CrashRegister) Merge(now time.Time, update CrashUpdate, survived func(Fingerprint) bool) {
+// Merge adds what another entry reports. Only what is new here is reported further. Suspects for which takeServed returns true
+// count as served ClearingRuns times: this entry's servers have survived them as often shortly before. Runs for which it has
+// returned true must not count again, since they would clear each further end of the trait.
+func (r *CrashRegister) Merge(now time.Time, update CrashUpdate, takeServed func(Fingerprint) bool) {
 	for _, report := range update.Ends {
 		r.mergeEnd(now, report)
 		for _, run := range report.Suspected {
-			if survived(run.Fingerprint) {
-				r.recordOftenServed(now, run.Fingerprint)
-			}
+			r.recordOftenServed(now, run.Fingerprint, takeServed)
 		}
 	}
 	for _, notice := range update.Quarantined {
--- a/internal/attempt/crash_served.go
+++ b/internal/attempt/crash_served.go
@@ -103,9 +103,9 @@
 	}
 }
 
-// recordOftenServed records that ClearingRuns runs of a suspect were served.
-func (r *CrashRegister) recordOftenServed(now time.Time, trait Fingerprint) {
-	if end, server := r.lastEnd(trait); end != nil {
+// recordOftenServed records that ClearingRuns runs of a suspect were served, if takeServed returns true for it.
+func (r *CrashRegister) recordOftenServed(now time.Time, trait Fingerprint, takeServed func(Fingerprint) bool) {
+	if end, server := r.lastEnd(trait); end != nil && takeServed(trait) {
 		r.setServed(now, server, end, trait, servedKey{entry: r.number}, ClearingRuns)
 	}
 }
--- a/internal/gateway/crash_exchange.go
+++ b/internal/gateway/crash_exchange.go
@@ -61,11 +61,11 @@
 	}
 }
 
-// handleCrashUpdate merges another entry's knowledge of crashes. Traits that it suspects and that servers of this entry have
-// survived are cleared.
+// handleCrashUpdate merges another entry's knowledge of crashes. Served runs of this entry count once for a trait that the
+// other entry suspects.
 func (g *Gateway) handleCrashUpdate(now time.Time, update *attempt.CrashUpdate) {
 	g.dispatcher.Crashes().Merge(now, *update, func(trait attempt.Fingerprint) bool {
-		return g.survivingTraits.contains(traitHash(trait), now)
+		return g.survivingTraits.take(traitHash(trait), now)
 	})
 	g.crashRegisterChanged()
 }
--- a/internal/gateway/survivors.go
+++ b/internal/gateway/survivors.go
@@ -57,6 +57,15 @@
 	return slot.hash.Load() == hash && slot.runs.Load() >= attempt.ClearingRuns && now.Sub(t.start)-time.Duration(slot.at.Load()) <= survivorAge
 }
 
+// take reports what contains does, and starts the count over if it returns true.
+func (t *survivorTable) take(hash uint64, now time.Time) bool {
+	if !t.contains(hash, now) {
+		return false
+	}
+	t.recordBroken(hash)
+	return true
+}
+
 // recordBroken records that a send of a request that has the trait with the hash was broken.
 func (t *survivorTable) recordBroken(hash uint64) {
 	if slot := &t.slots[hash%survivorSlots]; slot.hash.Load() == hash {
