Keep the same counts of served runs in all registers

Cause: beyond 48 counts the register dropped what came last, so that digests of entries differed for as long as the end was kept. Change: the 48 smallest keys are kept; a constant fails to compile if a run with all counts exceeds a packet. Ruled out: a greater limit, since from 73 counts on a run fits into no packet and TakeChanges does not get past it. The new test fails in its first case on the code before.

--- a/internal/attempt/crash_counts_test.go
+++ b/internal/attempt/crash_counts_test.go
@@ -1,10 +1,12 @@
 package attempt_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 )
@@ -34,3 +36,37 @@
 	register.Merge(start, report, take)
 	c.Check(taken, qt.Equals, 1)
 }
+
+// If registers kept different counts of served runs, their digests would differ, and each hello would exchange packets.
+func TestCountsOfManyEntriesInAnyOrderGiveTheSameRegister(t *testing.T) {
+	const entries = 60
+	rapid.Check(t, func(t *rapid.T) {
+		var updates []attempt.CrashUpdate
+		for entry := range uint64(entries) {
+			for _, before := range []bool{false, true} {
+				served := []attempt.ServedRuns{{Entry: entry + 1, Before: before, Runs: 1}}
+				updates = append(updates, endReport("server-0", 0, attempt.SuspectedRun{
+					Fingerprint: attempt.Fingerprint{1}, Duration: crashRunTime, Served: served,
+				}))
+			}
+		}
+		digests := [2]uint64{}
+		for i := range digests {
+			// Earlier ends keep the trait from being cleared.
+			register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+			for j := range 30 {
+				crash(register, start.Add(time.Duration(j-60)*time.Second), fmt.Sprint("earlier-", j), attempt.Fingerprint{1})
+			}
+			for _, update := range rapid.Permutation(updates).Draw(t, "order") {
+				register.Merge(start, update, unknown)
+			}
+			if len(register.TakeChanges(start, 100)) == 0 || register.HasChanges() && len(register.TakeChanges(start, 1000)) == 0 {
+				t.Fatal("changes are not reported")
+			}
+			digests[i] = register.Digest()
+		}
+		if digests[0] != digests[1] {
+			t.Fatalf("digests differ: %x and %x", digests[0], digests[1])
+		}
+	})
+}
--- a/internal/attempt/crash_served.go
+++ b/internal/attempt/crash_served.go
@@ -1,6 +1,8 @@
 package attempt
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -44,6 +46,28 @@
 // servedCounts are the numbers of served runs of a trait before and after an end.
 type servedCounts map[servedKey]uint16
 
+// _ fails to compile if a run with all its counts does not fit into one packet: addEnd would not end.
+const _ = uint(maxUpdateRuns - endRuns - 1 - (maxServedCounts+1)/2)
+
+// compare orders keys by entry, the count before the end last.
+func (k servedKey) compare(other servedKey) int {
+	if k.entry != other.entry || k.before == other.before {
+		return cmp.Compare(k.entry, other.entry)
+	}
+	if k.before {
+		return 1
+	}
+	return -1
+}
+
+// dropGreatest drops the count with the greatest key, and returns that key. All registers keep the same counts then, in
+// whatever order they arrive: with others their digests would differ for as long as the end is kept.
+func (c servedCounts) dropGreatest() servedKey {
+	greatest := slices.MaxFunc(slices.Collect(maps.Keys(c)), servedKey.compare)
+	delete(c, greatest)
+	return greatest
+}
+
 // recentRuns are the runs of a trait that were served one after the other.
 type recentRuns struct {
 	runs   uint16
@@ -136,11 +160,13 @@
 		}
 		end.served[trait] = counts
 	}
-	if old == 0 && len(counts) >= maxServedCounts {
+	counts[key] = runs
+	if len(counts) > maxServedCounts {
 		r.dropped++
-		return
+		if dropped := counts.dropGreatest(); dropped == key {
+			return
+		}
 	}
-	counts[key] = runs
 	if reportedRuns(counts[key]) != reportedRuns(old) {
 		// Each further count is another report, and digests in hellos make up for a loss.
 		r.changedEnds[server] = max(r.changedEnds[server], 1)
