Plan fewer assessments and reports for counts of served runs

Cause: each served run of a suspect planned an assessment (0.5 to 2 ms) at once, and a step of any entry's count sent the whole end to five entries. Change: an assessment is planned SettleTime later, and only if the count passes a reported step; counts of other entries are not passed on, as digests repair them. Clearing by served runs is still immediate. Ruled out: reports of counts alone, which need a new message.

--- a/internal/attempt/crash_counts_test.go
+++ b/internal/attempt/crash_counts_test.go
@@ -70,3 +70,24 @@
 		}
 	})
 }
+
+// Each entry that passed on a count of another one would send the whole end to five more for each step of each count.
+func TestCountsOfOtherEntriesAreNotPassedOn(t *testing.T) {
+	c := qt.New(t)
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	report := func(runs uint16) attempt.CrashUpdate {
+		return endReport("server-0", 0, attempt.SuspectedRun{
+			Fingerprint: attempt.Fingerprint{1}, Duration: crashRunTime, Served: []attempt.ServedRuns{{Entry: 1, Runs: runs}},
+		})
+	}
+	register.Merge(start, report(1), unknown)
+	for register.HasChanges() {
+		register.TakeChanges(start, 4)
+	}
+	digest := register.Digest()
+	register.Merge(start, report(2), unknown)
+	c.Check(register.HasChanges(), qt.IsFalse)
+	c.Check(register.Digest(), qt.Not(qt.Equals), digest)
+	register.RecordServed(start, []attempt.Fingerprint{{1}})
+	c.Check(register.HasChanges(), qt.IsTrue)
+}
--- a/internal/attempt/crash_served.go
+++ b/internal/attempt/crash_served.go
@@ -168,15 +168,18 @@
 		}
 	}
 	if reportedRuns(counts[key]) != reportedRuns(old) {
-		// Each further count is another report, and digests in hellos make up for a loss.
-		r.changedEnds[server] = max(r.changedEnds[server], 1)
+		// Each further count is another report, and digests in hellos make up for a loss, also of counts of other entries.
+		if key.entry == r.number {
+			r.changedEnds[server] = max(r.changedEnds[server], 1)
+		}
+		// An assessment takes up to 2 ms, too long for each served run.
+		r.planAssessment(now.Add(r.config.SettleTime))
 	}
 	if r.outweighed(trait) {
 		for _, other := range slices.Clone(r.suspects[trait]) {
 			r.addRun(now, other, r.ends[other], trait, endedRun{survived: true})
 		}
 	}
-	r.planAssessment(now)
 }
 
 // outweighed reports whether the served runs of a trait outweigh its ends, however unlikely these are by chance.
