Count recent served runs at the latest end only

Cause: an end that was reported late, and is older than a known one, took the runs that were served after the later end. Change: a reported end takes them only if it is the trait's latest. Not mended: runs that are served between a broken send and the confirmation of its end still count at both ends. Ruled out: correcting counts afterwards, since they only grow. The new test fails on the code before.

--- a/internal/attempt/crash_counts_test.go
+++ b/internal/attempt/crash_counts_test.go
@@ -91,3 +91,21 @@
 	register.RecordServed(start, []attempt.Fingerprint{{1}})
 	c.Check(register.HasChanges(), qt.IsTrue)
 }
+
+// Reports of ends arrive in any order. An end that counted the runs served since a later one would have them twice.
+func TestEarlierEndDoesNotCountRunsServedAfterALaterOne(t *testing.T) {
+	c := qt.New(t)
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	run := attempt.SuspectedRun{Fingerprint: attempt.Fingerprint{1}, Duration: crashRunTime}
+	register.Merge(start, endReport("later", time.Second, run), unknown)
+	register.RecordServed(start, []attempt.Fingerprint{{1}})
+	register.Merge(start, endReport("earlier", 2*time.Second, run), unknown)
+	reports := map[string][]attempt.ServedRuns{}
+	for _, update := range register.TakeChanges(start, 4) {
+		for _, end := range update.Ends {
+			reports[end.Server.ID] = end.Suspected[0].Served
+		}
+	}
+	c.Check(reports["earlier"], qt.HasLen, 0)
+	c.Check(reports["later"], qt.HasLen, 1)
+}
--- a/internal/attempt/crash_served.go
+++ b/internal/attempt/crash_served.go
@@ -110,7 +110,12 @@
 // addRecent records the trait's recently served runs at an end that has just become known: those before the entry's own send was
 // broken, and those since. If another entry reports the end, the runs since are not known apart and count as before.
 func (r *CrashRegister) addRecent(now time.Time, server ServerInstance, end *serverEnd, trait Fingerprint, run endedRun) {
-	recent, before := r.takeRecent(now, trait).runs, servedKey{entry: r.number, before: true}
+	before := servedKey{entry: r.number, before: true}
+	if _, last := r.lastEnd(trait); !run.sent && last != server {
+		// The recent runs were served after a later end.
+		return
+	}
+	recent := r.takeRecent(now, trait).runs
 	if !run.sent {
 		r.setServed(now, server, end, trait, before, recent)
 		return
