Ignore reported runs of negative duration

Cause: a negative duration counted as the shortest run, the strongest evidence. Change: such a run is left out. Ruled out: counting it as a long run, since nothing is known of it. The new test fails on the code before.

--- a/internal/attempt/crash_counts_test.go
+++ b/internal/attempt/crash_counts_test.go
@@ -71,6 +71,13 @@
 	})
 }
 
+// A report with a negative duration, as after a clock was set back, would be the strongest evidence there is.
+func TestReportedRunsOfNegativeDurationAreIgnored(t *testing.T) {
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register.Merge(start, endReport("server-0", 0, attempt.SuspectedRun{Fingerprint: attempt.Fingerprint{1}, Duration: -time.Second}), unknown)
+	qt.Check(t, register.Status(start, []attempt.Fingerprint{{1}}), qt.Equals, attempt.RequestNormal)
+}
+
 // Each entry that passed on a count of another one would send the whole end to five more for each step of each count.
 func TestCountsOfOtherEntriesAreNotPassedOn(t *testing.T) {
 	c := qt.New(t)
--- a/internal/attempt/crash_reports.go
+++ b/internal/attempt/crash_reports.go
@@ -227,6 +227,10 @@
 		r.addRun(now, report.Server, end, fingerprint, endedRun{survived: true})
 	}
 	for _, run := range report.Suspected {
+		// A run cannot end before it begins. It would count as the shortest, which is the strongest evidence.
+		if run.Duration < 0 {
+			continue
+		}
 		r.addRun(now, report.Server, end, run.Fingerprint, endedRun{duration: run.Duration})
 		for _, served := range run.Served {
 			if r.ends[report.Server] == end {
