--- a/internal/attempt/crash_served.go
+++ b/internal/attempt/crash_served.go
@@ -1,6 +1,8 @@
 package attempt
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -44,6 +46,28 @@
 // servedCounts are the numbers of served runs of a trait before and after an end.
 type servedCounts map[servedKey]uint16
 
+// _ fails to compile if a run with all its counts does not fit into one packet: addEnd would not end.
+const _ = uint(maxUpdateRuns - endRuns - 1 - (maxServedCounts+1)/2)
+
+// compare orders keys by entry, the count before the end last.
+func (k servedKey) compare(other servedKey) int {
+	if k.entry != other.entry || k.before == other.before {
+		return cmp.Compare(k.entry, other.entry)
+	}
+	if k.before {
+		return 1
+	}
+	return -1
+}
+
+// dropGreatest drops the count with the greatest key, and returns that key. All registers keep the same counts then, in
+// whatever order they arrive: with others their digests would differ for as long as the end is kept.
+func (c servedCounts) dropGreatest() servedKey {
+	greatest := slices.MaxFunc(slices.Collect(maps.Keys(c)), servedKey.compare)
+	delete(c, greatest)
+	return greatest
+}
+
 // recentRuns are the runs of a trait that were served one after the other.
 type recentRuns struct {
 	runs   uint16
@@ -86,7 +110,12 @@
 // addRecent records the trait's recently served runs at an end that has just become known: those before the entry's own send was
 // broken, and those since. If another entry reports the end, the runs since are not known apart and count as before.
 func (r *CrashRegister) addRecent(now time.Time, server ServerInstance, end *serverEnd, trait Fingerprint, run endedRun) {
-	recent, before := r.takeRecent(now, trait).runs, servedKey{entry: r.number, before: true}
+	before := servedKey{entry: r.number, before: true}
+	if _, last := r.lastEnd(trait); !run.sent && last != server {
+		// The recent runs were served after a later end.
+		return
+	}
+	recent := r.takeRecent(now, trait).runs
 	if !run.sent {
 		r.setServed(now, server, end, trait, before, recent)
 		return
@@ -103,9 +132,9 @@
 	}
 }
 
-// recordOftenServed records that ClearingRuns runs of a suspect were served.
-func (r *CrashRegister) recordOftenServed(now time.Time, trait Fingerprint) {
-	if end, server := r.lastEnd(trait); end != nil {
+// recordOftenServed records that ClearingRuns runs of a suspect were served, if takeServed returns true for it.
+func (r *CrashRegister) recordOftenServed(now time.Time, trait Fingerprint, takeServed func(Fingerprint) bool) {
+	if end, server := r.lastEnd(trait); end != nil && takeServed(trait) {
 		r.setServed(now, server, end, trait, servedKey{entry: r.number}, ClearingRuns)
 	}
 }
@@ -136,21 +165,26 @@
 		}
 		end.served[trait] = counts
 	}
-	if old == 0 && len(counts) >= maxServedCounts {
+	counts[key] = runs
+	if len(counts) > maxServedCounts {
 		r.dropped++
-		return
+		if dropped := counts.dropGreatest(); dropped == key {
+			return
+		}
 	}
-	counts[key] = runs
 	if reportedRuns(counts[key]) != reportedRuns(old) {
-		// Each further count is another report, and digests in hellos make up for a loss.
-		r.changedEnds[server] = max(r.changedEnds[server], 1)
+		// Each further count is another report, and digests in hellos make up for a loss, also of counts of other entries.
+		if key.entry == r.number {
+			r.changedEnds[server] = max(r.changedEnds[server], 1)
+		}
+		// An assessment takes up to 2 ms, too long for each served run.
+		r.planAssessment(now.Add(r.config.SettleTime))
 	}
 	if r.outweighed(trait) {
 		for _, other := range slices.Clone(r.suspects[trait]) {
 			r.addRun(now, other, r.ends[other], trait, endedRun{survived: true})
 		}
 	}
-	r.planAssessment(now)
 }
 
 // outweighed reports whether the served runs of a trait outweigh its ends, however unlikely these are by chance.
