--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -76,7 +76,7 @@
 
 	mu    sync.Mutex
 	ready map[*process]bool
-	// atMostOnce are the calls that may run at most once. notRun are those of them whose status states that they have
+	// atMostOnce are the calls that may run at most once. notRun are the calls of all kinds whose status states that they have
 	// not run and never will.
 	atMostOnce, notRun []callRecord
 	// calls are all calls and probes, without the bodies of their responses.
@@ -259,7 +259,7 @@
 	if call.kind == standin.Posting {
 		c.atMostOnce = append(c.atMostOnce, *call)
 	}
-	if call.err == nil && meansNotRun(call.status) && call.kind == standin.Posting {
+	if call.err == nil && meansNotRun(call.status) {
 		c.notRun = append(c.notRun, *call)
 	}
 	c.checkRevoked(call)
