--- a/internal/control/assignment.go
+++ b/internal/control/assignment.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bramleyspool/bramleyspool/internal/admission"
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
@@ -16,8 +17,12 @@
 	ID      uint64
 	Service ident.Service
 	Route   *routing.Route
+	// Customer is the customer of the request; "" on public routes.
+	Customer ident.Customer
 	// Priority is the priority of the request; 0 is the most urgent.
 	Priority int
+	// Retry is true if the caller repeats a request that was refused.
+	Retry bool
 	// Arrived is when the request arrived. After Deadline its answer is of no use.
 	Arrived, Deadline time.Time
 	// PromptTokens is the number of prompt tokens of a request to a model engine.
@@ -29,6 +34,8 @@
 	// OtherGroupOnly is true if the stream's server sends no more events: only a server of
 	// another group is assigned.
 	OtherGroupOnly bool
+	// Moved is true if the stream runs at a rank that is slow: only a server that is not slow is assigned, and at once.
+	Moved bool
 	// Resumed is true for a stream whose first events the caller has received.
 	Resumed bool
 	// Traits are the fingerprints by which the entry's CrashRegister knows the request and the parts of its prompt; only
@@ -36,6 +43,10 @@
 	Traits []attempt.Fingerprint
 	// Trial is the trait for which the request has a permit to run, see attempt.TrialRuns; zero for none.
 	Trial attempt.Fingerprint
+	// overShare is true if the request exceeds the share of its customer and priority, which get the fraction share of such
+	// requests. It is decided once, while the service is overloaded.
+	overShare, shareKnown bool
+	share                 float64
 }
 
 // SendReason says why a request is sent.
@@ -59,6 +70,10 @@
 	Backend membership.ListedBackend
 	// Cause is the reason of a refusal.
 	Cause outcome.Cause
+	// CausedBy is the customer whose demand is the reason of a refusal; "" if no single one is.
+	CausedBy ident.Customer
+	// Share is the admitted fraction of such requests, if the request is refused with outcome.CauseOverShare.
+	Share float64
 	// PromptTokens is the number of prompt tokens of the request.
 	PromptTokens int
 	// RetryAfter is the time after which the caller of a refused request should retry.
@@ -72,7 +87,7 @@
 	// Outage is true if the request is refused because servers are listed but none runs
 	// requests at the moment.
 	Outage bool
-	// Limited is true if the chosen server states a limit of requests: other entries are told of the send. LimitedFor is the
+	// Limited is true if a limit of requests applies to the chosen server and other entries must be told of the send. LimitedFor is the
 	// time until this entry may send to the first server, if a request is refused since all servers state limits.
 	Limited    bool
 	LimitedFor time.Duration
@@ -85,6 +100,16 @@
 	// duration of a pass.
 	Load, Writers int
 	Pass          time.Duration
+	// Mode, PeakPass, Limit and Margin are those of the admission.PassDecision.
+	Mode     admission.PassMode
+	PeakPass time.Duration
+	Limit    int
+	Margin   float64
+	// ServesLate is true if a full group serves late: the request may wait until its caller leaves. StreamTime is the
+	// predicted time of its stream. RoomIn is the time until a group has room again, 0 if that is unknown.
+	ServesLate bool
+	StreamTime time.Duration
+	RoomIn     time.Duration
 	// FirstEvent is the predicted time until the rank has processed the prompt.
 	FirstEvent time.Duration
 	// ReportAge is the age of the group's last GroupReport; negative if there is no recent one.
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -60,6 +60,8 @@
 	RankLoads []int
 	// SilentEntries is the number of other entries that do not notify this one of their sends.
 	SilentEntries int
+	// Demand is the sum of the demand of all entries for the group's service; nil if the report has none.
+	Demand []admission.CustomerDemand
 }
 
 // Dispatcher is the control state of an entry that sends requests directly to backend servers:
@@ -83,10 +85,20 @@
 	waiting  []BackendRequest
 	// resting has the end of the rest of each server that asked for one. It is kept while a server is not listed.
 	resting map[attempt.ServerInstance]time.Time
+	// arrivals has the demand for each service at this entry. full has the refusals of the current round over the waiting
+	// requests, which hold for further ones; nil outside of a round.
+	arrivals  map[ident.Service]*admission.ArrivalTrend
+	full      map[fullKey]fullGroups
+	demands   map[ident.Service]*serviceDemand
+	evacuated evacuations
+	cold      coldServers
 }
 
 type groupState struct {
 	pace admission.GroupPace
+	// slowness is the reported one by rank; that in pace leaves out the ranks that are avoided.
+	slowness []float64
+	forecast groupForecast
 	// silent is the number of other entries whose sends are unknown.
 	silent int
 	// openAtReport is the number of this entry's open requests at the group when the last
@@ -99,6 +111,7 @@
 	// progressAt is when the group last sent an event to this entry, or got a request while it
 	// had none open.
 	progressAt time.Time
+	demand     groupDemand
 }
 
 // stalled reports whether the group has open requests but has sent no event for stallTimeout.
@@ -106,6 +119,19 @@
 	return g.openRequests() > 0 && now.Sub(g.progressAt) > stallTimeout
 }
 
+// countedWriters returns the number of requests at all ranks by the last report and the sends since, if this entry hears of all
+// sends; otherwise 0.
+func (g *groupState) countedWriters(now time.Time) int {
+	if g.silent > 0 {
+		return 0
+	}
+	writers := 0
+	for _, server := range g.ranks {
+		writers += server.Load(now)
+	}
+	return writers
+}
+
 // openRequests returns the number of this entry's open requests at the group.
 func (g *groupState) openRequests() int {
 	open := 0
@@ -127,7 +153,9 @@
 		crashes:  attempt.NewCrashRegister(attempt.DefaultCrashConfig()),
 		limits:   map[string]*admission.ServerLimit{},
 		resting:  map[attempt.ServerInstance]time.Time{},
+		demands:  map[ident.Service]*serviceDemand{},
 		entries:  1,
+		arrivals: map[ident.Service]*admission.ArrivalTrend{},
 	}
 }
 
@@ -165,6 +193,7 @@
 	}
 	d.recordRemoved(now, servers)
 	d.removeLimits(now, servers)
+	d.applyCold(now, servers)
 	d.countServers(now)
 	d.servers = servers
 	for name, group := range d.groups {
@@ -197,6 +226,7 @@
 	}
 	group.pace = report.Pace
 	group.pace.ReceivedAt = now
+	group.pace.RankWriters = report.RankLoads
 	group.silent = report.SilentEntries
 	group.openAtReport = group.openRequests()
 	for _, server := range group.ranks {
@@ -204,6 +234,11 @@
 			server.RecordReport(now, report.RankLoads[rank])
 		}
 	}
+	d.updateSlowRanks(now, group)
+	if len(group.ranks) > 0 {
+		group.forecast.record(now, d.engineModel(group.ranks[0].Service), &group.pace, group.slowness != nil)
+	}
+	d.recordGroupDemand(now, group, &report)
 	return d.assignWaiting(now)
 }
 
@@ -225,6 +260,7 @@
 			continue
 		}
 		server.RecordRemoteSend(now)
+		d.recordRemoteColdSend(now, server, group)
 		if engine := d.engineModel(server.Service); engine != nil {
 			server.AddPrompt(now, sent.PromptTokens, engine.PromptRateFor(group.pace.Pass))
 		}
@@ -265,19 +301,24 @@
 	switch request.Reason {
 	case SendReasonFirst:
 		d.repeats.CountRequest(now, request.Service)
+		d.recordArrival(now, request.Service)
 	case SendReasonRepeat:
 		if !d.repeats.Allow(now, request.Service) {
 			return []Assignment{{Request: request.ID, Cause: outcome.CauseRetryBudget, RetryAfter: noBackendRetryAfter}}
 		}
 	}
+	if decided, ok := d.decideByShare(now, &request); ok {
+		return decided
+	}
 	assigned, ok := d.assign(now, &request)
 	switch {
 	case ok:
 		return []Assignment{assigned}
-	case request.OtherGroupOnly || len(d.waiting) >= maxWaiting || !d.mayWait(now, &request, &assigned):
+	case request.OtherGroupOnly || request.Moved || len(d.waiting) >= maxWaiting || !d.mayWait(now, &request, &assigned):
 		if request.Reason == SendReasonRepeat {
 			d.repeats.Release(now, request.Service)
 		}
+		d.nameCause(now, &request, &assigned)
 		return []Assignment{assigned}
 	}
 	d.enqueue(request)
@@ -292,60 +333,11 @@
 	case assignment.Outage:
 		return now.Before(request.OutageEnd())
 	case assignment.Cause == outcome.CauseBackendsFull:
-		return now.Before(request.WaitEnd())
+		return now.Before(request.slotWaitEnd(now, assignment))
 	}
 	return false
 }
 
-// WaitEnd returns until when the request may wait for a free slot. The wait is short, because
-// under overload a long queue would delay all streams beyond their targets.
-func (request *BackendRequest) WaitEnd() time.Time {
-	end := request.Arrived.Add(time.Duration(waitShare * float64(request.Route.TargetLatency)))
-	if request.Resumed {
-		end = request.Arrived.Add(maxResumeWait)
-	}
-	return earlier(end, request.Deadline)
-}
-
-// OutageEnd returns until when the request may wait while no server runs requests. It is longer
-// than WaitEnd, because groups form again within a second or two and a refused caller retries
-// only once.
-func (request *BackendRequest) OutageEnd() time.Time {
-	end := request.Arrived.Add(time.Duration(outageShare * float64(request.Deadline.Sub(request.Arrived))))
-	if short := request.WaitEnd(); end.Before(short) {
-		return short
-	}
-	return earlier(end, request.Deadline)
-}
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
-// enqueue inserts a request into the queue, which is sorted in the order of service:
-// interrupted streams first, then by priority, then by arrival.
-func (d *Dispatcher) enqueue(request BackendRequest) {
-	at := len(d.waiting)
-	for at > 0 && precedes(&request, &d.waiting[at-1]) {
-		at--
-	}
-	d.waiting = slices.Insert(d.waiting, at, request)
-}
-
-// precedes reports whether a is served before b.
-func precedes(a, b *BackendRequest) bool {
-	if a.Resumed != b.Resumed {
-		return a.Resumed
-	}
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
-	}
-	return a.Arrived.Before(b.Arrived)
-}
-
 // CancelRequest removes a waiting request whose caller disconnected or whose deadline passed.
 func (d *Dispatcher) CancelRequest(id uint64) {
 	d.waiting = slices.DeleteFunc(d.waiting, func(request BackendRequest) bool { return request.ID == id })
@@ -360,6 +352,7 @@
 	}
 	server.Open = max(server.Open-1, 0)
 	server.RecordResult(now, result, latency)
+	d.recordPlainEnd(now, server, result)
 	if group := d.groups[server.Group]; group != nil {
 		group.recordResult(now, result)
 	}
@@ -383,12 +376,16 @@
 	if len(d.waiting) == 0 {
 		return nil
 	}
+	d.full = map[fullKey]fullGroups{}
+	defer func() { d.full = nil }()
+	d.orderWaiting(now)
 	var assigned []Assignment
 	kept := d.waiting[:0]
 	for i := range d.waiting {
 		request := d.waiting[i]
 		assignment, ok := d.assign(now, &request)
 		if ok || !d.mayWait(now, &request, &assignment) {
+			d.nameCause(now, &request, &assignment)
 			assigned = append(assigned, assignment)
 			continue
 		}
@@ -408,9 +405,9 @@
 	if d.refuseSuspect(now, request, &assignment) {
 		return assignment, false
 	}
-	candidates := d.candidates(request)
+	candidates := d.candidates(now, request)
 	if len(candidates) == 0 {
-		assignment.Cause, assignment.RetryAfter = outcome.CauseNoBackend, noBackendRetryAfter
+		assignment.Cause, assignment.RetryAfter = d.noCandidate(request)
 		return assignment, false
 	}
 	candidates, assignment.LimitedFor = d.withinLimits(now, candidates)
@@ -419,7 +416,7 @@
 		assignment.RetryAfter = assignment.LimitedFor + time.Duration(d.random.Int64N(int64(limitRetrySpread)))
 		return assignment, false
 	}
-	chosen := d.pick(now, request, candidates, &assignment)
+	chosen := d.pickShared(now, request, candidates, &assignment)
 	switch {
 	case chosen == nil && assignment.Outage:
 		assignment.Cause, assignment.RetryAfter = outcome.CauseNoBackend, outageRetryAfter
@@ -441,24 +438,29 @@
 	return assignment, true
 }
 
-// candidates returns the listed servers that may get the request. If it was sent to all of them
-// before, it may go to one of them again, unless OtherGroupOnly is set. The gateway requests no
-// further server for a request that must not run again.
-func (d *Dispatcher) candidates(request *BackendRequest) []*routing.Server {
-	var fresh, tried []*routing.Server
+// candidates returns the listed servers that may get the request. If there is no other, it may go to a slow rank, or to a
+// server that it was sent to before, unless OtherGroupOnly or Moved is set. The gateway requests no further server for a
+// request that must not run again.
+func (d *Dispatcher) candidates(now time.Time, request *BackendRequest) []*routing.Server {
+	var fresh, slow, tried []*routing.Server
 	for _, server := range d.services[request.Service] {
 		switch {
-		case server.Leaving || server.StatedLeaving:
+		case !d.mayReceive(server):
 		case slices.Contains(request.Tried, server.ID):
 			tried = append(tried, server)
+		case d.avoided(now, server):
+			slow = append(slow, server)
 		default:
 			fresh = append(fresh, server)
 		}
 	}
-	if len(fresh) == 0 && !request.OtherGroupOnly {
-		return tried
+	switch {
+	case len(fresh) > 0 || request.Moved:
+		return fresh
+	case len(slow) > 0 || request.OtherGroupOnly:
+		return slow
 	}
-	return fresh
+	return tried
 }
 
 // pickPlain picks the server with the lowest cost, and a paused one only if there is no other.
--- a/internal/expert/lockstep.go
+++ b/internal/expert/lockstep.go
@@ -104,10 +104,18 @@
 	Running int `cbor:"12,keyasint,omitempty" json:"running,omitempty"`
 	Waiting int `cbor:"13,keyasint,omitempty" json:"waiting,omitempty"`
 	// Pace is a factor reported by the engine: greater than 1 for a rank that is slower than other ranks of its kind.
-	// No decision depends on it.
+	// RankSpeeds estimates speeds from it.
 	Pace float64 `cbor:"14,keyasint,omitempty" json:"pace,omitempty"`
 }
 
+// maxGroupSize limits the size of a group in received statuses: messages number ranks by 16 bits.
+const maxGroupSize = 1 << 16
+
+// Valid reports whether the size of the group and the rank in a received status are possible.
+func (s *RankStatus) Valid() bool {
+	return s.Size > 0 && s.Size <= maxGroupSize && s.Rank >= 0 && int(s.Rank) < s.Size
+}
+
 // LockstepReply is the answer to an order.
 type LockstepReply struct {
 	Rank ident.Rank
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,11 +7,11 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bramleyspool/bramleyspool/internal/admission"
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -60,6 +60,8 @@
 	tried []string
 	// replacement is the backend server that continues a stalled stream.
 	replacement *control.Assignment
+	// moved is true if the last send ended because its stream moved away from a slow rank.
+	moved bool
 	// trial is the permit of the present send of a suspect; nil for other sends.
 	trial *trialPermit
 	// runs records the backend servers that may have run the request.
@@ -83,6 +85,9 @@
 	// lastEventAt is when the last event of a stream was passed on; longestGap is the longest time between two events.
 	lastEventAt time.Time
 	longestGap  time.Duration
+	// accountKey is the key under which the call is counted while accountOpen is true.
+	accountKey  admission.ClassKey
+	accountOpen bool
 }
 
 // bufferedResponse is a backend server's response that was read completely.
@@ -106,6 +111,7 @@
 		gateway: g, w: w, r: r, key: g.callCounter.Add(1), id: r.Header.Get(g.headers.RequestID),
 		arrived: time.Now(), table: g.table.Load(), lastEventID: r.Header.Get(g.headers.LastEventID),
 	}
+	defer c.closeAccount()
 	defer func() {
 		g.bufferedBytes.Add(-c.bufferedBytes)
 		c.logOutcome()
@@ -114,7 +120,9 @@
 			panic(http.ErrAbortHandler)
 		}
 	}()
-	if !c.identify() || !c.readBody() {
+	identified := c.identify()
+	c.openAccount()
+	if !identified || !c.readBody() {
 		return
 	}
 	c.serve()
@@ -196,23 +204,13 @@
 	return true
 }
 
-// computeDeadline returns the earlier of the route's timeout and the caller's deadline.
-func (c *call) computeDeadline() time.Time {
-	end := c.arrived.Add(c.route.Timeout)
-	if remaining, err := strconv.ParseInt(c.r.Header.Get(c.gateway.headers.Deadline), 10, 64); err == nil && remaining >= 0 {
-		if deadline := c.arrived.Add(time.Duration(remaining) * time.Millisecond); deadline.Before(end) {
-			end = deadline
-		}
-	}
-	return end
-}
-
 // serve sends the request to one backend server after another until the call has an outcome.
 func (c *call) serve() {
 	c.deadline = c.computeDeadline()
 	c.service = c.route.Choose(rand.Uint64())
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	defer c.releaseReplacement()
 	reason := control.SendReasonFirst
 	for {
 		assigned, ok := c.nextAssignment(ctx, reason)
@@ -235,7 +233,7 @@
 		}
 		c.tried = append(c.tried, assigned.Backend.ID)
 		reason = control.SendReasonRepeat
-		if result.sendResult == routing.SendNotConnected {
+		if result.sendResult == routing.SendNotConnected || result.sendResult == routing.SendEvacuated {
 			reason = control.SendReasonNotConnected
 		}
 		if !c.maySendAgain() {
@@ -245,6 +243,14 @@
 	}
 }
 
+// releaseReplacement ends the assignment of a backend server that was to continue a stream, if the call ends before it does.
+func (c *call) releaseReplacement() {
+	if c.replacement != nil {
+		c.gateway.recordSendEnd(c.replacement, routing.SendAbandoned, 0, nil)
+		c.replacement = nil
+	}
+}
+
 // nextAssignment returns the backend server that continues a stalled stream if there is one, or requests an assignment.
 func (c *call) nextAssignment(ctx context.Context, reason control.SendReason) (control.Assignment, bool) {
 	if c.replacement != nil {
@@ -273,10 +279,13 @@
 // assignmentRequest returns the call's request for a backend server, for the control thread.
 func (c *call) assignmentRequest(reason control.SendReason) control.BackendRequest {
 	request := control.BackendRequest{
-		ID: c.key, Service: c.service, Route: c.route, Priority: c.priority(), Reason: reason,
+		ID: c.key, Service: c.service, Route: c.route, Customer: c.access.Customer, Priority: c.priority(), Reason: reason,
 		Arrived: c.arrived, Deadline: c.deadline, Tried: c.tried, Resumed: c.started,
 		PromptTokens: c.gateway.headers.PromptTokens(c.r.Header), Traits: c.knownTraits(),
 	}
+	if reason == control.SendReasonFirst {
+		request.Retry = c.isRetry()
+	}
 	if c.started {
 		// The wait for a server to resume the stream starts now, not at the call's arrival.
 		request.Arrived = time.Now()
@@ -293,9 +302,12 @@
 	if runs := c.runs.Possible(); runs > 0 && (!c.route.Repeatable() || runs >= c.route.MaxServers) {
 		return false
 	}
-	return len(c.tried) < c.route.MaxServers+extraSends
+	return c.mayTryAfter(len(c.tried))
 }
 
+// mayTryAfter reports whether the request may be sent once more after a number of sends.
+func (c *call) mayTryAfter(sends int) bool { return sends < c.route.MaxServers+extraSends }
+
 // requestAssignment requests a backend server from the control thread and waits for the assignment. It returns false if
 // the call ended first.
 func (c *call) requestAssignment(ctx context.Context, request control.BackendRequest) (control.Assignment, bool) {
@@ -303,12 +315,11 @@
 	assignments := make(chan control.Assignment, 1)
 	g.enqueue(func(now time.Time) {
 		g.pending[c.key] = assignments
-		g.forwardProgress()
-		g.deliver(g.dispatcher.RequestBackend(now, request))
+		g.requestBackend(now, request)
 	})
-	// If no server becomes free, the first Tick after WaitEnd refuses the request; in an outage, the first one after
-	// OutageEnd. So Tick is called at both times.
-	for _, end := range []time.Time{request.WaitEnd(), request.OutageEnd()} {
+	// If no server becomes free, the first Tick after WaitEnd refuses the request; in an outage or while a group serves
+	// late, the first one after a later time. So Tick is called at each of these.
+	for _, end := range request.DecisionTimes() {
 		timer := time.NewTimer(time.Until(end))
 		select {
 		case assigned := <-assignments:
@@ -348,14 +359,6 @@
 	}
 }
 
-// priority returns the priority of the customer if it has one, otherwise that of the route.
-func (c *call) priority() int {
-	if c.access.HasPriority {
-		return c.access.Priority
-	}
-	return c.route.Priority
-}
-
 // recordSendEnd reports the result of a send to the control thread. evidence is what crashEvidence returned; it may be nil.
 func (g *Gateway) recordSendEnd(assigned *control.Assignment, result routing.SendResult, latency time.Duration, evidence func(now time.Time)) {
 	backend, suspect := assigned.Backend.ID, assigned.Suspect
@@ -397,8 +400,7 @@
 			fields["on_trial"] = a.Trial
 		}
 		if a.ReportAge >= 0 {
-			fields["prompt"], fields["predicted_first_ms"] = a.PromptTokens, a.FirstEvent.Milliseconds()
-			fields["writers"], fields["pass_ms"], fields["pace_age_ms"] = a.Writers, a.Pass.Milliseconds(), a.ReportAge.Milliseconds()
+			addPassFields(fields, &a)
 		}
 		g.metrics.waitTimes.RecordDuration(a.Waited)
 	}
@@ -408,6 +410,9 @@
 	if c.result.Cause == outcome.CauseQuarantined {
 		fields["quarantined"], fields["prompt_parts"] = c.assigned.Quarantined, c.sharedParts()
 	}
+	if c.result.CausedBy != "" {
+		fields["caused_by"], fields["share"] = c.result.CausedBy, c.assigned.Share
+	}
 	if c.result.RetryAfter > 0 {
 		fields["retry_after_ms"] = c.result.RetryAfter.Milliseconds()
 	}
--- a/internal/gateway/crash_exchange.go
+++ b/internal/gateway/crash_exchange.go
@@ -25,10 +25,11 @@
 
 func (g *Gateway) sendHello(now time.Time, to netip.AddrPort, answer bool) {
 	hello := &datagram.Hello{Peers: g.peerDirectory.known(now), CrashDigest: g.dispatcher.Crashes().Digest(), Answer: answer}
-	hello.Joining = g.peerDirectory.joining(now)
+	hello.Joining = g.peerDirectory.joining(now) || g.evacuations.recentlyResumed()
 	if table := g.table.Load(); table != nil {
 		hello.ConfigurationVersion = table.Version
 	}
+	g.addEvacuation(hello, to)
 	g.socket.Send(to, datagram.Message{Hello: hello})
 }
 
@@ -36,6 +37,7 @@
 // this entry's, and a hello from which it sees that this entry lacks something.
 func (g *Gateway) handleHello(now time.Time, from netip.AddrPort, hello *datagram.Hello) {
 	g.recordHeardVersion(hello.ConfigurationVersion)
+	g.recordHeardEvacuation(now, hello.Evacuation)
 	joined := g.peerDirectory.recordHeard(now, from, now) || hello.Joining
 	g.peerDirectory.recordMessage(now)
 	if joined {
@@ -59,11 +61,11 @@
 	}
 }
 
-// handleCrashUpdate merges another entry's knowledge of crashes. Traits that it suspects and that servers of this entry have
-// survived are cleared.
+// handleCrashUpdate merges another entry's knowledge of crashes. Served runs of this entry count once for a trait that the
+// other entry suspects.
 func (g *Gateway) handleCrashUpdate(now time.Time, update *attempt.CrashUpdate) {
 	g.dispatcher.Crashes().Merge(now, *update, func(trait attempt.Fingerprint) bool {
-		return g.survivingTraits.contains(traitHash(trait), now)
+		return g.survivingTraits.take(traitHash(trait), now)
 	})
 	g.crashRegisterChanged()
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -41,7 +41,11 @@
 	}
 	g.storeEra, g.storeEraKnown = state.Era, true
 	g.recordStoreVersion(state.Table)
+	g.evacuations.merge("store", func(known *membership.Evacuations) bool {
+		return known.MergeCompleteRead(bootTime(), state.ReadAt, state.Evacuation)
+	})
 	g.enqueue(func(now time.Time) {
+		g.evacuationChanged(now)
 		g.recordStoreResponse(now)
 		if restored {
 			g.listing.Restored(now)
@@ -49,6 +53,7 @@
 		if state.Table != nil {
 			g.applyConfiguration(state.Table)
 		}
+		g.recordCold(now, state.Backends)
 		g.updateListing(now, g.listing.Replace(now, state.Backends))
 	})
 }
@@ -57,11 +62,16 @@
 func (g *Gateway) Changed(changes source.Changes) {
 	g.replaceTable(changes.Table)
 	g.recordStoreVersion(changes.Table)
+	g.evacuations.merge("store", func(known *membership.Evacuations) bool {
+		return known.Apply(changes.Revision, changes.Evacuations)
+	})
 	g.enqueue(func(now time.Time) {
+		g.evacuationChanged(now)
 		g.recordStoreResponse(now)
 		if changes.Table != nil {
 			g.applyConfiguration(changes.Table)
 		}
+		g.recordCold(now, changes.Put)
 		changed := false
 		for _, backend := range changes.Put {
 			changed = g.listing.Put(backend) || changed
@@ -96,6 +106,7 @@
 // CurrentAsOf implements source.Handler. It records that the table in force was current at the given time. A store that holds
 // an older version than is known proves nothing: it was restored from a copy, and changes are missing in it.
 func (g *Gateway) CurrentAsOf(at time.Duration) {
+	g.confirmEvacuation(at)
 	table := g.table.Load()
 	if table == nil || g.storeVersion.Load() < max(table.Version, g.heardVersion.Load()) {
 		return
@@ -219,17 +230,25 @@
 	}
 	g.readRevisionIfDue(context.Background(), now)
 	g.crashRegisterChanged()
+	g.checkEvacuation(now)
 	g.sendHellos(now)
 	g.dispatcher.SetEntries(now, g.peerDirectory.entries(), g.peerDirectory.isolated(now))
+	g.dispatcher.SetSenders(now, g.peerDirectory.senders(now))
+	g.metrics.backendsCold.Update(float64(g.dispatcher.ColdServers()))
 	g.pool.closeExpired(now)
 	g.prober.removeExpired(now)
 	g.trials.Expire(now)
-	for _, subscription := range g.leaders.due(now) {
-		message := datagram.Message{Subscribe: &datagram.Subscribe{Group: subscription.group, Entry: g.socket.Address().String()}}
+	demandOf := func(group ident.Group) []admission.CustomerDemand { return g.dispatcher.GroupDemand(now, group) }
+	for _, subscription := range g.leaders.due(now, demandOf) {
+		message := datagram.Message{Subscribe: &datagram.Subscribe{
+			Group: subscription.group, Entry: g.socket.Address().String(), Demand: datagram.DemandShares(subscription.demand),
+		}}
 		g.socket.Send(subscription.agent, message)
 	}
+	g.reportAccount(now)
 	g.metrics.backendsLimited.Update(float64(g.dispatcher.LimitedServers()))
 	g.metrics.setCallsWaiting(g.dispatcher.Waiting())
+	g.passModes.report(now, g, g.dispatcher.GroupModes())
 }
 
 // handleMessage handles a message of another process. Messages that are meant for agents are ignored.
@@ -263,10 +282,15 @@
 	}
 }
 
-// handleGroupReport passes the report of a group's leader to the dispatcher.
+// handleGroupReport passes the report of a group's leader to the dispatcher. It ignores invalid and outdated
+// reports.
 func (g *Gateway) handleGroupReport(now time.Time, from netip.AddrPort, report *datagram.GroupReport) {
+	if g.isInvalidReport(now, report, from) || g.isOutdatedReport(now, report, from.String()) {
+		return
+	}
 	g.leaders.recordReport(now, report.Group, from)
 	entries := max(report.EntryCount, len(report.Entries))
+	g.peerDirectory.recordCount(now, entries)
 	for _, entry := range report.Entries {
 		g.peerDirectory.recordHeard(now, entry, now)
 	}
@@ -282,10 +306,12 @@
 		Group: report.Group,
 		Pace: admission.GroupPace{
 			Writers: requests, Ranks: len(report.Loads), Skew: report.Skew, Loading: report.Loading, Entries: entries,
-			Pass: time.Duration(report.PassMicros) * time.Microsecond,
+			Pass: time.Duration(report.PassMicros) * time.Microsecond, Slowness: rankSlowness(report),
 		},
 		RankLoads: report.Loads, SilentEntries: entries - len(report.Entries),
+		Demand: datagram.CustomerDemands(report.Demand),
 	}))
+	g.moveStreams(g.dispatcher.SlowRanks(now, report.Group))
 }
 
 // notifyPeers notifies the other entries of a prompt that is sent to a rank.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/datagram"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/membership"
 	"github.com/bramleyspool/bramleyspool/internal/node"
 	"github.com/bramleyspool/bramleyspool/internal/routing"
@@ -59,7 +60,7 @@
 	// startDoubt is the time after the start in which credentials are not accepted while another entry has a newer
 	// configuration in force. Later, an entry may have heard of a change before it gets the change itself.
 	startDoubt = 10 * time.Second
-	// joinWait is how long an entry that has just started waits for word of another one before it accepts credentials.
+	// joinWait is how long an entry that has just started waits for a message from another one before it accepts credentials.
 	joinWait = 150 * time.Millisecond
 	// assumedEntries is the number of entries among which the fixed part of the limit on repeats is divided. The store
 	// does not list entries; deployments have up to 24.
@@ -108,6 +109,7 @@
 	// survivors has the requests that were served recently. survivingTraits has their prompt parts that others may share, and
 	// while crashesKnown is true the fingerprints of the requests.
 	survivors, survivingTraits *survivorTable
+	account                    *callAccount
 	socket                     *datagram.Socket
 	headers                    Headers
 
@@ -132,13 +134,19 @@
 	lastCallAt atomic.Int64
 	// hasBackends is true if at least one listed backend server is not leaving.
 	hasBackends atomic.Bool
+	// runningStreams has the streams that another backend server may continue.
+	runningStreams streamTable
 	// crashesKnown is true while the control thread knows of requests that may have crashed a backend server.
 	crashesKnown atomic.Bool
 	// lastProgress maps each group to the time at which it last sent an event on one of this entry's streams.
 	lastProgress sync.Map
 
+	// evacuations has the evacuated availability zones.
+	evacuations evacuationTable
+
 	// The control thread owns the fields below.
 	dispatcher *control.Dispatcher
+	passModes  passModes
 	listing    *membership.Listing
 	// pending has the channels of the calls that wait for an assignment, by call key.
 	pending map[uint64]chan control.Assignment
@@ -163,6 +171,8 @@
 	// crashNewsPlanned is true while a call of sendCrashNews is planned.
 	crashNewsPlanned bool
 	storeDown        bool
+	// appliedEvacuation is the list of evacuated zones that the dispatcher has.
+	appliedEvacuation *[]ident.Zone
 }
 
 // New returns a gateway that Run starts.
@@ -179,10 +189,12 @@
 		trials:     attempt.NewTrialRuns(trialSettleTime), pendingTrials: map[uint64]pendingTrial{},
 		trialNumber: rand.Uint64(),
 	}
+	g.dispatcher.ConfigureCold(bounds.ColdFactor, bounds.ColdExtra)
 	g.pool = newConnPool(g.metrics.connectionOpened)
-	g.statements = newStatementTable()
+	g.statements, g.account = newStatementTable(), newCallAccount()
 	g.prober, g.survivors, g.survivingTraits = newProber(), newSurvivorTable(), newSurvivorTable()
 	g.startedAt = bootTime()
+	g.evacuations.aliveAt.Store(int64(g.startedAt))
 	g.follower = source.NewFollower(sharingStore{Store: config.Store, gateway: g}, g, bootTime)
 	if bounds.Revocation-revocationMargin >= minSharedValidity {
 		g.follower.SharedRevision = g.sharedRevision
@@ -288,7 +300,7 @@
 // ready reports whether the entry can serve new callers: its configuration is current enough to check credentials, and
 // it has backend servers.
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && g.table.Load() != nil && g.hasBackends.Load() && g.credentialsCurrent()
+	return !g.stopping.Load() && g.table.Load() != nil && g.hasBackends.Load() && g.credentialsCurrent() && g.evacuationSettled()
 }
 
 // idle reports whether there have been no calls for idleAfter.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -28,19 +28,19 @@
 // thread.
 func (c *call) send(ctx context.Context, assigned control.Assignment) exchangeResult {
 	start := time.Now()
+	c.moved = false
 	result := c.exchange(ctx, assigned)
 	latency := time.Duration(0)
 	if result.sendResult == routing.SendServed && !c.firstByteAt.IsZero() {
 		latency = c.firstByteAt.Sub(start)
 	}
-	if !result.done && ctx.Err() != nil {
+	if !result.done && (ctx.Err() != nil || c.moved) {
 		result.sendResult = routing.SendAbandoned
 	}
 	evidence := c.crashEvidence(ctx, assigned.Backend, start, result.sendResult, c.replacement == nil)
 	c.gateway.recordSendEnd(&assigned, result.sendResult, latency, evidence)
-	if c.replacement != nil && (result.done || ctx.Err() != nil) {
-		c.gateway.recordSendEnd(c.replacement, routing.SendAbandoned, 0, nil)
-		c.replacement = nil
+	if result.done || ctx.Err() != nil {
+		c.releaseReplacement()
 	}
 	return result
 }
@@ -57,7 +57,7 @@
 	stop := context.AfterFunc(ctx, func() { conn.reset() })
 	defer stop()
 	watchdog := c.startWatchdog(ctx, conn)
-	defer func() { c.replacement = watchdog.stop() }()
+	defer func() { c.replacement, c.moved = watchdog.stop() }()
 	response, mismatched, err := c.receive(conn)
 	if err != nil {
 		conn.reset()
@@ -86,6 +86,10 @@
 			conn.reset()
 			return nil, routing.SendAbandoned
 		}
+		if c.evacuatedSinceAssignment(ctx, &assigned.Backend) {
+			conn.reset()
+			return nil, routing.SendEvacuated
+		}
 		stop := context.AfterFunc(ctx, func() { conn.reset() })
 		err = conn.send(c.backendRequest(assigned))
 		stop()
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -29,6 +29,9 @@
 	SendGroupBroken
 	// SendAbandoned means that the caller left. It says nothing about the server.
 	SendAbandoned
+	// SendEvacuated means that nothing was sent, since the server's availability zone was evacuated after the assignment. It
+	// says nothing about the server.
+	SendEvacuated
 )
 
 // String returns the name of the result in logs.
@@ -50,6 +53,8 @@
 		return "group-broken"
 	case SendAbandoned:
 		return "abandoned"
+	case SendEvacuated:
+		return "evacuated"
 	}
 	return "invalid"
 }
@@ -114,6 +119,8 @@
 	promptBacklog   float64
 	promptBacklogAt time.Time
 
+	// Avoided is true for a rank that is so slow that its streams are better off at others, by the last report of its group.
+	Avoided bool
 	// StatedLeaving is true once a response of the server has said that it is leaving.
 	StatedLeaving bool
 	// restUntil is the end of the time for which the server wants no requests; zero if it never asked for that.
@@ -201,8 +208,8 @@
 }
 
 // RecordResult records the result of a request. Latency is the time to the first byte, 0 if there was none.
-// SendAbandoned and SendGroupBroken change nothing: the first says nothing about the server, and for the second the control
-// package's Dispatcher pauses the whole group.
+// SendAbandoned, SendEvacuated and SendGroupBroken change nothing: the first two say nothing about the server, and for the
+// last the control package's Dispatcher pauses the whole group.
 func (s *Server) RecordResult(now time.Time, result SendResult, latency time.Duration) {
 	switch result {
 	case SendServed:
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -124,6 +124,14 @@
 	return float64(e.PromptChunk) / pass.Seconds()
 }
 
+// PromptTime returns the time to the first event of a request at a rank that processes no other prompt: the rest of the
+// current pass, and a pass for each chunk of the prompt, the last of which ends with the event.
+func (e *EngineModel) PromptTime(tokens int, pass time.Duration) time.Duration {
+	pass = max(pass, e.Step*time.Duration(e.StepsPerPass))
+	chunk := max(e.PromptChunk, 1)
+	return pass/2 + pass*time.Duration(max((tokens+chunk-1)/chunk, 1))
+}
+
 // ExpertLayers describes the expert layers of an engine.
 type ExpertLayers struct {
 	// Layers is the number of expert layers, each with its own placement of experts.
@@ -158,6 +166,10 @@
 	MaxConns int
 	// Engine is the model of the service's engine; nil for plain services.
 	Engine *EngineModel
+	// ColdTime is how long a backend server is cold after its start if its record does not say so, ColdRate the number of
+	// requests per second that a cold one may get from all entries; 0 for no limit.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // CallerLimits bounds what a caller may send. Sizes are in bytes.
@@ -185,6 +197,8 @@
 	services           map[ident.Service]*DirectService
 	accessByCredential map[string]CustomerAccess
 	customerN          int
+	// eventGaps has the shortest EventGap of the routes to each service that has one.
+	eventGaps map[ident.Service]time.Duration
 }
 
 // NewTable returns a table of the routes, services and credentials. With nil credentials none is required.
@@ -194,10 +208,12 @@
 		routes:             map[string][]*Route{},
 		services:           make(map[ident.Service]*DirectService, len(services)),
 		accessByCredential: credentials,
+		eventGaps:          map[ident.Service]time.Duration{},
 	}
 	for i := range routes {
 		route := &routes[i]
 		table.routes[route.Host] = append(table.routes[route.Host], route)
+		table.addEventGap(route)
 	}
 	for _, list := range table.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -232,6 +248,19 @@
 	return t.services[name]
 }
 
+func (t *Table) addEventGap(route *Route) {
+	for _, share := range route.Shares {
+		if gap := t.eventGaps[share.Service]; route.EventGap > 0 && (gap == 0 || route.EventGap < gap) {
+			t.eventGaps[share.Service] = route.EventGap
+		}
+	}
+}
+
+// EventGap returns the shortest pause between events that a route to the service allows for streams on time; 0 if none is set.
+func (t *Table) EventGap(service ident.Service) time.Duration {
+	return t.eventGaps[service]
+}
+
 // Access returns the rights of the credential; false if it is unknown.
 func (t *Table) Access(credential string) (CustomerAccess, bool) {
 	access, ok := t.accessByCredential[credential]
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -32,21 +32,40 @@
 	sharedRequestInterval = 8
 )
 
+// allKinds are the kinds of requests of usual callers. Only probeVersions sends Probe.
+var allKinds = []standin.RequestKind{standin.Lookup, standin.Posting, standin.Draft}
+
 // callRecord is a caller's request and its response.
 type callRecord struct {
 	id, credential string
-	// shared is true for a request with the same path and body as those of other callers.
-	shared bool
+	variant        variant
 	// kind determines the checks: a Posting may run at most once, and the response to a Draft is an event stream.
-	kind   standin.RequestKind
-	entry  *process
-	sentAt time.Time
+	kind            standin.RequestKind
+	entry           *process
+	sentAt, endedAt time.Time
 	// status is the HTTP status, or 0 if there was no response.
 	status int
 	body   string
 	err    error
+	// retryAfter is the time after which the response allows a repeat.
+	retryAfter time.Duration
+	// exempt is true if the caller ended the call at the end of the soak, or the entry stopped as planned or was not reached.
+	exempt bool
 }
 
+// variant is a variant of the requests of a kind.
+type variant int
+
+const (
+	usual variant = iota
+	// shared requests have the same path and body as those of other callers.
+	shared
+	// bulk requests are of the least urgent class and of a customer of their own.
+	bulk
+	// large streams have large events, which their callers read slowly.
+	large
+)
+
 // callers send requests over persistent connections, poll the entries' readiness and check the responses.
 type callers struct {
 	soak      *soak
@@ -57,13 +76,15 @@
 
 	mu    sync.Mutex
 	ready map[*process]bool
-	// atMostOnce are the calls that may run at most once. notRun are those of them whose status states that they have
+	// atMostOnce are the calls that may run at most once. notRun are the calls of all kinds whose status states that they have
 	// not run and never will.
 	atMostOnce, notRun []callRecord
+	// calls are all calls and probes, without the bodies of their responses.
+	calls []callRecord
 }
 
-// run is one caller: it sends one request after the other until the context ends.
-func (c *callers) run(ctx context.Context, number int, random *rand.Rand) {
+// run is one caller: it sends one request after the other, of random kinds, until the context ends.
+func (c *callers) run(ctx context.Context, name string, kinds []standin.RequestKind, thinkTime time.Duration, random *rand.Rand) {
 	client := newClient()
 	defer client.CloseIdleConnections()
 	var entry *process
@@ -75,19 +96,21 @@
 			time.Sleep(readinessInterval)
 			continue
 		}
-		// Probe is the last kind. It is excluded, since only probeVersions sends it.
-		kind := standin.RequestKind(random.IntN(int(standin.Probe)))
+		kind := pickRandom(random, kinds)
 		// For checkRevoked, one request in 20 has a revoked credential if there is one.
 		valid := random.IntN(20) > 0
 		call := &callRecord{
-			id: fmt.Sprintf("r%d-%d", number, c.idCounter.Add(1)), kind: kind, entry: entry,
-			credential: c.soak.deployment.Credential(random, valid), shared: random.IntN(sharedRequestInterval) == 0,
+			id: fmt.Sprintf("%s-%d", name, c.idCounter.Add(1)), kind: kind, entry: entry,
+			credential: c.soak.deployment.Credential(random, valid),
+		}
+		if random.IntN(sharedRequestInterval) == 0 {
+			call.variant = shared
 		}
 		c.call(ctx, client, call)
 		if call.err != nil {
 			entry = nil
 		}
-		time.Sleep(time.Duration(random.Int64N(int64(2 * meanThinkTime))))
+		time.Sleep(time.Duration(random.Int64N(int64(2 * thinkTime))))
 	}
 }
 
@@ -97,8 +120,8 @@
 }
 
 // call sends a request, checks the response and records it for checkRuns.
-func (c *callers) call(ctx context.Context, client *http.Client, call *callRecord) {
-	ctx, cancel := context.WithTimeout(ctx, standin.RequestTimeout)
+func (c *callers) call(soakCtx context.Context, client *http.Client, call *callRecord) {
+	ctx, cancel := context.WithTimeout(soakCtx, standin.RequestTimeout)
 	defer cancel()
 	request, err := call.request(ctx)
 	if err != nil {
@@ -113,19 +136,30 @@
 		call.err = err
 	} else {
 		defer response.Body.Close()
-		body, readErr := io.ReadAll(response.Body)
+		body, readErr := call.read(response.Body)
+		call.retryAfter = retryAfter(response)
 		call.status, call.body, call.err = response.StatusCode, string(body), readErr
 		c.checkAnswer(call, response)
 	}
+	call.endedAt = time.Now()
+	_, planned := call.entry.plannedStopOf(incarnation)
+	call.exempt = soakCtx.Err() != nil || planned || errors.Is(call.err, syscall.ECONNREFUSED)
 	c.countOutcome(call)
 	c.checkPlannedStop(call, incarnation, ctx.Err() != nil)
 	c.record(call)
+	c.keep(call)
 }
 
 // request returns the HTTP request of the call.
 func (call *callRecord) request(ctx context.Context) (*http.Request, error) {
-	if call.shared {
+	switch call.variant {
+	case shared:
 		return standin.SharedRequest(ctx, call.entry.settings.Callers, call.kind, call.id, call.credential)
+	case bulk:
+		return standin.BulkRequest(ctx, call.entry.settings.Callers, call.id)
+	case large:
+		return standin.LargeStreamRequest(ctx, call.entry.settings.Callers, call.id, call.credential)
+	case usual:
 	}
 	return standin.Request(ctx, call.entry.settings.Callers, call.kind, call.id, call.credential, 0)
 }
@@ -209,6 +243,15 @@
 	return names
 }
 
+// keep stores a call, without the body of its response, for the checks of zones and of cold replicas.
+func (c *callers) keep(call *callRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := *call
+	kept.body = ""
+	c.calls = append(c.calls, kept)
+}
+
 // record stores a call for checkRuns if it may run at most once, and calls checkRevoked for every call.
 func (c *callers) record(call *callRecord) {
 	c.mu.Lock()
@@ -216,7 +259,7 @@
 	if call.kind == standin.Posting {
 		c.atMostOnce = append(c.atMostOnce, *call)
 	}
-	if call.err == nil && meansNotRun(call.status) && call.kind == standin.Posting {
+	if call.err == nil && meansNotRun(call.status) {
 		c.notRun = append(c.notRun, *call)
 	}
 	c.checkRevoked(call)
@@ -335,6 +378,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	id := fmt.Sprintf("p-%s-%d", entry.settings.Name, c.idCounter.Add(1))
+	c.keep(&callRecord{id: id, kind: standin.Probe, entry: entry, sentAt: time.Now()})
 	request, err := standin.Request(ctx, entry.settings.Callers, standin.Probe, id, "", version)
 	if err != nil {
 		c.soak.reportViolation("failed to create a request: " + err.Error())
