Close two gaps of the stream watchdog

Cause, by reading: a request for a replacement that began while the stream ended was answered after the watchdog had stopped, and its server stayed counted as open; a stall timeout during a move that found no room was not set again, so that a stream without further events was no longer watched. Change: the watchdog ends before it waits for an answer, a stall timeout is always set again, and a connection of an ended stream is not reset. Result: the gateway's stream tests pass under the race detector.

--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -60,12 +60,13 @@
 	// The wait for a replacement starts now, not at the call's arrival.
 	request := w.request
 	request.Arrived = time.Now()
-	if replaced, asked := w.replaceStream(request, false); asked && !replaced {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if !w.ended {
-			w.timer.Reset(streamStallTimeout)
-		}
+	if replaced, _ := w.replaceStream(request, false); replaced {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ended {
+		w.timer.Reset(streamStallTimeout)
 	}
 }
 
@@ -88,16 +89,13 @@
 	if !ok || assigned.Cause != outcome.CauseNone {
 		return false, true
 	}
-	w.moved = moved
-	w.replaceBy(assigned)
-	return true, true
-}
-
-// replaceBy lets another backend server continue the stream.
-func (w *stallWatchdog) replaceBy(assigned control.Assignment) {
 	w.replacement = &assigned
-	w.ended = true
-	w.conn.reset()
+	if !w.ended {
+		// Otherwise the stream has ended, and its connection may serve another request by now.
+		w.ended, w.moved = true, moved
+		w.conn.reset()
+	}
+	return true, true
 }
 
 // stop ends the watchdog and returns the backend server that continues the stream; nil if there is none. moved is true if it
@@ -108,6 +106,8 @@
 	}
 	w.call.gateway.runningStreams.remove(w)
 	w.mu.Lock()
+	w.ended = true
+	w.timer.Stop()
 	requesting := w.requesting
 	w.mu.Unlock()
 	if requesting != nil {
@@ -116,7 +116,5 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.ended = true
-	w.timer.Stop()
 	return w.replacement, w.moved
 }
