--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -91,7 +91,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.account.Close(key, result, limit, 1)
-	if result.Kind == outcome.NotRun && (limit == admission.LimitShare || limit == admission.LimitCapacity) {
+	if result.DidNotRun() && (limit == admission.LimitShare || limit == admission.LimitCapacity) {
 		a.refusals[refusalKey{class, result.Cause, result.CausedBy}]++
 	}
 }
@@ -212,7 +212,7 @@
 	}
 	c.accountOpen = false
 	c.gateway.account.close(c.accountKey, c.classKey(), c.result)
-	if c.result.Kind == outcome.NotRun && (c.result.Cause == outcome.CauseOverShare || c.result.Cause == outcome.CauseBackendsFull) {
+	if c.result.DidNotRun() && (c.result.Cause == outcome.CauseOverShare || c.result.Cause == outcome.CauseBackendsFull) {
 		c.gateway.account.recordRefused(time.Now(), c.retryHash())
 	}
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -104,6 +104,9 @@
 	Detail string `cbor:"6,keyasint,omitempty" json:"detail,omitempty"`
 }
 
+// DidNotRun reports whether the request was not run and will not be run.
+func (o Outcome) DidNotRun() bool { return o.Kind == NotRun }
+
 // Refused returns an outcome of kind NotRun with the cause.
 func Refused(cause Cause) Outcome {
 	return Outcome{Kind: NotRun, Cause: cause}
