Hold stragglers to the stated bounds

Cause: the replay allowed a hundredth of the value to be lost with a rank at 1.5 times its work, and 0.05 after the recovery; the targets allow neither. No product code changes.

--- a/internal/control/crests_replay_test.go
+++ b/internal/control/crests_replay_test.go
@@ -16,7 +16,7 @@
 	"github.com/bramleyspool/bramleyspool/internal/routing"
 )
 
-// crestEngine has the values of deployment C.
+// crestEngine has the values of deployment C of docs/hard-load.md.
 var crestEngine = routing.EngineModel{
 	Slots: 10, Step: 4840 * time.Microsecond, PerWriter: 435 * time.Microsecond, PromptRate: 74_800, PromptChunk: 512, StepsPerPass: 7,
 	MeanPromptTokens: 868, MeanAnswerTokens: 158, Experts: routing.ExpertLayers{Layers: 12, Experts: 128, Slots: 5, Share: 0.85},
--- a/internal/control/crests_test.go
+++ b/internal/control/crests_test.go
@@ -152,11 +152,29 @@
 				refused := float64(r.refused) / (to - from).Seconds() / day.rate
 				c.Check(refused <= 0.02, qt.IsTrue, qt.Commentf("%.3f of the requests of these seconds were refused", refused))
 			}
-			c.Check(after >= usual.within(to+time.Second, to+3*time.Second)-0.05, qt.IsTrue)
+			c.Check(after >= usual.within(to+time.Second, to+3*time.Second), qt.IsTrue)
 		})
 	}
 }
 
+// A rank at two thirds of its speed makes no pass too long for streams on time, so that none may be lost. TestStragglerDays lets
+// a hundredth of the value go.
+func TestStragglerAtTwoThirdsOfItsSpeedLosesNothing(t *testing.T) {
+	const from, to = 20 * time.Second, 27 * time.Second
+	c := qt.New(t)
+	day := crestDay{groups: 1, ranks: 72, entries: 18, seconds: 40, seed: *crestSeed}
+	day.rate = 0.5 * crestCapacity(day)
+	usual := replayCrests(day, newCrestDispatcher)
+	day.slowness = func(at time.Duration, _, rank int) float64 {
+		if rank == 5 && at >= from && at < to {
+			return 1.5
+		}
+		return 1
+	}
+	r := replayCrests(day, newCrestDispatcher)
+	c.Check(r.within(from, to) >= usual.within(from, to), qt.IsTrue, qt.Commentf("%.4f of %.4f", r.within(from, to), usual.within(from, to)))
+}
+
 // Prints the table of docs/measurements/crests.md.
 func TestPrintCrestTable(t *testing.T) {
 	if *crestSeeds == 0 {
