--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -47,7 +48,9 @@
 	entries, replicas int
 	memoryMB          int
 	timeout           time.Duration
-	routes            []route
+	// slots is the number of requests that a replica runs at a time; 0 for 6.
+	slots  int
+	routes []route
 }
 
 // deployment is a small deployment: a store, replicas of a plain service, and entries as processes of their own.
@@ -105,7 +108,7 @@
 		id := fmt.Sprintf("i-%08x", rand.Uint32())
 		go serve(id, listener)
 		d.store.put("servers/"+id, map[string]any{
-			"service": service, "address": address, "zone": "plateau", "version": "1", "slots": 6, "state": "ready",
+			"service": service, "address": address, "zone": "plateau", "version": "1", "slots": cmp.Or(o.slots, 6), "state": "ready",
 			"warmup-ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
 		})
 		out.line("replica %s listens at %s", id, address)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 // cases are the cases by name. With trouble false they play without the disruption.
 var cases = map[string]func(out *record, trouble bool) (int, error){
 	"leaving-callers": leavingCallers,
+	"long-requests":   longRequests,
 }
 
 func main() { os.Exit(run()) }
