Log and count calls whose callers got no response

Each line of a call has the field response (none, partial, complete); calls without a complete response whose callers had not left are warnings and counted (calls_unanswered). Connections that end with a request which reached no call (requests_dropped), panics (call_panics) and what net/http reports (caller_connection_errors) are logged and counted; a call that panics gets a truthful response if no head was written.

The recorder of calls in end_test.go records warnings as well.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -113,11 +113,15 @@
 		gateway: g, w: w, r: r, key: g.callCounter.Add(1), id: r.Header.Get(g.headers.RequestID),
 		arrived: time.Now(), table: g.table.Load(), lastEventID: r.Header.Get(g.headers.LastEventID),
 	}
+	g.callers.recordCall(r.Context())
 	defer c.closeAccount()
 	defer func() {
+		if fault := recover(); fault != nil {
+			c.endPanicked(fault)
+		}
 		g.bufferedBytes.Add(-c.bufferedBytes)
 		c.logOutcome()
-		if !c.headWritten || c.started && c.result.Kind != outcome.Served {
+		if c.response() != responseComplete {
 			// Without a response net/http would write an empty success. It has no other way to end a response so that the caller
 			// sees that it is truncated.
 			panic(http.ErrAbortHandler)
@@ -382,7 +386,7 @@
 	requestKind := ""
 	fields := logrus.Fields{
 		"request": c.id, "outcome": c.result.Kind, "cause": c.result.Cause, "status": c.status,
-		"total_ms": time.Since(c.arrived).Milliseconds(), "tries": len(c.tried), "runs": c.runs.Possible(),
+		"response": c.response(), "total_ms": time.Since(c.arrived).Milliseconds(), "tries": len(c.tried), "runs": c.runs.Possible(),
 		"config_age_ms": g.configurationAge().Milliseconds(),
 	}
 	if c.table != nil {
@@ -431,5 +435,10 @@
 	}
 	g.metrics.callTimes.RecordDuration(time.Since(c.arrived))
 	g.metrics.countCall(c.result.Kind, c.result.Cause, requestKind)
-	g.log.WithFields(fields).Info("call")
+	if c.response() == responseComplete || c.result.Cause == outcome.CauseCallerGone {
+		g.log.WithFields(fields).Info("call")
+		return
+	}
+	g.metrics.countUnanswered(c.response(), c.result.Cause, requestKind)
+	g.log.WithFields(fields).Warn("call")
 }
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -4,9 +4,12 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 )
@@ -71,6 +74,37 @@
 	}
 }
 
+// responseState tells how much of a response the caller has got.
+type responseState string
+
+const (
+	responseNone     responseState = "none"
+	responsePartial  responseState = "partial"
+	responseComplete responseState = "complete"
+)
+
+// response returns how much of the response has been written at the end of the call.
+func (c *call) response() responseState {
+	switch {
+	case !c.headWritten:
+		return responseNone
+	case c.started && c.result.Kind != outcome.Served:
+		return responsePartial
+	}
+	return responseComplete
+}
+
+// endPanicked ends a call in which a fault of the gateway itself caused a panic.
+func (c *call) endPanicked(fault any) {
+	c.gateway.metrics.count("call_panics")
+	c.gateway.log.WithFields(logrus.Fields{"request": c.id, "fault": fault, "stack": string(debug.Stack())}).Error("call-panicked")
+	if !c.headWritten {
+		c.endFailed(outcome.CauseInternalError)
+		return
+	}
+	c.started, c.result = true, c.runs.Unserved(outcome.CauseInternalError)
+}
+
 // writeHead writes the head of the response. All heads go through it, since a call that ends without one aborts its connection.
 func (c *call) writeHead(status int) {
 	c.headWritten = true
--- a/internal/gateway/end_test.go
+++ b/internal/gateway/end_test.go
@@ -36,7 +36,7 @@
 	return recorded
 }
 
-func (*callLines) Levels() []logrus.Level { return []logrus.Level{logrus.InfoLevel} }
+func (*callLines) Levels() []logrus.Level { return []logrus.Level{logrus.InfoLevel, logrus.WarnLevel} }
 
 func (l *callLines) Fire(entry *logrus.Entry) error {
 	if id, ok := entry.Data["request"].(string); ok && entry.Message == "call" {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"errors"
+	stdlog "log"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -107,6 +109,7 @@
 	// while crashesKnown is true the fingerprints of the requests.
 	survivors, survivingTraits *survivorTable
 	account                    *callAccount
+	callers                    *callerConns
 	socket                     *datagram.Socket
 	headers                    Headers
 
@@ -196,6 +199,7 @@
 	g.pool = newConnPool(g.metrics.connectionOpened)
 	g.statements, g.account = newStatementTable(), newCallAccount()
 	g.prober, g.survivors, g.survivingTraits = newProber(), newSurvivorTable(), newSurvivorTable()
+	g.callers = newCallerConns(g.recordDropped)
 	g.startedAt = bootTime()
 	g.evacuations.aliveAt.Store(int64(g.startedAt))
 	g.follower = source.NewFollower(sharingStore{Store: config.Store, gateway: g}, g, bootTime)
@@ -248,7 +252,8 @@
 	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
+		MaxHeaderBytes: maxHeaderBytes, ConnContext: g.callers.attach, ConnState: g.callers.recordState,
+		ErrorLog: stdlog.New(serverLog{g}, "", 0),
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- readiness.Serve(checks) }()
@@ -264,6 +269,15 @@
 	return errors.Join(server.Close(), readiness.Close())
 }
 
+// serverLog logs and counts what net/http reports about the connections of callers.
+type serverLog struct{ gateway *Gateway }
+
+func (l serverLog) Write(line []byte) (int, error) {
+	l.gateway.metrics.count("caller_connection_errors")
+	l.gateway.log.WithField("error", strings.TrimSpace(string(line))).Warn("caller-connection-error")
+	return len(line), nil
+}
+
 // listenUnlessOpen returns the open listener, or a new one at the address if there is none.
 func listenUnlessOpen(open net.Listener, address string) (net.Listener, error) {
 	if open != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -112,6 +112,11 @@
 	m.scope.Tagged(map[string]string{"outcome": result.String(), "cause": string(cause), "kind": requestKind}).Counter("calls").Inc(1)
 }
 
+// countUnanswered counts a call whose caller got no response or a part of one.
+func (m *metrics) countUnanswered(response responseState, cause outcome.Cause, requestKind string) {
+	m.scope.Tagged(map[string]string{"response": string(response), "cause": string(cause), "kind": requestKind}).Counter("calls_unanswered").Inc(1)
+}
+
 // countRepeats counts the repeats of a service since the last report, and sets its limit.
 func (m *metrics) countRepeats(service ident.Service, last attempt.RepeatTotals, status attempt.RepeatStatus) {
 	count := func(result string, delta int) {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -59,7 +59,7 @@
 	// CauseEvacuated: all backend servers that could take the request are in evacuated availability zones.
 	CauseEvacuated Cause = "evacuated"
 	CauseDeadline  Cause = "deadline"
-	// CauseLeaving: the backend server's agent is in a planned stop.
+	// CauseLeaving: the process that would have to pass the request on is in a planned stop: the entry, or the backend server's agent.
 	CauseLeaving Cause = "leaving"
 	// CauseQuarantined: the request is quarantined, since backend servers crashed while they ran it. All requests of
 	// the same customer, class and body are quarantined together.
@@ -88,6 +88,8 @@
 	CauseTimeout          Cause = "timeout"
 	CauseBrokenStream     Cause = "broken-stream"
 	CauseCallerGone       Cause = "caller-gone"
+	// CauseInternalError: a fault of the process itself ended the call.
+	CauseInternalError Cause = "internal-error"
 )
 
 // Outcome is the result of a call.
