Set the timer of a stream's watchdog before it can fire

The timer was assigned after it had been started, and its function reads it: if the starting goroutine is paused for longer than the stall timeout in between, the process ends with a nil pointer and all its calls are lost.

--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -37,7 +37,9 @@
 		return nil
 	}
 	w := &stallWatchdog{call: c, ctx: ctx, conn: conn, request: c.replacementRequest(), server: c.assigned.Backend.ID}
+	w.mu.Lock()
 	w.timer = time.AfterFunc(streamStallTimeout, w.requestReplacement)
+	w.mu.Unlock()
 	c.gateway.runningStreams.add(w)
 	return w
 }
