Answer every request that is read in a planned stop

Three causes, one class: the end of the process was left to the HTTP library, which knows nothing of calls.

- Requests that may outlast the stop were passed on late in it and cut off by http.Server.Close.
After the first 3 s (or half) of a stop, only requests whose deadline is before the end of calls are sent; the others are refused at once as not run.
- Calls that were open at the end, running, waiting or with half a body, got nothing.
They now end 0.5 s before the limit: not-run if no server can have run them, otherwise 502, unknown.
Only streams that have begun are cut off.
- From the close of the listener on, http.Server.Shutdown makes the server drop each request that it reads, and it closes connections between the arrival of a request and its recognition.
The gateway now closes connections itself: unused ones by the end of their read deadline, which a request that is being read at that moment survives.

Responses announce the close also if the stop began after their call. A connection that was never used no longer holds up a stop.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -106,9 +106,6 @@
 	if g.lastCallAt.Swap(int64(bootTime())) < int64(bootTime()-idleAfter) {
 		g.follower.Wake()
 	}
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	c := &call{
 		gateway: g, w: w, r: r, key: g.callCounter.Add(1), id: r.Header.Get(g.headers.RequestID),
 		arrived: time.Now(), table: g.table.Load(), lastEventID: r.Header.Get(g.headers.LastEventID),
@@ -194,7 +191,15 @@
 	if err := controller.SetReadDeadline(c.arrived.Add(bodyTimeout)); err != nil {
 		c.gateway.log.WithError(err).Debug("no-read-deadline")
 	}
+	keepReading := context.AfterFunc(c.gateway.callsContext, func() {
+		// An error means that the connection has already ended.
+		_ = controller.SetReadDeadline(time.Now())
+	})
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, int64(c.table.Limits.BodyBytes)))
+	if !keepReading() {
+		c.refuseLeaving()
+		return false
+	}
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
@@ -217,7 +222,11 @@
 	c.service = c.route.Choose(rand.Uint64())
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(c.gateway.callsContext, cancel)()
 	defer c.releaseReplacement()
+	if !c.admitInStop() {
+		return
+	}
 	reason := control.SendReasonFirst
 	for {
 		assigned, ok := c.nextAssignment(ctx, reason)
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -5,61 +5,95 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 )
 
-// callerConn is the state of a caller's connection.
+// callerListener accepts connections of callers that record when bytes arrive.
+type callerListener struct{ net.Listener }
+
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
+		return &callerConn{TCPConn: tcp}, nil
+	}
+	return conn, err
+}
+
+// callerConn is a caller's connection.
 type callerConn struct {
-	conn  net.Conn
+	*net.TCPConn
+	// receivedAt is when bytes were last read, in ns since bootTime's epoch.
+	receivedAt atomic.Int64
+	// The fields below belong to the callerConns.
 	state http.ConnState
-	// since is when the state began.
-	since time.Time
+	// since is when the state began, as read from bootTime.
+	since time.Duration
 	// served is true if the request that is being read or answered has reached the gateway.
 	served bool
+	// expired is true if the read deadline has been set to close the connection.
+	expired bool
+}
+
+// Read records the arrival of bytes.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.receivedAt.Store(int64(bootTime()))
+	}
+	return n, err
 }
 
 // callerConns has the open connections of callers. Its method recordState is the http.Server's ConnState hook.
 type callerConns struct {
 	mu   sync.Mutex
-	open map[net.Conn]*callerConn
+	open map[*callerConn]struct{}
 	// onDropped is called for each connection that ends after bytes of a request were read from it which reached no call:
 	// the head was incomplete or invalid, or the server dropped it.
 	onDropped func(conn *callerConn)
 }
 
 func newCallerConns(onDropped func(conn *callerConn)) *callerConns {
-	return &callerConns{open: map[net.Conn]*callerConn{}, onDropped: onDropped}
+	return &callerConns{open: map[*callerConn]struct{}{}, onDropped: onDropped}
 }
 
 // callerConnKey is the key of the *callerConn in the contexts of a connection's requests.
 type callerConnKey struct{}
 
-// attach adds a new connection, and its state to the context of its requests.
+// attach adds a new connection, and the connection to the context of its requests.
 func (t *callerConns) attach(ctx context.Context, conn net.Conn) context.Context {
-	caller := &callerConn{conn: conn, since: time.Now()}
+	caller, ok := conn.(*callerConn)
+	if !ok {
+		return ctx
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.open[conn] = caller
+	caller.since = bootTime()
+	t.open[caller] = struct{}{}
 	return context.WithValue(ctx, callerConnKey{}, caller)
 }
 
 // recordState records that the state of a connection has changed.
 func (t *callerConns) recordState(conn net.Conn, state http.ConnState) {
-	t.mu.Lock()
-	caller := t.open[conn]
-	if caller == nil {
-		t.mu.Unlock()
+	caller, ok := conn.(*callerConn)
+	if !ok {
 		return
 	}
+	t.mu.Lock()
 	dropped := state == http.StateClosed && caller.state == http.StateActive && !caller.served
-	caller.state, caller.since = state, time.Now()
+	caller.state, caller.since = state, bootTime()
 	switch state {
 	case http.StateActive:
 		caller.served = false
+		if caller.expired {
+			// The request was read while closeUnused set the deadline. An error means that the connection has ended.
+			_ = caller.SetReadDeadline(time.Time{})
+			caller.expired = false
+		}
 	case http.StateClosed, http.StateHijacked:
-		delete(t.open, conn)
+		delete(t.open, caller)
 	case http.StateNew, http.StateIdle:
 	}
 	t.mu.Unlock()
@@ -68,6 +102,22 @@
 	}
 }
 
+// closeUnused closes the connections that wait for a request of which no byte has arrived. Their read deadline ends instead of
+// the connections, so that a request which is being read at that moment is still answered.
+func (t *callerConns) closeUnused(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for caller := range t.open {
+		waiting := caller.state == http.StateIdle || caller.state == http.StateNew && bootTime()-caller.since > unusedGrace
+		if !waiting || caller.receivedAt.Load() > int64(caller.since) || !isQuiet(caller.TCPConn) {
+			continue
+		}
+		// An error means that the connection has already ended.
+		_ = caller.SetReadDeadline(now)
+		caller.expired = true
+	}
+}
+
 // recordCall records that the request on a connection has reached the gateway.
 func (t *callerConns) recordCall(ctx context.Context) {
 	caller, ok := ctx.Value(callerConnKey{}).(*callerConn)
@@ -89,5 +139,5 @@
 // recordDropped logs and counts a connection that ended with a request which reached no call.
 func (g *Gateway) recordDropped(caller *callerConn) {
 	g.metrics.count("requests_dropped")
-	g.log.WithFields(logrus.Fields{"caller": caller.conn.RemoteAddr(), "stopping": g.stopping.Load()}).Warn("request-dropped")
+	g.log.WithFields(logrus.Fields{"caller": caller.RemoteAddr(), "stopping": g.stopping()}).Warn("request-dropped")
 }
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -55,7 +55,7 @@
 // closed connection, there is none and the connection is aborted.
 func (c *call) respond(status int) {
 	c.status = status
-	if c.r.Context().Err() != nil {
+	if c.r.Context().Err() != nil && c.gateway.callsContext.Err() == nil {
 		return
 	}
 	header := c.w.Header()
@@ -108,6 +108,9 @@
 // writeHead writes the head of the response. All heads go through it, since a call that ends without one aborts its connection.
 func (c *call) writeHead(status int) {
 	c.headWritten = true
+	if c.gateway.stopping() {
+		c.w.Header().Set("Connection", "close")
+	}
 	c.w.WriteHeader(status)
 }
 
@@ -125,9 +128,11 @@
 	c.refusedRepeat = refused.Repeats
 }
 
-// endExpired ends a call whose caller disconnected or whose deadline passed.
+// endExpired ends a call that a planned stop ends, whose caller disconnected or whose deadline passed.
 func (c *call) endExpired() {
 	switch {
+	case c.gateway.callsContext.Err() != nil:
+		c.refuseLeaving()
 	case c.r.Context().Err() != nil:
 		c.result = c.runs.Unserved(outcome.CauseCallerGone)
 	case c.runs.Possible() == 0:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,11 +75,6 @@
 	// maxHeaderBytes bounds how much of a header is read before the configuration's own limit is applied. Deployments
 	// set 16 KiB.
 	maxHeaderBytes = 64 << 10
-	// balancerLag is how long the external load balancer may send new connections after readiness turned false: two
-	// checks one second apart, plus the time to open a connection.
-	balancerLag = 2500 * time.Millisecond
-	// closeReserve is the last part of the stop time, reserved for closing connections.
-	closeReserve = 500 * time.Millisecond
 )
 
 // Config holds the settings and dependencies of a gateway.
@@ -123,11 +118,15 @@
 	storeEra      uint64
 	storeEraKnown bool
 
-	mu          sync.Mutex
-	freshness   membership.Freshness
-	stopping    atomic.Bool
-	callCounter atomic.Uint64
-	openCalls   atomic.Int64
+	mu        sync.Mutex
+	freshness membership.Freshness
+	// stopPlan is nil until a planned stop begins.
+	stopPlan atomic.Pointer[stopPlan]
+	// callsContext ends when a planned stop ends the calls that are still open.
+	callsContext context.Context
+	endCalls     context.CancelFunc
+	callCounter  atomic.Uint64
+	openCalls    atomic.Int64
 	// bufferedBytes is the size of all buffered bodies of backend servers' responses.
 	bufferedBytes atomic.Int64
 	// lastCallAt is the arrival time of the last call, as read from bootTime.
@@ -200,6 +199,7 @@
 	g.statements, g.account = newStatementTable(), newCallAccount()
 	g.prober, g.survivors, g.survivingTraits = newProber(), newSurvivorTable(), newSurvivorTable()
 	g.callers = newCallerConns(g.recordDropped)
+	g.callsContext, g.endCalls = context.WithCancel(context.Background())
 	g.startedAt = bootTime()
 	g.evacuations.aliveAt.Store(int64(g.startedAt))
 	g.follower = source.NewFollower(sharingStore{Store: config.Store, gateway: g}, g, bootTime)
@@ -257,14 +257,14 @@
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- readiness.Serve(checks) }()
-	go func() { failed <- server.Serve(callers) }()
+	go func() { failed <- server.Serve(callerListener{callers}) }()
 	g.log.WithFields(logrus.Fields{"callers": callers.Addr(), "ready": checks.Addr(), "peers": socket.Address()}).Info("process-started")
 	select {
 	case err := <-failed:
 		return oops.In("gateway").Wrap(err)
 	case <-ctx.Done():
 	case <-stop:
-		g.drain(ctx, server)
+		g.stop(ctx, callers)
 	}
 	return errors.Join(server.Close(), readiness.Close())
 }
@@ -286,27 +286,6 @@
 	return net.Listen("tcp", address)
 }
 
-// drain performs a planned stop. Readiness turns false first. The listener closes after balancerLag, when the load
-// balancer no longer sends new connections. Calls in progress are completed.
-func (g *Gateway) drain(ctx context.Context, server *http.Server) {
-	g.stopping.Store(true)
-	g.log.WithFields(logrus.Fields{"open_calls": g.openCalls.Load(), "balancer_lag": balancerLag}).Info("stop-began")
-	start := time.Now()
-	select {
-	case <-time.After(balancerLag):
-	case <-ctx.Done():
-	}
-	ctx, cancel := context.WithDeadline(ctx, start.Add(g.config.Settings.Bounds.Stop-closeReserve))
-	defer cancel()
-	err := server.Shutdown(ctx)
-	entry := g.log.WithFields(logrus.Fields{"open_calls": g.openCalls.Load(), "took": time.Since(start)})
-	if err != nil {
-		entry.WithError(err).Warn("stop-ended")
-		return
-	}
-	entry.Info("stop-ended")
-}
-
 // serveReady responds to readiness checks of the load balancer.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !g.ready() {
@@ -319,7 +298,7 @@
 // ready reports whether the entry can serve new callers: its configuration is current enough to check credentials, and
 // it has backend servers.
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && g.table.Load() != nil && g.hasBackends.Load() && g.credentialsCurrent() && g.evacuationSettled()
+	return !g.stopping() && g.table.Load() != nil && g.hasBackends.Load() && g.credentialsCurrent() && g.evacuationSettled()
 }
 
 // idle reports whether there have been no calls for idleAfter.
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -162,6 +162,7 @@
 type testBackend struct {
 	listener net.Listener
 	id       string
+	slots    int
 	// respond writes the response to a request. It returns false to close the connection.
 	respond func(conn net.Conn, request receivedRequest) bool
 
@@ -174,7 +175,7 @@
 func newTestBackend(t *testing.T, id string, respond func(conn net.Conn, request receivedRequest) bool) *testBackend {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.New(t).Assert(err, qt.IsNil)
-	b := &testBackend{listener: listener, id: id, respond: respond, connectionsClosed: make(chan struct{}, 64)}
+	b := &testBackend{listener: listener, id: id, slots: 6, respond: respond, connectionsClosed: make(chan struct{}, 64)}
 	t.Cleanup(func() { listener.Close() })
 	go func() {
 		for {
@@ -316,7 +317,7 @@
 	for _, backend := range backends {
 		for _, service := range []ident.Service{plainService, streamService} {
 			store.state.Backends = append(store.state.Backends, membership.ListedBackend{
-				ID: backend.id + "-" + string(service), Service: service, Address: backend.listener.Addr().String(), Slots: 6,
+				ID: backend.id + "-" + string(service), Service: service, Address: backend.listener.Addr().String(), Slots: backend.slots,
 			})
 		}
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -47,7 +47,7 @@
 
 // exchange checks the credential again if the request cannot have run, sends the request and handles the response.
 func (c *call) exchange(ctx context.Context, assigned control.Assignment) exchangeResult {
-	if c.runs.Possible() == 0 && !c.authorize() {
+	if c.runs.Possible() == 0 && (!c.authorize() || !c.admitInStop()) {
 		return exchangeResult{sendResult: routing.SendAbandoned, done: true}
 	}
 	conn, sent := c.transmit(ctx, assigned)
@@ -230,13 +230,9 @@
 func (c *call) writeBuffered(buffered *bufferedResponse) {
 	c.status = buffered.status
 	header := c.w.Header()
-	connection := header.Get("Connection")
 	for name, values := range endToEndHeader(buffered.header) {
 		header[name] = values
 	}
-	if connection != "" {
-		header.Set("Connection", connection)
-	}
 	header.Set("Content-Length", strconv.Itoa(len(buffered.body)))
 	if buffered.status == http.StatusNoContent || buffered.status == http.StatusNotModified {
 		header.Del("Content-Length")
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/bramleyspool/bramleyspool/internal/routing"
 	"github.com/bramleyspool/bramleyspool/internal/settings"
-	"github.com/bramleyspool/bramleyspool/internal/source"
 )
 
 // testStopTime is the time of a planned stop in these tests, of which readiness is false for balancerLag before the listener closes.
@@ -160,8 +159,11 @@
 		time.Sleep(2 * testStopTime)
 		return writeResponse(conn, request, 200, "answer")
 	})
+	backend.slots = 1
 	g := stoppableGateway(t, backend)
-	running := map[string]*rawCaller{"/lookup/x": g.dial(), "/post/x": g.dial(), "/stream/x": g.dial()}
+	running := map[string]*rawCaller{
+		"/lookup/x": g.dial(), "/post/x": g.dial(), "/post/y": g.dial(), "/post/z": g.dial(), "/stream/x": g.dial(),
+	}
 	for path, caller := range running {
 		caller.write(rawRequest("POST", path, "body", 2*testStopTime))
 	}
@@ -171,13 +173,7 @@
 	for len(backend.requests()) < len(running) {
 		time.Sleep(time.Millisecond)
 	}
-	g.store.set(func(state *source.State) {
-		for i := range state.Backends {
-			state.Backends[i].Slots = 1
-		}
-	})
 	waiting := g.dial()
-	time.Sleep(200 * time.Millisecond)
 	waiting.write(rawRequest("GET", "/lookup/x", "", 2*testStopTime))
 	began := time.Now()
 	close(g.stop)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -176,13 +176,9 @@
 	c.status = response.StatusCode
 	c.firstByteAt = time.Now()
 	header := c.w.Header()
-	connection := header.Get("Connection")
 	for name, values := range endToEndHeader(response.Header) {
 		header[name] = values
 	}
-	if connection != "" {
-		header.Set("Connection", connection)
-	}
 	header.Del("Content-Length")
 	c.writeHead(response.StatusCode)
 }
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -141,20 +141,22 @@
 		return false
 	}
 	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
+	return !ok || isQuiet(tcp)
+}
+
+// isQuiet reports whether a connection is open and no bytes have arrived that are not yet read.
+func isQuiet(conn *net.TCPConn) bool {
+	raw, err := conn.SyscallConn()
 	if err != nil {
 		return false
 	}
-	reusable := false
+	quiet := false
 	err = raw.Control(func(fd uintptr) {
 		var buffer [1]byte
 		_, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		reusable = errors.Is(err, unix.EAGAIN)
+		quiet = errors.Is(err, unix.EAGAIN)
 	})
-	return err == nil && reusable
+	return err == nil && quiet
 }
 
 // put keeps a connection for reuse if the response allows it, and otherwise closes it.
