Do not end a planned stop on a second SIGTERM on the users' platform

A second SIGTERM ended the process at once and cut off all calls that the stop was completing. Platforms may send several, and theirs has SIGKILL for a forced stop; a second SIGINT still forces it. Signals are now handled from before the settings are read, so that an early SIGHUP does not end the process.

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -31,6 +31,8 @@
 	memoryLimitShare = 0.6
 	// settingsPollInterval is how often the settings file is read again, since it can change without a SIGHUP.
 	settingsPollInterval = 2 * time.Second
+	// signalBuffer is the number of signals that are kept until they are handled.
+	signalBuffer = 4
 )
 
 // directProcess is an entry or agent process of a deployment on the users' platform (package platform at the top of
@@ -39,11 +41,14 @@
 	Run(ctx context.Context, stop <-chan struct{}) error
 }
 
+const directStopHelp = `The first SIGTERM or SIGINT starts a planned stop, which completes the calls in flight. Further SIGTERMs
+change nothing, since the platform may send several and has SIGKILL for a forced stop. A second SIGINT ends the process immediately.`
+
 func platformCommand(out io.Writer) *cli.Command {
 	metricsFlag := &cli.IntFlag{Name: "metrics-port", Usage: "TCP port of the metrics page on the VM's IP address; 0 disables it"}
 	roleCommand := func(name, usage string, role settings.Role) *cli.Command {
 		return &cli.Command{
-			Name: name, Usage: usage, Description: stopHelp, Flags: []cli.Flag{metricsFlag},
+			Name: name, Usage: usage, Description: directStopHelp, Flags: []cli.Flag{metricsFlag},
 			Action: func(_ context.Context, command *cli.Command) error {
 				return runDirect(out, role, command.Int("metrics-port"))
 			},
@@ -68,6 +73,10 @@
 
 // runDirect runs a process until its planned stop is complete. Like runProcess, it does not use the command's context.
 func runDirect(out io.Writer, role settings.Role, metricsPort int) error {
+	// A SIGHUP before this ends the process.
+	signals := make(chan os.Signal, signalBuffer)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	loaded, err := platform.LoadSettings(role)
 	if err != nil {
 		return err
@@ -102,7 +111,8 @@
 		}()
 	}
 	process := buildDirect(role, loaded, log, metrics)
-	return process.Run(ctx, watchSignalsAndSettings(ctx, cancel, role, loaded, log))
+	reload := func() { loaded = reloadSettings(role, loaded, log) }
+	return process.Run(ctx, watchSignals(ctx, cancel, signals, reload, log))
 }
 
 // buildDirect builds a process from package gateway or rankagent. Packages entry and agent are for the other kind of
@@ -119,15 +129,12 @@
 	return rankagent.New(rankagent.Config{Settings: loaded, Store: store, Dial: dial, Log: log, Metrics: metrics})
 }
 
-// watchSignalsAndSettings returns a channel that is closed by the first SIGTERM or SIGINT; the second one calls cancel. It
-// also reads the settings file on SIGHUP and periodically, and logs changes. It applies none, since all settings are
-// addresses and bounds that are fixed for the lifetime of a process.
-func watchSignalsAndSettings(ctx context.Context, cancel context.CancelFunc, role settings.Role, loaded settings.Direct, log *logrus.Entry) <-chan struct{} {
+// watchSignals returns a channel that is closed by the first SIGTERM or SIGINT. A later SIGINT calls cancel; a later SIGTERM changes
+// nothing. It also calls reload on SIGHUP and periodically, which logs changes of the settings. None is applied, since all settings
+// are addresses and bounds that are fixed for the lifetime of a process.
+func watchSignals(ctx context.Context, cancel context.CancelFunc, signals <-chan os.Signal, reload func(), log *logrus.Entry) <-chan struct{} {
 	stop := make(chan struct{})
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(signals)
 		stopping := false
 		poll := time.NewTicker(settingsPollInterval)
 		defer poll.Stop()
@@ -136,17 +143,19 @@
 			case <-ctx.Done():
 				return
 			case <-poll.C:
-				loaded = reloadSettings(role, loaded, log)
+				reload()
 			case received := <-signals:
 				switch {
 				case received == syscall.SIGHUP:
-					loaded = reloadSettings(role, loaded, log)
-				case stopping:
+					reload()
+				case !stopping:
+					stopping = true
+					close(stop)
+				case received == os.Interrupt:
 					log.Warn("stop-forced")
 					cancel()
 				default:
-					stopping = true
-					close(stop)
+					log.WithField("signal", received).Info("stop-already-began")
 				}
 			}
 		}
