Take memory for bodies before they are read

Bodies of requests were read without a limit over all calls, and copied once more to be sent.

An account decides on the announced length of a body before it is read, or on what has arrived of one without a length; what does not fit is refused as not run (memory-full) with a Retry-After. One customer may hold four times what is free, so that its long bodies leave room for the short ones of others. Buffered responses count too. Bodies are no longer copied. The body of a refused request is read and discarded after the response, since a reset of the connection could hide it from a caller that still sends.

Refused requests of 60 long ones beside 50 short ones of another customer: TestBodiesAreRefusedBeforeTheyExceedTheMemory.

--- /dev/null
+++ b/internal/admission/memory_test.go
@@ -0,0 +1,76 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/bramleyspool/bramleyspool/internal/admission"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
+)
+
+// Bodies of one customer took all memory of an entry, which was killed with the requests of all customers.
+func TestMemoryIsBoundedAndSharedByCustomers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		requestLimit := rapid.Int64Range(1<<20, 1<<27).Draw(t, "request limit")
+		totalLimit := requestLimit + rapid.Int64Range(0, 1<<26).Draw(t, "for responses")
+		account := admission.NewMemoryAccount(requestLimit, totalLimit)
+		type held struct {
+			customer          ident.Customer
+			request, response int64
+		}
+		var calls []held
+		maxBody := requestLimit / 12
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			customer := ident.Customer(fmt.Sprint("customer-", rapid.IntRange(0, 3).Draw(t, "customer")))
+			bytes := rapid.Int64Range(1, maxBody).Draw(t, "bytes")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				if account.TakeRequest(customer, bytes) {
+					calls = append(calls, held{customer: customer, request: bytes})
+				}
+			case 2:
+				if account.TakeResponse(bytes) {
+					calls = append(calls, held{customer: customer, response: bytes})
+				}
+			case 3:
+				if len(calls) > 0 {
+					ended := calls[0]
+					calls = calls[1:]
+					account.Return(ended.customer, ended.request, ended.response)
+				}
+			}
+			use := account.Use(customer)
+			if use.Requests > requestLimit || use.Requests+use.Responses > totalLimit {
+				t.Fatalf("holds %+v", use)
+			}
+			if use.Customer > requestLimit*4/5+maxBody {
+				t.Fatalf("one customer holds %+v", use)
+			}
+		}
+		for _, ended := range calls {
+			account.Return(ended.customer, ended.request, ended.response)
+		}
+		if use := account.Use(""); use.Requests != 0 || use.Responses != 0 {
+			t.Fatalf("holds %+v after the end of all calls", use)
+		}
+	})
+}
+
+// A customer with long bodies must not refuse the short requests of another one.
+func TestLongBodiesLeaveRoomForOtherCustomers(t *testing.T) {
+	c := qt.New(t)
+	const limit, long, short = 80 << 20, 4 << 20, 1 << 10
+	account := admission.NewMemoryAccount(limit, limit)
+	taken := 0
+	for account.TakeRequest("long", long) {
+		taken++
+	}
+	c.Assert(taken >= 12, qt.IsTrue, qt.Commentf("%d bodies", taken))
+	for range 1000 {
+		c.Assert(account.TakeRequest("short", short), qt.IsTrue)
+	}
+	c.Assert(account.TakeRequest("long", long), qt.IsFalse)
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -46,14 +45,18 @@
 	// credential is "" for public routes.
 	credential string
 	body       []byte
+	// bodyRead is true once the body is complete.
+	bodyRead bool
 	// cachedFingerprint is zero until fingerprint is called.
 	cachedFingerprint attempt.Fingerprint
 	// cachedParts and cachedPartTraits are the results of sharedParts and partTraits; they are valid if partsRead is true.
 	cachedParts      []ident.PromptPart
 	cachedPartTraits []attempt.Fingerprint
 	partsRead        bool
-	// bufferedBytes is the size of the bodies of backend servers' responses that the call has buffered.
-	bufferedBytes int64
+	// requestMemory and responseMemory are the bytes that the call has taken from the gateway's memory account.
+	requestMemory, responseMemory int64
+	// memoryUse is the state of the memory account because of which the call was refused; nil if it was not.
+	memoryUse *admission.MemoryUse
 
 	// tried has the IDs of the backend servers at which a send ended without an outcome of the call, including those to
 	// which no connection could be opened.
@@ -118,7 +121,7 @@
 		if fault := recover(); fault != nil {
 			c.endPanicked(fault)
 		}
-		g.bufferedBytes.Add(-c.bufferedBytes)
+		c.returnMemory()
 		c.logOutcome()
 		if c.response() != responseComplete {
 			// Without a response net/http would write an empty success. It has no other way to end a response so that the caller
@@ -129,6 +132,7 @@
 	identified := c.identify()
 	c.openAccount()
 	if !identified || !c.readBody() {
+		c.discardBody()
 		return
 	}
 	c.serve()
@@ -187,7 +191,16 @@
 	return true
 }
 
-// readBody reads the whole body, so that the request can be sent more than once.
+// bodyLimit returns the greatest size of the body.
+func (c *call) bodyLimit() int64 {
+	if c.table == nil {
+		return 0
+	}
+	return int64(c.table.Limits.BodyBytes)
+}
+
+// readBody reads the whole body, so that the request can be sent more than once. If there is no memory for it, the call is refused
+// before it is read.
 func (c *call) readBody() bool {
 	controller := http.NewResponseController(c.w)
 	if err := controller.SetReadDeadline(c.arrived.Add(bodyTimeout)); err != nil {
@@ -197,24 +210,30 @@
 		// An error means that the connection has already ended.
 		_ = controller.SetReadDeadline(time.Now())
 	})
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, int64(c.table.Limits.BodyBytes)))
+	body, err := []byte(nil), error(&http.MaxBytesError{Limit: c.bodyLimit()})
+	if c.r.ContentLength <= c.bodyLimit() {
+		body, err = readAll(http.MaxBytesReader(c.w, c.r.Body, c.bodyLimit()), c.r.ContentLength, c.takeRequestMemory)
+	}
 	if !keepReading() {
 		c.refuseLeaving()
 		return false
 	}
 	if err != nil {
 		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
+		switch {
+		case errors.As(err, &tooLarge):
 			c.endUnserved(unserved{status: http.StatusRequestEntityTooLarge, cause: outcome.CauseTooLarge})
-			return false
+		case errors.Is(err, errMemoryFull):
+			c.refuseForMemory()
+		default:
+			c.endUnserved(unserved{status: http.StatusBadRequest, cause: outcome.CauseBadRequest})
 		}
-		c.endUnserved(unserved{status: http.StatusBadRequest, cause: outcome.CauseBadRequest})
 		return false
 	}
 	if err := controller.SetReadDeadline(time.Time{}); err != nil {
 		c.gateway.log.WithError(err).Debug("no-read-deadline")
 	}
-	c.body = body
+	c.body, c.bodyRead = body, true
 	return true
 }
 
@@ -454,6 +473,10 @@
 	if r := c.refusedRepeat; r != nil {
 		fields["repeats"], fields["repeat_limit"], fields["repeat_requests"] = r.Repeats, r.Limit, r.Requests
 	}
+	if use := c.memoryUse; use != nil {
+		fields["body_bytes"], fields["memory_requests"], fields["memory_responses"] = c.r.ContentLength, use.Requests, use.Responses
+		fields["memory_customer"], fields["memory_limit"] = use.Customer, use.RequestLimit
+	}
 	if c.result.RetryAfter > 0 {
 		fields["retry_after_ms"] = c.result.RetryAfter.Milliseconds()
 	}
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -14,6 +14,7 @@
 // callerListener accepts connections of callers that record when bytes arrive.
 type callerListener struct{ net.Listener }
 
+// Accept waits for the next connection.
 func (l callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -64,6 +64,10 @@
 	}
 	text := c.result.Kind.String() + ": " + string(c.result.Cause) + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(text)))
+	if !c.bodyRead {
+		// Otherwise net/http reads a part of the body before it writes the response. An error means that it writes later.
+		_ = http.NewResponseController(c.w).EnableFullDuplex()
+	}
 	c.writeHead(status)
 	if _, err := io.WriteString(c.w, text); err != nil {
 		c.gateway.log.WithError(err).WithField("request", c.id).Debug("caller-gone")
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -246,6 +246,7 @@
 		}}
 		g.socket.Send(subscription.agent, message)
 	}
+	g.memory.report(&g.metrics)
 	g.reportAccount(now)
 	g.reportRepeats(now)
 	g.metrics.backendsLimited.Update(float64(g.dispatcher.LimitedServers()))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,8 +127,8 @@
 	endCalls     context.CancelFunc
 	callCounter  atomic.Uint64
 	openCalls    atomic.Int64
-	// bufferedBytes is the size of all buffered bodies of backend servers' responses.
-	bufferedBytes atomic.Int64
+	// memory accounts for the bodies of requests and buffered responses.
+	memory *memoryAccount
 	// lastCallAt is the arrival time of the last call, as read from bootTime.
 	lastCallAt atomic.Int64
 	// hasBackends is true if at least one listed backend server is not leaving.
@@ -198,6 +198,7 @@
 	g.pool = newConnPool(g.metrics.connectionOpened)
 	g.statements, g.account = newStatementTable(), newCallAccount()
 	g.prober, g.survivors, g.survivingTraits = newProber(), newSurvivorTable(), newSurvivorTable()
+	g.memory = newMemoryAccount(config.Settings.MemoryLimit)
 	g.callers = newCallerConns(g.recordDropped)
 	g.callsContext, g.endCalls = context.WithCancel(context.Background())
 	g.startedAt = bootTime()
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -172,7 +172,7 @@
 	connectionsClosed chan struct{}
 }
 
-func newTestBackend(t *testing.T, id string, respond func(conn net.Conn, request receivedRequest) bool) *testBackend {
+func newTestBackend(t testing.TB, id string, respond func(conn net.Conn, request receivedRequest) bool) *testBackend {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.New(t).Assert(err, qt.IsNil)
 	b := &testBackend{listener: listener, id: id, slots: 6, respond: respond, connectionsClosed: make(chan struct{}, 64)}
@@ -260,7 +260,7 @@
 // testGateway is a running gateway with its store and a client.
 type testGateway struct {
 	c       *qt.C
-	t       *testing.T
+	t       testing.TB
 	store   *testStore
 	gateway *Gateway
 	address string
@@ -325,7 +325,7 @@
 }
 
 // startTestGateway starts a gateway with a store and changed settings.
-func startTestGateway(t *testing.T, store *testStore, change func(*settings.Direct)) *testGateway {
+func startTestGateway(t testing.TB, store *testStore, change func(*settings.Direct)) *testGateway {
 	g := &testGateway{
 		c: qt.New(t), t: t, stop: make(chan struct{}), runError: make(chan error, 1), store: store,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
@@ -356,7 +356,7 @@
 }
 
 // findingsHook passes the findings about crash suspects on to the test's log.
-type findingsHook struct{ t *testing.T }
+type findingsHook struct{ t testing.TB }
 
 func (findingsHook) Levels() []logrus.Level { return []logrus.Level{logrus.InfoLevel} }
 
--- /dev/null
+++ b/internal/gateway/memory_test.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleyspool/bramleyspool/internal/routing"
+	"github.com/bramleyspool/bramleyspool/internal/settings"
+)
+
+const (
+	testBodyBytes   = 1 << 20
+	testMemoryLimit = 32 << 20
+)
+
+// memoryGateway starts a gateway with a small memory limit, two customers and a server that runs each request for a time.
+func memoryGateway(t *testing.T, work time.Duration) (*testGateway, *testBackend) {
+	backend := newTestBackend(t, "a", func(conn net.Conn, request receivedRequest) bool {
+		time.Sleep(work)
+		return writeResponse(conn, request, 200, fmt.Sprint(len(request.body)))
+	})
+	backend.slots = 100
+	store := newTestStore(backend)
+	services := []routing.DirectService{{Name: plainService}, {Name: streamService}}
+	known := map[string]routing.CustomerAccess{"key": {Customer: "long"}, "other": {Customer: "short"}}
+	store.state.Table = routing.NewTable(1, routing.CallerLimits{HeaderBytes: 16384, BodyBytes: testBodyBytes}, testRoutes(), services, known)
+	g := startTestGateway(t, store, func(direct *settings.Direct) { direct.MemoryLimit = testMemoryLimit })
+	for !g.gateway.ready() {
+		time.Sleep(time.Millisecond)
+	}
+	g.client.Transport.(*http.Transport).MaxIdleConnsPerHost = 100
+	return g, backend
+}
+
+// Long bodies in a burst took more memory than the process may use: it was killed, and the requests that it had accepted were lost.
+func TestBodiesAreRefusedBeforeTheyExceedTheMemory(t *testing.T) {
+	t.Parallel()
+	for name, chunked := range map[string]bool{"length": false, "chunks": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g, backend := memoryGateway(t, 500*time.Millisecond)
+			body := strings.Repeat("x", testBodyBytes)
+			var mu sync.Mutex
+			statuses := map[int]int{}
+			var callers sync.WaitGroup
+			for i := range 60 {
+				callers.Go(func() {
+					caller := g.dial()
+					head := fmt.Sprintf("POST /post/x HTTP/1.1\r\nHost: h.example\r\nX-Request: l-%d\r\nX-Credential: key\r\nX-Deadline: 1900\r\n", i)
+					if chunked {
+						caller.write(fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body))
+					} else {
+						caller.write(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
+					}
+					got := caller.response()
+					mu.Lock()
+					defer mu.Unlock()
+					statuses[got.status]++
+					switch got.status {
+					case 200:
+						g.c.Check(got.body, qt.Equals, fmt.Sprint(testBodyBytes))
+					case 503:
+						g.c.Check(got.body, qt.Equals, "not-run: memory-full\n")
+						g.c.Check(got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+					default:
+						g.c.Errorf("status %d, error %v", got.status, got.err)
+					}
+				})
+			}
+			for len(backend.requests()) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			use := g.gateway.memory.use("long")
+			g.c.Check(use.Requests <= use.RequestLimit, qt.IsTrue, qt.Commentf("%+v", use))
+			var short atomic.Int32
+			for i := range 50 {
+				callers.Go(func() {
+					if g.post("/post/x", "short", "X-Credential", "other", "X-Request", fmt.Sprint("s-", i)).status == 200 {
+						short.Add(1)
+					}
+				})
+			}
+			callers.Wait()
+			t.Logf("statuses of long requests %v", statuses)
+			g.c.Check(short.Load(), qt.Equals, int32(50))
+			g.c.Check(statuses[200] > 0 && statuses[503] > 0, qt.IsTrue)
+			for end := time.Now().Add(time.Second); g.gateway.openCalls.Load() > 0 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			g.c.Check(g.gateway.memory.use("long").Requests, qt.Equals, int64(0))
+		})
+	}
+}
+
+// A refusal that came before the body was read did not reach callers that sent a long body: the connection was reset while they sent.
+func TestRefusalReachesCallersThatStillSend(t *testing.T) {
+	t.Parallel()
+	g, _ := memoryGateway(t, 0)
+	caller := g.dial()
+	for range 2 {
+		part := strings.Repeat("x", testBodyBytes/16)
+		caller.write(fmt.Sprintf("POST /post/x HTTP/1.1\r\nHost: h.example\r\nX-Request: r\r\nX-Credential: none\r\nContent-Length: %d\r\n\r\n", testBodyBytes))
+		for range 16 {
+			_, err := caller.conn.Write([]byte(part))
+			g.c.Assert(err, qt.IsNil)
+			time.Sleep(50 * time.Millisecond)
+		}
+		got := caller.response()
+		g.c.Assert(got.err, qt.IsNil)
+		g.c.Assert(got.status, qt.Equals, 401)
+	}
+	// A caller that waits for a 100 gets the refusal at once.
+	waiting := g.dial()
+	waiting.write("POST /post/x HTTP/1.1\r\nHost: h.example\r\nX-Request: r\r\nX-Credential: none\r\nExpect: 100-continue\r\nContent-Length: 1000000\r\n\r\n")
+	began := time.Now()
+	g.c.Assert(waiting.response().status, qt.Equals, 401)
+	g.c.Assert(time.Since(began) < time.Second, qt.IsTrue)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -112,6 +112,13 @@
 	m.scope.Tagged(map[string]string{"outcome": result.String(), "cause": string(cause), "kind": requestKind}).Counter("calls").Inc(1)
 }
 
+// setMemory sets the bytes that the memory account holds for a kind of bodies, and their limit.
+func (m *metrics) setMemory(kind string, held, limit int64) {
+	tagged := m.scope.Tagged(map[string]string{"kind": kind})
+	tagged.Gauge("memory_held_bytes").Update(float64(held))
+	tagged.Gauge("memory_limit_bytes").Update(float64(limit))
+}
+
 // countUnanswered counts a call whose caller got no response or a part of one.
 func (m *metrics) countUnanswered(response responseState, cause outcome.Cause, requestKind string) {
 	m.scope.Tagged(map[string]string{"response": string(response), "cause": string(cause), "kind": requestKind}).Counter("calls_unanswered").Inc(1)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -40,6 +40,10 @@
 	maxRefusedIDs = 64
 	// connBufferBytes is the size of read buffers. It holds the head of a response, or several events of a stream.
 	connBufferBytes = 4 << 10
+	// headSpace is the space for a request's head. Longer heads need a second allocation.
+	headSpace = 1 << 10
+	// maxCopiedBody is the greatest size of a body that is copied behind the head, so that both are sent by one system call.
+	maxCopiedBody = 4 << 10
 )
 
 // backendConn is a connection to a backend server, used by one request at a time.
@@ -223,7 +227,7 @@
 // send writes the whole request. The error is errNothingSent if no byte was sent.
 func (c *backendConn) send(request *backendRequest) error {
 	var buffer bytes.Buffer
-	buffer.Grow(1024 + len(request.body))
+	buffer.Grow(headSpace)
 	fmt.Fprintf(&buffer, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.method, request.uri, request.host)
 	if err := request.header.Write(&buffer); err != nil {
 		return errNothingSent
@@ -232,8 +236,16 @@
 		fmt.Fprintf(&buffer, "Content-Length: %d\r\n", len(request.body))
 	}
 	buffer.WriteString("\r\n")
-	buffer.Write(request.body)
-	written, err := c.Conn.Write(buffer.Bytes())
+	// The body is not copied unless it is short: it may be the largest part of an entry's memory.
+	if len(request.body) <= maxCopiedBody {
+		buffer.Write(request.body)
+		request.body = nil
+	}
+	parts := net.Buffers{buffer.Bytes()}
+	if len(request.body) > 0 {
+		parts = append(parts, request.body)
+	}
+	written, err := parts.WriteTo(c.Conn)
 	if err != nil && written == 0 {
 		return errors.Join(errNothingSent, err)
 	}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -88,6 +88,8 @@
 	CauseTimeout          Cause = "timeout"
 	CauseBrokenStream     Cause = "broken-stream"
 	CauseCallerGone       Cause = "caller-gone"
+	// CauseMemoryFull: the entry has no memory for the request's body.
+	CauseMemoryFull Cause = "memory-full"
 	// CauseInternalError: a fault of the process itself ended the call.
 	CauseInternalError Cause = "internal-error"
 )
