Soak planned stops with requests that outlast them and signals in series

No soak seed had a request that may outlast a stop, or a stop without a fault beside it: nearly every request was excused as affected by one.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -30,6 +30,7 @@
 			&cli.FloatFlag{Name: "minutes", Value: defaultSoakMinutes, Usage: "duration of fault injection in one run, in minutes"},
 			&cli.IntFlag{Name: "processes", Value: defaultSoakProcesses, Usage: "total number of entries and agents"},
 			&cli.BoolFlag{Name: "crash-requests-only", Usage: "inject no faults other than requests that crash replicas"},
+			&cli.BoolFlag{Name: "planned-only", Usage: "inject no faults, only planned work such as stops and new configurations"},
 			&cli.StringFlag{Name: "binary", Usage: "program to test; default: this program"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
@@ -44,7 +45,7 @@
 			return soak.Run(ctx, soak.Options{
 				Binary: binary, Seed: command.Uint64("seed"), Seeds: command.Uint64("seeds"), Out: out,
 				Duration: time.Duration(command.Float("minutes") * float64(time.Minute)), Processes: command.Int("processes"),
-				CrashRequestsOnly: command.Bool("crash-requests-only"),
+				CrashRequestsOnly: command.Bool("crash-requests-only"), PlannedOnly: command.Bool("planned-only"),
 			})
 		},
 	}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -49,6 +49,8 @@
 	err    error
 	// retryAfter is the time after which the response allows a repeat.
 	retryAfter time.Duration
+	// secondHalf is when the caller of a long posting sends the second half of its body.
+	secondHalf time.Time
 	// exempt is true if the caller ended the call at the end of the soak, or the entry stopped as planned or was not reached.
 	exempt bool
 }
@@ -64,6 +66,8 @@
 	bulk
 	// large streams have large events, which their callers read slowly.
 	large
+	// long postings run for long, and their callers send the second half of the body later.
+	long
 )
 
 // callers send requests over persistent connections, poll the entries' readiness and check the responses.
@@ -121,7 +125,11 @@
 
 // call sends a request, checks the response and records it for checkRuns.
 func (c *callers) call(soakCtx context.Context, client *http.Client, call *callRecord) {
-	ctx, cancel := context.WithTimeout(soakCtx, standin.RequestTimeout)
+	timeout := standin.RequestTimeout
+	if call.variant == long {
+		timeout = standin.LongTimeout
+	}
+	ctx, cancel := context.WithTimeout(soakCtx, timeout)
 	defer cancel()
 	request, err := call.request(ctx)
 	if err != nil {
@@ -160,6 +168,8 @@
 		return standin.BulkRequest(ctx, call.entry.settings.Callers, call.id)
 	case large:
 		return standin.LargeStreamRequest(ctx, call.entry.settings.Callers, call.id, call.credential)
+	case long:
+		return standin.LongPosting(ctx, call.entry.settings.Callers, call.id, call.credential, call.halvedBody(ctx), longBodyBytes)
 	case usual:
 	}
 	return standin.Request(ctx, call.entry.settings.Callers, call.kind, call.id, call.credential, 0)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -99,6 +99,9 @@
 // concurrently, so that faults overlap.
 func (s *soak) injectFaults(ctx context.Context, random *rand.Rand) {
 	faults := s.allFaults()
+	if s.options.PlannedOnly {
+		faults = slices.DeleteFunc(faults, func(f fault) bool { return !f.planned })
+	}
 	for ctx.Err() == nil {
 		chosen := faults[random.IntN(len(faults))]
 		s.log("begins: " + chosen.name)
@@ -171,12 +174,13 @@
 		{name: "an entry is killed", run: kill(s.entries)},
 		{name: "an agent is killed", run: kill(s.agents)},
 		// A planned stop with SIGTERM, unlike the faults "stands still" (SIGSTOP) and "is killed" (SIGKILL).
-		{name: "an entry is stopped", planned: true, run: func(_ context.Context, random *rand.Rand, _ targetSetter) error {
+		{name: "an entry is stopped", planned: true, run: func(ctx context.Context, random *rand.Rand, _ targetSetter) error {
 			chosen := pickRandom(random, s.entries)
 			if !chosen.faultLock.TryLock() {
 				return nil
 			}
 			defer chosen.faultLock.Unlock()
+			s.stops.accompany(ctx, chosen, random)
 			return chosen.stopAndRestart(stopTimeout)
 		}},
 		{name: "settings are read again", planned: true, run: func(_ context.Context, random *rand.Rand, _ targetSetter) error {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -77,16 +77,32 @@
 	close(exited)
 }
 
+// signalIncarnation sends a signal to the process unless it has been restarted since the incarnation.
+func (p *process) signalIncarnation(incarnation int, signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.incarnation == incarnation {
+		p.signalLocked(signal)
+	}
+}
+
 // signal sends a signal to the process. SIGKILL and SIGTERM mark its exit as expected.
 func (p *process) signal(signal syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.signalLocked(signal)
+}
+
+// signalLocked is signal for callers that hold the lock.
+func (p *process) signalLocked(signal syscall.Signal) {
 	switch signal {
 	case syscall.SIGKILL:
 		p.exitExpected = true
 	case syscall.SIGTERM:
 		p.exitExpected = true
-		p.plannedStops[p.incarnation] = time.Now()
+		if _, stopping := p.plannedStops[p.incarnation]; !stopping {
+			p.plannedStops[p.incarnation] = time.Now()
+		}
 	}
 	// The error is ignored: the process may already have exited.
 	_ = p.command.Process.Signal(signal)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -63,6 +63,8 @@
 	Processes int
 	// CrashRequestsOnly omits all faults other than requests that crash replicas.
 	CrashRequestsOnly bool
+	// PlannedOnly injects planned work only, such as stops and new configurations, for which no request may be lost.
+	PlannedOnly bool
 	// Out receives one summary line per soak.
 	Out io.Writer
 }
@@ -100,8 +102,10 @@
 	crowds *crowds
 	// repeats lets replicas shed while entries are killed.
 	repeats *repeats
-	faults  faultLog
-	cancel  context.CancelFunc
+	// stops sends long postings and further signals to entries that are stopped as planned.
+	stops  *stops
+	faults faultLog
+	cancel context.CancelFunc
 
 	entries, agents              []*process
 	storeProxies, replicaProxies []*proxy
@@ -233,7 +237,7 @@
 	s.limits = &limits{soak: s}
 	s.statements = &statements{soak: s}
 	s.hardLoad = &hardLoad{soak: s}
-	s.crowds, s.repeats = &crowds{soak: s}, &repeats{soak: s}
+	s.crowds, s.repeats, s.stops = &crowds{soak: s}, &repeats{soak: s}, &stops{soak: s}
 	return nil
 }
 
@@ -297,6 +301,7 @@
 	var workers sync.WaitGroup
 	newRandom := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(s.seed, stream)) }
 	workers.Go(func() { s.callers.pollReadiness(ctx) })
+	s.stops.spawn = func(work func(ctx context.Context)) { workers.Go(func() { work(ctx) }) }
 	if !s.awaitReady(ctx) {
 		s.reportViolation(fmt.Sprintf("no entry became ready within %s", startTimeout))
 	}
@@ -309,7 +314,11 @@
 	faultCtx, cancelFaults := context.WithTimeout(ctx, s.options.Duration)
 	defer cancelFaults()
 	var injectors sync.WaitGroup
-	if !s.options.CrashRequestsOnly {
+	if s.options.PlannedOnly {
+		for i := range concurrentFaults {
+			injectors.Go(func() { s.injectFaults(faultCtx, newRandom(uint64(i))) })
+		}
+	} else if !s.options.CrashRequestsOnly {
 		injectors.Go(func() { s.limits.run(faultCtx, newRandom(limitStream)) })
 		injectors.Go(func() { s.hardLoad.runStragglers(faultCtx, newRandom(stragglerStream)) })
 		injectors.Go(func() { s.hardLoad.runEvacuations(faultCtx, ctx, newRandom(evacuationStream)) })
@@ -322,7 +331,9 @@
 			injectors.Go(func() { s.injectFaults(faultCtx, newRandom(uint64(i))) })
 		}
 	}
-	injectors.Go(func() { s.crashRequests.run(faultCtx, newRandom(crashRequestStream)) })
+	if !s.options.PlannedOnly {
+		injectors.Go(func() { s.crashRequests.run(faultCtx, newRandom(crashRequestStream)) })
+	}
 	injectors.Wait()
 	recovered := time.After(recoveryTime)
 	s.crowds.checkAccounts(ctx)
