Return the slot of a call that panics, and time connections without a system call

A panic between an assignment and the end of its send left the server counted as busier for good. Connections of callers are timed by the monotonic clock, whose reads cost no system call, instead of CLOCK_BOOTTIME. Both were found while the diff was read.

--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -18,7 +18,7 @@
 func (l callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
-		return &callerConn{TCPConn: tcp}, nil
+		return &callerConn{TCPConn: tcp, accepted: time.Now()}, nil
 	}
 	return conn, err
 }
@@ -26,11 +26,12 @@
 // callerConn is a caller's connection.
 type callerConn struct {
 	*net.TCPConn
-	// receivedAt is when bytes were last read, in ns since bootTime's epoch.
+	accepted time.Time
+	// receivedAt is when bytes were last read, in ns after accepted.
 	receivedAt atomic.Int64
 	// The fields below belong to the callerConns.
 	state http.ConnState
-	// since is when the state began, as read from bootTime.
+	// since is when the state began, as a time after accepted.
 	since time.Duration
 	// served is true if the request that is being read or answered has reached the gateway.
 	served bool
@@ -42,7 +43,7 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if n > 0 {
-		c.receivedAt.Store(int64(bootTime()))
+		c.receivedAt.Store(int64(time.Since(c.accepted)))
 	}
 	return n, err
 }
@@ -71,7 +72,6 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	caller.since = bootTime()
 	t.open[caller] = struct{}{}
 	return context.WithValue(ctx, callerConnKey{}, caller)
 }
@@ -84,7 +84,7 @@
 	}
 	t.mu.Lock()
 	dropped := state == http.StateClosed && caller.state == http.StateActive && !caller.served
-	caller.state, caller.since = state, bootTime()
+	caller.state, caller.since = state, time.Since(caller.accepted)
 	switch state {
 	case http.StateActive:
 		caller.served = false
@@ -109,7 +109,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for caller := range t.open {
-		waiting := caller.state == http.StateIdle || caller.state == http.StateNew && bootTime()-caller.since > unusedGrace
+		waiting := caller.state == http.StateIdle || caller.state == http.StateNew && now.Sub(caller.accepted) > unusedGrace
 		if !waiting || caller.receivedAt.Load() > int64(caller.since) || !isQuiet(caller.TCPConn) {
 			continue
 		}
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -124,3 +124,47 @@
 	g.c.Assert(waiting.response().status, qt.Equals, 401)
 	g.c.Assert(time.Since(began) < time.Second, qt.IsTrue)
 }
+
+// Callers of one customer that announce long bodies and send a byte now and then hold memory that nothing uses. Others must be served as
+// without them.
+func TestSlowBodiesLeaveRoomForOtherCustomers(t *testing.T) {
+	t.Parallel()
+	g, _ := memoryGateway(t, 0)
+	const slow = 500
+	var senders sync.WaitGroup
+	var refused atomic.Int32
+	ended := make(chan struct{})
+	for i := range slow {
+		senders.Go(func() {
+			caller := g.dial()
+			caller.write(fmt.Sprintf("POST /post/x HTTP/1.1\r\nHost: h.example\r\nX-Request: slow-%d\r\nX-Credential: key\r\nContent-Length: %d\r\n\r\n", i, testBodyBytes))
+			go func() {
+				for {
+					select {
+					case <-ended:
+						return
+					case <-time.After(200 * time.Millisecond):
+						caller.write("x")
+					}
+				}
+			}()
+			g.c.Check(caller.conn.SetReadDeadline(time.Now().Add(2*time.Second)), qt.IsNil)
+			if response, err := http.ReadResponse(caller.reader, nil); err == nil && response.StatusCode == 503 {
+				refused.Add(1)
+			}
+		})
+	}
+	for g.gateway.memory.use("long").Customer == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for i := range 200 {
+		got := g.post("/post/x", "short", "X-Credential", "other", "X-Request", fmt.Sprint("s-", i))
+		g.c.Check(got.status, qt.Equals, 200, qt.Commentf("%s", got.body))
+	}
+	use := g.gateway.memory.use("long")
+	g.c.Check(use.Customer <= use.RequestLimit*4/5+testBodyBytes, qt.IsTrue, qt.Commentf("%+v", use))
+	senders.Wait()
+	close(ended)
+	t.Logf("%d of %d slow callers refused at once", refused.Load(), slow)
+	g.c.Check(int(refused.Load()) >= slow*9/10, qt.IsTrue)
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -29,7 +29,14 @@
 func (c *call) send(ctx context.Context, assigned control.Assignment) exchangeResult {
 	start := time.Now()
 	c.moved = false
+	recorded := false
+	defer func() {
+		if !recorded { // exchange panicked
+			c.gateway.recordSendEnd(&assigned, routing.SendBroken, 0, nil)
+		}
+	}()
 	result := c.exchange(ctx, assigned)
+	recorded = true
 	latency := time.Duration(0)
 	if result.sendResult == routing.SendServed && !c.firstByteAt.IsZero() {
 		latency = c.firstByteAt.Sub(start)
