--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -50,12 +50,17 @@
 	}
 }
 
-// check checks that no replica got more requests than its limit allows.
+// check checks that no replica got more requests than its limit allows, from stableWindow after it named it in a response. Before its
+// first run no entry can know of the limit.
 func (l *limits) check() {
 	for _, limit := range l.named {
+		var first time.Time
 		var times []time.Time
 		for _, at := range l.soak.deployment.RunLog.StartsAt(limit.instance) {
-			if at.After(limit.from.Add(stableWindow)) && at.Before(limit.to) {
+			if first.IsZero() && at.After(limit.from) {
+				first = at
+			}
+			if at.After(first.Add(stableWindow)) && !first.IsZero() && at.Before(limit.to) {
 				times = append(times, at)
 			}
 		}
