Take a listener that a stop has closed for closed

A planned stop without open connections could end with the error of a listener that it had closed itself, and the process with exit code 1: http.Server.Close closes the listener once more if Serve has not returned yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -267,7 +267,11 @@
 	case <-stop:
 		g.stop(ctx, callers)
 	}
-	return errors.Join(server.Close(), readiness.Close())
+	err = server.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil // The stop has closed the listener, and Serve has not returned yet.
+	}
+	return errors.Join(err, readiness.Close())
 }
 
 // serverLog logs and counts what net/http reports about the connections of callers.
