Leave no connection to the next request while a refused body is unread

Cause: since a refusal may be written before its body is read, with full duplex switched on. Full duplex also switches off what net/http does for a body that the handler left: it found the end of the body after the handler, and read the connection twice at once. net/http panicked, and the next request on the connection got no response. A connection whose body could not be read to its end was kept too, so that the rest of a malformed body was taken for a request.

Change: a refusal before its body is read announces that the connection closes unless the length of the body is known and within what is discarded. The discard reads up to the end of the body; if it fails the connection ends.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -45,8 +45,8 @@
 	// credential is "" for public routes.
 	credential string
 	body       []byte
-	// bodyRead is true once the body is complete.
-	bodyRead bool
+	// bodyRead is true once the body is complete, bodyInvalid if its end can't be found because reading it has failed.
+	bodyRead, bodyInvalid bool
 	// cachedFingerprint is zero until fingerprint is called.
 	cachedFingerprint attempt.Fingerprint
 	// cachedParts and cachedPartTraits are the results of sharedParts and partTraits; they are valid if partsRead is true.
@@ -55,6 +55,8 @@
 	partsRead        bool
 	// requestMemory and responseMemory are the bytes that the call has taken from the gateway's memory account.
 	requestMemory, responseMemory int64
+	// memoryCustomer is the customer for whose requests requestMemory was taken. A later authorize may change access.
+	memoryCustomer ident.Customer
 	// memoryUse is the state of the memory account because of which the call was refused; nil if it was not.
 	memoryUse *admission.MemoryUse
 
@@ -123,9 +125,9 @@
 		}
 		c.returnMemory()
 		c.logOutcome()
-		if c.response() != responseComplete {
+		if c.response() != responseComplete || c.bodyInvalid && !c.closesConnection() {
 			// Without a response net/http would write an empty success. It has no other way to end a response so that the caller
-			// sees that it is truncated.
+			// sees that it is truncated, and none to close a connection after a response that does not announce it.
 			panic(http.ErrAbortHandler)
 		}
 	}()
@@ -226,6 +228,7 @@
 		case errors.Is(err, errMemoryFull):
 			c.refuseForMemory()
 		default:
+			c.bodyInvalid = true
 			c.endUnserved(unserved{status: http.StatusBadRequest, cause: outcome.CauseBadRequest})
 		}
 		return false
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -65,8 +65,7 @@
 	text := c.result.Kind.String() + ": " + string(c.result.Cause) + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(text)))
 	if !c.bodyRead {
-		// Otherwise net/http reads a part of the body before it writes the response. An error means that it writes later.
-		_ = http.NewResponseController(c.w).EnableFullDuplex()
+		c.respondBeforeBody()
 	}
 	c.writeHead(status)
 	if _, err := io.WriteString(c.w, text); err != nil {
@@ -99,6 +98,7 @@
 	c.gateway.metrics.count("call_panics")
 	c.gateway.log.WithFields(logrus.Fields{"request": c.id, "fault": fault, "stack": string(debug.Stack())}).Error("call-panicked")
 	if !c.headWritten {
+		c.bodyInvalid = !c.bodyRead
 		c.endFailed(outcome.CauseInternalError)
 		return
 	}
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -63,7 +63,10 @@
 	m := c.gateway.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.account.TakeRequest(c.access.Customer, bytes) {
+	if c.requestMemory == 0 {
+		c.memoryCustomer = c.access.Customer
+	}
+	if !m.account.TakeRequest(c.memoryCustomer, bytes) {
 		return false
 	}
 	c.requestMemory += bytes
@@ -87,7 +90,7 @@
 	m := c.gateway.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.account.Return(c.access.Customer, c.requestMemory, c.responseMemory)
+	m.account.Return(c.memoryCustomer, c.requestMemory, c.responseMemory)
 	c.requestMemory, c.responseMemory = 0, 0
 }
 
@@ -125,22 +128,42 @@
 	}
 }
 
+// respondBeforeBody prepares a response that is written before the body has been read. Afterwards discardBody reads the body; a
+// connection whose body it can't read to its end is closed, since the next request could not be told from the rest of the body.
+func (c *call) respondBeforeBody() {
+	if length := c.r.ContentLength; c.bodyInvalid || length < 0 || length > c.discardLimit() {
+		c.w.Header().Set("Connection", "close")
+	}
+	// Otherwise net/http reads a part of the body before it writes the response. An error means that it writes later.
+	_ = http.NewResponseController(c.w).EnableFullDuplex()
+}
+
+// closesConnection reports whether the response announces that the connection is closed after it.
+func (c *call) closesConnection() bool { return c.w.Header().Get("Connection") == "close" }
+
+// discardLimit returns how much of a refused request's body is read.
+func (c *call) discardLimit() int64 {
+	if c.table == nil {
+		return maxDiscardedBytes
+	}
+	return c.bodyLimit()
+}
+
 // discardBody reads the rest of a refused request's body after the response. A connection that is closed with unread bytes is reset, so
-// that its caller might not see the response. A caller that waits for a 100 has seen it and sends no body.
+// that its caller might not see the response. A caller that waits for a 100 has seen it and sends no body; net/http closes its connection.
 func (c *call) discardBody() {
-	if !c.headWritten || c.r.Header.Get("Expect") != "" {
+	if !c.headWritten || c.bodyInvalid || c.r.ContentLength == 0 || c.r.Header.Get("Expect") != "" {
 		return
 	}
 	controller := http.NewResponseController(c.w)
-	// On an error the caller has left, or its body is too slow or too long: net/http closes the connection.
+	// On an error the caller has left, or its body is too slow.
 	if controller.Flush() != nil || controller.SetReadDeadline(c.arrived.Add(bodyTimeout)) != nil {
+		c.bodyInvalid = true
 		return
 	}
-	limit := c.bodyLimit()
-	if c.table == nil {
-		limit = maxDiscardedBytes
-	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(c.r.Body, limit)); err != nil {
+	// net/http must see the end of the body before the handler returns: if it finds it later, it reads the connection twice at once.
+	if _, err := io.Copy(io.Discard, io.LimitReader(c.r.Body, c.discardLimit()+1)); err != nil {
+		c.bodyInvalid = true
 		return
 	}
 	_ = controller.SetReadDeadline(time.Time{})
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -165,3 +165,17 @@
 	t.Logf("%d of %d slow callers refused at once", refused.Load(), slow)
 	g.c.Check(int(refused.Load()) >= slow*9/10, qt.IsTrue)
 }
+
+// A credential that moves to another customer during a call left the memory of the call with the first one.
+func TestMemoryIsReturnedToTheCustomerItWasTakenFor(t *testing.T) {
+	account := newMemoryAccount(testMemoryLimit)
+	c := &call{gateway: &Gateway{memory: account}, access: routing.CustomerAccess{Customer: "first"}}
+	qt.Assert(t, c.takeRequestMemory(1<<20), qt.IsTrue)
+	c.access.Customer = "second"
+	qt.Assert(t, c.takeRequestMemory(1<<10), qt.IsTrue)
+	qt.Assert(t, account.use("first").Customer, qt.Equals, int64(1<<20+1<<10))
+	c.returnMemory()
+	qt.Assert(t, account.use("first").Customer, qt.Equals, int64(0))
+	qt.Assert(t, account.use("second").Customer, qt.Equals, int64(0))
+	qt.Assert(t, account.use("first").Requests, qt.Equals, int64(0))
+}
