Soak stops of a whole zone, slow machines and pipelined requests

Change: a zone's entries, agents and plain replicas are stopped at the same time, with long postings and further signals beside each entry; entries are in three zones, as replicas are. With planned work only one process after the other stands still for 80 of each 100 ms, in stops too. The log of a soak has each call that failed.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -51,6 +51,8 @@
 	retryAfter time.Duration
 	// secondHalf is when the caller of a long posting sends the second half of its body.
 	secondHalf time.Time
+	// behindClose is true if the request was sent behind one whose response announced that the connection closes.
+	behindClose bool
 	// exempt is true if the caller ended the call at the end of the soak, or the entry stopped as planned or was not reached.
 	exempt bool
 }
@@ -81,7 +83,7 @@
 	mu    sync.Mutex
 	ready map[*process]bool
 	// atMostOnce are the calls that may run at most once. notRun are the calls of all kinds whose status states that they have
-	// not run and never will.
+	// not run and never will, or that came behind a response which announced that the connection closes.
 	atMostOnce, notRun []callRecord
 	// calls are all calls and probes, without the bodies of their responses.
 	calls []callRecord
@@ -183,6 +185,8 @@
 		c.refused.Add(1)
 	default:
 		c.failed.Add(1)
+		c.soak.log(fmt.Sprintf("failed: request %s at %s, sent at %s, status %d, error %v", call.id, call.entry.settings.Name,
+			call.sentAt.UTC().Format(time.RFC3339Nano), call.status, call.err))
 	}
 }
 
@@ -270,7 +274,7 @@
 	if call.kind == standin.Posting {
 		c.atMostOnce = append(c.atMostOnce, *call)
 	}
-	if call.err == nil && meansNotRun(call.status) {
+	if call.err == nil && meansNotRun(call.status) || call.behindClose {
 		c.notRun = append(c.notRun, *call)
 	}
 	c.checkRevoked(call)
@@ -300,7 +304,7 @@
 	}
 	for _, call := range c.notRun {
 		if runs := runLog.Runs(call.id); len(runs) > 0 {
-			c.soak.reportViolation(fmt.Sprintf("request %s at %s got status %d, which means not run, but ran at %s", call.id, call.entry.settings.Name, call.status, runs[0].InstanceID))
+			c.soak.reportViolation(fmt.Sprintf("request %s at %s got status %d and error %v, which means not run, but ran at %s", call.id, call.entry.settings.Name, call.status, call.err, runs[0].InstanceID))
 		}
 	}
 	// Only the calls that may run at most once are stored, so that checkRun covers no others.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -47,6 +47,11 @@
 	crowdStream      = 56
 	slowReaderStream = 57
 	repeatStream     = 58
+	// zoneStopStream and throttleStream are the random streams of stops. Callers that send several requests at once use streams from
+	// pipelineStream.
+	zoneStopStream = 59
+	throttleStream = 60
+	pipelineStream = 70
 	// minProcesses is enough for two entries and the agents of one group.
 	minProcesses = 2 + ranksPerGroup
 )
@@ -225,7 +230,7 @@
 	for i := range entries {
 		ip := entryIP(i)
 		if err := s.addProcess("entry", standin.ProcessSettings{
-			Name: fmt.Sprintf("entry-%d", i), IP: ip, PeerPort: peerPort,
+			Name: fmt.Sprintf("entry-%d", i), IP: ip, PeerPort: peerPort, Zone: string(standin.ZoneOf(i, zones)),
 			Callers: fmt.Sprintf("%s:%d", ip, callersPort), Ready: fmt.Sprintf("%s:%d", ip, readyPort),
 			Seeds: []string{fmt.Sprintf("%s:%d", entryIP(0), callersPort), fmt.Sprintf("%s:%d", entryIP(1), callersPort)},
 		}, store); err != nil {
@@ -308,17 +313,23 @@
 	for i := range callersPerEntry * len(s.entries) {
 		workers.Go(func() { s.callers.run(ctx, fmt.Sprintf("r%d", i), allKinds, meanThinkTime, newRandom(uint64(100+i))) })
 	}
-	for _, entry := range s.entries {
+	for i, entry := range s.entries {
 		workers.Go(func() { s.callers.probeVersions(ctx, entry) })
+		workers.Go(func() { s.callers.runPipelines(ctx, fmt.Sprintf("pipe-%d", i), newRandom(uint64(pipelineStream+i))) })
 	}
 	faultCtx, cancelFaults := context.WithTimeout(ctx, s.options.Duration)
 	defer cancelFaults()
 	var injectors sync.WaitGroup
-	if s.options.PlannedOnly {
+	if !s.options.CrashRequestsOnly {
+		injectors.Go(func() { s.stops.runZoneStops(faultCtx, ctx, newRandom(zoneStopStream)) })
 		for i := range concurrentFaults {
 			injectors.Go(func() { s.injectFaults(faultCtx, newRandom(uint64(i))) })
 		}
-	} else if !s.options.CrashRequestsOnly {
+	}
+	switch {
+	case s.options.PlannedOnly:
+		injectors.Go(func() { s.stops.runThrottles(faultCtx, newRandom(throttleStream)) })
+	case !s.options.CrashRequestsOnly:
 		injectors.Go(func() { s.limits.run(faultCtx, newRandom(limitStream)) })
 		injectors.Go(func() { s.hardLoad.runStragglers(faultCtx, newRandom(stragglerStream)) })
 		injectors.Go(func() { s.hardLoad.runEvacuations(faultCtx, ctx, newRandom(evacuationStream)) })
@@ -327,9 +338,6 @@
 		injectors.Go(func() { s.crowds.runSlowReaders(faultCtx, newRandom(slowReaderStream)) })
 		injectors.Go(func() { s.statements.run(faultCtx, newRandom(statementStream)) })
 		injectors.Go(func() { s.repeats.run(faultCtx, newRandom(repeatStream)) })
-		for i := range concurrentFaults {
-			injectors.Go(func() { s.injectFaults(faultCtx, newRandom(uint64(i))) })
-		}
 	}
 	if !s.options.PlannedOnly {
 		injectors.Go(func() { s.crashRequests.run(faultCtx, newRandom(crashRequestStream)) })
