--- a/internal/control/base.go
+++ b/internal/control/base.go
@@ -22,6 +22,7 @@
 	stateStarting chart.State = "starting"
 	stateServing  chart.State = "serving"
 	stateDraining chart.State = "draining"
+	stateStopped  chart.State = "stopped"
 
 	eventReady   chart.Event = "ready"
 	eventStop    chart.Event = "stop"
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/bramleyspool/bramleyspool/internal/control"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 )
 
@@ -72,6 +73,37 @@
 	s.c.Assert(entry.exitReason, qt.Equals, "drained")
 }
 
+// Callers that keep their connections send calls to a stopping entry without a pause. It must end, and refuse what arrives when no new caller
+// can come any more: a run key of a call that it took then would be missing in the log that it has handed over.
+func TestEntryDrainsUnderSteadyCalls(t *testing.T) {
+	s := newSim(t, 3, 4, 3)
+	s.run(warmUp)
+	entry := s.nodes[0]
+	s.step(entry, control.StopRequested{})
+	stopped := s.now
+	late := map[ident.Request]bool{}
+	for i := 0; entry.exitReason == "" && s.now.Sub(stopped) < 20*time.Second; i++ {
+		request := s.call(entry, fmt.Sprint("steady-", i))
+		late[request] = s.now.Sub(stopped) >= simBalancerLag
+		s.run(2 * time.Millisecond)
+	}
+	s.c.Assert(entry.exitReason, qt.Equals, "drained")
+	s.run(2 * time.Second)
+	refused := 0
+	for request, isLate := range late {
+		result := s.outcomes[request]
+		if !isLate {
+			s.c.Check(result.Kind, qt.Equals, outcome.Served, qt.Commentf("%s: %+v", request, result))
+			continue
+		}
+		refused++
+		s.c.Check(result.Kind, qt.Equals, outcome.NotRun)
+		s.c.Check(result.Cause, qt.Equals, outcome.CauseLeaving)
+		s.c.Check(result.RetryAfter > 0, qt.IsTrue)
+	}
+	s.c.Assert(refused > 0, qt.IsTrue)
+}
+
 // Kills and restarts processes and loses messages at random while callers post the same run
 // keys through several entries. No run key may run twice, and no call that was reported as not
 // run may have run.
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -11,6 +11,9 @@
 	"github.com/bramleyspool/bramleyspool/internal/routing"
 )
 
+// leavingRetryAfter is the Retry-After of calls that a stopping entry refuses: the other entries can serve them at once.
+const leavingRetryAfter = 50 * time.Millisecond
+
 // EntryConfig configures an Entry.
 type EntryConfig struct {
 	Self Self
@@ -170,11 +173,18 @@
 	e.publishGauges(now, Gauge{"calls_open", float64(len(e.calls))}, Gauge{"route_refused", float64(e.refusedRoutes)})
 }
 
+// takesCalls reports whether the entry takes new calls. In a planned stop it takes them as long as the load balancer may send them. A call
+// that it took after it had handed over its log of run keys would be missing there, and as long as callers send calls on open connections
+// the stop would not end.
+func (e *Entry) takesCalls(now time.Time) bool {
+	return e.state != stateStopped && (e.state != stateDraining || now.Sub(e.stopRequestedAt) < e.config.BalancerLag)
+}
+
 // checkDrained completes a planned stop. Once the balancer lag has passed and no call is open,
 // it starts to hand over the log of run keys to another entry; after handOverTimeout it stops
 // without the hand-over.
 func (e *Entry) checkDrained(now time.Time) {
-	if e.state != stateDraining || now.Sub(e.stopRequestedAt) < e.config.BalancerLag || len(e.calls) > 0 {
+	if e.state != stateDraining || e.takesCalls(now) || len(e.calls) > 0 {
 		return
 	}
 	if e.logHandOverSince.IsZero() {
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -22,11 +22,14 @@
 		e.emit(FinishCall{Request: call.Request, Outcome: outcome.Refused(outcome.CauseNotReady)})
 		return
 	}
+	if !e.takesCalls(now) {
+		e.refuseCall(call, RefusedLeaving())
+		return
+	}
 	if wait := e.timeUntilOpen(now, call); wait > 0 {
 		refused := outcome.Refused(outcome.CauseNotReady)
 		refused.RetryAfter = wait
-		e.recordRejection(CallRejected{Customer: call.Customer, Class: call.Class.Name, Outcome: refused})
-		e.emit(FinishCall{Request: call.Request, Outcome: refused})
+		e.refuseCall(call, refused)
 		return
 	}
 	e.calls[call.Request] = &entryCall{arrived: event, arrivedAt: now, rank: routing.NoRank, openAttempts: map[attempt.AttemptID]ident.VM{}}
@@ -40,6 +43,19 @@
 	})
 }
 
+// RefusedLeaving returns the outcome of a call that a stopping entry refuses.
+func RefusedLeaving() outcome.Outcome {
+	refused := outcome.Refused(outcome.CauseLeaving)
+	refused.RetryAfter = leavingRetryAfter
+	return refused
+}
+
+// refuseCall ends a call that was not admitted.
+func (e *Entry) refuseCall(call *attempt.Call, refused outcome.Outcome) {
+	e.recordRejection(CallRejected{Customer: call.Customer, Class: call.Class.Name, Outcome: refused})
+	e.emit(FinishCall{Request: call.Request, Outcome: refused})
+}
+
 // timeUntilOpen returns the time until the service accepts requests with run keys; 0 or less if
 // it accepts the call now.
 func (e *Entry) timeUntilOpen(now time.Time, call *attempt.Call) time.Duration {
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -26,6 +26,7 @@
 	serviceTime     = 5 * time.Millisecond
 	watchTimeout    = 3 * time.Second
 	backendCapacity = 16
+	simBalancerLag  = time.Second
 )
 
 // delivery is an event that is due at a node at a time. Events due at the same time are ordered
@@ -185,7 +186,7 @@
 	var actions []control.Action
 	var err error
 	if n.entry != nil {
-		n.entry, actions, err = control.NewEntry(s.now, control.EntryConfig{Self: self, BalancerLag: time.Second})
+		n.entry, actions, err = control.NewEntry(s.now, control.EntryConfig{Self: self, BalancerLag: simBalancerLag})
 	} else {
 		n.agent, actions, err = control.NewAgent(s.now, self)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/callerconn"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/network"
@@ -25,7 +26,7 @@
 )
 
 const (
-	// shutdownTimeout bounds the graceful shutdown of the HTTP server.
+	// shutdownTimeout bounds the time in which a drained entry refuses requests on open connections until it has closed these.
 	shutdownTimeout = 5 * time.Second
 	// idleTimeout is how long a caller's idle connection is kept open.
 	idleTimeout = 2 * time.Minute
@@ -51,7 +52,10 @@
 	configuration atomic.Pointer[published.Configuration]
 	listener      net.Listener
 	server        *http.Server
+	connections   *callerconn.Table
 	openCalls     atomic.Int64
+	// leaving is true once a planned stop has begun.
+	leaving atomic.Bool
 	// sequence is the number of the last request ID.
 	sequence atomic.Uint64
 
@@ -74,8 +78,9 @@
 		exchanges: map[ident.Request]*exchange{},
 		inquiries: map[ident.Request]chan attempt.KeyAnswer{},
 	}
+	e.connections = callerconn.NewTable(func(*callerconn.Conn) { e.host.Count("requests_dropped", "") })
 	e.server = &http.Server{
-		Handler:           e.routes(),
+		Handler:           e.trackRequests(e.routes()),
 		ReadHeaderTimeout: e.readTimeout(),
 		MaxHeaderBytes:    config.Settings.MaxHeaderBytes,
 		IdleTimeout:       idleTimeout,
@@ -113,14 +118,35 @@
 
 // Start starts to serve callers.
 func (e *Entry) Start() {
-	e.host.Spawn(func(context.Context) { _ = e.server.Serve(e.listener) })
+	tracked := e.connections.Track(e.server, e.listener)
+	e.host.Spawn(func(context.Context) { _ = e.server.Serve(tracked) })
 	e.host.Spawn(func(ctx context.Context) {
 		<-ctx.Done()
-		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-		defer cancel()
-		if e.server.Shutdown(shutdownCtx) != nil {
-			_ = e.server.Close()
+		e.closeConnections(context.WithoutCancel(ctx))
+	})
+}
+
+// closeConnections closes the listener, and each connection when no request uses it. Requests that are read meanwhile are refused.
+func (e *Entry) closeConnections(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	// An error means that the listener has ended, and Serve with it.
+	_ = e.listener.Close()
+	e.connections.CloseAll(ctx)
+	// Connections that are not TCP, as in tests, are not in the table.
+	if e.server.Shutdown(ctx) != nil {
+		_ = e.server.Close()
+	}
+}
+
+// trackRequests tells the table of connections which requests reach a handler, and lets callers leave a stopping entry.
+func (e *Entry) trackRequests(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.connections.RecordRequest(r.Context())
+		if e.leaving.Load() {
+			w.Header().Set("Connection", "close")
 		}
+		next.ServeHTTP(w, r)
 	})
 }
 
@@ -129,8 +155,8 @@
 	e.configuration.Store(configuration)
 }
 
-// SetReady does nothing: the host stores the readiness.
-func (e *Entry) SetReady(bool) {}
+// SetReady notes the beginning of a planned stop, which ends the readiness. The host stores the readiness.
+func (e *Entry) SetReady(ready bool) { e.leaving.Store(!ready) }
 
 // ServeCall aborts the stream: entries serve no call streams.
 func (e *Entry) ServeCall(_ wire.Identity, call *wire.Call) {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -29,6 +29,8 @@
 	actions []control.Action
 	// notify has an element while actions may be queued.
 	notify chan struct{}
+	// opened is true once an attempt was opened, so that the request may have been sent. Only run uses it.
+	opened bool
 	// answers holds the answers received so far by attempt.
 	answers map[attempt.AttemptID]*relay.AnswerBuffer
 	// streaming is the attempt whose answer is being written to the caller.
@@ -86,8 +88,10 @@
 		for _, action := range x.dequeueActions() {
 			switch action := action.(type) {
 			case control.OpenAttempt:
+				x.opened = true
 				x.openAttempt(action)
 			case control.ResumeAttempt:
+				x.opened = true
 				x.resumeAttempt(action.Resume)
 			case control.FinishCall:
 				x.finish(action)
@@ -103,6 +107,10 @@
 		<-x.streamDone
 		abortConnection()
 	}
+	if !x.opened {
+		writeProblem(x.writer, control.RefusedLeaving())
+		return
+	}
 	writeProblem(x.writer, outcome.InDoubt(outcome.CauseConnectionLost, ""))
 }
 
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -135,6 +135,10 @@
 		return
 	}
 	defer e.openCalls.Add(-1)
+	if e.host.Context().Err() != nil {
+		e.refuse(w, control.RefusedLeaving())
+		return
+	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.readTimeout()))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.config.Settings.MaxBodyBytes))
 	if err != nil {
@@ -180,6 +184,10 @@
 		e.refuse(w, refused)
 		return
 	}
+	if e.host.Context().Err() != nil {
+		e.refuse(w, control.RefusedLeaving())
+		return
+	}
 	answers := make(chan attempt.KeyAnswer, 1)
 	e.mu.Lock()
 	e.inquiries[call.id] = answers
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -117,7 +117,7 @@
 		gateway: g, w: w, r: r, key: g.callCounter.Add(1), id: r.Header.Get(g.headers.RequestID),
 		arrived: time.Now(), table: g.table.Load(), lastEventID: r.Header.Get(g.headers.LastEventID),
 	}
-	g.callers.recordCall(r.Context())
+	g.callers.RecordRequest(r.Context())
 	defer c.closeAccount()
 	defer func() {
 		if fault := recover(); fault != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/callerconn"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/datagram"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -104,7 +105,7 @@
 	// while crashesKnown is true the fingerprints of the requests.
 	survivors, survivingTraits *survivorTable
 	account                    *callAccount
-	callers                    *callerConns
+	callers                    *callerconn.Table
 	socket                     *datagram.Socket
 	headers                    Headers
 
@@ -199,7 +200,7 @@
 	g.statements, g.account = newStatementTable(), newCallAccount()
 	g.prober, g.survivors, g.survivingTraits = newProber(), newSurvivorTable(), newSurvivorTable()
 	g.memory = newMemoryAccount(config.Settings.MemoryLimit)
-	g.callers = newCallerConns(g.recordDropped)
+	g.callers = callerconn.NewTable(g.recordDropped)
 	g.callsContext, g.endCalls = context.WithCancel(context.Background())
 	g.startedAt = bootTime()
 	g.evacuations.aliveAt.Store(int64(g.startedAt))
@@ -253,12 +254,13 @@
 	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnContext: g.callers.attach, ConnState: g.callers.recordState,
-		ErrorLog: stdlog.New(serverLog{g}, "", 0),
+		MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog:       stdlog.New(serverLog{g}, "", 0),
 	}
+	tracked := g.callers.Track(server, callers)
 	failed := make(chan error, 2)
 	go func() { failed <- readiness.Serve(checks) }()
-	go func() { failed <- server.Serve(callerListener{callers}) }()
+	go func() { failed <- server.Serve(tracked) }()
 	g.log.WithFields(logrus.Fields{"callers": callers.Addr(), "ready": checks.Addr(), "peers": socket.Address()}).Info("process-started")
 	select {
 	case err := <-failed:
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bramleyspool/bramleyspool/internal/callerconn"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 )
 
@@ -22,8 +23,6 @@
 	closeReserve = 500 * time.Millisecond
 	// exitReserve is the last part of closeReserve, reserved for the end of the process.
 	exitReserve = 100 * time.Millisecond
-	// unusedGrace is how long a connection that was opened before the listener closed may be unused until it is closed.
-	unusedGrace = time.Second
 	// connectionsCheckInterval is the interval at which a stop looks for connections without a request.
 	connectionsCheckInterval = 20 * time.Millisecond
 	// leavingRetryAfter is the Retry-After of requests that are refused because of a stop: the other entries can serve them.
@@ -65,7 +64,7 @@
 	g.stopPlan.Store(&plan)
 	log := func() *logrus.Entry {
 		return g.log.WithFields(logrus.Fields{
-			"open_calls": g.openCalls.Load(), "connections": g.callers.count(), "took": time.Since(plan.began),
+			"open_calls": g.openCalls.Load(), "connections": g.callers.Count(), "took": time.Since(plan.began),
 		})
 	}
 	log().WithField("calls_end", plan.callsEnd.Sub(plan.began)).Info("stop-began")
@@ -73,15 +72,15 @@
 	if err := callers.Close(); err != nil {
 		g.log.WithError(err).Warn("listener-not-closed")
 	}
-	for now := time.Now(); ctx.Err() == nil && g.callers.count() > 0 && now.Before(plan.connectionsEnd); now = time.Now() {
+	for now := time.Now(); ctx.Err() == nil && g.callers.Count() > 0 && now.Before(plan.connectionsEnd); now = time.Now() {
 		if now.After(plan.callsEnd) && g.callsContext.Err() == nil {
 			log().Warn("stop-ends-calls")
 			g.endCalls()
 		}
-		g.callers.closeUnused(now)
+		g.callers.CloseUnused(now)
 		sleepUntil(ctx, now.Add(connectionsCheckInterval))
 	}
-	if g.callers.count() > 0 {
+	if g.callers.Count() > 0 {
 		log().Warn("stop-ended")
 		return
 	}
@@ -112,3 +111,9 @@
 func (c *call) refuseLeaving() {
 	c.endUnserved(unserved{status: http.StatusServiceUnavailable, cause: outcome.CauseLeaving, retryAfter: leavingRetryAfter})
 }
+
+// recordDropped logs and counts a connection that ended with a request which reached no call.
+func (g *Gateway) recordDropped(caller *callerconn.Conn) {
+	g.metrics.count("requests_dropped")
+	g.log.WithFields(logrus.Fields{"caller": caller.RemoteAddr(), "stopping": g.stopping()}).Warn("request-dropped")
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/bramleyspool/bramleyspool/internal/network"
 )
 
 // Limits of connections to backend servers.
@@ -145,22 +147,7 @@
 		return false
 	}
 	tcp, ok := c.Conn.(*net.TCPConn)
-	return !ok || isQuiet(tcp)
-}
-
-// isQuiet reports whether a connection is open and no bytes have arrived that are not yet read.
-func isQuiet(conn *net.TCPConn) bool {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		var buffer [1]byte
-		_, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = errors.Is(err, unix.EAGAIN)
-	})
-	return err == nil && quiet
+	return !ok || network.IsQuiet(tcp)
 }
 
 // put keeps a connection for reuse if the response allows it, and otherwise closes it.
