Send nothing to copies of a server's record

A copy with a later start replaced the server altogether.

Cause: each record counted as a server with a health of its own. The server refuses requests for the copies, so that they cost little while it runs; after its end something else may accept connections at its address, and each copy was sent requests until it had failed twice itself. Class of fault: input of another writer that is taken for what it claims.

Change: a place (address and service) has one server. One that has served a request there owns it, and records without a later start are copies, also after its end. The soak leaves copies, and checks that no outcome is unknown without a fault.

--- a/internal/control/crash_requests.go
+++ b/internal/control/crash_requests.go
@@ -49,10 +49,11 @@
 	d.crashes.RecordEnd(now, InstanceOf(&backend), backend.Service)
 }
 
-// recordRemoved records the ends of the servers that are no longer listed, or are listed as started again.
+// recordRemoved records the ends of the servers that are no longer listed, or are listed as started again. A copy of another server's record
+// names no server that could end.
 func (d *Dispatcher) recordRemoved(now time.Time, listed map[string]*routing.Server) {
 	for id, server := range d.servers {
-		if current := listed[id]; current == nil || current.Started != server.Started {
+		if current := listed[id]; (current == nil || current.Started != server.Started) && !d.owners.IsCopy(now, &server.ListedBackend) {
 			d.cold.recordRemoved(now, InstanceOf(&server.ListedBackend))
 			d.RecordServerEnded(now, server.ListedBackend)
 		}
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -75,9 +75,14 @@
 	table    *routing.Table
 	servers  map[string]*routing.Server
 	services map[ident.Service][]*routing.Server
-	groups   map[ident.Group]*groupState
-	repeats  *attempt.Repeats
-	crashes  *attempt.CrashRegister
+	// places has the servers with a known start at places with several records: another writer may have left copies of a server's record.
+	// owners tells them apart, and listed are all records of the list.
+	places  map[membership.Place][]*routing.Server
+	owners  membership.PlaceOwners
+	listed  []membership.ListedBackend
+	groups  map[ident.Group]*groupState
+	repeats *attempt.Repeats
+	crashes *attempt.CrashRegister
 	// limits has the servers that state a limit of requests, by ID. entries is the number of entries that keep it, and
 	// isolated is true if this one hears of no other.
 	limits   map[string]*admission.ServerLimit
@@ -151,6 +156,7 @@
 		random:   random,
 		servers:  map[string]*routing.Server{},
 		services: map[ident.Service][]*routing.Server{},
+		places:   map[membership.Place][]*routing.Server{},
 		groups:   map[ident.Group]*groupState{},
 		repeats:  attempt.NewRepeats(repeats, random),
 		crashes:  attempt.NewCrashRegister(attempt.DefaultCrashConfig()),
@@ -176,7 +182,10 @@
 	for _, group := range d.groups {
 		group.ranks = nil
 	}
-	for _, backend := range membership.LatestPerAddress(backends, d.configured) {
+	clear(d.places)
+	d.listed = backends
+	d.owners.RecordListed(now, backends)
+	for _, backend := range membership.LatestPerAddress(d.owners.WithoutCopies(now, backends), d.configured) {
 		server := d.servers[backend.ID]
 		if server == nil || server.Started != backend.Started {
 			server = &routing.Server{}
@@ -184,6 +193,9 @@
 		}
 		server.ListedBackend = backend
 		servers[backend.ID] = server
+		if place := membership.PlaceOf(&backend); backend.Started > 0 && d.owners.IsShared(place) {
+			d.places[place] = append(d.places[place], server)
+		}
 		d.services[backend.Service] = append(d.services[backend.Service], server)
 		if backend.Group != "" {
 			d.addToGroup(server)
@@ -351,9 +363,32 @@
 	if group := d.groups[server.Group]; group != nil {
 		group.recordResult(now, result)
 	}
+	if d.recordAtPlace(now, server, result) {
+		return d.SetBackends(now, d.listed)
+	}
 	return d.assignWaiting(now)
 }
 
+// recordAtPlace records what the result of a request says about other records of the same place, where one server runs at most. It
+// reports whether some of them are now known to be copies.
+func (d *Dispatcher) recordAtPlace(now time.Time, server *routing.Server, result routing.SendResult) bool {
+	others := d.places[membership.PlaceOf(&server.ListedBackend)]
+	switch result {
+	case routing.SendServed:
+		return d.owners.RecordServed(&server.ListedBackend) && len(others) > 1
+	case routing.SendNotConnected, routing.SendBroken:
+		for _, other := range others {
+			if other != server {
+				other.RecordResult(now, result, 0)
+			}
+		}
+	case routing.SendMisdirected:
+		return d.owners.RecordMisdirected(now, &server.ListedBackend)
+	case routing.SendFailed, routing.SendRejected, routing.SendAbandoned, routing.SendEvacuated, routing.SendGroupBroken:
+	}
+	return false
+}
+
 // Tick assigns servers to waiting requests and refuses those that may wait no longer. It also does the periodic work of
 // the CrashRegister.
 func (d *Dispatcher) Tick(now time.Time) []Assignment {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -157,6 +157,7 @@
 	call.exempt = soakCtx.Err() != nil || planned || errors.Is(call.err, syscall.ECONNREFUSED)
 	c.countOutcome(call)
 	c.checkPlannedStop(call, incarnation, ctx.Err() != nil)
+	c.checkKnown(call)
 	c.record(call)
 	c.keep(call)
 }
@@ -242,6 +243,13 @@
 	c.soak.reportViolation(fmt.Sprintf("request %s was aborted by the planned stop of entry %s: %v", call.id, call.entry.settings.Name, call.err))
 }
 
+// checkKnown checks that the outcome of each call is known if there is planned work only: no server breaks off an answer.
+func (c *callers) checkKnown(call *callRecord) {
+	if c.soak.options.PlannedOnly && call.err == nil && (call.status == http.StatusBadGateway || call.status == http.StatusGatewayTimeout) {
+		c.soak.reportViolation(fmt.Sprintf("request %s at %s: status %d without a fault: %s", call.id, call.entry.settings.Name, call.status, call.body))
+	}
+}
+
 // replicasOf returns the names of the replicas that ran a request. A request without a run may have been waiting for
 // any replica, so that the names of all replicas are returned for it.
 func (c *callers) replicasOf(runs []standin.Run) []string {
--- a/internal/soak/pipelines.go
+++ b/internal/soak/pipelines.go
@@ -112,6 +112,7 @@
 	if !errors.Is(call.err, errNotProcessed) {
 		c.checkPlannedStop(call, incarnation, soakCtx.Err() != nil || errors.Is(call.err, os.ErrDeadlineExceeded))
 	}
+	c.checkKnown(call)
 	c.record(call)
 	c.keep(call)
 }
--- a/internal/soak/zone_stops.go
+++ b/internal/soak/zone_stops.go
@@ -14,6 +14,10 @@
 const (
 	// maxZoneStopPause is the greatest pause before the stop of a zone.
 	maxZoneStopPause = 3 * time.Second
+	// maxCopies is the greatest number of copies of a leaving replica's item under other keys.
+	maxCopies = 30
+	// maxAbsence is the greatest time between the end of a replica that leaves and its next start.
+	maxAbsence = 2 * time.Second
 	// throttlePeriod and throttleRunTime give a process a fifth of a processor's time, in the way in which Linux enforces a quota: it runs
 	// at the start of each period and stands still for the rest.
 	throttlePeriod  = 100 * time.Millisecond
@@ -44,7 +48,8 @@
 		}
 		for _, replica := range s.soak.deployment.Plain {
 			if replica.Zone() == zone {
-				stopped.Go(func() { s.leave(replica) })
+				fork := rand.New(rand.NewPCG(random.Uint64(), 0))
+				stopped.Go(func() { s.leave(replica, fork) })
 			}
 		}
 		stopped.Wait()
@@ -66,13 +71,16 @@
 	}
 }
 
-// leave lets a replica leave and starts it again, unless a fault acts on it.
-func (s *stops) leave(replica *standin.Replica) {
+// leave lets a replica leave and starts it again, unless a fault acts on it. Copies of its item stay in the list until it has started again.
+func (s *stops) leave(replica *standin.Replica, random *rand.Rand) {
 	if !s.soak.reserve(replica) {
 		return
 	}
 	defer s.soak.release(replica)
+	remove := replica.PutCopies(random.IntN(maxCopies))
+	defer remove()
 	replica.Leave(leavingTime)
+	time.Sleep(time.Duration(random.Int64N(int64(maxAbsence))))
 	if err := replica.Restart(); err != nil {
 		s.soak.reportViolation("failed to start " + replica.Name() + " again: " + err.Error())
 	}
