Take only records of the same start for copies, and soak long bodies

Cause: a record with an earlier start than that of a server which had served at its address counted as a copy for as long as the address was listed. A machine whose clock was set back before its server started again would have got nothing.

Change: copies are records of the same start.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -31,6 +31,7 @@
 			&cli.IntFlag{Name: "processes", Value: defaultSoakProcesses, Usage: "total number of entries and agents"},
 			&cli.BoolFlag{Name: "crash-requests-only", Usage: "inject no faults other than requests that crash replicas"},
 			&cli.BoolFlag{Name: "planned-only", Usage: "inject no faults, only planned work such as stops and new configurations"},
+			&cli.BoolFlag{Name: "long-bodies", Usage: "inject no faults, but send long bodies to one entry; lasts half a minute"},
 			&cli.StringFlag{Name: "binary", Usage: "program to test; default: this program"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
@@ -46,6 +47,7 @@
 				Binary: binary, Seed: command.Uint64("seed"), Seeds: command.Uint64("seeds"), Out: out,
 				Duration: time.Duration(command.Float("minutes") * float64(time.Minute)), Processes: command.Int("processes"),
 				CrashRequestsOnly: command.Bool("crash-requests-only"), PlannedOnly: command.Bool("planned-only"),
+				LongBodies: command.Bool("long-bodies"),
 			})
 		},
 	}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -66,10 +66,14 @@
 	configuration *published.Configuration
 }
 
-// authenticate identifies the customer of a call. It refuses calls without a valid credential.
+// authenticate identifies the customer of a call. It refuses calls without a valid credential, and all calls once the control thread has ended.
 func (e *Entry) authenticate(w http.ResponseWriter, r *http.Request) (authenticatedCall, bool) {
 	call := authenticatedCall{id: e.newRequestID(), configuration: e.configuration.Load()}
 	w.Header().Set(HeaderRequest, string(call.id))
+	if e.host.Context().Err() != nil {
+		e.refuse(w, control.RefusedLeaving())
+		return call, false
+	}
 	if call.configuration == nil {
 		e.refuse(w, outcome.Refused(outcome.CauseNotReady))
 		return call, false
@@ -135,10 +139,6 @@
 		return
 	}
 	defer e.openCalls.Add(-1)
-	if e.host.Context().Err() != nil {
-		e.refuse(w, control.RefusedLeaving())
-		return
-	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.readTimeout()))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.config.Settings.MaxBodyBytes))
 	if err != nil {
@@ -184,10 +184,6 @@
 		e.refuse(w, refused)
 		return
 	}
-	if e.host.Context().Err() != nil {
-		e.refuse(w, control.RefusedLeaving())
-		return
-	}
 	answers := make(chan attempt.KeyAnswer, 1)
 	e.mu.Lock()
 	e.inquiries[call.id] = answers
--- a/internal/membership/place_owners.go
+++ b/internal/membership/place_owners.go
@@ -57,7 +57,7 @@
 // RecordServed records that a server has served a request that was sent to it by its ID. It reports whether that is news.
 func (o *PlaceOwners) RecordServed(server *ListedBackend) bool {
 	place, owner := PlaceOf(server), placeOwner{server.ID, server.Started}
-	if known := o.owners[place]; owner.started == 0 || known == owner || owner.started < known.started {
+	if owner.started == 0 || o.owners[place] == owner {
 		return false
 	}
 	if o.owners == nil {
@@ -115,9 +115,9 @@
 	})
 }
 
-// IsCopy reports whether the record is taken for a copy of one that names the server at its place: a server that did not start before it has
-// served a request there, a record with the same start says that its server leaves, or a server there has refused a request for it. This
-// holds after the end of that server too, until a record names a later start.
+// IsCopy reports whether the record is taken for a copy of one that names the server at its place: a server with the same start has served a
+// request there, a record with the same start says that its server leaves, or a server there has refused a request for it. This holds after
+// the end of that server too.
 func (o *PlaceOwners) IsCopy(now time.Time, server *ListedBackend) bool {
 	if server.Started == 0 {
 		return false
@@ -125,14 +125,14 @@
 	if o.isMisdirected(now, server) {
 		return true
 	}
-	if owner, ok := o.owners[PlaceOf(server)]; ok && server.Started <= owner.started {
+	if owner, ok := o.owners[PlaceOf(server)]; ok && server.Started == owner.started {
 		return server.ID != owner.id
 	}
 	if len(o.leaving) == 0 {
 		return false
 	}
 	leaving, ok := o.leaving[PlaceOf(server)]
-	return ok && !server.Leaving && server.Started <= leaving.started && now.Sub(leaving.since) < leavingTrust
+	return ok && !server.Leaving && server.Started == leaving.started && now.Sub(leaving.since) < leavingTrust
 }
 
 // IsShared reports whether the list has several records of a place.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -70,6 +70,8 @@
 	CrashRequestsOnly bool
 	// PlannedOnly injects planned work only, such as stops and new configurations, for which no request may be lost.
 	PlannedOnly bool
+	// LongBodies plays no faults, but a load of long bodies at one entry.
+	LongBodies bool
 	// Out receives one summary line per soak.
 	Out io.Writer
 }
@@ -152,7 +154,12 @@
 	if err := s.start(ctx); err != nil {
 		return err
 	}
-	s.run(ctx)
+	if s.options.LongBodies {
+		load := &longBodies{soak: s, entry: s.entries[0]}
+		load.run(ctx)
+	} else {
+		s.run(ctx)
+	}
 	s.callers.checkRuns()
 	s.crashRequests.check()
 	s.limits.check()
@@ -203,6 +210,9 @@
 func (s *soak) start(ctx context.Context) error {
 	entries, groups := s.sizes()
 	size := standin.Size{Plain: plainReplicas, Groups: groups, RanksPerGroup: ranksPerGroup, Zones: zones}
+	if s.options.LongBodies {
+		size.BodyBytes = longBodyLimit
+	}
 	var err error
 	if s.deployment, err = standin.New(ctx, s.seed, size, replicaAddress, s.reportViolation); err != nil {
 		return err
