Keep what servers have said when a record counts again

Cause: the dispatcher applied the list again by itself when it learned of copies. A server whose record counted again after that was a new one to it: what the server had said, such as that it leaves or its limit, is recorded by the gateway after it sets a list.

Change: the dispatcher says that the list must be applied again, and the gateway applies it with the statements. backends-listed has the number of records that are taken for copies.

--- a/internal/control/copies_test.go
+++ b/internal/control/copies_test.go
@@ -39,6 +39,11 @@
 			}
 			now, ended := clockStart, false
 			sent := map[routing.SendResult]int{}
+			var listed []membership.ListedBackend
+			list := func(backends ...membership.ListedBackend) {
+				listed = append(backends, others...)
+				d.SetBackends(now, listed)
+			}
 			send := func(requests int) {
 				for i := range requests {
 					now = now.Add(2 * time.Millisecond)
@@ -54,25 +59,28 @@
 					}
 					sent[result]++
 					d.RecordEnd(now, backend.ID, result, time.Millisecond)
+					if d.NeedsListing() {
+						d.SetBackends(now, listed)
+					}
 				}
 			}
 			if test.known {
 				d.SetBackends(now, []membership.ListedBackend{record("server", "10.0.0.1:80", false)})
 				send(1)
-				d.SetBackends(now, append([]membership.ListedBackend{record("server", "10.0.0.1:80", false)}, others...))
+				list(record("server", "10.0.0.1:80", false))
 				send(100)
 				c.Check(sent[routing.SendMisdirected] <= copies, qt.IsTrue)
 			}
 			if test.left {
 				before := sent[routing.SendMisdirected]
-				d.SetBackends(now, append([]membership.ListedBackend{record("server", "10.0.0.1:80", true)}, others...))
+				list(record("server", "10.0.0.1:80", true))
 				ended = false
 				send(100)
 				c.Check(sent[routing.SendMisdirected], qt.Equals, before, qt.Commentf("while the server leaves"))
 			}
 			now = now.Add(10 * time.Second) // the copies' pauses have ended
 			ended = true
-			d.SetBackends(now, others)
+			list()
 			send(200)
 			t.Logf("sends by result: %v", sent)
 			c.Check(sent[routing.SendBroken] <= test.lost, qt.IsTrue, qt.Commentf("%d broken", sent[routing.SendBroken]))
@@ -80,7 +88,7 @@
 			ended = false
 			restarted := record("server-2", "10.0.0.1:80", false)
 			restarted.Started = 2000
-			d.SetBackends(now, append(others, restarted))
+			list(restarted)
 			for range 50 {
 				now = now.Add(time.Millisecond)
 				request := testRequest(1, now, 0)
@@ -105,7 +113,7 @@
 	now := clockStart
 	sent := map[string]int{}
 	for i := range 600 {
-		if i%100 == 0 {
+		if i%100 == 0 || d.NeedsListing() {
 			d.SetBackends(now, []membership.ListedBackend{server, copied}) // the list changes from time to time
 		}
 		now = now.Add(100 * time.Millisecond)
@@ -129,3 +137,26 @@
 	c.Assert(sent["copy"] <= 3, qt.IsTrue, qt.Commentf("one in 30 s"))
 	c.Assert(sent["server"] >= 590, qt.IsTrue)
 }
+
+// What a server has said must hold when its record, which a copy with a later start had replaced, counts again.
+func TestStatementsHoldWhenARecordCountsAgain(t *testing.T) {
+	c := qt.New(t)
+	d := control.NewDispatcher("z", 1, attempt.RepeatConfig{Share: 0.2, Fixed: 176, Window: 10 * time.Second})
+	d.Configure(testTable())
+	server := membership.ListedBackend{ID: "server", Service: "plain", Address: "10.0.0.1:80", Slots: 6, Zone: "z", Started: 1000}
+	copied := server
+	copied.ID, copied.Started = "copy", 5000
+	d.SetBackends(clockStart, []membership.ListedBackend{server, copied})
+	request := testRequest(1, clockStart, 0)
+	request.Service = "plain"
+	c.Assert(single(c, d.RequestBackend(clockStart, request)).Backend.ID, qt.Equals, "copy")
+	d.RecordEnd(clockStart, "copy", routing.SendMisdirected, 0)
+	c.Assert(d.NeedsListing(), qt.IsTrue, qt.Commentf("the caller records the statements after it has set the list"))
+	d.SetBackends(clockStart, []membership.ListedBackend{server, copied})
+	c.Assert(d.NeedsListing(), qt.IsFalse)
+	d.RecordStatement(clockStart, control.InstanceOf(&server), membership.Statement{Leaving: true})
+	request.ID, request.Deadline = 2, clockStart.Add(time.Millisecond)
+	for _, assigned := range append(d.RequestBackend(clockStart, request), d.Tick(clockStart.Add(time.Second))...) {
+		c.Check(assigned.Backend.ID, qt.Equals, "", qt.Commentf("%+v", assigned))
+	}
+}
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -76,13 +76,16 @@
 	servers  map[string]*routing.Server
 	services map[ident.Service][]*routing.Server
 	// places has the servers with a known start at places with several records: another writer may have left copies of a server's record.
-	// owners tells them apart, and listed are all records of the list.
-	places  map[membership.Place][]*routing.Server
-	owners  membership.PlaceOwners
-	listed  []membership.ListedBackend
-	groups  map[ident.Group]*groupState
-	repeats *attempt.Repeats
-	crashes *attempt.CrashRegister
+	// owners tells them apart.
+	places map[membership.Place][]*routing.Server
+	owners membership.PlaceOwners
+	// copies is the number of records that were taken for copies in SetBackends.
+	copies int
+	// needsListing is true if owners has learned of copies since SetBackends.
+	needsListing bool
+	groups       map[ident.Group]*groupState
+	repeats      *attempt.Repeats
+	crashes      *attempt.CrashRegister
 	// limits has the servers that state a limit of requests, by ID. entries is the number of entries that keep it, and
 	// isolated is true if this one hears of no other.
 	limits   map[string]*admission.ServerLimit
@@ -183,9 +186,11 @@
 		group.ranks = nil
 	}
 	clear(d.places)
-	d.listed = backends
+	d.needsListing = false
 	d.owners.RecordListed(now, backends)
-	for _, backend := range membership.LatestPerAddress(d.owners.WithoutCopies(now, backends), d.configured) {
+	kept := d.owners.WithoutCopies(now, backends)
+	d.copies = len(backends) - len(kept)
+	for _, backend := range membership.LatestPerAddress(kept, d.configured) {
 		server := d.servers[backend.ID]
 		if server == nil || server.Started != backend.Started {
 			server = &routing.Server{}
@@ -363,12 +368,16 @@
 	if group := d.groups[server.Group]; group != nil {
 		group.recordResult(now, result)
 	}
-	if d.recordAtPlace(now, server, result) {
-		return d.SetBackends(now, d.listed)
-	}
+	d.needsListing = d.recordAtPlace(now, server, result) || d.needsListing
 	return d.assignWaiting(now)
 }
 
+// NeedsListing reports whether requests have shown that some records of the list are copies, so that SetBackends must be called again.
+func (d *Dispatcher) NeedsListing() bool { return d.needsListing }
+
+// Copies returns the number of listed records that are taken for copies.
+func (d *Dispatcher) Copies() int { return d.copies }
+
 // recordAtPlace records what the result of a request says about other records of the same place, where one server runs at most. It
 // reports whether some of them are now known to be copies.
 func (d *Dispatcher) recordAtPlace(now time.Time, server *routing.Server, result routing.SendResult) bool {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -430,6 +430,9 @@
 			evidence(now)
 		}
 		g.deliver(g.dispatcher.RecordEnd(now, backend, result, latency))
+		if g.dispatcher.NeedsListing() {
+			g.applyListing(now)
+		}
 	})
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -166,8 +166,8 @@
 	}
 	g.hasBackends.Store(len(backends) > leaving)
 	g.statements.retain(now, backends)
-	g.log.WithFields(logrus.Fields{"backends": len(backends), "leaving": leaving}).Info("backends-listed")
 	g.deliver(g.dispatcher.SetBackends(now, backends))
+	g.log.WithFields(logrus.Fields{"backends": len(backends), "leaving": leaving, "copies": g.dispatcher.Copies()}).Info("backends-listed")
 	// Another entry may have reported a server's limit before this one had it in its list.
 	for _, report := range g.statements.reports(now) {
 		g.dispatcher.RecordStatement(now, report.Server, report.Statement)
