Test callers that leave in each way, and fail tests in which a call ends without a response

Full close and reset were not tested, and a panic of net/http was seen only if a test happened to need that connection.

Change: TestCallersThatLeave (lookup, posting, stream before and after its head; half-close, close, reset). Each test gateway fails its test if a call's line has response=none, or if the gateway or net/http panics.

--- a/internal/gateway/half_close_test.go
+++ b/internal/gateway/half_close_test.go
@@ -134,3 +134,81 @@
 	g.c.Check(ended.Load(), qt.Equals, int32(running))
 	g.c.Check(backend.requests(), qt.HasLen, running)
 }
+
+// Each call of a caller that leaves ends with a response or is cut off in the middle of one, whichever way the caller leaves. Work that may run
+// twice ends at its server; work that must not is completed once.
+func TestCallersThatLeave(t *testing.T) {
+	leave := map[string]func(c *qt.C, conn *net.TCPConn){
+		"half-close": func(c *qt.C, conn *net.TCPConn) { c.Assert(conn.CloseWrite(), qt.IsNil) },
+		"close":      func(c *qt.C, conn *net.TCPConn) { c.Assert(conn.Close(), qt.IsNil) },
+		"reset": func(c *qt.C, conn *net.TCPConn) {
+			c.Assert(conn.SetLinger(0), qt.IsNil)
+			c.Assert(conn.Close(), qt.IsNil)
+		},
+	}
+	for _, test := range []struct {
+		name, path string
+		head       bool
+		// status and body are what a caller gets that still reads; response is what the call's line says.
+		status   int
+		body     string
+		response responseState
+		// completed is true if the server must complete the request.
+		completed bool
+	}{
+		{"idempotent", "/lookup/x", false, 502, "unknown: caller-gone", responseComplete, false},
+		{"non-idempotent", "/post/x", false, 200, "answer", responseComplete, true},
+		{"stream before its head", "/stream/x", false, 502, "unknown: caller-gone", responseComplete, false},
+		{"stream after its head", "/stream/x", true, 200, "", responsePartial, false},
+	} {
+		for way, leaveBy := range leave {
+			t.Run(test.name+", "+way, func(t *testing.T) {
+				t.Parallel()
+				var completed, aborted atomic.Int32
+				backend := newTestBackend(t, "a", func(conn net.Conn, request receivedRequest) bool {
+					if test.head {
+						writeStreamHead(conn, request)
+						writeEvent(conn, 1)
+					}
+					_ = conn.SetReadDeadline(time.Now().Add(400 * time.Millisecond))
+					var timeout net.Error
+					if _, err := conn.Read(make([]byte, 1)); errors.As(err, &timeout) && timeout.Timeout() {
+						completed.Add(1)
+					} else {
+						aborted.Add(1)
+						return false
+					}
+					_ = conn.SetReadDeadline(time.Time{})
+					return writeResponse(conn, request, 200, "answer")
+				})
+				g := newTestGateway(t, backend)
+				lines := recordCalls(g)
+				caller := g.dial()
+				caller.write(strings.Replace(rawRequest("POST", test.path, "body", time.Second), "X-Request: ", "X-Request: left-", 1))
+				for len(backend.requests()) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				if test.head {
+					_, err := caller.reader.ReadString('\n')
+					g.c.Assert(err, qt.IsNil)
+				} else {
+					time.Sleep(50 * time.Millisecond)
+				}
+				leaveBy(g.c, caller.conn)
+				if way == "half-close" && !test.head {
+					got := caller.response()
+					g.c.Check(got.err, qt.IsNil)
+					g.c.Check(got.status, qt.Equals, test.status)
+					g.c.Check(strings.HasPrefix(got.body, test.body), qt.IsTrue, qt.Commentf(got.body))
+				}
+				for end := time.Now().Add(2 * time.Second); completed.Load()+aborted.Load() == 0 && time.Now().Before(end); {
+					time.Sleep(time.Millisecond)
+				}
+				g.c.Check([]int32{completed.Load(), aborted.Load()}, qt.DeepEquals, map[bool][]int32{true: {1, 0}, false: {0, 1}}[test.completed])
+				line := lines.of(g.c, backend.requests()[0].header.Get("X-Request"))
+				g.c.Check(line["response"], qt.Equals, test.response, qt.Commentf("%v", line))
+				g.c.Check(backend.requests(), qt.HasLen, 1)
+			})
+		}
+	}
+}
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -355,14 +355,24 @@
 	return g
 }
 
-// findingsHook passes the findings about crash suspects on to the test's log.
+// findingsHook passes the findings about crash suspects on to the test's log. The test fails if a call ends without a response, or if the
+// gateway or net/http panics.
 type findingsHook struct{ t testing.TB }
 
-func (findingsHook) Levels() []logrus.Level { return []logrus.Level{logrus.InfoLevel} }
+func (findingsHook) Levels() []logrus.Level {
+	return []logrus.Level{logrus.InfoLevel, logrus.WarnLevel, logrus.ErrorLevel}
+}
 
 func (h findingsHook) Fire(entry *logrus.Entry) error {
-	if entry.Message == "crash-suspect" && h.t.Context().Err() == nil {
+	if h.t.Context().Err() != nil {
+		return nil
+	}
+	switch {
+	case entry.Message == "crash-suspect":
 		h.t.Log(entry.Message, entry.Data)
+	case entry.Message == "call" && entry.Data["response"] == responseNone, entry.Message == "call-panicked",
+		entry.Message == "caller-connection-error" && strings.Contains(fmt.Sprint(entry.Data[logrus.ErrorKey]), "panic"):
+		h.t.Error(entry.Message, entry.Data)
 	}
 	return nil
 }
