Excuse a stream whose group has lost another rank, and write what was verified

It ran on g1-0; g1-3 of the same group had been ended by a crash request 0.3 s before the stream was sent and was down until its end ('connection refused' at 52.1 to 53.3 s; the stream was given up at 53.2 s), and g0-0, to which it was moved, was ended at 52.7 s. No server had room, so that the stream ended as broken off. The check excused a fault of the rank that ran it only.

Change: the check takes all ranks of the group, since a group that has lost a rank runs nothing. Nothing else is excused that was not.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -250,12 +251,17 @@
 	}
 }
 
-// replicasOf returns the names of the replicas that ran a request. A request without a run may have been waiting for
-// any replica, so that the names of all replicas are returned for it.
+// replicasOf returns the names of the replicas that ran a request, and of all ranks of their groups: a group that has lost a rank runs
+// nothing. A request without a run may have been waiting for any replica, so that the names of all replicas are returned for it.
 func (c *callers) replicasOf(runs []standin.Run) []string {
 	var names []string
 	for _, run := range runs {
 		names = append(names, run.ReplicaName())
+		for _, group := range c.soak.deployment.Groups {
+			if ranks := group.RankNames(); slices.Contains(ranks, run.ReplicaName()) {
+				names = append(names, ranks...)
+			}
+		}
 	}
 	if len(runs) > 0 {
 		return names
