--- a/internal/gateway/half_close_test.go
+++ b/internal/gateway/half_close_test.go
@@ -172,12 +172,12 @@
 					}
 					_ = conn.SetReadDeadline(time.Now().Add(400 * time.Millisecond))
 					var timeout net.Error
-					if _, err := conn.Read(make([]byte, 1)); errors.As(err, &timeout) && timeout.Timeout() {
-						completed.Add(1)
-					} else {
+					_, err := conn.Read(make([]byte, 1))
+					if !errors.As(err, &timeout) || !timeout.Timeout() {
 						aborted.Add(1)
 						return false
 					}
+					completed.Add(1)
 					_ = conn.SetReadDeadline(time.Time{})
 					return writeResponse(conn, request, 200, "answer")
 				})
