Use one of the records of a place until its server is known

Entries that had just started knew 21 copies of the record of a replica that had ended while something still accepted connections at its address; about 60 sends to copies broke in 0.1 s.

Cause: without a response of the server each copy was used as a server of its own, so that each counted as a server which the request had ended.

Change: of the records with one place and start one is used at a time; a request that is refused for it (421) lets the next one take its place. Records that are left out do not count as servers that have ended. Shared failures of the records of a place are not needed any more.

--- a/internal/control/crash_requests.go
+++ b/internal/control/crash_requests.go
@@ -53,8 +53,9 @@
 // names no server that could end.
 func (d *Dispatcher) recordRemoved(now time.Time, listed map[string]*routing.Server) {
 	for id, server := range d.servers {
-		if current := listed[id]; (current == nil || current.Started != server.Started) && !d.owners.IsCopy(now, &server.ListedBackend) {
-			d.cold.recordRemoved(now, InstanceOf(&server.ListedBackend))
+		instance, current := InstanceOf(&server.ListedBackend), listed[id]
+		if (current == nil || current.Started != server.Started) && !d.leftOut[instance] && !d.owners.IsCopy(now, &server.ListedBackend) {
+			d.cold.recordRemoved(now, instance)
 			d.RecordServerEnded(now, server.ListedBackend)
 		}
 	}
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -75,12 +75,9 @@
 	table    *routing.Table
 	servers  map[string]*routing.Server
 	services map[ident.Service][]*routing.Server
-	// places has the servers with a known start at places with several records: another writer may have left copies of a server's record.
-	// owners tells them apart.
-	places map[membership.Place][]*routing.Server
-	owners membership.PlaceOwners
-	// copies is the number of records that were taken for copies in SetBackends.
-	copies int
+	// owners tells the records of servers from copies that another writer has left. leftOut are the copies of the present list.
+	owners  membership.PlaceOwners
+	leftOut map[attempt.ServerInstance]bool
 	// needsListing is true if owners has learned of copies since SetBackends.
 	needsListing bool
 	groups       map[ident.Group]*groupState
@@ -159,7 +156,6 @@
 		random:   random,
 		servers:  map[string]*routing.Server{},
 		services: map[ident.Service][]*routing.Server{},
-		places:   map[membership.Place][]*routing.Server{},
 		groups:   map[ident.Group]*groupState{},
 		repeats:  attempt.NewRepeats(repeats, random),
 		crashes:  attempt.NewCrashRegister(attempt.DefaultCrashConfig()),
@@ -185,11 +181,10 @@
 	for _, group := range d.groups {
 		group.ranks = nil
 	}
-	clear(d.places)
 	d.needsListing = false
 	d.owners.RecordListed(now, backends)
 	kept := d.owners.WithoutCopies(now, backends)
-	d.copies = len(backends) - len(kept)
+	d.leftOut = without(backends, kept)
 	for _, backend := range membership.LatestPerAddress(kept, d.configured) {
 		server := d.servers[backend.ID]
 		if server == nil || server.Started != backend.Started {
@@ -198,9 +193,6 @@
 		}
 		server.ListedBackend = backend
 		servers[backend.ID] = server
-		if place := membership.PlaceOf(&backend); backend.Started > 0 && d.owners.IsShared(place) {
-			d.places[place] = append(d.places[place], server)
-		}
 		d.services[backend.Service] = append(d.services[backend.Service], server)
 		if backend.Group != "" {
 			d.addToGroup(server)
@@ -368,7 +360,7 @@
 	if group := d.groups[server.Group]; group != nil {
 		group.recordResult(now, result)
 	}
-	d.needsListing = d.recordAtPlace(now, server, result) || d.needsListing
+	d.needsListing = d.recordOwner(now, server, result) || d.needsListing
 	return d.assignWaiting(now)
 }
 
@@ -376,24 +368,33 @@
 func (d *Dispatcher) NeedsListing() bool { return d.needsListing }
 
 // Copies returns the number of listed records that are taken for copies.
-func (d *Dispatcher) Copies() int { return d.copies }
+func (d *Dispatcher) Copies() int { return len(d.leftOut) }
 
-// recordAtPlace records what the result of a request says about other records of the same place, where one server runs at most. It
-// reports whether some of them are now known to be copies.
-func (d *Dispatcher) recordAtPlace(now time.Time, server *routing.Server, result routing.SendResult) bool {
-	others := d.places[membership.PlaceOf(&server.ListedBackend)]
+// without returns the listed servers that are not among the kept ones; nil if there are none. Both have the same order.
+func without(listed, kept []membership.ListedBackend) map[attempt.ServerInstance]bool {
+	if len(kept) == len(listed) {
+		return nil
+	}
+	left := map[attempt.ServerInstance]bool{}
+	for i, next := 0, 0; i < len(listed); i++ {
+		if instance := InstanceOf(&listed[i]); next < len(kept) && InstanceOf(&kept[next]) == instance {
+			next++
+		} else {
+			left[instance] = true
+		}
+	}
+	return left
+}
+
+// recordOwner records what the result of a request says about the records of the server's place. It reports whether one of them counts no more.
+func (d *Dispatcher) recordOwner(now time.Time, server *routing.Server, result routing.SendResult) bool {
 	switch result {
 	case routing.SendServed:
-		return d.owners.RecordServed(&server.ListedBackend) && len(others) > 1
-	case routing.SendNotConnected, routing.SendBroken:
-		for _, other := range others {
-			if other != server {
-				other.RecordResult(now, result, 0)
-			}
-		}
+		d.owners.RecordServed(&server.ListedBackend)
 	case routing.SendMisdirected:
 		return d.owners.RecordMisdirected(now, &server.ListedBackend)
-	case routing.SendFailed, routing.SendRejected, routing.SendAbandoned, routing.SendEvacuated, routing.SendGroupBroken:
+	case routing.SendFailed, routing.SendBroken, routing.SendNotConnected, routing.SendRejected, routing.SendAbandoned, routing.SendEvacuated,
+		routing.SendGroupBroken:
 	}
 	return false
 }
--- a/internal/membership/place_owners.go
+++ b/internal/membership/place_owners.go
@@ -54,17 +54,15 @@
 	since   time.Time
 }
 
-// RecordServed records that a server has served a request that was sent to it by its ID. It reports whether that is news.
-func (o *PlaceOwners) RecordServed(server *ListedBackend) bool {
-	place, owner := PlaceOf(server), placeOwner{server.ID, server.Started}
-	if owner.started == 0 || o.owners[place] == owner {
-		return false
+// RecordServed records that a server has served a request that was sent to it by its ID.
+func (o *PlaceOwners) RecordServed(server *ListedBackend) {
+	if server.Started == 0 {
+		return
 	}
 	if o.owners == nil {
 		o.owners = map[Place]placeOwner{}
 	}
-	o.owners[place] = owner
-	return true
+	o.owners[PlaceOf(server)] = placeOwner{server.ID, server.Started}
 }
 
 // RecordMisdirected records that a server refused a request for another one at its place. It reports whether that is news about a place with
@@ -135,20 +133,36 @@
 	return ok && !server.Leaving && server.Started == leaving.started && now.Sub(leaving.since) < leavingTrust
 }
 
-// IsShared reports whether the list has several records of a place.
-func (o *PlaceOwners) IsShared(place Place) bool { return o.records[place] > 1 }
-
-// WithoutCopies leaves out the copies among the listed servers.
+// WithoutCopies leaves out the copies among the listed servers. Of the records with the same place and start it keeps one while none of them
+// is known to be the server's: each request that is refused for it lets the next one take its place.
 func (o *PlaceOwners) WithoutCopies(now time.Time, listed []ListedBackend) []ListedBackend {
-	first := slices.IndexFunc(listed, func(server ListedBackend) bool { return o.IsCopy(now, &server) })
-	if first < 0 {
-		return listed
+	var kept []ListedBackend
+	candidates := map[misdirectedRecord]bool{}
+	leaveOut := func(server *ListedBackend) bool {
+		if o.IsCopy(now, server) {
+			return true
+		}
+		place := PlaceOf(server)
+		if server.Started == 0 || server.Leaving || o.records[place] < 2 {
+			return false
+		}
+		same := misdirectedRecord{place, placeOwner{started: server.Started}}
+		if candidates[same] {
+			return true
+		}
+		candidates[same] = true
+		return false
 	}
-	kept := slices.Clone(listed[:first])
-	for i := first + 1; i < len(listed); i++ {
-		if !o.IsCopy(now, &listed[i]) {
+	for i := range listed {
+		switch out := leaveOut(&listed[i]); {
+		case out && kept == nil:
+			kept = slices.Clone(listed[:i])
+		case !out && kept != nil:
 			kept = append(kept, listed[i])
 		}
 	}
+	if kept == nil {
+		return listed
+	}
 	return kept
 }
