--- a/internal/standin/engine_batch.go
+++ b/internal/standin/engine_batch.go
@@ -26,6 +26,8 @@
 	Prompt    string `json:"prompt"`
 	MaxTokens int    `json:"max_tokens"`
 	Stream    bool   `json:"stream"`
+	// TokenBytes is the least length of each token of the response in bytes.
+	TokenBytes int `json:"token_bytes"`
 }
 
 // Answer returns the whole text that every engine generates for a prompt. A maxTokens of 0
@@ -45,6 +47,7 @@
 	tokens := make([]string, count)
 	for i := range tokens {
 		tokens[i] = "t" + strconv.FormatUint(hashPair(seed, uint64(i))>>40, 36) + " "
+		tokens[i] += strings.Repeat("x", max(request.TokenBytes-len(tokens[i]), 0))
 	}
 	return tokens
 }
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -59,6 +60,23 @@
 	Result string `json:"result"`
 	// Run is the sequence number of the run.
 	Run uint64 `json:"run"`
+	// Padding makes the response as long as the request asks for, see QueryPadding.
+	Padding string `json:"padding,omitempty"`
+}
+
+// QueryPadding is the name of a query parameter with the length of PlainResult.Padding in bytes.
+const QueryPadding = "padding"
+
+// maxPadding bounds PlainResult.Padding in bytes.
+const maxPadding = 8 << 20
+
+// paddingFor returns the padding that a request asks for; "" if it asks for none or for an invalid length.
+func paddingFor(r *http.Request) string {
+	length, err := strconv.Atoi(r.URL.Query().Get(QueryPadding))
+	if err != nil || length < 0 || length > maxPadding {
+		return ""
+	}
+	return strings.Repeat("x", length)
 }
 
 // Result returns the PlainResult.Result that any Plain sends in response to a call. The
@@ -97,6 +115,7 @@
 	p.end(index, bootEnded)
 	result := PlainResult{
 		Request: run.Request, Operation: run.Operation, Result: Result(run.Operation, body), Run: uint64(index) + 1,
+		Padding: paddingFor(r),
 	}
 	writeJSON(w, http.StatusOK, result)
 }
