Report crashes in an order that the seed fixes

Cause: reports of the crash register went through maps, whose order is another one in each run.

Change: the register gets the number that is drawn at each start of an entry and orders reports, samples and suspects by it.

--- a/internal/attempt/crash_assessment_test.go
+++ b/internal/attempt/crash_assessment_test.go
@@ -11,7 +11,7 @@
 func TestServedRunsPlanFewAssessments(t *testing.T) {
 	c := qt.New(t)
 	config, now, trait := DefaultCrashConfig(), time.Unix(1_000_000, 0), Fingerprint{1}
-	register := NewCrashRegister(config)
+	register := NewCrashRegister(config, 1<<32)
 	for _, server := range []string{"server-0", "server-1"} {
 		instance := ServerInstance{ID: server}
 		register.RecordBroken(now, instance, BrokenSend{Suspected: []Fingerprint{trait}, StartedAt: now.Add(-time.Second)})
--- a/internal/attempt/crash_counts_test.go
+++ b/internal/attempt/crash_counts_test.go
@@ -22,7 +22,7 @@
 // becomes one.
 func TestServedRunsAreTakenForSuspectsOnly(t *testing.T) {
 	c := qt.New(t)
-	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig(), registerNumber)
 	register.SetServers(start, "service", 3)
 	fingerprint, taken := attempt.Fingerprint{1}, 0
 	take := func(attempt.Fingerprint) bool {
@@ -53,7 +53,7 @@
 		digests := [2]uint64{}
 		for i := range digests {
 			// Earlier ends keep the trait from being cleared.
-			register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+			register := attempt.NewCrashRegister(attempt.DefaultCrashConfig(), registerNumber)
 			for j := range 30 {
 				crash(register, start.Add(time.Duration(j-60)*time.Second), fmt.Sprint("earlier-", j), attempt.Fingerprint{1})
 			}
@@ -73,7 +73,7 @@
 
 // A report with a negative duration, as after a clock was set back, would be the strongest evidence there is.
 func TestReportedRunsOfNegativeDurationAreIgnored(t *testing.T) {
-	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig(), registerNumber)
 	register.Merge(start, endReport("server-0", 0, attempt.SuspectedRun{Fingerprint: attempt.Fingerprint{1}, Duration: -time.Second}), unknown)
 	qt.Check(t, register.Status(start, []attempt.Fingerprint{{1}}), qt.Equals, attempt.RequestNormal)
 }
@@ -81,7 +81,7 @@
 // Each entry that passed on a count of another one would send the whole end to five more for each step of each count.
 func TestCountsOfOtherEntriesAreNotPassedOn(t *testing.T) {
 	c := qt.New(t)
-	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig(), registerNumber)
 	report := func(runs uint16) attempt.CrashUpdate {
 		return endReport("server-0", 0, attempt.SuspectedRun{
 			Fingerprint: attempt.Fingerprint{1}, Duration: crashRunTime, Served: []attempt.ServedRuns{{Entry: 1, Runs: runs}},
@@ -102,7 +102,7 @@
 // Reports of ends arrive in any order. An end that counted the runs served since a later one would have them twice.
 func TestEarlierEndDoesNotCountRunsServedAfterALaterOne(t *testing.T) {
 	c := qt.New(t)
-	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig(), registerNumber)
 	run := attempt.SuspectedRun{Fingerprint: attempt.Fingerprint{1}, Duration: crashRunTime}
 	register.Merge(start, endReport("later", time.Second, run), unknown)
 	register.RecordServed(start, []attempt.Fingerprint{{1}})
--- a/internal/attempt/crash_decision.go
+++ b/internal/attempt/crash_decision.go
@@ -37,7 +37,9 @@
 		}
 		all = append(all, suspect)
 	}
-	slices.SortFunc(all, func(a, b *suspectCase) int { return cmp.Compare(b.strength, a.strength) })
+	slices.SortFunc(all, func(a, b *suspectCase) int {
+		return cmp.Or(cmp.Compare(b.strength, a.strength), a.trait.compare(b.trait))
+	})
 	all = all[:min(len(all), maxCases)]
 	for _, suspect := range all {
 		switch {
--- a/internal/attempt/crash_findings_test.go
+++ b/internal/attempt/crash_findings_test.go
@@ -13,7 +13,7 @@
 // beside another suspect, or was known to too few entries.
 func TestAssessmentsOfSuspectsAreReported(t *testing.T) {
 	c := qt.New(t)
-	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig(), registerNumber)
 	register.SetServers(start, "service", 3)
 	fingerprint, now := attempt.Fingerprint{1}, start
 	settled := func() []attempt.CrashFinding {
--- a/internal/attempt/crash_register.go
+++ b/internal/attempt/crash_register.go
@@ -65,13 +65,6 @@
 	maxPendingTraits  = 256
 )
 
-// ServerInstance identifies one start of a backend server.
-type ServerInstance struct {
-	ID string `cbor:"1,keyasint"`
-	// Started is the start time in Unix milliseconds; 0 if unknown.
-	Started int64 `cbor:"2,keyasint,omitempty"`
-}
-
 // CrashRegister is an entry's knowledge of the traits of requests that crash the backend servers which run them, for
 // entries that send requests directly to backend servers. A trait is the request itself, as its caller repeats it, or a part
 // of its prompt that other requests may share; both have fingerprints and are treated alike. The register is built from
@@ -84,9 +77,11 @@
 // service end: failures of racks or zones, and other crash requests, raise it. Of several traits that explain the same ends,
 // the one that explains clearly more is quarantined, otherwise their combination.
 //
-// It does no I/O and is not safe for concurrent use.
+// It does no I/O and is not safe for concurrent use. Registers with the same number and the same calls return the same results.
 type CrashRegister struct {
-	config  CrashConfig
+	config CrashConfig
+	// random orders reports.
+	random  *rand.Rand
 	pending map[ServerInstance]*pendingSends
 	ends    map[ServerInstance]*serverEnd
 	// order has the ends in the order in which they were added, and may have ends that were removed.
@@ -102,8 +97,7 @@
 	assessAt time.Time
 	// cleared has the number of ends at which a trait was running that its served runs outweigh.
 	cleared map[Fingerprint]int
-	// number identifies the register's counts of served runs. It is drawn, so that a restarted entry does not add to counts
-	// that it has forgotten.
+	// number identifies the register's counts of served runs.
 	number uint64
 	// recent has the traits' recently served runs, strength the evidence of the last assessment against those with MinEnds
 	// ends.
@@ -181,14 +175,15 @@
 	Suspected, Survived []Fingerprint
 }
 
-// NewCrashRegister returns an empty register.
-func NewCrashRegister(config CrashConfig) *CrashRegister {
+// NewCrashRegister returns an empty register. The number must be drawn at random for each start of an entry, so that a restarted one
+// does not add to counts that it has forgotten.
+func NewCrashRegister(config CrashConfig, number uint64) *CrashRegister {
 	return &CrashRegister{
-		config: config, pending: map[ServerInstance]*pendingSends{}, ends: map[ServerInstance]*serverEnd{},
+		config: config, random: rand.New(rand.NewPCG(number, number)), pending: map[ServerInstance]*pendingSends{}, ends: map[ServerInstance]*serverEnd{},
 		suspects: map[Fingerprint][]ServerInstance{}, quarantine: NewQuarantine(),
 		servers: map[ident.Service]*serverCount{}, cleared: map[Fingerprint]int{}, changedEnds: map[ServerInstance]int{},
 		changedQuarantine: map[Fingerprint]int{}, lastFindings: map[Fingerprint]CrashFinding{},
-		number: rand.Uint64(), recent: map[Fingerprint]recentRuns{}, strength: map[Fingerprint]float64{},
+		number: number, recent: map[Fingerprint]recentRuns{}, strength: map[Fingerprint]float64{},
 	}
 }
 
@@ -299,8 +294,8 @@
 	}
 	delete(r.pending, server)
 	var survived []Fingerprint
-	for trait, run := range pending.runs {
-		if run.closed {
+	for _, trait := range sortedKeys(pending.runs, Fingerprint.compare) {
+		if pending.runs[trait].closed {
 			survived = append(survived, trait)
 		}
 	}
@@ -326,8 +321,8 @@
 	}
 	end := r.addEnd(server, service, at)
 	if pending != nil {
-		for fingerprint, run := range pending.runs {
-			r.addRun(now, server, end, fingerprint, run)
+		for _, trait := range sortedKeys(pending.runs, Fingerprint.compare) {
+			r.addRun(now, server, end, trait, pending.runs[trait])
 		}
 		delete(r.pending, server)
 	}
--- a/internal/attempt/crash_register_test.go
+++ b/internal/attempt/crash_register_test.go
@@ -15,6 +15,9 @@
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 )
 
+// registerNumber is the number of the register under test. No entry that reports to it has this number.
+const registerNumber = 1 << 32
+
 // crash records an end of a server during one run of a request.
 func crash(register *attempt.CrashRegister, now time.Time, server string, fingerprint attempt.Fingerprint) {
 	endRun(register, now, server, fingerprint, crashRunTime)
@@ -34,7 +37,7 @@
 // servers, at this entry or at others.
 func TestManyCrashRequestsTakeBoundedMemory(t *testing.T) {
 	const ownRequests, otherRequests, limitBytes = 1_000, 20_000, 12 << 20
-	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig(), registerNumber)
 	register.SetServers(start, "service", 10)
 	var before, after runtime.MemStats
 	runtime.GC()
@@ -68,7 +71,7 @@
 // weighing them would take the control thread's time.
 func TestManyDifferentPartsTakeBoundedMemoryAndTime(t *testing.T) {
 	const requests, partsPerRequest, limitBytes = 5_000, 32, 24 << 20
-	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig(), registerNumber)
 	register.SetServers(start, "service", 100)
 	var before, after runtime.MemStats
 	runtime.GC()
@@ -108,8 +111,8 @@
 func TestUpdatesInAnyOrderGiveTheSameRegister(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sources := []*attempt.CrashRegister{}
-		for range 3 {
-			sources = append(sources, attempt.NewCrashRegister(attempt.DefaultCrashConfig()))
+		for i := range 3 {
+			sources = append(sources, attempt.NewCrashRegister(attempt.DefaultCrashConfig(), uint64(i+1)))
 		}
 		now := start
 		var updates []attempt.CrashUpdate
@@ -124,7 +127,7 @@
 			}
 			updates = append(updates, register.TakeChanges(now, 4)...)
 		}
-		first, second := attempt.NewCrashRegister(attempt.DefaultCrashConfig()), attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+		first, second := attempt.NewCrashRegister(attempt.DefaultCrashConfig(), 4), attempt.NewCrashRegister(attempt.DefaultCrashConfig(), 5)
 		for i := range updates {
 			first.Merge(now, updates[i], unknown)
 		}
@@ -142,7 +145,7 @@
 // that were broken so are not suspects.
 func TestBrokenSendsToLivingServersAreNoEvidence(t *testing.T) {
 	c := qt.New(t)
-	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig(), registerNumber)
 	register.SetServers(start, "service", 3)
 	fingerprint, now := attempt.Fingerprint{1}, start
 	for i := range 20 {
@@ -165,7 +168,7 @@
 // earlier end would look likelier by chance, and the request could run once more on each server that returns.
 func TestEndsCountAmongTheServersListedBefore(t *testing.T) {
 	c := qt.New(t)
-	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig(), registerNumber)
 	register.SetServers(start, "service", 3)
 	fingerprint, now := attempt.Fingerprint{1}, start
 	for i := range 3 {
@@ -186,7 +189,7 @@
 // each trial run added no more than a chance end does, three of them would end servers, as many as the platform tolerates.
 func TestTwoTrialRunsThatEndServersAreEnough(t *testing.T) {
 	c := qt.New(t)
-	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig())
+	register := attempt.NewCrashRegister(attempt.DefaultCrashConfig(), registerNumber)
 	register.SetServers(start, "service", 3)
 	fingerprint, now := attempt.Fingerprint{1}, start
 	for i := range 3 {
--- a/internal/attempt/crash_reports.go
+++ b/internal/attempt/crash_reports.go
@@ -63,13 +63,13 @@
 // parts is returned by the next call.
 func (r *CrashRegister) TakeChanges(now time.Time, maxUpdates int) []CrashUpdate {
 	updates := updateWriter{limit: maxUpdates}
-	for server := range r.changedEnds {
+	for _, server := range shuffledKeys(r.random, r.changedEnds, ServerInstance.compare) {
 		if !updates.addEnd(r.report(now, server)) {
 			return updates.parts
 		}
 		countDown(r.changedEnds, server)
 	}
-	for fingerprint := range r.changedQuarantine {
+	for _, fingerprint := range shuffledKeys(r.random, r.changedQuarantine, Fingerprint.compare) {
 		if !updates.addNotice(r.quarantine.notice(now, fingerprint)) {
 			return updates.parts
 		}
@@ -91,18 +91,17 @@
 	return len(r.changedEnds)+len(r.changedQuarantine) > 0
 }
 
-// Sample returns at most maxUpdates parts of the register, for an entry whose digest differs. The iteration order of maps
-// makes each sample of a large register another one.
+// Sample returns at most maxUpdates parts of the register, for an entry whose digest differs. Samples of a large register differ.
 func (r *CrashRegister) Sample(now time.Time, maxUpdates int) []CrashUpdate {
 	updates := updateWriter{limit: maxUpdates}
-	for fingerprint := range r.quarantine.until {
+	for _, fingerprint := range shuffledKeys(r.random, r.quarantine.until, Fingerprint.compare) {
 		if !updates.addNotice(r.quarantine.notice(now, fingerprint)) {
 			break
 		}
 	}
 	updates.limit += maxUpdates
-	for server, end := range r.ends {
-		if len(end.runs) == 0 {
+	for _, server := range shuffledKeys(r.random, r.ends, ServerInstance.compare) {
+		if len(r.ends[server].runs) == 0 {
 			continue
 		}
 		if !updates.addEnd(r.report(now, server)) {
@@ -170,7 +169,8 @@
 func (r *CrashRegister) report(now time.Time, server ServerInstance) EndReport {
 	end := r.ends[server]
 	report := EndReport{Server: server, Service: end.service, Age: now.Sub(end.at)}
-	for fingerprint, run := range end.runs {
+	for _, fingerprint := range sortedKeys(end.runs, Fingerprint.compare) {
+		run := end.runs[fingerprint]
 		if run.survived {
 			report.Survived = append(report.Survived, fingerprint)
 			continue
--- a/internal/attempt/crash_served.go
+++ b/internal/attempt/crash_served.go
@@ -277,8 +277,9 @@
 // servedReports returns the counts of a trait at an end as they are reported.
 func (e *serverEnd) servedReports(trait Fingerprint) []ServedRuns {
 	var reports []ServedRuns
-	for key, runs := range e.served[trait] {
-		reports = append(reports, ServedRuns{Entry: key.entry, Before: key.before, Runs: reportedRuns(runs)})
+	counts := e.served[trait]
+	for _, key := range sortedKeys(counts, servedKey.compare) {
+		reports = append(reports, ServedRuns{Entry: key.entry, Before: key.before, Runs: reportedRuns(counts[key])})
 	}
 	return reports
 }
--- a/internal/attempt/crash_share_test.go
+++ b/internal/attempt/crash_share_test.go
@@ -43,9 +43,9 @@
 	w := &crashShareWorld{crashWorld: newCrashWorld(t, crashService{3, 16, []int{10, 30, 60}})}
 	w.servedRuns, w.open = map[*crashEntry]map[attempt.Fingerprint]int{}, map[*crashServer]openSends{}
 	w.entries = w.entries[:0]
-	for range w.draw("entries", 2, 6) {
+	for i := range w.draw("entries", 2, 6) {
 		w.entries = append(w.entries, &crashEntry{
-			register: attempt.NewCrashRegister(attempt.DefaultCrashConfig()), trials: attempt.NewTrialRuns(crashTrialSettleTime),
+			register: attempt.NewCrashRegister(attempt.DefaultCrashConfig(), uint64(i+1)), trials: attempt.NewTrialRuns(crashTrialSettleTime),
 			servedAt: map[attempt.Fingerprint]time.Time{}, known: map[attempt.Fingerprint]bool{},
 		})
 		w.entries[len(w.entries)-1].register.SetServers(start, "service", len(w.servers))
--- a/internal/attempt/crash_world_test.go
+++ b/internal/attempt/crash_world_test.go
@@ -374,9 +374,9 @@
 		lateRequests: map[attempt.Fingerprint]map[uint64]bool{},
 	}
 	w.lossPercent = w.draw("loss", 0, 20)
-	for range w.draw("entries", 1, 8) {
+	for i := range w.draw("entries", 1, 8) {
 		w.entries = append(w.entries, &crashEntry{
-			register: attempt.NewCrashRegister(attempt.DefaultCrashConfig()), trials: attempt.NewTrialRuns(crashTrialSettleTime), servedAt: map[attempt.Fingerprint]time.Time{}, known: map[attempt.Fingerprint]bool{},
+			register: attempt.NewCrashRegister(attempt.DefaultCrashConfig(), uint64(i+1)), trials: attempt.NewTrialRuns(crashTrialSettleTime), servedAt: map[attempt.Fingerprint]time.Time{}, known: map[attempt.Fingerprint]bool{},
 		})
 	}
 	for i := range w.draw("servers", service.minServers, service.maxServers) {
--- a/internal/attempt/log.go
+++ b/internal/attempt/log.go
@@ -1,7 +1,7 @@
 package attempt
 
 import (
-	"sort"
+	"cmp"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/fleet"
@@ -279,15 +279,6 @@
 	return DefaultRunKeyRetention
 }
 
-func sortedKeys(keys map[ident.RunKey]*loggedKey) []ident.RunKey {
-	sorted := make([]ident.RunKey, 0, len(keys))
-	for key := range keys {
-		sorted = append(sorted, key)
-	}
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
-	return sorted
-}
-
 func (s *serviceLog) indexOwner(key ident.RunKey, owner ident.VM) {
 	if s.byOwner != nil {
 		s.byOwner[owner] = append(s.byOwner[owner], key)
@@ -299,7 +290,7 @@
 	if s.byOwner == nil {
 		s.byOwner = map[ident.VM][]ident.RunKey{}
 		vms := backendVMs(s.service)
-		for _, key := range sortedKeys(s.keys) {
+		for _, key := range sortedKeys(s.keys, cmp.Compare) {
 			owner := RendezvousVM(string(key), vms)
 			s.byOwner[owner] = append(s.byOwner[owner], key)
 		}
--- a/internal/attempt/log_peers.go
+++ b/internal/attempt/log_peers.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -188,7 +189,7 @@
 
 func (s *serviceLog) allKeys(now time.Time) []DispatchedKey {
 	var keys []DispatchedKey
-	for _, name := range sortedKeys(s.keys) {
+	for _, name := range sortedKeys(s.keys, cmp.Compare) {
 		for _, target := range s.keys[name].targets {
 			if target.open > 0 || target.served {
 				keys = append(keys, target.dispatched(now, name))
--- a/internal/attempt/log_step.go
+++ b/internal/attempt/log_step.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"cmp"
 	"sort"
 	"time"
 
@@ -274,7 +275,7 @@
 func (s *serviceLog) keysForClaim(now time.Time, claim Claim, sameVersion bool) []DispatchedKey {
 	names := s.keysOwnedBy(claim.Claimant.VM)
 	if !sameVersion {
-		names = sortedKeys(s.keys)
+		names = sortedKeys(s.keys, cmp.Compare)
 	}
 	var keys []DispatchedKey
 	for _, name := range names {
--- a/internal/attempt/messages.go
+++ b/internal/attempt/messages.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"bytes"
 	"encoding/hex"
 	"time"
 
@@ -15,6 +16,9 @@
 // Fingerprint identifies a request over resends by customer, class and body digest, or a part of prompts.
 type Fingerprint [16]byte
 
+// compare orders fingerprints by their bytes.
+func (f Fingerprint) compare(other Fingerprint) int { return bytes.Compare(f[:], other[:]) }
+
 // String returns the fingerprint in hexadecimal, as in logs.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- a/internal/attempt/quarantine.go
+++ b/internal/attempt/quarantine.go
@@ -1,7 +1,6 @@
 package attempt
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 	"slices"
@@ -52,7 +51,7 @@
 		return members[0], q.Add(members[0], until)
 	}
 	members = slices.Clone(members)
-	slices.SortFunc(members, func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+	slices.SortFunc(members, Fingerprint.compare)
 	sum := sha256.New()
 	for i := range members {
 		sum.Write(members[i][:])
@@ -72,7 +71,7 @@
 	var first Fingerprint
 	var at time.Time
 	for fingerprint, until := range q.until {
-		if at.IsZero() || until.Before(at) {
+		if order := until.Compare(at); at.IsZero() || order < 0 || order == 0 && fingerprint.compare(first) < 0 {
 			first, at = fingerprint, until
 		}
 	}
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -147,7 +147,7 @@
 	return open
 }
 
-// NewDispatcher returns a dispatcher without backend servers for an entry in the zone.
+// NewDispatcher returns a dispatcher without backend servers for an entry in the zone. The seed must be drawn at random for each start.
 func NewDispatcher(zone ident.Zone, seed uint64, repeats attempt.RepeatConfig) *Dispatcher {
 	random := rand.New(rand.NewPCG(seed, seed^0x5bd1e995))
 	return &Dispatcher{
@@ -158,7 +158,7 @@
 		services: map[ident.Service][]*routing.Server{},
 		groups:   map[ident.Group]*groupState{},
 		repeats:  attempt.NewRepeats(repeats, random),
-		crashes:  attempt.NewCrashRegister(attempt.DefaultCrashConfig()),
+		crashes:  attempt.NewCrashRegister(attempt.DefaultCrashConfig(), seed),
 		limits:   map[string]*admission.ServerLimit{},
 		resting:  map[attempt.ServerInstance]time.Time{},
 		demands:  map[ident.Service]*serviceDemand{},
