Let the expected answer time recover without served requests

Cause: requests whose deadline the mean of the answer times exceeds are refused. After a slow period none was served that could correct the mean: a route stayed refused although its servers were idle.

Change: the mean halves for each second without a served request.

--- a/internal/control/entry_backends.go
+++ b/internal/control/entry_backends.go
@@ -20,6 +20,8 @@
 	maxPrefixBlocks = 2048
 	// meanSampleWeight is the weight of a new sample in the moving means of a service.
 	meanSampleWeight = 0.05
+	// answerTimeHalfLife is the time without a served request after which the mean of the answer times has halved.
+	answerTimeHalfLife = time.Second
 )
 
 // backendSet holds the backend servers that the entry leases: its subset of each service, and
@@ -48,6 +50,8 @@
 	// until its answer starts; 0 before the first sample.
 	serviceTime time.Duration
 	answerTime  time.Duration
+	// timesAt is when a request was last added to them.
+	timesAt time.Time
 	// slots is the number of open requests that the valid leases allow.
 	slots int
 }
@@ -160,9 +164,17 @@
 }
 
 // recordTimes adds the times of a served request to the means of the service.
-func (s *serviceState) recordTimes(answer, service time.Duration) {
-	s.answerTime = updateMean(s.answerTime, answer)
+func (s *serviceState) recordTimes(now time.Time, answer, service time.Duration) {
+	s.answerTime = updateMean(s.expectedAnswerTime(now), answer)
 	s.serviceTime = updateMean(s.serviceTime, service)
+	s.timesAt = now
+}
+
+// expectedAnswerTime returns the mean of the answer times, which halves for each answerTimeHalfLife without a served request. Requests whose
+// deadline it exceeds are refused: if it stayed as it is after a slow period, none would be served any more that could correct it.
+func (s *serviceState) expectedAnswerTime(now time.Time) time.Duration {
+	halvings := now.Sub(s.timesAt) / answerTimeHalfLife
+	return s.answerTime >> min(max(halvings, 0), 62)
 }
 
 // updateMean returns the exponential moving mean with a new sample.
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -352,7 +352,7 @@
 	if started.IsZero() {
 		started = now
 	}
-	service.recordTimes(started.Sub(call.dispatchedAt), now.Sub(call.dispatchedAt))
+	service.recordTimes(now, started.Sub(call.dispatchedAt), now.Sub(call.dispatchedAt))
 }
 
 // reportCapacity reports the slots under valid leases of each service to the admission.
@@ -368,7 +368,7 @@
 		}
 		service.slots = slots
 		e.stepAdmission(now, admission.Capacity{
-			Service: name, Slots: slots, ServiceTime: service.serviceTime, AnswerTime: service.answerTime,
+			Service: name, Slots: slots, ServiceTime: service.serviceTime, AnswerTime: service.expectedAnswerTime(now),
 		})
 	}
 	e.reportDemand(now, views)
