Don't take a stream that its caller does not read for a stall of its group

Cause: a write to a caller that does not read blocks, and the stream's watchdog and its group's progress saw no event meanwhile. The stream was sent to another server, which is a repeat, and the group was avoided as stalled: one caller that pauses took a group away from all. The same held while a comment was being written.

Change: the watchdog pauses while a part of a stream is written to the caller, and a group's streams that are held by their callers count as such (RecordHeld): a group stalls only if it has other open requests.

--- a/internal/control/dispatcher_test.go
+++ b/internal/control/dispatcher_test.go
@@ -190,6 +190,18 @@
 	c.Assert(groups["g0"] > 0, qt.IsTrue)
 }
 
+// Simulates a group whose only stream waits for its caller to read. It must get the requests of others, unless they get no event either.
+func TestGroupWithHeldStreamsGetsRequests(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(1, 0)
+	single(c, d.RequestBackend(clockAt(0), testRequest(1, clockAt(0), 500)))
+	d.RecordProgress("g0", clockAt(100))
+	d.RecordHeld("g0", 1)
+	c.Assert(single(c, d.RequestBackend(clockAt(1000), testRequest(2, clockAt(1000), 500))).Backend.Group, qt.Equals, ident.Group("g0"))
+	c.Assert(single(c, d.RequestBackend(clockAt(1300), testRequest(3, clockAt(1300), 500))).Backend.Group, qt.Equals, ident.Group("g0"))
+	c.Assert(d.RequestBackend(clockAt(1500), testRequest(4, clockAt(1500), 500)), qt.HasLen, 0, qt.Commentf("the group is stalled"))
+}
+
 // Simulates the restart after a loss of power, when no group runs requests for a second.
 // Requests must wait for a group, and be refused with a retry time if none is back in time.
 func TestOutageOfAllGroups(t *testing.T) {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -197,23 +197,42 @@
 	return netip.AddrPortFrom(ip, uint16(port)), err == nil
 }
 
-// recordProgress records that a group sent an event.
-func (g *Gateway) recordProgress(group ident.Group, now time.Time) {
-	if group == "" {
-		return
-	}
-	last, ok := g.lastProgress.Load(group)
+// groupProgress is what the streams of one group at this entry show of its progress.
+type groupProgress struct {
+	// eventAt is when an event was last received from the group, or a write of one to a caller ended.
+	eventAt atomic.Pointer[time.Time]
+	// writes is the number of events that are being written to callers.
+	writes atomic.Int32
+}
+
+// progressOf returns the progress of a group.
+func (g *Gateway) progressOf(group ident.Group) *groupProgress {
+	progress, ok := g.progress.Load(group)
 	if !ok {
-		last, _ = g.lastProgress.LoadOrStore(group, &atomic.Pointer[time.Time]{})
+		progress, _ = g.progress.LoadOrStore(group, &groupProgress{})
 	}
-	last.(*atomic.Pointer[time.Time]).Store(&now)
+	return progress.(*groupProgress)
+}
+
+// beginWrite records that an event was received, which is written to its caller from now on.
+func (p *groupProgress) beginWrite(now time.Time) {
+	p.eventAt.Store(&now)
+	p.writes.Add(1)
+}
+
+// endWrite records the end of the write. If the caller has taken long, the group could send nothing meanwhile.
+func (p *groupProgress) endWrite(now time.Time) {
+	p.eventAt.Store(&now)
+	p.writes.Add(-1)
 }
 
 // forwardProgress passes the groups' recorded progress to the dispatcher.
 func (g *Gateway) forwardProgress() {
-	g.lastProgress.Range(func(group, last any) bool {
-		if at := last.(*atomic.Pointer[time.Time]).Load(); at != nil {
+	g.progress.Range(func(group, value any) bool {
+		progress := value.(*groupProgress)
+		if at := progress.eventAt.Load(); at != nil {
 			g.dispatcher.RecordProgress(group.(ident.Group), *at)
+			g.dispatcher.RecordHeld(group.(ident.Group), int(progress.writes.Load()))
 		}
 		return true
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,8 +138,8 @@
 	runningStreams streamTable
 	// crashesKnown is true while the control thread knows of requests that may have crashed a backend server.
 	crashesKnown atomic.Bool
-	// lastProgress maps each group to the time at which it last sent an event on one of this entry's streams.
-	lastProgress sync.Map
+	// progress maps each group to its *groupProgress.
+	progress sync.Map
 
 	// evacuations has the evacuated availability zones.
 	evacuations evacuationTable
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -134,11 +134,11 @@
 			conn.reset()
 			return c.handleInterruption(ctx)
 		}
-		if !event.comment {
-			expectNumber = false
-			watchdog.eventReceived()
-		}
-		if !c.writeEvent(response, event, events.hasBuffered()) {
+		expectNumber = expectNumber && event.comment
+		watchdog.pause()
+		written := c.writeEvent(response, event, events.hasBuffered())
+		watchdog.resume(!event.comment)
+		if !written {
 			conn.reset()
 			c.result = c.runs.Unserved(outcome.CauseCallerGone)
 			return exchangeResult{sendResult: routing.SendAbandoned, done: true}
@@ -202,7 +202,11 @@
 	c.startStream(response)
 	if now := time.Now(); !event.comment {
 		c.recordGap(now)
-		c.gateway.recordProgress(c.assigned.Backend.Group, now)
+		if group := c.assigned.Backend.Group; group != "" {
+			progress := c.gateway.progressOf(group)
+			progress.beginWrite(now)
+			defer func() { progress.endWrite(time.Now()) }()
+		}
 	}
 	c.extendWriteDeadline()
 	if _, err := c.w.Write(event.bytes); err != nil {
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -23,6 +23,11 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	ended bool
+	// due is when the timer fires. paused is true while a part of the stream is being written to the caller: then it is the caller that holds
+	// the stream up, and left is what was left until due when it began.
+	due    time.Time
+	paused bool
+	left   time.Duration
 	// replacement is the backend server that continues the stream; moved is true if the stream's own one has not failed.
 	replacement *control.Assignment
 	moved       bool
@@ -38,27 +43,57 @@
 	}
 	w := &stallWatchdog{call: c, ctx: ctx, conn: conn, request: c.replacementRequest(), server: c.assigned.Backend.ID}
 	w.mu.Lock()
+	w.due = time.Now().Add(streamStallTimeout)
 	w.timer = time.AfterFunc(streamStallTimeout, w.requestReplacement)
 	w.mu.Unlock()
 	c.gateway.runningStreams.add(w)
 	return w
 }
 
-// eventReceived restarts the stall timeout.
-func (w *stallWatchdog) eventReceived() {
+// pause stops the stall timeout while a part of the stream is being written to the caller.
+func (w *stallWatchdog) pause() {
 	if w == nil {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.ended {
-		w.timer.Reset(streamStallTimeout)
+	w.paused, w.left = true, max(time.Until(w.due), 0)
+	w.timer.Stop()
+}
+
+// resume continues the stall timeout after a part of the stream has been written to the caller. An event starts it anew, a comment does
+// not.
+func (w *stallWatchdog) resume(event bool) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.paused = false
+	if event {
+		w.left = streamStallTimeout
+	}
+	w.restart(w.left)
+}
+
+// restart lets the stall timeout end after some time, for callers that hold the lock.
+func (w *stallWatchdog) restart(timeout time.Duration) {
+	if !w.ended && !w.paused {
+		w.due = time.Now().Add(timeout)
+		w.timer.Reset(timeout)
 	}
 }
 
 // requestReplacement requests another backend server for a stalled stream. If none is available, it tries again after another
 // stall timeout.
 func (w *stallWatchdog) requestReplacement() {
+	w.mu.Lock()
+	paused := w.paused
+	w.mu.Unlock()
+	if paused {
+		// The timer has fired while it was being stopped.
+		return
+	}
 	// The wait for a replacement starts now, not at the call's arrival.
 	request := w.request
 	request.Arrived = time.Now()
@@ -67,9 +102,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.ended {
-		w.timer.Reset(streamStallTimeout)
-	}
+	w.restart(streamStallTimeout)
 }
 
 // replaceStream requests a backend server that continues the stream. It returns whether there is one, and false for asked if the
