--- a/internal/admission/memory.go
+++ b/internal/admission/memory.go
@@ -6,36 +6,61 @@
 // four fifths of the limit at most, so that the short requests of others find room beside its long ones.
 const customerMemoryFactor = 4
 
-// MemoryAccount decides whether the process has memory for the bodies of requests and buffered responses. All sizes are in bytes.
+// MemoryLimits bounds what a MemoryAccount holds, in bytes.
+type MemoryLimits struct {
+	// Requests bounds the bodies of requests, Bodies these and buffered responses.
+	Requests, Bodies int64
+	// Heads bounds the heads of requests.
+	Heads int64
+	// Total bounds bodies, responses, heads and connections together. Connections and heads have room up to limits of their own; it is
+	// bodies that find less room beside them.
+	Total int64
+}
+
+// MemoryAccount decides whether the process has memory for what it holds for its callers. All sizes are in bytes.
 type MemoryAccount struct {
-	requestLimit, totalLimit int64
-	requests, responses      int64
-	byCustomer               map[ident.Customer]int64
+	limits              MemoryLimits
+	requests, responses int64
+	heads, connections  int64
+	byCustomer          map[ident.Customer]int64
 }
 
-// NewMemoryAccount returns an account in which requests hold at most requestLimit bytes, and requests and responses at most
-// totalLimit.
-func NewMemoryAccount(requestLimit, totalLimit int64) *MemoryAccount {
-	return &MemoryAccount{requestLimit: requestLimit, totalLimit: totalLimit, byCustomer: map[ident.Customer]int64{}}
+// NewMemoryAccount returns an account that holds nothing.
+func NewMemoryAccount(limits MemoryLimits) *MemoryAccount {
+	return &MemoryAccount{limits: limits, byCustomer: map[ident.Customer]int64{}}
 }
 
 // MemoryUse is what a MemoryAccount holds. Customer is the use of one customer's requests.
 type MemoryUse struct {
-	Requests, Responses, Customer, RequestLimit, TotalLimit int64
+	Requests, Responses, Customer, Heads, Connections int64
+	Limits                                            MemoryLimits
 }
 
 // Use returns what the account holds.
 func (a *MemoryAccount) Use(customer ident.Customer) MemoryUse {
 	return MemoryUse{
-		Requests: a.requests, Responses: a.responses, Customer: a.byCustomer[customer],
-		RequestLimit: a.requestLimit, TotalLimit: a.totalLimit,
+		Requests: a.requests, Responses: a.responses, Customer: a.byCustomer[customer], Heads: a.heads, Connections: a.connections, Limits: a.limits,
 	}
 }
 
+// freeForBodies returns what bodies and buffered responses may still take together.
+func (a *MemoryAccount) freeForBodies() int64 {
+	bodies := a.requests + a.responses
+	return min(a.limits.Bodies-bodies, a.limits.Total-bodies-a.heads-a.connections)
+}
+
+// freeForRequests returns what bodies of requests may still take.
+func (a *MemoryAccount) freeForRequests() int64 {
+	return min(a.limits.Requests-a.requests, a.freeForBodies())
+}
+
+// HasRoom reports whether bytes for a body of a request are free, whoever asks for them.
+func (a *MemoryAccount) HasRoom(bytes int64) bool { return bytes <= a.freeForRequests() }
+
 // TakeRequest takes bytes for the body of a customer's request. It returns false if they are not free, or if the customer would hold
 // too much of the limit. A customer that holds nothing gets what is free.
 func (a *MemoryAccount) TakeRequest(customer ident.Customer, bytes int64) bool {
-	free := min(a.requestLimit-a.requests, a.totalLimit-a.requests-a.responses) - bytes
+	free := a.freeForRequests() - bytes
 	held := a.byCustomer[customer]
 	if free < 0 || held > 0 && held+bytes > customerMemoryFactor*free {
 		return false
@@ -47,7 +72,7 @@
 
 // TakeResponse takes bytes for a response. Responses are work that servers have done, so that the limits of customers do not apply.
 func (a *MemoryAccount) TakeResponse(bytes int64) bool {
-	if a.requests+a.responses+bytes > a.totalLimit {
+	if bytes > a.freeForBodies() {
 		return false
 	}
 	a.responses += bytes
@@ -62,3 +87,18 @@
 		delete(a.byCustomer, customer)
 	}
 }
+
+// TakeHead takes bytes for the head of a request. It returns false if they are not free.
+func (a *MemoryAccount) TakeHead(bytes int64) bool {
+	if a.heads+bytes > a.limits.Heads {
+		return false
+	}
+	a.heads += bytes
+	return true
+}
+
+// ReturnHead returns bytes that TakeHead has taken.
+func (a *MemoryAccount) ReturnHead(bytes int64) { a.heads -= bytes }
+
+// AddConnections records that connections hold more memory, or less. Their number has a limit of its own.
+func (a *MemoryAccount) AddConnections(bytes int64) { a.connections += bytes }
--- a/internal/admission/memory_test.go
+++ b/internal/admission/memory_test.go
@@ -16,7 +16,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		requestLimit := rapid.Int64Range(1<<20, 1<<27).Draw(t, "request limit")
 		totalLimit := requestLimit + rapid.Int64Range(0, 1<<26).Draw(t, "for responses")
-		account := admission.NewMemoryAccount(requestLimit, totalLimit)
+		account := admission.NewMemoryAccount(admission.MemoryLimits{Requests: requestLimit, Bodies: totalLimit, Total: totalLimit})
 		type held struct {
 			customer          ident.Customer
 			request, response int64
@@ -63,7 +63,7 @@
 func TestLongBodiesLeaveRoomForOtherCustomers(t *testing.T) {
 	c := qt.New(t)
 	const limit, long, short = 80 << 20, 4 << 20, 1 << 10
-	account := admission.NewMemoryAccount(limit, limit)
+	account := admission.NewMemoryAccount(admission.MemoryLimits{Requests: limit, Bodies: limit, Total: limit})
 	taken := 0
 	for account.TakeRequest("long", long) {
 		taken++
@@ -74,3 +74,20 @@
 	}
 	c.Assert(account.TakeRequest("long", long), qt.IsFalse)
 }
+
+// Heads and connections took memory beside the bodies without a limit.
+func TestHeadsAndConnectionsLeaveBodiesLessRoom(t *testing.T) {
+	c := qt.New(t)
+	account := admission.NewMemoryAccount(admission.MemoryLimits{Requests: 45, Bodies: 52, Heads: 6, Total: 60})
+	c.Assert(account.TakeHead(6), qt.IsTrue)
+	c.Assert(account.TakeHead(1), qt.IsFalse)
+	account.AddConnections(20)
+	c.Assert(account.TakeRequest("a", 35), qt.IsFalse)
+	c.Assert(account.TakeRequest("a", 20), qt.IsTrue)
+	c.Assert(account.TakeResponse(15), qt.IsFalse)
+	c.Assert(account.TakeResponse(14), qt.IsTrue)
+	account.ReturnHead(6)
+	account.AddConnections(-20)
+	c.Assert(account.TakeRequest("b", 18), qt.IsTrue)
+	c.Assert(account.TakeResponse(1), qt.IsFalse)
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -149,7 +149,7 @@
 	if known := a.jobs[id]; known != nil {
 		return known, false
 	}
-	created := &job{payload: payload, answer: relay.NewAnswerBuffer(a.config.Settings.MaxAnswerBytes)}
+	created := &job{payload: payload, answer: relay.NewAnswerBuffer(a.config.Settings.MaxAnswerBytes, nil)}
 	a.jobs[id] = created
 	return created, true
 }
--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
+	"github.com/bramleyspool/bramleyspool/internal/callermem"
 	"github.com/bramleyspool/bramleyspool/internal/gateway"
 	"github.com/bramleyspool/bramleyspool/internal/node"
 	"github.com/bramleyspool/bramleyspool/internal/rankagent"
@@ -26,9 +27,6 @@
 const (
 	// logLinesPerSecond limits the log output. An entry serves about ten calls per second and logs one line for each.
 	logLinesPerSecond = 100
-	// memoryLimitShare is the part of the process's memory limit that is set as the soft limit of the Go runtime. Above it the
-	// garbage collector runs more often.
-	memoryLimitShare = 0.6
 	// settingsPollInterval is how often the settings file is read again, since it can change without a SIGHUP.
 	settingsPollInterval = 2 * time.Second
 	// signalBuffer is the number of signals that are kept until they are handled.
@@ -82,7 +80,7 @@
 		return err
 	}
 	if loaded.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(loaded.MemoryLimit)))
+		debug.SetMemoryLimit(int64(callermem.CollectorShare * float64(loaded.MemoryLimit)))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -7,11 +7,13 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/bramleyspool/bramleyspool/internal/callermem"
 	"github.com/bramleyspool/bramleyspool/internal/program"
 	"github.com/bramleyspool/bramleyspool/internal/settings"
 )
@@ -66,6 +68,9 @@
 	if err != nil {
 		return err
 	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(callermem.CollectorShare * float64(loaded.MaxMemoryBytes())))
+	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	defer signal.Stop(signals)
--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -16,6 +17,8 @@
 const (
 	// openTimeout bounds the opening of a call stream, and the write of the messages that start it.
 	openTimeout = 2 * time.Second
+	// answerMemoryInterval is the interval at which a part of an answer that finds no memory is tried again.
+	answerMemoryInterval = 20 * time.Millisecond
 	// maxAnswerBytes is the maximum size of an answer's body.
 	maxAnswerBytes = 8 << 20
 )
@@ -94,7 +97,17 @@
 				x.startStream(id, *message, buffer)
 			}
 		case *relay.AnswerData:
-			if message.ID != id || message.Offset != offset || buffer.Append(message.Bytes) != nil {
+			if message.ID != id || message.Offset != offset {
+				x.rejectStream(id)
+				return
+			}
+			err := x.appendAnswer(call.Context(), buffer, message.Bytes)
+			if errors.Is(err, relay.ErrNoMemory) {
+				x.entry.host.Count("answers_dropped", "memory")
+				x.entry.host.Post(control.AnswerBroken{ID: id})
+				return
+			}
+			if err != nil {
 				x.rejectStream(id)
 				return
 			}
@@ -111,6 +124,23 @@
 	x.entry.host.Post(control.AnswerBroken{ID: id})
 }
 
+// appendAnswer adds a part of an answer to its buffer. If there is no memory for it, the agent waits, as long as the entry waits for a write
+// to a caller.
+func (x *exchange) appendAnswer(ctx context.Context, buffer *relay.AnswerBuffer, part []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, x.entry.writeTimeout())
+	defer cancel()
+	for {
+		err := buffer.Append(part)
+		if !errors.Is(err, relay.ErrNoMemory) || ctx.Err() != nil || x.memory.Ended() {
+			return err
+		}
+		select {
+		case <-time.After(answerMemoryInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // rejectStream counts a stream whose content does not match its attempt, and posts AnswerBroken. All such streams have
 // the reason "foreign": messages of another attempt or agent, data at a wrong offset or beyond maxAnswerBytes, and a
 // body whose length or digest differs from the final reply's.
@@ -169,7 +199,7 @@
 	x := s.exchange
 	x.setAnswerHeader(head)
 	x.writer.Header().Set("Trailer", HeaderOutcome)
-	x.extendWriteDeadline()
+	x.entry.extendWriteDeadline(x.writer)
 	x.writer.WriteHeader(head.Status)
 	return nil
 }
@@ -177,7 +207,7 @@
 // Data writes and flushes a part of the body.
 func (s *callerSink) Data(offset int64, data []byte) error {
 	x := s.exchange
-	x.extendWriteDeadline()
+	x.entry.extendWriteDeadline(x.writer)
 	if _, err := x.writer.Write(data); err != nil {
 		return err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/callerconn"
+	"github.com/bramleyspool/bramleyspool/internal/callermem"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/network"
@@ -30,6 +31,8 @@
 	shutdownTimeout = 5 * time.Second
 	// idleTimeout is how long a caller's idle connection is kept open.
 	idleTimeout = 2 * time.Minute
+	// evictionReportInterval is the interval at which closed connections are logged.
+	evictionReportInterval = time.Second
 )
 
 // Config configures an entry.
@@ -53,6 +56,7 @@
 	listener      net.Listener
 	server        *http.Server
 	connections   *callerconn.Table
+	memory        *callermem.Account
 	openCalls     atomic.Int64
 	// leaving is true once a planned stop has begun.
 	leaving atomic.Bool
@@ -78,7 +82,14 @@
 		exchanges: map[ident.Request]*exchange{},
 		inquiries: map[ident.Request]chan attempt.KeyAnswer{},
 	}
-	e.connections = callerconn.NewTable(func(*callerconn.Conn) { e.host.Count("requests_dropped", "") })
+	memoryLimit := config.Settings.MaxMemoryBytes
+	e.memory = callermem.NewAccount(memoryLimit)
+	e.connections = callerconn.NewTable(callerconn.Config{
+		MaxConnections: callermem.MaxConnections(memoryLimit, callermem.Descriptors(0)),
+		Memory:         e.memory,
+		Refusal:        connectionRefusal(),
+		OnDropped:      func(*callerconn.Conn) { e.host.Count("requests_dropped", "") },
+	})
 	e.server = &http.Server{
 		Handler:           e.trackRequests(e.routes()),
 		ReadHeaderTimeout: e.readTimeout(),
@@ -118,14 +129,34 @@
 
 // Start starts to serve callers.
 func (e *Entry) Start() {
-	tracked := e.connections.Track(e.server, e.listener)
+	tracked, err := e.connections.Track(e.server, e.listener)
+	if err != nil {
+		e.host.Log().WithError(err).Warn("callers-buffers-not-bounded")
+	}
 	e.host.Spawn(func(context.Context) { _ = e.server.Serve(tracked) })
+	e.host.Spawn(e.reportEvictions)
 	e.host.Spawn(func(ctx context.Context) {
 		<-ctx.Done()
 		e.closeConnections(context.WithoutCancel(ctx))
 	})
 }
 
+// reportEvictions logs and counts the connections that have been closed to make room, until the context ends.
+func (e *Entry) reportEvictions(ctx context.Context) {
+	ticker := time.NewTicker(evictionReportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		e.connections.ReportEvictions(e.host.Log(), func(reason callerconn.Eviction, number int) {
+			e.host.CountN("caller_connections_evicted", string(reason), number)
+		})
+	}
+}
+
 // closeConnections closes the listener, and each connection when no request uses it. Requests that are read meanwhile are refused.
 func (e *Entry) closeConnections(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
@@ -139,14 +170,23 @@
 	}
 }
 
-// trackRequests tells the table of connections which requests reach a handler, and lets callers leave a stopping entry.
+// trackRequests tells the table of connections which requests reach a handler, bounds the time in which their bodies may be read or
+// discarded, and lets callers leave an entry that stops or has no room for others.
 func (e *Entry) trackRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		e.connections.RecordRequest(r.Context())
-		if e.leaving.Load() {
+		e.connections.RecordRequest(r)
+		deadline := time.Now().Add(e.readTimeout())
+		if r.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(deadline)
+		}
+		if e.leaving.Load() || e.connections.Crowded() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
+		// The handler has refused a request whose body it has not read.
+		if r.ContentLength != 0 && !callerconn.DiscardBody(w, r, e.config.Settings.MaxBodyBytes, deadline) && w.Header().Get("Connection") != "close" {
+			abortConnection()
+		}
 	})
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/callermem"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
@@ -24,6 +25,8 @@
 	writer  http.ResponseWriter
 	request *http.Request
 	payload *relay.Payload
+	// memory is what the call has taken from the entry's memory account.
+	memory *callermem.Call
 
 	mu      sync.Mutex
 	actions []control.Action
@@ -42,13 +45,14 @@
 	streamedBytes int64
 }
 
-func newExchange(e *Entry, w http.ResponseWriter, r *http.Request, id ident.Request, payload *relay.Payload) *exchange {
+func newExchange(e *Entry, w http.ResponseWriter, r *http.Request, id ident.Request, payload *relay.Payload, memory *callermem.Call) *exchange {
 	return &exchange{
 		entry:   e,
 		id:      id,
 		writer:  w,
 		request: r,
 		payload: payload,
+		memory:  memory,
 		notify:  make(chan struct{}, 1),
 		answers: map[attempt.AttemptID]*relay.AnswerBuffer{},
 	}
@@ -108,10 +112,10 @@
 		abortConnection()
 	}
 	if !x.opened {
-		writeProblem(x.writer, control.RefusedLeaving())
+		x.entry.writeProblem(x.writer, control.RefusedLeaving())
 		return
 	}
-	writeProblem(x.writer, outcome.InDoubt(outcome.CauseConnectionLost, ""))
+	x.entry.writeProblem(x.writer, outcome.InDoubt(outcome.CauseConnectionLost, ""))
 }
 
 func (x *exchange) isStreaming() bool {
@@ -126,7 +130,7 @@
 	defer x.mu.Unlock()
 	answer := x.answers[id]
 	if answer == nil {
-		answer = relay.NewAnswerBuffer(maxAnswerBytes)
+		answer = relay.NewAnswerBuffer(maxAnswerBytes, x.memory.TakeResponse)
 		x.answers[id] = answer
 	}
 	return answer
@@ -156,7 +160,7 @@
 			x.endStream(finish)
 			return x.partialOutcome(finish.Outcome)
 		}
-		writeProblem(x.writer, finish.Outcome)
+		x.entry.writeProblem(x.writer, finish.Outcome)
 		return finish.Outcome
 	}
 	if x.isStreaming() {
@@ -179,13 +183,13 @@
 	head, body := x.answerBuffer(finish.Source).Content()
 	if head == nil || int64(len(body)) != finish.Answer.Length {
 		incomplete := outcome.InDoubt(outcome.CauseBrokenStream, "")
-		writeProblem(x.writer, incomplete)
+		x.entry.writeProblem(x.writer, incomplete)
 		return incomplete
 	}
 	x.setAnswerHeader(*head)
 	x.writer.Header().Set(HeaderOutcome, outcome.Served.String())
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.extendWriteDeadline()
+	x.entry.extendWriteDeadline(x.writer)
 	x.writer.WriteHeader(head.Status)
 	if _, err := x.writer.Write(body); err != nil {
 		return outcome.InDoubt(outcome.CauseCallerGone, "")
@@ -238,8 +242,3 @@
 	"Location":         true,
 	"Cache-Control":    true,
 }
-
-// extendWriteDeadline sets the deadline of the next write to the caller.
-func (x *exchange) extendWriteDeadline() {
-	_ = http.NewResponseController(x.writer).SetWriteDeadline(time.Now().Add(x.entry.writeTimeout()))
-}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/callerconn"
+	"github.com/bramleyspool/bramleyspool/internal/callermem"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
@@ -38,6 +39,10 @@
 	maxKeyBytes = 256
 	// inquiryTimeout bounds an inquiry about the state of a run key.
 	inquiryTimeout = 2 * time.Second
+	// memoryRetryAfter is the Retry-After of calls for whose body there is no memory.
+	memoryRetryAfter = time.Second
+	// bodyCopies is how often a body is in memory at a time: as read, and as sent to an agent.
+	bodyCopies = 2
 )
 
 func (e *Entry) routes() http.Handler {
@@ -71,11 +76,11 @@
 	call := authenticatedCall{id: e.newRequestID(), configuration: e.configuration.Load()}
 	w.Header().Set(HeaderRequest, string(call.id))
 	if e.host.Context().Err() != nil {
-		e.refuse(w, control.RefusedLeaving())
+		e.refuse(w, r, control.RefusedLeaving())
 		return call, false
 	}
 	if call.configuration == nil {
-		e.refuse(w, outcome.Refused(outcome.CauseNotReady))
+		e.refuse(w, r, outcome.Refused(outcome.CauseNotReady))
 		return call, false
 	}
 	credential, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
@@ -83,7 +88,7 @@
 		call.customer, ok = call.configuration.Templates.CustomerOf(credential)
 	}
 	if !ok {
-		e.refuse(w, outcome.Refused(outcome.CauseUnauthorized))
+		e.refuse(w, r, outcome.Refused(outcome.CauseUnauthorized))
 		return call, false
 	}
 	return call, true
@@ -91,16 +96,19 @@
 
 // refuse answers a call or an inquiry that was not passed to the control thread, and counts it in front_refused by its
 // cause.
-func (e *Entry) refuse(w http.ResponseWriter, refused outcome.Outcome) {
+func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, refused outcome.Outcome) {
 	e.host.Count("front_refused", string(refused.Cause))
-	writeProblem(w, refused)
+	if r.ContentLength != 0 {
+		callerconn.RespondBeforeBody(w, r, e.config.Settings.MaxBodyBytes, false)
+	}
+	e.writeProblem(w, refused)
 }
 
 // refuseAndRecord refuses a customer's call and posts the refusal to the control thread, which
 // counts it in the overload account.
-func (e *Entry) refuseAndRecord(w http.ResponseWriter, call authenticatedCall, class ident.Class, refused outcome.Outcome) {
+func (e *Entry) refuseAndRecord(w http.ResponseWriter, r *http.Request, call authenticatedCall, class ident.Class, refused outcome.Outcome) {
 	e.host.Post(control.CallRejected{Customer: call.customer, Class: class, Outcome: refused})
-	e.refuse(w, refused)
+	e.refuse(w, r, refused)
 }
 
 func (e *Entry) serveModel(w http.ResponseWriter, r *http.Request) {
@@ -110,7 +118,7 @@
 	}
 	class := call.configuration.Templates.ModelClass(call.customer, ident.Class(r.Header.Get(HeaderClass)))
 	if class == nil {
-		e.refuseAndRecord(w, call, "", outcome.Refused(outcome.CauseNoRoute))
+		e.refuseAndRecord(w, r, call, "", outcome.Refused(outcome.CauseNoRoute))
 		return
 	}
 	e.serve(w, r, call, class)
@@ -123,7 +131,7 @@
 	}
 	class := call.configuration.Templates.ClassOfRoute(call.customer, r.Method, r.URL.Path)
 	if class == nil {
-		e.refuseAndRecord(w, call, "", outcome.Refused(outcome.CauseNoRoute))
+		e.refuseAndRecord(w, r, call, "", outcome.Refused(outcome.CauseNoRoute))
 		return
 	}
 	e.serve(w, r, call, class)
@@ -135,36 +143,63 @@
 	// A call above the limit of open calls is refused with the same cause as one that finds the control queue full.
 	if e.openCalls.Add(1) > int64(e.config.Settings.MaxOpenCalls) {
 		e.openCalls.Add(-1)
-		e.refuseAndRecord(w, call, class.Name, outcome.Refused(outcome.CauseControlQueueFull))
+		e.refuseAndRecord(w, r, call, class.Name, outcome.Refused(outcome.CauseControlQueueFull))
 		return
 	}
 	defer e.openCalls.Add(-1)
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.readTimeout()))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.config.Settings.MaxBodyBytes))
+	memory := &callermem.Call{Account: e.memory}
+	defer memory.Return()
+	body, err := e.readBody(w, r, call.customer, memory)
 	if err != nil {
-		e.refuseAndRecord(w, call, class.Name, bodyReadOutcome(err))
+		e.refuseAndRecord(w, r, call, class.Name, e.bodyReadOutcome(r, err))
 		return
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	arrived, payload, result := parseCall(r, call, class, body)
 	if result.Kind != outcome.Open {
-		e.refuseAndRecord(w, call, class.Name, result)
+		e.refuseAndRecord(w, r, call, class.Name, result)
 		return
 	}
-	exchange := newExchange(e, w, r, call.id, payload)
+	exchange := newExchange(e, w, r, call.id, payload, memory)
 	e.addExchange(exchange)
 	defer e.removeExchange(exchange)
 	if !e.host.Offer(arrived) {
-		e.refuseAndRecord(w, call, class.Name, outcome.Refused(outcome.CauseControlQueueFull))
+		e.refuseAndRecord(w, r, call, class.Name, outcome.Refused(outcome.CauseControlQueueFull))
 		return
 	}
 	exchange.run()
 }
 
-func bodyReadOutcome(err error) outcome.Outcome {
+// readBody reads the body of a call, which has none afterwards. The error is a *http.MaxBytesError if it is too long, and
+// callermem.ErrFull if there is no memory for it; nothing of such a body is read if its length is known.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, customer ident.Customer, memory *callermem.Call) ([]byte, error) {
+	limit := e.config.Settings.MaxBodyBytes
+	if r.ContentLength > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	take := func(bytes int64) bool {
+		bytes *= bodyCopies
+		return e.connections.TakeBody(r.Context(), bytes, func() bool { return memory.TakeRequest(customer, bytes) })
+	}
+	body, err := callermem.ReadAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, take)
+	if err != nil {
+		return nil, err
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	e.connections.RecordRead(r.Context())
+	r.Body, r.ContentLength = http.NoBody, 0
+	return body, nil
+}
+
+// bodyReadOutcome returns the outcome of a call whose body could not be read.
+func (e *Entry) bodyReadOutcome(r *http.Request, err error) outcome.Outcome {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return outcome.Refused(outcome.CauseTooLarge)
+	case errors.Is(err, callermem.ErrFull), e.connections.Evicted(r.Context()):
+		refused := outcome.Refused(outcome.CauseMemoryFull)
+		refused.RetryAfter = memoryRetryAfter
+		return refused
 	}
 	refused := outcome.Refused(outcome.CauseBadRequest)
 	refused.Detail = "the body could not be read"
@@ -181,7 +216,7 @@
 	if service == "" {
 		refused := outcome.Refused(outcome.CauseBadRequest)
 		refused.Detail = "the query parameter service must name a service of the customer's classes that are not idempotent"
-		e.refuse(w, refused)
+		e.refuse(w, r, refused)
 		return
 	}
 	answers := make(chan attempt.KeyAnswer, 1)
@@ -195,16 +230,16 @@
 	}()
 	key := ident.NewRunKey(call.customer, service, r.PathValue("key"))
 	if !e.host.Offer(control.KeyInquiry{Request: call.id, Service: service, RunKey: key}) {
-		e.refuse(w, outcome.Refused(outcome.CauseControlQueueFull))
+		e.refuse(w, r, outcome.Refused(outcome.CauseControlQueueFull))
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), inquiryTimeout)
 	defer cancel()
 	select {
 	case answer := <-answers:
-		writeKeyAnswer(w, r.PathValue("key"), answer)
+		e.writeKeyAnswer(w, r.PathValue("key"), answer)
 	case <-ctx.Done():
-		writeProblem(w, outcome.InDoubt(outcome.CauseTimeout, key))
+		e.writeProblem(w, outcome.InDoubt(outcome.CauseTimeout, key))
 	}
 }
 
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -8,11 +8,17 @@
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/callerconn"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 )
 
-const problemType = "application/problem+json"
+const (
+	problemType = "application/problem+json"
+	// connectionRetryAfter is the Retry-After for callers for whose connections there is no room: connections of callers that comply end
+	// within it.
+	connectionRetryAfter = time.Second
+)
 
 // problem is the problem details body (RFC 9457) of a call that was not served.
 type problem struct {
@@ -59,10 +65,23 @@
 	return int(math.Ceil(wait.Seconds()))
 }
 
+// extendWriteDeadline sets the deadline of the next write to the caller.
+func (e *Entry) extendWriteDeadline(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(e.writeTimeout()))
+}
+
 // writeProblem answers a call that was not served.
-func writeProblem(w http.ResponseWriter, result outcome.Outcome) {
+func (e *Entry) writeProblem(w http.ResponseWriter, result outcome.Outcome) {
+	e.extendWriteDeadline(w)
+	body := problemOf(result)
+	body.setFields(w.Header())
+	writeJSON(w, problemType, body.Status, body)
+}
+
+// problemOf returns the problem details of a result.
+func problemOf(result outcome.Outcome) problem {
 	status := httpStatus(result)
-	body := problem{
+	return problem{
 		Type:              "about:blank",
 		Title:             http.StatusText(status),
 		Status:            status,
@@ -71,13 +90,27 @@
 		Detail:            result.Detail,
 		RetryAfterSeconds: retrySeconds(result.RetryAfter),
 	}
-	header := w.Header()
-	header.Set(HeaderOutcome, result.Kind.String())
-	header.Set(HeaderCause, string(result.Cause))
-	if body.RetryAfterSeconds > 0 {
-		header.Set("Retry-After", strconv.Itoa(body.RetryAfterSeconds))
+}
+
+// setFields sets the header fields that repeat a part of the problem details.
+func (p problem) setFields(header http.Header) {
+	header.Set(HeaderOutcome, p.Outcome)
+	header.Set(HeaderCause, string(p.Cause))
+	if p.RetryAfterSeconds > 0 {
+		header.Set("Retry-After", strconv.Itoa(p.RetryAfterSeconds))
 	}
-	writeJSON(w, problemType, status, body)
+}
+
+// connectionRefusal returns the response to callers for whose connections there is no room.
+func connectionRefusal() []byte {
+	result := outcome.Refused(outcome.CauseConnectionsFull)
+	result.RetryAfter = connectionRetryAfter
+	body := problemOf(result)
+	header := http.Header{"Content-Type": {problemType}}
+	body.setFields(header)
+	// The fields of a problem are strings and numbers.
+	text, _ := json.Marshal(body)
+	return callerconn.Refusal(header, string(text)+"\n")
 }
 
 func writeJSON(w http.ResponseWriter, contentType string, status int, body any) {
@@ -97,7 +130,8 @@
 	Status int `json:"status,omitempty"`
 }
 
-func writeKeyAnswer(w http.ResponseWriter, key string, answer attempt.KeyAnswer) {
+func (e *Entry) writeKeyAnswer(w http.ResponseWriter, key string, answer attempt.KeyAnswer) {
+	e.extendWriteDeadline(w)
 	state := keyState{Key: key, Cause: answer.Outcome.Cause, Status: answer.Answer.Status}
 	switch answer.Status {
 	case attempt.KeyAbsent:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/bramleyspool/bramleyspool/internal/admission"
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/callermem"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
@@ -53,10 +54,8 @@
 	cachedParts      []ident.PromptPart
 	cachedPartTraits []attempt.Fingerprint
 	partsRead        bool
-	// requestMemory and responseMemory are the bytes that the call has taken from the gateway's memory account.
-	requestMemory, responseMemory int64
-	// memoryCustomer is the customer for whose requests requestMemory was taken. A later authorize may change access.
-	memoryCustomer ident.Customer
+	// memory is what the call has taken from the gateway's memory account.
+	memory callermem.Call
 	// memoryUse is the state of the memory account because of which the call was refused; nil if it was not.
 	memoryUse *admission.MemoryUse
 
@@ -116,14 +115,15 @@
 	c := &call{
 		gateway: g, w: w, r: r, key: g.callCounter.Add(1), id: r.Header.Get(g.headers.RequestID),
 		arrived: time.Now(), table: g.table.Load(), lastEventID: r.Header.Get(g.headers.LastEventID),
+		memory: callermem.Call{Account: g.memory},
 	}
-	g.callers.RecordRequest(r.Context())
+	g.callers.RecordRequest(r)
 	defer c.closeAccount()
 	defer func() {
 		if fault := recover(); fault != nil {
 			c.endPanicked(fault)
 		}
-		c.returnMemory()
+		c.memory.Return()
 		c.logOutcome()
 		if c.response() != responseComplete || c.bodyInvalid && !c.closesConnection() {
 			// Without a response net/http would write an empty success. It has no other way to end a response so that the caller
@@ -134,65 +134,13 @@
 	identified := c.identify()
 	c.openAccount()
 	if !identified || !c.readBody() {
+		c.memory.Return()
 		c.discardBody()
 		return
 	}
 	c.serve()
 }
 
-// identify determines the route and the customer, or refuses the call.
-func (c *call) identify() bool {
-	if c.table == nil {
-		c.endUnserved(unserved{status: http.StatusServiceUnavailable, cause: outcome.CauseNotReady, retryAfter: defaultRetryAfter})
-		return false
-	}
-	if limit := c.table.Limits.HeaderBytes; limit > 0 && headerBytes(c.r) > limit {
-		c.endUnserved(unserved{status: http.StatusRequestHeaderFieldsTooLarge, cause: outcome.CauseTooLarge})
-		return false
-	}
-	c.route = c.table.Route(c.r.Host, c.r.URL.EscapedPath())
-	if c.route == nil {
-		c.refuseUnknown(http.StatusNotFound, outcome.CauseNoRoute)
-		return false
-	}
-	if c.route.Public || !c.table.CredentialsRequired {
-		return true
-	}
-	c.credential = c.r.Header.Get(c.gateway.headers.Credential)
-	return c.authorize()
-}
-
-// refuseUnknown refuses a call whose route or credential is not in the table. If the table may be outdated, the newest
-// configuration may contain the route or credential, so the response is 503 instead of the given status. A table counts
-// as current within the bound on new configurations plus revisionCheckInterval, since it is confirmed only that often.
-func (c *call) refuseUnknown(status int, cause outcome.Cause) {
-	if !c.gateway.currentWithin(c.gateway.config.Settings.Bounds.Configuration + revisionCheckInterval) {
-		c.endUnserved(unserved{status: http.StatusServiceUnavailable, cause: outcome.CauseNotReady, retryAfter: defaultRetryAfter})
-		return
-	}
-	c.endUnserved(unserved{status: status, cause: cause})
-}
-
-// authorize checks the credential against the newest table, or refuses the call. It is called on arrival, and again before
-// each send until a server may have run the request: it may have been revoked in the meantime. What counts for a revocation
-// is when the caller sent the request, so that a request which was accepted may be repeated or resumed after it.
-func (c *call) authorize() bool {
-	if c.route.Public || !c.table.CredentialsRequired {
-		return true
-	}
-	access, ok := c.gateway.table.Load().Access(c.credential)
-	if !ok {
-		c.refuseUnknown(http.StatusUnauthorized, outcome.CauseUnauthorized)
-		return false
-	}
-	if !c.gateway.credentialsCurrent() {
-		c.endUnserved(unserved{status: http.StatusServiceUnavailable, cause: outcome.CauseNotReady, retryAfter: defaultRetryAfter})
-		return false
-	}
-	c.access = access
-	return true
-}
-
 // bodyLimit returns the greatest size of the body.
 func (c *call) bodyLimit() int64 {
 	if c.table == nil {
@@ -214,7 +162,7 @@
 	})
 	body, err := []byte(nil), error(&http.MaxBytesError{Limit: c.bodyLimit()})
 	if c.r.ContentLength <= c.bodyLimit() {
-		body, err = readAll(http.MaxBytesReader(c.w, c.r.Body, c.bodyLimit()), c.r.ContentLength, c.takeRequestMemory)
+		body, err = callermem.ReadAll(http.MaxBytesReader(c.w, c.r.Body, c.bodyLimit()), c.r.ContentLength, c.bodyLimit(), c.takeRequestMemory)
 	}
 	if !keepReading() {
 		c.refuseLeaving()
@@ -223,9 +171,12 @@
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		switch {
+		case c.gateway.callers.Evicted(c.r.Context()):
+			c.bodyInvalid = true
+			c.refuseForMemory()
 		case errors.As(err, &tooLarge):
 			c.endUnserved(unserved{status: http.StatusRequestEntityTooLarge, cause: outcome.CauseTooLarge})
-		case errors.Is(err, errMemoryFull):
+		case errors.Is(err, callermem.ErrFull):
 			c.refuseForMemory()
 		default:
 			c.bodyInvalid = true
@@ -237,6 +188,7 @@
 		c.gateway.log.WithError(err).Debug("no-read-deadline")
 	}
 	c.body, c.bodyRead = body, true
+	c.gateway.callers.RecordRead(c.r.Context())
 	return true
 }
 
@@ -481,7 +433,7 @@
 	}
 	if use := c.memoryUse; use != nil {
 		fields["body_bytes"], fields["memory_requests"], fields["memory_responses"] = c.r.ContentLength, use.Requests, use.Responses
-		fields["memory_customer"], fields["memory_limit"] = use.Customer, use.RequestLimit
+		fields["memory_customer"], fields["memory_limit"] = use.Customer, use.Limits.Requests
 	}
 	if c.result.RetryAfter > 0 {
 		fields["retry_after_ms"] = c.result.RetryAfter.Milliseconds()
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -10,6 +10,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/callerconn"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 )
@@ -51,21 +53,42 @@
 	return false
 }
 
+// textType is the Content-Type of the gateway's own responses.
+const textType = "text/plain; charset=utf-8"
+
+// responseText returns the body of the gateway's own response for a result.
+func responseText(result outcome.Outcome) string {
+	return result.Kind.String() + ": " + string(result.Cause) + "\n"
+}
+
+// retryAfter returns the Retry-After of a result, in seconds.
+func retryAfter(result outcome.Outcome) string {
+	return strconv.FormatFloat(result.RetryAfter.Seconds(), 'f', 3, 64)
+}
+
+// connectionRefusal returns the response to callers for whose connections there is no room.
+func connectionRefusal() []byte {
+	var none attempt.Runs
+	result := none.Unserved(outcome.CauseConnectionsFull)
+	result.RetryAfter = defaultRetryAfter
+	return callerconn.Refusal(http.Header{"Content-Type": {textType}, "Retry-After": {retryAfter(result)}}, responseText(result))
+}
+
 // respond writes a response of the gateway itself, also if the caller has ended its direction of the connection: it may still read.
 func (c *call) respond(status int) {
 	c.status = status
 	header := c.w.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Type", textType)
 	if c.id != "" {
 		header.Set(c.gateway.headers.RequestID, c.id)
 	}
 	if c.result.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(c.result.RetryAfter.Seconds(), 'f', 3, 64))
+		header.Set("Retry-After", retryAfter(c.result))
 	}
-	text := c.result.Kind.String() + ": " + string(c.result.Cause) + "\n"
+	text := responseText(c.result)
 	header.Set("Content-Length", strconv.Itoa(len(text)))
 	if !c.bodyRead {
-		c.respondBeforeBody()
+		callerconn.RespondBeforeBody(c.w, c.r, c.discardLimit(), c.bodyInvalid)
 	}
 	c.writeHead(status)
 	if _, err := io.WriteString(c.w, text); err != nil {
@@ -108,7 +131,8 @@
 // writeHead writes the head of the response. All heads go through it, since a call that ends without one aborts its connection.
 func (c *call) writeHead(status int) {
 	c.headWritten = true
-	if c.gateway.stopping() {
+	c.extendWriteDeadline()
+	if c.gateway.stopping() || c.gateway.callers.Crowded() {
 		c.w.Header().Set("Connection", "close")
 	}
 	c.w.WriteHeader(status)
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -61,9 +61,9 @@
 			got := g.get("/lookup/x", "X-Request", "id")
 			g.c.Check(got.status, qt.Equals, 200)
 			g.c.Check(got.body, qt.Equals, "whole")
-			g.c.Check(g.gateway.memory.use("").Responses, qt.Equals, int64(0))
+			g.c.Check(g.gateway.memory.Use("").Responses, qt.Equals, int64(0))
 			g.c.Check(written.Load() < maxEndlessBytes, qt.IsTrue, qt.Commentf("%d bytes", written.Load()))
-			g.c.Check(g.gateway.memory.use("").Responses, qt.Equals, int64(0))
+			g.c.Check(g.gateway.memory.Use("").Responses, qt.Equals, int64(0))
 		})
 	}
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -249,6 +249,7 @@
 		g.log.WithField("backend", backend).Info("backend-rest-ended")
 	}
 	g.readRevisionIfDue(context.Background(), now)
+	g.closeLateCallers(now)
 	g.crashRegisterChanged()
 	g.checkEvacuation(now)
 	g.sendHellos(now)
@@ -265,7 +266,8 @@
 		}}
 		g.socket.Send(subscription.agent, message)
 	}
-	g.memory.report(&g.metrics)
+	g.reportMemory()
+	g.callers.ReportEvictions(g.log, g.metrics.countEvicted)
 	g.reportAccount(now)
 	g.reportRepeats(now)
 	g.metrics.backendsLimited.Update(float64(g.dispatcher.LimitedServers()))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/callerconn"
+	"github.com/bramleyspool/bramleyspool/internal/callermem"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/datagram"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
@@ -65,14 +66,15 @@
 	startDoubt = 10 * time.Second
 	// joinWait is how long an entry that has just started waits for a message from another one before it accepts credentials.
 	joinWait = 150 * time.Millisecond
-	// headerTimeout bounds reading a request's header. The gateway does not enforce the shorter limit in the
-	// configuration (routing.CallerLimits.HeaderTimeout, about 3 s), which callers comply with: headerTimeout only
-	// disconnects callers that exceed it by far.
+	// headerTimeout and idleTimeout bound reading a request's header and the idle time of a caller's connection while no configuration is
+	// known. Configurations set about 3 and 15 s.
 	headerTimeout = 10 * time.Second
-	// idleTimeout bounds the idle time of a caller's connection. The gateway does not enforce the shorter limit in the
-	// configuration (routing.CallerLimits.IdleTimeout, about 15 s), which callers comply with: idleTimeout only
-	// disconnects callers that exceed it by far.
-	idleTimeout = 60 * time.Second
+	idleTimeout   = 60 * time.Second
+	// headerTimeFactor is how much longer than the configuration allows a header may take here: a lost packet is sent again after up to a
+	// second or two, and callers count from their own first byte.
+	headerTimeFactor = 2
+	// maxCheckConnections bounds the connections to the address for readiness checks, which only the load balancer uses.
+	maxCheckConnections = 32
 	// maxHeaderBytes bounds how much of a header is read before the configuration's own limit is applied. Deployments
 	// set 16 KiB.
 	maxHeaderBytes = 64 << 10
@@ -105,9 +107,10 @@
 	// while crashesKnown is true the fingerprints of the requests.
 	survivors, survivingTraits *survivorTable
 	account                    *callAccount
-	callers                    *callerconn.Table
-	socket                     *datagram.Socket
-	headers                    Headers
+	// callers and checks have the connections of callers and those for readiness checks.
+	callers, checks *callerconn.Table
+	socket          *datagram.Socket
+	headers         Headers
 
 	table atomic.Pointer[routing.Table]
 	// storeVersion is the version of the configuration that the store holds, heardVersion the greatest that another entry
@@ -129,7 +132,7 @@
 	callCounter  atomic.Uint64
 	openCalls    atomic.Int64
 	// memory accounts for the bodies of requests and buffered responses.
-	memory *memoryAccount
+	memory *callermem.Account
 	// lastCallAt is the arrival time of the last call, as read from bootTime.
 	lastCallAt atomic.Int64
 	// hasBackends is true if at least one listed backend server is not leaving.
@@ -199,8 +202,13 @@
 	g.pool = newConnPool(g.metrics.connectionOpened)
 	g.statements, g.account = newStatementTable(), newCallAccount()
 	g.prober, g.survivors, g.survivingTraits = newProber(), newSurvivorTable(), newSurvivorTable()
-	g.memory = newMemoryAccount(config.Settings.MemoryLimit)
-	g.callers = callerconn.NewTable(g.recordDropped)
+	g.memory = callermem.NewAccount(config.Settings.MemoryLimit)
+	descriptors := callermem.Descriptors(config.Settings.MaxDescriptors)
+	g.callers = callerconn.NewTable(callerconn.Config{
+		MaxConnections: callermem.MaxConnections(config.Settings.MemoryLimit, descriptors),
+		Memory:         g.memory, OnDropped: g.recordDropped, Refusal: connectionRefusal(),
+	})
+	g.checks = callerconn.NewTable(callerconn.Config{MaxConnections: maxCheckConnections, Memory: g.memory, OnDropped: func(*callerconn.Conn) {}})
 	g.callsContext, g.endCalls = context.WithCancel(context.Background())
 	g.startedAt = bootTime()
 	g.evacuations.aliveAt.Store(int64(g.startedAt))
@@ -257,9 +265,16 @@
 		MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:       stdlog.New(serverLog{g}, "", 0),
 	}
-	tracked := g.callers.Track(server, callers)
+	tracked, err := g.callers.Track(server, callers)
+	if err != nil {
+		g.log.WithError(err).Warn("callers-buffers-not-bounded")
+	}
 	failed := make(chan error, 2)
-	go func() { failed <- readiness.Serve(checks) }()
+	trackedChecks, err := g.checks.Track(readiness, checks)
+	if err != nil {
+		g.log.WithError(err).Warn("check-buffers-not-bounded")
+	}
+	go func() { failed <- readiness.Serve(trackedChecks) }()
 	go func() { failed <- server.Serve(tracked) }()
 	g.log.WithFields(logrus.Fields{"callers": callers.Addr(), "ready": checks.Addr(), "peers": socket.Address()}).Info("process-started")
 	select {
@@ -294,7 +309,8 @@
 }
 
 // serveReady responds to readiness checks of the load balancer.
-func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
+	g.checks.RecordRequest(r)
 	if !g.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -66,13 +66,13 @@
 	return forwarded
 }
 
-// headerBytes returns the size in bytes of a request's head in its usual HTTP/1.1 form.
+// headerBytes returns the least size in bytes that a request's head can have had. A caller need not write a space after the colon of a field.
 func headerBytes(r *http.Request) int {
-	const separators = len(": ") + len("\r\n")
-	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	const lineSeparators, fieldSeparators = len("  \r\n"), len(":\r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineSeparators + len("Host") + len(r.Host) + fieldSeparators
 	for name, values := range r.Header {
 		for _, value := range values {
-			size += len(name) + len(value) + separators
+			size += len(name) + len(value) + fieldSeparators
 		}
 	}
 	return size
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -5,6 +5,8 @@
 	"io"
 	"math"
 	"net/http"
+
+	"github.com/bramleyspool/bramleyspool/internal/callermem"
 )
 
 const (
@@ -12,8 +14,6 @@
 	maxHeadBytes = 64 << 10
 	// maxBufferedBody bounds the body of a response that is buffered before it is passed on, or discarded, in bytes.
 	maxBufferedBody = 16 << 20
-	// bodyReadBytes is the size of the parts in which a body is buffered.
-	bodyReadBytes = 32 << 10
 )
 
 // Errors of responses that exceed a limit.
@@ -58,12 +58,24 @@
 }
 
 // bufferResponse reads a response completely. A response without a length that ends with its connection is complete
-// unless the connection was reset. ServeHTTP releases the bytes at the end of the call.
+// unless the connection was reset. ServeHTTP releases the bytes at the end of the call. The error is callermem.ErrFull if
+// other responses leave no memory, and errBodyTooLarge if the response itself has filled it.
 func (c *call) bufferResponse(conn *backendConn, response *http.Response) (*bufferedResponse, error) {
-	length := min(response.ContentLength, maxTrustedLength)
-	body, err := readAll(&bodyLimiter{reader: response.Body, left: maxBufferedBody}, length, c.takeResponseMemory)
+	length, taken := min(response.ContentLength, maxTrustedLength), int64(0)
+	take := func(bytes int64) bool {
+		if !c.takeResponseMemory(bytes) {
+			return false
+		}
+		taken += bytes
+		return true
+	}
+	body, err := callermem.ReadAll(&bodyLimiter{reader: response.Body, left: maxBufferedBody}, length, maxBufferedBody, take)
 	if err != nil {
-		if errors.Is(err, errBodyTooLarge) || errors.Is(err, errMemoryFull) {
+		if errors.Is(err, callermem.ErrFull) && c.memory.HoldsMost() {
+			err = errBodyTooLarge
+		}
+		c.memory.ReturnResponse(taken)
+		if errors.Is(err, errBodyTooLarge) || errors.Is(err, callermem.ErrFull) {
 			c.gateway.log.WithError(err).WithField("request", c.id).WithField("address", conn.address).Warn("response-cut-off")
 		}
 		conn.reset()
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -12,6 +12,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bramleyspool/bramleyspool/internal/callerconn"
+	"github.com/bramleyspool/bramleyspool/internal/callermem"
+	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/routing"
 	"github.com/bramleyspool/bramleyspool/internal/settings"
 )
@@ -19,6 +22,10 @@
 const (
 	testBodyBytes   = 1 << 20
 	testMemoryLimit = 32 << 20
+	// memoryRouteTimeout is longer than any call of these tests takes on a machine that is busy otherwise.
+	memoryRouteTimeout = 30 * time.Second
+	// crowdCustomers is the number of customers with credentials "crowd-0", "crowd-1" and so on.
+	crowdCustomers = 40
 )
 
 // memoryGateway starts a gateway with a small memory limit, two customers and a server that runs each request for a time.
@@ -29,9 +36,16 @@
 	})
 	backend.slots = 100
 	store := newTestStore(backend)
+	routes := testRoutes()
+	for i := range routes {
+		routes[i].Timeout = memoryRouteTimeout
+	}
 	services := []routing.DirectService{{Name: plainService}, {Name: streamService}}
 	known := map[string]routing.CustomerAccess{"key": {Customer: "long"}, "other": {Customer: "short"}}
-	store.state.Table = routing.NewTable(1, routing.CallerLimits{HeaderBytes: 16384, BodyBytes: testBodyBytes}, testRoutes(), services, known)
+	for i := range crowdCustomers {
+		known[fmt.Sprint("crowd-", i)] = routing.CustomerAccess{Customer: ident.Customer(fmt.Sprint("crowd-", i))}
+	}
+	store.state.Table = routing.NewTable(1, routing.CallerLimits{HeaderBytes: 16384, BodyBytes: testBodyBytes}, routes, services, known)
 	g := startTestGateway(t, store, func(direct *settings.Direct) { direct.MemoryLimit = testMemoryLimit })
 	for !g.gateway.ready() {
 		time.Sleep(time.Millisecond)
@@ -76,8 +90,8 @@
 			for len(backend.requests()) == 0 {
 				time.Sleep(time.Millisecond)
 			}
-			use := g.gateway.memory.use("long")
-			g.c.Check(use.Requests <= use.RequestLimit, qt.IsTrue, qt.Commentf("%+v", use))
+			use := g.gateway.memory.Use("long")
+			g.c.Check(use.Requests <= use.Limits.Requests, qt.IsTrue, qt.Commentf("%+v", use))
 			var short atomic.Int32
 			for i := range 50 {
 				callers.Go(func() {
@@ -93,7 +107,7 @@
 			for end := time.Now().Add(time.Second); g.gateway.openCalls.Load() > 0 && time.Now().Before(end); {
 				time.Sleep(time.Millisecond)
 			}
-			g.c.Check(g.gateway.memory.use("long").Requests, qt.Equals, int64(0))
+			g.c.Check(g.gateway.memory.Use("long").Requests, qt.Equals, int64(0))
 		})
 	}
 }
@@ -151,31 +165,78 @@
 			}
 		})
 	}
-	for g.gateway.memory.use("long").Customer == 0 {
+	for g.gateway.memory.Use("long").Customer == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	for i := range 200 {
 		got := g.post("/post/x", "short", "X-Credential", "other", "X-Request", fmt.Sprint("s-", i))
 		g.c.Check(got.status, qt.Equals, 200, qt.Commentf("%s", got.body))
 	}
-	use := g.gateway.memory.use("long")
-	g.c.Check(use.Customer <= use.RequestLimit*4/5+testBodyBytes, qt.IsTrue, qt.Commentf("%+v", use))
+	use := g.gateway.memory.Use("long")
+	g.c.Check(use.Customer <= use.Limits.Requests*4/5+testBodyBytes, qt.IsTrue, qt.Commentf("%+v", use))
 	senders.Wait()
 	close(ended)
 	t.Logf("%d of %d slow callers refused at once", refused.Load(), slow)
 	g.c.Check(int(refused.Load()) >= slow*9/10, qt.IsTrue)
 }
 
+// Callers of many customers that stop short of the end of their bodies held all memory for bodies, up to the limit of time, and all other
+// bodies were refused meanwhile.
+func TestStalledBodiesOfManyCustomersLeaveRoomForOthers(t *testing.T) {
+	g, _ := memoryGateway(t, 0)
+	body := strings.Repeat("x", testBodyBytes)
+	var crowd []*rawCaller
+	for i := range 4 * crowdCustomers {
+		caller := g.dial()
+		caller.write(fmt.Sprintf("POST /post/x HTTP/1.1\r\nHost: h.example\r\nX-Request: c-%d\r\nX-Credential: crowd-%d\r\nContent-Length: %d\r\n\r\n%s",
+			i, i%crowdCustomers, testBodyBytes, body[1:]))
+		crowd = append(crowd, caller)
+	}
+	g.c.Assert(g.gateway.memory.HasRoom(testBodyBytes+1024), qt.IsFalse)
+	time.Sleep(time.Second)
+	for i := range 5 {
+		got := g.post("/post/x", body, "X-Credential", "other", "X-Request", fmt.Sprint("o-", i), "X-Deadline", "5000")
+		g.c.Check(got.status, qt.Equals, 200, qt.Commentf("%s", got.body))
+	}
+	for _, caller := range crowd {
+		got := caller.response()
+		g.c.Check(got.status == 503 && got.body == "not-run: memory-full\n" || got.status == 400 && got.body == "not-run: bad-request\n", qt.IsTrue,
+			qt.Commentf("%d %s %v", got.status, got.body, got.err))
+	}
+}
+
+// A refused call kept the memory of what had been read of its body until the rest was discarded.
+func TestRefusedBodyHoldsNoMemoryWhileItsRestIsDiscarded(t *testing.T) {
+	t.Parallel()
+	g, _ := memoryGateway(t, 0)
+	other := callermem.Call{Account: g.gateway.memory}
+	for g.gateway.memory.HasRoom(256 << 10) {
+		g.c.Assert(other.TakeResponse(64<<10), qt.IsTrue)
+	}
+	held := g.gateway.memory.Use("").Requests
+	caller := g.dial()
+	caller.write("POST /post/x HTTP/1.1\r\nHost: h.example\r\nX-Request: r\r\nX-Credential: key\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for range 8 {
+		caller.write(fmt.Sprintf("%x\r\n%s\r\n", 64<<10, strings.Repeat("x", 64<<10)))
+	}
+	got := caller.response()
+	g.c.Check(got.status, qt.Equals, 503)
+	time.Sleep(100 * time.Millisecond)
+	g.c.Check(g.gateway.openCalls.Load(), qt.Equals, int64(1))
+	g.c.Check(g.gateway.memory.Use("").Requests, qt.Equals, held)
+}
+
 // A credential that moves to another customer during a call left the memory of the call with the first one.
 func TestMemoryIsReturnedToTheCustomerItWasTakenFor(t *testing.T) {
-	account := newMemoryAccount(testMemoryLimit)
-	c := &call{gateway: &Gateway{memory: account}, access: routing.CustomerAccess{Customer: "first"}}
+	account := callermem.NewAccount(testMemoryLimit)
+	callers := callerconn.NewTable(callerconn.Config{Memory: account})
+	c := &call{gateway: &Gateway{callers: callers}, r: &http.Request{}, memory: callermem.Call{Account: account}, access: routing.CustomerAccess{Customer: "first"}}
 	qt.Assert(t, c.takeRequestMemory(1<<20), qt.IsTrue)
 	c.access.Customer = "second"
 	qt.Assert(t, c.takeRequestMemory(1<<10), qt.IsTrue)
-	qt.Assert(t, account.use("first").Customer, qt.Equals, int64(1<<20+1<<10))
-	c.returnMemory()
-	qt.Assert(t, account.use("first").Customer, qt.Equals, int64(0))
-	qt.Assert(t, account.use("second").Customer, qt.Equals, int64(0))
-	qt.Assert(t, account.use("first").Requests, qt.Equals, int64(0))
+	qt.Assert(t, account.Use("first").Customer, qt.Equals, int64(1<<20+1<<10))
+	c.memory.Return()
+	qt.Assert(t, account.Use("first").Customer, qt.Equals, int64(0))
+	qt.Assert(t, account.Use("second").Customer, qt.Equals, int64(0))
+	qt.Assert(t, account.Use("first").Requests, qt.Equals, int64(0))
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/bramleyspool/bramleyspool/internal/admission"
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/callerconn"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 )
@@ -119,6 +120,11 @@
 	tagged.Gauge("memory_limit_bytes").Update(float64(limit))
 }
 
+// countEvicted counts connections of callers that callerconn.Table has closed for a reason.
+func (m *metrics) countEvicted(reason callerconn.Eviction, number int) {
+	m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("caller_connections_evicted").Inc(int64(number))
+}
+
 // countUnanswered counts a call whose caller got no response or a part of one.
 func (m *metrics) countUnanswered(response responseState, cause outcome.Cause, requestKind string) {
 	m.scope.Tagged(map[string]string{"response": string(response), "cause": string(cause), "kind": requestKind}).Counter("calls_unanswered").Inc(1)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/bramleyspool/bramleyspool/internal/callermem"
 	"github.com/bramleyspool/bramleyspool/internal/control"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 	"github.com/bramleyspool/bramleyspool/internal/routing"
@@ -200,6 +201,9 @@
 		return c.relayStream(ctx, conn, response, watchdog)
 	}
 	buffered, err := c.bufferResponse(conn, response)
+	if errors.Is(err, callermem.ErrFull) {
+		return c.endForMemory(conn)
+	}
 	if err != nil {
 		return exchangeResult{sendResult: routing.SendBroken}
 	}
@@ -250,7 +254,6 @@
 	if buffered.status == http.StatusNoContent || buffered.status == http.StatusNotModified {
 		header.Del("Content-Length")
 	}
-	c.extendWriteDeadline()
 	c.writeHead(buffered.status)
 	if c.r.Method == http.MethodHead {
 		return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/bramleyspool/bramleyspool/internal/callermem"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 	"github.com/bramleyspool/bramleyspool/internal/routing"
 )
@@ -18,6 +19,8 @@
 const (
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
+	// maxBufferStep is by how much the buffer of a long event grows at a time.
+	maxBufferStep = 64 << 10
 	// streamStallTimeout is how long a stream may send no event before a replacement is requested. A group sends nothing
 	// for 1.5 s and more if it lost a rank, or if an order holds its next pass while ranks switch maps. Callers give up
 	// after a gap of two seconds.
@@ -47,10 +50,29 @@
 type eventReader struct {
 	reader *bufio.Reader
 	buffer []byte
+	// take takes memory for a larger buffer; taken is how much it has taken.
+	take  func(bytes int64) bool
+	taken int64
 }
 
-func newEventReader(reader io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(reader, connBufferBytes)}
+func newEventReader(reader io.Reader, take func(bytes int64) bool) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(reader, connBufferBytes), take: take}
+}
+
+// reserve makes the buffer large enough for more bytes. It doubles a short buffer and lets a long one grow in steps of maxBufferStep, so
+// that a stream holds little more than its largest event. It returns false if there is no memory.
+func (r *eventReader) reserve(bytes int) bool {
+	needed, size := len(r.buffer)+bytes, cap(r.buffer)
+	if needed <= size {
+		return true
+	}
+	grown := max(needed, size+min(max(size, connBufferBytes), maxBufferStep))
+	if !r.take(int64(grown - size)) {
+		return false
+	}
+	r.taken += int64(grown - size)
+	r.buffer = append(make([]byte, 0, grown), r.buffer...)
+	return true
 }
 
 // next returns the next complete event, whose bytes are valid until the next call. It returns io.EOF only if the stream
@@ -85,6 +107,9 @@
 func (r *eventReader) readLine() error {
 	for {
 		part, err := r.reader.ReadSlice('\n')
+		if !r.reserve(len(part)) {
+			return callermem.ErrFull
+		}
 		r.buffer = append(r.buffer, part...)
 		if len(r.buffer) > maxEventBytes {
 			return errEventTooLarge
@@ -115,7 +140,11 @@
 // relayStream passes the events of a stream on as they arrive. If the stream is interrupted and may be resumed, another
 // backend server continues it after the last complete event.
 func (c *call) relayStream(ctx context.Context, conn *backendConn, response *http.Response, watchdog *stallWatchdog) exchangeResult {
-	events := newEventReader(response.Body)
+	if !c.takeResponseMemory(streamBuffers) {
+		return c.endForMemory(conn)
+	}
+	events := newEventReader(response.Body, c.takeResponseMemory)
+	defer func() { c.memory.ReturnResponse(streamBuffers + events.taken) }()
 	// A server that continues numbered events begins with a numbered one.
 	expectNumber := c.started && c.lastEventID != ""
 	for {
@@ -130,6 +159,9 @@
 		if errors.Is(err, io.EOF) {
 			return c.finishStream(conn, response)
 		}
+		if errors.Is(err, callermem.ErrFull) {
+			return c.endForMemory(conn)
+		}
 		if err != nil {
 			conn.reset()
 			return c.handleInterruption(ctx)
@@ -146,6 +178,16 @@
 	}
 }
 
+// endForMemory ends a call whose response finds no memory. That is no fault of its server, and another one's response would find none
+// either.
+func (c *call) endForMemory(conn *backendConn) exchangeResult {
+	conn.reset()
+	use := c.gateway.memory.Use(c.access.Customer)
+	c.memoryUse = &use
+	c.endFailed(outcome.CauseMemoryFull)
+	return exchangeResult{sendResult: routing.SendAbandoned, done: true}
+}
+
 // handleInterruption returns the result of an interrupted stream. It ends the call if a response has begun and must not
 // be continued by another backend server.
 func (c *call) handleInterruption(ctx context.Context) exchangeResult {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -40,6 +40,9 @@
 	maxIdlePerBackend = 4
 	// maxRefusedIDs bounds the refused requests that are remembered for a connection.
 	maxRefusedIDs = 64
+	// receiveBuffer is the size of the kernel's buffer for what a server sends, in bytes. The kernel reserves twice as much. It bounds what is
+	// unread while a caller does not read its stream. A server 1 ms away still sends a response of 1 MiB in 0.1 s.
+	receiveBuffer = 16 << 10
 	// connBufferBytes is the size of read buffers. It holds the head of a response, or several events of a stream.
 	connBufferBytes = 4 << 10
 	// headSpace is the space for a request's head. Longer heads need a second allocation.
@@ -99,7 +102,7 @@
 	dialer := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
-		Control:         setUserTimeout,
+		Control:         configureSocket,
 	}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -112,11 +115,12 @@
 	}, nil
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a new socket to unackedTimeout.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// configureSocket sets TCP_USER_TIMEOUT of a new socket to unackedTimeout, and bounds its receive buffer, which grows to megabytes otherwise.
+func configureSocket(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		failed = errors.Join(unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds())),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer))
 	})
 	return errors.Join(err, failed)
 }
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -238,8 +238,11 @@
 }
 
 // Count increments the counter called name. The parameter reason is the value of its tag "reason".
-func (h *Host) Count(name, reason string) {
-	h.config.Metrics.Scope.Tagged(map[string]string{"reason": reason}).Counter(name).Inc(1)
+func (h *Host) Count(name, reason string) { h.CountN(name, reason, 1) }
+
+// CountN is Count for a number of events.
+func (h *Host) CountN(name, reason string, number int) {
+	h.config.Metrics.Scope.Tagged(map[string]string{"reason": reason}).Counter(name).Inc(int64(number))
 }
 
 // Spawn runs work in a goroutine that Run waits for before it returns. The context of work is
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -90,6 +90,8 @@
 	CauseCallerGone       Cause = "caller-gone"
 	// CauseMemoryFull: the entry has no memory for the request's body.
 	CauseMemoryFull Cause = "memory-full"
+	// CauseConnectionsFull: the entry has closed the caller's connection to make room for others, or has no room for it.
+	CauseConnectionsFull Cause = "connections-full"
 	// CauseInternalError: a fault of the process itself ended the call.
 	CauseInternalError Cause = "internal-error"
 )
--- a/internal/relay/answer_buffer.go
+++ b/internal/relay/answer_buffer.go
@@ -13,6 +13,9 @@
 // ErrAnswerTooLarge is returned by Append if the body would exceed the buffer's limit.
 var ErrAnswerTooLarge = errors.New("answer exceeds the size limit of its buffer")
 
+// ErrNoMemory is returned by Append if the process has no memory for the data.
+var ErrNoMemory = errors.New("no memory for the answer")
+
 // maxDataBytes is the maximum size of the data that Copy passes to a sink in one call.
 const maxDataBytes = 64 << 10
 
@@ -30,6 +33,8 @@
 type AnswerBuffer struct {
 	// limit is the maximum size of the body in bytes.
 	limit int
+	// take takes memory for bytes of the body; nil if they are not accounted for.
+	take func(bytes int64) bool
 
 	mu sync.Mutex
 	// changed is closed and replaced at each change.
@@ -41,9 +46,10 @@
 	reply   attempt.Reply
 }
 
-// NewAnswerBuffer returns an empty buffer for a body of up to limit bytes.
-func NewAnswerBuffer(limit int) *AnswerBuffer {
-	return &AnswerBuffer{limit: limit, changed: make(chan struct{}), digest: sha256.New()}
+// NewAnswerBuffer returns an empty buffer for a body of up to limit bytes. take is called before memory is used for the body, and
+// returns false if there is none; it may be nil.
+func NewAnswerBuffer(limit int, take func(bytes int64) bool) *AnswerBuffer {
+	return &AnswerBuffer{limit: limit, take: take, changed: make(chan struct{}), digest: sha256.New()}
 }
 
 // notifyReaders wakes the goroutines that wait in Copy. The caller must hold the lock.
@@ -60,19 +66,50 @@
 	b.notifyReaders()
 }
 
-// Append adds data to the body, or returns ErrAnswerTooLarge.
+// Append adds data to the body, or returns ErrAnswerTooLarge or ErrNoMemory.
 func (b *AnswerBuffer) Append(data []byte) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.body)+len(data) > b.limit {
 		return ErrAnswerTooLarge
 	}
+	if !b.reserve(len(data)) {
+		return ErrNoMemory
+	}
 	b.body = append(b.body, data...)
 	b.digest.Write(data)
 	b.notifyReaders()
 	return nil
 }
 
+// Adopt makes data the body, whose memory has been taken and which must not be modified afterwards. The buffer must be empty. The error is
+// that of Append.
+func (b *AnswerBuffer) Adopt(data []byte) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(data) > b.limit {
+		return ErrAnswerTooLarge
+	}
+	b.body = data
+	b.digest.Write(data)
+	b.notifyReaders()
+	return nil
+}
+
+// reserve makes the body's memory large enough for more bytes, a quarter larger at least. It returns false if there is none.
+func (b *AnswerBuffer) reserve(bytes int) bool {
+	needed, size := len(b.body)+bytes, cap(b.body)
+	if needed <= size {
+		return true
+	}
+	grown := max(needed, size+size/4)
+	if b.take != nil && !b.take(int64(grown-size)) {
+		return false
+	}
+	b.body = append(make([]byte, 0, grown), b.body...)
+	return true
+}
+
 // Answer returns the status, length and digest of the part buffered so far.
 func (b *AnswerBuffer) Answer() attempt.Answer {
 	b.mu.Lock()
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -27,6 +27,8 @@
 	BackendAddress string
 	// MemoryLimit is the memory size at which the platform kills the process, in bytes; 0 if unknown.
 	MemoryLimit int64
+	// MaxDescriptors is the number of descriptors that the process may open; 0 if unknown.
+	MaxDescriptors int
 	// FirstStart is true if the whole system starts for the first time: no entry ran before.
 	FirstStart bool
 	// LinkRate is the rate of the VM's network link in bytes a second; 0 if unknown.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -109,6 +109,9 @@
 	WriteTimeoutMS int `json:"write_timeout_ms,omitempty" jsonschema:"minimum=0"`
 	// MaxOpenCalls is the maximum number of calls open at the same time. Default: 4096.
 	MaxOpenCalls int `json:"max_open_calls,omitempty" jsonschema:"minimum=0"`
+	// MaxMemoryBytes is the memory that the process may use, in bytes. Half of it is for the bodies of requests and for answers; it also
+	// bounds the heads of requests and the number of connections. A call that finds no room is refused. Default: 1073741824.
+	MaxMemoryBytes int64 `json:"max_memory_bytes,omitempty" jsonschema:"minimum=0"`
 }
 
 // Backend is the backend server of an agent.
@@ -127,6 +130,9 @@
 	// MaxAnswerBytes is the maximum size of a response that is kept so that the caller can resume it, in bytes.
 	// Default: 8388608.
 	MaxAnswerBytes int `json:"max_answer_bytes,omitempty" jsonschema:"minimum=0"`
+	// MaxMemoryBytes is the memory that the process may use, in bytes. Two fifths of it are for requests and answers. A request that finds no
+	// room is refused, and answers that have been sent are dropped for others. Default: 1073741824.
+	MaxMemoryBytes int64 `json:"max_memory_bytes,omitempty" jsonschema:"minimum=0"`
 	// CallTimeoutMS is the timeout of one call to the backend server, in milliseconds. Default: 600000.
 	CallTimeoutMS int `json:"call_timeout_ms,omitempty" jsonschema:"minimum=0"`
 	// OrderLifetimeMS is the time after which an order without a known result can no longer take effect, in milliseconds.
@@ -165,6 +171,7 @@
 	DefaultReadTimeoutMS   = 10_000
 	DefaultWriteTimeoutMS  = 10_000
 	DefaultMaxOpenCalls    = 4096
+	DefaultMaxMemoryBytes  = 1 << 30
 	DefaultMaxAnswerBytes  = 8 << 20
 	DefaultCallTimeoutMS   = 600_000
 	DefaultOrderLifetimeMS = 120_000
@@ -218,6 +225,17 @@
 	}
 }
 
+// MaxMemoryBytes returns the memory that the process may use, in bytes.
+func (s *Settings) MaxMemoryBytes() int64 {
+	switch {
+	case s.Callers != nil:
+		return s.Callers.MaxMemoryBytes
+	case s.Backend != nil:
+		return s.Backend.MaxMemoryBytes
+	}
+	return DefaultMaxMemoryBytes
+}
+
 // FillDefaults sets fields that have their zero value to their defaults.
 func (s *Settings) FillDefaults() {
 	setDefault(&s.Peer.MaxMessageBytes, DefaultMaxMessageBytes)
@@ -230,9 +248,11 @@
 		setDefault(&s.Callers.ReadTimeoutMS, DefaultReadTimeoutMS)
 		setDefault(&s.Callers.WriteTimeoutMS, DefaultWriteTimeoutMS)
 		setDefault(&s.Callers.MaxOpenCalls, DefaultMaxOpenCalls)
+		setDefault(&s.Callers.MaxMemoryBytes, DefaultMaxMemoryBytes)
 	}
 	if s.Backend != nil {
 		setDefault(&s.Backend.MaxAnswerBytes, DefaultMaxAnswerBytes)
+		setDefault(&s.Backend.MaxMemoryBytes, DefaultMaxMemoryBytes)
 		setDefault(&s.Backend.HealthPath, DefaultHealthPath)
 		setDefault(&s.Backend.CallTimeoutMS, DefaultCallTimeoutMS)
 		setDefault(&s.Backend.OrderLifetimeMS, DefaultOrderLifetimeMS)
