Account for requests and answers at agents

Cause: an agent kept each answer for two minutes without a limit; well-behaved callers could fill it, too.

It drops answers that have been sent first, and refuses a run that has no room for an answer of the greatest size, with Retry-After.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,8 +4,6 @@
 	"context"
 	"net/http"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
@@ -16,14 +14,10 @@
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 	"github.com/bramleyspool/bramleyspool/internal/platform"
 	"github.com/bramleyspool/bramleyspool/internal/published"
-	"github.com/bramleyspool/bramleyspool/internal/relay"
 	"github.com/bramleyspool/bramleyspool/internal/settings"
 )
 
 const (
-	// answerRetention is how long an answer is kept after its end, so that entries can resume its
-	// stream.
-	answerRetention = 2 * time.Minute
 	// sweepInterval is the time between two removals of expired answers.
 	sweepInterval = 5 * time.Second
 	// cancelTimeout bounds the cancellation of a run at the engine.
@@ -52,25 +46,8 @@
 	health  *healthMonitor
 	group   *groupEngine
 
-	mu   sync.Mutex
-	jobs map[attempt.AttemptID]*job
-}
-
-// job holds the request and the answer of an attempt at this agent.
-type job struct {
-	// payload is the request; nil after its run has ended.
-	payload *relay.Payload
-	answer  *relay.AnswerBuffer
-	// load is the agent's load at the time of the final reply; nil before.
-	load atomic.Pointer[membership.Load]
-	// cancel cancels the run; nil before it starts.
-	cancel context.CancelFunc
-	// endedAt is the time of the first sweep that found the answer ended.
-	endedAt time.Time
-}
-
-func (j *job) replyLoad() *membership.Load {
-	return j.load.Load()
+	// store has the attempts that entries have dispatched to this agent.
+	store *store
 }
 
 // New returns an agent. Run starts it.
@@ -79,7 +56,7 @@
 		config:  config,
 		host:    config.Host,
 		backend: &backend{engine: config.Engine, plain: config.Plain, self: config.Self.Instance},
-		jobs:    map[attempt.AttemptID]*job{},
+		store:   newStore(config.Settings.MaxMemoryBytes, config.Settings.MaxAnswerBytes, dropCounter(config.Host)),
 	}
 	a.group = &groupEngine{host: config.Host, engine: config.Engine, cancels: map[uint64]context.CancelFunc{}}
 	a.health = &healthMonitor{
@@ -91,6 +68,17 @@
 	return a
 }
 
+// dropCounter returns a function that counts an answer that is dropped to make room, in answers_dropped.
+func dropCounter(host *node.Host) func(sent bool) {
+	return func(sent bool) {
+		reason := "memory"
+		if sent {
+			reason = "memory-after-sending"
+		}
+		host.Count("answers_dropped", reason)
+	}
+}
+
 // Run runs the agent until it has drained or the context ends. It returns the reason for its end.
 func (a *Agent) Run(ctx context.Context) (string, error) {
 	machine, first, err := control.NewAgent(time.Now(), a.config.Self)
@@ -141,68 +129,45 @@
 	}
 }
 
-// addJob registers an attempt. It returns the attempt's job and whether this call
-// added it.
-func (a *Agent) addJob(id attempt.AttemptID, payload *relay.Payload) (*job, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if known := a.jobs[id]; known != nil {
-		return known, false
-	}
-	created := &job{payload: payload, answer: relay.NewAnswerBuffer(a.config.Settings.MaxAnswerBytes, nil)}
-	a.jobs[id] = created
-	return created, true
-}
-
-// jobOf returns the job of an attempt; nil if there is none.
-func (a *Agent) jobOf(id attempt.AttemptID) *job {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.jobs[id]
-}
-
 // run runs a request at the backend server and posts the result. The control thread issued the
 // action at issuedAt.
 func (a *Agent) run(ctx context.Context, dispatch attempt.Dispatch, issuedAt time.Time) {
-	job := a.jobOf(dispatch.ID)
+	job := a.store.job(dispatch.ID)
 	if job == nil {
 		panic("invariant: no job is registered for a started run")
 	}
 	timeout := time.Duration(a.config.Settings.CallTimeoutMS) * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	a.mu.Lock()
-	job.cancel = cancel
-	a.mu.Unlock()
+	payload, room := a.store.beginRun(job, cancel)
+	if !room {
+		a.refuseRun(dispatch, memoryRefusal())
+		return
+	}
 	if membership.Gap(issuedAt, time.Now()) > attempt.DefaultStartsWithin {
 		// The process was paused for so long that another agent may own the run key now.
-		a.refuseRun(dispatch, outcome.CauseStaleLease)
+		a.refuseRun(dispatch, outcome.Refused(outcome.CauseStaleLease))
 		return
 	}
 	if !a.health.checkReachable(ctx) {
-		a.refuseRun(dispatch, outcome.CauseBackendError)
+		a.refuseRun(dispatch, outcome.Refused(outcome.CauseBackendError))
 		return
 	}
-	result := a.backend.run(ctx, dispatch, job.payload, job.answer)
+	result := a.backend.run(ctx, dispatch, payload, answerWriter{store: a.store, job: job})
 	a.health.checkAfterRun(ctx, result.Outcome)
 	result.Content = a.encodeStoredAnswer(job)
-	a.mu.Lock()
-	job.payload = nil
-	a.mu.Unlock()
+	a.store.returnRequest(job)
 	a.host.Post(control.RunFinished{Result: result})
 }
 
 // refuseRun posts that a request was not sent to the backend server.
-func (a *Agent) refuseRun(dispatch attempt.Dispatch, cause outcome.Cause) {
-	refused := attempt.RunEnded{ID: dispatch.ID, Outcome: outcome.Refused(cause)}
-	a.host.Post(control.RunFinished{Result: refused})
+func (a *Agent) refuseRun(dispatch attempt.Dispatch, refusal outcome.Outcome) {
+	a.host.Post(control.RunFinished{Result: attempt.RunEnded{ID: dispatch.ID, Outcome: refusal}})
 }
 
 // stopRun cancels a run whose answer is no longer needed.
 func (a *Agent) stopRun(id attempt.AttemptID) {
-	a.mu.Lock()
-	job := a.jobs[id]
-	a.mu.Unlock()
+	job := a.store.job(id)
 	if job == nil {
 		return
 	}
@@ -210,10 +175,7 @@
 		ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 		defer cancel()
 		a.backend.cancel(ctx, attempt.Dispatch{ID: id})
-		a.mu.Lock()
-		stop := job.cancel
-		a.mu.Unlock()
-		if stop != nil {
+		if stop := a.store.cancelOf(job); stop != nil {
 			stop()
 		}
 	})
@@ -226,26 +188,9 @@
 	for {
 		select {
 		case now := <-ticker.C:
-			a.removeExpired(now)
+			a.store.removeExpired(now)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
-
-// removeExpired removes the jobs whose answers ended more than answerRetention ago.
-func (a *Agent) removeExpired(now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for id, job := range a.jobs {
-		if !job.answer.Ended() {
-			continue
-		}
-		if job.endedAt.IsZero() {
-			job.endedAt = now
-		}
-		if now.Sub(job.endedAt) > answerRetention {
-			delete(a.jobs, id)
-		}
-	}
-}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -10,6 +10,7 @@
 	"net/http"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
+	"github.com/bramleyspool/bramleyspool/internal/callermem"
 	"github.com/bramleyspool/bramleyspool/internal/ident"
 	"github.com/bramleyspool/bramleyspool/internal/outcome"
 	"github.com/bramleyspool/bramleyspool/internal/platform"
@@ -32,16 +33,16 @@
 	self   ident.Instance
 }
 
-// run runs a request, writes its answer to buffer and returns the result.
-func (b *backend) run(ctx context.Context, dispatch attempt.Dispatch, payload *relay.Payload, buffer *relay.AnswerBuffer) attempt.RunEnded {
+// run runs a request, writes its answer and returns the result.
+func (b *backend) run(ctx context.Context, dispatch attempt.Dispatch, payload *relay.Payload, answer answerWriter) attempt.RunEnded {
 	var err error
 	switch {
 	case payload.Model && payload.Stream:
-		err = b.stream(ctx, dispatch, payload, buffer)
+		err = b.stream(ctx, dispatch, payload, answer)
 	case payload.Model:
-		err = b.complete(ctx, dispatch, payload, buffer)
+		err = b.complete(ctx, dispatch, payload, answer)
 	default:
-		err = b.callPlain(ctx, dispatch, payload, buffer)
+		err = b.callPlain(ctx, dispatch, payload, answer)
 	}
 	result := attempt.RunEnded{ID: dispatch.ID}
 	if err != nil {
@@ -49,7 +50,7 @@
 		return result
 	}
 	result.Outcome = outcome.Outcome{Kind: outcome.Served}
-	result.Answer = buffer.Answer()
+	result.Answer = answer.job.answer.Answer()
 	return result
 }
 
@@ -58,6 +59,9 @@
 	if errors.Is(err, relay.ErrAnswerTooLarge) {
 		return outcome.InDoubt(outcome.CauseTooLarge, key)
 	}
+	if errors.Is(err, relay.ErrNoMemory) || errors.Is(err, callermem.ErrFull) {
+		return outcome.InDoubt(outcome.CauseMemoryFull, key)
+	}
 	if !platform.MayHaveRun(err) {
 		refused := outcome.Refused(outcome.CauseBackendError)
 		if platform.KindOf(err) == platform.KindRefused {
@@ -92,26 +96,28 @@
 }
 
 // complete runs a completion that is not streamed.
-func (b *backend) complete(ctx context.Context, dispatch attempt.Dispatch, payload *relay.Payload, buffer *relay.AnswerBuffer) error {
-	completion, err := b.engine.Call(ctx, engineRequest(dispatch, payload))
+func (b *backend) complete(ctx context.Context, dispatch attempt.Dispatch, payload *relay.Payload, answer answerWriter) error {
+	request := engineRequest(dispatch, payload)
+	request.ReadBody = answer.reader(ctx)
+	completion, err := b.engine.Call(ctx, request)
 	if err != nil {
 		return err
 	}
-	buffer.SetHead(b.newAnswerHead(dispatch, http.StatusOK, []relay.HeaderField{{Name: "Content-Type", Value: contentTypeJSON}}))
-	return buffer.Append(completion.Raw)
+	answer.setHead(b.newAnswerHead(dispatch, http.StatusOK, []relay.HeaderField{{Name: "Content-Type", Value: contentTypeJSON}}))
+	return answer.adopt(completion.Raw)
 }
 
 // stream runs a streamed completion and resumes its stream up to maxResumes times.
-func (b *backend) stream(ctx context.Context, dispatch attempt.Dispatch, payload *relay.Payload, buffer *relay.AnswerBuffer) error {
+func (b *backend) stream(ctx context.Context, dispatch attempt.Dispatch, payload *relay.Payload, answer answerWriter) error {
 	request := engineRequest(dispatch, payload)
 	stream, err := b.engine.Stream(ctx, request)
 	if err != nil {
 		return err
 	}
-	buffer.SetHead(b.newAnswerHead(dispatch, http.StatusOK, []relay.HeaderField{{Name: "Content-Type", Value: contentTypeEvents}}))
+	answer.setHead(b.newAnswerHead(dispatch, http.StatusOK, []relay.HeaderField{{Name: "Content-Type", Value: contentTypeEvents}}))
 	for resumes := 0; ; resumes++ {
-		err = copyStream(stream, buffer)
-		if err == nil || errors.Is(err, relay.ErrAnswerTooLarge) || resumes == maxResumes || ctx.Err() != nil {
+		err = copyStream(ctx, stream, answer)
+		if err == nil || errors.Is(err, relay.ErrAnswerTooLarge) || errors.Is(err, relay.ErrNoMemory) || resumes == maxResumes || ctx.Err() != nil {
 			return err
 		}
 		resumed, resumeErr := b.engine.Resume(ctx, request.ID, stream.Offset())
@@ -124,12 +130,12 @@
 
 // copyStream appends the chunks as server-sent events until the engine marks the end of the
 // stream.
-func copyStream(stream platform.Stream, buffer *relay.AnswerBuffer) error {
+func copyStream(ctx context.Context, stream platform.Stream, answer answerWriter) error {
 	defer func() { _ = stream.Close() }()
 	for {
 		chunk, err := stream.Next()
 		if errors.Is(err, io.EOF) {
-			return buffer.Append([]byte(doneEvent))
+			return answer.append(ctx, []byte(doneEvent))
 		}
 		if err != nil {
 			return err
@@ -138,26 +144,27 @@
 		event = append(event, "data: "...)
 		event = append(event, chunk.Raw...)
 		event = append(event, "\n\n"...)
-		if err := buffer.Append(event); err != nil {
+		if err := answer.append(ctx, event); err != nil {
 			return err
 		}
 	}
 }
 
-func (b *backend) callPlain(ctx context.Context, dispatch attempt.Dispatch, payload *relay.Payload, buffer *relay.AnswerBuffer) error {
-	answer, err := b.plain.Call(ctx, platform.PlainRequest{
-		ID:     backendRequestID(dispatch),
-		Key:    payload.Key,
-		Method: payload.Method,
-		Path:   payload.Path,
-		Header: relay.Header(payload.Header),
-		Body:   payload.Body,
+func (b *backend) callPlain(ctx context.Context, dispatch attempt.Dispatch, payload *relay.Payload, answer answerWriter) error {
+	response, err := b.plain.Call(ctx, platform.PlainRequest{
+		ID:       backendRequestID(dispatch),
+		Key:      payload.Key,
+		Method:   payload.Method,
+		Path:     payload.Path,
+		Header:   relay.Header(payload.Header),
+		Body:     payload.Body,
+		ReadBody: answer.reader(ctx),
 	})
 	if err != nil {
 		return err
 	}
-	buffer.SetHead(b.newAnswerHead(dispatch, answer.Status, relay.Fields(answer.Header)))
-	return buffer.Append(answer.Body)
+	answer.setHead(b.newAnswerHead(dispatch, response.Status, relay.Fields(response.Header)))
+	return answer.adopt(response.Body)
 }
 
 // cancel cancels the request at the engine. Plain services have no cancellation.
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/bramleyspool/bramleyspool/internal/attempt"
 	"github.com/bramleyspool/bramleyspool/internal/control"
+	"github.com/bramleyspool/bramleyspool/internal/outcome"
 	"github.com/bramleyspool/bramleyspool/internal/relay"
 	"github.com/bramleyspool/bramleyspool/internal/wire"
 )
@@ -46,7 +48,7 @@
 }
 
 // serveDispatch reads the payload of a dispatch, posts the dispatch and sends its answer. The job
-// is registered before the post, so that the run finds its payload.
+// is registered before the post, so that the run finds its payload. Without memory for it, the dispatch is refused and not posted.
 func (a *Agent) serveDispatch(call *wire.Call, dispatch *attempt.Dispatch) {
 	envelope, err := call.Read()
 	if err != nil {
@@ -56,7 +58,14 @@
 	if !ok || payload.Digest() != dispatch.Body {
 		return
 	}
-	job, _ := a.addJob(dispatch.ID, payload)
+	job := a.store.add(dispatch.ID, payload)
+	if job == nil {
+		a.host.Count("dispatches_refused", string(outcome.CauseMemoryFull))
+		_ = call.Write(&attempt.Reply{
+			ID: dispatch.ID, Agent: a.config.Self.Instance, State: attempt.ReplyNeverStarted, Outcome: memoryRefusal(),
+		})
+		return
+	}
 	if !a.host.Post(control.DispatchArrived{Dispatch: *dispatch}) {
 		return
 	}
@@ -66,7 +75,7 @@
 // serveResume sends an answer from the requested offset on. It replies with ReplyForeign if this
 // incarnation has no such attempt.
 func (a *Agent) serveResume(call *wire.Call, resume *attempt.Resume) {
-	job := a.jobOf(resume.ID)
+	job := a.store.job(resume.ID)
 	if job == nil || resume.Target != a.config.Self.Instance {
 		_ = call.Write(&attempt.Reply{ID: resume.ID, Agent: a.config.Self.Instance, State: attempt.ReplyForeign})
 		return
@@ -80,6 +89,9 @@
 	defer cancel()
 	stop := context.AfterFunc(call.Context(), cancel)
 	defer stop()
+	a.store.beginStream(job)
+	sent := false
+	defer func() { a.store.endStream(job, sent) }()
 	sink := &callSink{call: call, id: id, agent: a}
 	reply, err := job.answer.Copy(ctx, offset, sink)
 	if err != nil {
@@ -89,7 +101,7 @@
 	if load := job.replyLoad(); load != nil {
 		_ = sink.write(&relay.LoadNote{Agent: a.config.Self.Instance, Load: *load})
 	}
-	_ = sink.write(&reply)
+	sent = sink.write(&reply) == nil
 }
 
 // callSink writes an answer to a call stream.
@@ -125,7 +137,7 @@
 	if action.Route != nil {
 		a.sendReply(action.Route, reply)
 	}
-	job := a.jobOf(reply.ID)
+	job := a.store.job(reply.ID)
 	switch reply.State {
 	case attempt.ReplyQueued, attempt.ReplyStarted:
 		if action.Route == nil {
@@ -140,34 +152,35 @@
 		}
 		return
 	}
-	if reply.State == attempt.ReplyFinished && !job.answer.Ended() {
-		a.copyAnswer(job, action)
+	if reply.State == attempt.ReplyFinished && !job.answer.Ended() && errors.Is(a.copyAnswer(job, action), relay.ErrNoMemory) {
+		reply.State, reply.Outcome, reply.Answer = attempt.ReplyInDoubt, outcome.InDoubt(outcome.CauseMemoryFull, ""), attempt.Answer{}
 	}
 	job.load.Store(&action.Load)
 	job.answer.End(reply)
+	a.store.end(job, time.Now())
 }
 
 func (a *Agent) sendReply(route control.Route, reply attempt.Reply) {
 	a.host.Send(control.Send{To: reply.ID.Entry.VM, Body: &reply, Route: route})
 }
 
-// copyAnswer copies the answer of another attempt with the same run key into job.
-func (a *Agent) copyAnswer(job *job, action control.SendReply) {
+// copyAnswer copies the answer of another attempt with the same run key into job. The error is that of its Append.
+func (a *Agent) copyAnswer(job *job, action control.SendReply) error {
 	if action.Source == action.Reply.ID || action.Source == (attempt.AttemptID{}) && action.Content == nil {
-		return
+		return nil
 	}
-	if source := a.jobOf(action.Source); source != nil {
+	if source := a.store.job(action.Source); source != nil {
 		if head, body := source.answer.Content(); head != nil {
 			job.answer.SetHead(*head)
-			_ = job.answer.Append(body)
-			return
+			return job.answer.Append(body)
 		}
 	}
 	var stored storedAnswer
-	if cbor.Unmarshal(action.Content, &stored) == nil {
-		job.answer.SetHead(stored.Head)
-		_ = job.answer.Append(stored.Body)
+	if cbor.Unmarshal(action.Content, &stored) != nil {
+		return nil
 	}
+	job.answer.SetHead(stored.Head)
+	return job.answer.Append(stored.Body)
 }
 
 // encodeStoredAnswer returns the CBOR encoding of a job's answer as a storedAnswer. It returns nil
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -114,7 +114,7 @@
 }
 
 // do sends the request as send does and reads the whole response.
-func (c *client) do(ctx context.Context, op string, request *sling.Sling) (bufferedResponse, error) {
+func (c *client) do(ctx context.Context, op string, request *sling.Sling, read BodyReader) (bufferedResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
 	response, err := c.send(ctx, op, request)
@@ -122,7 +122,7 @@
 		return bufferedResponse{}, err
 	}
 	defer response.Body.Close()
-	body, err := c.readBody(op, response)
+	body, err := c.readBody(op, response, read)
 	if err != nil {
 		return bufferedResponse{}, err
 	}
@@ -154,30 +154,43 @@
 	return response, nil
 }
 
-// readBody reads the whole body. It rejects responses without Content-Length or chunked
+// BodyReader reads a body of up to limit bytes completely. length is its announced length, -1 if there is none.
+type BodyReader func(body io.Reader, length, limit int64) ([]byte, error)
+
+// readWhole is the BodyReader of requests that have none.
+func readWhole(body io.Reader, length, _ int64) ([]byte, error) {
+	var data bytes.Buffer
+	if length > 0 {
+		data.Grow(int(length) + bytes.MinRead)
+	}
+	_, err := data.ReadFrom(body)
+	return data.Bytes(), err
+}
+
+// readBody reads the whole body with read, or with readWhole if it is nil. It rejects responses without Content-Length or chunked
 // encoding, because a truncated body could not be detected.
-func (c *client) readBody(op string, response *http.Response) ([]byte, error) {
+func (c *client) readBody(op string, response *http.Response, read BodyReader) ([]byte, error) {
 	if !hasDelimitedBody(response) {
 		return nil, &Error{Kind: KindGarbage, Op: op, Status: response.StatusCode, Detail: "response without length or chunked encoding"}
 	}
 	if response.ContentLength > c.options.MaxAnswerBytes {
 		return nil, c.tooLarge(op, response)
 	}
-	var body bytes.Buffer
-	if response.ContentLength > 0 {
-		body.Grow(int(response.ContentLength) + bytes.MinRead)
+	if read == nil {
+		read = readWhole
 	}
-	read, err := body.ReadFrom(io.LimitReader(response.Body, c.options.MaxAnswerBytes+1))
+	limit := c.options.MaxAnswerBytes + 1
+	body, err := read(io.LimitReader(response.Body, limit), response.ContentLength, limit)
 	if err != nil {
-		return nil, &Error{Kind: KindUnknown, Op: op, Status: response.StatusCode, Detail: "connection broke while reading the response", Err: err}
+		return nil, &Error{Kind: KindUnknown, Op: op, Status: response.StatusCode, Detail: "the response could not be read", Err: err}
 	}
-	if read > c.options.MaxAnswerBytes {
+	if int64(len(body)) > c.options.MaxAnswerBytes {
 		return nil, c.tooLarge(op, response)
 	}
-	if err := checkDigest(response.Header, body.Bytes()); err != nil {
+	if err := checkDigest(response.Header, body); err != nil {
 		return nil, &Error{Kind: KindGarbage, Op: op, Status: response.StatusCode, Err: err}
 	}
-	return body.Bytes(), nil
+	return body, nil
 }
 
 // errDigestMismatch means that the body was changed or truncated in transit.
@@ -214,7 +227,7 @@
 
 // doJSON sends the request as send does and decodes the JSON body of a 200 response into out.
 func (c *client) doJSON(ctx context.Context, op string, request *sling.Sling, out any) error {
-	got, err := c.do(ctx, op, request)
+	got, err := c.do(ctx, op, request, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/config_client.go
+++ b/internal/platform/config_client.go
@@ -85,7 +85,7 @@
 	if response.StatusCode == http.StatusNotModified {
 		return Value{}, ErrUnchanged
 	}
-	body, err := c.readBody(op, response)
+	body, err := c.readBody(op, response, nil)
 	if err != nil {
 		return Value{}, err
 	}
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -17,6 +17,8 @@
 	Rank *ident.Rank
 	// Body is the JSON body: model, prompt, max_tokens, stream.
 	Body []byte
+	// ReadBody reads the body of a response that is not streamed; nil reads it without an account of its memory.
+	ReadBody BodyReader
 }
 
 // Usage holds the token counts of one model call.
--- a/internal/platform/engine_client.go
+++ b/internal/platform/engine_client.go
@@ -80,7 +80,7 @@
 // Call runs a request whose body does not ask for a stream.
 func (c *EngineClient) Call(ctx context.Context, request EngineRequest) (Completion, error) {
 	const op = "engine.call"
-	got, err := c.do(ctx, op, c.completionRequest(request))
+	got, err := c.do(ctx, op, c.completionRequest(request), request.ReadBody)
 	if err != nil {
 		return Completion{}, err
 	}
@@ -141,7 +141,7 @@
 
 func (c *EngineClient) checkStream(op string, response *http.Response) error {
 	if response.StatusCode != http.StatusOK {
-		body, err := c.readBody(op, response)
+		body, err := c.readBody(op, response, nil)
 		if err != nil {
 			return err
 		}
--- a/internal/platform/plain_client.go
+++ b/internal/platform/plain_client.go
@@ -31,7 +31,7 @@
 	if err := checkPlainRequest(request); err != nil {
 		return PlainAnswer{}, &Error{Kind: KindNotStarted, Op: op, Err: err}
 	}
-	got, err := c.do(ctx, op, c.plainRequest(request))
+	got, err := c.do(ctx, op, c.plainRequest(request), request.ReadBody)
 	if err != nil {
 		return PlainAnswer{}, err
 	}
--- a/internal/platform/services.go
+++ b/internal/platform/services.go
@@ -84,6 +84,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// ReadBody reads the body of the response; nil reads it without an account of its memory.
+	ReadBody BodyReader
 }
 
 // PlainAnswer is the response of a plain service.
--- a/internal/platform/weights_client.go
+++ b/internal/platform/weights_client.go
@@ -42,7 +42,7 @@
 }
 
 func (c *WeightClient) fetchStatusError(op string, response *http.Response) error {
-	body, err := c.readBody(op, response)
+	body, err := c.readBody(op, response, nil)
 	if err != nil {
 		return err
 	}
