Keep answers in segments instead of buffers that are copied when they grow

Cause: a buffer that grew by a quarter was copied. The old one stayed in memory beside it until the garbage collector had run, and no account had it: 42 MB were allocated for a body of 7.2 MB, of which 8.5 MB were accounted for.

Change: the body is a list of segments of up to 64 KiB that are never copied, and the account has what they hold. A copy of another attempt's answer is taken whole or not at all, as before.

Measured: TestAnswerBufferAllocatesWhatItTakes fails without the change (42,171,760 bytes allocated, 8,526,487 taken).

--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -172,7 +172,7 @@
 	if source := a.store.job(action.Source); source != nil {
 		if head, body := source.answer.Content(); head != nil {
 			job.answer.SetHead(*head)
-			return job.answer.Append(body)
+			return job.answer.Append(body.Parts()...)
 		}
 	}
 	var stored storedAnswer
@@ -187,10 +187,10 @@
 // if there is no answer or its body exceeds maxStoredAnswerBytes.
 func (a *Agent) encodeStoredAnswer(job *job) []byte {
 	head, body := job.answer.Content()
-	if head == nil || len(body) > maxStoredAnswerBytes {
+	if head == nil || body.Len() > maxStoredAnswerBytes {
 		return nil
 	}
-	content, err := cbor.Marshal(storedAnswer{Head: *head, Body: body})
+	content, err := cbor.Marshal(storedAnswer{Head: *head, Body: body.Bytes()})
 	if err != nil {
 		return nil
 	}
--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -92,7 +92,7 @@
 				x.rejectStream(id)
 				return
 			}
-			if head, _ := buffer.Content(); head == nil {
+			if buffer.Head() == nil {
 				buffer.SetHead(*message)
 				x.startStream(id, *message, buffer)
 			}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -181,17 +181,17 @@
 // deliverWhole writes a complete buffered answer.
 func (x *exchange) deliverWhole(finish control.FinishCall) outcome.Outcome {
 	head, body := x.answerBuffer(finish.Source).Content()
-	if head == nil || int64(len(body)) != finish.Answer.Length {
+	if head == nil || int64(body.Len()) != finish.Answer.Length {
 		incomplete := outcome.InDoubt(outcome.CauseBrokenStream, "")
 		x.entry.writeProblem(x.writer, incomplete)
 		return incomplete
 	}
 	x.setAnswerHeader(*head)
 	x.writer.Header().Set(HeaderOutcome, outcome.Served.String())
-	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.writer.Header().Set("Content-Length", strconv.Itoa(body.Len()))
 	x.entry.extendWriteDeadline(x.writer)
 	x.writer.WriteHeader(head.Status)
-	if _, err := x.writer.Write(body); err != nil {
+	if _, err := body.WriteTo(x.writer); err != nil {
 		return outcome.InDoubt(outcome.CauseCallerGone, "")
 	}
 	if err := http.NewResponseController(x.writer).Flush(); err != nil {
--- a/internal/relay/answer_buffer.go
+++ b/internal/relay/answer_buffer.go
@@ -40,7 +40,7 @@
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	head    *AnswerHead
-	body    []byte
+	body    AnswerBody
 	digest  hash.Hash
 	ended   bool
 	reply   attempt.Reply
@@ -66,18 +66,27 @@
 	b.notifyReaders()
 }
 
-// Append adds data to the body, or returns ErrAnswerTooLarge or ErrNoMemory.
-func (b *AnswerBuffer) Append(data []byte) error {
+// Append adds parts to the body, all of them or none: then it returns ErrAnswerTooLarge or ErrNoMemory.
+func (b *AnswerBuffer) Append(parts ...[]byte) error {
+	added := 0
+	for _, part := range parts {
+		added += len(part)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.body)+len(data) > b.limit {
+	if b.body.Len()+added > b.limit {
 		return ErrAnswerTooLarge
 	}
-	if !b.reserve(len(data)) {
-		return ErrNoMemory
+	if missing := b.body.missing(added); missing > 0 {
+		if b.take != nil && !b.take(int64(missing)) {
+			return ErrNoMemory
+		}
+		b.body.grow(missing)
+	}
+	for _, part := range parts {
+		b.body.append(part)
+		b.digest.Write(part)
 	}
-	b.body = append(b.body, data...)
-	b.digest.Write(data)
 	b.notifyReaders()
 	return nil
 }
@@ -90,43 +99,35 @@
 	if len(data) > b.limit {
 		return ErrAnswerTooLarge
 	}
-	b.body = data
+	b.body = AnswerBody{segments: []segment{{data: data}}, length: len(data)}
 	b.digest.Write(data)
 	b.notifyReaders()
 	return nil
 }
 
-// reserve makes the body's memory large enough for more bytes, a quarter larger at least. It returns false if there is none.
-func (b *AnswerBuffer) reserve(bytes int) bool {
-	needed, size := len(b.body)+bytes, cap(b.body)
-	if needed <= size {
-		return true
-	}
-	grown := max(needed, size+size/4)
-	if b.take != nil && !b.take(int64(grown-size)) {
-		return false
-	}
-	b.body = append(make([]byte, 0, grown), b.body...)
-	return true
-}
-
 // Answer returns the status, length and digest of the part buffered so far.
 func (b *AnswerBuffer) Answer() attempt.Answer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	answer := attempt.Answer{Length: int64(len(b.body)), Digest: attempt.Digest(b.digest.Sum(nil))}
+	answer := attempt.Answer{Length: int64(b.body.Len()), Digest: attempt.Digest(b.digest.Sum(nil))}
 	if b.head != nil {
 		answer.Status = b.head.Status
 	}
 	return answer
 }
 
-// Content returns the head, which is nil before SetHead, and the body buffered so far. The caller
-// must not modify the body.
-func (b *AnswerBuffer) Content() (*AnswerHead, []byte) {
+// Head returns the head; nil before SetHead.
+func (b *AnswerBuffer) Head() *AnswerHead {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.head
+}
+
+// Content returns the head, which is nil before SetHead, and the body buffered so far.
+func (b *AnswerBuffer) Content() (*AnswerHead, AnswerBody) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.head, b.body
+	return b.head, b.body.snapshot()
 }
 
 // End sets the final reply. Later calls have no effect.
@@ -187,13 +188,14 @@
 	changed chan struct{}
 }
 
-// next returns at most maxDataBytes of the body from an offset on.
+// next returns a part of the body from an offset on, of at most maxDataBytes.
 func (b *AnswerBuffer) next(offset int64) readResult {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	next := readResult{head: b.head, ended: b.ended, reply: b.reply, changed: b.changed}
-	if offset < int64(len(b.body)) {
-		next.data = b.body[offset:min(int64(len(b.body)), offset+maxDataBytes)]
+	if offset < int64(b.body.Len()) {
+		data := b.body.from(int(offset))
+		next.data = data[:min(len(data), maxDataBytes)]
 	}
 	return next
 }
