Bound what peers receive and do not read, and keep unread calls from stopping others

Cause: the windows of connections between our processes were the library's defaults: 512 KiB for a stream and 768 KiB for a connection at first. Two calls whose receiver waits for memory filled the connection's window, and all other calls between the same processes stopped: callers that do not read their responses stopped those who do.

Change: 128 KiB for a stream, 1 MiB for a connection, without growth. Eight calls that are not read leave the connection to the others, and 360 peers hold 360 MiB at most.

--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -91,9 +91,14 @@
 	sendTimeout      = 2 * time.Second
 	// maxIncomingStreams is the limit per connection and type of stream.
 	maxIncomingStreams = 4096
-	codeRefused        = quic.ApplicationErrorCode(1)
-	codeClosed         = quic.ApplicationErrorCode(2)
-	codeReset          = quic.StreamErrorCode(1)
+	// streamWindow and connectionWindow bound what is received and not read, in bytes per stream and per connection. A part of an answer, which
+	// is the longest message on a stream that waits for memory, fits into a stream's window, and eight such streams leave a connection to the
+	// others. 360 connections, the size to design for, hold 360 MiB at most.
+	streamWindow     = 128 << 10
+	connectionWindow = 1 << 20
+	codeRefused      = quic.ApplicationErrorCode(1)
+	codeClosed       = quic.ApplicationErrorCode(2)
+	codeReset        = quic.StreamErrorCode(1)
 )
 
 // Transport sends and receives messages and call streams over one UDP port.
@@ -171,6 +176,11 @@
 		HandshakeIdleTimeout:  handshakeTimeout,
 		MaxIncomingStreams:    maxIncomingStreams,
 		MaxIncomingUniStreams: maxIncomingStreams,
+
+		InitialStreamReceiveWindow:     streamWindow,
+		MaxStreamReceiveWindow:         streamWindow,
+		InitialConnectionReceiveWindow: connectionWindow,
+		MaxConnectionReceiveWindow:     connectionWindow,
 	}
 }
 
