Let customers' shares of an entry's memory follow their weights

Change: what a customer may hold is four times what is free, times its weight relative to the mean of all customers, at most 4. The users' platform gives customers no weights: there it stays as it was.

--- a/internal/admission/memory.go
+++ b/internal/admission/memory.go
@@ -2,9 +2,13 @@
 
 import "github.com/bramleyspool/bramleyspool/internal/ident"
 
-// customerMemoryFactor bounds what one customer's requests may hold: this multiple of what is still free. One customer alone holds
-// four fifths of the limit at most, so that the short requests of others find room beside its long ones.
-const customerMemoryFactor = 4
+const (
+	// customerMemoryFactor bounds what one customer's requests may hold: this multiple of what is still free, times the customer's weight. One
+	// of weight 1 alone holds four fifths of the limit at most, so that the short requests of others find room beside its long ones.
+	customerMemoryFactor = 4
+	// maxMemoryWeight bounds the weights: a customer alone leaves a seventeenth of the limit to others.
+	maxMemoryWeight = 4
+)
 
 // MemoryLimits bounds what a MemoryAccount holds, in bytes.
 type MemoryLimits struct {
@@ -58,11 +62,12 @@
 func (a *MemoryAccount) HasRoom(bytes int64) bool { return bytes <= a.freeForRequests() }
 
 // TakeRequest takes bytes for the body of a customer's request. It returns false if they are not free, or if the customer would hold
-// too much of the limit. A customer that holds nothing gets what is free.
-func (a *MemoryAccount) TakeRequest(customer ident.Customer, bytes int64) bool {
+// too much of the limit for its weight, which is relative to the mean of all customers. Customers that want more than there is hold it in
+// proportion to their weights. A customer that holds nothing gets what is free.
+func (a *MemoryAccount) TakeRequest(customer ident.Customer, weight float64, bytes int64) bool {
 	free := a.freeForRequests() - bytes
 	held := a.byCustomer[customer]
-	if free < 0 || held > 0 && held+bytes > customerMemoryFactor*free {
+	if free < 0 || held > 0 && float64(held+bytes) > customerMemoryFactor*min(weight, maxMemoryWeight)*float64(free) {
 		return false
 	}
 	a.requests += bytes
--- a/internal/callermem/callermem.go
+++ b/internal/callermem/callermem.go
@@ -107,22 +107,23 @@
 // Call is the memory that one call holds. The zero value with an Account holds nothing.
 type Call struct {
 	Account *Account
-	// requests and responses are the bytes taken; customer is the one for whose request they were.
+	// requests and responses are the bytes taken; customer is the one for whose request they were, weight its weight.
 	requests, responses int64
 	customer            ident.Customer
+	weight              float64
 	// ended is true after Return: answers that arrive later take nothing.
 	ended bool
 }
 
-// TakeRequest takes memory for the call's body. It returns false if there is none. All memory of a call is taken for the customer of
-// the first time, since its credential may move to another one meanwhile.
-func (c *Call) TakeRequest(customer ident.Customer, bytes int64) bool {
+// TakeRequest takes memory for the call's body, as admission.MemoryAccount.TakeRequest does. All memory of a call is taken for the customer
+// and the weight of the first time, since its credential may move to another customer meanwhile.
+func (c *Call) TakeRequest(customer ident.Customer, weight float64, bytes int64) bool {
 	c.Account.mu.Lock()
 	defer c.Account.mu.Unlock()
 	if c.requests == 0 {
-		c.customer = customer
+		c.customer, c.weight = customer, weight
 	}
-	if !c.Account.account.TakeRequest(c.customer, bytes) {
+	if !c.Account.account.TakeRequest(c.customer, c.weight, bytes) {
 		return false
 	}
 	c.requests += bytes
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -149,7 +149,7 @@
 	defer e.openCalls.Add(-1)
 	memory := &callermem.Call{Account: e.memory}
 	defer memory.Return()
-	body, err := e.readBody(w, r, call.customer, memory)
+	body, err := e.readBody(w, r, call, memory)
 	if err != nil {
 		e.refuseAndRecord(w, r, call, class.Name, e.bodyReadOutcome(r, err))
 		return
@@ -171,14 +171,15 @@
 
 // readBody reads the body of a call, which has none afterwards. The error is a *http.MaxBytesError if it is too long, and
 // callermem.ErrFull if there is no memory for it; nothing of such a body is read if its length is known.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, customer ident.Customer, memory *callermem.Call) ([]byte, error) {
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, call authenticatedCall, memory *callermem.Call) ([]byte, error) {
 	limit := e.config.Settings.MaxBodyBytes
 	if r.ContentLength > limit {
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
+	weight := call.configuration.Templates.RelativeWeight(call.customer)
 	take := func(bytes int64) bool {
 		bytes *= bodyCopies
-		return e.connections.TakeBody(r.Context(), bytes, func() bool { return memory.TakeRequest(customer, bytes) })
+		return e.connections.TakeBody(r.Context(), bytes, func() bool { return memory.TakeRequest(call.customer, weight, bytes) })
 	}
 	body, err := callermem.ReadAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, take)
 	if err != nil {
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -30,9 +30,12 @@
 	g.metrics.setMemory("all", bodies+use.Heads+use.Connections, use.Limits.Total)
 }
 
+// equalWeight is the weight of all customers of the users' platform, whose pages give them none.
+const equalWeight = 1
+
 // takeRequestMemory takes memory for the call's body until the end of the call. It returns false if there is none.
 func (c *call) takeRequestMemory(bytes int64) bool {
-	return c.gateway.callers.TakeBody(c.r.Context(), bytes, func() bool { return c.memory.TakeRequest(c.access.Customer, bytes) })
+	return c.gateway.callers.TakeBody(c.r.Context(), bytes, func() bool { return c.memory.TakeRequest(c.access.Customer, equalWeight, bytes) })
 }
 
 // takeResponseMemory takes memory for a response until the end of the call. If there is none, it closes connections whose callers do not
--- a/internal/template/accept.go
+++ b/internal/template/accept.go
@@ -36,6 +36,7 @@
 	Version           Version
 	Plans             []CustomerPlan
 	planIndexes       map[ident.Customer]int
+	totalWeight       float64
 	customersByDigest map[string]ident.Customer
 	routes            map[ident.Customer][]compiledRoute
 }
@@ -136,7 +137,9 @@
 	}
 	builder := newPlanBuilder(template, customer, path, faults)
 	p.planIndexes[customer.Name] = len(p.Plans)
-	p.Plans = append(p.Plans, builder.plan(template, customer))
+	plan := builder.plan(template, customer)
+	p.Plans = append(p.Plans, plan)
+	p.totalWeight += plan.Weight
 	p.routes[customer.Name] = compileRoutes(template)
 }
 
--- a/internal/template/accept_test.go
+++ b/internal/template/accept_test.go
@@ -48,6 +48,17 @@
 	c.Assert(accepted.Plan("stranger"), qt.IsNil)
 }
 
+func TestRelativeWeightIsThatOfTheMean(t *testing.T) {
+	c := qt.New(t)
+	two := strings.Replace(document, `"customers": [`, `"customers": [
+ {"name": "heavy", "template": "counter", "credential_sha256": ["`+strings.Repeat("b", 64)+`"], "parameters": [{"name": "weight", "value": 3}]}, `, 1)
+	accepted, faults := template.Accept([]byte(two))
+	c.Assert(faults, qt.HasLen, 0)
+	c.Check(accepted.RelativeWeight("heavy"), qt.Equals, 1.5)
+	c.Check(accepted.RelativeWeight("dakar-employers"), qt.Equals, 0.5)
+	c.Check(accepted.RelativeWeight("stranger"), qt.Equals, 1.0)
+}
+
 func TestAcceptReportsPathAndExpectedValue(t *testing.T) {
 	cases := []struct {
 		name, from, to, path, expected string
--- a/internal/template/lookup.go
+++ b/internal/template/lookup.go
@@ -57,6 +57,15 @@
 	return &p.Plans[index]
 }
 
+// RelativeWeight returns a customer's weight relative to the mean of all customers; 1 for an unknown customer.
+func (p *CustomerPlans) RelativeWeight(customer ident.Customer) float64 {
+	plan := p.Plan(customer)
+	if plan == nil || p.totalWeight == 0 {
+		return 1
+	}
+	return plan.Weight * float64(len(p.Plans)) / p.totalWeight
+}
+
 // ClassOfRoute returns the class of a customer's plain call, or nil if no route matches. If several routes match, the one
 // with the most literal path segments is used.
 func (p *CustomerPlans) ClassOfRoute(customer ident.Customer, method, path string) *ClassPlan {
