Keep a connection for 0.25 s after its last response while others look for room

Change: a kept connection is closed for others only 0.25 s after its last response, as new ones are kept for 0.25 s for their first byte. Before that the incomplete request that has waited longest makes room.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -23,8 +23,9 @@
 	// patience is how long a caller may take for a request before its connection is closed rather than one that is idle after an earlier
 	// request. Callers that comply send a request at once.
 	patience = 500 * time.Millisecond
-	// firstByteGrace is how long a new connection is kept in any case: its caller may be as busy as this process.
-	firstByteGrace = 250 * time.Millisecond
+	// requestGrace is how long a connection without a request, new or after an earlier one, is kept in any case: its caller may be as busy as
+	// this process.
+	requestGrace = 250 * time.Millisecond
 	// writePatience is how long a caller may leave a response unread while a new connection finds no room.
 	writePatience = 100 * time.Millisecond
 	// crowdedTime is how long responses close their connections after a new one has found no room.
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -172,7 +172,7 @@
 			waiting, body, late := newWaits(), &Conn{}, &Conn{}
 			body.served.Store(true)
 			waiting.set(body, forRest, now.Add(-test.bodyAge))
-			waiting.set(late, forFirstByte, now.Add(-firstByteGrace))
+			waiting.set(late, forFirstByte, now.Add(-requestGrace))
 			// Bytes of the body wait to be read.
 			victim := waiting.victim(now, func(conn *Conn) bool { return conn == late })
 			qt.Assert(t, victim == body, qt.Equals, test.bodyEnds)
@@ -181,6 +181,24 @@
 	}
 }
 
+// A caller that sends one request after another lost its connection a few milliseconds after a response, while a crowd opened connections: its
+// next request got no response. The crowd's incomplete request makes room instead.
+func TestConnectionWithARecentResponseIsKept(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		idle time.Duration
+		kept bool
+	}{{0, true}, {4 * time.Millisecond, true}, {requestGrace - time.Millisecond, true}, {requestGrace, false}} {
+		waiting, kept, incomplete := newWaits(), &Conn{}, &Conn{}
+		waiting.set(kept, forNext, now.Add(-test.idle))
+		victim := waiting.victim(now, func(*Conn) bool { return true })
+		qt.Assert(t, victim == nil, qt.Equals, test.kept, qt.Commentf("idle for %s", test.idle))
+		waiting.set(incomplete, forRest, now)
+		victim = waiting.victim(now, func(*Conn) bool { return true })
+		qt.Assert(t, victim == incomplete, qt.Equals, test.kept, qt.Commentf("idle for %s", test.idle))
+	}
+}
+
 // The numbers that were taken for a report were counted on while it was written: the runtime ends a process that reads a map meanwhile.
 func TestTakenEvictionsAreNotCountedOn(t *testing.T) {
 	table := NewTable(Config{MaxConnections: 1, Memory: callermem.NewAccount(0)})
--- a/internal/callerconn/waits.go
+++ b/internal/callerconn/waits.go
@@ -55,11 +55,11 @@
 // no bytes that this process has still to handle: if it has, it is this process that is late and not the caller. Of those that are idle, it
 // returns in this order:
 //   - the incomplete request, or the connection without a request, that has waited longest, if that is longer than patience;
-//   - the connection that has been kept longest after an earlier request;
+//   - the connection that has been kept longest after an earlier request, after requestGrace;
 //   - the incomplete request that has waited longest;
 //   - the request that has waited longest for its body, idle or not, if that is longer than patience: its caller holds more than one that
 //     may be late with its first byte;
-//   - the connection without a request that has waited longest, after firstByteGrace.
+//   - the connection without a request that has waited longest, after requestGrace.
 //
 // If there is none, it returns the request that has waited longest for its body.
 func (w *waits) victim(now time.Time, idle func(conn *Conn) bool) *Conn {
@@ -70,14 +70,15 @@
 	if oldest != nil && now.Sub(oldest.wait.began) >= patience {
 		return oldest
 	}
-	for _, kind := range []waitKind{forNext, forRest} {
-		if conn := w.longestThat(kind, idle); conn != nil {
-			return conn
-		}
+	if kept := w.longestThat(forNext, idle); kept != nil && now.Sub(kept.wait.began) >= requestGrace {
+		return kept
+	}
+	if conn := w.longestThat(forRest, idle); conn != nil {
+		return conn
 	}
 	body := w.longestThat(forRest, func(conn *Conn) bool { return conn.served.Load() })
 	late := body != nil && now.Sub(body.wait.began) >= patience
-	if !late && unused != nil && now.Sub(unused.wait.began) >= firstByteGrace {
+	if !late && unused != nil && now.Sub(unused.wait.began) >= requestGrace {
 		return unused
 	}
 	return body
