--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -54,20 +54,31 @@
 	return s
 }
 
-// open opens a connection, sends text and waits until the table has it.
+// open opens a connection, sends text and waits until the table has it and the server has read the text.
 func (s *testServer) open(text string) net.Conn {
-	before := s.table.Count()
 	conn, err := net.Dial("tcp", s.address)
 	s.c.Assert(err, qt.IsNil)
 	s.c.Cleanup(func() { _ = conn.Close() })
 	_, err = io.WriteString(conn, text)
 	s.c.Assert(err, qt.IsNil)
-	for end := time.Now().Add(time.Second); s.table.Count() <= before && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
+	for end := time.Now().Add(5 * time.Second); !s.hasRead(conn, text); time.Sleep(time.Millisecond) {
+		s.c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the server has not read %q", text))
 	}
 	return conn
 }
 
+// hasRead reports whether the server has read the text that was sent on a connection and waits for more, or serves it.
+func (s *testServer) hasRead(conn net.Conn, text string) bool {
+	s.table.mu.Lock()
+	defer s.table.mu.Unlock()
+	for known := range s.table.open {
+		if known.RemoteAddr().String() == conn.LocalAddr().String() {
+			return known.served.Load() || known.reading.Load() && (text == "") == (known.wait.kind == forFirstByte)
+		}
+	}
+	return false
+}
+
 // awaitEvictions waits until the table has closed as many connections to make room.
 func (s *testServer) awaitEvictions(number int) {
 	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
