--- a/review/scenes/silence.go
+++ b/review/scenes/silence.go
@@ -111,8 +111,10 @@
 		"version": version,
 		"limits":  map[string]any{"header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000},
 		"tenants": []map[string]any{{"name": "tenant-1", "api-keys": []string{caseKey}}},
-		"routes": []map[string]any{{"name": "redeem", "host": caseHost, "prefix": "/redeem/", "kind": "non_idempotent", "service": service, "attempts": 2,
-			"timeout-ms": 600, "target-latency-ms": 100, "priority": 1, "public": false}},
+		"routes": []map[string]any{{
+			"name": "redeem", "host": caseHost, "prefix": "/redeem/", "kind": "non_idempotent", "service": service, "attempts": 2,
+			"timeout-ms": 600, "target-latency-ms": 100, "priority": 1, "public": false,
+		}},
 		"services": []map[string]any{{"name": "counter-a", "health-path": "/healthz", "max-conns": 200}, {"name": "counter-b", "health-path": "/healthz", "max-conns": 200}},
 	}
 }
@@ -135,8 +137,10 @@
 			}
 			server := &plainServer{service: service, id: fmt.Sprintf("i-%s-%d", service, n), address: listener.Addr().String(), ran: ran}
 			go func() { _ = http.Serve(listener, server) }()
-			st.put("servers/"+server.id, map[string]any{"service": service, "address": server.address, "zone": "a", "version": 1, "slots": 6, "state": "ready",
-				"warmup-ms": 0, "sequence": 1, "born": time.Now().UnixMilli()})
+			st.put("servers/"+server.id, map[string]any{
+				"service": service, "address": server.address, "zone": "a", "version": 1, "slots": 6, "state": "ready",
+				"warmup-ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+			})
 		}
 	}
 	target, err := serveStore(s, st)
@@ -157,8 +161,10 @@
 		proxy := &silentProxy{target: target, dead: make(chan struct{})}
 		proxies = append(proxies, proxy)
 		go proxy.serve(listener)
-		settings := standin.ProcessSettings{Name: fmt.Sprintf("entry-%d", i), IP: ip, PeerPort: 7340, Store: listener.Addr().String(), Seeds: seeds,
-			FirstStart: true, Callers: ip + ":8100", Ready: ip + ":8101"}
+		settings := standin.ProcessSettings{
+			Name: fmt.Sprintf("entry-%d", i), IP: ip, PeerPort: 7340, Store: listener.Addr().String(), Seeds: seeds,
+			FirstStart: true, Callers: ip + ":8100", Ready: ip + ":8101",
+		}
 		if _, err := s.start("entry", settings); err != nil {
 			return err
 		}
@@ -232,7 +238,10 @@
 }
 
 // redeem sends one request that must not run twice, on a connection of its own.
-func redeem(entry, id string) (int, string) {
+func redeem(entry, id string) (int, string) { return redeemWith(entry, id, caseKey) }
+
+// redeemWith is redeem with another key.
+func redeemWith(entry, id, key string) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/redeem/"+id, http.NoBody)
@@ -242,7 +251,7 @@
 	request.Host, request.Close = caseHost, true
 	request.Header.Set("Bramleyspool-Attempt-Id", id)
 	request.Header.Set("Bramleyspool-Deadline-Ms", "600")
-	request.Header.Set("X-Api-Key", caseKey)
+	request.Header.Set("X-Api-Key", key)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, err.Error()
--- a/review/scenes/store.go
+++ b/review/scenes/store.go
@@ -18,6 +18,9 @@
 	items    map[string]storeItem
 	history  []storeItem
 	changed  chan struct{}
+	// era is the number of restores from a copy, plus 1. away is true while the store answers nothing but 503.
+	era  int
+	away bool
 }
 
 type storeItem struct {
@@ -28,7 +31,7 @@
 }
 
 func newStore() *store {
-	return &store{revision: 1, items: map[string]storeItem{}, changed: make(chan struct{})}
+	return &store{revision: 1, items: map[string]storeItem{}, changed: make(chan struct{}), era: 1}
 }
 
 func (s *store) put(key string, value any) {
@@ -51,8 +54,52 @@
 	s.changed = make(chan struct{})
 }
 
+// present returns the newest revision, for restore.
+func (s *store) present() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// leave lets the store answer nothing any more, and ends what waits.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore brings the store back as it was at a revision.
+func (s *store) restore(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := s.history
+	s.history, s.items = nil, map[string]storeItem{}
+	for _, item := range kept {
+		if item.Revision > revision {
+			continue
+		}
+		s.history = append(s.history, item)
+		if item.Deleted {
+			delete(s.items, item.Key)
+		} else {
+			s.items[item.Key] = item
+		}
+	}
+	s.revision, s.away = revision, false
+	s.era++
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Store-Era", "1")
+	s.mu.Lock()
+	away := s.away
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	s.mu.Unlock()
+	if away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	query := r.URL.Query()
 	answer := map[string]any{}
@@ -84,6 +131,16 @@
 		events := []storeItem{}
 		for len(events) == 0 {
 			s.mu.Lock()
+			if s.away || after > s.revision {
+				gone := !s.away
+				s.mu.Unlock()
+				if gone {
+					w.WriteHeader(http.StatusGone)
+				} else {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+				return
+			}
 			for _, item := range s.history {
 				if item.Revision > after {
 					events = append(events, item)
