--- a/review/scenes/main.go
+++ b/review/scenes/main.go
@@ -10,7 +10,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -54,13 +56,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	defer os.RemoveAll(directory)
+	defer func() { _ = os.RemoveAll(directory) }()
 	file, err := os.Create(record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	s := &scene{binary: binary, directory: directory, trouble: os.Getenv("TROUBLE") != "0", record: file, started: time.Now()}
 	// Runs at the same time get different addresses.
 	s.network = fmt.Sprintf("127.%d", 10+os.Getpid()%200)
@@ -119,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	command := exec.Command(s.binary, "platform", role, "--metrics-port", "9464")
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
 	command.Stdout, command.Stderr = log, log
@@ -146,5 +148,59 @@
 	}
 }
 
+// freeAddress returns a loopback address with a port that is free.
+func freeAddress(ip string) (string, error) {
+	listener, err := listen(ip)
+	if err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
+// freePeerPort returns a port for messages that is free at all addresses of a number of machines of one or two kinds.
+func (s *scene) freePeerPort(machines map[int]int) (int, error) {
+	for range 100 {
+		port := 20000 + rand.IntN(10000)
+		if s.isFree(port, machines) && s.isFree(port+1, machines) {
+			return port, nil
+		}
+	}
+	return 0, errors.New("no port for messages is free")
+}
+
+func (s *scene) isFree(port int, machines map[int]int) bool {
+	for kind, number := range machines {
+		for i := range number {
+			conn, err := net.ListenPacket("udp4", fmt.Sprintf("%s:%d", s.ip(kind, i), port))
+			if err != nil {
+				return false
+			}
+			_ = conn.Close()
+		}
+	}
+	return true
+}
+
+// entrySettings returns the settings of an entry at free ports.
+func (s *scene) entrySettings(index, entries, peerPort int, store string) (standin.ProcessSettings, error) {
+	ip := s.ip(4, index)
+	callers, err := freeAddress(ip)
+	if err != nil {
+		return standin.ProcessSettings{}, err
+	}
+	ready, err := freeAddress(ip)
+	if err != nil {
+		return standin.ProcessSettings{}, err
+	}
+	var seeds []string
+	for i := range min(entries, 3) {
+		// Only the address of a seed is used.
+		seeds = append(seeds, fmt.Sprintf("%s:%d", s.ip(4, i), peerPort))
+	}
+	return standin.ProcessSettings{
+		Name: fmt.Sprintf("entry-%d", index), IP: ip, PeerPort: peerPort, Store: store, Seeds: seeds, FirstStart: true, Callers: callers, Ready: ready,
+	}, nil
+}
+
 // listen opens a listener at a free port of a loopback address.
 func listen(ip string) (net.Listener, error) { return net.Listen("tcp", ip+":0") }
--- a/review/scenes/ranks.go
+++ b/review/scenes/ranks.go
@@ -68,7 +68,7 @@
 // serveConn handles the calls to the engine's own interface one by one, and passes on the bytes of a connection with requests
 // of clients unchanged.
 func (p *rankProxy) serveConn(conn net.Conn) {
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	var second []byte
 	earlier := ""
@@ -156,7 +156,7 @@
 	if err != nil {
 		return
 	}
-	defer target.Close()
+	defer func() { _ = target.Close() }()
 	if err := first.Write(target); err != nil {
 		return
 	}
@@ -218,11 +218,10 @@
 	if err != nil {
 		return nil, err
 	}
-	var seeds []string
-	for i := range groupEntries {
-		seeds = append(seeds, s.ip(4, i)+":8100")
+	peerPort, err := s.freePeerPort(map[int]int{3: groupRanks, 4: groupEntries})
+	if err != nil {
+		return nil, err
 	}
-	const peerPort = 7340
 	for i := range groupRanks {
 		if _, err := s.start("agent", standin.ProcessSettings{
 			Name: fmt.Sprintf("agent-%d", i), IP: s.ip(3, i), Backend: listeners[i].Addr().String(), PeerPort: peerPort, Store: store, FirstStart: true,
@@ -232,10 +231,9 @@
 	}
 	var ready []string
 	for i := range groupEntries {
-		ip := s.ip(4, i)
-		settings := standin.ProcessSettings{
-			Name: fmt.Sprintf("entry-%d", i), IP: ip, PeerPort: peerPort, Store: store, Seeds: seeds, FirstStart: true,
-			Callers: ip + ":8100", Ready: ip + ":8101",
+		settings, err := s.entrySettings(i, groupEntries, peerPort, store)
+		if err != nil {
+			return nil, err
 		}
 		if _, err := s.start("entry", settings); err != nil {
 			return nil, err
--- a/review/scenes/restore.go
+++ b/review/scenes/restore.go
@@ -64,16 +64,17 @@
 	}
 	var settings []standin.ProcessSettings
 	var commands []*exec.Cmd
-	var ready, seeds []string
-	for i := range restoreEntries {
-		seeds = append(seeds, s.ip(4, i)+":8100")
+	var ready []string
+	peerPort, err := s.freePeerPort(map[int]int{4: restoreEntries})
+	if err != nil {
+		return err
 	}
 	for i := range restoreEntries {
-		ip := s.ip(4, i)
-		settings = append(settings, standin.ProcessSettings{
-			Name: fmt.Sprintf("entry-%d", i), IP: ip, PeerPort: 7340, Store: address, Seeds: seeds,
-			FirstStart: true, Callers: ip + ":8100", Ready: ip + ":8101",
-		})
+		entry, err := s.entrySettings(i, restoreEntries, peerPort, address)
+		if err != nil {
+			return err
+		}
+		settings = append(settings, entry)
 		command, err := s.start("entry", settings[i])
 		if err != nil {
 			return err
--- a/review/scenes/silence.go
+++ b/review/scenes/silence.go
@@ -12,8 +12,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/bramleyspool/bramleyspool/platform/standin"
 )
 
 // silentProxy passes connections on. After silence, those that are open carry nothing any more, without a reset; new ones work.
@@ -51,7 +49,7 @@
 		return
 	}
 	copyTo := func(to, from net.Conn) {
-		defer to.Close()
+		defer func() { _ = to.Close() }()
 		buffer := make([]byte, 32<<10)
 		for {
 			n, err := from.Read(buffer)
@@ -148,12 +146,12 @@
 		return err
 	}
 	var proxies []*silentProxy
-	var entries, ready, seeds []string
-	for i := range plainEntries {
-		seeds = append(seeds, s.ip(4, i)+":8100")
+	var entries, ready []string
+	peerPort, err := s.freePeerPort(map[int]int{4: plainEntries})
+	if err != nil {
+		return err
 	}
 	for i := range plainEntries {
-		ip := s.ip(4, i)
 		listener, err := listen(s.ip(6, i))
 		if err != nil {
 			return err
@@ -161,9 +159,9 @@
 		proxy := &silentProxy{target: target, dead: make(chan struct{})}
 		proxies = append(proxies, proxy)
 		go proxy.serve(listener)
-		settings := standin.ProcessSettings{
-			Name: fmt.Sprintf("entry-%d", i), IP: ip, PeerPort: 7340, Store: listener.Addr().String(), Seeds: seeds,
-			FirstStart: true, Callers: ip + ":8100", Ready: ip + ":8101",
+		settings, err := s.entrySettings(i, plainEntries, peerPort, listener.Addr().String())
+		if err != nil {
+			return err
 		}
 		if _, err := s.start("entry", settings); err != nil {
 			return err
